--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# agateway: see README.md.
+MODULES := core api gateway cli
+PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
+
+.PHONY: all build demo test lint bench generate tidy
+all: build
+
+build:
+	go build -o bin/ ./gateway/cmd/agatewayd ./cli/cmd/agateway
+
+demo: build
+	./scripts/demo.sh
+
+# Vet runs in lint; here the tests run once each, with the race detector.
+test:
+	go test -race -count=1 -vet=off $(PACKAGES)
+
+lint:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	go vet $(PACKAGES)
+	@for m in $(MODULES); do (cd $$m && go tool staticcheck ./...) || exit 1; done
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+# Needs the network, for the generators; their output is committed.
+generate:
+	cd api && PATH="$$(go env GOPATH)/bin:$$PATH" && \
+	go install github.com/bufbuild/buf/cmd/buf@v1.75.0 && \
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12 && \
+	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1 && \
+	buf generate
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
--- /dev/null
+++ b/core/membership/node.go
@@ -0,0 +1,338 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Action is something the caller has to carry out: [Ping] or [IndirectPing].
+type Action interface{ action() }
+
+// Ping asks to ping a member, and to report [Node.Answered] or [Node.Missed].
+type Ping struct{ To Member }
+
+// IndirectPing asks Via to ping Target, and to report [Node.Answered] or
+// [Node.MissedIndirect].
+type IndirectPing struct{ Via, Target Member }
+
+func (Ping) action()         {}
+func (IndirectPing) action() {}
+
+// Change is a change of state of a member.
+type Change struct {
+	Member Member
+	Before State
+}
+
+type record struct {
+	Member
+	since time.Time // of the state
+	told  int       // how often the news was passed on
+}
+
+// Node is one instance's view of the members.
+type Node struct {
+	set     Settings
+	self    Member
+	members map[string]*record // without self
+	round   []string
+	next    int
+	ticks   int
+	pending map[string]int // indirect pings that are out, by target
+	news    []string       // members with news to tell, least told first
+	changes []Change
+	rnd     *rand.Rand
+}
+
+// New returns a node that knows only itself. incarnation has to rise from one start
+// to the next where possible; the time in nanoseconds will do.
+func New(set Settings, self Member, rnd *rand.Rand) *Node {
+	return &Node{set: set, self: self, members: map[string]*record{}, pending: map[string]int{}, rnd: rnd}
+}
+
+// Self returns the node's own entry.
+func (n *Node) Self() Member { return n.self }
+
+// SetFigures sets what the node tells of itself.
+func (n *Node) SetFigures(open uint32, configuration uint64) {
+	n.self.Beat++
+	n.self.Open, n.self.Configuration = open, configuration
+}
+
+// Leave makes the node say that it takes no new work.
+func (n *Node) Leave() {
+	n.self.Leaving = true
+	n.self.Incarnation++
+}
+
+// Seed adds a member that a list names, unless it is known.
+func (n *Node) Seed(now time.Time, m Member) {
+	if m.ID == n.self.ID || n.members[m.ID] != nil {
+		return
+	}
+	n.members[m.ID] = &record{Member: m, since: now}
+}
+
+// Members returns all members and the node itself, by id.
+func (n *Node) Members() []Member {
+	out := make([]Member, 0, len(n.members)+1)
+	out = append(out, n.self)
+	for _, r := range n.members {
+		out = append(out, r.Member)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Get returns a member.
+func (n *Node) Get(id string) (Member, bool) {
+	if id == n.self.ID {
+		return n.self, true
+	}
+	r := n.members[id]
+	if r == nil {
+		return Member{}, false
+	}
+	return r.Member, true
+}
+
+// Changes returns the changes of state since the last call.
+func (n *Node) Changes() []Change {
+	out := n.changes
+	n.changes = nil
+	return out
+}
+
+// Tick lets one interval pass.
+func (n *Node) Tick(now time.Time) []Action {
+	n.ticks++
+	n.expire(now)
+	var out []Action
+	if m, ok := n.pick(false); ok {
+		out = append(out, Ping{m})
+	}
+	if n.ticks%max(n.set.DeadEvery, 1) == 0 {
+		if m, ok := n.pickDead(); ok {
+			out = append(out, Ping{m})
+		}
+	}
+	return out
+}
+
+// pick returns the next member of the round that is not dead.
+func (n *Node) pick(reshuffled bool) (Member, bool) {
+	for n.next < len(n.round) {
+		r := n.members[n.round[n.next]]
+		n.next++
+		if r != nil && r.State != Dead {
+			return r.Member, true
+		}
+	}
+	if reshuffled {
+		return Member{}, false
+	}
+	n.round = n.round[:0]
+	for id := range n.members {
+		n.round = append(n.round, id)
+	}
+	sort.Strings(n.round) // map order is not the seeded one
+	n.rnd.Shuffle(len(n.round), func(i, j int) { n.round[i], n.round[j] = n.round[j], n.round[i] })
+	n.next = 0
+	return n.pick(true)
+}
+
+func (n *Node) pickDead() (Member, bool) {
+	dead := n.ids(func(r *record) bool { return r.State == Dead })
+	if len(dead) == 0 {
+		return Member{}, false
+	}
+	return n.members[dead[n.rnd.IntN(len(dead))]].Member, true
+}
+
+func (n *Node) ids(keep func(*record) bool) []string {
+	var out []string
+	for id, r := range n.members {
+		if keep(r) {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// expire turns long suspicion into death, and forgets the long dead.
+func (n *Node) expire(now time.Time) {
+	for _, id := range n.ids(func(r *record) bool { return r.State != Alive }) {
+		r := n.members[id]
+		switch {
+		case r.State == Suspect && now.Sub(r.since) >= n.suspicion():
+			n.setState(now, r, Dead)
+		case r.State == Dead && now.Sub(r.since) >= n.set.KeepDead:
+			delete(n.members, id)
+		}
+	}
+}
+
+func (n *Node) logarithm() float64 { return math.Log2(float64(len(n.members) + 2)) }
+
+func (n *Node) suspicion() time.Duration {
+	return time.Duration(n.set.SuspectRounds * n.logarithm() * float64(n.set.Interval))
+}
+
+func (n *Node) setState(now time.Time, r *record, s State) {
+	if r.State == s {
+		return
+	}
+	before := r.State
+	r.State, r.since = s, now
+	n.changes = append(n.changes, Change{r.Member, before})
+	n.tell(r)
+}
+
+// Answered reports that a member answered a ping. What it says of itself comes with
+// [Node.Receive].
+func (n *Node) Answered(id string) { delete(n.pending, id) }
+
+// Missed reports that a member did not answer a ping, and returns whom to ask.
+func (n *Node) Missed(now time.Time, id string) []Action {
+	r := n.members[id]
+	if r == nil || r.State != Alive {
+		return nil
+	}
+	via := n.ids(func(o *record) bool { return o.ID != id && o.State == Alive })
+	n.rnd.Shuffle(len(via), func(i, j int) { via[i], via[j] = via[j], via[i] })
+	if len(via) > n.set.Indirect {
+		via = via[:n.set.Indirect]
+	}
+	if len(via) == 0 {
+		n.setState(now, r, Suspect)
+		return nil
+	}
+	n.pending[id] = len(via)
+	out := make([]Action, len(via))
+	for i, v := range via {
+		out[i] = IndirectPing{Via: n.members[v].Member, Target: r.Member}
+	}
+	return out
+}
+
+// MissedIndirect reports that an indirect ping failed too.
+func (n *Node) MissedIndirect(now time.Time, id string) {
+	left, out := n.pending[id]
+	if !out {
+		return
+	}
+	if left > 1 {
+		n.pending[id] = left - 1
+		return
+	}
+	delete(n.pending, id)
+	if r := n.members[id]; r != nil && r.State == Alive {
+		n.setState(now, r, Suspect)
+	}
+}
+
+// Receive merges news.
+func (n *Node) Receive(now time.Time, news []Member) {
+	for i := range news {
+		n.merge(now, &news[i])
+	}
+}
+
+func (n *Node) merge(now time.Time, m *Member) {
+	if m.ID == n.self.ID {
+		n.refute(m)
+		return
+	}
+	r := n.members[m.ID]
+	if r == nil {
+		r = &record{Member: *m, since: now}
+		n.members[m.ID] = r
+		n.changes = append(n.changes, Change{*m, Dead})
+		n.tell(r)
+		return
+	}
+	if m.overrides(&r.Member) {
+		before := r.State
+		if m.State != before {
+			r.since = now
+		}
+		r.Member = *m
+		if m.State != before {
+			n.changes = append(n.changes, Change{*m, before})
+		}
+		n.tell(r)
+		return
+	}
+	if m.fresher(&r.Member) {
+		r.Beat, r.Open, r.Configuration = m.Beat, m.Open, m.Configuration
+	}
+}
+
+// refute raises the node's own incarnation when others believe something that is not so.
+func (n *Node) refute(m *Member) {
+	stale := m.Incarnation > n.self.Incarnation
+	wrong := m.Incarnation == n.self.Incarnation && (m.State != Alive || m.Process != n.self.Process)
+	if stale || wrong {
+		n.self.Incarnation = m.Incarnation + 1
+	}
+}
+
+func (n *Node) tell(r *record) {
+	for _, id := range n.news {
+		if id == r.ID {
+			r.told = 0
+			return
+		}
+	}
+	r.told = 0
+	n.news = append(n.news, r.ID)
+}
+
+// Updates returns what to tell in a message to another member: the node itself, what is
+// believed of the other when it is not alive, the news told least, and if there is room
+// a member at random.
+func (n *Node) Updates(to string) []Member {
+	out := make([]Member, 0, n.set.Updates+1)
+	out = append(out, n.self)
+	if r := n.members[to]; r != nil && (r.State != Alive) {
+		out = append(out, r.Member)
+	}
+	sort.SliceStable(n.news, func(i, j int) bool { return n.told(n.news[i]) < n.told(n.news[j]) })
+	for _, id := range n.news {
+		if len(out) >= n.set.Updates {
+			break
+		}
+		if r := n.members[id]; r != nil && id != to {
+			r.told++
+			out = append(out, r.Member)
+		}
+	}
+	n.forgetOldNews()
+	if len(out) < n.set.Updates && n.next < len(n.round) {
+		if r := n.members[n.round[n.next]]; r != nil && r.ID != to {
+			out = append(out, r.Member)
+		}
+	}
+	return out
+}
+
+func (n *Node) told(id string) int {
+	if r := n.members[id]; r != nil {
+		return r.told
+	}
+	return math.MaxInt
+}
+
+func (n *Node) forgetOldNews() {
+	most := int(math.Ceil(n.set.Repeats * n.logarithm()))
+	kept := n.news[:0]
+	for _, id := range n.news {
+		if n.told(id) < most {
+			kept = append(kept, id)
+		}
+	}
+	n.news = kept
+}
--- /dev/null
+++ b/core/routing/endpoint.go
@@ -0,0 +1,119 @@
+package routing
+
+import "time"
+
+// State is an endpoint's state as far as this instance knows.
+type State int
+
+// States of an endpoint.
+const (
+	Live State = iota
+	// Leaving endpoints get no new work; running streams finish.
+	Leaving
+)
+
+// Model is a model that an endpoint has loaded.
+type Model struct {
+	Name, Version string
+	Adapters      []string
+}
+
+// Endpoint describes one back end.
+type Endpoint struct {
+	ID, Address, DataCentre string
+	// Service groups endpoints that serve the same deployments.
+	Service string
+	Slots   int
+	State   State
+	Models  []Model
+	// ChecksFencing tells that the endpoint refuses orders with an old fencing number.
+	ChecksFencing bool
+}
+
+func (e *Endpoint) serves(model, adapter, version string) bool {
+	if model == "" {
+		return true
+	}
+	for i := range e.Models {
+		m := &e.Models[i]
+		if m.Name == model && (version == "" || m.Version == version) && m.hasAdapter(adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Model) hasAdapter(adapter string) bool {
+	if adapter == "" {
+		return true
+	}
+	for _, a := range m.Adapters {
+		if a == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// Load is an endpoint's own report.
+type Load struct {
+	Running, Queued int
+	// Age is how old the report was when it was received.
+	Age time.Duration
+}
+
+// node is an endpoint with what this instance knows of its load and health.
+type node struct {
+	Endpoint
+	load     Load
+	loadAt   time.Time // when the load was as reported
+	open     int       // requests of this instance in progress
+	recent   []change  // requests sent (+1) and finished (-1) since loadAt
+	failures int       // in a row
+	until    time.Time // suspected until then
+	leaving  bool      // said so by the endpoint or a peer, sticks until the list forgets it
+	index    int       // place in its group
+}
+
+type change struct {
+	at    time.Time
+	delta int
+}
+
+const maxRecent = 256
+
+func (n *node) note(now time.Time, delta int) {
+	n.open += delta
+	if len(n.recent) == maxRecent {
+		n.load.Running += n.recent[0].delta
+		copy(n.recent, n.recent[1:])
+		n.recent = n.recent[:maxRecent-1]
+	}
+	n.recent = append(n.recent, change{now, delta})
+}
+
+func (n *node) report(now time.Time, l Load) {
+	at := now.Add(-l.Age)
+	if at.Before(n.loadAt) {
+		return // overtaken by a newer report
+	}
+	n.load, n.loadAt = l, at
+	kept := n.recent[:0]
+	for _, c := range n.recent {
+		if c.at.After(at) {
+			kept = append(kept, c)
+		}
+	}
+	n.recent = kept
+}
+
+// estimate returns the requests believed to be at the endpoint: the last report,
+// corrected by what this instance did since it was taken, and never less than what
+// this instance itself has there.
+func (n *node) estimate() int {
+	total := n.load.Running + n.load.Queued
+	for _, c := range n.recent {
+		total += c.delta
+	}
+	return max(total, n.open)
+}
--- /dev/null
+++ b/core/routing/pick.go
@@ -0,0 +1,164 @@
+package routing
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Errors of [View.Pick].
+var (
+	// ErrNone: no endpoint of the service serves the model, or all are gone.
+	ErrNone = errors.New("routing: no eligible endpoint")
+	// ErrFull: eligible endpoints exist, and all hold as much as they may.
+	ErrFull = errors.New("routing: all eligible endpoints are full")
+)
+
+// Request describes what a pick is for.
+type Request struct {
+	Service, Model, Adapter, Version string
+	// DataCentre is where the instance runs; endpoints elsewhere score worse.
+	DataCentre string
+	// Prefixes are the hashes of the prompt's prefixes, shortest first.
+	Prefixes []uint64
+	// Avoid names endpoints that already failed this request.
+	Avoid []string
+	// Recovery marks work that was lost once; it may use the reserve.
+	Recovery bool
+	// Key breaks ties, so that equal requests meet the same endpoint.
+	Key     string
+	Weights Weights
+}
+
+// Weights say how a deployment ranks endpoints. Scores are in units of full load:
+// 1 is the worth of an idle endpoint against a full one.
+type Weights struct {
+	// Load is the weight of the estimated load per slot.
+	Load float64
+	// Cache is the weight of the cached share of the prompt.
+	Cache float64
+	// Remote is the cost of another data centre.
+	Remote float64
+}
+
+// DefaultWeights returns the weights used where a deployment names none.
+func DefaultWeights() Weights { return Weights{Load: 1, Cache: 0.5, Remote: 0.1} }
+
+// Decision is a chosen endpoint and why.
+type Decision struct {
+	Endpoint Endpoint
+	Score    float64
+	// Cached is the share of the prefixes believed to be in its cache.
+	Cached float64
+	// Candidates is how many endpoints were compared.
+	Candidates int
+}
+
+// attemptsPerChoice bounds the draws for each candidate wanted.
+const attemptsPerChoice = 3
+
+// Pick chooses an endpoint. It samples; when the sample holds no eligible endpoint
+// it looks at the whole group before it says that there is none.
+func (v *View) Pick(now time.Time, r *Request, rnd *rand.Rand) (Decision, error) {
+	group := v.groups[r.Service]
+	if len(group) == 0 {
+		return Decision{}, ErrNone
+	}
+	p := picker{v: v, now: now, r: r}
+	p.considerCacheHolders()
+	want := p.n + v.set.Choices
+	for i := 0; p.n < want && i < v.set.Choices*attemptsPerChoice; i++ {
+		p.consider(group[rnd.IntN(len(group))])
+	}
+	if p.best == nil {
+		start := rnd.IntN(len(group))
+		for i := range group {
+			p.consider(group[(start+i)%len(group)])
+		}
+	}
+	if p.best == nil {
+		if p.full {
+			return Decision{}, ErrFull
+		}
+		return Decision{}, ErrNone
+	}
+	return Decision{p.best.Endpoint, p.score, p.cached, p.n}, nil
+}
+
+// picker is one pick in progress.
+type picker struct {
+	v             *View
+	now           time.Time
+	r             *Request
+	best          *node
+	score, cached float64
+	tie           uint64
+	n             int
+	full          bool
+}
+
+func (p *picker) considerCacheHolders() {
+	if p.r.Weights.Cache == 0 {
+		return
+	}
+	for i := len(p.r.Prefixes) - 1; i >= 0; i-- {
+		e := p.v.cache.entries[p.r.Prefixes[i]]
+		if e == nil {
+			continue
+		}
+		for j := range e.holders {
+			if n := p.v.nodes[e.holders[j].endpoint]; n != nil && n.Service == p.r.Service {
+				p.consider(n)
+			}
+		}
+		return
+	}
+}
+
+func (p *picker) consider(n *node) {
+	if n == p.best || !p.eligible(n) {
+		return
+	}
+	p.n++
+	cached := p.v.cached(p.now, n.ID, p.r.Prefixes)
+	score := p.rank(n, cached)
+	if p.best == nil || score < p.score || score == p.score && p.tieOf(n) > p.tie {
+		p.best, p.score, p.cached, p.tie = n, score, cached, p.tieOf(n)
+	}
+}
+
+func (p *picker) rank(n *node, cached float64) float64 {
+	w := &p.r.Weights
+	score := w.Load*float64(n.estimate())/float64(n.Slots) - w.Cache*cached
+	if n.DataCentre != p.r.DataCentre {
+		score += w.Remote
+	}
+	return score
+}
+
+func (p *picker) tieOf(n *node) uint64 {
+	return xxhash.Sum64String(p.r.Key) ^ xxhash.Sum64String(n.ID)
+}
+
+// eligible is the filter: state, suspicion, earlier failures, model, room.
+func (p *picker) eligible(n *node) bool {
+	if n.State != Live || p.now.Before(n.until) || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
+		return false
+	}
+	for _, a := range p.r.Avoid {
+		if a == n.ID {
+			return false
+		}
+	}
+	factor := p.v.set.QueueFactor
+	if p.r.Recovery {
+		factor = p.v.set.RecoveryFactor
+	}
+	if float64(n.estimate()) >= factor*float64(n.Slots) {
+		p.full = true
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/core/routing/view.go
@@ -0,0 +1,192 @@
+package routing
+
+import (
+	"sort"
+	"time"
+)
+
+// Settings of a view. The zero value is not usable; see [DefaultSettings].
+type Settings struct {
+	// SuspectFirst and SuspectMost bound how long an endpoint is left out after
+	// failures; the time doubles with each failure in a row.
+	SuspectFirst, SuspectMost time.Duration
+	// CacheTTL is how long a cache event is believed.
+	CacheTTL time.Duration
+	// CacheEntries bounds the cache index; the oldest entries go first.
+	CacheEntries int
+	// Choices is how many random candidates a pick compares.
+	Choices int
+	// QueueFactor times the slots is what an endpoint may hold before new work goes
+	// elsewhere; recoveries may go RecoveryFactor times the slots.
+	QueueFactor, RecoveryFactor float64
+}
+
+// DefaultSettings returns the settings measured in docs/CAPACITY.md.
+func DefaultSettings() Settings {
+	return Settings{
+		SuspectFirst: time.Second, SuspectMost: 15 * time.Second,
+		CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
+		Choices: 2, QueueFactor: 1.25, RecoveryFactor: 2,
+	}
+}
+
+// View is what one instance knows of the endpoints.
+type View struct {
+	set    Settings
+	nodes  map[string]*node
+	groups map[string][]*node // by service
+	cache  cacheIndex
+}
+
+// NewView returns an empty view.
+func NewView(s Settings) *View {
+	return &View{
+		set: s, nodes: map[string]*node{}, groups: map[string][]*node{},
+		cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
+	}
+}
+
+// Upsert adds an endpoint or brings its description up to date. A state of leaving
+// that was learned elsewhere is kept: lists lag.
+func (v *View) Upsert(e Endpoint) {
+	if e.Slots <= 0 {
+		e.Slots = 1
+	}
+	n := v.nodes[e.ID]
+	switch {
+	case n == nil:
+		n = &node{}
+		v.nodes[e.ID] = n
+		n.Service = e.Service
+		v.link(n)
+	case n.Service != e.Service:
+		v.unlink(n)
+		n.Service = e.Service
+		v.link(n)
+	}
+	n.Endpoint = e
+	if n.leaving {
+		n.State = Leaving
+	}
+}
+
+func (v *View) link(n *node) {
+	n.index = len(v.groups[n.Service])
+	v.groups[n.Service] = append(v.groups[n.Service], n)
+}
+
+func (v *View) unlink(n *node) {
+	g := v.groups[n.Service]
+	last := len(g) - 1
+	g[n.index] = g[last]
+	g[n.index].index = n.index
+	v.groups[n.Service] = g[:last]
+}
+
+// Retain drops the endpoints that keep does not hold. Load of requests that are
+// still open there is forgotten with them.
+func (v *View) Retain(keep map[string]bool) {
+	for id, n := range v.nodes {
+		if !keep[id] {
+			v.unlink(n)
+			delete(v.nodes, id)
+		}
+	}
+}
+
+// MarkLeaving records that an endpoint said it leaves, which holds whatever a
+// lagging list says.
+func (v *View) MarkLeaving(id string) {
+	if n := v.nodes[id]; n != nil {
+		n.leaving, n.State = true, Leaving
+	}
+}
+
+// MarkLive clears a leaving state, when the endpoint itself says that it takes work.
+func (v *View) MarkLive(id string) {
+	if n := v.nodes[id]; n != nil {
+		n.leaving, n.State = false, Live
+	}
+}
+
+// Report takes an endpoint's load report.
+func (v *View) Report(now time.Time, id string, l Load) {
+	if n := v.nodes[id]; n != nil {
+		n.report(now, l)
+	}
+}
+
+// Sent records that a request went to an endpoint.
+func (v *View) Sent(now time.Time, id string) {
+	if n := v.nodes[id]; n != nil {
+		n.note(now, 1)
+	}
+}
+
+// Finished records the end of a request at an endpoint.
+func (v *View) Finished(now time.Time, id string) {
+	if n := v.nodes[id]; n != nil && n.open > 0 {
+		n.note(now, -1)
+	}
+}
+
+// Failed records that an endpoint failed a request; it is left out for a while.
+func (v *View) Failed(now time.Time, id string) {
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	n.failures++
+	pause := min(v.set.SuspectFirst<<min(n.failures-1, 10), v.set.SuspectMost)
+	n.until = now.Add(pause)
+}
+
+// Succeeded clears the suspicion of an endpoint.
+func (v *View) Succeeded(id string) {
+	if n := v.nodes[id]; n != nil {
+		n.failures, n.until = 0, time.Time{}
+	}
+}
+
+// Suspected tells whether an endpoint is left out because of failures.
+func (v *View) Suspected(now time.Time, id string) bool {
+	n := v.nodes[id]
+	return n != nil && now.Before(n.until)
+}
+
+// Get returns an endpoint.
+func (v *View) Get(id string) (Endpoint, bool) {
+	n := v.nodes[id]
+	if n == nil {
+		return Endpoint{}, false
+	}
+	return n.Endpoint, true
+}
+
+// Status is an endpoint with what is believed of it.
+type Status struct {
+	Endpoint
+	Estimate, Open int
+	Suspected      bool
+}
+
+// List returns all endpoints by id.
+func (v *View) List(now time.Time) []Status {
+	out := make([]Status, 0, len(v.nodes))
+	for _, n := range v.nodes {
+		out = append(out, Status{n.Endpoint, n.estimate(), n.open, now.Before(n.until)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Slots returns the slots of all endpoints of a service that take work.
+func (v *View) Slots(now time.Time, service string) int {
+	total := 0
+	for _, n := range v.groups[service] {
+		if n.State == Live && !now.Before(n.until) {
+			total += n.Slots
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/gateway/cmd/agatewayd/main.go
@@ -0,0 +1,72 @@
+// Command agatewayd is the daemon that runs on every entry instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/agateway/agateway/gateway/daemon"
+	"github.com/agateway/agateway/gateway/settings"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use: "agatewayd", Short: "Serves generations and plain services on one entry instance",
+		SilenceUsage: true,
+		RunE:         func(cmd *cobra.Command, _ []string) error { return run(cmd, file) },
+	}
+	root.Flags().StringVar(&file, "config", "agatewayd.ini", "settings file")
+	config := &cobra.Command{Use: "config", Short: "Checks and prints settings"}
+	config.AddCommand(
+		&cobra.Command{Use: "check FILE", Short: "Checks a settings file", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return err
+		}},
+		&cobra.Command{Use: "print", Short: "Prints all keys with their defaults and units", Run: func(cmd *cobra.Command, _ []string) {
+			settings.Print(cmd.OutOrStdout())
+		}},
+	)
+	root.AddCommand(config)
+	return root
+}
+
+// run serves until SIGTERM or SIGINT, and then drains; a second signal ends at once.
+func run(cmd *cobra.Command, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.Start(s, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s peers=%s\n", d.Callers, d.Peers); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		os.Exit(1)
+	}()
+	d.Drain(ctx)
+	return nil
+}
--- /dev/null
+++ b/gateway/config/change.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "github.com/agateway/agateway/api/operator/v1"
+	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/platform"
+)
+
+// PutDeployment creates (expected version 0) or updates a deployment, and returns its
+// version once the platform has it.
+func (c *Config) PutDeployment(ctx context.Context, d *operatorv1.Deployment, expected uint64, operation string) (uint64, error) {
+	cat, err := c.catalogue(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if err := validateDeployment(d, cat); err != nil {
+		return 0, err
+	}
+	return c.put(ctx, KindDeployment, d.GetName(), d, expected, operation)
+}
+
+// PutTeam creates or updates a team.
+func (c *Config) PutTeam(ctx context.Context, t *operatorv1.Team, expected uint64, operation string) (uint64, error) {
+	if err := validateTeam(t); err != nil {
+		return 0, err
+	}
+	return c.put(ctx, KindTeam, t.GetName(), t, expected, operation)
+}
+
+// Delete deletes a deployment or a team. A team that a deployment names stays.
+func (c *Config) Delete(ctx context.Context, kind, name string, expected uint64, operation string) (uint64, error) {
+	if expected == 0 {
+		return 0, invalid("expected_version", "is required")
+	}
+	if kind == KindTeam {
+		if err := c.unused(ctx, name); err != nil {
+			return 0, err
+		}
+	}
+	return c.put(ctx, kind, name, nil, expected, operation)
+}
+
+func (c *Config) unused(ctx context.Context, team string) error {
+	deployments, err := c.read(ctx, KindDeployment)
+	if err != nil {
+		return err
+	}
+	for _, o := range deployments {
+		var d operatorv1.Deployment
+		if _, err := unseal(o.Value, &d); err == nil && set(d.GetTeams())[team] {
+			return invalid("name", "deployment %q serves the team %q", d.GetName(), team)
+		}
+	}
+	return nil
+}
+
+// catalogue reads what a deployment may refer to. Teams and models are read from the
+// platform, so that rules across objects are checked against what is durable.
+func (c *Config) catalogue(ctx context.Context) (catalogue, error) {
+	teams, err := c.read(ctx, KindTeam)
+	if err != nil {
+		return catalogue{}, err
+	}
+	models, err := c.read(ctx, KindModel)
+	if err != nil {
+		return catalogue{}, err
+	}
+	out := catalogue{team: func(n string) bool { return teams[n].Version > 0 }}
+	if len(models) > 0 {
+		out.model = func(n string) bool { return models[n].Version > 0 }
+	}
+	return out, nil
+}
+
+// read returns the objects of a kind that are not deleted.
+func (c *Config) read(ctx context.Context, kind string) (map[string]platform.Object, error) {
+	objects, _, err := c.platform.List(ctx, kind)
+	if err != nil {
+		return nil, ErrUnavailable.Wrap(err, "the platform can't be read")
+	}
+	out := make(map[string]platform.Object, len(objects))
+	for _, o := range objects {
+		if !recordOf(o).Deleted {
+			out[o.Name] = o
+		}
+	}
+	return out, nil
+}
+
+func (c *Config) put(ctx context.Context, kind, name string, m proto.Message, expected uint64, operation string) (uint64, error) {
+	raw, err := seal(operation, m)
+	if err != nil {
+		return 0, err
+	}
+	w := write{kind: kind, name: name, raw: raw, expected: expected, operation: operation}
+	o, err := c.platform.Put(ctx, kind, name, raw, expected)
+	version, err := c.settle(ctx, &w, o, err)
+	if expected == 0 && w.tombstone > 0 {
+		// The name was used by an object that is deleted; the new one goes on from its version.
+		w.expected = w.tombstone
+		o, err = c.platform.Put(ctx, kind, name, raw, w.expected)
+		return c.settle(ctx, &w, o, err)
+	}
+	return version, err
+}
+
+// write is a conditional write in progress.
+type write struct {
+	kind, name, operation string
+	raw                   []byte
+	expected              uint64
+	tombstone             uint64 // version of a deleted object found in the way
+}
+
+// settle turns the platform's answer to a write into ours. A conflict or a lost answer
+// may be our own write: the operation id inside the object tells.
+func (c *Config) settle(ctx context.Context, w *write, o platform.Object, err error) (uint64, error) {
+	switch {
+	case err == nil:
+		c.Apply([]revision.Record{recordOf(o)})
+		return o.Version, nil
+	case errorx.IsOfType(err, platform.ErrConflict):
+		return c.resolve(ctx, w, false)
+	case errorx.IsOfType(err, platform.ErrUncertain):
+		return c.resolve(ctx, w, true)
+	}
+	return 0, ErrUnavailable.Wrap(err, "the platform did not take the change")
+}
+
+const (
+	resolveTries = 5
+	resolvePause = 50 * time.Millisecond
+)
+
+// resolve reads the object to find out what became of a write.
+func (c *Config) resolve(ctx context.Context, w *write, uncertain bool) (uint64, error) {
+	o, err := c.reread(ctx, w)
+	switch {
+	case errorx.IsOfType(err, platform.ErrNotFound):
+		return w.notMade(0, uncertain)
+	case err != nil:
+		return 0, ErrUncertain.Wrap(err, "not known whether the change was made; send it again with the same operation id")
+	}
+	c.Apply([]revision.Record{recordOf(o)})
+	e := openEnvelope(o.Value)
+	if o.Version == w.expected+1 && w.operation != "" && e.Operation == w.operation {
+		return o.Version, nil
+	}
+	if e.Deleted && w.expected == 0 {
+		w.tombstone = o.Version
+	}
+	return w.notMade(o.Version, uncertain)
+}
+
+func (c *Config) reread(ctx context.Context, w *write) (platform.Object, error) {
+	for try := 1; ; try++ {
+		o, err := c.platform.Get(ctx, w.kind, w.name)
+		if err == nil || errorx.IsOfType(err, platform.ErrNotFound) || try == resolveTries || ctx.Err() != nil {
+			return o, err
+		}
+		sleep(ctx, resolvePause)
+	}
+}
+
+// notMade is the answer when the write had no effect: another version is in force, or,
+// after a lost answer, the same one as before.
+func (w *write) notMade(current uint64, uncertain bool) (uint64, error) {
+	if current != w.expected {
+		return 0, conflict(current)
+	}
+	if uncertain {
+		return 0, ErrUnavailable.New("the platform did not take the change")
+	}
+	return 0, ErrNotFound.New("there is no such object")
+}
+
+// StoredDeployment returns a deployment as operators see it.
+func (c *Config) StoredDeployment(name string) (*operatorv1.StoredDeployment, error) {
+	r, ok := c.record(KindDeployment, name)
+	if !ok {
+		return nil, ErrNotFound.New("there is no deployment %q", name)
+	}
+	return storedDeployment(r), nil
+}
+
+// StoredDeployments returns all deployments as operators see them.
+func (c *Config) StoredDeployments() []*operatorv1.StoredDeployment {
+	records := c.list(KindDeployment)
+	out := make([]*operatorv1.StoredDeployment, len(records))
+	for i, r := range records {
+		out[i] = storedDeployment(r)
+	}
+	return out
+}
+
+func storedDeployment(r revision.Record) *operatorv1.StoredDeployment {
+	d := &operatorv1.Deployment{Name: r.Name}
+	if !r.Deleted {
+		_, _ = unseal(r.Value, d) // what can't be read is shown by name only
+	}
+	return &operatorv1.StoredDeployment{Deployment: d, Version: r.Version, Deleted: r.Deleted}
+}
+
+// StoredTeams returns all teams as operators see them.
+func (c *Config) StoredTeams() []*operatorv1.StoredTeam {
+	records := c.list(KindTeam)
+	out := make([]*operatorv1.StoredTeam, len(records))
+	for i, r := range records {
+		t := &operatorv1.Team{Name: r.Name}
+		_, _ = unseal(r.Value, t) // what can't be read is shown by name only
+		out[i] = &operatorv1.StoredTeam{Team: t, Version: r.Version}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/endpoint/engine.go
@@ -0,0 +1,169 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// Client reaches endpoints. It is safe for concurrent use.
+type Client struct {
+	single *http.Client // a connection for each call
+	pooled *http.Client // status reads and calls that may be repeated
+}
+
+// NewClient returns a client whose connections have to come about within connect.
+func NewClient(connect time.Duration) *Client {
+	dial := (&net.Dialer{Timeout: connect}).DialContext
+	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	pooled := &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 32, IdleConnTimeout: 20 * time.Second}
+	return &Client{single: &http.Client{Transport: single}, pooled: &http.Client{Transport: pooled}}
+}
+
+// Open starts a stream.
+func (c *Client) Open(ctx context.Context, address string, r *StartRequest) (*Stream, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, ErrInvalid.Wrap(err, "can't encode")
+	}
+	return c.stream(ctx, http.MethodPost, address, "/v1/streams", raw, r.Generation, r.Attempt)
+}
+
+// Resume asks for a running stream from an index, under a higher attempt number; the
+// engine fences the attempts before it.
+func (c *Client) Resume(ctx context.Context, address, generation, stream string, from, attempt int) (*Stream, error) {
+	q := url.Values{"from": {strconv.Itoa(from)}, "attempt": {strconv.Itoa(attempt)}}
+	path := "/v1/streams/" + url.PathEscape(stream) + "?" + q.Encode()
+	return c.stream(ctx, http.MethodGet, address, path, nil, generation, attempt)
+}
+
+func (c *Client) stream(ctx context.Context, method, address, path string, body []byte, generation string, attempt int) (*Stream, error) {
+	resp, err := c.do(ctx, c.single, method, address, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(resp.Body, generation, attempt), nil
+}
+
+// Probe asks on a new connection how far a stream is.
+func (c *Client) Probe(ctx context.Context, address, stream string) (StreamState, error) {
+	var st StreamState
+	err := c.callJSON(ctx, c.single, http.MethodGet, address, "/v1/streams/"+url.PathEscape(stream)+"/state", nil, &st)
+	return st, err
+}
+
+// Cancel drops a stream, unless the engine serves a higher attempt of it.
+func (c *Client) Cancel(ctx context.Context, address, stream string, attempt int) error {
+	path := "/v1/streams/" + url.PathEscape(stream) + "?attempt=" + strconv.Itoa(attempt)
+	return c.callJSON(ctx, c.single, http.MethodDelete, address, path, nil, nil)
+}
+
+// Status reads an endpoint's own report, with its cache events after a sequence number.
+func (c *Client) Status(ctx context.Context, address string, since uint64) (Status, error) {
+	var st Status
+	err := c.callJSON(ctx, c.pooled, http.MethodGet, address, "/v1/status?cache_since="+strconv.FormatUint(since, 10), nil, &st)
+	if err != nil {
+		c.pooled.CloseIdleConnections() // the pooled connection may be the one that is silent
+	}
+	return st, err
+}
+
+// Order gives an engine an order.
+func (c *Client) Order(ctx context.Context, address string, o *Order) error {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return ErrInvalid.Wrap(err, "can't encode")
+	}
+	return c.callJSON(ctx, c.single, http.MethodPost, address, "/v1/orders", raw, nil)
+}
+
+func (c *Client) callJSON(ctx context.Context, client *http.Client, method, address, path string, body []byte, out any) error {
+	resp, err := c.do(ctx, client, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ErrBroken.Wrap(err, "answer broke off")
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return ErrBroken.Wrap(err, "answer is no JSON")
+	}
+	return nil
+}
+
+func (c *Client) do(ctx context.Context, client *http.Client, method, address, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, ErrInvalid.Wrap(err, "can't build the call")
+	}
+	req.GetBody = nil // never repeated by the transport
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, statusError(resp)
+}
+
+// transportError tells a connection that never came about, so that nothing ran, from
+// one that broke.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrRefused.Wrap(err, "can't connect")
+	}
+	return ErrBroken.Wrap(err, "no answer")
+}
+
+func statusError(resp *http.Response) error {
+	const most = 512
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, most))
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusNotFound, http.StatusGone:
+		return ErrRefused.New("status %d: %s", resp.StatusCode, text).WithProperty(retryAfter, readRetryAfter(resp.Header))
+	case http.StatusConflict:
+		return ErrFenced.New("%s", text)
+	case http.StatusUnprocessableEntity:
+		return ErrMismatch.New("%s", text)
+	case http.StatusBadRequest:
+		return ErrInvalid.New("%s", text)
+	}
+	return ErrBroken.New("status %d: %s", resp.StatusCode, text)
+}
+
+func readRetryAfter(h http.Header) time.Duration {
+	if ms, err := strconv.Atoi(h.Get("Retry-After-Ms")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	s, _ := strconv.Atoi(h.Get("Retry-After"))
+	return time.Duration(s) * time.Second
+}
+
+// RetryAfter returns the endpoint's own word on when to come back; 0 for none.
+func RetryAfter(err error) time.Duration {
+	d, ok := errorx.ExtractProperty(err, retryAfter)
+	if !ok {
+		return 0
+	}
+	return d.(time.Duration)
+}
--- /dev/null
+++ b/gateway/fleet/codec.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/membership"
+)
+
+func encodeMember(m *membership.Member) *peerv1.Member {
+	return &peerv1.Member{
+		Id: m.ID, Address: m.Address, PeerAddress: m.Peer, DataCentre: m.DataCentre,
+		Incarnation: m.Incarnation, Process: m.Process, Leaving: m.Leaving, Beat: m.Beat,
+		State: peerv1.MemberState(m.State + 1), OpenRequests: m.Open, Configuration: m.Configuration,
+	}
+}
+
+func decodeMember(m *peerv1.Member) membership.Member {
+	state := membership.Alive
+	if m.GetState() > peerv1.MemberState_MEMBER_STATE_UNSPECIFIED {
+		state = membership.State(m.GetState() - 1)
+	}
+	return membership.Member{
+		ID: m.GetId(), Address: m.GetAddress(), Peer: m.GetPeerAddress(), DataCentre: m.GetDataCentre(),
+		Incarnation: m.GetIncarnation(), Process: m.GetProcess(), Leaving: m.GetLeaving(), Beat: m.GetBeat(),
+		State: state, Open: m.GetOpenRequests(), Configuration: m.GetConfiguration(),
+	}
+}
+
+func encodeMembers(members []membership.Member) []*peerv1.Member {
+	out := make([]*peerv1.Member, len(members))
+	for i := range members {
+		out[i] = encodeMember(&members[i])
+	}
+	return out
+}
+
+func decodeMembers(members []*peerv1.Member) []membership.Member {
+	out := make([]membership.Member, len(members))
+	for i, m := range members {
+		out[i] = decodeMember(m)
+	}
+	return out
+}
+
+// usageTable holds the newest report of each instance about its use of shared limits.
+type usageTable struct {
+	reports map[string]*usageReport
+}
+
+type usageReport struct {
+	sequence uint64
+	at       time.Time // when it came
+	usage    map[string]limits.Usage
+}
+
+const (
+	// usageTTL is how long a report counts.
+	usageTTL = 15 * time.Second
+	// usageRelays is how many other instances' reports go along with a heartbeat.
+	usageRelays = 4
+	// usageKeys bounds the limits told in one report; the most used ones are told.
+	usageKeys = 32
+)
+
+func (t *usageTable) own(self string, now time.Time, usage map[string]limits.Usage) {
+	r := t.reports[self]
+	if r == nil {
+		// Sequence numbers of an earlier run are lower.
+		r = &usageReport{sequence: uint64(now.UnixMilli())}
+		t.reports[self] = r
+	}
+	r.sequence++
+	r.usage, r.at = busiest(usage), now
+}
+
+// busiest keeps the limits with the highest use.
+func busiest(usage map[string]limits.Usage) map[string]limits.Usage {
+	keys := make([]string, 0, len(usage))
+	for k, u := range usage {
+		if u.Running > 0 || u.Rate >= 0.01 {
+			keys = append(keys, k)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		a, b := usage[keys[i]], usage[keys[j]]
+		return float64(a.Running)+a.Rate > float64(b.Running)+b.Rate
+	})
+	out := make(map[string]limits.Usage, min(len(keys), usageKeys))
+	for _, k := range keys[:min(len(keys), usageKeys)] {
+		out[k] = usage[k]
+	}
+	return out
+}
+
+func (t *usageTable) merge(self string, now time.Time, reports []*peerv1.UsageReport) {
+	for _, r := range reports {
+		old := t.reports[r.Instance]
+		if r.Instance == self || old != nil && old.sequence >= r.Sequence {
+			continue
+		}
+		usage := make(map[string]limits.Usage, len(r.Usage))
+		for _, u := range r.Usage {
+			usage[u.Key] = limits.Usage{Running: int(u.Running), Rate: float64(u.Rate)}
+		}
+		t.reports[r.Instance] = &usageReport{sequence: r.Sequence, at: now, usage: usage}
+	}
+	for id, r := range t.reports {
+		if now.Sub(r.at) > usageTTL {
+			delete(t.reports, id)
+		}
+	}
+}
+
+// encode returns the instance's own report and some of the others, at random.
+func (t *usageTable) encode(self string, rnd *rand.Rand) []*peerv1.UsageReport {
+	ids := make([]string, 0, len(t.reports))
+	for id := range t.reports {
+		if id != self {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	ids = append([]string{self}, ids[:min(len(ids), usageRelays)]...)
+	var out []*peerv1.UsageReport
+	for _, id := range ids {
+		if r := t.reports[id]; r != nil {
+			out = append(out, encodeUsage(id, r))
+		}
+	}
+	return out
+}
+
+func encodeUsage(id string, r *usageReport) *peerv1.UsageReport {
+	p := &peerv1.UsageReport{Instance: id, Sequence: r.sequence}
+	for k, u := range r.usage {
+		p.Usage = append(p.Usage, &peerv1.Usage{Key: k, Running: uint32(u.Running), Rate: float32(u.Rate)})
+	}
+	return p
+}
+
+// sum adds up what the live members besides self use, by limit.
+func (t *usageTable) sum(self string, members []membership.Member) (map[string]limits.Usage, int) {
+	out, alive := map[string]limits.Usage{}, 0
+	for i := range members {
+		if members[i].State != membership.Alive {
+			continue
+		}
+		alive++
+		r := t.reports[members[i].ID]
+		if members[i].ID == self || r == nil {
+			continue
+		}
+		for k, u := range r.usage {
+			o := out[k]
+			out[k] = limits.Usage{Running: o.Running + u.Running, Rate: o.Rate + u.Rate}
+		}
+	}
+	return out, alive
+}
--- /dev/null
+++ b/gateway/peering/lists.go
@@ -0,0 +1,142 @@
+package peering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/gateway/peers"
+	"github.com/agateway/agateway/gateway/platform"
+)
+
+// Lists keeps the platform's list of instances. Only some instances of a data centre read
+// the platform; the others ask those, and read it themselves when none of them answers.
+type Lists struct {
+	Platform platform.Client
+	Pool     *peers.Pool
+	Timeout  time.Duration
+	Every    time.Duration
+	// Readers returns the instances of this data centre that read the platform, without
+	// this one, and whether this one does.
+	Readers func() ([]membership.Member, bool)
+	// Take is called with each new list.
+	Take func(context.Context, []platform.Listed)
+
+	mu     sync.Mutex
+	listed []*peerv1.Listed
+	digest uint64
+	readAt time.Time // when it was read from the platform
+	reads  bool
+}
+
+// Run keeps the list up to date until ctx ends.
+func (l *Lists) Run(ctx context.Context) {
+	tick := time.NewTicker(l.Every)
+	defer tick.Stop()
+	for {
+		l.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (l *Lists) refresh(ctx context.Context) {
+	readers, self := l.Readers()
+	l.mu.Lock()
+	l.reads = self
+	l.mu.Unlock()
+	if !self && l.askPeers(ctx, readers) {
+		return
+	}
+	listed, err := l.Platform.Instances(ctx)
+	if err != nil {
+		return // the last list stays in use
+	}
+	l.set(ctx, encodeListed(listed), time.Now())
+}
+
+func (l *Lists) askPeers(ctx context.Context, readers []membership.Member) bool {
+	for _, m := range readers {
+		l.mu.Lock()
+		req := &peerv1.ListInstancesRequest{Digest: l.digest}
+		l.mu.Unlock()
+		resp, err := peers.Call(ctx, l.Pool, m.Peer, l.Timeout, listMethod, req)
+		if err != nil || !resp.Reads || time.Duration(resp.AgeMs)*time.Millisecond > staleAfter*l.Every {
+			continue
+		}
+		if !resp.Unchanged {
+			l.set(ctx, resp.Listed, time.Now().Add(-time.Duration(resp.AgeMs)*time.Millisecond))
+		}
+		return true
+	}
+	return false
+}
+
+// staleAfter times the interval is the age from which another's list is not good enough.
+const staleAfter = 10
+
+func (l *Lists) set(ctx context.Context, listed []*peerv1.Listed, readAt time.Time) {
+	digest := digestOf(listed)
+	l.mu.Lock()
+	l.readAt = readAt
+	changed := digest != l.digest
+	l.listed, l.digest = listed, digest
+	l.mu.Unlock()
+	if changed {
+		l.Take(ctx, decodeListed(listed))
+	}
+}
+
+func digestOf(listed []*peerv1.Listed) uint64 {
+	d := xxhash.New()
+	for _, e := range listed {
+		raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(e)
+		if err == nil {
+			_, _ = d.Write(raw)
+		}
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+func (l *Lists) answer(req *peerv1.ListInstancesRequest) *peerv1.ListInstancesResponse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	resp := &peerv1.ListInstancesResponse{AgeMs: uint32(time.Since(l.readAt).Milliseconds()), Reads: l.reads && !l.readAt.IsZero()}
+	if req.Digest == l.digest {
+		resp.Unchanged = true
+	} else {
+		resp.Listed = l.listed
+	}
+	return resp
+}
+
+func encodeListed(listed []platform.Listed) []*peerv1.Listed {
+	out := make([]*peerv1.Listed, len(listed))
+	for i, e := range listed {
+		out[i] = &peerv1.Listed{
+			Id: e.ID, Role: string(e.Role), Address: e.Address, DataCentre: e.DataCentre,
+			Service: e.Service, Leaving: e.Leaving, ChecksFencing: e.ChecksFencing,
+		}
+	}
+	return out
+}
+
+func decodeListed(listed []*peerv1.Listed) []platform.Listed {
+	out := make([]platform.Listed, len(listed))
+	for i, e := range listed {
+		out[i] = platform.Listed{
+			ID: e.Id, Role: platform.Role(e.Role), Address: e.Address, DataCentre: e.DataCentre,
+			Service: e.Service, Leaving: e.Leaving, ChecksFencing: e.ChecksFencing,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/peering/peering.go
@@ -0,0 +1,170 @@
+// Package peering answers the other instances' calls and spreads configuration to them.
+package peering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/fleet"
+	"github.com/agateway/agateway/gateway/once"
+	"github.com/agateway/agateway/gateway/peers"
+	"github.com/agateway/agateway/gateway/running"
+)
+
+// Service implements peerv1connect.PeerServiceHandler.
+type Service struct {
+	Config  *config.Config
+	Fleet   *fleet.Fleet
+	Running *running.Running
+	Tickets *once.Tickets
+	Lists   *Lists
+	Pool    *peers.Pool
+	Timeout time.Duration
+	Scope   tally.Scope
+
+	mu      sync.Mutex
+	pulling map[string]bool // peers that a pull is under way from
+}
+
+// fanout is how many peers a fresh record is sent to at once; each sends it on.
+const fanout = 4
+
+// Spread sends fresh records to some peers. Those who knew them already do not send them
+// on, so that news reaches all in a few rounds and then dies out.
+func (s *Service) Spread(records []revision.Record) {
+	req := &peerv1.PushConfigurationRequest{From: s.Fleet.Self().ID, Records: encodeRecords(records)}
+	for _, m := range s.Fleet.Sample(fanout) {
+		go func() {
+			if _, err := peers.Call(context.Background(), s.Pool, m.Peer, s.Timeout, pushMethod, req); err != nil {
+				s.Scope.Counter("configuration_pushes_failed").Inc(1)
+			}
+		}()
+	}
+}
+
+// Pull fetches what a peer has and this instance has not. One pull runs per peer.
+func (s *Service) Pull(m membership.Member) {
+	s.mu.Lock()
+	if s.pulling == nil {
+		s.pulling = map[string]bool{}
+	}
+	busy := s.pulling[m.Peer]
+	s.pulling[m.Peer] = true
+	s.mu.Unlock()
+	if busy || m.Peer == "" {
+		return
+	}
+	go func() {
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.pulling, m.Peer)
+		}()
+		s.pull(m.Peer)
+	}()
+}
+
+func (s *Service) pull(address string) {
+	req := &peerv1.PullConfigurationRequest{Buckets: s.Config.Buckets()}
+	resp, err := peers.Call(context.Background(), s.Pool, address, 4*s.Timeout, pullMethod, req)
+	if err != nil {
+		s.Scope.Counter("configuration_pulls_failed").Inc(1)
+		return
+	}
+	s.Config.Apply(decodeRecords(resp.Records))
+}
+
+// Heartbeat answers a heartbeat.
+func (s *Service) Heartbeat(_ context.Context, r *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	return connect.NewResponse(s.Fleet.Heartbeat(r.Msg)), nil
+}
+
+// IndirectPing pings a member for a peer.
+func (s *Service) IndirectPing(ctx context.Context, r *connect.Request[peerv1.IndirectPingRequest]) (*connect.Response[peerv1.IndirectPingResponse], error) {
+	return connect.NewResponse(s.Fleet.IndirectPing(ctx, r.Msg)), nil
+}
+
+// PullConfiguration returns the records that differ from the caller's.
+func (s *Service) PullConfiguration(_ context.Context, r *connect.Request[peerv1.PullConfigurationRequest]) (*connect.Response[peerv1.PullConfigurationResponse], error) {
+	return connect.NewResponse(&peerv1.PullConfigurationResponse{Records: encodeRecords(s.Config.Differing(r.Msg.Buckets))}), nil
+}
+
+// PushConfiguration takes fresh records.
+func (s *Service) PushConfiguration(_ context.Context, r *connect.Request[peerv1.PushConfigurationRequest]) (*connect.Response[peerv1.PushConfigurationResponse], error) {
+	fresh := s.Config.Apply(decodeRecords(r.Msg.Records))
+	return connect.NewResponse(&peerv1.PushConfigurationResponse{Changed: len(fresh) > 0}), nil
+}
+
+// ListInstances passes on the platform's list.
+func (s *Service) ListInstances(_ context.Context, r *connect.Request[peerv1.ListInstancesRequest]) (*connect.Response[peerv1.ListInstancesResponse], error) {
+	return connect.NewResponse(s.Lists.answer(r.Msg)), nil
+}
+
+// Register registers a generation.
+func (s *Service) Register(_ context.Context, r *connect.Request[peerv1.RegisterRequest]) (*connect.Response[peerv1.RegisterResponse], error) {
+	return connect.NewResponse(s.Running.HandleRegister(r.Msg)), nil
+}
+
+// UpdatePlace records where a generation runs.
+func (s *Service) UpdatePlace(_ context.Context, r *connect.Request[peerv1.UpdatePlaceRequest]) (*connect.Response[peerv1.UpdatePlaceResponse], error) {
+	s.Running.HandleUpdate(r.Msg)
+	return connect.NewResponse(&peerv1.UpdatePlaceResponse{}), nil
+}
+
+// TakeOver gives a running generation to the caller.
+func (s *Service) TakeOver(_ context.Context, r *connect.Request[peerv1.TakeOverRequest]) (*connect.Response[peerv1.TakeOverResponse], error) {
+	return connect.NewResponse(s.Running.HandleTakeOver(r.Msg)), nil
+}
+
+// FinishGeneration records the end of a generation.
+func (s *Service) FinishGeneration(_ context.Context, r *connect.Request[peerv1.FinishGenerationRequest]) (*connect.Response[peerv1.FinishGenerationResponse], error) {
+	s.Running.HandleFinish(r.Msg)
+	return connect.NewResponse(&peerv1.FinishGenerationResponse{}), nil
+}
+
+// RunTicket runs a call under a ticket of this instance.
+func (s *Service) RunTicket(ctx context.Context, r *connect.Request[peerv1.RunTicketRequest]) (*connect.Response[peerv1.RunTicketResponse], error) {
+	return connect.NewResponse(s.Tickets.HandleRun(ctx, r.Msg)), nil
+}
+
+// AskTicket tells what became of a ticket.
+func (s *Service) AskTicket(_ context.Context, r *connect.Request[peerv1.AskTicketRequest]) (*connect.Response[peerv1.AskTicketResponse], error) {
+	return connect.NewResponse(s.Tickets.HandleAsk(r.Msg)), nil
+}
+
+// HandOverTickets takes over the outcomes of an instance that leaves.
+func (s *Service) HandOverTickets(_ context.Context, r *connect.Request[peerv1.HandOverTicketsRequest]) (*connect.Response[peerv1.HandOverTicketsResponse], error) {
+	s.Tickets.HandleHandOver(r.Msg)
+	return connect.NewResponse(&peerv1.HandOverTicketsResponse{}), nil
+}
+
+var (
+	pushMethod = peerv1connect.PeerServiceClient.PushConfiguration
+	pullMethod = peerv1connect.PeerServiceClient.PullConfiguration
+	listMethod = peerv1connect.PeerServiceClient.ListInstances
+)
+
+func encodeRecords(records []revision.Record) []*peerv1.Record {
+	out := make([]*peerv1.Record, len(records))
+	for i, r := range records {
+		out[i] = &peerv1.Record{Kind: r.Kind, Name: r.Name, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+	}
+	return out
+}
+
+func decodeRecords(records []*peerv1.Record) []revision.Record {
+	out := make([]revision.Record, len(records))
+	for i, r := range records {
+		out[i] = revision.Record{ID: revision.ID{Kind: r.Kind, Name: r.Name}, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/pipeline/admit.go
@@ -0,0 +1,157 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/agateway/agateway/core/cursor"
+	"github.com/agateway/agateway/gateway/apierr"
+	"github.com/agateway/agateway/gateway/once"
+)
+
+// Headers of callers.
+const (
+	HeaderDeadline  = "Agateway-Deadline-Ms"
+	HeaderTicket    = "Agateway-Ticket"
+	HeaderKey       = "Idempotency-Key"
+	HeaderLastEvent = "Last-Event-ID"
+	HeaderRan       = "Agateway-Ran"
+)
+
+const mostKeyLength = 255
+
+// admit reads the request, finds its deployment, and fixes its deadline.
+type admit struct{ *Deps }
+
+func (*admit) Name() string { return "admit" }
+
+func (a *admit) Serve(_ context.Context, x *Exchange) error {
+	if a.draining.Load() {
+		return apierr.New(apierr.Draining, "this instance is shutting down; ask /v1/entry for another").WithRetry(time.Second)
+	}
+	body, err := a.body(x)
+	if err != nil {
+		return err
+	}
+	x.Key, x.Ticket = x.R.Header.Get(HeaderKey), x.R.Header.Get(HeaderTicket)
+	if len(x.Key) > mostKeyLength {
+		return apierr.New(apierr.InvalidRequest, "at most %d characters", mostKeyLength).WithField(HeaderKey)
+	}
+	if x.Form == Plain {
+		err = a.plain(x, body)
+	} else {
+		err = a.generation(x, body)
+	}
+	if err != nil {
+		return err
+	}
+	if !x.Deployment.Serves(x.Team.Name) {
+		return apierr.New(apierr.PermissionDenied, "team %q may not use %q", x.Team.Name, x.Deployment.Name)
+	}
+	x.Class = x.Deployment.Class
+	return a.deadline(x)
+}
+
+func (a *admit) body(x *Exchange) ([]byte, error) {
+	limit := int64(a.Settings.Callers.BodyLimit)
+	body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, apierr.New(apierr.InvalidRequest, "the body has more than %d bytes", limit).WithField("body")
+	}
+	if err != nil {
+		return nil, apierr.New(apierr.InvalidRequest, "the body broke off").WithField("body")
+	}
+	return body, nil
+}
+
+func (a *admit) generation(x *Exchange, body []byte) error {
+	g, err := parseGeneration(x.Form, body)
+	if err != nil {
+		return err
+	}
+	d, ok := a.Config.Deployment(g.Model)
+	if !ok || d.Plain {
+		return apierr.New(apierr.NotFound, "there is no model %q", g.Model).WithField("model")
+	}
+	if !d.HasAdapter(g.Adapter) {
+		return apierr.New(apierr.NotFound, "%q has no adapter %q", g.Model, g.Adapter).WithField("model")
+	}
+	x.Deployment, x.Generation = d, g
+	g.hash = xxhash.Sum64(append([]byte{byte(x.Form)}, body...))
+	return a.lastEvent(x)
+}
+
+// lastEvent reads the cursor of a caller that goes on with a generation.
+func (a *admit) lastEvent(x *Exchange) error {
+	text := x.R.Header.Get(HeaderLastEvent)
+	if text == "" {
+		return nil
+	}
+	bad := func(why string) error {
+		return apierr.New(apierr.BadCursor, "%s", why).WithField(HeaderLastEvent)
+	}
+	if !x.Generation.Stream {
+		return bad("only a streaming request can be gone on with")
+	}
+	c, err := cursor.Decode([]byte(a.Settings.Keys.Cursor), text)
+	switch {
+	case errors.Is(err, cursor.ErrSignature):
+		return bad("the cursor was not made by this system, or was changed")
+	case err != nil:
+		return bad("this is no cursor")
+	case c.Team != x.Team.Name || c.Deployment != x.Deployment.Name:
+		return bad("the cursor belongs to another request")
+	case c.Request != x.Generation.hash:
+		return bad("the body differs from the one that the cursor was made for")
+	}
+	x.cursor = &c
+	return nil
+}
+
+// plain reads a call of the form /v1/services/{service}/...
+func (a *admit) plain(x *Exchange, body []byte) error {
+	rest, ok := strings.CutPrefix(x.R.URL.EscapedPath(), "/v1/services/")
+	if !ok {
+		return apierr.New(apierr.NotFound, "no such path")
+	}
+	name, path, _ := strings.Cut(rest, "/")
+	d, ok := a.Config.Deployment(name)
+	if !ok || !d.Plain {
+		return apierr.New(apierr.NotFound, "there is no service %q", name).WithField("service")
+	}
+	x.Deployment = d
+	path = "/" + path
+	if q := x.R.URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	x.Call = &once.Call{
+		Team: x.Team.Name, Deployment: name, Method: x.R.Method, Path: path,
+		ContentType: x.R.Header.Get("Content-Type"), Body: body,
+	}
+	return nil
+}
+
+// deadline fixes when the request has to be answered, on the monotonic clock.
+func (a *admit) deadline(x *Exchange) error {
+	d := x.Deployment.Deadline
+	if text := x.R.Header.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms <= 0 {
+			return apierr.New(apierr.InvalidRequest, "%q is no number of milliseconds", text).WithField(HeaderDeadline)
+		}
+		d = min(time.Duration(ms)*time.Millisecond, a.Settings.Callers.DeadlineMost)
+	}
+	x.Deadline = x.Received.Add(d)
+	if x.Call != nil {
+		x.Call.Deadline = x.Deadline
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/pipeline/limit.go
@@ -0,0 +1,193 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/gateway/apierr"
+	"github.com/agateway/agateway/gateway/config"
+)
+
+// limit holds teams to their share and deployments to what the endpoints carry. Work that
+// can't be served within its contract is refused on arrival.
+type limit struct {
+	*Deps
+	mu     sync.Mutex
+	teams  map[string]*limits.Team
+	queues map[string]*queue
+	nextID uint64
+}
+
+// queue is a deployment's queue with those that wait.
+type queue struct {
+	limits.Queue
+	refreshed time.Time
+	waiting   map[uint64]chan struct{}
+}
+
+// capacityEvery is how often a queue's capacity is worked out anew.
+const capacityEvery = 100 * time.Millisecond
+
+// Keys of shared limits in heartbeats.
+const (
+	teamUsage       = "t/"
+	deploymentUsage = "d/"
+)
+
+func newLimit(d *Deps) *limit {
+	l := &limit{Deps: d, teams: map[string]*limits.Team{}, queues: map[string]*queue{}}
+	d.usage = l.usage
+	return l
+}
+
+func (*limit) Name() string { return "limit" }
+
+func (l *limit) Serve(ctx context.Context, x *Exchange) error {
+	if err := l.team(x); err != nil {
+		return err
+	}
+	return l.place(ctx, x)
+}
+
+// team takes one request of the team's limits.
+func (l *limit) team(x *Exchange) error {
+	others, members := l.Fleet.OthersUsage(teamUsage + x.Team.Name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.teams[x.Team.Name]
+	if t == nil {
+		t = &limits.Team{}
+		l.teams[x.Team.Name] = t
+	}
+	now := time.Now()
+	t.Configure(now, x.Team.Quota)
+	t.Share(members, others)
+	if refusal := t.Acquire(now); refusal != nil {
+		l.metrics.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refused").Inc(1)
+		return apierr.New(apierr.TeamLimit, "the team's limit is reached (%s)", refusal.Reason).WithRetry(refusal.RetryAfter)
+	}
+	x.atEnd(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		t.Release()
+	})
+	return nil
+}
+
+// place takes a place in the deployment's queue, waiting where the contract allows.
+func (l *limit) place(ctx context.Context, x *Exchange) error {
+	class, budget := x.Class, min(x.Deployment.QueueWait, time.Until(x.Deadline))
+	if x.cursor != nil {
+		class = limits.Recovery // work that was lost once goes before new work
+	}
+	l.mu.Lock()
+	q := l.queue(x.Deployment)
+	l.nextID++
+	id := l.nextID
+	verdict, wait := q.Offer(id, class, budget)
+	var granted chan struct{}
+	if verdict == limits.Waiting {
+		granted = make(chan struct{})
+		q.waiting[id] = granted
+	}
+	l.mu.Unlock()
+	switch verdict {
+	case limits.Refused:
+		return l.overloaded(wait)
+	case limits.Waiting:
+		if err := l.wait(ctx, q, id, granted, budget); err != nil {
+			return err
+		}
+	}
+	l.hold(x, q)
+	return nil
+}
+
+func (l *limit) overloaded(wait time.Duration) error {
+	l.metrics.scope.Tagged(map[string]string{"reason": string(limits.ReasonOverload)}).Counter("refused").Inc(1)
+	return apierr.New(apierr.Overloaded, "the deployment has more work than it can do in time").WithRetry(wait)
+}
+
+func (l *limit) wait(ctx context.Context, q *queue, id uint64, granted chan struct{}, budget time.Duration) error {
+	timer := time.NewTimer(budget)
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	withdrawn := q.Withdraw(id)
+	delete(q.waiting, id)
+	l.mu.Unlock()
+	if !withdrawn {
+		return nil // granted in the same moment
+	}
+	if ctx.Err() != nil {
+		return apierr.New(apierr.DeadlineExceeded, "the caller went away")
+	}
+	return l.overloaded(time.Second)
+}
+
+// hold gives the place back at the end.
+func (l *limit) hold(x *Exchange, q *queue) {
+	x.admitted = time.Now()
+	x.atEnd(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		q.grant(q.Finish(time.Since(x.admitted)))
+	})
+}
+
+func (q *queue) grant(ids []uint64) {
+	for _, id := range ids {
+		if c := q.waiting[id]; c != nil {
+			close(c)
+			delete(q.waiting, id)
+		}
+	}
+}
+
+// queue returns a deployment's queue with its capacity up to date. The lock is held.
+func (l *limit) queue(d *config.Deployment) *queue {
+	q := l.queues[d.Name]
+	if q == nil {
+		q = &queue{waiting: map[uint64]chan struct{}{}}
+		l.queues[d.Name] = q
+	}
+	if now := time.Now(); now.Sub(q.refreshed) >= capacityEvery {
+		q.refreshed = now
+		q.grant(q.SetCapacity(l.capacity(d)))
+	}
+	return q
+}
+
+// capacity is what this instance may have in progress: what the others are not known to
+// use, and never less than an equal share.
+func (l *limit) capacity(d *config.Deployment) int {
+	slots := int(float64(l.Backends.Slots(d.Service)) * l.Settings.Endpoints.QueueFactor)
+	others, members := l.Fleet.OthersUsage(deploymentUsage + d.Name)
+	equal := (slots + members - 1) / members
+	return max(equal, slots-others.Running)
+}
+
+// usage returns what this instance uses of shared limits.
+func (l *limit) usage() map[string]limits.Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	out := make(map[string]limits.Usage, len(l.teams)+len(l.queues))
+	for name, t := range l.teams {
+		out[teamUsage+name] = t.Usage(now)
+	}
+	for name, q := range l.queues {
+		out[deploymentUsage+name] = limits.Usage{Running: q.Running()}
+	}
+	return out
+}
+
+// Usage returns what this instance uses of shared limits, for heartbeats.
+func (p *Pipeline) Usage() map[string]limits.Usage { return p.deps.usage() }
--- /dev/null
+++ b/gateway/settings/check.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"slices"
+	"strings"
+)
+
+const leastSecret = 16
+
+var checks = map[string]func(string) error{
+	"address":  checkAddress,
+	"url":      checkURL,
+	"secret":   checkSecret,
+	"sha256":   checkSHA256,
+	"policy":   oneOf("latency", "frugal", "restart", "no-probe"),
+	"level":    oneOf("debug", "info", "warning", "error"),
+	"format":   oneOf("text", "json"),
+	"exporter": oneOf("none", "otlp"),
+}
+
+func checkAddress(text string) error {
+	host, _, err := net.SplitHostPort(text)
+	if err != nil {
+		return fmt.Errorf("%q is no host:port", text)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q has to name the host by IP number", text)
+	}
+	return nil
+}
+
+func checkURL(text string) error {
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%q is no http or https URL", text)
+	}
+	return nil
+}
+
+func checkSecret(text string) error {
+	if len(text) < leastSecret {
+		return fmt.Errorf("must have at least %d characters", leastSecret)
+	}
+	return nil
+}
+
+func checkSHA256(text string) error {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != 32 {
+		return errors.New("must be a SHA-256 in hexadecimal (64 digits)")
+	}
+	return nil
+}
+
+func oneOf(allowed ...string) func(string) error {
+	return func(text string) error {
+		if !slices.Contains(allowed, text) {
+			return fmt.Errorf("%q is none of %s", text, strings.Join(allowed, ", "))
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/gateway/settings/load.go
@@ -0,0 +1,188 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gopkg.in/ini.v1"
+)
+
+// Errors of this layer.
+var (
+	namespace = errorx.NewNamespace("settings")
+	// ErrInvalid: a key is unknown, missing or has a value that is not allowed. The text
+	// names section and key.
+	ErrInvalid = namespace.NewType("invalid")
+	// ErrUnreadable: the file can't be read or is no INI.
+	ErrUnreadable = namespace.NewType("unreadable")
+)
+
+// Load reads and checks a file.
+func Load(file string) (*Settings, error) { return load(file) }
+
+// Parse reads and checks settings from memory.
+func Parse(text []byte) (*Settings, error) { return load(text) }
+
+func load(source any) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false}, source)
+	if err != nil {
+		return nil, ErrUnreadable.Wrap(err, "can't read the settings")
+	}
+	s := &Settings{}
+	var problems []string
+	known := map[string]bool{ini.DefaultSection: true}
+	eachSection(s, func(name string, section reflect.Value) {
+		known[name] = true
+		problems = append(problems, loadSection(f.Section(name), name, section)...)
+	})
+	for _, section := range f.Sections() {
+		if !known[section.Name()] {
+			problems = append(problems, fmt.Sprintf("[%s]: unknown section", section.Name()))
+		}
+	}
+	for _, k := range f.Section(ini.DefaultSection).Keys() {
+		problems = append(problems, fmt.Sprintf("%s: key outside any section", k.Name()))
+	}
+	if len(problems) > 0 {
+		return nil, ErrInvalid.New("%s", strings.Join(problems, "; "))
+	}
+	return s, nil
+}
+
+func eachSection(s *Settings, visit func(string, reflect.Value)) {
+	v := reflect.ValueOf(s).Elem()
+	for i := range v.NumField() {
+		visit(v.Type().Field(i).Tag.Get("ini"), v.Field(i))
+	}
+}
+
+func loadSection(section *ini.Section, name string, v reflect.Value) []string {
+	var problems []string
+	known := map[string]bool{}
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		key := field.Tag.Get("ini")
+		known[key] = true
+		text := field.Tag.Get("default")
+		if section.HasKey(key) {
+			text = section.Key(key).String()
+		}
+		if err := setField(v.Field(i), field.Tag, text); err != nil {
+			problems = append(problems, fmt.Sprintf("[%s] %s: %v", name, key, err))
+		}
+	}
+	for _, k := range section.Keys() {
+		if !known[k.Name()] {
+			problems = append(problems, fmt.Sprintf("[%s] %s: unknown key", name, k.Name()))
+		}
+	}
+	return problems
+}
+
+func setField(v reflect.Value, tag reflect.StructTag, text string) error {
+	if text == "" && tag.Get("required") != "" {
+		return fmt.Errorf("is required: %s", tag.Get("doc"))
+	}
+	if err := parseInto(v, text); err != nil {
+		return err
+	}
+	if err := checkLeast(v, tag.Get("min")); err != nil {
+		return err
+	}
+	if check := checks[tag.Get("check")]; check != nil {
+		return check(text)
+	}
+	return nil
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+func parseInto(v reflect.Value, text string) error {
+	switch {
+	case v.Type() == durationType:
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return fmt.Errorf("%q is no duration (such as 250ms or 2s)", text)
+		}
+		v.SetInt(int64(d))
+	case v.Kind() == reflect.Int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("%q is no whole number", text)
+		}
+		v.SetInt(int64(n))
+	case v.Kind() == reflect.Float64:
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("%q is no number", text)
+		}
+		v.SetFloat(f)
+	case v.Kind() == reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", text)
+		}
+		v.SetBool(b)
+	case v.Kind() == reflect.Slice:
+		v.Set(reflect.ValueOf(splitList(text)))
+	default:
+		v.SetString(text)
+	}
+	return nil
+}
+
+func splitList(text string) []string {
+	var out []string
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func checkLeast(v reflect.Value, least string) error {
+	if least == "" {
+		return nil
+	}
+	bound := reflect.New(v.Type()).Elem()
+	if err := parseInto(bound, least); err != nil {
+		return err
+	}
+	tooSmall := v.CanInt() && v.Int() < bound.Int() || v.CanFloat() && !(v.Float() >= bound.Float())
+	if tooSmall {
+		return fmt.Errorf("must be at least %s", least)
+	}
+	return nil
+}
+
+// Print writes all keys with their defaults and meaning, as a file to start from.
+func Print(w io.Writer) {
+	eachSection(&Settings{}, func(name string, section reflect.Value) {
+		_, _ = fmt.Fprintf(w, "[%s]\n", name)
+		for i := range section.NumField() {
+			printKey(w, section.Type().Field(i))
+		}
+		_, _ = fmt.Fprintln(w)
+	})
+}
+
+func printKey(w io.Writer, f reflect.StructField) {
+	kind := f.Type.String()
+	switch f.Type {
+	case durationType:
+		kind = "duration"
+	case reflect.TypeFor[[]string]():
+		kind = "list, separated by commas"
+	}
+	required := ""
+	if f.Tag.Get("required") != "" {
+		required = ", required"
+	}
+	_, _ = fmt.Fprintf(w, "; %s (%s%s)\n%s = %s\n", f.Tag.Get("doc"), kind, required, f.Tag.Get("ini"), f.Tag.Get("default"))
+}
--- /dev/null
+++ b/gateway/telemetry/telemetry.go
@@ -0,0 +1,93 @@
+// Package telemetry sets up logs, metrics and traces. Counters come first: a log line is
+// written only for a change of state.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/agateway/agateway/gateway/settings"
+)
+
+// Telemetry is what a process reports with.
+type Telemetry struct {
+	Log     *logrus.Entry
+	Scope   tally.Scope
+	Metrics http.Handler
+	Tracer  trace.Tracer
+	close   []func()
+}
+
+const reportInterval = time.Second
+
+// New sets up telemetry for an instance.
+func New(s *settings.Settings, out io.Writer) (*Telemetry, error) {
+	log := logrus.New()
+	log.SetOutput(out)
+	if s.Logs.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	level, err := logrus.ParseLevel(s.Logs.Level)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(level)
+	t := &Telemetry{Log: log.WithField("instance", s.Instance.ID)}
+	t.metrics()
+	return t, t.traces(s)
+}
+
+func (t *Telemetry) metrics() {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "agateway", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	t.Scope, t.Metrics = scope, reporter.HTTPHandler()
+	t.close = append(t.close, func() { _ = closer.Close() })
+}
+
+// traces sets up the tracer. Without an exporter spans are not recorded, but a caller's
+// traceparent still travels to the endpoint.
+func (t *Telemetry) traces(s *settings.Settings) error {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if s.Traces.Exporter == "none" {
+		t.Tracer = otel.Tracer("agateway")
+		return nil
+	}
+	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(s.Traces.Endpoint))
+	if err != nil {
+		return err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Traces.Sample))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "agatewayd"),
+			attribute.String("service.instance.id", s.Instance.ID))),
+	)
+	otel.SetTracerProvider(provider)
+	t.Tracer = provider.Tracer("agateway")
+	t.close = append(t.close, func() { _ = provider.Shutdown(context.Background()) })
+	return nil
+}
+
+// Close flushes what is left.
+func (t *Telemetry) Close() {
+	for _, f := range t.close {
+		f()
+	}
+}
