--- a/cli/caller/caller.go
+++ b/cli/caller/caller.go
@@ -11,7 +11,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/agateway/agateway/gateway/callers"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/pipeline"
 )
 
@@ -33,6 +33,8 @@
 	// Silence is how long a stream may carry nothing, comments included, before it is
 	// taken for lost.
 	Silence time.Duration
+	// Network is how to connect; nil for TCP.
+	Network network.Network
 }
 
 // DefaultSilence suits instances that send a comment each second.
@@ -54,8 +56,11 @@
 	if opt.Silence == 0 {
 		opt.Silence = DefaultSilence
 	}
+	if opt.Network == nil {
+		opt.Network = network.TCP{}
+	}
 	const connect = time.Second
-	t := &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext, DisableKeepAlives: true}
+	t := &http.Transport{DialContext: network.Within(opt.Network, connect), DisableKeepAlives: true}
 	return &Client{opt: opt, http: &http.Client{Transport: t}, bad: map[string]time.Time{}}
 }
 
@@ -73,6 +78,9 @@
 	Token func(text string)
 	// NoCursor makes the client ask again by key only.
 	NoCursor bool
+	// SendTokens makes the client send the tokens it holds along with its cursor, so that
+	// they need not be generated again when the engine is gone too.
+	SendTokens bool
 }
 
 // Answer is a generation's result.
@@ -146,6 +154,7 @@
 	began  time.Time
 	answer *Answer
 	text   strings.Builder
+	tokens []string
 	cursor string
 	last   time.Time
 	lost   bool
@@ -181,9 +190,13 @@
 }
 
 func (g *generate) body() []byte {
-	raw, err := json.Marshal(map[string]any{
+	body := map[string]any{
 		"model": g.r.Model, "prompt": g.r.Prompt, "max_tokens": g.r.MaxTokens, "seed": g.r.Seed, "stream": true,
-	})
+	}
+	if g.r.SendTokens && g.cursor != "" {
+		body["agateway_prefix"] = g.tokens
+	}
+	raw, err := json.Marshal(body)
 	if err != nil { // strings and numbers always encode
 		panic(err)
 	}
@@ -226,6 +239,7 @@
 // restart drops what was received, for a caller that keeps nothing.
 func (g *generate) restart() {
 	g.text.Reset()
+	g.tokens = nil
 	g.answer.Tokens, g.answer.Times = 0, nil
 }
 
@@ -297,6 +311,7 @@
 	g.answer.Tokens++
 	g.answer.Times = append(g.answer.Times, now)
 	g.text.WriteString(text)
+	g.tokens = append(g.tokens, text)
 	g.answer.Text = g.text.String()
 	if g.r.Token != nil {
 		g.r.Token(text)
--- a/cli/command/call.go
+++ b/cli/command/call.go
@@ -17,7 +17,7 @@
 }
 
 func askCommand(o *options) *cobra.Command {
-	r := caller.Request{}
+	r := caller.Request{SendTokens: true}
 	c := &cobra.Command{
 		Use: "ask PROMPT", Short: "Asks for a generation and prints it as it comes; - reads the prompt from standard input",
 		Long: "Asks for a generation. When its instance is lost, it goes on at another one with the cursor of the last\nevent. --address may name several instances, separated by commas.",
--- a/cli/command/standin.go
+++ b/cli/command/standin.go
@@ -14,6 +14,7 @@
 	"github.com/agateway/agateway/cli/standin/plain"
 	standin "github.com/agateway/agateway/cli/standin/platform"
 	"github.com/agateway/agateway/gateway/endpoint"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -38,7 +39,7 @@
 	var address string
 	var lag time.Duration
 	c := &cobra.Command{Use: "platform", Short: "Serves the object API from memory", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
-		p, err := standin.Start(address, lag)
+		p, err := standin.Start(network.TCP{}, address, lag)
 		if err != nil {
 			return err
 		}
@@ -54,7 +55,7 @@
 const exitCrash = 137
 
 func standinEngine() *cobra.Command {
-	cfg := engine.Config{Exit: func() { os.Exit(exitCrash) }}
+	cfg := engine.Config{Network: network.TCP{}, Exit: func() { os.Exit(exitCrash) }}
 	var url string
 	var models []string
 	c := &cobra.Command{Use: "engine", Short: "Serves generations of a made-up model", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
@@ -90,7 +91,7 @@
 }
 
 func standinPlain() *cobra.Command {
-	cfg := plain.Config{Exit: func() { os.Exit(exitCrash) }}
+	cfg := plain.Config{Network: network.TCP{}, Exit: func() { os.Exit(exitCrash) }}
 	var url string
 	c := &cobra.Command{Use: "service", Short: "Serves a plain service that counts its calls", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		cfg.Platform = platformAt(url)
@@ -117,5 +118,5 @@
 		return nil
 	}
 	const timeout = 2 * time.Second
-	return platform.NewHTTP(url, timeout)
+	return platform.NewHTTP(url, timeout, network.TCP{})
 }
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/agateway/agateway/cli/standin/serve"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/gateway/endpoint"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -45,6 +46,7 @@
 	Exit func()
 	// Platform takes the registration; nil for none.
 	Platform platform.Client
+	Network  network.Network
 }
 
 // Stats are totals, for the measure of extra work.
@@ -103,11 +105,7 @@
 
 // hashAt returns the rolling hash of the first n tokens.
 func (s *stream) hashAt(n int) uint64 {
-	var h uint64
-	for _, t := range s.tokens[:n] {
-		h = generation.Extend(h, []byte(t))
-	}
-	return h
+	return generation.HashOf(s.tokens[:n])
 }
 
 // keepDone is how long a finished stream can be replayed.
@@ -119,7 +117,7 @@
 		cfg: cfg, boot: uuid.NewString(), streams: map[string]*stream{}, models: cfg.Models,
 		cache: newPrefixCache(cfg.CacheBlocks), rnd: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
-	s, err := serve.Start(cfg.Address, e.routes())
+	s, err := serve.Start(cfg.Network, cfg.Address, e.routes())
 	if err != nil {
 		return nil, err
 	}
--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateway/agateway/cli/standin/serve"
 	"github.com/agateway/agateway/gateway/endpoint"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -25,6 +26,7 @@
 	Work     time.Duration
 	Exit     func()
 	Platform platform.Client
+	Network  network.Network
 }
 
 // Fault is what the service does wrong. A call replaces the fault before it.
@@ -56,7 +58,7 @@
 // Start runs a service.
 func Start(cfg Config) (*Plain, error) {
 	p := &Plain{cfg: cfg, boot: uuid.NewString(), runs: map[string]int{}}
-	s, err := serve.Start(cfg.Address, p.routes())
+	s, err := serve.Start(cfg.Network, cfg.Address, p.routes())
 	if err != nil {
 		return nil, err
 	}
--- a/cli/standin/platform/platform.go
+++ b/cli/standin/platform/platform.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/cli/standin/serve"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -46,9 +47,9 @@
 }
 
 // Start runs a platform whose list lags.
-func Start(address string, lag time.Duration) (*Platform, error) {
+func Start(n network.Network, address string, lag time.Duration) (*Platform, error) {
 	p := &Platform{Memory: platform.NewMemory(lag)}
-	s, err := serve.Start(address, p.routes())
+	s, err := serve.Start(n, address, p.routes())
 	p.Server = s
 	return p, err
 }
--- a/cli/standin/serve/serve.go
+++ b/cli/standin/serve/serve.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -22,8 +22,8 @@
 }
 
 // Start listens on address and serves h until the server is closed.
-func Start(address string, h http.Handler) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+func Start(n network.Network, address string, h http.Handler) (*Server, error) {
+	l, err := n.Listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/core/generation/config.go
+++ b/core/generation/config.go
@@ -63,4 +63,7 @@
 	// They are generated or replayed again, checked and not relayed.
 	Have int
 	Hash uint64
+	// Prefix are those tokens themselves, where the caller sent them along: then nothing
+	// has to be generated or replayed again. Their number and hash must be Have and Hash.
+	Prefix []string
 }
--- a/core/generation/explore_test.go
+++ b/core/generation/explore_test.go
@@ -62,14 +62,6 @@
 	s.hash = Extend(s.hash, []byte(t))
 }
 
-func hashOf(tokens []string) uint64 {
-	var h uint64
-	for _, t := range tokens {
-		h = Extend(h, []byte(t))
-	}
-	return h
-}
-
 func (w *world) carryOut() {
 	for _, a := range w.m.Ready() {
 		if w.ends > 0 {
@@ -112,7 +104,7 @@
 	s := &engineStream{endpoint: endpoint, salt: w.next, fence: a.Attempt}
 	if a.From > 0 {
 		s.tokens = w.m.Journal().Tokens()
-		s.hash = hashOf(s.tokens)
+		s.hash = HashOf(s.tokens)
 		if len(s.tokens) != a.From {
 			w.t.Fatalf("start from %d with %d tokens", a.From, len(s.tokens))
 		}
@@ -130,7 +122,7 @@
 		return
 	}
 	s.fence = a.Attempt
-	w.conns[a.Attempt] = &conn{attempt: a.Attempt, stream: s, id: a.Stream.ID, from: a.From, pos: a.From, hash: hashOf(s.tokens[:a.From])}
+	w.conns[a.Attempt] = &conn{attempt: a.Attempt, stream: s, id: a.Stream.ID, from: a.From, pos: a.From, hash: HashOf(s.tokens[:a.From])}
 }
 
 // pickConn draws a connection, old ones included.
--- a/core/generation/journal.go
+++ b/core/generation/journal.go
@@ -23,6 +23,15 @@
 	return sum
 }
 
+// HashOf returns the rolling hash of a token sequence.
+func HashOf(tokens []string) uint64 {
+	var h uint64
+	for _, t := range tokens {
+		h = Extend(h, []byte(t))
+	}
+	return h
+}
+
 // Journal is the sequence of tokens accepted so far, kept as one buffer so that
 // a token costs its bytes and one offset.
 type Journal struct {
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -21,6 +21,7 @@
 	began    time.Time
 	lastSeen time.Time
 	backoff  int  // silences in a row that a probe answered as alive
+	resumes  int  // resumes of this stream in a row that brought no token
 	broken   bool // the connection is known to be gone
 	same     bool // resumes a stream that was already running
 	dropped  bool // its cancellation was queued
@@ -76,11 +77,12 @@
 		cfg: cfg, deadline: deadline, first: o.Attempt, number: o.Attempt, have: o.Have, haveHash: o.Hash,
 		relayed: o.Have, streamed: streamed, promptLen: promptLen,
 	}
+	for _, t := range o.Prefix {
+		m.journal.append([]byte(t))
+	}
 	if o.Stream.ID != "" {
 		m.started = true
-		m.number++
-		m.current = &attempt{number: m.number, state: starting, stream: o.Stream, began: now, lastSeen: now, same: true}
-		m.emit(Resume{Attempt: m.number, Stream: o.Stream})
+		m.resumeStream(now, o.Stream, 0)
 		return m
 	}
 	m.startCurrent(now)
@@ -200,6 +202,7 @@
 		return false
 	}
 	m.seen(now, a)
+	a.resumes = 0
 	m.observe(now)
 	m.journal.append(text)
 	return m.accepted(now)
--- a/core/generation/machine_test.go
+++ b/core/generation/machine_test.go
@@ -233,6 +233,20 @@
 	}
 }
 
+// TestStreamThatNeverSpeaksIsLeft: found with an engine whose every event came late. It was
+// resumed again and again, since each probe said that it had gone on.
+func TestStreamThatNeverSpeaksIsLeft(t *testing.T) {
+	s := running(t, Frugal, 5)
+	began, n := s.now, 1
+	for ; s.m.Stats().ResumesElsewhere == 0; n = s.m.number {
+		assert.Assert(t, s.now.Sub(began) < 5*time.Second, "no end of resumes")
+		s.pass(s.m.Deadline(s.now).Sub(s.now))
+		s.probed(n, true, 9)
+		s.ack(s.m.number, first, 5, s.m.Journal().Hash())
+	}
+	assert.Equal(t, s.m.Stats().ResumesSame, maxResumes)
+}
+
 func TestSlowEngineIsNotTakenForDead(t *testing.T) {
 	s := running(t, Frugal, 5)
 	s.pass(210 * time.Millisecond)
@@ -429,6 +443,17 @@
 		assert.Equal(t, len(s.out), 0)
 		assert.Equal(t, s.acts[len(s.acts)-1], "fail cannot_continue valid 3 retry false")
 	})
+	t.Run("stream gone, tokens sent along", func(t *testing.T) {
+		with := origin
+		with.Prefix = []string{" t0", " t1", " t2"}
+		s := newScript(t, Frugal, true, with)
+		s.want("resume 1001 s1 from 3")
+		s.failed(1001, Refused)
+		s.want("cancel 1001 s1", "start 1002 from 3 avoid [e1]")
+		s.ack(1002, second, 3, hash)
+		s.tokens(1002, 3, 5)
+		assert.DeepEqual(t, s.out, []string{" t3", " t4"})
+	})
 	t.Run("engine dies during the replay", func(t *testing.T) {
 		s := newScript(t, Frugal, true, origin)
 		s.ack(1001, first, 0, 0)
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -204,16 +204,30 @@
 	m.avoid = kept
 }
 
-// resumeSame asks for the running stream on a new connection; the attempt number
-// goes up so that the old connection is fenced.
+// maxResumes is how often a stream is resumed in a row without a token coming from it.
+// The threshold of silence doubles each time.
+const maxResumes = 3
+
+// resumeSame asks for the running stream on a new connection. A stream from which no
+// token comes even so is of no use: the generation goes on elsewhere.
 func (m *Machine) resumeSame(now time.Time, a *attempt) {
-	m.number++
+	if a.resumes >= maxResumes {
+		m.loseCurrent(now, a, Gone, 0)
+		return
+	}
 	m.stats.ResumesSame++
+	m.resumeStream(now, a.stream, a.resumes+1)
+}
+
+// resumeStream makes a stream current under a new attempt number, so that its older
+// connections are fenced.
+func (m *Machine) resumeStream(now time.Time, s Stream, resumes int) {
+	m.number++
 	m.current = &attempt{
-		number: m.number, state: starting, stream: a.stream, from: m.journal.Len(),
-		began: now, lastSeen: now, same: true,
+		number: m.number, state: starting, stream: s, from: m.journal.Len(),
+		began: now, lastSeen: now, same: true, resumes: resumes,
 	}
-	m.emit(Resume{Attempt: m.number, Stream: a.stream, From: m.journal.Len()})
+	m.emit(Resume{Attempt: m.number, Stream: s, From: m.journal.Len()})
 }
 
 // Tick lets time pass. Call it at [Machine.Deadline].
@@ -279,7 +293,7 @@
 		t = max(time.Duration(m.cfg.SilenceFactor*float64(m.gap)), m.gap+deviationFactor*m.deviation)
 		t = min(max(t, m.cfg.SilenceFloor), m.cfg.SilenceCeiling)
 	}
-	return t << min(a.backoff, maxBackoff)
+	return t << min(a.backoff+a.resumes, maxBackoff)
 }
 
 // Deadline returns when [Machine.Tick] has to be called next, if nothing else
--- a/gateway/cmd/agatewayd/main.go
+++ b/gateway/cmd/agatewayd/main.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/agateway/agateway/gateway/daemon"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/settings"
 )
 
@@ -53,7 +54,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	d, err := daemon.Start(s, os.Stderr)
+	d, err := daemon.Start(s, network.TCP{}, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/agateway/agateway/gateway/config"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/fleet"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/once"
 	"github.com/agateway/agateway/gateway/operator"
 	"github.com/agateway/agateway/gateway/peering"
@@ -50,6 +51,7 @@
 
 	settings  *settings.Settings
 	telemetry *telemetry.Telemetry
+	network   network.Network
 	platform  *platform.HTTP
 	running   *running.Running
 	peering   *peering.Service
@@ -60,21 +62,21 @@
 }
 
 // Start listens and runs an instance. Logs go to out.
-func Start(s *settings.Settings, out io.Writer) (*Daemon, error) {
+func Start(s *settings.Settings, n network.Network, out io.Writer) (*Daemon, error) {
 	t, err := telemetry.New(s, out)
 	if err != nil {
 		return nil, err
 	}
-	callersAt, err := net.Listen("tcp", s.Instance.Callers)
+	callersAt, err := n.Listen(s.Instance.Callers)
 	if err != nil {
 		return nil, err
 	}
-	peersAt, err := net.Listen("tcp", s.Instance.Peers)
+	peersAt, err := n.Listen(s.Instance.Peers)
 	if err != nil {
 		_ = callersAt.Close()
 		return nil, err
 	}
-	d := &Daemon{Callers: callersAt.Addr().String(), Peers: peersAt.Addr().String(), settings: s, telemetry: t, closing: make(chan struct{})}
+	d := &Daemon{Callers: callersAt.Addr().String(), Peers: peersAt.Addr().String(), settings: s, telemetry: t, network: n, closing: make(chan struct{})}
 	d.build()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
@@ -95,9 +97,9 @@
 // build makes the parts and joins them.
 func (d *Daemon) build() {
 	s, t := d.settings, d.telemetry
-	d.platform = platform.NewHTTP(s.Platform.URL, s.Platform.Timeout)
-	d.Pool = peers.NewPool(s.Keys.Peer, s.Peers.Timeout)
-	client := endpoint.NewClient(s.Endpoints.ConnectTimeout)
+	d.platform = platform.NewHTTP(s.Platform.URL, s.Platform.Timeout, d.network)
+	d.Pool = peers.NewPool(s.Keys.Peer, s.Peers.Timeout, d.network)
+	client := endpoint.NewClient(s.Endpoints.ConnectTimeout, d.network)
 	d.Config = config.New(d.platform, t.Log, t.Scope, func(r []revision.Record) { d.peering.Spread(r) })
 	d.buildFleet()
 	view := routing.DefaultSettings()
--- a/gateway/endpoint/engine.go
+++ b/gateway/endpoint/engine.go
@@ -15,6 +15,8 @@
 	"github.com/joomcode/errorx"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/agateway/agateway/gateway/network"
 )
 
 // Client reaches endpoints. It is safe for concurrent use.
@@ -24,8 +26,8 @@
 }
 
 // NewClient returns a client whose connections have to come about within connect.
-func NewClient(connect time.Duration) *Client {
-	dial := (&net.Dialer{Timeout: connect}).DialContext
+func NewClient(connect time.Duration, n network.Network) *Client {
+	dial := network.Within(n, connect)
 	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	pooled := &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 32, IdleConnTimeout: 20 * time.Second}
 	return &Client{single: &http.Client{Transport: single}, pooled: &http.Client{Transport: pooled}}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/gateway/network"
 )
 
 // Errors of this layer.
@@ -35,7 +36,7 @@
 	timeout time.Duration
 	mu      sync.Mutex
 	clients map[string]*peer
-	blocked func(address string) bool
+	network network.Network
 }
 
 type peer struct {
@@ -44,28 +45,18 @@
 }
 
 // NewPool returns a pool whose calls show key and take timeout at the most to connect.
-func NewPool(key string, timeout time.Duration) *Pool {
-	return &Pool{key: key, timeout: timeout, clients: map[string]*peer{}}
+func NewPool(key string, timeout time.Duration, n network.Network) *Pool {
+	return &Pool{key: key, timeout: timeout, network: n, clients: map[string]*peer{}}
 }
 
-// Block makes the pool refuse to reach addresses, as a partition does; for tests.
-func (p *Pool) Block(blocked func(address string) bool) {
+func (p *Pool) get(address string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.blocked = blocked
-}
-
-func (p *Pool) get(address string) (*peer, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.blocked != nil && p.blocked(address) {
-		return nil, ErrNotSent.New("%s is cut off", address)
-	}
 	if c := p.clients[address]; c != nil {
-		return c, nil
+		return c
 	}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: p.timeout}).DialContext,
+		DialContext:         network.Within(p.network, p.timeout),
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, Protocols: new(http.Protocols),
 	}
 	t.Protocols.SetUnencryptedHTTP2(true) // compressed headers: heartbeats are small
@@ -73,7 +64,7 @@
 		&http.Client{Transport: t}, "http://"+address,
 		connect.WithInterceptors(bearer(p.key)))}
 	p.clients[address] = c
-	return c, nil
+	return c
 }
 
 func bearer(key string) connect.UnaryInterceptorFunc {
@@ -91,10 +82,7 @@
 	method func(peerv1connect.PeerServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
 	req *Req,
 ) (*Resp, error) {
-	c, err := p.get(address)
-	if err != nil {
-		return nil, err
-	}
+	c := p.get(address)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := method(c.client, ctx, connect.NewRequest(req))
--- a/gateway/pipeline/admit.go
+++ b/gateway/pipeline/admit.go
@@ -9,9 +9,8 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/agateway/agateway/core/cursor"
+	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/gateway/apierr"
 	"github.com/agateway/agateway/gateway/once"
 )
@@ -85,7 +84,6 @@
 		return apierr.New(apierr.NotFound, "%q has no adapter %q", g.Model, g.Adapter).WithField("model")
 	}
 	x.Deployment, x.Generation = d, g
-	g.hash = xxhash.Sum64(append([]byte{byte(x.Form)}, body...))
 	return a.lastEvent(x)
 }
 
@@ -112,6 +110,9 @@
 	case c.Request != x.Generation.hash:
 		return bad("the body differs from the one that the cursor was made for")
 	}
+	if n := len(x.Generation.Prefix); n > 0 && (n != c.Index || generation.HashOf(x.Generation.Prefix) != c.Hash) {
+		return apierr.New(apierr.InvalidRequest, "are not the tokens that the cursor stands for").WithField("agateway_prefix")
+	}
 	x.cursor = &c
 	return nil
 }
--- a/gateway/pipeline/claim.go
+++ b/gateway/pipeline/claim.go
@@ -59,7 +59,7 @@
 	}
 	x.origin = generation.Origin{
 		Attempt: cur.Attempt + cursorGap - 1, Stream: generation.Stream{Endpoint: cur.Endpoint, ID: cur.Stream},
-		Have: cur.Index, Hash: cur.Hash,
+		Have: cur.Index, Hash: cur.Hash, Prefix: x.Generation.Prefix,
 	}
 	if e, ok := c.Running.TakeOver(ctx, x.entry.Key, x.entry.Request); ok {
 		x.origin.Attempt = e.Place.Attempt - 1
--- a/gateway/pipeline/request.go
+++ b/gateway/pipeline/request.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/agateway/agateway/gateway/apierr"
 )
 
@@ -22,7 +24,10 @@
 	Stream         bool
 	IncludeUsage   bool
 
-	hash uint64 // of form and body
+	// Prefix are the tokens that a caller with a cursor already holds; it may leave them out.
+	Prefix []string
+
+	hash uint64 // of all that the answer depends on
 }
 
 const (
@@ -52,6 +57,7 @@
 	Suffix         *string         `json:"suffix"`
 	Logprobs       json.RawMessage `json:"logprobs"`
 	Tools          []any           `json:"tools"`
+	Prefix         []string        `json:"agateway_prefix"`
 	ResponseFormat *struct {
 		Type string `json:"type"`
 	} `json:"response_format"`
@@ -74,7 +80,7 @@
 	if err := b.supported(); err != nil {
 		return nil, err
 	}
-	g := &GenerationRequest{Seed: b.Seed, Temperature: 1, TopP: 1, Stream: b.Stream, MaxTokens: defaultMaxTokens}
+	g := &GenerationRequest{Seed: b.Seed, Temperature: 1, TopP: 1, Stream: b.Stream, MaxTokens: defaultMaxTokens, Prefix: b.Prefix}
 	g.Model, g.Adapter, _ = strings.Cut(b.Model, ":")
 	if g.Model == "" {
 		return nil, invalid("model", "is required")
@@ -89,7 +95,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return g, b.sampling(g)
+	if err := b.sampling(g); err != nil {
+		return nil, err
+	}
+	g.hash = g.digest(form)
+	return g, nil
+}
+
+// digest hashes what the answer depends on: two requests with one digest are the same.
+func (g *GenerationRequest) digest(form Form) uint64 {
+	same := *g
+	same.Prefix = nil
+	raw, err := json.Marshal(struct {
+		Form Form
+		GenerationRequest
+	}{form, same})
+	if err != nil { // strings and numbers always encode
+		panic(err)
+	}
+	return xxhash.Sum64(raw)
 }
 
 func bodyError(err error) error {
--- a/gateway/platform/http.go
+++ b/gateway/platform/http.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/agateway/agateway/gateway/network"
 )
 
 // HTTP is the adapter to the platform's object API over HTTP.
@@ -27,9 +29,9 @@
 
 // NewHTTP returns an adapter for the API at base. timeout bounds one call; a watch may
 // take its own wait besides.
-func NewHTTP(base string, timeout time.Duration) *HTTP {
+func NewHTTP(base string, timeout time.Duration, n network.Network) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext:         network.Within(n, timeout),
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
 	}
 	return &HTTP{base: strings.TrimSuffix(base, "/"), timeout: timeout, client: &http.Client{Transport: t}}
--- a/gateway/telemetry/telemetry.go
+++ b/gateway/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -51,7 +52,8 @@
 }
 
 func (t *Telemetry) metrics() {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "agateway", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
