--- a/cli/caller/caller.go
+++ b/cli/caller/caller.go
@@ -87,6 +87,8 @@
 
 // Answer is a generation's result.
 type Answer struct {
+	// ID is the answer's name, "cmpl-" and the generation's.
+	ID     string
 	Text   string
 	Tokens int
 	Reason string
@@ -275,6 +277,7 @@
 
 // event is a chunk of the completions protocol.
 type event struct {
+	ID      string `json:"id"`
 	Choices []struct {
 		Text         string  `json:"text"`
 		FinishReason *string `json:"finish_reason"`
@@ -297,7 +300,7 @@
 		g.answer.Reason = *e.Choices[0].FinishReason
 		return false, nil
 	}
-	g.cursor = id
+	g.cursor, g.answer.ID = id, e.ID
 	g.token(e.Choices[0].Text)
 	return false, nil
 }
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -51,14 +51,16 @@
 
 // Stats are totals, for the measure of extra work.
 type Stats struct {
-	Generated  int64 `json:"generated"`
-	Prefilled  int64 `json:"prefilled"`
-	Cached     int64 `json:"cached"`
-	Cancelled  int64 `json:"cancelled"`
-	ThrownAway int64 `json:"thrown_away"`
-	Streams    int64 `json:"streams"`
-	Orders     int64 `json:"orders"`
-	OldOrders  int64 `json:"old_orders"`
+	Generated int64 `json:"generated"`
+	Prefilled int64 `json:"prefilled"`
+	// PrefilledAgain is the part of Prefilled that was for attempts after the first.
+	PrefilledAgain int64 `json:"prefilled_again"`
+	Cached         int64 `json:"cached"`
+	Cancelled      int64 `json:"cancelled"`
+	ThrownAway     int64 `json:"thrown_away"`
+	Streams        int64 `json:"streams"`
+	Orders         int64 `json:"orders"`
+	OldOrders      int64 `json:"old_orders"`
 }
 
 // Engine is a running stand-in.
@@ -144,6 +146,21 @@
 	return e.stats
 }
 
+// Generations returns the generations whose streams run or wait.
+func (e *Engine) Generations() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for _, list := range [][]*stream{e.running, e.queue} {
+		for _, s := range list {
+			if !s.gone && !s.done {
+				out = append(out, s.request.Generation)
+			}
+		}
+	}
+	return out
+}
+
 // Open returns the streams that run or wait.
 func (e *Engine) Open() int {
 	e.mu.Lock()
@@ -193,6 +210,9 @@
 		s.started = true
 		s.readyAt = now.Add(time.Duration(float64(s.prefill) / e.cfg.PrefillRate * float64(time.Second)))
 		e.stats.Prefilled += int64(s.prefill)
+		if s.request.Attempt > 1 {
+			e.stats.PrefilledAgain += int64(s.prefill)
+		}
 		e.running = append(e.running, s)
 	}
 }
--- /dev/null
+++ b/gateway/platform/platform_test.go
@@ -0,0 +1,60 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/gateway/platform"
+)
+
+var value = []byte(`{"a":1}`)
+
+// TestMemory is the contract of the object API; the HTTP adapter passes the same through
+// the stand-in.
+func TestMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { contract(t, platform.NewMemory(time.Second)) })
+}
+
+func contract(t *testing.T, p platform.Client) {
+	ctx := context.Background()
+	_, err := p.Get(ctx, "k", "a")
+	assert.Assert(t, errorx.IsOfType(err, platform.ErrNotFound))
+	o, err := p.Put(ctx, "k", "a", value, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, uint64(1))
+	for _, wrong := range []uint64{0, 2} {
+		_, err = p.Put(ctx, "k", "a", value, wrong)
+		assert.Assert(t, errorx.IsOfType(err, platform.ErrConflict), "version %d: %v", wrong, err)
+	}
+	o, err = p.Put(ctx, "k", "a", value, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, uint64(2))
+	_, revision, err := p.List(ctx, "k")
+	assert.NilError(t, err)
+
+	objects, next, err := p.Watch(ctx, []string{"k"}, revision, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects), 0)
+	time.AfterFunc(500*time.Millisecond, func() { _, _ = p.Delete(ctx, "k", "a", 2) })
+	objects, _, err = p.Watch(ctx, []string{"other", "k"}, next, 10*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects), 1)
+	assert.Assert(t, objects[0].Deleted)
+	o, err = p.Put(ctx, "k", "a", value, 0) // a deleted name may be used again
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, uint64(4))
+
+	assert.NilError(t, p.Register(ctx, platform.Listed{ID: "e1", Role: platform.RoleEngine}, 3*time.Second))
+	listed, err := p.Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(listed), 1)
+	time.Sleep(5 * time.Second)
+	listed, err = p.Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(listed), 0)
+}
--- a/gateway/settings/check.go
+++ b/gateway/settings/check.go
@@ -23,6 +23,18 @@
 	"exporter": oneOf("none", "otlp"),
 }
 
+// contradictions checks keys against each other.
+func (s *Settings) contradictions() []string {
+	var out []string
+	if s.Recovery.SilenceFloor > s.Recovery.SilenceCeiling {
+		out = append(out, "[recovery] silence_floor: must not exceed silence_ceiling")
+	}
+	if s.Traces.Exporter == "otlp" && s.Traces.Endpoint == "" {
+		out = append(out, "[traces] endpoint: is required for the exporter otlp")
+	}
+	return out
+}
+
 func checkAddress(text string) error {
 	host, _, err := net.SplitHostPort(text)
 	if err != nil {
--- a/gateway/settings/load.go
+++ b/gateway/settings/load.go
@@ -48,6 +48,7 @@
 	for _, k := range f.Section(ini.DefaultSection).Keys() {
 		problems = append(problems, fmt.Sprintf("%s: key outside any section", k.Name()))
 	}
+	problems = append(problems, s.contradictions()...)
 	if len(problems) > 0 {
 		return nil, ErrInvalid.New("%s", strings.Join(problems, "; "))
 	}
--- /dev/null
+++ b/gateway/settings/settings_test.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+const good = `
+[instance]
+id = entry-1
+data_centre = alm-hall-a
+[platform]
+url = http://10.0.0.1:80
+[keys]
+cursor = 0123456789abcdef
+peer = 0123456789abcdef
+operator_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+`
+
+func TestDefaults(t *testing.T) {
+	s, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Instance.Callers, "127.0.0.1:8080")
+	assert.Equal(t, s.Recovery.SilenceFloor, 200*time.Millisecond)
+	assert.Equal(t, s.Recovery.Policy, "latency")
+	assert.Equal(t, len(s.Peers.Seeds), 0)
+	assert.Assert(t, s.Instance.Register)
+}
+
+func TestErrorsNameSectionAndKey(t *testing.T) {
+	for change, want := range map[string]string{
+		"[instance]\nid =":                   "[instance] id: is required",
+		"[platform]\nurl = ftp://x":          "[platform] url: ",
+		"[platform]\ntimeout = 2":            `[platform] timeout: "2" is no duration`,
+		"[platform]\ntimeout = 1ms":          "[platform] timeout: must be at least 10ms",
+		"[keys]\npeer = short":               "[keys] peer: must have at least 16 characters",
+		"[keys]\noperator_sha256 = xyz":      "[keys] operator_sha256: ",
+		"[instance]\ncallers = localhost:80": "[instance] callers: ",
+		"[instance]\ncallers = 1":            "[instance] callers: ",
+		"[recovery]\npolicy = hope":          `[recovery] policy: "hope" is none of`,
+		"[recovery]\nmax_attempts = many":    "[recovery] max_attempts: ",
+		"[recovery]\nsilence_factor = NaN":   "[recovery] silence_factor: must be at least 1",
+		"[logs]\nlevel = loud":               "[logs] level: ",
+		"[logs]\nlevle = info":               "[logs] levle: unknown key",
+		"[log]\nlevel = info":                "[log]: unknown section",
+		"[instance]\nregister = maybe":       "[instance] register: ",
+		"[callers]\nbody_limit = -1":         "[callers] body_limit: must be at least 1",
+		"[traces]\nsample = much":            "[traces] sample: ",
+		"[recovery]\nsilence_floor = 5s":     "[recovery] silence_floor: must not exceed silence_ceiling",
+		"[traces]\nexporter = otlp":          "[traces] endpoint: is required",
+	} {
+		_, err := Parse([]byte(good + change))
+		assert.Assert(t, errorx.IsOfType(err, ErrInvalid), "%q: %v", change, err)
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func TestAllProblemsAreNamedAtOnce(t *testing.T) {
+	_, err := Parse([]byte("[instance]\nid = x\n[logs]\nlevel = loud\n"))
+	for _, want := range []string{"[instance] data_centre", "[platform] url", "[keys] cursor", "[logs] level"} {
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func TestUnreadableFile(t *testing.T) {
+	_, err := Load("no-such-file.ini")
+	assert.Assert(t, errorx.IsOfType(err, ErrUnreadable))
+	_, err = Parse([]byte("[broken"))
+	assert.Assert(t, errorx.IsOfType(err, ErrUnreadable))
+}
+
+// TestPrintIsAFileToStartFrom parses what Print writes, with the required keys filled in.
+func TestPrintIsAFileToStartFrom(t *testing.T) {
+	var b bytes.Buffer
+	Print(&b)
+	text := b.String()
+	for line := range strings.Lines(good) {
+		if key, _, ok := strings.Cut(line, " = "); ok {
+			text = strings.Replace(text, "\n"+key+" = \n", "\n"+line, 1)
+		}
+	}
+	s, err := Parse([]byte(text))
+	assert.NilError(t, err)
+	want, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s, want)
+}
