--- a/core/routing/cache.go
+++ b/core/routing/cache.go
@@ -14,6 +14,9 @@
 
 type cacheEntry struct {
 	holders [maxHolders]holder
+	// common is set when more endpoints hold the prefix than are remembered: it is then
+	// no reason to prefer those few, and would draw all work to them.
+	common bool
 }
 
 type holder struct {
@@ -37,17 +40,20 @@
 		c.entries[prefix] = e
 		c.remember(prefix)
 	}
-	oldest := 0
+	oldest, free := 0, false
 	for i := range e.holders {
 		h := &e.holders[i]
 		if h.endpoint == id || h.endpoint == "" {
-			oldest = i
+			oldest, free = i, true
 			break
 		}
 		if h.at.Before(e.holders[oldest].at) {
 			oldest = i
 		}
 	}
+	if !free && now.Sub(e.holders[oldest].at) < c.ttl {
+		e.common = true
+	}
 	e.holders[oldest] = holder{id, now}
 }
 
@@ -67,6 +73,7 @@
 		for i := range e.holders {
 			if e.holders[i].endpoint == id {
 				e.holders[i] = holder{}
+				e.common = false
 			}
 		}
 	}
@@ -93,7 +100,7 @@
 
 func (v *View) holds(now time.Time, id string, prefix uint64) bool {
 	e := v.cache.entries[prefix]
-	if e == nil {
+	if e == nil || e.common {
 		return false
 	}
 	for i := range e.holders {
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -114,7 +114,7 @@
 	}
 	for i := len(p.r.Prefixes) - 1; i >= 0; i-- {
 		e := p.v.cache.entries[p.r.Prefixes[i]]
-		if e == nil {
+		if e == nil || e.common {
 			continue
 		}
 		for j := range e.holders {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -190,3 +190,25 @@
 		})
 	}
 }
+
+// TestCommonPrefixDoesNotDraw: a preamble that all prompts share is cached everywhere, but
+// only a few holders of a prefix are remembered. They drew all work to them: with it the
+// first token of one answer in a hundred came after 3.7 s instead of 67 ms.
+func TestCommonPrefixDoesNotDraw(t *testing.T) {
+	v, req, r := view(24), request(), rnd()
+	req.Prefixes, req.Weights.Remote = []uint64{1}, 0
+	for i := range 24 {
+		v.CacheStored(epoch, endpoint(i).ID, 1)
+	}
+	hits := map[string]int{}
+	for i := range 2400 {
+		req.Key = fmt.Sprint(i)
+		d, err := v.Pick(epoch, req, r)
+		assert.NilError(t, err)
+		hits[d.Endpoint.ID]++
+	}
+	for id, n := range hits {
+		assert.Assert(t, n < 200, "%s drew %d of 2400", id, n)
+	}
+	assert.Equal(t, len(hits), 24)
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -27,7 +27,7 @@
 	return Settings{
 		SuspectFirst: time.Second, SuspectMost: 15 * time.Second,
 		CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
-		Choices: 2, QueueFactor: 1.25, RecoveryFactor: 2,
+		Choices: 5, QueueFactor: 1.25, RecoveryFactor: 2,
 	}
 }
 
