Orders to engines: one lease, fencing numbers, spaced roll-outs

Cause: deployments said which engines load what, and nothing carried it out. Weighed: a lease judged by the platform's clock (it has none to offer); a lease judged by the holder's wall clock (clocks differ). Taken: valid on the holder's monotonic clock from before the write was sent; others wait until they saw it unchanged for its whole time to live.

--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -309,3 +309,10 @@
 		return e.rnd.Float64() < e.cfg.Gaps
 	})
 }
+
+// Models returns the loaded models.
+func (e *Engine) Models() []endpoint.LoadedModel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/agateway/agateway/api/operator/v1/operatorv1connect"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
 	"github.com/agateway/agateway/core/directory"
+	"github.com/agateway/agateway/core/lease"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/routing"
@@ -28,6 +29,7 @@
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/once"
 	"github.com/agateway/agateway/gateway/operator"
+	"github.com/agateway/agateway/gateway/orders"
 	"github.com/agateway/agateway/gateway/peering"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/pipeline"
@@ -48,6 +50,7 @@
 	Pool     *peers.Pool
 	Pipeline *pipeline.Pipeline
 	Tickets  *once.Tickets
+	Orders   *orders.Orders
 
 	settings  *settings.Settings
 	telemetry *telemetry.Telemetry
@@ -108,6 +111,10 @@
 		Client: client, Settings: view, Poll: s.Endpoints.Poll, StatusTimeout: s.Endpoints.StatusTimeout,
 		Subset: s.Endpoints.Subset, Instance: s.Instance.ID, Log: t.Log, Scope: t.Scope, Seed: rand.Uint64(),
 	})
+	d.Orders = orders.New(orders.Options{
+		Name: s.Instance.ID, Settings: lease.DefaultSettings(), Pace: lease.DefaultPace(), Platform: d.platform,
+		Config: d.Config, Backends: d.Backends, Client: client, Log: t.Log, Scope: t.Scope, Candidate: d.reads,
+	})
 	d.running = running.New(running.Options{
 		Settings: directory.DefaultSettings(), Fleet: d.Fleet, Pool: d.Pool, Timeout: s.Peers.Timeout, Scope: t.Scope,
 		Orphan: func(_ context.Context, e directory.Entry) {
@@ -238,7 +245,7 @@
 
 // run starts the parts that work on their own.
 func (d *Daemon) run(ctx context.Context) {
-	parts := []func(context.Context){d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
+	parts := []func(context.Context){d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
 	if d.settings.Instance.Register {
 		parts = append(parts, d.register)
 	}
@@ -254,10 +261,13 @@
 	if err := d.Config.Load(ctx); err != nil {
 		d.telemetry.Log.WithError(err).Warn("the platform gave no configuration; waiting for it and for peers")
 	}
-	d.Config.Follow(ctx, config.Sync{Wait: d.settings.Platform.Watch, Pause: watchPause, Watches: func() bool {
-		_, reads := d.readers()
-		return reads
-	}})
+	d.Config.Follow(ctx, config.Sync{Wait: d.settings.Platform.Watch, Pause: watchPause, Watches: d.reads})
+}
+
+// reads tells whether this instance is one of those of its data centre that read the platform.
+func (d *Daemon) reads() bool {
+	_, reads := d.readers()
+	return reads
 }
 
 // Registration in the platform's list.
