Bounded heartbeats, shared limits that know what they don't know, docs, contract tests

Causes: - At 400 members an instance sent and received 14.8 KB/s of heartbeats (7401 bytes each 0.5 s), nearly all of it reports about limits.

--- a/cli/caller/caller.go
+++ b/cli/caller/caller.go
@@ -9,7 +9,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,7 +16,6 @@
 	"sync"
 	"time"
 
-	"github.com/agateway/agateway/gateway/callers"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/pipeline"
 )
@@ -101,20 +99,6 @@
 	Times []time.Time
 }
 
-// Refusal is an error that the system answered with.
-type Refusal struct {
-	Status     int
-	Code       string
-	Message    string
-	Field      string
-	Ran        string
-	RetryAfter time.Duration
-	Valid      *int
-}
-
-// Error returns the text.
-func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s (ran: %s)", r.Code, r.Message, r.Ran) }
-
 // errLost means that the instance or the connection was lost.
 var errLost = errors.New("connection lost")
 
@@ -322,115 +306,3 @@
 		g.r.Token(text)
 	}
 }
-
-// refusalBody is the system's error body.
-type refusalBody struct {
-	Error struct {
-		Code       string  `json:"code"`
-		Message    string  `json:"message"`
-		Field      string  `json:"field"`
-		Ran        string  `json:"ran"`
-		RetryAfter float64 `json:"retry_after_s"`
-		Valid      *int    `json:"valid_tokens"`
-	} `json:"error"`
-}
-
-func readRefusal(resp *http.Response) error {
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return errLost
-	}
-	return parseRefusal(raw, resp.StatusCode, resp.Header)
-}
-
-func parseRefusal(raw []byte, status int, _ http.Header) error {
-	var b refusalBody
-	if err := json.Unmarshal(raw, &b); err != nil || b.Error.Code == "" {
-		return &Refusal{Status: status, Code: "unreadable", Message: string(raw), Ran: "unknown"}
-	}
-	return &Refusal{
-		Status: status, Code: b.Error.Code, Message: b.Error.Message, Field: b.Error.Field, Ran: b.Error.Ran,
-		RetryAfter: time.Duration(b.Error.RetryAfter * float64(time.Second)), Valid: b.Error.Valid,
-	}
-}
-
-// Entry asks an instance which addresses to use.
-func (c *Client) Entry(ctx context.Context, address string) (*callers.Entry, error) {
-	url := "http://" + address + "/v1/entry?data_centre=" + c.opt.DataCentre
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var e callers.Entry
-	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
-
-// address returns the address to use now: the best known one that did not fail lately.
-func (c *Client) address(ctx context.Context) (string, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.opt.Fixed && time.Now().After(c.until) {
-		c.refresh(ctx)
-	}
-	for _, list := range [][]string{c.known, c.opt.Entries} {
-		for _, a := range list {
-			if time.Now().After(c.bad[a]) {
-				c.rotate(a)
-				return a, nil
-			}
-		}
-	}
-	c.until, c.bad = time.Time{}, map[string]time.Time{} // all failed: try them again
-	return "", errLost
-}
-
-// rotate moves an address that was given out to the end, so that one client's requests
-// spread over the fleet.
-func (c *Client) rotate(address string) {
-	for i, a := range c.known {
-		if a == address {
-			c.known = append(append(c.known[:i:i], c.known[i+1:]...), a)
-			return
-		}
-	}
-}
-
-func (c *Client) refresh(ctx context.Context) {
-	const timeout = time.Second
-	for _, a := range append(append([]string(nil), c.known...), c.opt.Entries...) {
-		if time.Now().Before(c.bad[a]) {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		e, err := c.Entry(callCtx, a)
-		cancel()
-		if err != nil || len(e.Addresses) == 0 {
-			c.bad[a] = time.Now().Add(badFor)
-			continue
-		}
-		c.known = c.known[:0]
-		for _, x := range e.Addresses {
-			c.known = append(c.known, x.Address)
-		}
-		c.until = time.Now().Add(time.Duration(e.KeepSeconds * float64(time.Second)))
-		return
-	}
-}
-
-func (c *Client) markBad(address string, err error) {
-	var refusal *Refusal
-	if errors.As(err, &refusal) && refusal.Code != "draining" {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bad[address] = time.Now().Add(badFor)
-}
--- a/cli/e2e/fleet_test.go
+++ b/cli/e2e/fleet_test.go
@@ -256,6 +256,16 @@
 	})
 }
 
+// TestTraceIsCarriedToTheEndpoint: a caller's trace goes on at the endpoint.
+func TestTraceIsCarriedToTheEndpoint(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, services: 1}, func(w *world) {
+		const trace = "0af7651916cd43dd8448eb211c80319c"
+		status, _, body := w.post(0, "/v1/services/queue-app/x", map[string]string{"traceparent": "00-" + trace + "-b7ad6b7169203331-01"}, "")
+		assert.Equal(t, status, 200)
+		assert.Assert(t, strings.Contains(body, trace), body)
+	})
+}
+
 // TestErrorsNameTheField sends bad requests.
 func TestErrorsNameTheField(t *testing.T) {
 	run(t, shape{gateways: 1, engines: 1}, func(w *world) {
--- a/cli/standin/engine/fault.go
+++ b/cli/standin/engine/fault.go
@@ -26,7 +26,8 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// NoPrefix refuses to continue a forced prefix.
 	NoPrefix bool `json:"no_prefix,omitempty"`
-	// Leaving says so in the status and refuses new streams.
+	// Leaving says so in the status. New streams are taken all the same: not to send any is
+	// the gateways' part.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -154,5 +154,5 @@
 		id = "another-request"
 	}
 	w.Header().Set(endpoint.HeaderRequestID, id)
-	serve.JSON(w, map[string]string{"method": r.Method, "path": r.URL.Path, "body": string(body)})
+	serve.JSON(w, map[string]string{"method": r.Method, "path": r.URL.Path, "body": string(body), "traceparent": r.Header.Get("traceparent")})
 }
--- a/core/limits/team.go
+++ b/core/limits/team.go
@@ -40,9 +40,8 @@
 // Team is one team's limit at one instance. The zero value allows everything until
 // [Team.Configure].
 type Team struct {
-	quota   Quota
-	others  Usage
-	members int
+	quota Quota
+	fleet Fleet
 
 	running int
 	tokens  float64
@@ -62,11 +61,27 @@
 	t.tokens, t.at = q.Burst, now
 }
 
-// Share tells how many instances there are and what the others use together.
-func (t *Team) Share(members int, others Usage) {
-	t.members, t.others = members, others
+// Fleet is what an instance knows of the others' use of a limit.
+type Fleet struct {
+	// Members is the number of live instances, this one included.
+	Members int
+	// Known is how many of the others have told what they use, and Others what that is
+	// together.
+	Known  int
+	Others Usage
 }
 
+// Allowed returns how much of a limit this instance may use: what the others are not known
+// to use, less a share for each that is not heard of; and never less than an equal share.
+func (f Fleet) Allowed(limit, others float64) float64 {
+	n := float64(max(f.Members, 1))
+	heard := min(float64(f.Known+1)/n, 1)
+	return math.Max(limit/n, limit*heard-others)
+}
+
+// Share sets what is known of the others.
+func (t *Team) Share(f Fleet) { t.fleet = f }
+
 // Acquire admits a request, or refuses it. An admitted request has to be released.
 func (t *Team) Acquire(now time.Time) *Refusal {
 	if c := t.concurrent(); c > 0 && t.running >= c {
@@ -92,6 +107,18 @@
 	}
 }
 
+// toldShare is the part of an equal share from which an instance's use is told to the
+// others. What is not told makes the fleet exceed a limit by this part at the most.
+const toldShare = 0.125
+
+// Notable tells whether the others have to know what this instance uses.
+func (t *Team) Notable(now time.Time) bool {
+	n := float64(max(t.fleet.Members, 1))
+	u, q := t.Usage(now), t.quota
+	return q.Concurrent > 0 && float64(u.Running) >= toldShare*float64(q.Concurrent)/n ||
+		q.Rate > 0 && u.Rate >= toldShare*q.Rate/n
+}
+
 // Usage returns what this instance uses.
 func (t *Team) Usage(now time.Time) Usage { return Usage{t.running, t.rate.value(now)} }
 
@@ -104,13 +131,11 @@
 	if t.quota.Concurrent == 0 {
 		return 0
 	}
-	equal := (t.quota.Concurrent + max(t.members, 1) - 1) / max(t.members, 1)
-	return max(equal, t.quota.Concurrent-t.others.Running, 1)
+	return max(1, int(math.Ceil(t.fleet.Allowed(float64(t.quota.Concurrent), float64(t.fleet.Others.Running)))))
 }
 
 func (t *Team) allowedRate() float64 {
-	equal := t.quota.Rate / float64(max(t.members, 1))
-	return math.Max(equal, t.quota.Rate-t.others.Rate)
+	return t.fleet.Allowed(t.quota.Rate, t.fleet.Others.Rate)
 }
 
 // rateMeter is an exponentially weighted rate of events, per second.
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -177,8 +177,32 @@
 
 func (n *Node) logarithm() float64 { return math.Log2(float64(len(n.members) + 2)) }
 
+// Interval returns the time to the next tick: in a large fleet it is longer, so that the
+// traffic of a node stays bounded.
+func (n *Node) Interval() time.Duration {
+	factor := float64(len(n.members)+1) / slowFrom
+	return time.Duration(math.Min(math.Max(factor, 1), slowMost) * float64(n.set.Interval))
+}
+
+// The interval grows with the members beyond slowFrom, up to slowMost times.
+const (
+	slowFrom = 128
+	slowMost = 3
+)
+
+// largeFleet is the number of members beyond which a message tells fewer of them.
+const largeFleet = 128
+
+// updates returns how many members one message tells.
+func (n *Node) updates() int {
+	if len(n.members) > largeFleet {
+		return max(n.set.Updates/2, 2)
+	}
+	return n.set.Updates
+}
+
 func (n *Node) suspicion() time.Duration {
-	return time.Duration(n.set.SuspectRounds * n.logarithm() * float64(n.set.Interval))
+	return time.Duration(n.set.SuspectRounds * n.logarithm() * float64(n.Interval()))
 }
 
 func (n *Node) setState(now time.Time, r *record, s State) {
@@ -295,14 +319,14 @@
 // believed of the other when it is not alive, the news told least, and if there is room
 // a member at random.
 func (n *Node) Updates(to string) []Member {
-	out := make([]Member, 0, n.set.Updates+1)
+	out := make([]Member, 0, n.updates()+1)
 	out = append(out, n.self)
 	if r := n.members[to]; r != nil && (r.State != Alive) {
 		out = append(out, r.Member)
 	}
 	sort.SliceStable(n.news, func(i, j int) bool { return n.told(n.news[i]) < n.told(n.news[j]) })
 	for _, id := range n.news {
-		if len(out) >= n.set.Updates {
+		if len(out) >= n.updates() {
 			break
 		}
 		if r := n.members[id]; r != nil && id != to {
@@ -311,7 +335,7 @@
 		}
 	}
 	n.forgetOldNews()
-	if len(out) < n.set.Updates && n.next < len(n.round) {
+	if len(out) < n.updates() && n.next < len(n.round) {
 		if r := n.members[n.round[n.next]]; r != nil && r.ID != to {
 			out = append(out, r.Member)
 		}
--- a/gateway/fleet/codec.go
+++ b/gateway/fleet/codec.go
@@ -62,6 +62,8 @@
 	usageTTL = 15 * time.Second
 	// usageRelays is how many other instances' reports go along with a heartbeat.
 	usageRelays = 4
+	// relayUpTo is the number of other instances up to which reports are passed on.
+	relayUpTo = 48
 	// usageKeys bounds the limits told in one report; the most used ones are told.
 	usageKeys = 32
 )
@@ -125,7 +127,13 @@
 	}
 	sort.Strings(ids)
 	rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	ids = append([]string{self}, ids[:min(len(ids), usageRelays)]...)
+	// Relays pay in a small fleet only: in a large one the reports of all would not fit
+	// what an instance may send, and instances fall back to an equal share.
+	relays := 0
+	if len(ids) <= relayUpTo {
+		relays = min(len(ids), usageRelays)
+	}
+	ids = append([]string{self}, ids[:relays]...)
 	var out []*peerv1.UsageReport
 	for _, id := range ids {
 		if r := t.reports[id]; r != nil {
@@ -143,22 +151,24 @@
 	return p
 }
 
-// sum adds up what the live members besides self use, by limit.
-func (t *usageTable) sum(self string, members []membership.Member) (map[string]limits.Usage, int) {
-	out, alive := map[string]limits.Usage{}, 0
+// sum adds up what the live members besides self use, by limit, and tells how many of
+// them have told.
+func (t *usageTable) sum(self string, members []membership.Member) (map[string]limits.Usage, limits.Fleet) {
+	out, fleet := map[string]limits.Usage{}, limits.Fleet{}
 	for i := range members {
 		if members[i].State != membership.Alive {
 			continue
 		}
-		alive++
+		fleet.Members++
 		r := t.reports[members[i].ID]
 		if members[i].ID == self || r == nil {
 			continue
 		}
+		fleet.Known++
 		for k, u := range r.usage {
 			o := out[k]
 			out[k] = limits.Usage{Running: o.Running + u.Running, Rate: o.Rate + u.Rate}
 		}
 	}
-	return out, alive
+	return out, fleet
 }
--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -54,9 +54,9 @@
 	node  *membership.Node
 	rnd   *rand.Rand
 	usage usageTable
-	// others is the sum of the others' usage, and alive the number of live members.
+	// others is the sum of the others' usage, by limit.
 	others map[string]limits.Usage
-	alive  int
+	known  limits.Fleet // without a usage
 
 	misses, beats tally.Counter
 }
@@ -74,18 +74,25 @@
 // Run sends heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	f.join(ctx)
-	tick := time.NewTicker(f.opt.Settings.Interval)
-	defer tick.Stop()
+	timer := time.NewTimer(f.opt.Settings.Interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case now := <-timer.C:
 			f.tick(ctx, now)
 		}
+		timer.Reset(f.interval())
 	}
 }
 
+func (f *Fleet) interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.node.Interval()
+}
+
 // join asks the seeds for all members.
 func (f *Fleet) join(ctx context.Context) {
 	for _, s := range f.opt.Seeds {
@@ -103,17 +110,22 @@
 }
 
 func (f *Fleet) tick(ctx context.Context, now time.Time) {
+	for _, a := range f.step(now) {
+		go f.do(ctx, a)
+	}
+	f.logChanges()
+}
+
+// step lets one interval pass, and returns whom to ping.
+func (f *Fleet) step(now time.Time) []membership.Action {
 	fig := f.opt.Figures()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.node.SetFigures(fig.Open, fig.Configuration)
 	f.usage.own(f.node.Self().ID, now, fig.Usage)
 	actions := f.node.Tick(now)
 	f.addUsage()
-	f.mu.Unlock()
-	for _, a := range actions {
-		go f.do(ctx, a)
-	}
-	f.logChanges()
+	return actions
 }
 
 func (f *Fleet) do(ctx context.Context, a membership.Action) {
@@ -138,27 +150,34 @@
 // beat exchanges a heartbeat with a peer, and tells whether it answered.
 func (f *Fleet) beat(ctx context.Context, to membership.Member, full bool) bool {
 	f.beats.Inc(1)
+	resp, err := peers.Call(ctx, f.opt.Pool, to.Peer, f.opt.Timeout, heartbeatMethod, f.request(to, full))
+	if err != nil {
+		return false
+	}
+	f.take(time.Now(), to, resp)
+	return true
+}
+
+func (f *Fleet) request(to membership.Member, full bool) *peerv1.HeartbeatRequest {
 	f.mu.Lock()
-	req := &peerv1.HeartbeatRequest{
+	defer f.mu.Unlock()
+	return &peerv1.HeartbeatRequest{
 		From: f.node.Self().ID, Members: encodeMembers(f.node.Updates(to.ID)),
 		Usage: f.usage.encode(f.node.Self().ID, f.rnd), Configuration: f.node.Self().Configuration, Full: full,
 	}
-	f.mu.Unlock()
-	resp, err := peers.Call(ctx, f.opt.Pool, to.Peer, f.opt.Timeout, heartbeatMethod, req)
-	if err != nil {
-		return false
-	}
-	now := time.Now()
+}
+
+// take merges the answer to a heartbeat.
+func (f *Fleet) take(now time.Time, from membership.Member, resp *peerv1.HeartbeatResponse) {
 	f.mu.Lock()
-	f.node.Answered(to.ID)
+	f.node.Answered(from.ID)
 	f.node.Receive(now, decodeMembers(resp.Members))
 	f.usage.merge(f.node.Self().ID, now, resp.Usage)
 	behind := resp.Configuration != f.node.Self().Configuration
 	f.mu.Unlock()
 	if behind && f.opt.Behind != nil {
-		f.opt.Behind(to)
+		f.opt.Behind(from)
 	}
-	return true
 }
 
 func (f *Fleet) indirect(ctx context.Context, a membership.IndirectPing) {
@@ -275,16 +294,17 @@
 	return membership.Entry(f.node.Members(), dataCentre, f.rnd)
 }
 
-// OthersUsage returns what the other live instances use of a limit, and how many
-// instances there are. Both are as of the last heartbeat.
-func (f *Fleet) OthersUsage(key string) (limits.Usage, int) {
+// Usage returns what is known of the others' use of a limit, as of the last heartbeat.
+func (f *Fleet) Usage(key string) limits.Fleet {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.others[key], max(f.alive, 1)
+	out := f.known
+	out.Others = f.others[key]
+	return out
 }
 
 func (f *Fleet) addUsage() {
-	f.others, f.alive = f.usage.sum(f.node.Self().ID, f.node.Members())
+	f.others, f.known = f.usage.sum(f.node.Self().ID, f.node.Members())
 }
 
 func (f *Fleet) logChanges() {
--- /dev/null
+++ b/gateway/peers/peers_bench_test.go
@@ -0,0 +1,89 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/peers"
+)
+
+type answering struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+}
+
+func (answering) Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	return connect.NewResponse(&peerv1.HeartbeatResponse{}), nil
+}
+
+// counting is TCP that counts the bytes of its connections, both ways.
+type counting struct {
+	network.TCP
+	bytes atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *counting) Dial(ctx context.Context, nw, address string) (net.Conn, error) {
+	conn, err := c.TCP.Dial(ctx, nw, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, &c.bytes}, nil
+}
+
+// BenchmarkCall measures one call between instances without its message: processor time at
+// both ends, and bytes on the connection.
+func BenchmarkCall(b *testing.B) {
+	path, handler := peerv1connect.NewPeerServiceHandler(answering{})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: peers.Authorize("0123456789abcdef", mux), Protocols: p}
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	n := &counting{}
+	pool := peers.NewPool("0123456789abcdef", time.Second, n)
+	call := func() {
+		_, err := peers.Call(context.Background(), pool, l.Addr().String(), time.Second, peerv1connect.PeerServiceClient.Heartbeat, &peerv1.HeartbeatRequest{})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	call()
+	n.bytes.Store(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		call()
+	}
+	b.ReportMetric(float64(n.bytes.Load())/float64(b.N), "bytes/call")
+}
--- a/gateway/pipeline/limit.go
+++ b/gateway/pipeline/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -53,7 +54,7 @@
 
 // team takes one request of the team's limits.
 func (l *limit) team(x *Exchange) error {
-	others, members := l.Fleet.OthersUsage(teamUsage + x.Team.Name)
+	fleet := l.Fleet.Usage(teamUsage + x.Team.Name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.teams[x.Team.Name]
@@ -63,7 +64,7 @@
 	}
 	now := time.Now()
 	t.Configure(now, x.Team.Quota)
-	t.Share(members, others)
+	t.Share(fleet)
 	if refusal := t.Acquire(now); refusal != nil {
 		l.metrics.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refused").Inc(1)
 		return apierr.New(apierr.TeamLimit, "the team's limit is reached (%s)", refusal.Reason).WithRetry(refusal.RetryAfter)
@@ -169,10 +170,8 @@
 // known to use, and never less than an equal share. Not more than the slots: work beyond
 // them would wait at an endpoint for a whole answer to end, after its own wait here.
 func (l *limit) capacity(d *config.Deployment) int {
-	slots := l.Backends.Slots(d.Service)
-	others, members := l.Fleet.OthersUsage(deploymentUsage + d.Name)
-	equal := (slots + members - 1) / members
-	return max(equal, slots-others.Running)
+	fleet := l.Fleet.Usage(deploymentUsage + d.Name)
+	return int(math.Ceil(fleet.Allowed(float64(l.Backends.Slots(d.Service)), float64(fleet.Others.Running))))
 }
 
 // usage returns what this instance uses of shared limits.
@@ -182,7 +181,9 @@
 	now := time.Now()
 	out := make(map[string]limits.Usage, len(l.teams)+len(l.queues))
 	for name, t := range l.teams {
-		out[teamUsage+name] = t.Usage(now)
+		if t.Notable(now) {
+			out[teamUsage+name] = t.Usage(now)
+		}
 	}
 	for name, q := range l.queues {
 		out[deploymentUsage+name] = limits.Usage{Running: q.Running()}
--- /dev/null
+++ b/gateway/pipeline/relay_bench_test.go
@@ -0,0 +1,67 @@
+package pipeline
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/agateway/agateway/core/directory"
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/settings"
+)
+
+// nowhere is a response writer that drops what is written.
+type nowhere struct{ header http.Header }
+
+func (n *nowhere) Header() http.Header         { return n.header }
+func (n *nowhere) Write(b []byte) (int, error) { return len(b), nil }
+func (n *nowhere) WriteHeader(int)             {}
+func (n *nowhere) Flush()                      {}
+
+func benchSession(b *testing.B) *session {
+	set, err := settings.Parse([]byte(`[instance]
+id = a
+data_centre = d
+[platform]
+url = http://10.0.0.1:1
+[keys]
+cursor = 0123456789abcdef
+peer = 0123456789abcdef
+operator_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := &Deps{Settings: set, Scope: tally.NoopScope}
+	d.prepare()
+	x := &Exchange{
+		W: &nowhere{http.Header{}}, Received: time.Now(), Deadline: time.Now().Add(time.Hour), Team: &config.Team{Name: "team"},
+		Deployment: &config.Deployment{Name: "brief-llm"}, Generation: &GenerationRequest{Model: "brief-llm", Stream: true},
+		entry: directory.Entry{Generation: "5f0e6a3e-0000-0000-0000-000000000000"},
+	}
+	s := newSession(d, x, d.request(x.Deployment, x.Generation))
+	s.sink = newSink(d, x)
+	s.timer, s.timerAt = time.AfterFunc(time.Hour, func() {}), time.Now()
+	s.machine = generation.New(d.recovery, generation.Origin{}, true, 10, time.Now(), x.Deadline)
+	s.machine.Ready()
+	s.machine.Acked(time.Now(), 1, generation.Stream{Endpoint: "engine-01", ID: "engine-01-5f0e6a3e-1"}, 0, 0, 0)
+	s.sink.attempt(s.place())
+	return s
+}
+
+// BenchmarkToken measures what a token costs between the engine's connection and the
+// caller's: the decision, the cursor and the event. The write itself goes nowhere.
+func BenchmarkToken(b *testing.B) {
+	s := benchSession(b)
+	r := &receiver{s: s, number: 1, endpoint: "engine-01"}
+	text := []byte(" token")
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		r.Token(i, text)
+		i++
+	}
+}
--- a/gateway/platform/http.go
+++ b/gateway/platform/http.go
@@ -31,7 +31,9 @@
 // take its own wait besides.
 func NewHTTP(base string, timeout time.Duration, n network.Network) *HTTP {
 	t := &http.Transport{
-		DialContext:         network.Within(n, timeout),
+		// Shorter than a call, so that a connection that never came about is told from a
+		// lost answer.
+		DialContext:         network.Within(n, timeout/2),
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
 	}
 	return &HTTP{base: strings.TrimSuffix(base, "/"), timeout: timeout, client: &http.Client{Transport: t}}
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -90,3 +91,12 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, s, want)
 }
+
+// TestDocsHoldAllKeys keeps docs/SETTINGS.md in step with the code.
+func TestDocsHoldAllKeys(t *testing.T) {
+	docs, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	Print(&b)
+	assert.Assert(t, strings.Contains(string(docs), b.String()), "run: agatewayd config print")
+}
--- a/gateway/telemetry/telemetry.go
+++ b/gateway/telemetry/telemetry.go
@@ -53,10 +53,12 @@
 
 func (t *Telemetry) metrics() {
 	registry := client.NewRegistry()
+	sanitize := prometheus.DefaultSanitizerOpts
+	sanitize.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters // names of deployments as they are
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "agateway", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: &sanitize, OmitCardinalityMetrics: true,
 	}, reportInterval)
 	t.Scope, t.Metrics = scope, reporter.HTTPHandler()
 	t.close = append(t.close, func() { _ = closer.Close() })
