Tests that let faults put in on purpose survive are made strict; two faults mended

Method: 36 mutations switch one mechanism off each; its proof has to fail. Five survived: - A write repeated after its answer was lost: by then the faulty services were suspected and not tried. The test waits until the suspicion is over. - An older version taken from a peer: the old record in the test could not be read at all. It is a real one now. - Leaving endpoints: new work found the others by chance. The test sends more than these would take. That showed a fault: the list's word was cleared by the endpoint's own status. Either word is enough now. - Early refusal: a refusal after the whole wait counted as well. Also rapid tried 100 orderings, too few to find a token of an old attempt; now 2000.

--- a/cli/e2e/config_test.go
+++ b/cli/e2e/config_test.go
@@ -13,7 +13,6 @@
 
 	operatorv1 "github.com/agateway/agateway/api/operator/v1"
 	standin "github.com/agateway/agateway/cli/standin/platform"
-	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/config"
 )
 
@@ -165,6 +164,7 @@
 // configuration from its peers, and nobody goes back.
 func TestStartInAnOutage(t *testing.T) {
 	run(t, shape{gateways: 3, engines: 1}, func(w *world) {
+		old := w.gateways[0].Config.Differing(nil)
 		_, err := w.update(0, 1, 30000, "op")
 		assert.NilError(t, err)
 		w.inForce(2, 0, 1, 2)
@@ -175,7 +175,7 @@
 		w.gateways[2] = w.startGateway(2)
 		w.inForce(2, 2)
 		for _, g := range w.gateways {
-			g.Config.Apply([]revision.Record{{ID: revision.ID{Kind: config.KindDeployment, Name: "brief-llm"}, Version: 1, Value: []byte("{}")}})
+			g.Config.Apply(old) // as from a peer that has slept
 		}
 		assert.DeepEqual(t, w.versions(), []uint64{2, 2, 2})
 		w.platform.SetFault(standin.Fault{})
--- a/cli/e2e/fleet_test.go
+++ b/cli/e2e/fleet_test.go
@@ -62,34 +62,42 @@
 	})
 }
 
-// TestLeavingEndpointGetsNoNewWork, although the platform's list lags.
+// TestLeavingEndpointGetsNoNewWork, whether the endpoint says so or only the list does.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
-	run(t, shape{gateways: 2, engines: 3, policy: "frugal"}, func(w *world) {
-		long := w.request(400)
-		var wg sync.WaitGroup
-		for i := range 6 {
-			wg.Go(func() {
-				r := long
-				r.Prompt = fmt.Sprint(i)
-				a, err := w.client(i).Generate(w.ctx(), r)
-				w.check(r, a, err)
-			})
-		}
-		time.Sleep(20 * token)
-		i := w.serving()
-		w.engines[i].SetFault(engine.Fault{Leaving: true})
-		time.Sleep(2 * time.Second)
-		before := w.engines[i].Stats().Streams
-		for n := range 10 {
-			r := w.request(5)
+	for name, f := range map[string]engine.Fault{"says so itself": {Leaving: true}, "listed": {ListedLeaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			run(t, shape{gateways: 2, engines: 3, policy: "frugal"}, func(w *world) { leavingEndpoint(w, f) })
+		})
+	}
+}
+
+func leavingEndpoint(w *world, f engine.Fault) {
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			r := w.request(400)
+			r.Prompt = fmt.Sprint(i)
+			a, err := w.client(i).Generate(w.ctx(), r)
+			w.check(r, a, err)
+		})
+	}
+	time.Sleep(20 * token)
+	i := w.serving()
+	w.engines[i].SetFault(f)
+	time.Sleep(3 * time.Second)
+	before := w.engines[i].Stats().Streams
+	for n := range 30 { // together more than the others' share
+		wg.Go(func() {
+			r := w.request(50)
 			r.Prompt = fmt.Sprint("new ", n)
 			a, err := w.client(n).Generate(w.ctx(), r)
 			w.check(r, a, err)
-		}
-		assert.Equal(t, w.engines[i].Stats().Streams, before)
-		wg.Wait() // and what ran there was finished there
-		assert.Equal(t, w.total().Streams, int64(16))
-	})
+		})
+	}
+	time.Sleep(5 * time.Second)
+	assert.Equal(w.t, w.engines[i].Stats().Streams, before)
+	wg.Wait() // and what ran there was finished there
+	assert.Equal(w.t, w.total().Streams, int64(36))
 }
 
 // TestGracefulShutdownCutsNothing drains an instance with answers in flight.
@@ -121,7 +129,7 @@
 	run(t, shape{gateways: 3, engines: 2, slots: 8, policy: "latency"}, func(w *world) {
 		const tokens, seconds = 50, 20 // an answer takes a second: 16 a second are carried
 		var mu sync.Mutex
-		admitted, refused, late := 0, 0, 0
+		admitted, refused, atOnce, late := 0, 0, 0, 0
 		var wg sync.WaitGroup
 		for i := range 32 * seconds {
 			time.Sleep(time.Second / 32)
@@ -143,14 +151,16 @@
 				assert.Assert(t, status == 503 || status == 429, "%d %s", status, text)
 				assert.Assert(t, header.Get("Retry-After") != "")
 				assert.Equal(t, header.Get("Agateway-Ran"), "not_run")
-				assert.Assert(t, took < 50*time.Millisecond || took > 1900*time.Millisecond, "refused after %v", took)
+				if took < 50*time.Millisecond {
+					atOnce++
+				}
 			})
 		}
 		wg.Wait()
 		assert.Equal(t, late, 0)
 		assert.Assert(t, admitted >= 16*seconds*8/10, "%d admitted, %d refused", admitted, refused)
-		t.Logf("%d admitted, %d refused", admitted, refused)
-		assert.Assert(t, refused > 100)
+		t.Logf("%d admitted, %d refused, %d of them at once", admitted, refused, atOnce)
+		assert.Assert(t, refused > 100 && atOnce >= refused*9/10, "%d of %d refused at once", atOnce, refused)
 	})
 }
 
--- a/cli/e2e/once_test.go
+++ b/cli/e2e/once_test.go
@@ -92,6 +92,7 @@
 					assert.Assert(t, strings.Contains(string(a.Body), path))
 				}
 				for i := range 8 {
+					time.Sleep(20 * time.Second) // suspicion is over: the faulty ones are tried again
 					r := logLift("", "")
 					r.Body = fmt.Appendf(nil, "lift %d", i)
 					_, err := w.client(0).Plain(w.ctx(), r)
--- a/cli/e2e/recovery_test.go
+++ b/cli/e2e/recovery_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -199,20 +200,24 @@
 	})
 }
 
-// TestOrphansAreCancelled kills the caller's instance while the caller does not come back.
+// TestOrphansAreCancelled kills the instance of a caller that does not come back.
 func TestOrphansAreCancelled(t *testing.T) {
 	for _, key := range []string{"", "k"} {
 		t.Run("key "+key, func(t *testing.T) {
 			run(t, shape{gateways: 3, engines: 2, policy: "frugal"}, func(w *world) {
-				r := w.request(5000)
-				r.IdempotencyKey = key
-				r.Deadline = 2 * time.Second // then the caller gives up
-				go func() {
-					time.Sleep(1900 * time.Millisecond)
-					w.killServingGateway()
+				ctx, cancel := context.WithCancel(w.ctx())
+				go func() { // it asks once, and goes
+					r := w.request(5000)
+					r.IdempotencyKey = key
+					_, _ = w.client(0).Generate(ctx, r)
 				}()
-				_, err := w.client(0).Generate(w.ctx(), r)
-				assert.Assert(t, err != nil)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, w.total().Streams, int64(1))
+				w.net.mu.Lock()
+				w.net.crashed["caller"] = true // it can't connect any more
+				w.net.mu.Unlock()
+				w.killServingGateway()
+				cancel()
 				time.Sleep(40 * time.Second)
 				for _, e := range w.engines {
 					assert.Equal(t, e.Open(), 0)
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -135,7 +135,7 @@
 	defer e.mu.Unlock()
 	return platform.Listed{
 		ID: e.cfg.ID, Role: platform.RoleEngine, Address: e.Addr, DataCentre: e.cfg.DataCentre,
-		Service: e.cfg.Service, Leaving: e.fault.Leaving, ChecksFencing: e.cfg.ChecksFencing,
+		Service: e.cfg.Service, Leaving: e.fault.ListedLeaving, ChecksFencing: e.cfg.ChecksFencing,
 	}
 }
 
--- a/cli/standin/engine/fault.go
+++ b/cli/standin/engine/fault.go
@@ -26,6 +26,8 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// NoPrefix refuses to continue a forced prefix.
 	NoPrefix bool `json:"no_prefix,omitempty"`
+	// ListedLeaving makes the platform's list say that the engine leaves.
+	ListedLeaving bool `json:"listed_leaving,omitempty"`
 	// Leaving says so in the status. New streams are taken all the same: not to send any is
 	// the gateways' part.
 	Leaving bool `json:"leaving,omitempty"`
--- a/core/generation/explore_test.go
+++ b/core/generation/explore_test.go
@@ -94,6 +94,10 @@
 	w.m.Routed(a.Attempt, endpoint)
 	w.next++
 	s := &engineStream{endpoint: endpoint, salt: w.next, fence: a.Attempt}
+	ignores := rapid.IntRange(0, 7).Draw(w.t, "engine ignores the prefix") == 0
+	if a.From > 0 && ignores {
+		a.From = 0
+	}
 	if a.From > 0 {
 		s.tokens = w.m.Journal().Tokens()
 		s.hash = HashOf(s.tokens)
--- a/core/internal/seeded/seeded.go
+++ b/core/internal/seeded/seeded.go
@@ -9,7 +9,11 @@
 	_ "pgregory.net/rapid" // for its flags
 )
 
-const seed = "20261202"
+// More orderings than rapid's default of 100, which left faults put in on purpose unfound.
+const (
+	seed   = "20261202"
+	checks = "2000"
+)
 
 // Main runs the tests and returns their exit code.
 func Main(m *testing.M) int {
@@ -17,6 +21,9 @@
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", seed)
 	}
+	if flag.Lookup("rapid.checks").Value.String() == "100" {
+		_ = flag.Set("rapid.checks", checks)
+	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	return m.Run()
 }
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -46,7 +46,8 @@
 	firstService   = 500 * time.Millisecond
 	leastRetry     = 250 * time.Millisecond
 	mostRetry      = 30 * time.Second
-	recoveryFactor = 2 // recoveries may use this times the capacity
+	headroom       = 1.5 // the expected wait times this has to fit the budget
+	recoveryFactor = 2   // recoveries may use this times the capacity
 )
 
 // SetCapacity sets how many requests may be in progress, and returns those admitted
@@ -73,7 +74,7 @@
 		return Admitted, 0
 	}
 	expected := q.expected(c)
-	if expected > budget {
+	if time.Duration(headroom*float64(expected)) > budget {
 		return Refused, min(max(expected, leastRetry), mostRetry)
 	}
 	q.waiting[c] = append(q.waiting[c], waiter{id: id})
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -71,7 +71,7 @@
 	recent   []change  // requests sent (+1) and finished (-1) since loadAt
 	failures int       // in a row
 	until    time.Time // suspected until then
-	leaving  bool      // said so by the endpoint or a peer, sticks until the list forgets it
+	leaving  bool      // the endpoint's own word
 }
 
 type change struct {
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -153,7 +153,7 @@
 
 // eligible is the filter: state, suspicion, earlier failures, model, room.
 func (p *picker) eligible(n *node) bool {
-	if n.State != Live || p.now.Before(n.until) || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
+	if !n.takesWork(p.now) || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
 		return false
 	}
 	for _, a := range p.r.Avoid {
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -47,35 +47,50 @@
 	}
 }
 
-// Upsert adds an endpoint or brings its description up to date. A state of leaving
-// that was learned elsewhere is kept: lists lag.
+// Upsert adds an endpoint as the list has it, or brings its place up to date. What the
+// endpoint says of itself is kept.
 func (v *View) Upsert(e Endpoint) {
-	if e.Slots <= 0 {
-		e.Slots = 1
-	}
 	n := v.nodes[e.ID]
-	if n == nil {
-		n = &node{}
+	switch {
+	case n == nil:
+		n = &node{Endpoint: Endpoint{Slots: 1}}
 		v.nodes[e.ID] = n
-	} else if n.Service != e.Service || n.DataCentre != e.DataCentre {
+		n.Service, n.DataCentre = e.Service, e.DataCentre
+		v.link(n)
+	case n.Service != e.Service || n.DataCentre != e.DataCentre:
 		v.unlink(n)
-	} else {
-		n.describe(e)
-		return
+		n.Service, n.DataCentre = e.Service, e.DataCentre
+		v.link(n)
+	}
+	n.ID, n.Address, n.State, n.ChecksFencing = e.ID, e.Address, e.State, e.ChecksFencing
+	if e.Slots > 0 {
+		n.Slots = e.Slots
+	}
+	if e.Models != nil {
+		n.Models = e.Models
 	}
-	n.Service, n.DataCentre = e.Service, e.DataCentre
-	v.link(n)
-	n.describe(e)
 }
 
-// describe sets the description; a state of leaving learned elsewhere is kept.
-func (n *node) describe(e Endpoint) {
-	n.Endpoint = e
-	if n.leaving {
-		n.State = Leaving
+// Describe takes what an endpoint says of itself: its slots, its models, and whether it
+// leaves. It leaves when it says so itself or the list does, whichever is first.
+func (v *View) Describe(id string, slots int, models []Model, leaving bool) {
+	if n := v.nodes[id]; n != nil {
+		n.Slots, n.Models, n.leaving = max(slots, 1), models, leaving
 	}
 }
 
+// Forget drops what was learned of an endpoint that was replaced under the same name.
+func (v *View) Forget(id string) {
+	if n := v.nodes[id]; n != nil {
+		n.leaving, n.failures, n.until = false, 0, time.Time{}
+		v.CacheLost(id)
+	}
+}
+
+func (n *node) takesWork(now time.Time) bool {
+	return n.State == Live && !n.leaving && !now.Before(n.until)
+}
+
 // groupKey names the endpoints of a service, in one data centre or (empty) in all.
 type groupKey struct{ service, dataCentre string }
 
@@ -108,21 +123,6 @@
 	}
 }
 
-// MarkLeaving records that an endpoint said it leaves, which holds whatever a
-// lagging list says.
-func (v *View) MarkLeaving(id string) {
-	if n := v.nodes[id]; n != nil {
-		n.leaving, n.State = true, Leaving
-	}
-}
-
-// MarkLive clears a leaving state, when the endpoint itself says that it takes work.
-func (v *View) MarkLive(id string) {
-	if n := v.nodes[id]; n != nil {
-		n.leaving, n.State = false, Live
-	}
-}
-
 // Report takes an endpoint's load report.
 func (v *View) Report(now time.Time, id string, l Load) {
 	if n := v.nodes[id]; n != nil {
@@ -174,7 +174,16 @@
 	if n == nil {
 		return Endpoint{}, false
 	}
-	return n.Endpoint, true
+	return n.described(), true
+}
+
+// described returns the endpoint with its state as it is believed.
+func (n *node) described() Endpoint {
+	e := n.Endpoint
+	if n.leaving {
+		e.State = Leaving
+	}
+	return e
 }
 
 // Status is an endpoint with what is believed of it.
@@ -188,7 +197,7 @@
 func (v *View) List(now time.Time) []Status {
 	out := make([]Status, 0, len(v.nodes))
 	for _, n := range v.nodes {
-		out = append(out, Status{n.Endpoint, n.estimate(), n.open, now.Before(n.until)})
+		out = append(out, Status{n.described(), n.estimate(), n.open, now.Before(n.until)})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
@@ -198,7 +207,7 @@
 func (v *View) Slots(now time.Time, service string) int {
 	total := 0
 	for _, n := range v.groups[groupKey{service, ""}] {
-		if n.State == Live && !now.Before(n.until) {
+		if n.takesWork(now) {
 			total += n.Slots
 		}
 	}
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -85,15 +85,13 @@
 func (b *Backends) take(ctx context.Context, l platform.Listed) {
 	e, known := b.view.Get(l.ID)
 	if known && e.Address != l.Address {
-		b.view.CacheLost(l.ID) // replaced under the same name
-		b.view.MarkLive(l.ID)
-		b.view.Succeeded(l.ID)
+		b.view.Forget(l.ID)
 	}
-	e.ID, e.Address, e.DataCentre, e.Service, e.ChecksFencing = l.ID, l.Address, l.DataCentre, l.Service, l.ChecksFencing
-	if e.State = routing.Live; l.Leaving {
-		e.State = routing.Leaving
+	listed := routing.Endpoint{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre, Service: l.Service, ChecksFencing: l.ChecksFencing}
+	if l.Leaving {
+		listed.State = routing.Leaving
 	}
-	b.view.Upsert(e)
+	b.view.Upsert(listed)
 	w := b.watchers[l.ID]
 	if w != nil && w.address == l.Address {
 		return
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -91,25 +91,16 @@
 	b.wake()
 }
 
-// describe brings the view's copy of the endpoint up to date with its own word.
+// describe takes the endpoint's own word.
 func (b *Backends) describe(id string, st *endpoint.Status) {
-	e, ok := b.view.Get(id)
-	if !ok {
-		return
-	}
-	e.Slots, e.Models = st.Slots, e.Models[:0:0]
+	models := make([]routing.Model, 0, len(st.Models))
 	for _, m := range st.Models {
-		e.Models = append(e.Models, routing.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+		models = append(models, routing.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
 	}
-	if st.Leaving && e.State != routing.Leaving {
+	if e, ok := b.view.Get(id); ok && st.Leaving && e.State != routing.Leaving {
 		b.opt.Log.WithField("endpoint", id).Info("endpoint leaves")
 	}
-	b.view.Upsert(e)
-	if st.Leaving {
-		b.view.MarkLeaving(id)
-	} else {
-		b.view.MarkLive(id)
-	}
+	b.view.Describe(id, st.Slots, models, st.Leaving)
 }
 
 // takeCacheEvents applies news of the prefix cache. A gap in the numbers means that some
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 engine_pids=()
 for i in 0 1 2 3 4 5; do
   start "engine-$i" bin/agateway standin engine --id "engine-$i" --service brief-llm --model brief@1 \
-    --data-centre "${dcs[i % 3]}" --platform "$platform" --interval 15ms
+    --data-centre "${dcs[i % 3]}" --platform "$platform" --interval 15ms --slots 48
   engines+=("$(field "engine-$i" address)")
   engine_pids+=("${pids[-1]}")
 done
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -13,7 +13,7 @@
 start platform bin/agateway standin platform
 platform="http://$(field platform address)"
 engines=()
-for i in 0 1 2 3; do
+for i in $(seq 0 $((${ENGINES:-4} - 1))); do
   start "engine-$i" bin/agateway standin engine --id "engine-$i" --service brief-llm --model brief@1 --data-centre alm-hall-a \
     --platform "$platform" --interval 20ms --slots 64
   engines+=("$(field "engine-$i" address)")
