pipeline: what a request took is given back whatever happens

Cause, found by reading: a plain answer that broke off ended the handler by a panic past the last filter, so its place in the team's and the deployment's limits was never given back. Ruled out: recovering in the filter (the connection has to break, or a truncated answer looks whole). Now release is deferred, and the connection is broken after finish. Also a generation whose caller had gone was entered in the directory after its end.

--- a/cli/e2e/once_test.go
+++ b/cli/e2e/once_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// TestTruncatedAnswer: an answer that breaks off does not look whole, and what the request
+// took of the limits is given back.
+func TestTruncatedAnswer(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, services: 1}, func(w *world) {
+		team := w.team()
+		team.Concurrent = 1
+		_, err := w.gateways[0].Config.PutTeam(w.ctx(), team, 1, "limit")
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		get := caller.PlainRequest{Service: "queue-app", Method: http.MethodGet, Path: "/status/1", Deadline: time.Second}
+		w.services[0].SetFault(plain.Fault{Truncate: true})
+		for range 3 {
+			_, err := w.only(0).Plain(w.ctx(), get)
+			assert.Assert(t, caller.Lost(err), "%v", err)
+		}
+		w.services[0].SetFault(plain.Fault{})
+		_, err = w.only(0).Plain(w.ctx(), get)
+		assert.NilError(t, err)
+		assert.Equal(t, w.gateways[0].Pipeline.Open(), int64(0))
+	})
+}
+
 // TestTicket asks again under one ticket in all ways.
 func TestTicket(t *testing.T) {
 	run(t, shape{gateways: 3, engines: 1, services: 2}, func(w *world) {
--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -40,6 +40,8 @@
 	// Cross answers with the id of another request.
 	Cross   bool `json:"cross,omitempty"`
 	Leaving bool `json:"leaving,omitempty"`
+	// Truncate breaks the connection in the middle of the answer's body.
+	Truncate bool `json:"truncate,omitempty"`
 }
 
 // Plain is a running stand-in.
@@ -150,6 +152,11 @@
 		return
 	case f.DropAfterRun:
 		panic(http.ErrAbortHandler)
+	case f.Truncate:
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	case f.Cross:
 		id = "another-request"
 	}
--- a/gateway/pipeline/finish.go
+++ b/gateway/pipeline/finish.go
@@ -10,8 +10,7 @@
 	"github.com/agateway/agateway/gateway/apierr"
 )
 
-// finish answers what was not answered, counts the outcome, and gives back what the
-// filters took.
+// finish answers what was not answered and counts the outcome.
 type finish struct {
 	*Deps
 	mu       sync.Mutex
@@ -30,7 +29,6 @@
 }
 
 func (f *finish) serve(_ context.Context, x *Exchange, err error) {
-	defer x.release()
 	code := apierr.Code("complete")
 	if err != nil {
 		e := apierr.From(err)
--- a/gateway/pipeline/pipeline.go
+++ b/gateway/pipeline/pipeline.go
@@ -3,8 +3,8 @@
 //	authenticate → admit → limit → claim → route → dispatch → relay → finish
 //
 // Each filter does one step on the [Exchange] and has a span of its own. The first error
-// ends the row; finish always runs, answers what was not answered, and gives back what
-// the filters took. Errors of the layers below become [apierr.Error] where they are met.
+// ends the row; finish always runs and answers what was not answered. What the filters
+// took is given back at the end, whatever happens. Errors of the layers below become [apierr.Error] where they are met.
 package pipeline
 
 import (
@@ -68,8 +68,10 @@
 
 	settled  bool // it is known who runs the request
 	answered bool // the response has begun
-	cleanup  []func()
-	admitted time.Time
+	// truncated is set when a response that has begun can't be completed.
+	truncated bool
+	cleanup   []func()
+	admitted  time.Time
 }
 
 // atEnd has f called when the exchange is over, last first.
@@ -120,6 +122,7 @@
 	ctx, span := p.deps.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	x := &Exchange{W: w, R: r, Form: form, Received: time.Now()}
+	defer x.release()
 	p.deps.open.Add(1)
 	defer p.deps.open.Add(-1)
 	var err error
@@ -129,6 +132,9 @@
 		}
 	}
 	p.finish.serve(ctx, x, err)
+	if x.truncated {
+		panic(http.ErrAbortHandler) // breaks the connection: it must not look complete
+	}
 }
 
 func (p *Pipeline) step(ctx context.Context, f Filter, x *Exchange) error {
--- a/gateway/pipeline/relay.go
+++ b/gateway/pipeline/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/agateway/agateway/core/generation"
@@ -164,9 +163,9 @@
 		_, err := x.W.Write(p.body)
 		return err
 	}
-	_, err := io.Copy(x.W, p.stream)
-	if err != nil {
-		panic(http.ErrAbortHandler) // a truncated answer must not look complete
+	if _, err := io.Copy(x.W, p.stream); err != nil {
+		x.truncated = true
+		return apierr.New(apierr.EndpointError, "the endpoint's answer broke off").WithRan(apierr.DidRun)
 	}
 	return nil
 }
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -167,7 +167,7 @@
 func (s *session) announceLate() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, stream := s.machine.Attempt(); s.machine.Ended() || stream.ID == "" {
+	if _, stream := s.machine.Attempt(); s.closed || s.machine.Ended() || stream.ID == "" {
 		return
 	}
 	s.announced = true
