--- a/cli/command/bench.go
+++ b/cli/command/bench.go
@@ -25,6 +25,9 @@
 			if !slices.Contains(bench.Faults, cfg.Fault) {
 				return usageError{fmt.Errorf("--fault: %q is none of %s", cfg.Fault, strings.Join(bench.Faults, ", "))}
 			}
+			if _, ok := bench.Profiles[cfg.Profile]; !ok {
+				return usageError{fmt.Errorf("--profile: %q is neither dala nor kurosawa", cfg.Profile)}
+			}
 			r, err := bench.Run(cmd.Context(), cfg)
 			if err != nil {
 				return err
--- a/cli/command/demo.go
+++ b/cli/command/demo.go
@@ -28,6 +28,7 @@
 	f.IntVar(&cfg.Tokens, "tokens", 150, "tokens per generation")
 	f.IntVar(&cfg.KillEngine, "kill-engine", 0, "process to kill while answers are in flight")
 	f.IntVar(&cfg.FreezeEngine, "freeze-engine", 0, "process to stop while answers are in flight")
+	f.IntVar(&cfg.PauseGateway, "pause-gateway", 0, "process to stop for a while in a second round, and to let return")
 	f.IntVar(&cfg.KillGateway, "kill-gateway", 0, "process to kill while answers are in flight")
 	return c
 }
--- a/cli/demo/demo.go
+++ b/cli/demo/demo.go
@@ -38,6 +38,8 @@
 	Tokens                   int
 	KillEngine, FreezeEngine int
 	KillGateway              int
+	// PauseGateway is stopped for a while in a second round, and returns.
+	PauseGateway int
 	Operator                 operatorv1connect.OperatorServiceClient
 	Out                      io.Writer
 }
@@ -82,7 +84,38 @@
 	}
 	wg.Go(func() { d.bringFaults(ctx) })
 	wg.Wait()
-	return d.report(ctx)
+	first := d.tally.Resume
+	if d.PauseGateway != 0 {
+		d.pause(ctx)
+	}
+	return d.report(ctx, first)
+}
+
+const (
+	pausedRound = 30              // generations of the second round
+	pauseAfter  = time.Second / 2 // when the instance is stopped
+	pauseFor    = 5 * time.Second
+)
+
+// pause is the second round: an instance is stopped with answers in flight and returns when
+// others have taken its work over. Its old attempts must not get a token through.
+func (d *demo) pause(ctx context.Context) {
+	d.tally.Resume = hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+	d.say("pausing an instance for %v, with %d generations in flight", pauseFor, pausedRound)
+	var wg sync.WaitGroup
+	for i := range pausedRound {
+		wg.Go(func() { d.generate(ctx, d.Generations+i) })
+	}
+	wg.Go(func() {
+		time.Sleep(pauseAfter)
+		d.faults.Add(time.Now())
+		_ = syscall.Kill(d.PauseGateway, syscall.SIGSTOP)
+		time.Sleep(pauseFor)
+		_ = syscall.Kill(d.PauseGateway, syscall.SIGCONT)
+	})
+	wg.Wait()
+	d.say("it returned; the answers it held went on elsewhere, resume_ms_p99=%d", d.tally.Resume.ValueAtPercentile(99))
+	d.Generations += pausedRound
 }
 
 func (d *demo) say(format string, args ...any) {
@@ -227,7 +260,7 @@
 	}
 }
 
-func (d *demo) report(ctx context.Context) error {
+func (d *demo) report(ctx context.Context, resume *hdrhistogram.Histogram) error {
 	runs, err := load.Runs(ctx, d.Service)
 	if err != nil {
 		return err
@@ -243,7 +276,7 @@
 	extra := 100 * (float64(d.work.Total())/float64(ideal) - 1)
 	_, _ = fmt.Fprintf(d.Out, "demo: sent=%d complete=%d refused=%d wrong=%d missing_tokens=%d repeated_tokens=%d ran_twice=%d resume_ms_p50=%d resume_ms_p99=%d extra_work_pct=%.2f\n",
 		d.Generations+d.Calls, t.Complete, t.Refused, t.Wrong, t.Missing, t.Repeated, twice,
-		t.Resume.ValueAtPercentile(50), t.Resume.ValueAtPercentile(99), extra)
+		resume.ValueAtPercentile(50), resume.ValueAtPercentile(99), extra)
 	if t.Wrong+t.Missing+t.Repeated+twice > 0 || t.Complete+t.Refused != d.Generations+d.Calls {
 		for _, f := range t.Failures {
 			d.say("failure: %s", f)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,7 +31,7 @@
 if ! bin/agateway demo --gateways "$(join "${gateways[@]}")" --engines "$(join "${engines[@]}")" \
   --service "$(field service address)" --operator-key "$operator_key" \
   --deployment examples/dala/brief-llm.json --deployment examples/dala/queue-app.json \
-  --kill-engine "${engine_pids[0]}" --freeze-engine "${engine_pids[1]}" --kill-gateway "${gateway_pids[2]}"; then
+  --kill-engine "${engine_pids[0]}" --freeze-engine "${engine_pids[1]}" --kill-gateway "${gateway_pids[2]}" --pause-gateway "${gateway_pids[1]}"; then
   tail -n 20 "$work"/gateway-*.log >&2
   exit 1
 fi
