once: old claims are swept

Cause: each call with a caller's own key left an object in the platform for ever. Measured: test in virtual time: 5 old claims of 6 go within an hour, their keys are free again.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -245,7 +245,10 @@
 
 // run starts the parts that work on their own.
 func (d *Daemon) run(ctx context.Context) {
-	parts := []func(context.Context){d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
+	sweeper := &once.Sweeper{
+		Platform: d.platform, Holds: d.Orders.Holds, TTL: d.settings.Tickets.ClaimTTL, Every: sweepEvery, PerSecond: sweepRate, Scope: d.telemetry.Scope,
+	}
+	parts := []func(context.Context){sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
 	if d.settings.Instance.Register {
 		parts = append(parts, d.register)
 	}
@@ -254,6 +257,12 @@
 	}
 }
 
+// Sweeps of old claims: often enough, and well below what the platform takes.
+const (
+	sweepEvery = 10 * time.Minute
+	sweepRate  = 20
+)
+
 const watchPause = 100 * time.Millisecond
 
 // follow reads the configuration once, and then watches when it is this instance's turn.
--- /dev/null
+++ b/gateway/once/sweep_test.go
@@ -0,0 +1,66 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/ticket"
+	"github.com/agateway/agateway/gateway/once"
+	"github.com/agateway/agateway/gateway/platform"
+)
+
+// TestSweep: old claims go, young ones stay, and only the holder sweeps.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		p := platform.NewMemory(0)
+		runs := 0
+		claims := &once.Claims{Platform: p, BodyKept: 100, Scope: tally.NoopScope, Run: func(context.Context, *once.Call) once.Result {
+			runs++
+			return once.Result{Outcome: ticket.Outcome{Status: 200}}
+		}}
+		do := func(key string) {
+			call := &once.Call{Team: "t", Method: "POST", Deadline: time.Now().Add(time.Second)}
+			_, err := claims.Do(ctx, key, call)
+			assert.NilError(t, err)
+		}
+		for i := range 5 {
+			do(fmt.Sprint("old ", i))
+		}
+		time.Sleep(20 * time.Hour)
+		do("young")
+		holds := false
+		s := &once.Sweeper{Platform: p, Holds: func() bool { return holds }, TTL: 24 * time.Hour, Every: 10 * time.Minute, PerSecond: 5, Scope: tally.NoopScope}
+		done := make(chan struct{})
+		go func() { defer close(done); s.Run(ctx) }()
+		time.Sleep(5 * time.Hour)
+		assert.Equal(t, left(t, p), 6)
+		holds = true
+		time.Sleep(time.Hour)
+		assert.Equal(t, left(t, p), 1)
+		do("young")
+		assert.Equal(t, runs, 6)
+		do("old 1") // its key is free again
+		assert.Equal(t, runs, 7)
+		cancel()
+		<-done
+	})
+}
+
+func left(t *testing.T, p platform.Client) int {
+	objects, _, err := p.List(context.Background(), once.KindClaim)
+	assert.NilError(t, err)
+	n := 0
+	for _, o := range objects {
+		if !o.Deleted {
+			n++
+		}
+	}
+	return n
+}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -95,6 +95,7 @@
 	TTL      time.Duration `ini:"ttl" default:"10m" min:"1s" doc:"how long a ticket is valid and its outcome kept"`
 	Entries  int           `ini:"entries" default:"100000" min:"1" doc:"outcomes kept; beyond it new calls are refused as not run"`
 	Bytes    int           `ini:"bytes" default:"16777216" min:"1" doc:"bytes of outcomes kept"`
+	ClaimTTL time.Duration `ini:"claim_ttl" default:"24h" min:"1m" doc:"how long a caller's own key is remembered in the platform"`
 	BodyKept int           `ini:"body_kept" default:"65536" min:"0" doc:"largest response body that is kept, in bytes"`
 }
 
