limits: one queue for all deployments that share endpoints

Cause, found by reading: each deployment had a queue of its own, so a plan that waited longer went before a brief that came later to the same engines. Ruled out: leaving it to the engines' priorities (what waits at the gateway never gets there). The queue belongs to the service now.

--- a/cli/demo/demo.go
+++ b/cli/demo/demo.go
@@ -40,8 +40,8 @@
 	KillGateway              int
 	// PauseGateway is stopped for a while in a second round, and returns.
 	PauseGateway int
-	Operator                 operatorv1connect.OperatorServiceClient
-	Out                      io.Writer
+	Operator     operatorv1connect.OperatorServiceClient
+	Out          io.Writer
 }
 
 const (
--- a/cli/e2e/fleet_test.go
+++ b/cli/e2e/fleet_test.go
@@ -342,3 +342,40 @@
 		assert.Equal(t, strings.Count(rest, "id: "), 2)
 	})
 }
+
+// TestContractOrder: deployments that share engines are admitted in the order of their
+// contracts, whoever came first.
+func TestContractOrder(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, slots: 4}, func(w *world) {
+		plans := w.deployment()
+		plans.Name, plans.Contract = "plan-writer", &operatorv1.Contract{Class: "background", DeadlineMs: 60000, QueueMs: 40000}
+		_, err := w.gateways[0].Config.PutDeployment(w.ctx(), plans, 0, "plans")
+		assert.NilError(t, err)
+		briefs := w.deployment()
+		briefs.Contract.QueueMs = 40000
+		_, err = w.gateways[0].Config.PutDeployment(w.ctx(), briefs, 1, "briefs")
+		assert.NilError(t, err)
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		ask := func(model string, n int) {
+			for i := range n {
+				wg.Go(func() {
+					status, _, text := w.post(0, "/v1/completions", nil, fmt.Sprintf(`{"model":%q,"prompt":"%d","max_tokens":50,"seed":7}`, model, i))
+					assert.Equal(t, status, 200, text)
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, model)
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		ask("plan-writer", 4) // these run
+		ask("plan-writer", 8) // these wait
+		ask("brief-llm", 4)   // and these go before them
+		wg.Wait()
+		for i, model := range order {
+			assert.Equal(t, model == "brief-llm", i >= 4 && i < 8, "%v", order)
+		}
+	})
+}
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Class is the order in which a deployment's waiting work is admitted.
+// Class is the order in which waiting work for the same endpoints is admitted.
 type Class int
 
 // Classes, first to be admitted first.
@@ -24,7 +24,7 @@
 	Refused
 )
 
-// Queue admits work to one deployment at one instance. The zero value admits
+// Queue admits work to one group of endpoints at one instance. The zero value admits
 // nothing until [Queue.SetCapacity].
 type Queue struct {
 	capacity int
--- a/gateway/fleet/fleet_bench_test.go
+++ b/gateway/fleet/fleet_bench_test.go
@@ -29,7 +29,7 @@
 	r := &ring{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), byID: map[string]*Fleet{}}
 	usage := map[string]limits.Usage{}
 	for d := range 15 { // each instance serves all models of the target, and one busy team
-		usage[fmt.Sprint("d/model-", d)] = limits.Usage{Running: 12}
+		usage[fmt.Sprint("s/model-", d)] = limits.Usage{Running: 12}
 	}
 	usage["t/almaty-desk"] = limits.Usage{Running: 10, Rate: 1}
 	for i := range n {
--- a/gateway/pipeline/limit.go
+++ b/gateway/pipeline/limit.go
@@ -8,20 +8,19 @@
 
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/gateway/apierr"
-	"github.com/agateway/agateway/gateway/config"
 )
 
-// limit holds teams to their share and deployments to what the endpoints carry. Work that
+// limit holds teams to their share and services to what their endpoints carry. Work that
 // can't be served within its contract is refused on arrival.
 type limit struct {
 	*Deps
 	mu     sync.Mutex
 	teams  map[string]*limits.Team
-	queues map[string]*queue
+	queues map[string]*queue // by service: deployments that share endpoints share a queue
 	nextID uint64
 }
 
-// queue is a deployment's queue with those that wait.
+// queue is a service's queue with those that wait.
 type queue struct {
 	limits.Queue
 	refreshed time.Time
@@ -33,8 +32,8 @@
 
 // Keys of shared limits in heartbeats.
 const (
-	teamUsage       = "t/"
-	deploymentUsage = "d/"
+	teamUsage    = "t/"
+	serviceUsage = "s/"
 )
 
 func newLimit(d *Deps) *limit {
@@ -77,14 +76,15 @@
 	return nil
 }
 
-// place takes a place in the deployment's queue, waiting where the contract allows.
+// place takes a place in the queue of the deployment's service, waiting where the contract
+// allows.
 func (l *limit) place(ctx context.Context, x *Exchange) error {
 	class, budget := x.Class, min(x.Deployment.QueueWait, time.Until(x.Deadline))
 	if x.cursor != nil {
 		class = limits.Recovery // work that was lost once goes before new work
 	}
 	l.mu.Lock()
-	q := l.queue(x.Deployment)
+	q := l.queue(x.Deployment.Service)
 	l.nextID++
 	id := l.nextID
 	verdict, wait := q.Offer(id, class, budget)
@@ -152,16 +152,16 @@
 	}
 }
 
-// queue returns a deployment's queue with its capacity up to date. The lock is held.
-func (l *limit) queue(d *config.Deployment) *queue {
-	q := l.queues[d.Name]
+// queue returns a service's queue with its capacity up to date. The lock is held.
+func (l *limit) queue(service string) *queue {
+	q := l.queues[service]
 	if q == nil {
 		q = &queue{waiting: map[uint64]chan struct{}{}}
-		l.queues[d.Name] = q
+		l.queues[service] = q
 	}
 	if now := time.Now(); now.Sub(q.refreshed) >= capacityEvery {
 		q.refreshed = now
-		q.grant(q.SetCapacity(l.capacity(d)))
+		q.grant(q.SetCapacity(l.capacity(service)))
 	}
 	return q
 }
@@ -169,9 +169,9 @@
 // capacity is what this instance may have in progress: the slots that the others are not
 // known to use, and never less than an equal share. Not more than the slots: work beyond
 // them would wait at an endpoint for a whole answer to end, after its own wait here.
-func (l *limit) capacity(d *config.Deployment) int {
-	fleet := l.Fleet.Usage(deploymentUsage + d.Name)
-	return int(math.Ceil(fleet.Allowed(float64(l.Backends.Slots(d.Service)), float64(fleet.Others.Running))))
+func (l *limit) capacity(service string) int {
+	fleet := l.Fleet.Usage(serviceUsage + service)
+	return int(math.Ceil(fleet.Allowed(float64(l.Backends.Slots(service)), float64(fleet.Others.Running))))
 }
 
 // usage returns what this instance uses of shared limits.
@@ -186,7 +186,7 @@
 		}
 	}
 	for name, q := range l.queues {
-		out[deploymentUsage+name] = limits.Usage{Running: q.Running()}
+		out[serviceUsage+name] = limits.Usage{Running: q.Running()}
 	}
 	return out
 }
