A generation goes on with the version of the model that it began with, or not at all

Ruled out: requiring a version in every deployment (operators roll versions within one). Now the engine's acknowledgement names its version, the first one is pinned, cursor and directory carry it, and an acknowledgement of another version is a mismatch.

--- a/cli/e2e/recovery_test.go
+++ b/cli/e2e/recovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -278,3 +279,55 @@
 		w.check(r, a, err)
 	})
 }
+
+// TestVersionsAreNotMixed: the deployment names no version, and its engines have loaded
+// two. The engine that serves dies, with or without its gateway: the answer goes on with
+// the same version or not at all.
+func TestVersionsAreNotMixed(t *testing.T) {
+	for name, c := range map[string]struct {
+		ones    int // engines with version 1, of 4
+		gateway bool
+		whole   bool
+	}{
+		"another engine has it":              {2, false, true},
+		"no other engine has it":             {1, false, false},
+		"gateway too, another engine has it": {2, true, true},
+		"gateway too, no other engine has":   {1, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := shape{gateways: 2, engines: 4, policy: "latency", anyVersion: true, versions: func(i int) string {
+				if i < c.ones {
+					return "1"
+				}
+				return "2"
+			}}
+			run(t, s, func(w *world) {
+				r := w.request(60)
+				r.SendTokens, r.Deadline = true, 8*time.Second
+				for _, e := range w.engines[c.ones:] {
+					e.SetFault(engine.Fault{Refuse: true}) // so that version 1 serves first
+				}
+				go func() {
+					time.Sleep(20 * token)
+					for _, e := range w.engines[c.ones:] {
+						e.SetFault(engine.Fault{})
+					}
+					w.killEngine(w.serving())
+					if c.gateway {
+						w.killServingGateway()
+					}
+				}()
+				a, err := w.client(0).Generate(w.ctx(), r)
+				w.dep.Version = "1"
+				want := engine.Answer(startRequest(w, r.Prompt, r.MaxTokens))
+				if c.whole {
+					assert.NilError(t, err)
+					assert.Equal(t, a.Text, want)
+					return
+				}
+				assert.Assert(t, err != nil)
+				assert.Assert(t, strings.HasPrefix(want, a.Text), "mixed: %s", a.Text)
+			})
+		})
+	}
+}
--- a/cli/e2e/world_test.go
+++ b/cli/e2e/world_test.go
@@ -40,6 +40,8 @@
 	interval                    time.Duration
 	extra                       string // further settings
 	ignoreFencing               bool
+	anyVersion                  bool               // the deployment names none
+	versions                    func(i int) string // loaded by engine i; "1" if nil
 }
 
 const (
@@ -123,11 +125,14 @@
 	if interval == 0 {
 		interval = token
 	}
-	id := fmt.Sprint("e", i)
+	id, version := fmt.Sprint("e", i), "1"
+	if w.shape.versions != nil {
+		version = w.shape.versions(i)
+	}
 	e, err := engine.Start(engine.Config{
 		ID: id, Address: "10.0.1.1:0", DataCentre: dc(i), Service: "brief-llm", Slots: slots, Interval: interval,
 		PrefillRate: 20000, CacheBlocks: 1000, Lag: 200 * time.Millisecond, Gaps: 0.1, ChecksFencing: !w.shape.ignoreFencing,
-		LoadTime: time.Second, Salt: w.shape.salt, Seed: uint64(i), Models: []endpoint.LoadedModel{{Name: model, Version: "1"}},
+		LoadTime: time.Second, Salt: w.shape.salt, Seed: uint64(i), Models: []endpoint.LoadedModel{{Name: model, Version: version}},
 		Platform: w.platformFrom(id), Network: w.net.node(id),
 	})
 	assert.NilError(w.t, err)
@@ -178,8 +183,12 @@
 }
 
 func (w *world) deployment() *operatorv1.Deployment {
+	version := "1"
+	if w.shape.anyVersion {
+		version = ""
+	}
 	return &operatorv1.Deployment{
-		Name: "brief-llm", Kind: operatorv1.Kind_KIND_GENERATION, Service: "brief-llm", Model: model, Version: "1",
+		Name: "brief-llm", Kind: operatorv1.Kind_KIND_GENERATION, Service: "brief-llm", Model: model, Version: version,
 		Teams: []string{teamName}, Recovery: &operatorv1.Recovery{Policy: w.shape.policy},
 		Contract: &operatorv1.Contract{Class: "urgent", DeadlineMs: 60000, QueueMs: 2000},
 	}
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -263,6 +263,9 @@
 	defer e.mu.Unlock()
 	e.next++
 	e.stats.Streams++
+	if r.Version == "" {
+		r.Version = e.versionOf(r.Model)
+	}
 	s := &stream{
 		id: e.cfg.ID + "-" + e.boot[:8] + "-" + strconv.Itoa(e.next), request: *r,
 		hash: RequestHash(r), attempt: r.Attempt, changed: make(chan struct{}), openings: 1,
@@ -280,6 +283,16 @@
 	return s
 }
 
+// versionOf returns the loaded version of a model. The lock is held.
+func (e *Engine) versionOf(name string) string {
+	for _, m := range e.models {
+		if m.Name == name {
+			return m.Version
+		}
+	}
+	return ""
+}
+
 // cancel drops a stream unless a higher attempt took it over.
 func (e *Engine) cancel(id string, attempt int) bool {
 	e.mu.Lock()
--- a/cli/standin/engine/http.go
+++ b/cli/standin/engine/http.go
@@ -181,7 +181,7 @@
 		c.flush = f.Flush
 	}
 	e.mu.Lock()
-	ack := endpoint.Ack{Generation: s.request.Generation, Attempt: attempt, Stream: s.id, Index: from, Hash: endpoint.HashHex(s.hashAt(from)), Cached: s.cached}
+	ack := endpoint.Ack{Generation: s.request.Generation, Attempt: attempt, Stream: s.id, Index: from, Hash: endpoint.HashHex(s.hashAt(from)), Version: s.request.Version, Cached: s.cached}
 	e.mu.Unlock()
 	c.event(endpoint.EventAck, "", ack)
 	c.flush()
--- a/core/cursor/cursor.go
+++ b/core/cursor/cursor.go
@@ -32,6 +32,9 @@
 	Team       string `json:"t"`
 	Deployment string `json:"d"`
 	Generation string `json:"g"`
+	// Model and Version are what the generation runs on; no other may continue it.
+	Model   string `json:"m"`
+	Version string `json:"v"`
 	// Request is the hash of the request's body.
 	Request  uint64 `json:"r"`
 	Attempt  int    `json:"a"`
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -23,6 +23,8 @@
 	// Request is the hash of the request's body.
 	Request    uint64
 	Generation string
+	// Model and Version are what the generation runs on; no other may continue it.
+	Model, Version string
 	// Owner is the instance that serves the caller, by process.
 	Owner Owner
 	Place Place
@@ -112,7 +114,7 @@
 	if u.Place.Attempt < e.Place.Attempt || e.Request != u.Request {
 		return false
 	}
-	e.Place, e.Owner, e.Generation = u.Place, u.Owner, u.Generation
+	e.Place, e.Owner, e.Generation, e.Model, e.Version = u.Place, u.Owner, u.Generation, u.Model, u.Version
 	e.touched, e.expires = now, time.Time{}
 	return true
 }
--- a/gateway/endpoint/wire.go
+++ b/gateway/endpoint/wire.go
@@ -77,6 +77,8 @@
 	Stream     string  `json:"stream"`
 	Index      int     `json:"index"`
 	Hash       HashHex `json:"hash"`
+	// Version is the version of the model that serves the stream.
+	Version string `json:"version"`
 	// Cached is how many tokens of prompt and prefix were in the engine's cache.
 	Cached int `json:"cached"`
 }
--- a/gateway/pipeline/claim.go
+++ b/gateway/pipeline/claim.go
@@ -26,10 +26,12 @@
 		c.plain(x)
 		return nil
 	}
-	x.entry = directory.Entry{Request: x.Generation.hash, Generation: uuid.NewString(), Owner: c.Running.Owner()}
+	x.entry = directory.Entry{
+		Request: x.Generation.hash, Generation: uuid.NewString(), Owner: c.Running.Owner(),
+		Model: x.Deployment.Model, Version: x.Deployment.ModelVersion,
+	}
 	if x.cursor != nil {
-		c.fromCursor(ctx, x)
-		return nil
+		return c.fromCursor(ctx, x)
 	}
 	if x.Key == "" {
 		x.entry.Key = generationKey(x.Team.Name, x.entry.Generation)
@@ -50,10 +52,13 @@
 
 // fromCursor goes on with the generation that the caller's cursor names. The directory
 // may know a newer place for it, when an engine died after the cursor was made.
-func (c *claim) fromCursor(ctx context.Context, x *Exchange) {
+func (c *claim) fromCursor(ctx context.Context, x *Exchange) error {
 	cur := x.cursor
+	if cur.Model != x.Deployment.Model {
+		return apierr.New(apierr.CannotContinue, "the deployment has another model now").WithRan(apierr.DidRun)
+	}
 	c.metrics.takeovers.Inc(1)
-	x.entry.Generation = cur.Generation
+	x.entry.Generation, x.entry.Version = cur.Generation, cur.Version
 	x.entry.Key = generationKey(x.Team.Name, cur.Generation)
 	if x.Key != "" {
 		x.entry.Key = callerKey(x.Team.Name, x.Key)
@@ -66,6 +71,7 @@
 		x.origin.Attempt = e.Place.Attempt - 1
 		x.origin.Stream = generation.Stream{Endpoint: e.Place.Endpoint, ID: e.Place.Stream}
 	}
+	return nil
 }
 
 // fromKey registers the caller's key, or takes over the generation that runs under it.
@@ -83,7 +89,7 @@
 		return apierr.New(apierr.InProgress, "a request with this key was just begun").WithField(HeaderKey).WithRetry(time.Second)
 	}
 	c.metrics.takeovers.Inc(1)
-	x.entry.Generation = held.Generation
+	x.entry.Generation, x.entry.Version = held.Generation, e.Version
 	x.origin = generation.Origin{
 		Attempt: e.Place.Attempt - 1, Stream: generation.Stream{Endpoint: e.Place.Endpoint, ID: e.Place.Stream},
 	}
--- a/gateway/pipeline/receiver.go
+++ b/gateway/pipeline/receiver.go
@@ -26,6 +26,12 @@
 		s.Backends.Cancel(r.endpoint, a.Stream, r.number)
 		return
 	}
+	if !s.pinVersion(a) {
+		s.Backends.Cancel(r.endpoint, a.Stream, r.number)
+		s.machine.Failed(now, r.number, generation.Mismatch, 0)
+		s.settle(now)
+		return
+	}
 	s.machine.Acked(now, r.number, generation.Stream{Endpoint: r.endpoint, ID: a.Stream}, a.Index, uint64(a.Hash), a.Cached)
 	s.settle(now)
 	if number, _ := s.machine.Attempt(); number == r.number && !s.machine.Ended() {
@@ -34,6 +40,15 @@
 	}
 }
 
+// pinVersion fixes the model's version by the first acknowledgement, and tells whether a
+// later one is of the same: another version's tokens must not continue an answer.
+func (s *session) pinVersion(a *endpoint.Ack) bool {
+	if s.x.entry.Version == "" {
+		s.x.entry.Version = a.Version
+	}
+	return a.Version == "" || a.Version == s.x.entry.Version
+}
+
 // Token implements endpoint.Receiver. This is the hot path.
 func (r *receiver) Token(index int, text []byte) {
 	s := r.s
--- a/gateway/pipeline/sink.go
+++ b/gateway/pipeline/sink.go
@@ -146,6 +146,7 @@
 
 func (e *eventStream) attempt(d directory.Entry) {
 	e.head.Attempt, e.head.Endpoint, e.head.Stream = d.Place.Attempt, d.Place.Endpoint, d.Place.Stream
+	e.head.Model, e.head.Version = d.Model, d.Version
 	if e.cursors == nil {
 		e.cursors = cursor.NewEncoder(e.key, e.head)
 		return
--- a/gateway/pipeline/streams.go
+++ b/gateway/pipeline/streams.go
@@ -28,7 +28,9 @@
 // open routes an attempt and starts its stream.
 func (s *session) open(ctx context.Context, a generation.Start, at *attempt) {
 	req := s.routing
-	req.Avoid, req.Recovery = a.Avoid, a.Recovery
+	s.mu.Lock()
+	req.Avoid, req.Recovery, req.Version = a.Avoid, a.Recovery, s.x.entry.Version
+	s.mu.Unlock()
 	e, err := s.pick(ctx, &req, time.Now().Add(roomWait))
 	if err != nil {
 		s.failed(a.Attempt, generation.NoEndpoint, 0)
@@ -50,7 +52,7 @@
 func (s *session) startRequest(a generation.Start) *endpoint.StartRequest {
 	g, dep := s.x.Generation, s.x.Deployment
 	r := &endpoint.StartRequest{
-		Generation: s.x.entry.Generation, Attempt: a.Attempt, Model: dep.Model, Version: dep.ModelVersion,
+		Generation: s.x.entry.Generation, Attempt: a.Attempt, Model: dep.Model, Version: s.x.entry.Version,
 		Adapter: g.Adapter, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Seed: s.seed(), Temperature: g.Temperature,
 		TopP: g.TopP, Stop: g.Stop, Priority: int(dep.Class),
 	}
--- a/gateway/running/running.go
+++ b/gateway/running/running.go
@@ -236,7 +236,7 @@
 
 func encode(e directory.Entry) *peerv1.Entry {
 	return &peerv1.Entry{
-		Team: e.Team, Key: e.ID, Request: e.Request, Generation: e.Generation, Owner: encodeOwner(e.Owner), Done: e.Done,
+		Team: e.Team, Key: e.ID, Request: e.Request, Generation: e.Generation, Owner: encodeOwner(e.Owner), Done: e.Done, Model: e.Model, Version: e.Version,
 		Place: &peerv1.Place{Attempt: int32(e.Place.Attempt), Endpoint: e.Place.Endpoint, Stream: e.Place.Stream},
 	}
 }
@@ -244,7 +244,7 @@
 func decode(e *peerv1.Entry) directory.Entry {
 	return directory.Entry{
 		Key: directory.Key{Team: e.GetTeam(), ID: e.GetKey()}, Request: e.GetRequest(), Generation: e.GetGeneration(),
-		Owner: decodeOwner(e.GetOwner()), Done: e.GetDone(),
+		Owner: decodeOwner(e.GetOwner()), Done: e.GetDone(), Model: e.GetModel(), Version: e.GetVersion(),
 		Place: directory.Place{Attempt: int(e.GetPlace().GetAttempt()), Endpoint: e.GetPlace().GetEndpoint(), Stream: e.GetPlace().GetStream()},
 	}
 }
