pipeline: a caller that stops reading ends its generation

Cause, found by reading: a failed write marked the sink as broken, and nobody looked; the generation ran to its end for nobody. The relay now ends as for a caller that went away. Ruled out: a test in virtual time with a caller that does not read: the write blocks while the session's lock is held, and virtual time does not pass while others wait for a lock (the test hung, and was dropped for one with a writer that fails). Also: replicas need a version.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Vet runs in lint; here the tests run once each, with the race detector.
 test:
-	go test -race -count=1 -vet=off $(PACKAGES)
+	go test -race -count=1 -timeout 10m -vet=off $(PACKAGES)
 
 lint:
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/gateway/config/validate.go
+++ b/gateway/config/validate.go
@@ -122,6 +122,13 @@
 			return invalid(field, "the weight store has no adapter %q of %q", a, d.GetModel())
 		}
 	}
+	if v := d.GetVersion(); v != "" {
+		if err := validName("deployment.version", v); err != nil {
+			return err
+		}
+	} else if d.GetReplicas() > 0 {
+		return invalid("deployment.version", "is required where replicas are asked for: an order to load names one")
+	}
 	if d.GetReplicas() > mostReplicas {
 		return invalid("deployment.replicas", "at most %d", mostReplicas)
 	}
--- a/gateway/pipeline/relay.go
+++ b/gateway/pipeline/relay.go
@@ -34,6 +34,8 @@
 			return s.answer()
 		case now := <-tick.C:
 			s.keepalive(now, r.Settings.Callers.Keepalive)
+		case <-s.unread:
+			return r.callerGone(x)
 		case <-ctx.Done():
 			return r.callerGone(x)
 		}
--- a/gateway/pipeline/relay_bench_test.go
+++ b/gateway/pipeline/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -21,7 +22,26 @@
 func (n *nowhere) WriteHeader(int)             {}
 func (n *nowhere) Flush()                      {}
 
-func benchSession(b *testing.B) *session {
+// deaf is a response writer whose caller does not read any more.
+type deaf struct{ nowhere }
+
+func (*deaf) Write([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// TestUnreadCallerIsNoticed: a write that fails ends the relay, and the stream is cancelled
+// as for a caller that went away; it is not run to its end for nobody.
+func TestUnreadCallerIsNoticed(t *testing.T) {
+	s := testSession(t, &deaf{nowhere{http.Header{}}})
+	r := &receiver{s: s, number: 1, endpoint: "engine-01"}
+	r.Token(0, []byte(" a"))
+	r.Token(1, []byte(" b"))
+	select {
+	case <-s.unread:
+	default:
+		t.Fatal("not noticed")
+	}
+}
+
+func testSession(b testing.TB, w http.ResponseWriter) *session {
 	set, err := settings.Parse([]byte(`[instance]
 id = a
 data_centre = d
@@ -38,12 +58,12 @@
 	d := &Deps{Settings: set, Scope: tally.NoopScope}
 	d.prepare()
 	x := &Exchange{
-		W: &nowhere{http.Header{}}, Received: time.Now(), Deadline: time.Now().Add(time.Hour), Team: &config.Team{Name: "team"},
+		W: w, Received: time.Now(), Deadline: time.Now().Add(time.Hour), Team: &config.Team{Name: "team"},
 		Deployment: &config.Deployment{Name: "brief-llm"}, Generation: &GenerationRequest{Model: "brief-llm", Stream: true},
 		entry: directory.Entry{Generation: "5f0e6a3e-0000-0000-0000-000000000000"},
 	}
 	s := newSession(d, x, d.request(x.Deployment, x.Generation))
-	s.sink = newSink(d, x)
+	s.sink = newSink(d, x, func() { close(s.unread) })
 	s.timer, s.timerAt = time.AfterFunc(time.Hour, func() {}), time.Now()
 	s.machine = generation.New(d.recovery, generation.Origin{}, true, 10, time.Now(), x.Deadline)
 	s.machine.Ready()
@@ -55,7 +75,7 @@
 // BenchmarkToken measures what a token costs between the engine's connection and the
 // caller's: the decision, the cursor and the event. The write itself goes nowhere.
 func BenchmarkToken(b *testing.B) {
-	s := benchSession(b)
+	s := testSession(b, &nowhere{http.Header{}})
 	r := &receiver{s: s, number: 1, endpoint: "engine-01"}
 	text := []byte(" token")
 	b.ReportAllocs()
--- a/gateway/pipeline/sink.go
+++ b/gateway/pipeline/sink.go
@@ -18,11 +18,13 @@
 	token(now time.Time, index int, text []byte, hash uint64)
 }
 
-func newSink(d *Deps, x *Exchange) sink {
+// newSink returns the sink for an exchange; lost is called when its caller can't be
+// written to any more.
+func newSink(d *Deps, x *Exchange, lost func()) sink {
 	if !x.Generation.Stream {
 		return journalOnly{}
 	}
-	return newEventStream(d, x)
+	return newEventStream(d, x, lost)
 }
 
 // journalOnly is the sink of an answer that is sent whole, from the journal.
@@ -43,14 +45,15 @@
 	after   []byte
 	buf     []byte
 	broken  bool
+	lost    func()    // called when the caller can't be written to any more
 	last    time.Time // of the last write
 	limit   time.Duration
 	limitAt time.Time // write deadline in force
 }
 
-func newEventStream(d *Deps, x *Exchange) *eventStream {
+func newEventStream(d *Deps, x *Exchange, lost func()) *eventStream {
 	e := &eventStream{
-		x: x, key: []byte(d.Settings.Keys.Cursor), control: http.NewResponseController(x.W),
+		x: x, lost: lost, key: []byte(d.Settings.Keys.Cursor), control: http.NewResponseController(x.W),
 		limit: d.Settings.Callers.WriteTimeout, last: x.Received,
 		head: cursor.Head{Team: x.Team.Name, Deployment: x.Deployment.Name, Generation: x.entry.Generation, Request: x.Generation.hash},
 	}
@@ -188,12 +191,13 @@
 		_ = e.control.SetWriteDeadline(e.limitAt) // not every writer has deadlines
 	}
 	e.last = now
-	if _, err := e.x.W.Write(b); err != nil {
-		e.broken = true
-		return
+	_, err := e.x.W.Write(b)
+	if err == nil {
+		err = e.control.Flush()
 	}
-	if err := e.control.Flush(); err != nil {
+	if err != nil {
 		e.broken = true
+		e.lost()
 	}
 }
 
