A caller that waits its turn for long hears so

Ruled out: a longer silence in callers (a frozen instance would hold them as long). Now a waiting stream gets comments like any idle one; a refusal after that comes as an event of the stream. The new test fails on the commit before.

--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -43,7 +43,9 @@
 	Duration time.Duration
 	// Key makes callers keep no cursor and ask again by key.
 	Key bool
-	Log io.Writer
+	// Once makes callers take a refusal as it is, without asking again.
+	Once bool
+	Log  io.Writer
 }
 
 // Faults are the faults that can be brought about.
@@ -215,7 +217,7 @@
 
 func (r *run) generate(ctx context.Context, c *caller.Client, i int) {
 	p := &r.profile
-	q := caller.Request{Model: p.Deployment, Prompt: r.prompt(i), MaxTokens: p.Answer, Seed: int64(i), Deadline: p.Deadline, SendTokens: true}
+	q := caller.Request{Model: p.Deployment, Prompt: r.prompt(i), MaxTokens: p.Answer, Seed: int64(i), Deadline: p.Deadline, SendTokens: true, Once: r.Once}
 	if r.Key {
 		q.IdempotencyKey, q.NoCursor = fmt.Sprint("bench-", i), true
 	}
--- a/cli/bench/report.go
+++ b/cli/bench/report.go
@@ -81,12 +81,14 @@
   resume ms             n %-5d p50 %-5d p95 %-5d p99 %-5d max %d
   beyond prefill ms             p50 %-5d p95 %-5d p99 %-5d max %d
   first token ms        n %-5d p50 %-5d p95 %-5d p99 %-5d max %d
+  refusal ms            n %-5d p50 %-5d p95 %-5d p99 %-5d max %d
   extra work            prefilled again %d tokens, thrown away %d: %.2f%% of tokens, %.3f%% of slot time
   streams beyond one    %d (of %d answers hit)
 `, r.Profile, r.Policy, r.Fault, r.Seed, r.Seconds, r.Sent, r.Complete, r.Refused, r.Lost, r.Wrong,
 		r.Resume.N, r.Resume.P50, r.Resume.P95, r.Resume.P99, r.Resume.Max,
 		r.BeyondPrefill.P50, r.BeyondPrefill.P95, r.BeyondPrefill.P99, r.BeyondPrefill.Max,
 		r.FirstToken.N, r.FirstToken.P50, r.FirstToken.P95, r.FirstToken.P99, r.FirstToken.Max,
+		r.Refusal.N, r.Refusal.P50, r.Refusal.P95, r.Refusal.P99, r.Refusal.Max,
 		r.Extra.PrefilledAgain, r.Extra.ThrownAway, r.Extra.TokensPct, r.Extra.SlotTimePct, r.Elsewhere, r.Hit)
 	return err
 }
--- a/cli/caller/caller.go
+++ b/cli/caller/caller.go
@@ -78,6 +78,8 @@
 	Token func(text string)
 	// NoCursor makes the client ask again by key only.
 	NoCursor bool
+	// Once makes the client take a refusal as it is, without asking again.
+	Once bool
 	// SendTokens makes the client send the tokens it holds along with its cursor, so that
 	// they need not be generated again when the engine is gone too.
 	SendTokens bool
@@ -155,7 +157,7 @@
 		g.lost = true
 		return 0, g.cursor != "" || g.answer.Tokens == 0
 	}
-	if refusal.RetryAfter == 0 || refusal.Code == "cannot_continue" {
+	if g.r.Once || refusal.RetryAfter == 0 || refusal.Code == "cannot_continue" {
 		return 0, false
 	}
 	return max(pause, refusal.RetryAfter), true
--- a/cli/command/bench.go
+++ b/cli/command/bench.go
@@ -49,6 +49,7 @@
 	f.Float64Var(&cfg.Share, "share", 0.1, "part of the engines or instances that is struck")
 	f.Float64Var(&cfg.Load, "load", 0, "share of the slots kept busy (default: the profile's)")
 	f.DurationVar(&cfg.Duration, "duration", 0, "how long requests are sent (default: the profile's)")
+	f.BoolVar(&cfg.Once, "no-retry", false, "callers take a refusal as it is, without asking again")
 	f.BoolVar(&cfg.Key, "by-key", false, "callers keep nothing and ask again by idempotency key")
 	return c
 }
--- a/cli/e2e/fleet_test.go
+++ b/cli/e2e/fleet_test.go
@@ -379,3 +379,26 @@
 		}
 	})
 }
+
+// TestLongQueueIsNotSilence: a caller that waits its turn for long hears so. Callers that
+// heard nothing took the instance for dead and asked again, until they gave up.
+func TestLongQueueIsNotSilence(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, slots: 2}, func(w *world) {
+		d := w.deployment()
+		d.Contract = &operatorv1.Contract{Class: "long", DeadlineMs: 120000, QueueMs: 60000}
+		_, err := w.gateways[0].Config.PutDeployment(w.ctx(), d, 1, "long queue")
+		assert.NilError(t, err)
+		var wg sync.WaitGroup
+		for i := range 8 { // each takes six seconds, two at a time
+			wg.Go(func() {
+				r := w.request(300)
+				r.Prompt, r.Deadline = fmt.Sprint(i), 100*time.Second
+				a, err := w.client(0).Generate(w.ctx(), r)
+				w.check(r, a, err)
+				assert.Equal(t, a.Resumes, 0)
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, w.total().Streams, int64(8))
+	})
+}
--- a/gateway/pipeline/admit.go
+++ b/gateway/pipeline/admit.go
@@ -55,6 +55,9 @@
 		return apierr.New(apierr.PermissionDenied, "team %q may not use %q", x.Team.Name, x.Deployment.Name)
 	}
 	x.Class = x.Deployment.Class
+	if x.Form != Plain && x.Generation.Stream {
+		x.events = newEventStream(a.Deps, x)
+	}
 	return a.deadline(x)
 }
 
--- a/gateway/pipeline/finish.go
+++ b/gateway/pipeline/finish.go
@@ -49,13 +49,12 @@
 		e.Write(x.W)
 		return
 	}
-	if x.session == nil {
-		return
+	if x.session != nil {
+		x.session.mu.Lock()
+		defer x.session.mu.Unlock()
 	}
-	x.session.mu.Lock()
-	defer x.session.mu.Unlock()
-	if s, ok := x.session.sink.(*eventStream); ok {
-		s.fail(time.Now(), e.Marshal())
+	if x.events != nil {
+		x.events.fail(time.Now(), e.Marshal())
 	}
 }
 
--- a/gateway/pipeline/limit.go
+++ b/gateway/pipeline/limit.go
@@ -98,7 +98,7 @@
 	case limits.Refused:
 		return l.overloaded(wait)
 	case limits.Waiting:
-		if err := l.wait(ctx, q, id, granted, budget); err != nil {
+		if err := l.wait(ctx, x, q, id, granted, budget); err != nil {
 			return err
 		}
 	}
@@ -111,14 +111,26 @@
 	return apierr.New(apierr.Overloaded, "the deployment has more work than it can do in time").WithRetry(wait)
 }
 
-func (l *limit) wait(ctx context.Context, q *queue, id uint64, granted chan struct{}, budget time.Duration) error {
+// wait waits for a place. A caller that asked for a stream is told meanwhile that it is
+// waited, so that it can tell a queue from a dead instance.
+func (l *limit) wait(ctx context.Context, x *Exchange, q *queue, id uint64, granted chan struct{}, budget time.Duration) error {
 	timer := time.NewTimer(budget)
 	defer timer.Stop()
-	select {
-	case <-granted:
-		return nil
-	case <-timer.C:
-	case <-ctx.Done():
+	tick := time.NewTicker(l.Settings.Callers.Keepalive)
+	defer tick.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-granted:
+			return nil
+		case now := <-tick.C:
+			if x.events != nil {
+				x.events.idle(now, l.Settings.Callers.Keepalive)
+			}
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	l.mu.Lock()
 	withdrawn := q.Withdraw(id)
--- a/gateway/pipeline/pipeline.go
+++ b/gateway/pipeline/pipeline.go
@@ -63,6 +63,8 @@
 	// runOnce runs a plain call at most once; nil where that is not asked for.
 	runOnce func(context.Context) (ticket.Outcome, error)
 
+	// events is the caller's stream, where it asked for one.
+	events   *eventStream
 	session  *session
 	response *plainResponse
 
@@ -77,6 +79,14 @@
 // atEnd has f called when the exchange is over, last first.
 func (x *Exchange) atEnd(f func()) { x.cleanup = append(x.cleanup, f) }
 
+// unread returns a channel that is closed when the caller can't be written to any more.
+func (x *Exchange) unread() <-chan struct{} {
+	if x.events == nil {
+		return nil
+	}
+	return x.events.lost
+}
+
 // release gives back what was taken so far.
 func (x *Exchange) release() {
 	for i := len(x.cleanup) - 1; i >= 0; i-- {
--- a/gateway/pipeline/relay.go
+++ b/gateway/pipeline/relay.go
@@ -34,7 +34,7 @@
 			return s.answer()
 		case now := <-tick.C:
 			s.keepalive(now, r.Settings.Callers.Keepalive)
-		case <-s.unread:
+		case <-x.unread():
 			return r.callerGone(x)
 		case <-ctx.Done():
 			return r.callerGone(x)
@@ -45,7 +45,7 @@
 func (s *session) keepalive(now time.Time, after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e, ok := s.sink.(*eventStream); ok && !s.machine.Ended() {
+	if e := s.x.events; e != nil && !s.machine.Ended() {
 		e.idle(now, after)
 	}
 }
@@ -94,7 +94,7 @@
 		return s.failure()
 	}
 	tokens, prompt := s.machine.Journal().Len(), endpoint.PromptTokens(s.x.Generation.Prompt)
-	if e, ok := s.sink.(*eventStream); ok {
+	if e := s.x.events; e != nil {
 		e.end(time.Now(), s.finish.Reason, tokens, prompt)
 		return nil
 	}
--- a/gateway/pipeline/relay_test.go
+++ b/gateway/pipeline/relay_test.go
@@ -35,7 +35,7 @@
 	r.Token(0, []byte(" a"))
 	r.Token(1, []byte(" b"))
 	select {
-	case <-s.unread:
+	case <-s.x.unread():
 	default:
 		t.Fatal("not noticed")
 	}
@@ -63,7 +63,8 @@
 		entry: directory.Entry{Generation: "5f0e6a3e-0000-0000-0000-000000000000"},
 	}
 	s := newSession(d, x, d.request(x.Deployment, x.Generation))
-	s.sink = newSink(d, x, func() { close(s.unread) })
+	x.events = newEventStream(d, x)
+	s.sink = newSink(x)
 	s.timer, s.timerAt = time.AfterFunc(time.Hour, func() {}), time.Now()
 	s.machine = generation.New(d.recovery, generation.Origin{}, true, 10, time.Now(), x.Deadline)
 	s.machine.Ready()
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -29,7 +29,6 @@
 	timer    *time.Timer
 	timerAt  time.Time
 	ended    chan struct{}
-	unread   chan struct{} // closed when the caller can't be written to any more
 	finish   *generation.Finish
 	fail     *generation.Fail
 
@@ -49,7 +48,7 @@
 }
 
 func newSession(d *Deps, x *Exchange, r routing.Request) *session {
-	return &session{Deps: d, x: x, routing: r, attempts: map[int]*attempt{}, ended: make(chan struct{}), unread: make(chan struct{})}
+	return &session{Deps: d, x: x, routing: r, attempts: map[int]*attempt{}, ended: make(chan struct{})}
 }
 
 // start makes the machine and carries out its first action. The streams live on when the
@@ -60,7 +59,7 @@
 	g := s.x.Generation
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sink = newSink(s.Deps, s.x, func() { close(s.unread) })
+	s.sink = newSink(s.x)
 	now := time.Now()
 	s.machine = generation.New(s.x.Deployment.RecoveryConfig(s.recovery), s.x.origin, g.Stream, endpoint.PromptTokens(g.Prompt), now, s.x.Deadline)
 	s.timer = time.AfterFunc(time.Hour, s.tick)
--- a/gateway/pipeline/sink.go
+++ b/gateway/pipeline/sink.go
@@ -18,13 +18,12 @@
 	token(now time.Time, index int, text []byte, hash uint64)
 }
 
-// newSink returns the sink for an exchange; lost is called when its caller can't be
-// written to any more.
-func newSink(d *Deps, x *Exchange, lost func()) sink {
-	if !x.Generation.Stream {
+// newSink returns the sink for an exchange.
+func newSink(x *Exchange) sink {
+	if x.events == nil {
 		return journalOnly{}
 	}
-	return newEventStream(d, x, lost)
+	return x.events
 }
 
 // journalOnly is the sink of an answer that is sent whole, from the journal.
@@ -45,21 +44,18 @@
 	after   []byte
 	buf     []byte
 	broken  bool
-	lost    func()    // called when the caller can't be written to any more
-	last    time.Time // of the last write
+	lost    chan struct{} // closed when the caller can't be written to any more
+	last    time.Time     // of the last write
 	limit   time.Duration
 	limitAt time.Time // write deadline in force
 }
 
-func newEventStream(d *Deps, x *Exchange, lost func()) *eventStream {
-	e := &eventStream{
-		x: x, lost: lost, key: []byte(d.Settings.Keys.Cursor), control: http.NewResponseController(x.W),
+func newEventStream(d *Deps, x *Exchange) *eventStream {
+	return &eventStream{
+		x: x, lost: make(chan struct{}), key: []byte(d.Settings.Keys.Cursor), control: http.NewResponseController(x.W),
 		limit: d.Settings.Callers.WriteTimeout, last: x.Received,
-		head: cursor.Head{Team: x.Team.Name, Deployment: x.Deployment.Name, Generation: x.entry.Generation, Request: x.Generation.hash},
+		head: cursor.Head{Team: x.Team.Name, Deployment: x.Deployment.Name, Request: x.Generation.hash},
 	}
-	c := newChunk(x)
-	e.before, e.after = c.split()
-	return e
 }
 
 // chunk is an event in the form of the completions protocol.
@@ -149,8 +145,9 @@
 
 func (e *eventStream) attempt(d directory.Entry) {
 	e.head.Attempt, e.head.Endpoint, e.head.Stream = d.Place.Attempt, d.Place.Endpoint, d.Place.Stream
-	e.head.Model, e.head.Version = d.Model, d.Version
+	e.head.Model, e.head.Version, e.head.Generation = d.Model, d.Version, d.Generation
 	if e.cursors == nil {
+		e.before, e.after = newChunk(e.x).split()
 		e.cursors = cursor.NewEncoder(e.key, e.head)
 		return
 	}
@@ -197,7 +194,7 @@
 	}
 	if err != nil {
 		e.broken = true
-		e.lost()
+		close(e.lost)
 	}
 }
 
