routing: each instance prefers its own part of the endpoints; answers of the load tool vary

Cause of first tokens at p99 2.8 s at 80% of Dala's load: six instances whose knowledge of each other's sends is up to 0.7 s old fill the same few emptiest engines. Sampled: with 192 streams on 24 engines of 8 slots, single engines held 4 to 15. Also the load tool's answers were all of one length, so they ended in waves; they vary by half now. Ruled out: a cold start alone (a run of 60 s had p95 4.1 s too), fewer admitted (trials). An endpoint is the home of the live instance that ranks highest for it; three homes are among the candidates, and a home counts as a quarter less loaded. Conclusion: stays; twice the load is still not solved.

--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -217,14 +217,15 @@
 
 func (r *run) generate(ctx context.Context, c *caller.Client, i int) {
 	p := &r.profile
-	q := caller.Request{Model: p.Deployment, Prompt: r.prompt(i), MaxTokens: p.Answer, Seed: int64(i), Deadline: p.Deadline, SendTokens: true, Once: r.Once}
+	tokens := p.tokens(i)
+	q := caller.Request{Model: p.Deployment, Prompt: r.prompt(i), MaxTokens: tokens, Seed: int64(i), Deadline: p.Deadline, SendTokens: true, Once: r.Once}
 	if r.Key {
 		q.IdempotencyKey, q.NoCursor = fmt.Sprint("bench-", i), true
 	}
 	began := time.Now()
 	a, err := c.Generate(ctx, q)
 	want := engine.Answer(load.StartRequest(r.dep, q.Prompt, q.MaxTokens, q.Seed))
-	r.tally.Generation(a, err, want, p.Answer, nil)
+	r.tally.Generation(a, err, want, tokens, nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers = append(r.answers, a)
--- a/cli/bench/profile.go
+++ b/cli/bench/profile.go
@@ -18,7 +18,7 @@
 	// Interval is the time of a step of an engine, PrefillRate in tokens per second.
 	Interval    time.Duration
 	PrefillRate float64
-	// Prompt, of which Shared are the same in all prompts, and Answer, in tokens.
+	// Prompt, of which Shared are the same in all prompts, and Answer on average, in tokens.
 	Prompt, Shared, Answer int
 	// Duration is how long requests are sent.
 	Duration time.Duration
@@ -48,6 +48,13 @@
 	return time.Duration(p.Answer)*p.Interval + time.Duration(float64(p.Prompt)/p.PrefillRate*float64(time.Second))
 }
 
+// tokens is the length of answer i: from half of the profile's to half as much again, so
+// that answers that began together do not all end together.
+func (p *Profile) tokens(i int) int {
+	const step = 37 // shares no factor with the steps of an answer
+	return p.Answer/2 + i*step%(p.Answer+1)
+}
+
 // rate is the requests per second that keep the share of the slots busy.
 func (p *Profile) rate() float64 {
 	return p.Load * float64(p.Engines*p.Slots) / p.answerTime().Seconds()
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -72,6 +72,7 @@
 	failures int       // in a row
 	until    time.Time // suspected until then
 	leaving  bool      // the endpoint's own word
+	home     bool      // this instance's own part of the endpoints
 }
 
 type change struct {
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -69,6 +69,7 @@
 	p := picker{v: v, now: now, r: r}
 	p.considerCacheHolders()
 	p.sample(v.groups[groupKey{r.Service, r.DataCentre}], 1, rnd)
+	p.sample(v.homes[r.Service], v.set.HomeChoices, rnd)
 	p.sample(group, v.set.Choices-1, rnd)
 	if p.best == nil {
 		start := rnd.IntN(len(group))
@@ -144,6 +145,9 @@
 	if n.DataCentre != p.r.DataCentre {
 		score += w.Remote
 	}
+	if n.home {
+		score -= p.v.set.HomeWorth
+	}
 	return score
 }
 
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -15,8 +15,11 @@
 	CacheTTL time.Duration
 	// CacheEntries bounds the cache index; the oldest entries go first.
 	CacheEntries int
-	// Choices is how many random candidates a pick compares.
-	Choices int
+	// Choices is how many random candidates a pick compares, and HomeChoices how many of
+	// the instance's own part besides.
+	Choices, HomeChoices int
+	// HomeWorth is by how much less load an endpoint of another part has to have.
+	HomeWorth float64
 	// QueueFactor times the slots is what an endpoint may hold before new work goes
 	// elsewhere; recoveries may go RecoveryFactor times the slots.
 	QueueFactor, RecoveryFactor float64
@@ -27,7 +30,7 @@
 	return Settings{
 		SuspectFirst: time.Second, SuspectMost: 15 * time.Second,
 		CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
-		Choices: 5, QueueFactor: 1.25, RecoveryFactor: 2,
+		Choices: 5, HomeChoices: 3, HomeWorth: 0.25, QueueFactor: 1.25, RecoveryFactor: 2,
 	}
 }
 
@@ -36,13 +39,14 @@
 	set    Settings
 	nodes  map[string]*node
 	groups map[groupKey][]*node
+	homes  map[string][]*node // by service
 	cache  cacheIndex
 }
 
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{},
+		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, homes: map[string][]*node{},
 		cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
@@ -71,6 +75,20 @@
 	}
 }
 
+// SetHomes says which endpoints are this instance's own part. It prefers them, so that
+// instances whose knowledge of each other lags do not fill the same endpoints.
+func (v *View) SetHomes(home func(id string) bool) {
+	clear(v.homes)
+	for id, n := range v.nodes {
+		if n.home = home(id); n.home {
+			v.homes[n.Service] = append(v.homes[n.Service], n)
+		}
+	}
+	for _, h := range v.homes {
+		sort.Slice(h, func(i, j int) bool { return h[i].ID < h[j].ID })
+	}
+}
+
 // Describe takes what an endpoint says of itself: its slots, its models, and whether it
 // leaves. It leaves when it says so itself or the list does, whichever is first.
 func (v *View) Describe(id string, slots int, models []Model, leaving bool) {
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -103,6 +103,22 @@
 	b.watchers[l.ID] = b.watch(ctx, l.ID, l.Address)
 }
 
+// SetMembers tells which instances are alive. Each endpoint is the home of the one that
+// ranks highest for it by rendezvous hash.
+func (b *Backends) SetMembers(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.SetHomes(func(endpoint string) bool {
+		own := rank(b.opt.Instance, endpoint)
+		for _, id := range ids {
+			if rank(id, endpoint) > own {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Pick chooses an endpoint and counts the request as sent; [Backends.Finished] has to
 // follow.
 func (b *Backends) Pick(now time.Time, r *routing.Request) (routing.Decision, error) {
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -248,7 +248,7 @@
 	sweeper := &once.Sweeper{
 		Platform: d.platform, Holds: d.Orders.Holds, TTL: d.settings.Tickets.ClaimTTL, Every: sweepEvery, PerSecond: sweepRate, Scope: d.telemetry.Scope,
 	}
-	parts := []func(context.Context){sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
+	parts := []func(context.Context){d.shareEndpoints, sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
 	if d.settings.Instance.Register {
 		parts = append(parts, d.register)
 	}
@@ -279,6 +279,22 @@
 	return reads
 }
 
+const shareEvery = time.Second
+
+// shareEndpoints keeps each instance's own part of the endpoints in step with the members.
+func (d *Daemon) shareEndpoints(ctx context.Context) {
+	for ctx.Err() == nil {
+		ids := []string{}
+		for _, m := range d.Fleet.Others() {
+			if !m.Leaving {
+				ids = append(ids, m.ID)
+			}
+		}
+		d.Backends.SetMembers(ids)
+		pause(ctx, shareEvery)
+	}
+}
+
 // Registration in the platform's list.
 const (
 	registerEvery = 5 * time.Second
