limits: the expected wait counts what has to end first, and a hint before any end is known

Cause looked for: at twice the load more than one refusal in twenty comes after the whole wait of 1.5 s. Two faults of the estimate were found and mended (each with a test that fails before): requests beyond a capacity that fell were not counted, and before the first request had ended a queue of 32 took in 64 at half a second each. What is left: an instance's capacity falls while requests wait, when the others' use becomes known. Conclusion: both stay, the aim is open.

--- a/core/limits/limits_test.go
+++ b/core/limits/limits_test.go
@@ -170,3 +170,37 @@
 	}
 	assert.Assert(t, retries >= 100 && retries <= 106, "%d", retries)
 }
+
+// TestQueueCountsWhatHasToEndFirst: after the capacity fell, requests beyond it end before
+// anyone is admitted.
+func TestQueueCountsWhatHasToEndFirst(t *testing.T) {
+	q := &Queue{}
+	q.SetCapacity(8)
+	for id := range uint64(8) {
+		q.Offer(id, Long, 0)
+	}
+	q.Finish(time.Second)
+	q.Offer(8, Long, 0)
+	q.SetCapacity(4)
+	v, retry := q.Offer(9, Long, time.Second)
+	assert.Equal(t, v, Refused)
+	assert.Equal(t, retry, 1250*time.Millisecond) // five have to end, four at a time
+}
+
+// TestQueueGoesByTheHintAtFirst: before any request has ended, the wait is judged by how
+// long requests are likely to take.
+func TestQueueGoesByTheHintAtFirst(t *testing.T) {
+	q := &Queue{}
+	q.SetCapacity(10)
+	q.Hint(5 * time.Second)
+	for id := range uint64(10) {
+		q.Offer(id, Long, 0)
+	}
+	waiting := 0
+	for id := range uint64(100) {
+		if v, _ := q.Offer(100+id, Long, 1500*time.Millisecond); v == Waiting {
+			waiting++
+		}
+	}
+	assert.Equal(t, waiting, 2)
+}
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -50,6 +50,14 @@
 	recoveryFactor = 2   // recoveries may use this times the capacity
 )
 
+// Hint tells how long a request is likely to hold its place. It counts until the first one
+// has ended: before that a queue would take in far more than it can admit in time.
+func (q *Queue) Hint(d time.Duration) {
+	if q.samples == 0 {
+		q.service = max(q.service, d)
+	}
+}
+
 // SetCapacity sets how many requests may be in progress, and returns those admitted
 // by a rise.
 func (q *Queue) SetCapacity(n int) []uint64 {
@@ -105,10 +113,11 @@
 		return mostRetry
 	}
 	s := q.service
-	if q.samples == 0 {
+	if s == 0 {
 		s = firstService
 	}
-	return time.Duration(float64(s) * float64(q.ahead(c)+1) / float64(q.capacity))
+	excess := max(q.running-q.capacity, 0) // after the capacity fell, these have to end first
+	return time.Duration(float64(s) * float64(q.ahead(c)+1+excess) / float64(q.capacity))
 }
 
 // Finish gives a place back after it was held for d, and returns the requests
--- a/gateway/pipeline/limit.go
+++ b/gateway/pipeline/limit.go
@@ -85,6 +85,7 @@
 	}
 	l.mu.Lock()
 	q := l.queue(x.Deployment.Service)
+	q.Hint(likelyTime(x))
 	l.nextID++
 	id := l.nextID
 	verdict, wait := q.Offer(id, class, budget)
@@ -106,6 +107,21 @@
 	return nil
 }
 
+// typicalGap is the time between two tokens that a first estimate goes by; likelyCall is
+// that for a plain call.
+const (
+	typicalGap = 30 * time.Millisecond
+	likelyCall = 50 * time.Millisecond
+)
+
+// likelyTime is how long a request may hold its place, before any has ended.
+func likelyTime(x *Exchange) time.Duration {
+	if x.Generation == nil {
+		return likelyCall
+	}
+	return time.Duration(x.Generation.MaxTokens) * typicalGap
+}
+
 func (l *limit) overloaded(wait time.Duration) error {
 	l.metrics.scope.Tagged(map[string]string{"reason": string(limits.ReasonOverload)}).Counter("refused").Inc(1)
 	return apierr.New(apierr.Overloaded, "the deployment has more work than it can do in time").WithRetry(wait)
