--- a/core/routing/doc.go
+++ b/core/routing/doc.go
@@ -8,8 +8,8 @@
 // lists say.
 //
 // A pick looks at a few candidates only (those whose cache is believed to hold the
-// prompt's prefix, a random one of the caller's data centre and random ones of all), so
-// its cost does not grow with the fleet.
+// prompt's prefix, random ones of the own data centre, of the instance's own part and of
+// all), so its cost does not grow with the fleet.
 //
 // Failure modes: a lagging view sends work to a full or dead endpoint; the endpoint
 // refuses, and the caller picks again with that endpoint in Avoid. The package does
