Two tests shared a variable with the code they watch

Cause: the race detector in a fresh clone found a flag and a map of the tests read by the code under test without a lock. Ruled out: the code itself. Now an atomic and a method with the lock.

--- a/cli/e2e/config_test.go
+++ b/cli/e2e/config_test.go
@@ -170,7 +170,7 @@
 		w.inForce(2, 0, 1, 2)
 		w.platform.SetFault(standin.Fault{Down: true})
 		w.killGateway(2)
-		w.net.crashed["g2"] = false
+		w.net.setCrashed("g2", false)
 		w.shape.extra = "[peers]\nseeds = " + w.gateways[0].Peers + "\n"
 		w.gateways[2] = w.startGateway(2)
 		w.inForce(2, 2)
--- a/cli/e2e/memnet_test.go
+++ b/cli/e2e/memnet_test.go
@@ -190,10 +190,17 @@
 	}
 }
 
+// setCrashed says whether a node may connect.
+func (n *memnet) setCrashed(name string, crashed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashed[name] = crashed
+}
+
 // crash closes all connections and listeners of a node.
 func (n *memnet) crash(name string) {
+	n.setCrashed(name, true)
 	n.mu.Lock()
-	n.crashed[name] = true
 	var ls []*memListener
 	for _, l := range n.listeners {
 		if l.node.name == name {
--- a/cli/e2e/recovery_test.go
+++ b/cli/e2e/recovery_test.go
@@ -214,9 +214,7 @@
 				}()
 				time.Sleep(3 * time.Second)
 				assert.Equal(t, w.total().Streams, int64(1))
-				w.net.mu.Lock()
-				w.net.crashed["caller"] = true // it can't connect any more
-				w.net.mu.Unlock()
+				w.net.setCrashed("caller", true) // it can't connect any more
 				w.killServingGateway()
 				cancel()
 				time.Sleep(40 * time.Second)
--- a/gateway/once/sweep_test.go
+++ b/gateway/once/sweep_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,13 +36,13 @@
 		}
 		time.Sleep(20 * time.Hour)
 		do("young")
-		holds := false
-		s := &once.Sweeper{Platform: p, Holds: func() bool { return holds }, TTL: 24 * time.Hour, Every: 10 * time.Minute, PerSecond: 5, Scope: tally.NoopScope}
+		var holds atomic.Bool
+		s := &once.Sweeper{Platform: p, Holds: holds.Load, TTL: 24 * time.Hour, Every: 10 * time.Minute, PerSecond: 5, Scope: tally.NoopScope}
 		done := make(chan struct{})
 		go func() { defer close(done); s.Run(ctx) }()
 		time.Sleep(5 * time.Hour)
 		assert.Equal(t, left(t, p), 6)
-		holds = true
+		holds.Store(true)
 		time.Sleep(time.Hour)
 		assert.Equal(t, left(t, p), 1)
 		do("young")
