limits: the expected wait has to fit the budget four times over

Cause of late refusals at twice the load: an instance's capacity swings as the others' use becomes known, so the expected wait is right within a factor of a few only; requests that it let wait were refused after the whole 1.5 s. Conclusion: the refused learn it at once.

--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -46,8 +46,8 @@
 	firstService   = 500 * time.Millisecond
 	leastRetry     = 250 * time.Millisecond
 	mostRetry      = 30 * time.Second
-	headroom       = 1.5 // the expected wait times this has to fit the budget
-	recoveryFactor = 2   // recoveries may use this times the capacity
+	headroom       = 4 // the expected wait times this has to fit the budget: capacities swing
+	recoveryFactor = 2 // recoveries may use this times the capacity
 )
 
 // Hint tells how long a request is likely to hold its place. It counts until the first one
@@ -82,7 +82,7 @@
 		return Admitted, 0
 	}
 	expected := q.expected(c)
-	if time.Duration(headroom*float64(expected)) > budget {
+	if headroom*expected > budget {
 		return Refused, min(max(expected, leastRetry), mostRetry)
 	}
 	q.waiting[c] = append(q.waiting[c], waiter{id: id})
