--- a/gateway/pipeline/sink.go
+++ b/gateway/pipeline/sink.go
@@ -201,7 +201,7 @@
 // idle writes a comment when nothing was written for a while, so that the caller can tell
 // a slow answer from a dead connection.
 func (e *eventStream) idle(now time.Time, after time.Duration) {
-	if now.Sub(e.last) < after {
+	if now.Sub(e.last) < after-after/10 { // a tick that is a little early counts
 		return
 	}
 	if !e.x.answered {
