Orders carry an engine's role

Cause: deployments were turned into orders to load, not into roles. Weighed: an order of its own for a role (two orders that can cross). The role goes along with the models, declaratively; an engine that serves another deployment in its role is not taken from it. Proved: a planner test (two roles, five orders, then none) and an end-to-end roll-out; both fail with their mechanism off.

--- a/cli/e2e/config_test.go
+++ b/cli/e2e/config_test.go
@@ -223,6 +223,7 @@
 			"deployment.contract.deadline_ms":    func(d *operatorv1.Deployment) { d.Contract.DeadlineMs = 1 << 31 },
 			"deployment.contract.queue_ms":       func(d *operatorv1.Deployment) { d.Contract.QueueMs = d.Contract.DeadlineMs },
 			"deployment.replicas":                func(d *operatorv1.Deployment) { d.Replicas = 1 << 30 },
+			"deployment.role":                    func(d *operatorv1.Deployment) { d.Role = "decode" },
 			"deployment.version":                 func(d *operatorv1.Deployment) { d.Replicas, d.Version = 1, "" },
 		} {
 			d := proto.Clone(w.dep).(*operatorv1.Deployment)
--- a/cli/e2e/orders_test.go
+++ b/cli/e2e/orders_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// TestRoleOrders: engines take the role of their deployment along with its model.
+func TestRoleOrders(t *testing.T) {
+	run(t, shape{gateways: 2, engines: 4}, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.dep.Role = "decode"
+		w.roll("2", 3)
+		time.Sleep(20 * time.Second)
+		roles := 0
+		for _, e := range w.engines {
+			if e.Role() == "decode" {
+				roles++
+			}
+		}
+		assert.Equal(t, roles, 3)
+		assert.Equal(t, w.loaded("2"), 3)
+	})
+}
+
 // TestRollOutUnderFaults brings a fault about in the middle of a roll-out. Running work goes
 // on, never do two instances hold the lease, and the roll-out ends when the fault is over.
 func TestRollOutUnderFaults(t *testing.T) {
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -82,6 +82,7 @@
 	loadAt  time.Time
 	fence   uint64
 	models  []endpoint.LoadedModel
+	role    string
 	rnd     *rand.Rand
 }
 
@@ -323,6 +324,13 @@
 	})
 }
 
+// Role returns the engine's role.
+func (e *Engine) Role() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role
+}
+
 // Models returns the loaded models.
 func (e *Engine) Models() []endpoint.LoadedModel {
 	e.mu.Lock()
--- a/cli/standin/engine/http.go
+++ b/cli/standin/engine/http.go
@@ -126,6 +126,7 @@
 	e.mu.Lock()
 	st := e.load
 	st.Slots, st.Leaving, st.Models, st.Boot, st.Order = e.cfg.Slots, e.fault.Leaving, e.models, e.boot, e.fence
+	st.Role = e.role
 	st.AgeMS = now.Sub(e.loadAt).Milliseconds()
 	st.Events = e.cache.since(now, since)
 	e.mu.Unlock()
@@ -150,15 +151,19 @@
 	e.fence = o.Fence
 	e.stats.Orders++
 	e.mu.Unlock()
-	go e.loadModels(o.Models)
+	go e.carryOut(&o)
 	serve.JSON(w, struct{}{})
 }
 
-func (e *Engine) loadModels(models []endpoint.LoadedModel) {
+// carryOut loads the models of an order and then takes its role.
+func (e *Engine) carryOut(o *endpoint.Order) {
 	time.Sleep(e.cfg.LoadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.models = models
+	e.models = o.Models
+	if o.Role != "" {
+		e.role = o.Role
+	}
 }
 
 const keepalive = 100 * time.Millisecond
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -299,3 +299,32 @@
 	_, ok = p.Next(epoch.Add(2*time.Minute), []Want{want("1", 1)}, es)
 	assert.Assert(t, ok)
 }
+
+// TestRolesAreTakenAndNotRobbed: two deployments want the same model in two roles; each
+// gets its engines, and none is turned back and forth.
+func TestRolesAreTakenAndNotRobbed(t *testing.T) {
+	prefill, decode := want("1", 2), want("1", 3)
+	prefill.Role, decode.Role, decode.Deployment = "prefill", "decode", "other"
+	es := engines(6, Model{Name: "m", Version: "1"})
+	p, now, orders := NewPlanner(DefaultPace()), epoch, 0
+	for range 200 {
+		now = now.Add(time.Second)
+		o, ok := p.Next(now, []Want{prefill, decode}, es)
+		if !ok {
+			continue
+		}
+		orders++
+		p.Given(now, o)
+		for i := range es {
+			if es[i].ID == o.Engine {
+				es[i].Models, es[i].Role = o.Models, o.Role
+			}
+		}
+	}
+	roles := map[string]int{}
+	for _, e := range es {
+		roles[e.Role]++
+	}
+	assert.DeepEqual(t, roles, map[string]int{"prefill": 2, "decode": 3, "": 1})
+	assert.Equal(t, orders, 5)
+}
--- a/core/lease/plan.go
+++ b/core/lease/plan.go
@@ -18,14 +18,16 @@
 	Group      string
 	Model      Model
 	Replicas   int
+	// Role that the engines take along; empty leaves it.
+	Role string
 	// Version of the configuration that the order follows from.
 	Version uint64
 }
 
 // Engine is an engine as it reports itself.
 type Engine struct {
-	ID, Group, DataCentre string
-	Models                []Model
+	ID, Group, DataCentre, Role string
+	Models                      []Model
 }
 
 // Order asks an engine to have exactly these models. It is declarative: the same order
@@ -35,6 +37,8 @@
 	Deployment string
 	Version    uint64
 	Models     []Model
+	// Role to take; empty leaves it.
+	Role string
 }
 
 // Pace bounds the loads from the weight store.
@@ -96,7 +100,7 @@
 	for i := range engines {
 		e := &engines[i]
 		g, ok := p.given[e.ID]
-		if ok && (sameModels(e.Models, g.order.Models) || now.Sub(g.at) >= p.pace.Patience) {
+		if ok && (g.order.done(e) || now.Sub(g.at) >= p.pace.Patience) {
 			delete(p.given, e.ID)
 		}
 	}
@@ -112,10 +116,10 @@
 			continue
 		}
 		g, busy := p.given[e.ID]
-		if holds(e.Models, &w.Model) || busy && holds(g.order.Models, &w.Model) {
+		if w.met(e.Models, e.Role) || busy && w.met(g.order.Models, g.order.Role) {
 			have++
 			byCentre[e.DataCentre]++
-		} else if !busy {
+		} else if !busy && !w.robs(e, wants) {
 			free = append(free, e)
 		}
 	}
@@ -134,7 +138,25 @@
 		return a.ID < b.ID
 	})
 	e := free[0]
-	return Order{Engine: e.ID, Deployment: w.Deployment, Version: w.Version, Models: with(e.Models, w, wants)}, true
+	return Order{Engine: e.ID, Deployment: w.Deployment, Version: w.Version, Models: with(e.Models, w, wants), Role: w.Role}, true
+}
+
+// met tells whether an engine with the models and the role serves the want.
+func (w *Want) met(models []Model, role string) bool {
+	return holds(models, &w.Model) && (w.Role == "" || w.Role == role)
+}
+
+// robs tells whether an order to an engine would take it from a want that it serves in
+// another role.
+func (w *Want) robs(e *Engine, wants []Want) bool {
+	return w.Role != "" && slices.ContainsFunc(wants, func(o Want) bool {
+		return o.Group == w.Group && o.Role != "" && o.Role != w.Role && o.Replicas > 0 && o.met(e.Models, e.Role)
+	})
+}
+
+// done tells whether an engine has carried the order out.
+func (o *Order) done(e *Engine) bool {
+	return sameModels(e.Models, o.Models) && (o.Role == "" || o.Role == e.Role)
 }
 
 // with returns an engine's models with the wanted one: those that some deployment of the
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -26,6 +26,8 @@
 	Slots   int
 	State   State
 	Models  []Model
+	// Role is the engine's own word.
+	Role string
 	// ChecksFencing tells that the endpoint refuses orders with an old fencing number.
 	ChecksFencing bool
 }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -45,7 +45,7 @@
 		"other version":   {func(_ *View, r *Request) { r.Version = "2" }, ErrNone},
 		"other adapter":   {func(_ *View, r *Request) { r.Adapter = "x" }, ErrNone},
 		"to be avoided":   {func(_ *View, r *Request) { r.Avoid = []string{"e000"} }, ErrNone},
-		"leaving":         {func(v *View, _ *Request) { v.Describe("e000", 8, endpoint(0).Models, true) }, ErrNone},
+		"leaving":         {func(v *View, _ *Request) { v.Describe("e000", 8, endpoint(0).Models, "", true) }, ErrNone},
 		"suspected":       {func(v *View, _ *Request) { v.Failed(epoch, "e000") }, ErrNone},
 		"cleared":         {func(v *View, _ *Request) { v.Failed(epoch, "e000"); v.Succeeded("e000") }, nil},
 		"full":            {func(v *View, _ *Request) { v.Report(epoch, "e000", Load{Running: 10}) }, ErrFull},
@@ -53,21 +53,21 @@
 		"gone":            {func(v *View, _ *Request) { v.Retain(nil) }, ErrNone},
 		"leaving by list": {func(v *View, _ *Request) { e := endpoint(0); e.State = Leaving; v.Upsert(e) }, ErrNone},
 		"leaving, list lags": {func(v *View, _ *Request) {
-			v.Describe("e000", 8, endpoint(0).Models, true)
+			v.Describe("e000", 8, endpoint(0).Models, "", true)
 			v.Upsert(endpoint(0))
 		}, ErrNone},
 		"leaving by list, says nothing": {func(v *View, _ *Request) {
 			e := endpoint(0)
 			e.State = Leaving
 			v.Upsert(e)
-			v.Describe("e000", 8, e.Models, false)
+			v.Describe("e000", 8, e.Models, "", false)
 		}, ErrNone},
 		"stays after all": {func(v *View, _ *Request) {
-			v.Describe("e000", 8, endpoint(0).Models, true)
-			v.Describe("e000", 8, endpoint(0).Models, false)
+			v.Describe("e000", 8, endpoint(0).Models, "", true)
+			v.Describe("e000", 8, endpoint(0).Models, "", false)
 		}, nil},
 		"replaced": {func(v *View, _ *Request) {
-			v.Describe("e000", 8, endpoint(0).Models, true)
+			v.Describe("e000", 8, endpoint(0).Models, "", true)
 			v.Failed(epoch, "e000")
 			v.Forget("e000")
 		}, nil},
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -89,11 +89,11 @@
 	}
 }
 
-// Describe takes what an endpoint says of itself: its slots, its models, and whether it
-// leaves. It leaves when it says so itself or the list does, whichever is first.
-func (v *View) Describe(id string, slots int, models []Model, leaving bool) {
+// Describe takes what an endpoint says of itself: its slots, its models, its role,
+// and whether it leaves. It leaves when it says so itself or the list does, whichever is first.
+func (v *View) Describe(id string, slots int, models []Model, role string, leaving bool) {
 	if n := v.nodes[id]; n != nil {
-		n.Slots, n.Models, n.leaving = max(slots, 1), models, leaving
+		n.Slots, n.Models, n.Role, n.leaving = max(slots, 1), models, role, leaving
 	}
 }
 
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -99,7 +99,7 @@
 	if e, ok := b.view.Get(id); ok && st.Leaving && e.State != routing.Leaving {
 		b.opt.Log.WithField("endpoint", id).Info("endpoint leaves")
 	}
-	b.view.Describe(id, st.Slots, models, st.Leaving)
+	b.view.Describe(id, st.Slots, models, st.Role, st.Leaving)
 }
 
 // takeCacheEvents applies news of the prefix cache. A gap in the numbers means that some
--- a/gateway/config/model.go
+++ b/gateway/config/model.go
@@ -92,6 +92,8 @@
 	QueueWait    time.Duration
 	idempotent   map[string]bool
 	Replicas     int
+	// Role that engines take along; empty leaves it.
+	Role string
 	// IgnoresFencing tells that not all engines check fencing numbers.
 	IgnoresFencing bool
 	Recovery       *operatorv1.Recovery
@@ -151,7 +153,7 @@
 		Service: p.GetService(), Model: p.GetModel(), ModelVersion: p.GetVersion(),
 		adapters: set(p.GetAdapters()), teams: set(p.GetTeams()),
 		Class: classByName[p.GetContract().GetClass()], Deadline: defaultDeadline, QueueWait: defaultQueueWait,
-		idempotent: set(p.GetContract().GetIdempotentMethods()), Replicas: int(p.GetReplicas()),
+		idempotent: set(p.GetContract().GetIdempotentMethods()), Replicas: int(p.GetReplicas()), Role: p.GetRole(),
 		IgnoresFencing: p.GetEnginesIgnoreFencing(), Recovery: p.GetRecovery(), Weights: weights(p.GetRouting()),
 	}
 	if ms := p.GetContract().GetDeadlineMs(); ms > 0 {
--- a/gateway/config/validate.go
+++ b/gateway/config/validate.go
@@ -129,6 +129,14 @@
 	} else if d.GetReplicas() > 0 {
 		return invalid("deployment.version", "is required where replicas are asked for: an order to load names one")
 	}
+	if r := d.GetRole(); r != "" {
+		if err := validName("deployment.role", r); err != nil {
+			return err
+		}
+		if d.GetReplicas() == 0 {
+			return invalid("deployment.role", "needs replicas: it is given along with the order to load")
+		}
+	}
 	if d.GetReplicas() > mostReplicas {
 		return invalid("deployment.replicas", "at most %d", mostReplicas)
 	}
--- a/gateway/endpoint/wire.go
+++ b/gateway/endpoint/wire.go
@@ -120,6 +120,8 @@
 	AgeMS   int64         `json:"age_ms"`
 	Leaving bool          `json:"leaving,omitempty"`
 	Models  []LoadedModel `json:"models,omitempty"`
+	// Role is the engine's, such as prefill or decode; empty where it has none.
+	Role string `json:"role,omitempty"`
 	// Boot changes when the endpoint restarts.
 	Boot   string       `json:"boot"`
 	Events []CacheEvent `json:"events,omitempty"`
@@ -133,6 +135,8 @@
 	// Version is the configuration version that the order follows from.
 	Version uint64        `json:"version"`
 	Models  []LoadedModel `json:"models"`
+	// Role to take; empty leaves it.
+	Role string `json:"role,omitempty"`
 }
 
 // prefixBlock is the size of a prompt block whose prefix is cached, in bytes.
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -187,7 +187,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := o.opt.Client.Order(ctx, address, &endpoint.Order{Fence: fence, Version: order.Version, Models: encodeModels(order.Models)})
+	err := o.opt.Client.Order(ctx, address, &endpoint.Order{Fence: fence, Version: order.Version, Models: encodeModels(order.Models), Role: order.Role})
 	if err != nil {
 		o.opt.Scope.Counter("orders_failed").Inc(1)
 		return
@@ -204,7 +204,7 @@
 			continue
 		}
 		out = append(out, lease.Want{
-			Deployment: d.Name, Group: d.Service, Replicas: d.Replicas, Version: d.Version,
+			Deployment: d.Name, Group: d.Service, Replicas: d.Replicas, Version: d.Version, Role: d.Role,
 			Model: lease.Model{Name: d.Model, Version: d.ModelVersion, Adapters: d.Adapters()},
 		})
 	}
@@ -218,7 +218,7 @@
 		if e.State != routing.Live || e.Suspected {
 			continue
 		}
-		le := lease.Engine{ID: e.ID, Group: e.Service, DataCentre: e.DataCentre}
+		le := lease.Engine{ID: e.ID, Group: e.Service, DataCentre: e.DataCentre, Role: e.Role}
 		for _, m := range e.Models {
 			le.Models = append(le.Models, lease.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
 		}
