A test for the pinned version

Cause: the mutation that drops the check of an acknowledged version survived: routing and the stand-in keep other versions away before it. The new test asks the check itself, and fails without it.

--- a/gateway/pipeline/relay_test.go
+++ b/gateway/pipeline/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/settings"
 )
 
@@ -86,3 +87,17 @@
 		i++
 	}
 }
+
+// TestVersionIsPinned: an engine that acknowledges another version than the answer began
+// with is not relayed.
+func TestVersionIsPinned(t *testing.T) {
+	s := testSession(t, &nowhere{http.Header{}})
+	for _, c := range []struct {
+		version string
+		want    bool
+	}{{"1", true}, {"1", true}, {"2", false}, {"", true}, {"1", true}} {
+		if got := s.pinVersion(&endpoint.Ack{Version: c.version}); got != c.want {
+			t.Fatalf("version %q: %t", c.version, got)
+		}
+	}
+}
