A refusal says unknown of a re-ask also before its headers were looked at

A direct test found that a draining instance refused before key, ticket and cursor were read, and said not_run of a call that had run. Ruled out: the order of the checks (any filter may refuse). The headers are read before the first filter now.

--- a/cli/e2e/once_test.go
+++ b/cli/e2e/once_test.go
@@ -323,3 +323,24 @@
 		}
 	})
 }
+
+// TestRefusedReaskSaysUnknown: a request that was not asked before and is refused did not
+// run; one that may have been asked before may have run, whatever this instance refuses.
+func TestRefusedReaskSaysUnknown(t *testing.T) {
+	run(t, shape{gateways: 2, engines: 1, services: 1}, func(w *world) {
+		ticket, err := w.only(0).Ticket(w.ctx())
+		assert.NilError(t, err)
+		_, err = w.only(0).Plain(w.ctx(), logLift(ticket, ""))
+		assert.NilError(t, err)
+		w.gateways[1].Pipeline.Drain()
+		for want, r := range map[string]caller.PlainRequest{
+			"draining/unknown": logLift(ticket, ""),
+			"draining/not_run": logLift("", ""),
+		} {
+			_, err = w.only(1).Plain(w.ctx(), r)
+			assert.Equal(t, ran(err), want)
+		}
+		_, err = w.only(1).Plain(w.ctx(), logLift("", "key"))
+		assert.Equal(t, ran(err), "draining/unknown")
+	})
+}
--- a/gateway/pipeline/admit.go
+++ b/gateway/pipeline/admit.go
@@ -39,7 +39,6 @@
 	if err != nil {
 		return err
 	}
-	x.Key, x.Ticket = x.R.Header.Get(HeaderKey), x.R.Header.Get(HeaderTicket)
 	if len(x.Key) > mostKeyLength {
 		return apierr.New(apierr.InvalidRequest, "at most %d characters", mostKeyLength).WithField(HeaderKey)
 	}
@@ -92,7 +91,7 @@
 
 // lastEvent reads the cursor of a caller that goes on with a generation.
 func (a *admit) lastEvent(x *Exchange) error {
-	text := x.R.Header.Get(HeaderLastEvent)
+	text := x.lastEvent
 	if text == "" {
 		return nil
 	}
--- a/gateway/pipeline/pipeline.go
+++ b/gateway/pipeline/pipeline.go
@@ -55,6 +55,8 @@
 	Call       *once.Call
 	// Key is the caller's Idempotency-Key, Ticket its ticket; empty for none.
 	Key, Ticket string
+	// lastEvent is the cursor as the caller sent it; empty for none.
+	lastEvent string
 
 	// origin says where a generation begins, and entry its place in the directory.
 	origin generation.Origin
@@ -97,7 +99,7 @@
 
 // repeatable tells whether the caller may have asked for the same before, so that a
 // refusal of this ask does not say that the request did not run.
-func (x *Exchange) repeatable() bool { return x.Key != "" || x.Ticket != "" || x.cursor != nil }
+func (x *Exchange) repeatable() bool { return x.Key != "" || x.Ticket != "" || x.lastEvent != "" }
 
 // Filter is one step.
 type Filter interface {
@@ -131,7 +133,10 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := p.deps.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	x := &Exchange{W: w, R: r, Form: form, Received: time.Now()}
+	x := &Exchange{
+		W: w, R: r, Form: form, Received: time.Now(),
+		Key: r.Header.Get(HeaderKey), Ticket: r.Header.Get(HeaderTicket), lastEvent: r.Header.Get(HeaderLastEvent),
+	}
 	defer x.release()
 	p.deps.open.Add(1)
 	defer p.deps.open.Add(-1)
