generation: a refusal goes on elsewhere where other failures do

Cause, found by reading the whole change: a refusing endpoint was sent into the wait for an endpoint, whose first lines sent it straight back. Ruled out: a change of behaviour (the same starts in the same order). Conclusion: one branch less.

--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -90,20 +90,16 @@
 		m.fail(now, CodeAttempts, time.Second, "too many engines failed during this answer")
 		return
 	}
-	if why != NoEndpoint && why != Refused {
-		m.startCurrent(now)
+	if why != NoEndpoint {
+		m.startCurrent(now) // elsewhere: the endpoint that failed or refused is avoided
 		return
 	}
-	m.waitForEndpoint(now, why, retryAfter)
+	m.waitForEndpoint(now, retryAfter)
 }
 
 // waitForEndpoint asks again after a pause that grows; it gives up at once when
 // the answer can't come in the time left.
-func (m *Machine) waitForEndpoint(now time.Time, why Failure, retryAfter time.Duration) {
-	if why == Refused {
-		m.startCurrent(now) // the refusing endpoint is avoided; others may take it
-		return
-	}
+func (m *Machine) waitForEndpoint(now time.Time, retryAfter time.Duration) {
 	if m.waitFrom.IsZero() {
 		m.waitFrom, m.retry = now, retryFirst
 	}
