--- a/core/generation/config.go
+++ b/core/generation/config.go
@@ -13,6 +13,10 @@
 	Frugal Policy = "frugal"
 	// Restart generates again from zero and drops what the caller already has.
 	Restart Policy = "restart"
+	// Rhythm takes silence against the stream's own rhythm for death, without a probe: for engines
+	// at which a stream can't be attached to again, but that keep a copy elsewhere, so that going on
+	// there costs next to nothing. An attempt without a token yet has no rhythm: it is probed.
+	Rhythm Policy = "rhythm"
 	// NoProbe takes silence for death, after SilenceCeiling.
 	NoProbe Policy = "no-probe"
 )
@@ -33,8 +37,12 @@
 	AckTimeout time.Duration
 	// WaitForEndpoint bounds how long a generation waits when no endpoint is eligible.
 	WaitForEndpoint time.Duration
-	// MaxAttempts bounds the attempts of one generation.
+	// MaxAttempts bounds the attempts of one generation that may have run.
 	MaxAttempts int
+	// Unverified tells that engines give numbered events without a hash of what came before, and
+	// continue after a number: what they acknowledge can't be checked, and a stream can't be attached
+	// to again on another connection.
+	Unverified bool
 }
 
 // DefaultConfig returns the settings whose measurement stands in docs/RECOVERY.md.
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -25,6 +25,7 @@
 	broken   bool // the connection is known to be gone
 	same     bool // resumes a stream that was already running
 	dropped  bool // its cancellation was queued
+	spoke    bool // a token of it was accepted
 }
 
 // Machine is the state of one generation. The zero value is not usable.
@@ -48,6 +49,7 @@
 	}
 	avoid    []string
 	misfits  int       // engines that could not continue the journal
+	refused  int       // attempts that certainly did not run
 	waitFrom time.Time // since when no endpoint was found; zero when not waiting
 	retryAt  time.Time // when to ask routing again
 	retry    time.Duration
@@ -144,6 +146,9 @@
 
 // continues tells whether an acknowledgement is for the journal as it is now.
 func (m *Machine) continues(a *attempt, index int, hash uint64) bool {
+	if m.cfg.Unverified {
+		return true
+	}
 	if index != a.from {
 		return false
 	}
@@ -203,7 +208,10 @@
 	}
 	m.seen(now, a)
 	a.resumes = 0
-	m.observe(now)
+	if a.spoke || m.cfg.Policy != Rhythm {
+		m.observe(now)
+	}
+	m.lastToken, a.spoke = now, true
 	m.journal.append(text)
 	return m.accepted(now)
 }
@@ -283,7 +291,6 @@
 		m.gap += time.Duration(gapWeight * float64(diff))
 		m.deviation += time.Duration(deviationWeight * float64(diff.Abs()-m.deviation))
 	}
-	m.lastToken = now
 }
 
 // Done reports that the engine ended its stream after total tokens whose rolling hash
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -42,7 +42,7 @@
 
 // worthProbing tells whether a broken connection may hide a running stream.
 func (m *Machine) worthProbing(a *attempt) bool {
-	if m.cfg.Policy == Restart || m.cfg.Policy == NoProbe {
+	if m.cfg.Policy == Restart || m.cfg.Policy == NoProbe || m.cfg.Unverified {
 		return false
 	}
 	return a.state != starting && a.stream.ID != ""
@@ -53,6 +53,9 @@
 	if why != NoEndpoint {
 		m.avoidEndpoint(a.stream.Endpoint)
 	}
+	if why == Refused {
+		m.refused++
+	}
 	m.current, m.probe.out = nil, false
 	if a.stream.ID != "" {
 		m.discard(a) // it may be paused and come back
@@ -86,7 +89,7 @@
 
 // next starts another attempt, or waits for an endpoint, or gives up at once.
 func (m *Machine) next(now time.Time, why Failure, retryAfter time.Duration) {
-	if m.number-m.first >= m.cfg.MaxAttempts && why != NoEndpoint && why != Refused {
+	if m.number-m.first-m.refused >= m.cfg.MaxAttempts && why != NoEndpoint && why != Refused {
 		m.fail(now, CodeAttempts, time.Second, "too many engines failed during this answer")
 		return
 	}
@@ -183,11 +186,13 @@
 	m.unavoid(a.stream.Endpoint)
 	m.dropContender()
 	if a.broken || index > m.journal.Len() {
-		m.resumeSame(now, a)
+		m.attachAgain(now, a)
 		return
 	}
 	a.state, a.lastSeen = live, now // slow, not silent: the engine has nothing new
-	a.backoff++
+	if m.cfg.Policy != Rhythm {
+		a.backoff++
+	}
 }
 
 func (m *Machine) unavoid(endpoint string) {
@@ -204,6 +209,15 @@
 // The threshold of silence doubles each time.
 const maxResumes = 3
 
+// attachAgain takes the stream up on a new connection, or elsewhere where the engine can't do that.
+func (m *Machine) attachAgain(now time.Time, a *attempt) {
+	if m.cfg.Unverified {
+		m.loseCurrent(now, a, Gone, 0)
+		return
+	}
+	m.resumeSame(now, a)
+}
+
 // resumeSame asks for the running stream on a new connection. A stream from which no
 // token comes even so is of no use: the generation goes on elsewhere.
 func (m *Machine) resumeSame(now time.Time, a *attempt) {
@@ -268,8 +282,8 @@
 
 func (m *Machine) silent(now time.Time, a *attempt) {
 	m.stats.Silences++
-	switch m.cfg.Policy {
-	case Restart, NoProbe:
+	switch {
+	case m.cfg.Policy == Restart, m.cfg.Policy == NoProbe, m.cfg.Policy == Rhythm && a.spoke:
 		m.discard(a)
 		m.loseCurrent(now, a, Gone, 0)
 	default:
@@ -285,13 +299,22 @@
 		return m.cfg.SilenceCeiling
 	}
 	t := m.cfg.FirstTokenSilence
-	if m.gap > 0 {
+	if m.gap > 0 && (a.spoke || m.cfg.Policy != Rhythm) {
 		t = max(time.Duration(m.cfg.SilenceFactor*float64(m.gap)), m.gap+deviationFactor*m.deviation)
-		t = min(max(t, m.cfg.SilenceFloor), m.cfg.SilenceCeiling)
+		t = min(max(t, m.cfg.SilenceFloor), m.ceiling())
 	}
 	return t << min(a.backoff+a.resumes, maxBackoff)
 }
 
+// ceiling returns the most that silence may last before it counts. A stream that is slow for a good
+// reason, such as prompts read beside it, must not be moved for ever: twice its own gap is allowed.
+func (m *Machine) ceiling() time.Duration {
+	if m.cfg.Policy == Rhythm {
+		return max(m.cfg.SilenceCeiling, 2*m.gap)
+	}
+	return m.cfg.SilenceCeiling
+}
+
 // Deadline returns when [Machine.Tick] has to be called next, if nothing else
 // happens before.
 func (m *Machine) Deadline(now time.Time) time.Time {
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -28,6 +28,9 @@
 	Models  []Model
 	// Role is the engine's own word.
 	Role string
+	// Memory is what running requests and copies share at an engine, in tokens; 0 where only
+	// slots count.
+	Memory int
 	// ChecksFencing tells that the endpoint refuses orders with an old fencing number.
 	ChecksFencing bool
 }
@@ -75,6 +78,8 @@
 	until    time.Time // suspected until then
 	leaving  bool      // the endpoint's own word
 	home     bool      // this instance's own part of the endpoints
+	own      Placed    // what this instance has placed there
+	others   Placed    // what other instances told that they have placed there
 }
 
 type change struct {
@@ -111,11 +116,11 @@
 
 // estimate returns the requests believed to be at the endpoint: the last report,
 // corrected by what this instance did since it was taken, and never less than what
-// this instance itself has there.
+// this instance has there and others told that they have.
 func (n *node) estimate() int {
 	total := n.load.Running + n.load.Queued
 	for _, c := range n.recent {
 		total += c.delta
 	}
-	return max(total, n.open)
+	return max(total, n.open+n.others.Open)
 }
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -25,6 +25,13 @@
 	Prefixes []uint64
 	// Avoid names endpoints that already failed this request.
 	Avoid []string
+	// Away is a data centre to stay out of; empty for none.
+	Away string
+	// Tokens is the memory that the request needs at an engine, and Prompt the part of it that
+	// has to be read first.
+	Tokens, Prompt int
+	// Copy asks for room for a copy of a request's memory: it takes no slot.
+	Copy bool
 	// Recovery marks work that was lost once; it may use the reserve.
 	Recovery bool
 	// Key breaks ties, so that equal requests meet the same endpoint.
@@ -41,6 +48,12 @@
 	Cache float64
 	// Remote is the cost of another data centre.
 	Remote float64
+	// Unread is the weight of the prompts that are still to be read at the endpoint, in
+	// prompts as long as the request's own: each delays the request by its own reading time,
+	// and the reading delays all that run there.
+	Unread float64
+	// Memory is the weight of the share of the engine's memory in use.
+	Memory float64
 }
 
 // DefaultWeights returns the weights used where a deployment names none.
@@ -56,6 +69,10 @@
 	Candidates int
 }
 
+// typicalPrompt bounds from below what counts as one prompt in a score, in tokens: short prompts
+// do not make a long one that is being read look like a hundred.
+const typicalPrompt = 1000
+
 // attemptsPerChoice bounds the draws for each candidate wanted.
 const attemptsPerChoice = 3
 
@@ -148,6 +165,11 @@
 	if n.home {
 		score -= p.v.set.HomeWorth
 	}
+	if n.Memory > 0 {
+		unread := n.own.Unread + n.others.Unread
+		score += w.Unread * float64(unread) / float64(max(p.r.Prompt, typicalPrompt))
+		score += w.Memory * float64(n.used()) / float64(n.Memory)
+	}
 	return score
 }
 
@@ -160,11 +182,21 @@
 	if !n.takesWork(p.now) || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
 		return false
 	}
+	if p.r.Away != "" && n.DataCentre == p.r.Away {
+		return false
+	}
 	for _, a := range p.r.Avoid {
 		if a == n.ID {
 			return false
 		}
 	}
+	if n.Memory > 0 && float64(n.used()+p.r.Tokens) > p.v.set.MemoryFactor*float64(n.Memory) {
+		p.full = true
+		return false
+	}
+	if p.r.Copy {
+		return true
+	}
 	factor := p.v.set.QueueFactor
 	if p.r.Recovery {
 		factor = p.v.set.RecoveryFactor
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -23,6 +23,9 @@
 	// QueueFactor times the slots is what an endpoint may hold before new work goes
 	// elsewhere; recoveries may go RecoveryFactor times the slots.
 	QueueFactor, RecoveryFactor float64
+	// MemoryFactor times an engine's memory is what requests and copies placed there may need
+	// at their largest. Estimates of output are upper bounds, so all of it may be given away.
+	MemoryFactor float64
 }
 
 // DefaultSettings returns the settings measured in docs/CAPACITY.md.
@@ -30,7 +33,7 @@
 	return Settings{
 		SuspectFirst: time.Second, SuspectMost: 15 * time.Second,
 		CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
-		Choices: 5, HomeChoices: 3, HomeWorth: 0.25, QueueFactor: 1.25, RecoveryFactor: 2,
+		Choices: 5, HomeChoices: 3, HomeWorth: 0.25, QueueFactor: 1.25, RecoveryFactor: 2, MemoryFactor: 1,
 	}
 }
 
@@ -40,13 +43,14 @@
 	nodes  map[string]*node
 	groups map[groupKey][]*node
 	homes  map[string][]*node // by service
+	peers  map[string]map[string]Placed
 	cache  cacheIndex
 }
 
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, homes: map[string][]*node{},
+		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, homes: map[string][]*node{}, peers: map[string]map[string]Placed{},
 		cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
@@ -60,6 +64,7 @@
 		n = &node{Endpoint: Endpoint{Slots: 1}}
 		v.nodes[e.ID] = n
 		n.Service, n.DataCentre = e.Service, e.DataCentre
+		n.others = v.told(e.ID)
 		v.link(n)
 	case n.Service != e.Service || n.DataCentre != e.DataCentre:
 		v.unlink(n)
@@ -73,6 +78,7 @@
 	if e.Models != nil {
 		n.Models = e.Models
 	}
+	n.Memory = e.Memory
 }
 
 // SetHomes says which endpoints are this instance's own part. It prefers them, so that
--- /dev/null
+++ b/gateway/cmd/agatewayd/front.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/agateway/agateway/gateway/front"
+	"github.com/agateway/agateway/gateway/settings"
+)
+
+// frontCommand runs an instance that forwards requests on a platform.
+func frontCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: "front", Short: "Forwards requests on a platform whose store holds routes, keys and endpoints",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return runFront(file) },
+	}
+	cmd.Flags().StringVar(&file, "config", "front.ini", "settings file")
+	cmd.AddCommand(
+		&cobra.Command{Use: "check FILE", Short: "Checks a settings file", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.LoadFront(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return err
+		}},
+		&cobra.Command{Use: "print", Short: "Prints all keys with their defaults and units", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
+			settings.PrintFront(cmd.OutOrStdout())
+		}},
+	)
+	return cmd
+}
+
+// runFront serves until SIGTERM or SIGINT, and then drains; a second one of them ends at once. A
+// reader of the log that goes away (SIGPIPE) must not end it, nor must SIGHUP, which says that the
+// settings changed.
+func runFront(file string) error {
+	s, err := settings.LoadFront(file)
+	if err != nil {
+		return err
+	}
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	f, err := front.Start(s, os.Stdout)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for range reload {
+			f.Reload(file)
+		}
+	}()
+	<-signals
+	go func() {
+		<-signals
+		os.Exit(1)
+	}()
+	f.Drain()
+	return nil
+}
--- a/gateway/cmd/agatewayd/main.go
+++ b/gateway/cmd/agatewayd/main.go
@@ -42,7 +42,7 @@
 			settings.Print(cmd.OutOrStdout())
 		}},
 	)
-	root.AddCommand(config)
+	root.AddCommand(config, frontCommand())
 	return root
 }
 
--- /dev/null
+++ b/gateway/exchange/exchange.go
@@ -0,0 +1,315 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/platform"
+)
+
+// Pace of announcements. A stream is placed every tenth of a second or so on a small deployment, so
+// what is told within changeGap of a change reaches the others before most of their own choices.
+const (
+	// Every is the time between two announcements in calm times.
+	Every = 400 * time.Millisecond
+	// changeGap is the least time between two announcements.
+	changeGap = 60 * time.Millisecond
+	// silence is how long an instance may say nothing before it is left out: three announcements may
+	// be lost.
+	silence = 4 * Every
+	// placedMost keeps an announcement within one unfragmented datagram of 1,400 bytes.
+	placedMost = 40
+	// datagramMost is the size of the receive buffer, in bytes.
+	datagramMost = 2048
+)
+
+// Store is where instances find each other.
+type Store interface {
+	List(ctx context.Context, kind string) (platform.Page, error)
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) error
+	Replace(ctx context.Context, kind, name string, spec json.RawMessage) error
+}
+
+// Options of an exchange.
+type Options struct {
+	Self  Peer
+	Conn  net.PacketConn
+	Store Store
+	// Ready tells whether callers may be sent to this instance.
+	Ready func() bool
+	// Own returns what this instance has placed, by endpoint.
+	Own func() map[string]routing.Placed
+	// Placed takes what another instance has placed; nil when it fell silent.
+	Placed func(instance string, placed map[string]routing.Placed)
+	Log    *logrus.Entry
+	Scope  tally.Scope
+}
+
+// Exchange is this instance's link to the others. It is safe for concurrent use.
+type Exchange struct {
+	Options
+	changed chan struct{}
+
+	mu       sync.Mutex
+	table    *table
+	sequence uint64
+
+	sent, received, malformed tally.Counter
+}
+
+// New returns an exchange that knows only this instance.
+func New(o Options) *Exchange {
+	return &Exchange{
+		Options: o, changed: make(chan struct{}, 1), table: newTable(o.Self.ID, silence),
+		// A process that starts again goes on above what it told before.
+		sequence: uint64(time.Now().UnixNano()),
+		sent:     o.Scope.Counter("announcements_sent_total"), received: o.Scope.Counter("announcements_received_total"),
+		malformed: o.Scope.Counter("announcements_malformed_total"),
+	}
+}
+
+// Run announces and listens until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	go x.join(ctx)
+	go x.listen(ctx)
+	for ctx.Err() == nil {
+		x.announce(false)
+		x.expire()
+		x.wait(ctx)
+	}
+}
+
+// wait returns when the next announcement is due.
+func (x *Exchange) wait(ctx context.Context) {
+	sleep(ctx, changeGap)
+	t := time.NewTimer(Every - changeGap)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-x.changed:
+	}
+}
+
+// Changed makes the next announcement come soon.
+func (x *Exchange) Changed() {
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Now announces at once, such as when this instance leaves.
+func (x *Exchange) Now() { x.announce(false) }
+
+// Alive returns how many instances are heard from, this one included.
+func (x *Exchange) Alive() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.table.alive()) + 1
+}
+
+// Others returns the other instances that are heard from.
+func (x *Exchange) Others() []Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.alive()
+}
+
+// Entry returns the addresses that a caller may use, nearest first.
+func (x *Exchange) Entry(dataCentre, region string) []string {
+	peers := x.Others()
+	if x.Ready() {
+		peers = append(peers, x.Self)
+		peers[len(peers)-1].Ready = true
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	sortNearest(peers, dataCentre, region)
+	var out []string
+	for _, p := range peers {
+		if p.Ready {
+			out = append(out, p.Callers)
+		}
+	}
+	return out
+}
+
+// Pauses between tries to write the own object and read the others'. After that the list is read again
+// now and then: an instance whose hello was lost is found by it.
+const (
+	joinPause  = 300 * time.Millisecond
+	rejoinFrom = 20 * time.Second
+)
+
+// join makes this instance known, and finds the others.
+func (x *Exchange) join(ctx context.Context) {
+	for !x.register(ctx) && ctx.Err() == nil {
+		sleep(ctx, joinPause/2+rand.N(joinPause))
+	}
+	for ctx.Err() == nil {
+		if !x.find(ctx) {
+			sleep(ctx, joinPause/2+rand.N(joinPause))
+			continue
+		}
+		x.announce(true)
+		sleep(ctx, rejoinFrom+rand.N(rejoinFrom))
+	}
+}
+
+// entry is this instance's object in the store.
+type entry struct {
+	Callers    string `json:"callers"`
+	Peers      string `json:"peers"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+}
+
+func (x *Exchange) register(ctx context.Context) bool {
+	spec, err := json.Marshal(entry{x.Self.Callers, x.Self.Peers, x.Self.DataCentre, x.Self.Region})
+	if err != nil {
+		x.Log.WithError(err).Error("own entry can't be encoded")
+		return true
+	}
+	err = x.Store.Create(ctx, platform.KindInstance, x.Self.ID, spec)
+	if platform.IsConflict(err) { // from an earlier start
+		err = x.Store.Replace(ctx, platform.KindInstance, x.Self.ID, spec)
+	}
+	if err != nil {
+		x.Log.WithError(err).Warn("own entry not written yet")
+	}
+	return err == nil
+}
+
+func (x *Exchange) find(ctx context.Context) bool {
+	page, err := x.Store.List(ctx, platform.KindInstance)
+	if err != nil {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, o := range page.Objects {
+		var e entry
+		if err := json.Unmarshal(o.Spec, &e); err != nil {
+			x.Log.WithError(err).WithField("peer", o.Name).Warn("entry of an instance can't be read")
+			continue
+		}
+		x.table.known(Peer{ID: o.Name, Callers: e.Callers, Peers: e.Peers, DataCentre: e.DataCentre, Region: e.Region})
+	}
+	return true
+}
+
+// announce tells all others what this instance is and has placed.
+func (x *Exchange) announce(hello bool) {
+	placed, ready := x.Own(), x.Ready()
+	x.mu.Lock()
+	x.sequence++
+	a := &peerv1.Announcement{
+		Instance: x.Self.ID, Sequence: x.sequence, Callers: x.Self.Callers, Peers: x.Self.Peers,
+		DataCentre: x.Self.DataCentre, Region: x.Self.Region, Ready: ready, Hello: hello,
+	}
+	addresses := x.table.addresses()
+	x.mu.Unlock()
+	for _, id := range fit(placed, placedMost) {
+		p := placed[id]
+		a.Placed = append(a.Placed, &peerv1.PlacedAt{Endpoint: id, Open: uint32(p.Open), Tokens: uint32(p.Tokens), Unread: uint32(p.Unread)})
+	}
+	raw, err := proto.Marshal(a)
+	if err != nil {
+		x.Log.WithError(err).Error("announcement can't be encoded")
+		return
+	}
+	for _, to := range addresses {
+		x.send(raw, to)
+	}
+}
+
+func (x *Exchange) send(raw []byte, to string) {
+	address, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		x.Log.WithError(err).WithField("address", to).Warn("address of an instance can't be read")
+		return
+	}
+	// A datagram that is not sent is as good as one that is lost: the next makes it good.
+	if _, err := x.Conn.WriteTo(raw, address); err == nil {
+		x.sent.Inc(1)
+	}
+}
+
+func (x *Exchange) listen(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = x.Conn.Close() })
+	buf := make([]byte, datagramMost)
+	for ctx.Err() == nil {
+		n, _, err := x.Conn.ReadFrom(buf)
+		if err != nil {
+			sleep(ctx, changeGap)
+			continue
+		}
+		x.receive(buf[:n])
+	}
+}
+
+// receive takes an announcement of another instance.
+func (x *Exchange) receive(raw []byte) {
+	var a peerv1.Announcement
+	if err := proto.Unmarshal(raw, &a); err != nil || a.Instance == "" {
+		x.malformed.Inc(1)
+		return
+	}
+	x.received.Inc(1)
+	p := Peer{ID: a.Instance, Callers: a.Callers, Peers: a.Peers, DataCentre: a.DataCentre, Region: a.Region, Ready: a.Ready}
+	x.mu.Lock()
+	before := x.table.records[p.ID]
+	came := before == nil || !before.alive
+	turned := before != nil && before.alive && before.Ready != p.Ready
+	news := x.table.heard(clock.Boot(), p, a.Sequence)
+	x.mu.Unlock()
+	if !news {
+		return
+	}
+	if came || turned {
+		x.Log.WithFields(logrus.Fields{"peer": p.ID, "ready": p.Ready, "data_centre": p.DataCentre}).Info("peer heard")
+	}
+	x.Placed(p.ID, decodePlaced(a.Placed))
+	if a.Hello {
+		x.Changed()
+	}
+}
+
+func decodePlaced(in []*peerv1.PlacedAt) map[string]routing.Placed {
+	out := make(map[string]routing.Placed, len(in))
+	for _, p := range in {
+		out[p.Endpoint] = routing.Placed{Open: int(p.Open), Tokens: int(p.Tokens), Unread: int(p.Unread)}
+	}
+	return out
+}
+
+// expire forgets what instances placed that have fallen silent.
+func (x *Exchange) expire() {
+	x.mu.Lock()
+	gone := x.table.expire(clock.Boot())
+	x.mu.Unlock()
+	for _, id := range gone {
+		x.Log.WithField("peer", id).Warn("peer silent")
+		x.Placed(id, nil)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gateway/exchange/peers.go
@@ -0,0 +1,127 @@
+package exchange
+
+import (
+	"sort"
+	"time"
+
+	"github.com/agateway/agateway/core/routing"
+)
+
+// Peer is another instance, or this one.
+type Peer struct {
+	// ID names the instance, Callers and Peers are its addresses.
+	ID, Callers, Peers string
+	DataCentre, Region string
+	// Ready tells that callers may be sent to it.
+	Ready bool
+}
+
+// record is what is known of another instance.
+type record struct {
+	Peer
+	sequence uint64
+	heard    time.Duration // on the clock that counts suspension
+	alive    bool
+}
+
+// table is what is known of the others. It is not safe for concurrent use.
+type table struct {
+	self    string
+	silence time.Duration
+	records map[string]*record
+}
+
+func newTable(self string, silence time.Duration) *table {
+	return &table{self: self, silence: silence, records: map[string]*record{}}
+}
+
+// known adds an instance that the store names, unless it has been heard.
+func (t *table) known(p Peer) {
+	if p.ID == t.self || p.Peers == "" {
+		return
+	}
+	if r := t.records[p.ID]; r == nil {
+		t.records[p.ID] = &record{Peer: p}
+	}
+}
+
+// heard takes an announcement; false when it is older than what is known.
+func (t *table) heard(now time.Duration, p Peer, sequence uint64) bool {
+	if p.ID == t.self {
+		return false
+	}
+	r := t.records[p.ID]
+	if r == nil {
+		r = &record{}
+		t.records[p.ID] = r
+	}
+	if sequence <= r.sequence {
+		return false
+	}
+	r.Peer, r.sequence, r.heard, r.alive = p, sequence, now, true
+	return true
+}
+
+// expire returns the instances that have fallen silent since the last call.
+func (t *table) expire(now time.Duration) []string {
+	var out []string
+	for id, r := range t.records {
+		if r.alive && now-r.heard > t.silence {
+			r.alive, r.Ready = false, false
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// alive returns the other instances that are heard from, by id.
+func (t *table) alive() []Peer {
+	var out []Peer
+	for _, r := range t.records {
+		if r.alive {
+			out = append(out, r.Peer)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// addresses returns where to announce: to all that are known, also silent ones, which may be back.
+func (t *table) addresses() []string {
+	out := make([]string, 0, len(t.records))
+	for _, r := range t.records {
+		out = append(out, r.Peers)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// sortNearest orders instances for a caller: those of its data centre, then those of its region.
+func sortNearest(peers []Peer, dataCentre, region string) {
+	distance := func(p *Peer) int {
+		switch {
+		case p.DataCentre == dataCentre:
+			return 0
+		case p.Region == region:
+			return 1
+		}
+		return 2
+	}
+	sort.SliceStable(peers, func(i, j int) bool { return distance(&peers[i]) < distance(&peers[j]) })
+}
+
+// fit drops what was placed least when it would not fit a datagram.
+func fit(placed map[string]routing.Placed, most int) []string {
+	ids := make([]string, 0, len(placed))
+	for id := range placed {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := placed[ids[i]], placed[ids[j]]
+		if a.Tokens != b.Tokens {
+			return a.Tokens > b.Tokens
+		}
+		return ids[i] < ids[j]
+	})
+	return ids[:min(len(ids), most)]
+}
--- /dev/null
+++ b/gateway/follow/endpoints.go
@@ -0,0 +1,131 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/listing"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/platform"
+)
+
+// Endpoints is the platform's list of endpoints. It is safe for concurrent use.
+type Endpoints struct {
+	loop    loop
+	changes func([]routing.Endpoint)
+
+	mu   sync.Mutex
+	list *listing.List
+	due  *time.Timer // of what is missing since an outage
+	seen map[string]routing.State
+}
+
+// endpointsGap bounds the calls that a run of changes costs, to two a second. A change is in force
+// that much later at the most, a quarter of the time that a leaving endpoint may still be used.
+const endpointsGap = 500 * time.Millisecond
+
+// NewEndpoints returns a follower that knows nothing yet. wait is how long a watch waits; changes is
+// called with the whole list when it changed.
+func NewEndpoints(s Store, wait time.Duration, log *logrus.Entry, changes func([]routing.Endpoint)) *Endpoints {
+	return &Endpoints{
+		loop:    loop{store: s, kind: platform.KindEndpoint, wait: wait, gap: endpointsGap, log: log},
+		changes: changes, list: listing.New(listing.DefaultSettings()), seen: map[string]routing.State{},
+	}
+}
+
+// Run follows the store until ctx ends.
+func (e *Endpoints) Run(ctx context.Context) { e.loop.run(ctx, e) }
+
+func (e *Endpoints) replace(_ time.Duration, objects []platform.Object) {
+	now := clock.Boot()
+	e.mu.Lock()
+	e.list.Reached(now)
+	var all []routing.Endpoint
+	for i := range objects {
+		if d, ok := e.decode(&objects[i]); ok {
+			all = append(all, d)
+		}
+	}
+	e.list.Replace(now, all)
+	e.mu.Unlock()
+	e.publish(true)
+}
+
+func (e *Endpoints) changed(_ time.Duration, objects []platform.Object) {
+	now := clock.Boot()
+	e.mu.Lock()
+	e.list.Reached(now)
+	for i := range objects {
+		if objects[i].Deleted {
+			e.list.Remove(now, objects[i].Name)
+		} else if d, ok := e.decode(&objects[i]); ok {
+			e.list.Put(d)
+		}
+	}
+	e.mu.Unlock()
+	e.publish(len(objects) > 0)
+}
+
+func (e *Endpoints) decode(o *platform.Object) (routing.Endpoint, bool) {
+	d, err := platform.DecodeEndpoint(*o)
+	if err != nil {
+		e.loop.log.WithError(err).WithField("endpoint", o.Name).Error("entry of the list can't be read; left out")
+		return d, false
+	}
+	return d, true
+}
+
+func (e *Endpoints) unreachable(began time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.Unreachable(began)
+}
+
+// Publish tells the list again.
+func (e *Endpoints) Publish() { e.publish(true) }
+
+// publish tells the list where it changed, and sees to what is still missing.
+func (e *Endpoints) publish(changed bool) {
+	now := clock.Boot()
+	e.mu.Lock()
+	changed = e.list.Tick(now) || changed
+	if at, missing := e.list.Deadline(); missing && e.due == nil {
+		e.due = time.AfterFunc(at-now, func() {
+			e.mu.Lock()
+			e.due = nil
+			e.mu.Unlock()
+			e.publish(false)
+		})
+	}
+	all := e.list.Endpoints()
+	if changed {
+		e.logChanges(all)
+	}
+	e.mu.Unlock()
+	if changed {
+		e.changes(all)
+	}
+}
+
+// logChanges logs which endpoints came, left or changed their state.
+func (e *Endpoints) logChanges(all []routing.Endpoint) {
+	now := make(map[string]routing.State, len(all))
+	for i := range all {
+		now[all[i].ID] = all[i].State
+		if old, known := e.seen[all[i].ID]; !known || old != all[i].State {
+			e.loop.log.WithFields(logrus.Fields{
+				"endpoint": all[i].ID, "service": all[i].Service, "data_centre": all[i].DataCentre, "leaving": all[i].State == routing.Leaving,
+			}).Info("endpoint listed")
+		}
+	}
+	for id := range e.seen {
+		if _, still := now[id]; !still {
+			e.loop.log.WithField("endpoint", id).Info("endpoint gone from the list")
+		}
+	}
+	e.seen = now
+}
--- /dev/null
+++ b/gateway/forward/attempt.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/upstream"
+	"github.com/agateway/agateway/platform"
+)
+
+// messagesAhead is how many events an attempt may be ahead of the caller: enough to cover a wake-up,
+// few enough that a caller who does not read costs 16 events of memory.
+const messagesAhead = 16
+
+// messageKind says what an attempt reports.
+type messageKind int
+
+const (
+	attemptSent   messageKind = iota // it is connected and being sent
+	attemptEvent                     // an event came
+	attemptDone                      // the answer ended properly
+	attemptFailed                    // it ended otherwise
+	attemptProbed                    // its engine was asked whether it is alive
+)
+
+// message is what an attempt reports to its session.
+type message struct {
+	kind     messageKind
+	attempt  int
+	endpoint string
+	// block and id are an event, where one came; numbered tells whether it has an id.
+	block    []byte
+	id       uint64
+	numbered bool
+	// failure and err say how the attempt failed; answer is the engine's own word on it, if any.
+	failure generation.Failure
+	err     error
+	answer  *answer
+	// alive and events are an engine's answer to a probe.
+	alive  bool
+	events int
+}
+
+// attempt is one engine's stream for a session. It runs in a goroutine of its own.
+type attempt struct {
+	session  *session
+	number   int
+	endpoint routing.Endpoint
+	send     platform.Send
+	header   http.Header // of the engine's answer; set before the first event is reported
+	cancel   context.CancelFunc
+
+	placed routing.Placed
+	once   sync.Once // the prompt was read
+}
+
+// launch sends the request to an engine. fromCopy is the address that holds a copy of the run's
+// memory; empty when the prompt has to be read.
+func (s *session) launch(number int, e *routing.Endpoint, fromCopy string) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, placed: routing.Placed{Tokens: s.tokens()}}
+	if fromCopy == "" || s.relayed == 0 {
+		a.placed.Unread = s.req.PromptTokens
+	}
+	a.send = platform.Send{
+		Endpoint: e.ID, Left: s.req.left(time.Now()), Team: s.req.teamName(), Rank: s.req.rank,
+		LastEvent: s.lastEvent, CopyFrom: fromCopy, CopyTo: s.copies.choose(e),
+	}
+	s.attempts[number] = a
+	s.f.Placement.Sent(e.ID, a.placed)
+	s.f.Placed()
+	s.logPlaced(a)
+	go a.run(ctx)
+}
+
+// read records that the engine has read the prompt: it made an event.
+func (a *attempt) read() {
+	a.once.Do(func() {
+		a.session.f.Placement.Release(a.endpoint.ID, routing.Placed{Unread: a.placed.Unread})
+		a.session.f.Placement.Stored(a.endpoint.ID, a.session.req.promptKey())
+	})
+}
+
+func (a *attempt) run(ctx context.Context) {
+	f := a.session.f
+	defer func() {
+		a.once.Do(func() { f.Placement.Release(a.endpoint.ID, routing.Placed{Unread: a.placed.Unread}) })
+		f.Placement.Finished(a.endpoint.ID, routing.Placed{Tokens: a.placed.Tokens})
+	}()
+	m := a.exchange(ctx)
+	m.attempt, m.endpoint = a.number, a.endpoint.ID
+	a.tell(ctx, m)
+}
+
+// tell reports to the session, unless the attempt was given up.
+func (a *attempt) tell(ctx context.Context, m message) {
+	m.attempt, m.endpoint = a.number, a.endpoint.ID
+	select {
+	case a.session.messages <- m:
+	case <-ctx.Done():
+	}
+}
+
+// exchange sends the request and reports the events; it returns how the attempt ended.
+func (a *attempt) exchange(ctx context.Context) message {
+	s := a.session
+	conn, err := s.f.connect(ctx, s.req, &a.endpoint)
+	if err != nil {
+		return message{kind: attemptFailed, failure: generation.Refused, err: err}
+	}
+	a.tell(ctx, message{kind: attemptSent})
+	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
+	if err != nil {
+		return a.lost(ctx, err)
+	}
+	defer x.Abort() // no effect after Finish
+	told := platform.ReadAnswer(x.Status(), x.Header())
+	s.f.learn(a.endpoint.ID, &told)
+	switch {
+	case told.NotRun:
+		return message{kind: attemptFailed, failure: generation.Refused, err: s.f.refusedBy(&a.endpoint, x.Status())}
+	case x.Status() != http.StatusOK:
+		return a.engineFailed(x)
+	case !told.Signed:
+		return message{kind: attemptFailed, failure: generation.Broken, err: errUnsigned}
+	}
+	a.header = platform.ToClient(x.Header())
+	return a.relay(ctx, x)
+}
+
+// lost classifies an attempt whose answer did not come.
+func (a *attempt) lost(ctx context.Context, err error) message {
+	if errorx.IsOfType(err, upstream.ErrNotSent) {
+		return message{kind: attemptFailed, failure: generation.Refused, err: err}
+	}
+	if ctx.Err() == nil {
+		a.session.f.Placement.Failed(a.endpoint.ID)
+	}
+	return message{kind: attemptFailed, failure: generation.Broken, err: err}
+}
+
+// engineFailed takes an engine's own failure. What it says of the request itself is final.
+func (a *attempt) engineFailed(x *upstream.Exchange) message {
+	body, err := io.ReadAll(io.LimitReader(x, answerKept))
+	if err != nil {
+		return message{kind: attemptFailed, failure: generation.Broken, err: err}
+	}
+	m := message{kind: attemptFailed, failure: generation.Gone, err: ErrEngine.New("status %d", x.Status())}
+	m.answer = &answer{status: x.Status(), header: x.Header(), body: body}
+	if x.Status() < http.StatusInternalServerError {
+		m.failure = generation.Invalid
+	}
+	return m
+}
+
+// relay reports events until the answer ends.
+func (a *attempt) relay(ctx context.Context, x *upstream.Exchange) message {
+	events := newEventReader(x)
+	for {
+		e, err := events.next()
+		if err == io.EOF {
+			a.session.f.Placement.Succeeded(a.endpoint.ID)
+			x.Finish()
+			return message{kind: attemptDone}
+		}
+		if err != nil {
+			return a.lost(ctx, err)
+		}
+		a.tell(ctx, message{kind: attemptEvent, block: e.block, id: e.id, numbered: e.numbered})
+	}
+}
--- /dev/null
+++ b/gateway/forward/forward.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/placement"
+	"github.com/agateway/agateway/gateway/upstream"
+)
+
+// Configuration is the configuration in force, with the age of the proof that it still is.
+type Configuration interface {
+	// Table returns the newest table; nil when none is known yet. age is how long ago it was known
+	// to be the newest.
+	Table() (table *route.Table, age time.Duration)
+}
+
+// Log takes a line for each decision that touches a request.
+type Log interface {
+	// Decision logs what was decided about a request, and from which inputs.
+	Decision(request, what string, inputs logrus.Fields)
+	// Refusal logs why a request was not served.
+	Refusal(request, what string, inputs logrus.Fields)
+}
+
+// Settings of forwarding. Durations from the deployment's bounds come with the settings file.
+type Settings struct {
+	// DataCentre is where this instance runs.
+	DataCentre string
+	// KeyBound is how old the proof of the configuration may be for a request with a key: a key
+	// that was taken away must not be served longer.
+	KeyBound time.Duration
+	// DenyBound is how old the proof may be for a request to be denied for good (401, 404).
+	DenyBound time.Duration
+	// RetryShare and RetryReserve bound requests sent once more: a share of the requests, and a
+	// number that all instances share.
+	RetryShare, RetryReserve float64
+	// SilenceFloor is the least silence of a stream that counts as the loss of its engine.
+	SilenceFloor time.Duration
+	// FirstEvent is how long an engine may take for the first event before it is asked whether it
+	// is alive, and Probe how long it may take to answer.
+	FirstEvent, Probe time.Duration
+	// Connect bounds the time a connection to an endpoint may take.
+	Connect time.Duration
+}
+
+// Options of a forwarder.
+type Options struct {
+	Settings      Settings
+	Configuration Configuration
+	Placement     *placement.Placement
+	Pool          *upstream.Pool
+	// Instances returns how many instances serve; connections and retries are shared among them.
+	Instances func() int
+	// Placed is called when a stream was placed, so that other instances learn of it.
+	Placed func()
+	Log    Log
+	Scope  tally.Scope
+}
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	Options
+	budgets budgets
+	open    atomic.Int64
+	metrics metrics
+
+	mu       sync.Mutex
+	draining time.Time // since when; zero when not
+}
+
+// New returns a forwarder.
+func New(o Options) *Forwarder {
+	return &Forwarder{Options: o, budgets: newBudgets(&o.Settings), metrics: newMetrics(o.Scope)}
+}
+
+// Open returns the number of requests in progress.
+func (f *Forwarder) Open() int { return int(f.open.Load()) }
+
+// Drain makes the forwarder say on each answer that the connection closes, and refuse what can't end
+// in the time that is left.
+func (f *Forwarder) Drain(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = now
+}
+
+func (f *Forwarder) drainingSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
+
+// ServeHTTP implements [http.Handler].
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	req, refused := f.accept(r)
+	since := f.drainingSince()
+	if !since.IsZero() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused == nil && !since.IsZero() && req.route.Stream && time.Since(since) > streamsAfterDrain {
+		refused = refuse(http.StatusServiceUnavailable, "draining", soon())
+	}
+	if refused != nil {
+		f.answerRefusal(w, req, refused)
+		return
+	}
+	f.serve(w, r, req)
+}
+
+// streamsAfterDrain is how long a draining instance still begins streams: callers keep its address
+// for a while, but a stream lasts nearly as long as the process has left.
+const streamsAfterDrain = time.Second
+
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, req *request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	if !req.deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(r.Context(), req.deadline)
+		_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(lateWrite))
+	}
+	defer cancel()
+	if refused := req.readBody(w, r); refused != nil {
+		f.answerRefusal(w, req, refused)
+		return
+	}
+	f.budgets.request(req.service)
+	if req.route.Stream && req.route.Repeat == route.Resumable && req.replayable {
+		f.serveSession(ctx, w, req)
+		return
+	}
+	f.servePlain(ctx, w, req)
+}
+
+// lateWrite is how long after a request's deadline its last bytes may still be written.
+const lateWrite = time.Second
+
+// point returns a random number between 0 and 1.
+func point() float64 { return rand.Float64() }
--- /dev/null
+++ b/gateway/forward/metrics.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics are the counters and histograms of forwarding.
+type metrics struct {
+	scope                              tally.Scope
+	accepted, answered, retries        tally.Counter
+	silences, moved, movedByCopy       tally.Counter
+	recovered, brokenOff, callerLeft   tally.Counter
+	firstEvent, plainAnswer, eventMove tally.Histogram
+}
+
+func newMetrics(s tally.Scope) metrics {
+	latency := tally.DurationBuckets{
+		5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+		100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond,
+		time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+	}
+	return metrics{
+		scope: s, accepted: s.Counter("requests_accepted_total"), answered: s.Counter("requests_answered_total"),
+		retries: s.Counter("requests_sent_again_total"), silences: s.Counter("streams_silent_total"),
+		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
+		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
+		callerLeft: s.Counter("callers_left_total"),
+		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
+		eventMove: s.Histogram("stream_move_seconds", latency),
+	}
+}
+
+func (m *metrics) refused(status int) {
+	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_refused_total").Inc(1)
+}
--- /dev/null
+++ b/gateway/forward/plain.go
@@ -0,0 +1,311 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/upstream"
+	"github.com/agateway/agateway/platform"
+)
+
+// plain is one request that gets one answer from one endpoint.
+type plain struct {
+	f    *Forwarder
+	req  *request
+	w    http.ResponseWriter
+	runs int // endpoints on which it may have run
+	sent int // endpoints to which it was sent
+	// avoid names endpoints that failed it.
+	avoid []string
+	// last is an endpoint's own failure, passed on when no other endpoint does better.
+	last *answer
+}
+
+// answer is an endpoint's whole answer, or its head with the beginning of the body.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	rest   *upstream.Exchange // what is not read yet; nil when the answer is whole
+}
+
+// outcome is how one try ended.
+type outcome int
+
+const (
+	answered outcome = iota
+	notRun           // certainly
+	unknown          // it may have run
+)
+
+func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, req *request) {
+	p := &plain{f: f, req: req, w: w}
+	f.metrics.accepted.Inc(1)
+	if refused := p.run(ctx); refused != nil {
+		f.answerRefusal(w, req, refused)
+		return
+	}
+	f.metrics.answered.Inc(1)
+	f.metrics.plainAnswer.RecordDuration(time.Since(req.arrived))
+}
+
+// run sends the request until it is answered or must not be sent again.
+func (p *plain) run(ctx context.Context) *refusal {
+	for {
+		if ctx.Err() != nil {
+			return p.ended(ctx, notRun)
+		}
+		if refused := p.f.stillAllowed(p.req); refused != nil {
+			return p.final(refused)
+		}
+		e, refused := p.pick(ctx)
+		if refused != nil {
+			return p.final(refused)
+		}
+		a, how, err := p.try(ctx, e)
+		p.f.logTry(p.req, e, how, a, err)
+		if how == answered && !p.worthAnother(a) {
+			p.deliver(a)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return p.ended(ctx, how)
+		}
+		if how == answered {
+			p.keepFailure(a)
+		}
+		if !p.mayGoOn(how) {
+			return p.final(nil)
+		}
+		p.avoid = append(p.avoid, e.ID)
+	}
+}
+
+// worthAnother tells whether another endpoint may answer better: an idempotent request that its
+// endpoint failed. A 4xx is the endpoint's word on the request itself.
+func (p *plain) worthAnother(a *answer) bool {
+	return a.status >= http.StatusInternalServerError && a.rest == nil && p.req.route.Repeat == route.Idempotent && p.runs < p.req.route.Attempts
+}
+
+func (p *plain) keepFailure(a *answer) { p.last = a }
+
+// mayGoOn tells whether the request may be sent to another endpoint.
+func (p *plain) mayGoOn(how outcome) bool {
+	if !p.req.replayable {
+		return false
+	}
+	if how != notRun && (p.req.route.Repeat == route.Once || p.req.route.Stream || p.runs >= p.req.route.Attempts) {
+		return false
+	}
+	if !p.f.budgets.retry(p.req.service, p.f.Instances()) {
+		return false
+	}
+	p.f.metrics.retries.Inc(1)
+	return true
+}
+
+// final ends a request that goes nowhere else: with an endpoint's own failure if there is one, else
+// with a refusal that says whether it may have run.
+func (p *plain) final(refused *refusal) *refusal {
+	if p.last != nil {
+		p.deliver(p.last)
+		return nil
+	}
+	if p.runs > 0 {
+		return refuse(http.StatusBadGateway, "the endpoint was lost with the request", 0)
+	}
+	if refused == nil {
+		refused = refuse(http.StatusServiceUnavailable, "no endpoint took the request", whenRoom(0))
+	}
+	return refused
+}
+
+// ended tells a caller whose time is over, or who left, what became of the request.
+func (p *plain) ended(ctx context.Context, how outcome) *refusal {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		p.f.metrics.callerLeft.Inc(1)
+	}
+	if how == unknown || p.runs > 0 {
+		return refuse(http.StatusGatewayTimeout, "no answer in time", 0)
+	}
+	return refuse(http.StatusServiceUnavailable, "no room in time", whenRoom(0))
+}
+
+// Waiting for an endpoint with room: looked for again each waitStep, for a part of the aim at the
+// most, since an answer after that is late anyway and other callers queue behind.
+const (
+	waitStep  = 10 * time.Millisecond
+	waitParts = 2
+	waitMost  = time.Second
+)
+
+// pick chooses an endpoint, and waits for a short while when all are full.
+func (p *plain) pick(ctx context.Context) (*routing.Endpoint, *refusal) {
+	most := waitMost
+	if aim := p.req.route.Aim; aim > 0 {
+		most = min(most, aim/waitParts)
+	}
+	until := p.req.arrived.Add(most)
+	for {
+		d, err := p.f.Placement.Pick(&routing.Request{
+			Service: p.req.service, DataCentre: p.f.Settings.DataCentre, Avoid: p.avoid, Key: p.req.ID, Weights: plainWeights(),
+		})
+		if err == nil {
+			return &d.Endpoint, nil
+		}
+		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNone) || !time.Now().Add(waitStep).Before(until) {
+			return nil, refuse(http.StatusServiceUnavailable, err.Error(), whenRoom(0))
+		}
+		if !sleep(ctx, waitStep) {
+			return nil, refuse(http.StatusServiceUnavailable, "no room in time", whenRoom(0))
+		}
+	}
+}
+
+// plainWeights ranks endpoints of plain services: by load, and a little by distance.
+func plainWeights() routing.Weights { return routing.Weights{Load: 1, Remote: 0.1} }
+
+// try sends the request to one endpoint.
+func (p *plain) try(ctx context.Context, e *routing.Endpoint) (*answer, outcome, error) {
+	f, req := p.f, p.req
+	conn, err := f.connect(ctx, req, e)
+	if err != nil {
+		return nil, notRun, err
+	}
+	p.sent++
+	p.runs++
+	f.Placement.Sent(e.ID, routing.Placed{})
+	defer f.Placement.Finished(e.ID, routing.Placed{})
+	x, err := conn.Do(ctx, req.outgoing(&platform.Send{
+		Endpoint: e.ID, Left: req.left(time.Now()), Team: req.teamName(), Rank: -1,
+	}), req.mine)
+	if err != nil {
+		return nil, p.lost(ctx, e, err), err
+	}
+	told := platform.ReadAnswer(x.Status(), x.Header())
+	f.learn(e.ID, &told)
+	if told.NotRun {
+		p.runs--
+		x.Abort()
+		return nil, notRun, f.refusedBy(e, x.Status())
+	}
+	if !told.Signed && x.Status() < http.StatusMultipleChoices {
+		x.Abort()
+		return nil, unknown, errUnsigned
+	}
+	a, err := p.receive(x)
+	if err != nil {
+		return nil, p.lost(ctx, e, err), err
+	}
+	f.Placement.Succeeded(e.ID)
+	return a, answered, nil
+}
+
+var errUnsigned = errors.New("the answer is not signed by an endpoint")
+
+// lost classifies a request whose answer did not arrive.
+func (p *plain) lost(ctx context.Context, e *routing.Endpoint, err error) outcome {
+	if errorx.IsOfType(err, upstream.ErrNotSent) {
+		p.runs--
+		return notRun
+	}
+	if ctx.Err() == nil {
+		p.f.Placement.Failed(e.ID)
+	}
+	return unknown
+}
+
+// answerKept is how much of an answer is read before it is passed on: an answer that breaks off
+// within it can be had from another endpoint instead.
+const answerKept = 64 << 10
+
+// receive reads an answer as far as it is kept.
+func (p *plain) receive(x *upstream.Exchange) (*answer, error) {
+	a := &answer{status: x.Status(), header: x.Header()}
+	if p.req.route.Stream {
+		a.rest = x
+		return a, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(x, answerKept))
+	if err != nil {
+		x.Abort()
+		return nil, err
+	}
+	a.body = body
+	if len(body) < answerKept {
+		x.Finish()
+		return a, nil
+	}
+	a.rest = x
+	return a, nil
+}
+
+// deliver passes an answer on. One that breaks off on the way ends with a closed connection.
+func (p *plain) deliver(a *answer) {
+	copyHeader(p.w.Header(), platform.ToClient(a.header))
+	p.w.WriteHeader(a.status)
+	if _, err := p.w.Write(a.body); err != nil && a.rest != nil {
+		a.rest.Abort()
+		panic(http.ErrAbortHandler)
+	}
+	if a.rest == nil {
+		return
+	}
+	if err := relay(p.w, a.rest); err != nil {
+		a.rest.Abort()
+		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
+		panic(http.ErrAbortHandler)
+	}
+	a.rest.Finish()
+}
+
+// relay copies a body piece by piece, each at once.
+func relay(w http.ResponseWriter, from io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, 8<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			if err := control.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func copyHeader(to, from http.Header) {
+	for k, v := range from {
+		to[k] = v
+	}
+	if to.Get("Content-Type") == "" {
+		to["Content-Type"] = nil // nothing is guessed from the body
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/forward/session.go
@@ -0,0 +1,378 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/routing"
+)
+
+// session is one stream of events on its way to a caller. Engines come and go behind it; the
+// machine of core/generation decides which one is current and which events may be passed on. All
+// fields belong to the goroutine that runs the session.
+type session struct {
+	f       *Forwarder
+	req     *request
+	w       http.ResponseWriter
+	ctx     context.Context
+	machine *generation.Machine
+
+	messages chan message
+	attempts map[int]*attempt
+	// first is the id of the event with index 0.
+	first    uint64
+	numbered bool
+	// lastEvent is the id of the last event passed on, or what the caller came with.
+	lastEvent string
+	relayed   int
+	// mayHaveRun tells that an engine took the request and did not say that it has not run it.
+	mayHaveRun bool
+	// copies is where a copy of the memory of the run is kept.
+	copies keeper
+	// last is an engine's own failure, passed on when no other does better.
+	last *answer
+	// lostAt is when the engine of a stream with events was given up; zero while one serves.
+	lostAt time.Time
+}
+
+// waitForEngine is how long a stream waits when no engine has room: a part of the usual aim for the
+// first event, so that the caller can still be served elsewhere when it is refused.
+const waitForEngine = 1500 * time.Millisecond
+
+func (f *Forwarder) serveSession(ctx context.Context, w http.ResponseWriter, req *request) {
+	f.metrics.accepted.Inc(1)
+	s := &session{
+		f: f, req: req, w: w, ctx: ctx, lastEvent: req.LastEvent,
+		messages: make(chan message, messagesAhead), attempts: map[int]*attempt{},
+	}
+	s.copies.session = s
+	if n, err := strconv.ParseUint(req.LastEvent, 10, 64); err == nil {
+		s.first, s.numbered = n+1, true
+	}
+	now := time.Now()
+	deadline := req.deadline
+	if deadline.IsZero() {
+		deadline = now.Add(deadlineUnset)
+	}
+	s.machine = generation.New(s.config(), generation.Origin{}, true, req.PromptTokens, now, deadline)
+	defer s.close()
+	s.run()
+}
+
+// deadlineUnset is the deadline of a stream whose caller and route set none.
+const deadlineUnset = 15 * time.Minute
+
+// config returns the settings of recovery: silence has to be noticed early enough that the stream
+// goes on within the pause its route allows.
+func (s *session) config() generation.Config {
+	set := &s.f.Settings
+	c := generation.DefaultConfig(generation.Rhythm)
+	c.Unverified = true
+	c.SilenceFloor = set.SilenceFloor
+	c.SilenceCeiling = 2 * set.SilenceFloor
+	if p := s.req.route.Pause; p > 0 {
+		c.SilenceCeiling = max(p*pauseForSilence/pauseParts, c.SilenceFloor)
+	}
+	c.FirstTokenSilence = set.FirstEvent
+	c.ProbeTimeout = set.Probe
+	c.AckTimeout = set.Connect
+	c.WaitForEndpoint = waitForEngine
+	c.MaxAttempts = s.req.route.Attempts
+	return c
+}
+
+// Of the longest pause, three quarters may pass before the engine is given up: connecting to the
+// engine with the copy and reading the last tokens there takes 50 to 150 ms.
+const (
+	pauseForSilence = 3
+	pauseParts      = 4
+)
+
+func (s *session) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		for actions := s.machine.Ready(); len(actions) > 0; actions = s.machine.Ready() {
+			for _, a := range actions {
+				if s.do(a) {
+					return
+				}
+			}
+		}
+		now := time.Now()
+		timer.Reset(s.machine.Deadline(now).Sub(now))
+		select {
+		case m := <-s.messages:
+			s.take(m)
+		case <-timer.C:
+			s.machine.Tick(time.Now())
+		case <-s.ctx.Done():
+			s.callerOrDeadline()
+		}
+	}
+}
+
+func (s *session) callerOrDeadline() {
+	if errors.Is(s.ctx.Err(), context.DeadlineExceeded) {
+		s.machine.Tick(s.req.deadline)
+		return
+	}
+	s.f.metrics.callerLeft.Inc(1)
+	s.machine.Abort(time.Now())
+}
+
+// do carries out an action of the machine, and tells whether the session has ended.
+func (s *session) do(a generation.Action) bool {
+	switch a := a.(type) {
+	case generation.Start:
+		s.start(a)
+	case generation.Probe:
+		s.probe(a)
+	case generation.Cancel:
+		s.cancel(a.Attempt)
+	case generation.Finish:
+		s.finish()
+		return true
+	case generation.Fail:
+		s.fail(a)
+		return true
+	}
+	return false
+}
+
+// start chooses an engine for an attempt and sends the request there.
+func (s *session) start(a generation.Start) {
+	now := time.Now()
+	if refused := s.f.stillAllowed(s.req); refused != nil && !s.mayHaveRun {
+		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, refused.retryAfter)
+		return
+	}
+	if a.Attempt > 1 && !s.f.budgets.retry(s.req.service, s.f.Instances()) {
+		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, 0)
+		return
+	}
+	e, fromCopy, err := s.choose(a)
+	if err != nil {
+		s.f.Log.Decision(s.req.ID, "no engine", logrus.Fields{"error": err.Error(), "avoided": len(a.Avoid)})
+		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, 0)
+		return
+	}
+	if a.Attempt > 1 {
+		s.f.metrics.retries.Inc(1)
+		s.f.metrics.moved.Inc(1)
+	}
+	s.machine.Routed(a.Attempt, e.ID)
+	s.launch(a.Attempt, e, fromCopy)
+}
+
+// choose returns the engine that holds a copy of the run's memory, or the best other one.
+func (s *session) choose(a generation.Start) (*routing.Endpoint, string, error) {
+	if e := s.copies.take(a.Avoid); e != nil {
+		s.f.metrics.movedByCopy.Inc(1)
+		return e, e.Address, nil
+	}
+	r := s.request()
+	r.Avoid, r.Recovery = a.Avoid, s.mayHaveRun
+	d, err := s.f.Placement.Pick(r)
+	if err != nil {
+		return nil, "", err
+	}
+	return &d.Endpoint, "", nil
+}
+
+// request describes the stream for a choice of engine.
+func (s *session) request() *routing.Request {
+	return &routing.Request{
+		Service: s.req.service, Model: s.req.Model, DataCentre: s.f.Settings.DataCentre, Key: s.req.ID,
+		Prefixes: []uint64{s.req.promptKey()}, Tokens: s.tokens(), Prompt: s.req.PromptTokens, Weights: engineWeights(),
+	}
+}
+
+// engineWeights ranks engines. A prompt that is being read delays a new one by all of its time, and a
+// prompt that is kept saves as much; a running stream delays others by a few hundredths of that.
+func engineWeights() routing.Weights {
+	return routing.Weights{Load: 1, Cache: 1, Remote: 0.02, Unread: 1, Memory: 0.3}
+}
+
+// tokens is the memory that the stream needs at its largest.
+func (s *session) tokens() int { return s.req.PromptTokens + s.req.OutputTokens }
+
+func (s *session) take(m message) {
+	now := time.Now()
+	switch m.kind {
+	case attemptSent:
+		s.mayHaveRun = true
+		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
+	case attemptEvent:
+		s.event(now, m)
+	case attemptDone:
+		j := s.machine.Journal()
+		s.machine.Done(now, m.attempt, j.Len(), j.Hash(), "")
+	case attemptFailed:
+		s.failed(now, m)
+	case attemptProbed:
+		s.machine.Probed(now, m.attempt, m.alive, m.events)
+	}
+}
+
+// event passes an event on if it is the next one of the current attempt.
+func (s *session) event(now time.Time, m message) {
+	if !m.numbered {
+		s.machine.Alive(now, m.attempt)
+		return
+	}
+	if !s.numbered {
+		s.first, s.numbered = m.id, true
+	}
+	a := s.attempts[m.attempt]
+	if a != nil {
+		a.read()
+	}
+	index := int(int64(m.id - s.first))
+	if !s.machine.Token(now, m.attempt, index, nil) {
+		return
+	}
+	if s.relayed == 0 {
+		s.begin(a)
+	}
+	s.wentOn(now, m)
+	s.relayed++
+	s.lastEvent = strconv.FormatUint(m.id, 10)
+	if _, err := s.w.Write(m.block); err != nil {
+		s.machine.Abort(now)
+		return
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		s.machine.Abort(now)
+	}
+}
+
+// begin sends the head of the answer, that of the engine whose event is first.
+func (s *session) begin(a *attempt) {
+	s.f.metrics.firstEvent.RecordDuration(time.Since(s.req.arrived))
+	if a != nil && a.header != nil {
+		copyHeader(s.w.Header(), a.header)
+	}
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// wentOn records that a stream whose engine was lost goes on.
+func (s *session) wentOn(now time.Time, m message) {
+	if s.lostAt.IsZero() {
+		return
+	}
+	pause := now.Sub(s.lostAt)
+	s.lostAt = time.Time{}
+	s.f.metrics.recovered.Inc(1)
+	s.f.metrics.eventMove.RecordDuration(pause)
+	s.f.Log.Decision(s.req.ID, "went on", logrus.Fields{"endpoint": m.endpoint, "event": m.id, "pause_ms": pause.Milliseconds()})
+}
+
+// failed takes the end of an attempt that brought no whole answer.
+func (s *session) failed(now time.Time, m message) {
+	if s.machine.GaveUp(m.attempt) {
+		return
+	}
+	if m.answer != nil {
+		s.last = m.answer
+	}
+	if m.failure == generation.Refused {
+		s.copies.drop() // the run did not begin, so there is nothing to copy
+	}
+	s.lost(now)
+	s.f.Log.Decision(s.req.ID, "attempt failed", logrus.Fields{
+		"attempt": m.attempt, "endpoint": m.endpoint, "error": errorText(m.err), "not_run": m.failure == generation.Refused, "events": s.relayed,
+	})
+	s.machine.Failed(now, m.attempt, m.failure, 0)
+}
+
+func (s *session) lost(now time.Time) {
+	if s.relayed > 0 && s.lostAt.IsZero() {
+		s.lostAt = now
+	}
+}
+
+// cancel ends an attempt that is not needed any more. Its engine sees the connection close.
+func (s *session) cancel(number int) {
+	a := s.attempts[number]
+	if a == nil {
+		return
+	}
+	if !s.machine.Ended() {
+		s.lost(time.Now())
+		s.f.metrics.silences.Inc(1)
+		s.f.Placement.Failed(a.endpoint.ID)
+		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayed})
+	}
+	a.cancel()
+}
+
+func (s *session) finish() {
+	if s.relayed == 0 {
+		s.begin(s.current())
+	}
+	s.copies.done()
+	s.f.metrics.answered.Inc(1)
+	s.f.Log.Decision(s.req.ID, "answered", logrus.Fields{"events": s.relayed, "attempts": len(s.attempts), "took_ms": time.Since(s.req.arrived).Milliseconds()})
+}
+
+func (s *session) current() *attempt {
+	n, _ := s.machine.Attempt()
+	return s.attempts[n]
+}
+
+// fail ends a stream that can't be completed: with a refusal when nothing was passed on yet, else
+// with a closed connection, which the caller can't take for a whole answer.
+func (s *session) fail(a generation.Fail) {
+	if s.relayed > 0 {
+		s.f.metrics.brokenOff.Inc(1)
+		s.f.Log.Refusal(s.req.ID, "stream broken off", logrus.Fields{"events": s.relayed, "code": string(a.Code)})
+		panic(http.ErrAbortHandler)
+	}
+	if s.last != nil && a.Code != generation.CodeCanceled {
+		p := plain{f: s.f, req: s.req, w: s.w}
+		p.deliver(s.last)
+		return
+	}
+	s.f.answerRefusal(s.w, s.req, s.refusal(a))
+}
+
+func (s *session) refusal(a generation.Fail) *refusal {
+	inputs := logrus.Fields{"code": string(a.Code), "attempts": len(s.attempts)}
+	switch {
+	case !s.mayHaveRun:
+		return refuse(http.StatusServiceUnavailable, "no engine took the request", whenRoom(a.RetryAfter)).with(inputs)
+	case a.Code == generation.CodeDeadline:
+		return refuse(http.StatusGatewayTimeout, "no answer in time", 0).with(inputs)
+	}
+	return refuse(http.StatusBadGateway, "the engines that had the request were lost", 0).with(inputs)
+}
+
+// close ends what is left of the attempts.
+func (s *session) close() {
+	for _, a := range s.attempts {
+		a.cancel()
+	}
+	s.copies.close()
+}
+
+// logPlaced logs where an attempt goes and why.
+func (s *session) logPlaced(a *attempt) {
+	inputs := logrus.Fields{
+		"attempt": a.number, "endpoint": a.endpoint.ID, "data_centre": a.endpoint.DataCentre,
+		"prompt_tokens": s.req.PromptTokens, "events": s.relayed, "configuration": s.req.table.Version(),
+	}
+	if a.send.CopyFrom != "" {
+		inputs["from_copy"] = a.send.CopyFrom
+	}
+	if k := s.copies.at; k != nil {
+		inputs["copy_at"] = k.ID
+	}
+	s.f.Log.Decision(s.req.ID, "placed", inputs)
+}
--- /dev/null
+++ b/gateway/front/front.go
@@ -0,0 +1,271 @@
+// Package front puts together an instance that forwards requests on a platform, and runs it.
+//
+// Failure modes: an address that can't be listened on ends the start with an error. The store being
+// down does not: until a configuration is known, requests are refused with 503 and the instance is not
+// ready.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/joomcode/errorx"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/decisions"
+	"github.com/agateway/agateway/gateway/exchange"
+	"github.com/agateway/agateway/gateway/follow"
+	"github.com/agateway/agateway/gateway/forward"
+	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/placement"
+	"github.com/agateway/agateway/gateway/settings"
+	"github.com/agateway/agateway/gateway/telemetry"
+	"github.com/agateway/agateway/gateway/upstream"
+	"github.com/agateway/agateway/platform"
+)
+
+// Errors of this layer.
+var (
+	namespace = errorx.NewNamespace("front")
+	// ErrListen: an address of the settings can't be listened on.
+	ErrListen = namespace.NewType("listen")
+)
+
+// Front is a running instance.
+type Front struct {
+	settings  *settings.Front
+	telemetry *telemetry.Telemetry
+	output    *decisions.Writer
+	decisions *decisions.Log
+
+	store         *platform.Store
+	configuration *follow.Configuration
+	endpoints     *follow.Endpoints
+	placement     *placement.Placement
+	pool          *upstream.Pool
+	forwarder     *forward.Forwarder
+	exchange      *exchange.Exchange
+
+	callers  *callers
+	servers  []*http.Server
+	draining atomic.Bool
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+}
+
+// Start listens and runs an instance. Log lines go to out.
+func Start(s *settings.Front, out io.Writer) (*Front, error) {
+	f := &Front{settings: s, output: decisions.NewWriter(out)}
+	t, err := telemetry.NewFront(s, f.output)
+	if err != nil {
+		return nil, err
+	}
+	f.telemetry = t
+	limitMemory(s.Process.Memory)
+	listeners, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	f.build(listeners)
+	f.serve(listeners)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for _, run := range []func(context.Context){f.configuration.Run, f.endpoints.Run, f.exchange.Run, f.decisions.Run, f.sweep} {
+		f.work.Go(func() { run(ctx) })
+	}
+	t.Log.WithField("callers", s.Listen.Callers).WithField("store", s.Store.Address).Info("started")
+	return f, nil
+}
+
+// The collector keeps the heap small: memory that is left free is worth more than the processor time
+// that collecting it takes. Of what the process may use, a share stays for what the collector does not
+// count, such as stacks and received bytes that were not read yet.
+const (
+	heapShare = 0.6
+	heapGrow  = 50
+)
+
+func limitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(heapShare * float64(megabytes) * (1 << 20)))
+	debug.SetGCPercent(heapGrow)
+}
+
+// listeners are all the addresses that are listened on.
+type listeners struct {
+	callers, ready, directory, metrics net.Listener
+	peers                              net.PacketConn
+}
+
+func listen(s *settings.Front) (*listeners, error) {
+	l := &listeners{}
+	for _, a := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&l.callers, s.Listen.Callers}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.metrics, s.Listen.Metrics},
+	} {
+		if a.address == "" {
+			continue
+		}
+		var err error
+		if *a.to, err = net.Listen("tcp", a.address); err != nil {
+			return nil, ErrListen.Wrap(err, "can't listen on %s", a.address)
+		}
+	}
+	var err error
+	if l.peers, err = net.ListenPacket("udp", s.Listen.Peers); err != nil {
+		return nil, ErrListen.Wrap(err, "can't listen on %s", s.Listen.Peers)
+	}
+	return l, nil
+}
+
+// Of the bound on keys that were taken away, a request may use a part: the rest is for the store's
+// answer on its way, and for the request on its way to the endpoint.
+const keyShare = 0.6
+
+// Of the bound on applying a change, the part within which a request may be denied for good.
+const denyShare = 0.85
+
+// build makes the parts and joins them.
+func (f *Front) build(l *listeners) {
+	s, t := f.settings, f.telemetry
+	dial := network.Within(network.TCP{}, s.Streams.Connect)
+	f.decisions = decisions.New(t.Log)
+	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.Within(network.TCP{}, s.Store.Timeout))
+	view := routing.DefaultSettings()
+	view.Choices = choices
+	f.placement = placement.New(view, rand.Uint64())
+	f.pool = upstream.NewPool(dial)
+	f.configuration = follow.NewConfiguration(f.store, s.Store.Watch, t.Log, f.reconfigured)
+	f.endpoints = follow.NewEndpoints(f.store, s.Store.Watch, t.Log, f.listed)
+	f.exchange = exchange.New(exchange.Options{
+		Self: exchange.Peer{
+			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
+		},
+		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.placement.Own, Placed: f.placement.SetPeer, Log: t.Log, Scope: t.Scope,
+	})
+	f.forwarder = forward.New(forward.Options{
+		Settings: forward.Settings{
+			DataCentre: s.Instance.DataCentre, KeyBound: f.keyBound(), DenyBound: time.Duration(denyShare * float64(s.Bounds.Apply)),
+			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve,
+			SilenceFloor: s.Streams.Silence, FirstEvent: s.Streams.FirstEvent, Probe: s.Streams.Probe, Connect: s.Streams.Connect,
+		},
+		Configuration: f.configuration, Placement: f.placement, Pool: f.pool, Instances: f.exchange.Alive,
+		Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope,
+	})
+}
+
+// choices is how many endpoints a choice compares at random, besides those of the own data centre: of
+// a few dozen engines, enough to find one that is idle.
+const choices = 8
+
+func (f *Front) keyBound() time.Duration {
+	return time.Duration(keyShare * float64(f.settings.Bounds.Revoke))
+}
+
+// reconfigured takes a new configuration: engines' memory comes with their service.
+func (f *Front) reconfigured(*route.Table) { f.endpoints.Publish() }
+
+// listed takes the list of endpoints.
+func (f *Front) listed(all []routing.Endpoint) {
+	table, _ := f.configuration.Table()
+	for i := range all {
+		if table == nil {
+			break
+		}
+		if s := table.Service(all[i].Service); s != nil && s.Engine != nil {
+			all[i].Memory = s.Engine.Memory
+		}
+	}
+	f.placement.SetEndpoints(all)
+}
+
+// ready tells whether callers may be sent here: a configuration is known to be in force.
+func (f *Front) ready() bool {
+	table, age := f.configuration.Table()
+	if table == nil || f.draining.Load() {
+		return false
+	}
+	return !table.NeedsKey() || age < f.keyBound()
+}
+
+// serve begins to answer on all addresses.
+func (f *Front) serve(l *listeners) {
+	f.callers = newCallers(f.forwarder, f.configuration, l.callers, f.telemetry.Log)
+	f.work.Go(f.callers.run)
+	f.handle(l.ready, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
+	f.handle(l.directory, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
+	if l.metrics != nil {
+		f.handle(l.metrics, func(r chi.Router) { r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics) })
+	}
+}
+
+// smallTimeout bounds the header of a small call, and its idle connections.
+const smallTimeout = 10 * time.Second
+
+func (f *Front) handle(l net.Listener, routes func(chi.Router)) {
+	r := chi.NewRouter()
+	routes(r)
+	server := &http.Server{Handler: r, ReadHeaderTimeout: smallTimeout, IdleTimeout: smallTimeout}
+	f.servers = append(f.servers, server)
+	f.work.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			f.telemetry.Log.WithError(err).Error("listener failed")
+		}
+	})
+}
+
+func (f *Front) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// addressesMost is how many addresses a caller is told at the most.
+const addressesMost = 64
+
+func (f *Front) answerResolve(w http.ResponseWriter, r *http.Request) {
+	place := platform.ReadPlace(r.URL.Query())
+	addresses := f.exchange.Entry(place.DataCentre, place.Region)
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := platform.EncodeAddresses(addresses[:min(len(addresses), addressesMost)], f.settings.Bounds.Keep)
+	if err != nil {
+		f.telemetry.Log.WithError(err).Error("addresses can't be encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // the caller may be gone
+}
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = time.Second
+
+// sweep closes idle connections that endpoints are about to close, or whose endpoint is gone.
+func (f *Front) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f.pool.Retain(f.placement.Known)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/placement/placement.go
@@ -0,0 +1,160 @@
+// Package placement holds what this instance knows of the endpoints and lets many requests choose at
+// once. The decisions are those of package routing.
+//
+// Failure modes: the list of endpoints lags, so a chosen one may be gone; it refuses or can't be
+// reached, and the caller chooses again without it. An endpoint that ended is remembered as gone until
+// the list drops it.
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/agateway/agateway/core/routing"
+)
+
+// Placement is the endpoints as this instance knows them. It is safe for concurrent use.
+type Placement struct {
+	mu   sync.Mutex
+	view *routing.View
+	rnd  *rand.Rand
+	// gone holds endpoints that said, or showed, that they ended while the list still names them.
+	gone map[string]bool
+}
+
+// New returns an empty placement.
+func New(s routing.Settings, seed uint64) *Placement {
+	return &Placement{view: routing.NewView(s), rnd: rand.New(rand.NewPCG(seed, seed)), gone: map[string]bool{}}
+}
+
+// SetEndpoints takes the list of endpoints; those it does not hold are dropped.
+func (p *Placement) SetEndpoints(list []routing.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := make(map[string]bool, len(list))
+	for _, e := range list {
+		keep[e.ID] = true
+		if p.gone[e.ID] {
+			e.State = routing.Leaving
+		}
+		p.view.Upsert(e)
+	}
+	for id := range p.gone {
+		if !keep[id] {
+			delete(p.gone, id)
+		}
+	}
+	p.view.Retain(keep)
+}
+
+// Pick chooses an endpoint.
+func (p *Placement) Pick(r *routing.Request) (routing.Decision, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Pick(time.Now(), r, p.rnd)
+}
+
+// Get returns an endpoint.
+func (p *Placement) Get(id string) (routing.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Get(id)
+}
+
+// Known tells whether the list holds an endpoint.
+func (p *Placement) Known(id string) bool {
+	_, ok := p.Get(id)
+	return ok
+}
+
+// Sent records a request to an endpoint, and what it takes there.
+func (p *Placement) Sent(id string, w routing.Placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Sent(time.Now(), id)
+	p.view.Place(id, w)
+}
+
+// Finished records the end of a request at an endpoint, and gives back what it took.
+func (p *Placement) Finished(id string, w routing.Placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Finished(time.Now(), id)
+	p.view.Release(id, w)
+}
+
+// Place records what a request takes at an endpoint without running there, such as a copy of its
+// memory.
+func (p *Placement) Place(id string, w routing.Placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Place(id, w)
+}
+
+// Release gives back what [Placement.Place] or [Placement.Sent] recorded, or a part of it.
+func (p *Placement) Release(id string, w routing.Placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Release(id, w)
+}
+
+// Report takes an endpoint's own word on its load.
+func (p *Placement) Report(id string, running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Report(time.Now(), id, routing.Load{Running: running, Queued: waiting})
+}
+
+// Failed records that an endpoint failed a request.
+func (p *Placement) Failed(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Failed(time.Now(), id)
+}
+
+// Succeeded clears the suspicion of an endpoint.
+func (p *Placement) Succeeded(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Succeeded(id)
+}
+
+// Gone records that this incarnation of an endpoint ended: its address answered for another one.
+func (p *Placement) Gone(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone[id] = true
+	if e, ok := p.view.Get(id); ok {
+		e.State = routing.Leaving
+		p.view.Upsert(e)
+	}
+}
+
+// Stored records that an endpoint has read a prompt.
+func (p *Placement) Stored(id string, prompt uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.CacheStored(time.Now(), id, prompt)
+}
+
+// Own returns what this instance has placed, by endpoint.
+func (p *Placement) Own() map[string]routing.Placed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Own()
+}
+
+// SetPeer takes what another instance told that it has placed; nil forgets the instance.
+func (p *Placement) SetPeer(peer string, placed map[string]routing.Placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.SetPeer(peer, placed)
+}
+
+// List returns all endpoints with what is believed of them.
+func (p *Placement) List() []routing.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.List(time.Now())
+}
--- a/gateway/settings/check.go
+++ b/gateway/settings/check.go
@@ -13,14 +13,15 @@
 const leastSecret = 16
 
 var checks = map[string]func(string) error{
-	"address":  checkAddress,
-	"url":      checkURL,
-	"secret":   checkSecret,
-	"sha256":   checkSHA256,
-	"policy":   oneOf("latency", "frugal", "restart", "no-probe"),
-	"level":    oneOf("debug", "info", "warning", "error"),
-	"format":   oneOf("text", "json"),
-	"exporter": oneOf("none", "otlp"),
+	"address":          checkAddress,
+	"optional-address": checkOptionalAddress,
+	"url":              checkURL,
+	"secret":           checkSecret,
+	"sha256":           checkSHA256,
+	"policy":           oneOf("latency", "frugal", "restart", "no-probe"),
+	"level":            oneOf("debug", "info", "warning", "error"),
+	"format":           oneOf("text", "json"),
+	"exporter":         oneOf("none", "otlp"),
 }
 
 // contradictions checks keys against each other.
@@ -46,6 +47,13 @@
 	return nil
 }
 
+func checkOptionalAddress(text string) error {
+	if text == "" {
+		return nil
+	}
+	return checkAddress(text)
+}
+
 func checkURL(text string) error {
 	u, err := url.Parse(text)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- /dev/null
+++ b/gateway/settings/front.go
@@ -0,0 +1,83 @@
+package settings
+
+import "time"
+
+// Front are the settings of an instance that forwards requests on a platform: it takes routes, keys and
+// endpoints from the platform's store.
+type Front struct {
+	Instance FrontInstance `ini:"instance"`
+	Listen   FrontListen   `ini:"listen"`
+	Store    FrontStore    `ini:"store"`
+	Bounds   FrontBounds   `ini:"bounds"`
+	Retries  FrontRetries  `ini:"retries"`
+	Streams  FrontStreams  `ini:"streams"`
+	Process  FrontProcess  `ini:"process"`
+	Logs     FrontLogs     `ini:"logs"`
+}
+
+// FrontInstance says who and where this process is.
+type FrontInstance struct {
+	ID         string `ini:"id" required:"yes" doc:"name of this instance, unique in the fleet"`
+	DataCentre string `ini:"data_centre" required:"yes" doc:"data centre this instance runs in"`
+	Region     string `ini:"region" required:"yes" doc:"region of the data centre"`
+}
+
+// FrontListen says where to listen.
+type FrontListen struct {
+	Callers   string `ini:"callers" required:"yes" check:"address" doc:"address for requests to be forwarded"`
+	Ready     string `ini:"ready" required:"yes" check:"address" doc:"address that tells whether this instance serves"`
+	Directory string `ini:"directory" required:"yes" check:"address" doc:"address that tells callers which instances to use"`
+	Peers     string `ini:"peers" required:"yes" check:"address" doc:"address for datagrams of other instances; they have to reach it"`
+	Metrics   string `ini:"metrics" check:"optional-address" doc:"address of the metrics; empty for none"`
+}
+
+// FrontStore says how to reach the platform's store.
+type FrontStore struct {
+	Address string        `ini:"address" required:"yes" check:"address" doc:"address of the platform's store"`
+	Timeout time.Duration `ini:"timeout" default:"1s" min:"10ms" doc:"time one call may take; a watch may take its wait besides"`
+	Watch   time.Duration `ini:"watch" default:"1s" min:"50ms" doc:"how long a watch waits; the proof that the configuration is the newest grows this old in calm times"`
+}
+
+// FrontBounds are what the deployment asks for.
+type FrontBounds struct {
+	Revoke time.Duration `ini:"revoke" default:"5s" min:"100ms" doc:"a key that was taken away must not be served longer than this"`
+	Apply  time.Duration `ini:"apply" default:"2s" min:"100ms" doc:"a change of the configuration has to be in force within this"`
+	Grace  time.Duration `ini:"grace" default:"8s" min:"1s" doc:"time between the signal to stop and the end by force"`
+	Keep   time.Duration `ini:"keep" default:"2s" min:"100ms" doc:"how long callers may keep an answer of the directory"`
+}
+
+// FrontRetries bounds what is sent once more.
+type FrontRetries struct {
+	Share   float64 `ini:"share" default:"0.2" min:"0" doc:"requests sent once more, per request"`
+	Reserve float64 `ini:"reserve" default:"50" min:"0" doc:"requests sent once more besides, shared by all instances"`
+}
+
+// FrontStreams says when the engine of a stream counts as lost.
+type FrontStreams struct {
+	Silence    time.Duration `ini:"silence" default:"400ms" min:"10ms" doc:"least silence of a stream that counts as the loss of its engine"`
+	FirstEvent time.Duration `ini:"first_event" default:"700ms" min:"10ms" doc:"an engine without a first event is asked this often whether it is alive"`
+	Probe      time.Duration `ini:"probe" default:"200ms" min:"5ms" doc:"time an engine may take to say that it is alive"`
+	Connect    time.Duration `ini:"connect" default:"250ms" min:"5ms" doc:"time a connection to an endpoint may take"`
+}
+
+// FrontProcess bounds the process.
+type FrontProcess struct {
+	Memory int `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB"`
+}
+
+// FrontLogs says how to log.
+type FrontLogs struct {
+	Level string `ini:"level" default:"info" check:"level" doc:"debug, info, warning or error"`
+}
+
+// contradictions checks keys against each other.
+func (s *Front) contradictions() []string {
+	var out []string
+	if s.Store.Watch+s.Store.Timeout >= s.Bounds.Revoke {
+		out = append(out, "[store] watch: with timeout has to be less than [bounds] revoke")
+	}
+	if s.Store.Watch >= s.Bounds.Apply {
+		out = append(out, "[store] watch: has to be less than [bounds] apply")
+	}
+	return out
+}
--- a/gateway/settings/load.go
+++ b/gateway/settings/load.go
@@ -23,17 +23,30 @@
 )
 
 // Load reads and checks a file.
-func Load(file string) (*Settings, error) { return load(file) }
+func Load(file string) (*Settings, error) { return load[Settings](file) }
+
+// LoadFront reads and checks the settings of an instance that forwards.
+func LoadFront(file string) (*Front, error) { return load[Front](file) }
+
+// ParseFront is [LoadFront] from memory.
+func ParseFront(text []byte) (*Front, error) { return load[Front](text) }
 
 // Parse reads and checks settings from memory.
-func Parse(text []byte) (*Settings, error) { return load(text) }
+func Parse(text []byte) (*Settings, error) { return load[Settings](text) }
+
+// kind is a set of settings.
+type kind[T any] interface {
+	*T
+	// contradictions checks keys against each other.
+	contradictions() []string
+}
 
-func load(source any) (*Settings, error) {
+func load[T any, P kind[T]](source any) (*T, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false}, source)
 	if err != nil {
 		return nil, ErrUnreadable.Wrap(err, "can't read the settings")
 	}
-	s := &Settings{}
+	s := new(T)
 	var problems []string
 	known := map[string]bool{ini.DefaultSection: true}
 	eachSection(s, func(name string, section reflect.Value) {
@@ -48,14 +61,14 @@
 	for _, k := range f.Section(ini.DefaultSection).Keys() {
 		problems = append(problems, fmt.Sprintf("%s: key outside any section", k.Name()))
 	}
-	problems = append(problems, s.contradictions()...)
+	problems = append(problems, P(s).contradictions()...)
 	if len(problems) > 0 {
 		return nil, ErrInvalid.New("%s", strings.Join(problems, "; "))
 	}
 	return s, nil
 }
 
-func eachSection(s *Settings, visit func(string, reflect.Value)) {
+func eachSection(s any, visit func(string, reflect.Value)) {
 	v := reflect.ValueOf(s).Elem()
 	for i := range v.NumField() {
 		visit(v.Type().Field(i).Tag.Get("ini"), v.Field(i))
@@ -163,8 +176,13 @@
 }
 
 // Print writes all keys with their defaults and meaning, as a file to start from.
-func Print(w io.Writer) {
-	eachSection(&Settings{}, func(name string, section reflect.Value) {
+func Print(w io.Writer) { printAll(w, &Settings{}) }
+
+// PrintFront is [Print] for the settings of an instance that forwards.
+func PrintFront(w io.Writer) { printAll(w, &Front{}) }
+
+func printAll(w io.Writer, s any) {
+	eachSection(s, func(name string, section reflect.Value) {
 		_, _ = fmt.Fprintf(w, "[%s]\n", name)
 		for i := range section.NumField() {
 			printKey(w, section.Type().Field(i))
--- a/gateway/telemetry/telemetry.go
+++ b/gateway/telemetry/telemetry.go
@@ -51,6 +51,21 @@
 	return t, t.traces(s)
 }
 
+// NewFront sets up logs as JSON lines and metrics, for an instance that forwards.
+func NewFront(s *settings.Front, out io.Writer) (*Telemetry, error) {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	level, err := logrus.ParseLevel(s.Logs.Level)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(level)
+	t := &Telemetry{Log: log.WithField("instance", s.Instance.ID)}
+	t.metrics()
+	return t, nil
+}
+
 func (t *Telemetry) metrics() {
 	registry := client.NewRegistry()
 	sanitize := prometheus.DefaultSanitizerOpts
