forward: an engine that reads a prompt counts as alive, a copy is used from the first event on

Cause: an engine's report names a request only from its first event on, so the probe at 0.7 s took every engine that was reading a prompt for lost and the stream went round the fleet (641 of 660 arrivals rejected or given up). A copy does not exist before the first event either. Ruled out: a wrong echo of the id (the report was looked at raw). Conclusion: waiting or unnamed running requests count as ours.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -57,6 +57,8 @@
 	header   http.Header // of the engine's answer; set before the first event is reported
 	cancel   context.CancelFunc
 
+	// over tells that it reported its end. It belongs to the session's goroutine.
+	over   bool
 	placed routing.Placed
 	once   sync.Once // the prompt was read
 }
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -35,8 +35,9 @@
 	}()
 }
 
-// holds tells whether a report speaks of a request, or of requests that wait, and how many events
-// the engine has made for it.
+// holds tells whether a request may be among those that a report speaks of, and how many events the
+// engine has made for it. A request is named from its first event on; before that it is one of those
+// that wait or run without a name.
 func holds(r *platform.Report, id string, countable bool) (bool, int) {
 	for _, run := range r.Runs {
 		if run.ID != id {
@@ -47,7 +48,7 @@
 		}
 		return true, 0
 	}
-	return r.Waiting > 0, 0
+	return r.Waiting > 0 || r.Running > len(r.Runs), 0
 }
 
 // report reads an engine's state on a connection of its own.
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -173,7 +173,7 @@
 
 // choose returns the engine that holds a copy of the run's memory, or the best other one.
 func (s *session) choose(a generation.Start) (*routing.Endpoint, string, error) {
-	if e := s.copies.take(a.Avoid); e != nil {
+	if e := s.copies.take(a.Avoid); e != nil && s.relayed > 0 { // nothing is copied before the first event
 		s.f.metrics.movedByCopy.Inc(1)
 		return e, e.Address, nil
 	}
@@ -282,6 +282,9 @@
 	if m.answer != nil {
 		s.last = m.answer
 	}
+	if a := s.attempts[m.attempt]; a != nil {
+		a.over = true
+	}
 	if m.failure == generation.Refused {
 		s.copies.drop() // the run did not begin, so there is nothing to copy
 	}
@@ -304,7 +307,7 @@
 	if a == nil {
 		return
 	}
-	if !s.machine.Ended() {
+	if !s.machine.Ended() && !a.over {
 		s.lost(time.Now())
 		s.f.metrics.silences.Inc(1)
 		s.f.Placement.Failed(a.endpoint.ID)
