forward: who has read a prompt is known to all, and asked for when nobody remembers

Ruled out: going on from the copy, which is named by the lost request's id. Change: announcements name the engines that have read the prompts of streams in progress; when no instance remembers (all lost), the engines are asked once what they keep.

--- a/core/routing/cache.go
+++ b/core/routing/cache.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Holds tells whether any live endpoint is believed to hold a prompt prefix.
+func (v *View) Holds(now time.Time, prefix uint64) bool {
+	e := v.cache.entries[prefix]
+	if e == nil {
+		return false
+	}
+	for i := range e.holders {
+		if n := v.nodes[e.holders[i].endpoint]; n != nil && now.Sub(e.holders[i].at) < v.cache.ttl {
+			return true
+		}
+	}
+	return false
+}
+
 // cached returns the share of the prefixes, shortest first, that an endpoint is
 // believed to hold.
 func (v *View) cached(now time.Time, id string, prefixes []uint64) float64 {
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // Placed is what one instance, or all others together, have placed at an endpoint.
 type Placed struct {
 	// Open is the number of requests in progress.
@@ -59,11 +61,24 @@
 	Placed map[string]Placed
 	// Suspects are the endpoints that failed it a short while ago.
 	Suspects []string
+	// Read are the prompts of its requests in progress that endpoints have read.
+	Read []Read
+}
+
+// Read says that an endpoint has read a prompt.
+type Read struct {
+	Endpoint string
+	Prompt   uint64
 }
 
 // SetPeer takes what another instance told; it replaces what that instance told before. The zero
 // value forgets the instance.
-func (v *View) SetPeer(peer string, t Told) {
+func (v *View) SetPeer(now time.Time, peer string, t Told) {
+	for _, r := range t.Read {
+		if v.nodes[r.Endpoint] != nil {
+			v.CacheStored(now, r.Endpoint, r.Prompt)
+		}
+	}
 	old := v.peers[peer]
 	for id, p := range old.Placed {
 		if n := v.nodes[id]; n != nil {
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -28,11 +28,13 @@
 	// silence is how long an instance may say nothing before it is left out: three announcements may
 	// be lost.
 	silence = 4 * Every
-	// placedMost and suspectsMost keep an announcement within one unfragmented datagram of 1,400 bytes.
-	placedMost   = 30
-	suspectsMost = 20
+	// placedMost, suspectsMost and readMost keep an announcement within 2,000 bytes; usual ones have
+	// 200 to 400.
+	placedMost   = 24
+	suspectsMost = 16
+	readMost     = 24
 	// datagramMost is the size of the receive buffer, in bytes.
-	datagramMost = 2048
+	datagramMost = 4096
 )
 
 // Store is where instances find each other.
@@ -222,6 +224,9 @@
 	addresses := x.table.addresses()
 	x.mu.Unlock()
 	a.Suspects = own.Suspects[:min(len(own.Suspects), suspectsMost)]
+	for _, r := range own.Read[:min(len(own.Read), readMost)] {
+		a.Read = append(a.Read, &peerv1.ReadAt{Endpoint: r.Endpoint, Prompt: r.Prompt})
+	}
 	for _, id := range fit(own.Placed, placedMost) {
 		p := own.Placed[id]
 		a.Placed = append(a.Placed, &peerv1.PlacedAt{Endpoint: id, Open: uint32(p.Open), Tokens: uint32(p.Tokens), Unread: uint32(p.Unread)})
@@ -282,7 +287,7 @@
 	if came || turned {
 		x.Log.WithFields(logrus.Fields{"peer": p.ID, "ready": p.Ready, "data_centre": p.DataCentre}).Info("peer heard")
 	}
-	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects})
+	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects, Read: decodeRead(a.Read)})
 	if a.Hello {
 		x.Changed()
 	}
@@ -296,6 +301,14 @@
 	return out
 }
 
+func decodeRead(in []*peerv1.ReadAt) []routing.Read {
+	out := make([]routing.Read, len(in))
+	for i, r := range in {
+		out[i] = routing.Read{Endpoint: r.Endpoint, Prompt: r.Prompt}
+	}
+	return out
+}
+
 // expire forgets what instances placed that have fallen silent.
 func (x *Exchange) expire() {
 	x.mu.Lock()
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/route"
@@ -124,17 +123,13 @@
 	return req.team.Name
 }
 
-// promptKey names the prompt: requests with the same parts share what an engine has read of it.
+// promptKey names the prompt by its last part, which is the request's own: who asks again for the same,
+// such as a caller whose connection was lost, brings the same one. 0 when there is none.
 func (req *request) promptKey() uint64 {
-	h := xxhash.New()
-	for _, p := range req.Parts {
-		var b [8]byte
-		for i := range b {
-			b[i] = byte(p.ID >> (8 * i))
-		}
-		_, _ = h.Write(b[:])
+	if len(req.Parts) == 0 {
+		return 0
 	}
-	return h.Sum64()
+	return req.Parts[len(req.Parts)-1].ID
 }
 
 // bodyKept is how much of a body is kept in memory, so that it can be sent again. Larger ones are
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -93,6 +93,7 @@
 	a.once.Do(func() {
 		a.session.f.Placement.Release(a.endpoint.ID, routing.Placed{Unread: a.placed.Unread})
 		a.session.f.Placement.Stored(a.endpoint.ID, a.session.req.promptKey())
+		a.session.f.reads.add(a.session.req.promptKey(), a.endpoint.ID)
 	})
 }
 
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -70,6 +70,8 @@
 type Forwarder struct {
 	Options
 	budgets budgets
+	reads   reads
+	locator locator
 	open    atomic.Int64
 	metrics metrics
 
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -60,6 +60,9 @@
 		messages: make(chan message, messagesAhead), attempts: map[int]*attempt{},
 	}
 	s.copies = copies.New(s.copySettings())
+	if req.LastEvent != "" {
+		f.locate(ctx, req)
+	}
 	if n, err := strconv.ParseUint(req.LastEvent, 10, 64); err == nil {
 		s.first, s.numbered = n+1, true
 	}
@@ -216,10 +219,11 @@
 	}
 }
 
-// engineWeights ranks engines. A prompt that is being read delays a new one by all of its time, and a
-// prompt that is kept saves as much; a running stream delays others by a few hundredths of that.
+// engineWeights ranks engines. A prompt that is being read delays a new one by all of its time; a prompt
+// that is kept saves as much, and the engine's work besides, so it counts twice. A running stream delays
+// others by a few hundredths of that.
 func engineWeights() routing.Weights {
-	return routing.Weights{Load: 1, Cache: 1, Remote: 0.02, Unread: 1, Memory: 0.3}
+	return routing.Weights{Load: 1, Cache: 2, Remote: 0.02, Unread: 1, Memory: 0.3}
 }
 
 // tokens is the memory that the stream needs at its largest.
@@ -404,6 +408,7 @@
 		a.cancel()
 	}
 	s.leaveCopy()
+	s.f.reads.remove(s.req.promptKey())
 }
 
 // logPlaced logs where an attempt goes and why.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -144,6 +144,7 @@
 	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.Within(network.TCP{}, s.Store.Timeout))
 	view := routing.DefaultSettings()
 	view.Choices = choices
+	view.QueueFactor = queueFactor
 	f.placement = placement.New(view, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
 	f.configuration = follow.NewConfiguration(f.store, s.Store.Watch, t.Log, f.reconfigured)
@@ -172,9 +173,14 @@
 // a quarter of the engines read one.
 const choices = 4
 
+// queueFactor times its slots is what an endpoint may hold: what waits there for a slot is served
+// sooner than what waits here, as long as the wait is within the aim. At three times the slots, a
+// request waits for two others.
+const queueFactor = 3
+
 // told returns what this instance has to tell of endpoints.
 func (f *Front) told() routing.Told {
-	return routing.Told{Placed: f.placement.Own(), Suspects: f.placement.Suspects()}
+	return routing.Told{Placed: f.placement.Own(), Suspects: f.placement.Suspects(), Read: f.forwarder.Read()}
 }
 
 func (f *Front) keyBound() time.Duration {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -138,6 +138,13 @@
 	p.view.CacheStored(time.Now(), id, prompt)
 }
 
+// Holds tells whether any endpoint is believed to have read a prompt.
+func (p *Placement) Holds(prompt uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Holds(time.Now(), prompt)
+}
+
 // Own returns what this instance has placed, by endpoint.
 func (p *Placement) Own() map[string]routing.Placed {
 	p.mu.Lock()
@@ -149,7 +156,7 @@
 func (p *Placement) SetPeer(peer string, t routing.Told) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view.SetPeer(peer, t)
+	p.view.SetPeer(time.Now(), peer, t)
 }
 
 // Suspects returns the endpoints that failed this instance a short while ago.
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -57,7 +57,7 @@
 	Silence    time.Duration `ini:"silence" default:"400ms" min:"10ms" doc:"least silence of a stream that counts as the loss of its engine"`
 	FirstEvent time.Duration `ini:"first_event" default:"700ms" min:"10ms" doc:"an engine without a first event is asked this often whether it is alive"`
 	Probe      time.Duration `ini:"probe" default:"200ms" min:"5ms" doc:"time an engine may take to say that it is alive"`
-	Connect    time.Duration `ini:"connect" default:"250ms" min:"5ms" doc:"time a connection to an endpoint may take"`
+	Connect    time.Duration `ini:"connect" default:"120ms" min:"5ms" doc:"time a connection to an endpoint may take"`
 }
 
 // FrontProcess bounds the process.
