front: keys are served up to 0.78 of their bound; callers come back later when the store is away

Cause: while the store was away all requests with a key were refused from 2 to 3 s on, one second before the proof of the configuration was as old as the pages allow for, and callers who were told to come back after 0.1 to 0.4 s were refused again at once. Ruled out: going further than 0.78 of the bound: a watch may hear nothing for a second although there was a change.

--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -59,7 +59,7 @@
 			return f.deny(http.StatusUnauthorized, "unknown key", age, inputs)
 		}
 		if age >= f.Settings.KeyBound {
-			return refuse(http.StatusServiceUnavailable, "configuration too old for keys", soon()).with(inputs)
+			return refuse(http.StatusServiceUnavailable, "configuration too old for keys", whenStoreIsBack()).with(inputs)
 		}
 	}
 	if req.route == nil || !leadsTo(matched, req.service) {
@@ -82,7 +82,7 @@
 // deny refuses a request for good, or for now when the configuration may have changed meanwhile.
 func (f *Forwarder) deny(status int, why string, age time.Duration, inputs logrus.Fields) *refusal {
 	if age >= f.Settings.DenyBound {
-		return refuse(http.StatusServiceUnavailable, why+" in a configuration that may be old", soon()).with(inputs)
+		return refuse(http.StatusServiceUnavailable, why+" in a configuration that may be old", whenStoreIsBack()).with(inputs)
 	}
 	return refuse(status, why, 0).with(inputs)
 }
--- a/gateway/forward/refuse.go
+++ b/gateway/forward/refuse.go
@@ -53,6 +53,15 @@
 	soonSpread = 300 * time.Millisecond
 )
 
+// Pauses before a caller comes back whose request was refused since the store is away: no instance can
+// serve it before the store is back, which takes seconds.
+const (
+	storeLeast  = time.Second
+	storeSpread = 2 * time.Second
+)
+
+func whenStoreIsBack() time.Duration { return storeLeast + rand.N(storeSpread) }
+
 func soon() time.Duration { return soonLeast + rand.N(soonSpread) }
 
 // whenRoom spreads the return of callers over the time in which room is expected.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -129,9 +129,10 @@
 	return l, nil
 }
 
-// Of the bound on keys that were taken away, a request may use a part: the rest is for the store's
-// answer on its way, and for the request on its way to the endpoint.
-const keyShare = 0.6
+// Of the bound on keys that were taken away, a request may use a part. The rest is for a watch that heard
+// of no change for a second although there was one, as the store's pages allow, and for the request on
+// its way to the endpoint.
+const keyShare = 0.78
 
 // Of the bound on applying a change, the part within which a request may be denied for good.
 const denyShare = 0.85
@@ -148,7 +149,7 @@
 	f.placement = placement.New(view, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
 	f.configuration = follow.NewConfiguration(f.store, s.Store.Watch, t.Log, f.reconfigured)
-	f.endpoints = follow.NewEndpoints(f.store, s.Store.Watch, t.Log, f.listed)
+	f.endpoints = follow.NewEndpoints(f.store, s.Store.WatchList, t.Log, f.listed)
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
