--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -40,8 +40,8 @@
 // Store is where instances find each other.
 type Store interface {
 	List(ctx context.Context, kind string) (platform.Page, error)
-	Create(ctx context.Context, kind, name string, spec json.RawMessage) error
-	Replace(ctx context.Context, kind, name string, spec json.RawMessage) error
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) (platform.Object, error)
+	Replace(ctx context.Context, kind, name string, spec json.RawMessage, revision uint64) (platform.Object, error)
 }
 
 // Options of an exchange.
@@ -184,9 +184,9 @@
 		x.Log.WithError(err).Error("own entry can't be encoded")
 		return true
 	}
-	err = x.Store.Create(ctx, platform.KindInstance, x.Self.ID, spec)
+	_, err = x.Store.Create(ctx, platform.KindInstance, x.Self.ID, spec)
 	if platform.IsConflict(err) { // from an earlier start
-		err = x.Store.Replace(ctx, platform.KindInstance, x.Self.ID, spec)
+		_, err = x.Store.Replace(ctx, platform.KindInstance, x.Self.ID, spec, 0)
 	}
 	if err != nil {
 		x.Log.WithError(err).Warn("own entry not written yet")
