One store client: the product's object API runs on the platform's store, the invented protocol goes

Cause: the product spoke an HTTP protocol of its own invention to its platform, the front a second one. Two clients, two stand-ins. Change: the object API is an envelope on the platform's objects; the stand-in platform serves the published protocol, so the demo and the end-to-end tests run on it. The in-memory network moved to a package of its own for the tests of the front. A removed object of a kind that nobody watches is gone for good, where it left a mark for ever before. Ruled out: a watch for each kind (a waiting watch is a priced call): what is watched together lies under one kind.

--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -136,7 +136,7 @@
 		Slots: p.Slots, Interval: p.Interval, PrefillRate: p.PrefillRate, CacheBlocks: 2000, Lag: 200 * time.Millisecond,
 		Gaps: 0.05, ChecksFencing: true, LoadTime: time.Second, Seed: r.Seed + uint64(i),
 		Models:   []endpoint.LoadedModel{{Name: p.Model, Version: "1"}},
-		Platform: platform.NewHTTP(r.platform.URL(), time.Second, network.TCP{}), Network: network.TCP{},
+		Platform: platform.NewObjects(r.platform.URL(), time.Second, network.TCP{}), Network: network.TCP{},
 	})
 	r.engines = append(r.engines, e)
 	return err
--- a/cli/bench/config_bench_test.go
+++ b/cli/bench/config_bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/agateway/agateway/gateway/daemon"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/settings"
+	store "github.com/agateway/agateway/platform/standin"
 )
 
 // instances starts n instances over TCP before a platform. Those for which away is true
@@ -64,7 +65,7 @@
 	return p, all
 }
 
-func total(c standin.Counts) int64 { return c.Reads + c.Writes + c.Watches + c.Lists }
+func total(c store.Counts) int { return c.Reads + c.Writes + c.Watches }
 
 // spread makes a change at one instance and returns how long it takes to be in force at all.
 func spread(b *testing.B, all []*daemon.Daemon, round int, accepted func()) time.Duration {
--- a/cli/command/standin.go
+++ b/cli/command/standin.go
@@ -118,5 +118,5 @@
 		return nil
 	}
 	const timeout = 2 * time.Second
-	return platform.NewHTTP(url, timeout, network.TCP{})
+	return platform.NewObjects(url, timeout, network.TCP{})
 }
--- a/cli/e2e/config_test.go
+++ b/cli/e2e/config_test.go
@@ -88,17 +88,14 @@
 
 // cutLink cuts a node off from others, besides what is cut already.
 func (w *world) cutLink(a string, others ...string) {
-	w.net.mu.Lock()
-	defer w.net.mu.Unlock()
-	before := w.net.cut
-	w.net.cut = func(x, y string) bool {
+	w.net.AddCut(func(x, y string) bool {
 		for _, b := range others {
 			if x == a && y == b || x == b && y == a {
 				return true
 			}
 		}
-		return before(x, y)
-	}
+		return false
+	})
 }
 
 // TestRacingOperators: exactly one wins, the others get the version in force.
@@ -170,7 +167,7 @@
 		w.inForce(2, 0, 1, 2)
 		w.platform.SetFault(standin.Fault{Down: true})
 		w.killGateway(2)
-		w.net.setCrashed("g2", false)
+		w.net.SetCrashed("g2", false)
 		w.shape.extra = "[peers]\nseeds = " + w.gateways[0].Peers + "\n"
 		w.gateways[2] = w.startGateway(2)
 		w.inForce(2, 2)
@@ -206,7 +203,7 @@
 // TestBadChangesNameTheField changes a good deployment in one way each.
 func TestBadChangesNameTheField(t *testing.T) {
 	run(t, shape{gateways: 1, engines: 1}, func(w *world) {
-		_, err := w.platform.Memory.Put(w.ctx(), config.KindModel, model, []byte("{}"), 0)
+		_, err := w.platformFrom("operator").Put(w.ctx(), config.KindModel, model, []byte("{}"), 0)
 		assert.NilError(t, err)
 		for field, change := range map[string]func(*operatorv1.Deployment){
 			"deployment.name":                    func(d *operatorv1.Deployment) { d.Name = "Brief LLM" },
--- a/cli/e2e/contract_test.go
+++ b/cli/e2e/contract_test.go
@@ -18,17 +18,17 @@
 
 // TestPlatformContract: what the HTTP adapter makes of the platform's faults.
 func TestPlatformContract(t *testing.T) {
-	put := func(p *platform.HTTP) error {
+	put := func(p *platform.Objects) error {
 		_, err := p.Put(context.Background(), "k", "a", []byte("{}"), 0)
 		return err
 	}
-	get := func(p *platform.HTTP) error {
+	get := func(p *platform.Objects) error {
 		_, err := p.Get(context.Background(), "k", "a")
 		return err
 	}
 	for name, c := range map[string]struct {
 		fault func(*world)
-		call  func(*platform.HTTP) error
+		call  func(*platform.Objects) error
 		want  *errorx.Type
 		took  bool // the write took effect
 	}{
@@ -40,9 +40,9 @@
 		"too slow":          {func(w *world) { w.platform.SetFault(standin.Fault{SlowMS: 5000}) }, put, platform.ErrUncertain, true},
 		"too slow, read":    {func(w *world) { w.platform.SetFault(standin.Fault{SlowMS: 5000}) }, get, platform.ErrUnavailable, false},
 		"cut off":           {func(w *world) { w.cutOff("platform") }, put, platform.ErrUnavailable, false},
-		"gone":              {func(w *world) { w.platform.Close(); w.net.crash("platform") }, put, platform.ErrUnavailable, false},
+		"gone":              {func(w *world) { w.platform.Close(); w.net.Crash("platform") }, put, platform.ErrUnavailable, false},
 		"version is not 0":  {func(w *world) { _ = put(w.platformFrom("x")) }, put, platform.ErrConflict, true},
-		"silent connection": {func(w *world) { w.net.silence("test", "platform") }, put, nil, true},
+		"silent connection": {func(w *world) { w.net.Silence("test", "platform") }, put, nil, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, shape{gateways: 1, engines: 1}, func(w *world) {
@@ -52,7 +52,8 @@
 				assert.Assert(t, (err == nil) == (c.want == nil), "%v", err)
 				assert.Assert(t, c.want == nil || errorx.IsOfType(err, c.want), "%v", err)
 				time.Sleep(10 * time.Second)
-				_, err = w.platform.Memory.Get(w.ctx(), "k", "a")
+				w.platform.SetFault(standin.Fault{})
+				_, err = platform.NewObjects("http://"+w.platform.Addr, time.Second, w.net.Node("witness")).Get(w.ctx(), "k", "a")
 				assert.Equal(t, err == nil, c.took)
 			})
 		})
@@ -93,7 +94,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, shape{gateways: 1, engines: 1}, func(w *world) {
-				client := endpoint.NewClient(250*time.Millisecond, w.net.node("test"))
+				client := endpoint.NewClient(250*time.Millisecond, w.net.Node("test"))
 				r := start
 				if c.fault != nil {
 					c.fault(w, w.engines[0])
@@ -122,7 +123,7 @@
 // TestEngineStreams: resume, fencing, probe and cancel.
 func TestEngineStreams(t *testing.T) {
 	run(t, shape{gateways: 1, engines: 1}, func(w *world) {
-		client, e := endpoint.NewClient(250*time.Millisecond, w.net.node("test")), w.engines[0]
+		client, e := endpoint.NewClient(250*time.Millisecond, w.net.Node("test")), w.engines[0]
 		first := &collect{}
 		s, err := client.Open(w.ctx(), e.Addr, &endpoint.StartRequest{Generation: "g", Attempt: 1, Model: model, Prompt: prompt, MaxTokens: 40})
 		assert.NilError(t, err)
--- a/cli/e2e/fleet_test.go
+++ b/cli/e2e/fleet_test.go
@@ -52,7 +52,7 @@
 	run(t, shape{gateways: 4, engines: 2}, func(w *world) {
 		side := func(n string) bool { return n == "g0" || n == "g1" }
 		// Gateways still reach callers, engines and the platform.
-		w.net.setCut(func(a, b string) bool { return a[0] == 'g' && b[0] == 'g' && side(a) != side(b) })
+		w.net.SetCut(func(a, b string) bool { return a[0] == 'g' && b[0] == 'g' && side(a) != side(b) })
 		time.Sleep(20 * time.Second)
 		assert.Equal(t, len(w.entry(0).Addresses), 2)
 		assert.Equal(t, len(w.entry(3).Addresses), 2)
@@ -220,7 +220,7 @@
 // TestClientLibrary drives the API with a well-known client of the completions protocol.
 func TestClientLibrary(t *testing.T) {
 	run(t, shape{gateways: 1, engines: 2}, func(w *world) {
-		transport := &http.Transport{DialContext: w.net.node("caller").Dial, DisableKeepAlives: true}
+		transport := &http.Transport{DialContext: w.net.Node("caller").Dial, DisableKeepAlives: true}
 		c := openai.NewClient(
 			option.WithBaseURL("http://"+w.gateways[0].Callers+"/v1"), option.WithAPIKey(teamKey),
 			option.WithHTTPClient(&http.Client{Transport: transport}), option.WithMaxRetries(0))
--- a/cli/e2e/once_test.go
+++ b/cli/e2e/once_test.go
@@ -27,7 +27,7 @@
 
 // only returns a caller that knows one instance.
 func (w *world) only(i int) *caller.Client {
-	return caller.New(caller.Options{Entries: []string{w.gateways[i].Callers}, Key: teamKey, Network: w.net.node("caller"), Fixed: true})
+	return caller.New(caller.Options{Entries: []string{w.gateways[i].Callers}, Key: teamKey, Network: w.net.Node("caller"), Fixed: true})
 }
 
 func logLift(ticket, key string) caller.PlainRequest {
@@ -81,7 +81,7 @@
 				for i, s := range w.services[:2] {
 					if c.kill {
 						s.Close()
-						w.net.crash(fmt.Sprint("s", i))
+						w.net.Crash(fmt.Sprint("s", i))
 					}
 					s.SetFault(c.fault)
 				}
@@ -227,7 +227,7 @@
 }
 
 func (w *world) cutOff(node string) {
-	w.net.partition(func(name string) int {
+	w.net.Partition(func(name string) int {
 		if name == node {
 			return 1
 		}
@@ -235,7 +235,7 @@
 	})
 }
 
-func (w *world) heal() { w.net.partition(nil) }
+func (w *world) heal() { w.net.Partition(nil) }
 
 // TestPausedOwnerDoesNotRunLate: an owner whose way to the endpoints opens again only after
 // the caller's deadline does not run the call then.
@@ -243,7 +243,7 @@
 	run(t, shape{gateways: 2, engines: 1, services: 1}, func(w *world) {
 		ticket, err := w.only(0).Ticket(w.ctx())
 		assert.NilError(t, err)
-		w.net.partition(func(name string) int {
+		w.net.Partition(func(name string) int {
 			if strings.HasPrefix(name, "s") {
 				return 1
 			}
--- a/cli/e2e/orders_test.go
+++ b/cli/e2e/orders_test.go
@@ -140,7 +140,7 @@
 				w.roll("2", 3)
 				time.Sleep(20 * time.Second)
 				assert.Equal(t, w.loaded("2"), 3)
-				client := endpoint.NewClient(time.Second, w.net.node("old holder"))
+				client := endpoint.NewClient(time.Second, w.net.Node("old holder"))
 				old := &endpoint.Order{Fence: 1, Models: []endpoint.LoadedModel{{Name: model, Version: "1"}}}
 				err := client.Order(w.ctx(), w.engines[1].Addr, old)
 				assert.Equal(t, err == nil, ignore)
--- a/cli/e2e/recovery_test.go
+++ b/cli/e2e/recovery_test.go
@@ -21,11 +21,11 @@
 	"silent": func(w *world, i int) { w.engines[i].SetFault(engine.Fault{Silent: true}) },
 	"silent connection": func(w *world, i int) {
 		for g := range w.gateways {
-			w.net.silence(fmt.Sprint("g", g), fmt.Sprint("e", i))
+			w.net.Silence(fmt.Sprint("g", g), fmt.Sprint("e", i))
 		}
 	},
 	"cut off": func(w *world, i int) {
-		w.net.partition(func(name string) int {
+		w.net.Partition(func(name string) int {
 			if name == fmt.Sprint("e", i) {
 				return 1
 			}
@@ -181,7 +181,7 @@
 		for i := range 3 {
 			wg.Go(func() {
 				time.Sleep(time.Duration(i) * 10 * token)
-				c := caller.New(caller.Options{Entries: []string{w.gateways[i].Callers}, Key: teamKey, Network: w.net.node("caller")})
+				c := caller.New(caller.Options{Entries: []string{w.gateways[i].Callers}, Key: teamKey, Network: w.net.Node("caller")})
 				a, err := c.Generate(w.ctx(), r)
 				mu.Lock()
 				defer mu.Unlock()
@@ -214,7 +214,7 @@
 				}()
 				time.Sleep(3 * time.Second)
 				assert.Equal(t, w.total().Streams, int64(1))
-				w.net.setCrashed("caller", true) // it can't connect any more
+				w.net.SetCrashed("caller", true) // it can't connect any more
 				w.killServingGateway()
 				cancel()
 				time.Sleep(40 * time.Second)
--- a/cli/e2e/world_test.go
+++ b/cli/e2e/world_test.go
@@ -27,6 +27,7 @@
 	standin "github.com/agateway/agateway/cli/standin/platform"
 	"github.com/agateway/agateway/gateway/daemon"
 	"github.com/agateway/agateway/gateway/endpoint"
+	"github.com/agateway/agateway/gateway/network/memnet"
 	"github.com/agateway/agateway/gateway/platform"
 	"github.com/agateway/agateway/gateway/settings"
 )
@@ -57,7 +58,7 @@
 type world struct {
 	t        *testing.T
 	shape    shape
-	net      *memnet
+	net      *memnet.Net
 	platform *standin.Platform
 	engines  []*engine.Engine
 	services []*plain.Plain
@@ -82,7 +83,7 @@
 	t.Helper()
 	t.Parallel() // each world has a clock of its own
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, shape: s, net: newMemnet(), logs: &lockedBuffer{}}
+		w := &world{t: t, shape: s, net: memnet.New(), logs: &lockedBuffer{}}
 		defer w.close()
 		w.build()
 		f(w)
@@ -91,7 +92,7 @@
 
 func (w *world) build() {
 	var err error
-	w.platform, err = standin.Start(w.net.node("platform"), "10.0.9.1:80", 500*time.Millisecond)
+	w.platform, err = standin.Start(w.net.Node("platform"), "10.0.9.1:80", 500*time.Millisecond)
 	assert.NilError(w.t, err)
 	for i := range w.shape.engines {
 		w.addEngine(i)
@@ -99,7 +100,7 @@
 	for i := range w.shape.services {
 		p, err := plain.Start(plain.Config{
 			ID: fmt.Sprint("s", i), Address: "10.0.2.1:0", DataCentre: dc(i), Service: "queue-app", Slots: 64,
-			Work: 5 * time.Millisecond, Platform: w.platformFrom(fmt.Sprint("s", i)), Network: w.net.node(fmt.Sprint("s", i)),
+			Work: 5 * time.Millisecond, Platform: w.platformFrom(fmt.Sprint("s", i)), Network: w.net.Node(fmt.Sprint("s", i)),
 		})
 		assert.NilError(w.t, err)
 		w.services = append(w.services, p)
@@ -113,8 +114,8 @@
 
 func dc(i int) string { return [...]string{"alm-hall-a", "alm-hall-b", "shym-hall"}[i%3] }
 
-func (w *world) platformFrom(node string) *platform.HTTP {
-	return platform.NewHTTP(w.platform.URL(), 2*time.Second, w.net.node(node))
+func (w *world) platformFrom(node string) *platform.Objects {
+	return platform.NewObjects(w.platform.URL(), 2*time.Second, w.net.Node(node))
 }
 
 func (w *world) addEngine(i int) {
@@ -133,7 +134,7 @@
 		ID: id, Address: "10.0.1.1:0", DataCentre: dc(i), Service: "brief-llm", Slots: slots, Interval: interval,
 		PrefillRate: 20000, CacheBlocks: 1000, Lag: 200 * time.Millisecond, Gaps: 0.1, ChecksFencing: !w.shape.ignoreFencing,
 		LoadTime: time.Second, Salt: w.shape.salt, Seed: uint64(i), Models: []endpoint.LoadedModel{{Name: model, Version: version}},
-		Platform: w.platformFrom(id), Network: w.net.node(id),
+		Platform: w.platformFrom(id), Network: w.net.Node(id),
 	})
 	assert.NilError(w.t, err)
 	w.engines = append(w.engines, e)
@@ -155,7 +156,7 @@
 operator_sha256 = %s
 %s`, i, dc(i), i+1, i+1, w.platform.URL(), hex.EncodeToString(hash[:]), w.shape.extra)))
 	assert.NilError(w.t, err)
-	d, err := daemon.Start(s, w.net.node(fmt.Sprint("g", i)), w.logs)
+	d, err := daemon.Start(s, w.net.Node(fmt.Sprint("g", i)), w.logs)
 	assert.NilError(w.t, err)
 	return d
 }
@@ -210,7 +211,7 @@
 		s.Close()
 	}
 	w.platform.Close()
-	w.net.closeAll()
+	w.net.CloseAll()
 	time.Sleep(2 * time.Hour) // what sleeps between retries ends
 }
 
@@ -220,7 +221,7 @@
 	for n := range w.gateways {
 		entries = append(entries, w.gateways[(i+n)%len(w.gateways)].Callers)
 	}
-	return caller.New(caller.Options{Entries: entries, Key: teamKey, Network: w.net.node("caller"), DataCentre: dc(i)})
+	return caller.New(caller.Options{Entries: entries, Key: teamKey, Network: w.net.Node("caller"), DataCentre: dc(i)})
 }
 
 func (w *world) request(tokens int) caller.Request {
@@ -267,18 +268,18 @@
 
 func (w *world) killEngine(i int) {
 	w.engines[i].Close()
-	w.net.crash(fmt.Sprint("e", i))
+	w.net.Crash(fmt.Sprint("e", i))
 }
 
 func (w *world) killGateway(i int) {
-	w.net.crash(fmt.Sprint("g", i))
+	w.net.Crash(fmt.Sprint("g", i))
 	w.gateways[i].Close()
 }
 
 // post sends a raw request to an instance.
 func (w *world) post(gateway int, path string, header map[string]string, body string) (int, http.Header, string) {
 	w.t.Helper()
-	tr := &http.Transport{DialContext: w.net.node("caller").Dial, DisableKeepAlives: true}
+	tr := &http.Transport{DialContext: w.net.Node("caller").Dial, DisableKeepAlives: true}
 	req, err := http.NewRequest(http.MethodPost, "http://"+w.gateways[gateway].Callers+path, strings.NewReader(body))
 	assert.NilError(w.t, err)
 	req.Header.Set("Authorization", "Bearer "+teamKey)
--- a/cli/standin/platform/platform.go
+++ b/cli/standin/platform/platform.go
@@ -1,23 +1,19 @@
-// Package platform is a stand-in for the platform's object API: it serves
-// [platform.Memory] over HTTP, and can be slow, down, or lose an answer after the write
-// took effect. Its list of instances lags.
+// Package platform runs the stand-in for the platform's metadata store as a server, with its faults by an
+// admin call. Its list of instances lags.
 package platform
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/cli/standin/serve"
 	"github.com/agateway/agateway/gateway/network"
-	"github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/platform/standin"
 )
 
 // Fault is what the platform does wrong. A call replaces the fault before it.
@@ -28,27 +24,20 @@
 	LoseWrites int `json:"lose_writes,omitempty"`
 }
 
-// Counts are the calls taken, by kind.
-type Counts struct {
-	Reads   int64 `json:"reads"`
-	Writes  int64 `json:"writes"`
-	Watches int64 `json:"watches"`
-	Lists   int64 `json:"lists"`
-}
-
 // Platform is a running stand-in.
 type Platform struct {
 	*serve.Server
-	Memory *platform.Memory
+	Store *standin.Store
 
+	lag    time.Duration
 	mu     sync.Mutex
-	fault  Fault
-	counts Counts
+	list   *httptest.ResponseRecorder
+	listAt time.Time
 }
 
 // Start runs a platform whose list lags.
 func Start(n network.Network, address string, lag time.Duration) (*Platform, error) {
-	p := &Platform{Memory: platform.NewMemory(lag)}
+	p := &Platform{Store: standin.NewStore(0), lag: lag}
 	s, err := serve.Start(n, address, p.routes())
 	p.Server = s
 	return p, err
@@ -59,30 +48,19 @@
 
 // SetFault brings a fault about.
 func (p *Platform) SetFault(f Fault) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fault = f
+	out := standin.Fault{SlowMS: f.SlowMS, LoseWrites: f.LoseWrites, Spare: listKind}
+	if f.Down {
+		out.Outage = standin.Busy
+	}
+	p.Store.SetFault(out)
 }
 
 // Counts returns the calls taken so far.
-func (p *Platform) Counts() Counts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts
-}
+func (p *Platform) Counts() standin.Counts { return p.Store.Counts() }
 
 func (p *Platform) routes() http.Handler {
 	r := chi.NewRouter()
-	r.Group(func(r chi.Router) {
-		r.Use(p.faulty)
-		r.Get("/v1/objects/{kind}", p.handleList)
-		r.Get("/v1/objects/{kind}/{name}", p.handleGet)
-		r.Put("/v1/objects/{kind}/{name}", p.handleWrite)
-		r.Delete("/v1/objects/{kind}/{name}", p.handleWrite)
-		r.Get("/v1/watch", p.handleWatch)
-		r.Get("/v1/instances", p.handleInstances)
-		r.Put("/v1/instances/{id}", p.handleRegister)
-	})
+	r.Handle("/objects/*", http.HandlerFunc(p.serveObjects))
 	r.Post("/admin/fault", func(w http.ResponseWriter, r *http.Request) {
 		var f Fault
 		if serve.Read(w, r, &f) {
@@ -94,113 +72,39 @@
 	return r
 }
 
-// faulty counts the call, and applies the fault around it.
-func (p *Platform) faulty(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		f := p.fault
-		p.count(r)
-		object := r.Method != http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/objects/")
-		lose := object && f.LoseWrites > 0
-		if lose {
-			p.fault.LoseWrites--
-		}
-		p.mu.Unlock()
-		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
-		if f.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		if lose {
-			next.ServeHTTP(discard{}, r)
-			panic(http.ErrAbortHandler) // the write took effect; the answer is lost
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (p *Platform) count(r *http.Request) {
-	switch {
-	case r.URL.Path == "/v1/watch":
-		p.counts.Watches++
-	case strings.HasPrefix(r.URL.Path, "/v1/instances"):
-		p.counts.Lists++
-	case r.Method == http.MethodGet:
-		p.counts.Reads++
-	default:
-		p.counts.Writes++
-	}
-}
-
-type discard struct{}
-
-func (discard) Header() http.Header         { return http.Header{} }
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
-func (discard) WriteHeader(int)             {}
-
-func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
-	objects, revision, err := p.Memory.List(r.Context(), chi.URLParam(r, "kind"))
-	answer(w, platform.ListBody{Objects: objects, Revision: revision}, err)
-}
-
-func (p *Platform) handleGet(w http.ResponseWriter, r *http.Request) {
-	o, err := p.Memory.Get(r.Context(), chi.URLParam(r, "kind"), chi.URLParam(r, "name"))
-	answer(w, o, err)
-}
+// The list of instances, and where it is read.
+const (
+	listKind = "agateway-listed"
+	listPath = "/objects/" + listKind
+)
 
-func (p *Platform) handleWrite(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseUint(r.URL.Query().Get("if_version"), 10, 64)
-	if err != nil {
-		http.Error(w, "if_version", http.StatusBadRequest)
-		return
-	}
-	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
-	if r.Method == http.MethodDelete {
-		o, err := p.Memory.Delete(r.Context(), kind, name, version)
-		answer(w, o, err)
+// serveObjects passes calls on to the store; the list of instances is as old as the lag.
+func (p *Platform) serveObjects(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || strings.TrimSuffix(r.URL.Path, "/") != listPath {
+		p.Store.ServeHTTP(w, r)
 		return
 	}
-	const mostValue = 1 << 20
-	value, err := io.ReadAll(io.LimitReader(r.Body, mostValue))
-	if err != nil || !json.Valid(value) {
-		http.Error(w, "value", http.StatusBadRequest)
+	old := p.lagging(r)
+	if old == nil { // the store refuses: as it is
+		p.Store.ServeHTTP(w, r)
 		return
 	}
-	o, err := p.Memory.Put(r.Context(), kind, name, value, version)
-	answer(w, o, err)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(old) // the caller may be gone
 }
 
-func (p *Platform) handleWatch(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	objects, revision, err := p.Memory.Watch(r.Context(), strings.Split(q.Get("kinds"), ","), since, time.Duration(wait)*time.Millisecond)
-	answer(w, platform.ListBody{Objects: objects, Revision: revision}, err)
-}
-
-func (p *Platform) handleInstances(w http.ResponseWriter, r *http.Request) {
-	l, err := p.Memory.Instances(r.Context())
-	answer(w, l, err)
-}
-
-func (p *Platform) handleRegister(w http.ResponseWriter, r *http.Request) {
-	var l platform.Listed
-	if !serve.Read(w, r, &l) {
-		return
+// lagging returns the list as it was read last, read again when it is older than the lag; nil when the
+// store refuses to give it.
+func (p *Platform) lagging(r *http.Request) []byte {
+	fresh := httptest.NewRecorder()
+	p.Store.ServeHTTP(fresh, r)
+	if fresh.Code != http.StatusOK {
+		return nil
 	}
-	ttl, _ := strconv.Atoi(r.URL.Query().Get("ttl_ms"))
-	answer(w, struct{}{}, p.Memory.Register(r.Context(), l, time.Duration(ttl)*time.Millisecond))
-}
-
-func answer(w http.ResponseWriter, v any, err error) {
-	switch {
-	case err == nil:
-		serve.JSON(w, v)
-	case errorx.IsOfType(err, platform.ErrNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case errorx.IsOfType(err, platform.ErrConflict):
-		http.Error(w, err.Error(), http.StatusConflict)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.list == nil || time.Since(p.listAt) >= p.lag {
+		p.list, p.listAt = fresh, time.Now()
 	}
+	return p.list.Body.Bytes()
 }
--- a/gateway/config/sync.go
+++ b/gateway/config/sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/platform"
 )
 
 // Sync says how the configuration follows the platform.
@@ -18,8 +19,6 @@
 	Watches func() bool
 }
 
-var watched = []string{KindDeployment, KindTeam}
-
 // Follow keeps the configuration up to date from the platform until ctx ends.
 func (c *Config) Follow(ctx context.Context, s Sync) {
 	pause := s.Pause
@@ -50,7 +49,7 @@
 // pull lists everything when since is 0, and watches from there otherwise.
 func (c *Config) pull(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
 	if since > 0 {
-		objects, next, err := c.platform.Watch(ctx, watched, since, wait)
+		objects, next, err := c.platform.Watch(ctx, platform.Watched, since, wait)
 		if err != nil {
 			return since, err
 		}
@@ -62,7 +61,7 @@
 		return max(next, since), nil
 	}
 	var lowest uint64
-	for _, kind := range watched {
+	for _, kind := range platform.Watched {
 		objects, revisionNow, err := c.platform.List(ctx, kind)
 		if err != nil {
 			return 0, err
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -55,7 +55,7 @@
 	settings  *settings.Settings
 	telemetry *telemetry.Telemetry
 	network   network.Network
-	platform  *platform.HTTP
+	platform  *platform.Objects
 	running   *running.Running
 	peering   *peering.Service
 	servers   []*http.Server
@@ -100,7 +100,7 @@
 // build makes the parts and joins them.
 func (d *Daemon) build() {
 	s, t := d.settings, d.telemetry
-	d.platform = platform.NewHTTP(s.Platform.URL, s.Platform.Timeout, d.network)
+	d.platform = platform.NewObjects(s.Platform.URL, s.Platform.Timeout, d.network)
 	d.Pool = peers.NewPool(s.Keys.Peer, s.Peers.Timeout, d.network)
 	client := endpoint.NewClient(s.Endpoints.ConnectTimeout, d.network)
 	d.Config = config.New(d.platform, t.Log, t.Scope, func(r []revision.Record) { d.peering.Spread(r) })
--- a/gateway/once/sweep_test.go
+++ b/gateway/once/sweep_test.go
@@ -12,15 +12,21 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/ticket"
+	"github.com/agateway/agateway/gateway/network/memnet"
 	"github.com/agateway/agateway/gateway/once"
 	"github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/platform/standin"
 )
 
 // TestSweep: old claims go, young ones stay, and only the holder sweeps.
 func TestSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		p := platform.NewMemory(0)
+		net := memnet.New()
+		l, err := net.Node("store").Listen("10.0.9.1:80")
+		assert.NilError(t, err)
+		stop := standin.Serve(l, standin.NewStore(0))
+		p := platform.NewObjects("http://10.0.9.1:80", 2*time.Second, net.Node("instance"))
 		runs := 0
 		claims := &once.Claims{Platform: p, BodyKept: 100, Scope: tally.NoopScope, Run: func(context.Context, *once.Call) once.Result {
 			runs++
@@ -51,6 +57,9 @@
 		assert.Equal(t, runs, 7)
 		cancel()
 		<-done
+		time.Sleep(time.Second) // outcomes are written beside the answers
+		stop()
+		net.CloseAll()
 	})
 }
 
--- a/gateway/platform/platform.go
+++ b/gateway/platform/platform.go
@@ -62,6 +62,9 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 }
 
+// Watched are the kinds that can be watched.
+var Watched = []string{"deployment", "team"}
+
 // Client is the platform's object API. Implementations are safe for concurrent use.
 type Client interface {
 	// Get returns an object, deleted ones included.
@@ -73,7 +76,7 @@
 	Put(ctx context.Context, kind, name string, value json.RawMessage, ifVersion uint64) (Object, error)
 	// Delete marks an object deleted if its version is ifVersion.
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (Object, error)
-	// Watch returns the objects of the kinds that changed after a revision, waiting for
+	// Watch returns the objects of the kinds, which are among [Watched], that changed after a revision, waiting for
 	// a change as long as wait.
 	Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) ([]Object, uint64, error)
 	// Instances returns the list of instances.
--- a/gateway/platform/platform_test.go
+++ b/gateway/platform/platform_test.go
@@ -9,43 +9,52 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/gateway/network/memnet"
 	"github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/platform/standin"
 )
 
 var value = []byte(`{"a":1}`)
 
-// TestMemory is the contract of the object API; the HTTP adapter passes the same through
-// the stand-in.
-func TestMemory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) { contract(t, platform.NewMemory(time.Second)) })
+// TestObjects is the contract of the object API, on a store that speaks the published protocol.
+func TestObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := memnet.New()
+		l, err := net.Node("store").Listen("10.0.9.1:80")
+		assert.NilError(t, err)
+		stop := standin.Serve(l, standin.NewStore(0))
+		contract(t, platform.NewObjects("http://10.0.9.1:80", 2*time.Second, net.Node("instance")))
+		stop()
+		net.CloseAll()
+	})
 }
 
 func contract(t *testing.T, p platform.Client) {
 	ctx := context.Background()
-	_, err := p.Get(ctx, "k", "a")
+	_, err := p.Get(ctx, "team", "a")
 	assert.Assert(t, errorx.IsOfType(err, platform.ErrNotFound))
-	o, err := p.Put(ctx, "k", "a", value, 0)
+	o, err := p.Put(ctx, "team", "a", value, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, o.Version, uint64(1))
 	for _, wrong := range []uint64{0, 2} {
-		_, err = p.Put(ctx, "k", "a", value, wrong)
+		_, err = p.Put(ctx, "team", "a", value, wrong)
 		assert.Assert(t, errorx.IsOfType(err, platform.ErrConflict), "version %d: %v", wrong, err)
 	}
-	o, err = p.Put(ctx, "k", "a", value, 1)
+	o, err = p.Put(ctx, "team", "a", value, 1)
 	assert.NilError(t, err)
 	assert.Equal(t, o.Version, uint64(2))
-	_, revision, err := p.List(ctx, "k")
+	_, revision, err := p.List(ctx, "team")
 	assert.NilError(t, err)
 
-	objects, next, err := p.Watch(ctx, []string{"k"}, revision, time.Second)
+	objects, next, err := p.Watch(ctx, []string{"team"}, revision, time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, len(objects), 0)
-	time.AfterFunc(500*time.Millisecond, func() { _, _ = p.Delete(ctx, "k", "a", 2) })
-	objects, _, err = p.Watch(ctx, []string{"other", "k"}, next, 10*time.Second)
+	time.AfterFunc(500*time.Millisecond, func() { _, _ = p.Delete(ctx, "team", "a", 2) })
+	objects, _, err = p.Watch(ctx, []string{"deployment", "team"}, next, 10*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, len(objects), 1)
 	assert.Assert(t, objects[0].Deleted)
-	o, err = p.Put(ctx, "k", "a", value, 0) // a deleted name may be used again
+	o, err = p.Put(ctx, "team", "a", value, 0) // a deleted name may be used again
 	assert.NilError(t, err)
 	assert.Equal(t, o.Version, uint64(4))
 
