--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -76,6 +76,7 @@
 	recent   []change  // requests sent (+1) and finished (-1) since loadAt
 	failures int       // in a row
 	until    time.Time // suspected until then
+	lost     bool      // its last answer did not arrive
 	leaving  bool      // the endpoint's own word
 	home     bool      // this instance's own part of the endpoints
 	own      Placed    // what this instance has placed there
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -89,10 +89,11 @@
 	p.sample(v.homes[r.Service], v.set.HomeChoices, rnd)
 	p.sample(group, v.set.Choices-1, rnd)
 	if p.best == nil {
-		start := rnd.IntN(len(group))
-		for i := range group {
-			p.consider(group[(start+i)%len(group)])
-		}
+		p.all(group, rnd)
+	}
+	if p.best == nil && v.set.LastResort {
+		p.suspectsToo = true
+		p.all(group, rnd)
 	}
 	if p.best == nil {
 		if p.full {
@@ -103,6 +104,14 @@
 	return Decision{p.best.Endpoint, p.score, p.cached, p.n}, nil
 }
 
+// all compares all members of a group, beginning anywhere.
+func (p *picker) all(group []*node, rnd *rand.Rand) {
+	start := rnd.IntN(len(group))
+	for i := range group {
+		p.consider(group[(start+i)%len(group)])
+	}
+}
+
 // sample compares n random members of a group.
 func (p *picker) sample(group []*node, n int, rnd *rand.Rand) {
 	if len(group) == 0 {
@@ -124,6 +133,7 @@
 	tie           uint64
 	n             int
 	full          bool
+	suspectsToo   bool
 }
 
 func (p *picker) considerCacheHolders() {
@@ -182,7 +192,8 @@
 
 // eligible is the filter: state, suspicion, earlier failures, model, room.
 func (p *picker) eligible(n *node) bool {
-	if !n.takesWork(p.now) || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
+	takes := n.takesWork(p.now) || p.suspectsToo && n.stays()
+	if !takes || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) {
 		return false
 	}
 	if p.r.Away != "" && n.DataCentre == p.r.Away {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -227,3 +227,114 @@
 	}
 	assert.Equal(t, len(hits), 24)
 }
+
+// TestLastResort: where all endpoints failed a short while ago, one of them is better than none; one that
+// leaves is not. A service whose three endpoints lose 3 answers in 100 refused requests otherwise.
+func TestLastResort(t *testing.T) {
+	set := DefaultSettings()
+	set.LastResort = true
+	v := NewView(set)
+	v.Upsert(endpoint(0))
+	v.Upsert(endpoint(3))
+	v.Failed(epoch, "e000")
+	for range 10 {
+		d, err := v.Pick(epoch, request(), rnd())
+		assert.NilError(t, err)
+		assert.Equal(t, d.Endpoint.ID, "e003")
+	}
+	v.Failed(epoch, "e003")
+	_, err := v.Pick(epoch, request(), rnd())
+	assert.NilError(t, err)
+	v.Describe("e000", 8, endpoint(0).Models, "", true)
+	v.Describe("e003", 8, endpoint(3).Models, "", true)
+	_, err = v.Pick(epoch, request(), rnd())
+	assert.Assert(t, errors.Is(err, ErrNone))
+}
+
+func TestOneLostAnswerIsNoFailure(t *testing.T) {
+	v := view(1)
+	v.Lost(epoch, "e000")
+	assert.Assert(t, !v.Suspected(epoch, "e000"))
+	v.Succeeded("e000")
+	v.Lost(epoch, "e000")
+	assert.Assert(t, !v.Suspected(epoch, "e000"))
+	v.Lost(epoch, "e000")
+	assert.Assert(t, v.Suspected(epoch, "e000"))
+}
+
+// TestDoubt: when a quarter of the endpoints of a data centre fail, the others there are avoided too; and
+// what failed another instance is avoided before it fails this one.
+func TestDoubt(t *testing.T) {
+	for name, fail := range map[string]func(*View){
+		"own":   func(v *View) { v.Failed(epoch, "e000"); v.Failed(epoch, "e003") },
+		"peers": func(v *View) { v.SetPeer(epoch, "f2", Told{Suspects: []string{"e000", "e003"}}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, r := view(24), rnd()
+			fail(v)
+			for range 200 {
+				d, err := v.Pick(epoch, request(), r)
+				assert.NilError(t, err)
+				assert.Assert(t, d.Endpoint.DataCentre != "dc0", d.Endpoint.ID)
+			}
+			v.Succeeded("e000")
+			v.Succeeded("e003")
+			v.SetPeer(epoch, "f2", Told{})
+			near := 0
+			for range 200 {
+				d, _ := v.Pick(epoch, request(), r)
+				if d.Endpoint.DataCentre == "dc0" {
+					near++
+				}
+			}
+			assert.Assert(t, near > 100)
+		})
+	}
+}
+
+// TestTokensCount: an engine with 24 slots holds nine requests of 9,400 tokens, and what others placed
+// there counts like the own.
+func TestTokensCount(t *testing.T) {
+	v := NewView(DefaultSettings())
+	e := endpoint(0)
+	e.Slots, e.Memory = 24, 88000
+	v.Upsert(e)
+	r := request()
+	r.Tokens, r.Prompt = 9400, 8400
+	placed := 0
+	for ; placed < 30; placed++ {
+		if placed == 4 {
+			v.SetPeer(epoch, "f2", Told{Placed: map[string]Placed{"e000": {Open: 2, Tokens: 18800}}})
+		}
+		if _, err := v.Pick(epoch, r, rnd()); err != nil {
+			break
+		}
+		v.Sent(epoch, "e000")
+		v.Place("e000", Placed{Tokens: r.Tokens})
+	}
+	assert.Equal(t, placed, 7)
+	v.SetPeer(epoch, "f2", Told{})
+	_, err := v.Pick(epoch, r, rnd())
+	assert.NilError(t, err)
+}
+
+// TestPromptsAreSpread: two prompts are not read at one engine while another one reads none.
+func TestPromptsAreSpread(t *testing.T) {
+	v, rnd := NewView(DefaultSettings()), rnd()
+	for i := range 6 {
+		e := endpoint(i)
+		e.Memory = 88000
+		v.Upsert(e)
+	}
+	r := request()
+	r.Tokens, r.Prompt, r.Weights = 9400, 8400, Weights{Load: 1, Unread: 1, Memory: 0.3}
+	seen := map[string]bool{}
+	for range 6 {
+		d, err := v.Pick(epoch, r, rnd)
+		assert.NilError(t, err)
+		seen[d.Endpoint.ID] = true
+		v.Sent(epoch, d.Endpoint.ID)
+		v.Place(d.Endpoint.ID, Placed{Tokens: r.Tokens, Unread: r.Prompt})
+	}
+	assert.Assert(t, len(seen) >= 5, "%v", seen)
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -23,6 +23,9 @@
 	// QueueFactor times the slots is what an endpoint may hold before new work goes
 	// elsewhere; recoveries may go RecoveryFactor times the slots.
 	QueueFactor, RecoveryFactor float64
+	// LastResort tells that a suspected endpoint is taken when no other is left: where all fail now
+	// and then, most requests are served even so.
+	LastResort bool
 	// Doubt is added to the score of an endpoint that failed another instance, and to those of a
 	// data centre in which many fail at once. DoubtShare is how many are many.
 	Doubt, DoubtShare float64
@@ -111,14 +114,14 @@
 // Forget drops what was learned of an endpoint that was replaced under the same name.
 func (v *View) Forget(id string) {
 	if n := v.nodes[id]; n != nil {
-		n.leaving, n.failures, n.until = false, 0, time.Time{}
+		n.leaving, n.failures, n.until, n.lost = false, 0, time.Time{}, false
 		v.CacheLost(id)
 	}
 }
 
-func (n *node) takesWork(now time.Time) bool {
-	return n.State == Live && !n.leaving && !now.Before(n.until)
-}
+func (n *node) takesWork(now time.Time) bool { return n.stays() && !now.Before(n.until) }
+
+func (n *node) stays() bool { return n.State == Live && !n.leaving }
 
 // groupKey names the endpoints of a service, in one data centre or (empty) in all.
 type groupKey struct{ service, dataCentre string }
@@ -185,10 +188,23 @@
 	v.doubt.stale = true
 }
 
+// Lost records that an endpoint lost an answer: one that happens once is forgiven with the next success,
+// a second one in a row is a failure.
+func (v *View) Lost(now time.Time, id string) {
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	if n.lost {
+		v.Failed(now, id)
+	}
+	n.lost = true
+}
+
 // Succeeded clears the suspicion of an endpoint.
 func (v *View) Succeeded(id string) {
 	if n := v.nodes[id]; n != nil {
-		n.failures, n.until = 0, time.Time{}
+		n.failures, n.until, n.lost = 0, time.Time{}, false
 		v.doubt.stale = true
 	}
 }
--- a/gateway/clock/clock.go
+++ b/gateway/clock/clock.go
@@ -8,6 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// Now reads a clock that also runs while the machine is suspended. Tests in virtual time give their own.
+type Now func() time.Duration
+
 // Boot returns the time since the machine started, suspension included.
 func Boot() time.Duration {
 	var ts unix.Timespec
--- a/gateway/cmd/agatewayd/front.go
+++ b/gateway/cmd/agatewayd/front.go
@@ -8,7 +8,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/front"
+	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/settings"
 )
 
@@ -49,7 +51,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	f, err := front.Start(s, os.Stdout)
+	f, err := front.Start(s, front.Environment{Network: network.TCP{}, Clock: clock.Boot, Out: os.Stdout})
 	if err != nil {
 		return err
 	}
--- a/gateway/decisions/decisions.go
+++ b/gateway/decisions/decisions.go
@@ -79,19 +79,32 @@
 
 // Writer passes lines on to an output that may be slow, without ever waiting for it.
 type Writer struct {
-	lines chan []byte
-	left  atomic.Uint64
+	lines           chan []byte
+	closed, written chan struct{}
+	left            atomic.Uint64
 }
 
-// NewWriter returns a writer to out. Its goroutine ends with the process.
+// NewWriter returns a writer to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, queueLines)}
-	go func() {
-		for line := range w.lines {
+	w := &Writer{lines: make(chan []byte, queueLines), closed: make(chan struct{}), written: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// run writes lines until the writer is closed, and then those that wait.
+func (w *Writer) run(out io.Writer) {
+	defer close(w.written)
+	for {
+		select {
+		case line := <-w.lines:
 			_, _ = out.Write(line) // where a log can't be written there is nobody to tell
+		case <-w.closed:
+			for len(w.lines) > 0 {
+				_, _ = out.Write(<-w.lines)
+			}
+			return
 		}
-	}()
-	return w
+	}
 }
 
 // Write implements [io.Writer]. It always succeeds.
@@ -107,12 +120,16 @@
 // Left returns how many lines the reader of the output left no room for.
 func (w *Writer) Left() uint64 { return w.left.Load() }
 
-// flushWait bounds the wait for the last lines.
-const flushWait = 200 * time.Millisecond
+// closeWait bounds the wait for the last lines.
+const closeWait = 200 * time.Millisecond
 
-// Flush waits a short while until the lines so far are written.
-func (w *Writer) Flush() {
-	for until := time.Now().Add(flushWait); len(w.lines) > 0 && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
+// Close waits a short while until the lines so far are written. Lines after it are lost.
+func (w *Writer) Close() {
+	close(w.closed)
+	t := time.NewTimer(closeWait)
+	defer t.Stop()
+	select {
+	case <-w.written:
+	case <-t.C:
 	}
 }
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -54,7 +54,9 @@
 	// Own returns what this instance has to tell of endpoints.
 	Own func() routing.Told
 	// Told takes what another instance tells of them; the zero value when it fell silent.
-	Told  func(instance string, t routing.Told)
+	Told func(instance string, t routing.Told)
+	// Clock also runs while the machine is suspended.
+	Clock clock.Now
 	Log   *logrus.Entry
 	Scope tally.Scope
 }
@@ -279,7 +281,7 @@
 	before := x.table.records[p.ID]
 	came := before == nil || !before.alive
 	turned := before != nil && before.alive && before.Ready != p.Ready
-	news := x.table.heard(clock.Boot(), p, a.Sequence)
+	news := x.table.heard(x.Clock(), p, a.Sequence)
 	x.mu.Unlock()
 	if !news {
 		return
@@ -312,7 +314,7 @@
 // expire forgets what instances placed that have fallen silent.
 func (x *Exchange) expire() {
 	x.mu.Lock()
-	gone := x.table.expire(clock.Boot())
+	gone := x.table.expire(x.Clock())
 	x.mu.Unlock()
 	for _, id := range gone {
 		x.Log.WithField("peer", id).Warn("peer silent")
--- a/gateway/follow/configuration.go
+++ b/gateway/follow/configuration.go
@@ -9,7 +9,6 @@
 
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/route"
-	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -24,10 +23,10 @@
 	proof revision.Proof
 }
 
-// NewConfiguration returns a follower that knows nothing yet. wait is how long a watch waits, which is
-// also how old the proof grows in calm times; changes is called with each new table.
-func NewConfiguration(s Store, wait time.Duration, log *logrus.Entry, changes func(*route.Table)) *Configuration {
-	return &Configuration{loop: loop{store: s, kind: platform.KindConfiguration, wait: wait, log: log}, changes: changes}
+// NewConfiguration returns a follower that knows nothing yet. The proof grows as old as a watch waits in
+// calm times; changes is called with each new table.
+func NewConfiguration(o Options, changes func(*route.Table)) *Configuration {
+	return &Configuration{loop: loop{Options: o, kind: platform.KindConfiguration}, changes: changes}
 }
 
 // Run follows the store until ctx ends.
@@ -35,18 +34,18 @@
 
 // Table returns the newest table, nil when none is known, and the age of the proof.
 func (c *Configuration) Table() (*route.Table, time.Duration) {
-	now := clock.Boot()
+	now := c.loop.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age, _ := c.proof.Age(now)
 	return c.table, age
 }
 
-func (c *Configuration) replace(began time.Duration, objects []platform.Object) {
-	c.changed(began, objects)
+func (c *Configuration) replace(proved time.Duration, objects []platform.Object) {
+	c.changed(proved, objects)
 }
 
-func (c *Configuration) changed(began time.Duration, objects []platform.Object) {
+func (c *Configuration) changed(proved time.Duration, objects []platform.Object) {
 	for i := range objects {
 		if objects[i].Name == platform.ConfigurationName && !objects[i].Deleted {
 			c.take(&objects[i])
@@ -55,7 +54,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.table != nil {
-		c.proof.Confirm(began)
+		c.proof.Confirm(proved)
 	}
 }
 
@@ -65,7 +64,7 @@
 func (c *Configuration) take(o *platform.Object) {
 	decoded, err := platform.DecodeConfiguration(o.Spec)
 	if err != nil {
-		c.loop.log.WithError(err).WithField("revision", o.Revision).Error("configuration can't be read; the one before stays")
+		c.loop.Log.WithError(err).WithField("revision", o.Revision).Error("configuration can't be read; the one before stays")
 		return
 	}
 	c.mu.Lock()
@@ -76,7 +75,7 @@
 	table := route.NewTable(decoded)
 	c.table = table
 	c.mu.Unlock()
-	c.loop.log.WithFields(logrus.Fields{
+	c.loop.Log.WithFields(logrus.Fields{
 		"version": decoded.Version, "routes": len(decoded.Routes), "teams": len(decoded.Teams), "revision": o.Revision,
 	}).Info("configuration in force")
 	c.changes(table)
--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -10,7 +10,6 @@
 
 	"github.com/agateway/agateway/core/listing"
 	"github.com/agateway/agateway/core/routing"
-	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -29,11 +28,11 @@
 // that much later at the most, a quarter of the time that a leaving endpoint may still be used.
 const endpointsGap = 500 * time.Millisecond
 
-// NewEndpoints returns a follower that knows nothing yet. wait is how long a watch waits; changes is
-// called with the whole list when it changed.
-func NewEndpoints(s Store, wait time.Duration, log *logrus.Entry, changes func([]routing.Endpoint)) *Endpoints {
+// NewEndpoints returns a follower that knows nothing yet. changes is called with the whole list when it
+// changed.
+func NewEndpoints(o Options, changes func([]routing.Endpoint)) *Endpoints {
 	return &Endpoints{
-		loop:    loop{store: s, kind: platform.KindEndpoint, wait: wait, gap: endpointsGap, log: log},
+		loop:    loop{Options: o, kind: platform.KindEndpoint, gap: endpointsGap},
 		changes: changes, list: listing.New(listing.DefaultSettings()), seen: map[string]routing.State{},
 	}
 }
@@ -42,7 +41,7 @@
 func (e *Endpoints) Run(ctx context.Context) { e.loop.run(ctx, e) }
 
 func (e *Endpoints) replace(_ time.Duration, objects []platform.Object) {
-	now := clock.Boot()
+	now := e.loop.Now()
 	// Of two entries with one address, the one that was written last is put last, and so counts.
 	sort.Slice(objects, func(i, j int) bool { return objects[i].Revision < objects[j].Revision })
 	e.mu.Lock()
@@ -59,7 +58,7 @@
 }
 
 func (e *Endpoints) changed(_ time.Duration, objects []platform.Object) {
-	now := clock.Boot()
+	now := e.loop.Now()
 	e.mu.Lock()
 	e.list.Reached(now)
 	for i := range objects {
@@ -76,7 +75,7 @@
 func (e *Endpoints) decode(o *platform.Object) (routing.Endpoint, bool) {
 	d, err := platform.DecodeEndpoint(*o)
 	if err != nil {
-		e.loop.log.WithError(err).WithField("endpoint", o.Name).Error("entry of the list can't be read; left out")
+		e.loop.Log.WithError(err).WithField("endpoint", o.Name).Error("entry of the list can't be read; left out")
 		return d, false
 	}
 	return d, true
@@ -93,7 +92,7 @@
 
 // publish tells the list where it changed, and sees to what is still missing.
 func (e *Endpoints) publish(changed bool) {
-	now := clock.Boot()
+	now := e.loop.Now()
 	e.mu.Lock()
 	changed = e.list.Tick(now) || changed
 	if at, missing := e.list.Deadline(); missing && e.due == nil {
@@ -120,14 +119,14 @@
 	for i := range all {
 		now[all[i].ID] = all[i].State
 		if old, known := e.seen[all[i].ID]; !known || old != all[i].State {
-			e.loop.log.WithFields(logrus.Fields{
+			e.loop.Log.WithFields(logrus.Fields{
 				"endpoint": all[i].ID, "service": all[i].Service, "data_centre": all[i].DataCentre, "leaving": all[i].State == routing.Leaving,
 			}).Info("endpoint listed")
 		}
 	}
 	for id := range e.seen {
 		if _, still := now[id]; !still {
-			e.loop.log.WithField("endpoint", id).Info("endpoint gone from the list")
+			e.loop.Log.WithField("endpoint", id).Info("endpoint gone from the list")
 		}
 	}
 	e.seen = now
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -22,21 +22,29 @@
 
 // follower is what a loop keeps in step.
 type follower interface {
-	// replace takes a list, changed what a watch returned. began is when the read began.
-	replace(began time.Duration, objects []platform.Object)
-	changed(began time.Duration, objects []platform.Object)
+	// replace takes a list, changed what a watch returned. proved is a time at which there certainly
+	// was nothing newer.
+	replace(proved time.Duration, objects []platform.Object)
+	changed(proved time.Duration, objects []platform.Object)
 	// unreachable takes a failed read.
 	unreachable(began time.Duration)
 }
 
+// Options of a follower.
+type Options struct {
+	Store Store
+	// Wait is how long a watch waits.
+	Wait time.Duration
+	Now  clock.Now
+	Log  *logrus.Entry
+}
+
 // loop lists and watches one kind of objects.
 type loop struct {
-	store Store
-	kind  string
-	wait  time.Duration
+	Options
+	kind string
 	// gap is the least time between two watches, so that a run of changes costs one call.
 	gap    time.Duration
-	log    *logrus.Entry
 	broken bool
 }
 
@@ -45,6 +53,8 @@
 const (
 	pauseLeast = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
+	// brokenWait is how long a watch waits while the store does not answer.
+	brokenWait = 10 * time.Millisecond
 )
 
 func (l *loop) run(ctx context.Context, f follower) {
@@ -52,13 +62,13 @@
 	listed := false
 	pause := pauseLeast
 	for ctx.Err() == nil {
-		began := clock.Boot()
+		began := l.Now()
 		var page platform.Page
 		var err error
 		if listed {
-			page, err = l.store.Watch(ctx, l.kind, since, l.wait)
+			page, err = l.Store.Watch(ctx, l.kind, since, l.patience())
 		} else {
-			page, err = l.store.List(ctx, l.kind)
+			page, err = l.Store.List(ctx, l.kind)
 		}
 		if err != nil {
 			listed = listed && !errorx.IsOfType(err, platform.ErrHistoryGone)
@@ -68,13 +78,13 @@
 			}
 			continue
 		}
-		l.worked()
 		pause = pauseLeast
 		if listed {
-			f.changed(began, page.Objects)
+			f.changed(l.proved(began, &page), page.Objects)
 		} else {
 			f.replace(began, page.Objects)
 		}
+		l.worked()
 		since, listed = page.Revision, true
 		if len(page.Objects) > 0 {
 			sleep(ctx, l.gap)
@@ -82,19 +92,38 @@
 	}
 }
 
+// proved returns until when a watch's answer shows that there was nothing newer: from its beginning, and
+// for as long as it waited where nothing came, since the store can't have said so before that.
+func (l *loop) proved(began time.Duration, page *platform.Page) time.Duration {
+	wait := l.patience()
+	if len(page.Objects) > 0 || l.Now()-began < wait {
+		return began
+	}
+	return began + wait
+}
+
+// patience returns how long the next watch waits: hardly at all while the store does not answer, so that
+// its return is noticed soon.
+func (l *loop) patience() time.Duration {
+	if l.broken {
+		return brokenWait
+	}
+	return l.Wait
+}
+
 // failed takes a failed call, and tells whether to pause.
 func (l *loop) failed(ctx context.Context, f follower, began time.Duration, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
 	if errorx.IsOfType(err, platform.ErrHistoryGone) {
-		l.log.WithField("kind", l.kind).Info("the store's history is gone; listing again")
+		l.Log.WithField("kind", l.kind).Info("the store's history is gone; listing again")
 		return false
 	}
 	f.unreachable(began)
 	if !l.broken {
 		l.broken = true
-		l.log.WithError(err).WithField("kind", l.kind).Warn("store lost")
+		l.Log.WithError(err).WithField("kind", l.kind).Warn("store lost")
 	}
 	return true
 }
@@ -102,7 +131,7 @@
 func (l *loop) worked() {
 	if l.broken {
 		l.broken = false
-		l.log.WithField("kind", l.kind).Info("store regained")
+		l.Log.WithField("kind", l.kind).Info("store regained")
 	}
 }
 
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -60,7 +60,7 @@
 // run sends the request until it is answered or must not be sent again.
 func (p *plain) run(ctx context.Context) *refusal {
 	for {
-		if ctx.Err() != nil {
+		if p.over(ctx) {
 			return p.ended(ctx, notRun)
 		}
 		if refused := p.f.stillAllowed(p.req); refused != nil {
@@ -76,7 +76,7 @@
 			p.deliver(a)
 			return nil
 		}
-		if ctx.Err() != nil {
+		if p.over(ctx) {
 			return p.ended(ctx, how)
 		}
 		if how == answered {
@@ -89,6 +89,12 @@
 	}
 }
 
+// over tells whether the caller's time is over, or the caller left. Connections end at the deadline, at
+// times a little before the context does.
+func (p *plain) over(ctx context.Context) bool {
+	return ctx.Err() != nil || !p.req.deadline.IsZero() && !time.Now().Before(p.req.deadline)
+}
+
 // worthAnother tells whether another endpoint may answer better: an idempotent request that its
 // endpoint failed. A 4xx is the endpoint's word on the request itself.
 func (p *plain) worthAnother(a *answer) bool {
@@ -217,8 +223,8 @@
 		p.runs--
 		return notRun
 	}
-	if ctx.Err() == nil {
-		p.f.Placement.Failed(e.ID)
+	if !errors.Is(ctx.Err(), context.Canceled) { // the endpoint's doing, not the caller's
+		p.f.Placement.Lost(e.ID)
 	}
 	return unknown
 }
--- /dev/null
+++ b/gateway/forward/session_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/copies"
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/placement"
+)
+
+type quietLog struct{}
+
+func (quietLog) Decision(string, string, logrus.Fields) {}
+func (quietLog) Refusal(string, string, logrus.Fields)  {}
+
+// TestNumbersComeFromTheCurrentEngine: an engine is given up while its first events are on their way, and
+// the first of them is lost. The second one must not be taken for the first of the stream: one stream in
+// a day lost its first event that way, with nothing to show it.
+func TestNumbersComeFromTheCurrentEngine(t *testing.T) {
+	f := New(Options{Placement: placement.New(routing.DefaultSettings(), 1), Log: quietLog{}, Scope: tally.NoopScope})
+	now := time.Now()
+	w := httptest.NewRecorder()
+	s := &session{f: f, w: w, req: &request{route: &route.Route{Attempts: 5}}, copies: copies.New(copies.Settings{}), attempts: map[int]*attempt{}}
+	s.machine = generation.New(s.config(), generation.Origin{}, true, 0, now, now.Add(time.Minute))
+	attemptAt := func(n int, endpoint string) {
+		s.attempts[n] = &attempt{session: s, number: n, endpoint: routing.Endpoint{ID: endpoint}, cancel: func() {}}
+		s.machine.Acked(now, n, generation.Stream{Endpoint: endpoint, ID: endpoint}, 0, 0, 0)
+	}
+	attemptAt(1, "e1")
+	s.machine.Failed(now, 1, generation.Gone, 0)
+	attemptAt(2, "e2")
+	s.event(now, message{attempt: 1, id: 2, numbered: true, block: []byte("id: 2\n\n")})
+	assert.Equal(t, w.Body.String(), "")
+	for id := uint64(1); id <= 3; id++ {
+		s.event(now, message{attempt: 2, id: id, numbered: true, block: []byte{'0' + byte(id)}})
+	}
+	assert.Equal(t, w.Body.String(), "123")
+}
--- a/gateway/front/drain.go
+++ b/gateway/front/drain.go
@@ -55,5 +55,5 @@
 	}
 	f.work.Wait()
 	f.telemetry.Close()
-	f.output.Flush()
+	f.output.Close()
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -22,6 +22,7 @@
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/decisions"
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/follow"
@@ -44,6 +45,7 @@
 // Front is a running instance.
 type Front struct {
 	settings  *settings.Front
+	env       Environment
 	telemetry *telemetry.Telemetry
 	output    *decisions.Writer
 	decisions *decisions.Log
@@ -63,16 +65,25 @@
 	work     sync.WaitGroup
 }
 
-// Start listens and runs an instance. Log lines go to out.
-func Start(s *settings.Front, out io.Writer) (*Front, error) {
-	f := &Front{settings: s, output: decisions.NewWriter(out)}
+// Environment is what an instance runs in.
+type Environment struct {
+	Network network.Network
+	// Clock also runs while the machine is suspended.
+	Clock clock.Now
+	// Out takes the log lines.
+	Out io.Writer
+}
+
+// Start listens and runs an instance.
+func Start(s *settings.Front, env Environment) (*Front, error) {
+	f := &Front{settings: s, env: env, output: decisions.NewWriter(env.Out)}
 	t, err := telemetry.NewFront(s, f.output)
 	if err != nil {
 		return nil, err
 	}
 	f.telemetry = t
 	limitMemory(s.Process.Memory)
-	listeners, err := listen(s)
+	listeners, err := listen(s, env.Network)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +117,7 @@
 	peers                              net.PacketConn
 }
 
-func listen(s *settings.Front) (*listeners, error) {
+func listen(s *settings.Front, n network.Network) (*listeners, error) {
 	l := &listeners{}
 	for _, a := range []struct {
 		to      *net.Listener
@@ -118,12 +129,12 @@
 			continue
 		}
 		var err error
-		if *a.to, err = net.Listen("tcp", a.address); err != nil {
+		if *a.to, err = n.Listen(a.address); err != nil {
 			return nil, ErrListen.Wrap(err, "can't listen on %s", a.address)
 		}
 	}
 	var err error
-	if l.peers, err = net.ListenPacket("udp", s.Listen.Peers); err != nil {
+	if l.peers, err = n.ListenPacket(s.Listen.Peers); err != nil {
 		return nil, ErrListen.Wrap(err, "can't listen on %s", s.Listen.Peers)
 	}
 	return l, nil
@@ -140,21 +151,23 @@
 // build makes the parts and joins them.
 func (f *Front) build(l *listeners) {
 	s, t := f.settings, f.telemetry
-	dial := network.Within(network.TCP{}, s.Streams.Connect)
+	dial := network.Within(f.env.Network, s.Streams.Connect)
 	f.decisions = decisions.New(t.Log)
-	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.Within(network.TCP{}, s.Store.Timeout))
+	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.Within(f.env.Network, s.Store.Timeout))
 	view := routing.DefaultSettings()
 	view.Choices = choices
-	view.QueueFactor = queueFactor
+	view.QueueFactor, view.LastResort = queueFactor, true
 	f.placement = placement.New(view, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
-	f.configuration = follow.NewConfiguration(f.store, s.Store.Watch, t.Log, f.reconfigured)
-	f.endpoints = follow.NewEndpoints(f.store, s.Store.WatchList, t.Log, f.listed)
+	following := follow.Options{Store: f.store, Wait: s.Store.Watch, Now: f.env.Clock, Log: t.Log}
+	f.configuration = follow.NewConfiguration(following, f.reconfigured)
+	following.Wait = s.Store.WatchList
+	f.endpoints = follow.NewEndpoints(following, f.listed)
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 		},
-		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.told, Told: f.placement.SetPeer, Log: t.Log, Scope: t.Scope,
+		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.told, Told: f.placement.SetPeer, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
--- a/gateway/network/memnet/memnet.go
+++ b/gateway/network/memnet/memnet.go
@@ -18,6 +18,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
+	packets   map[string]*packetConn
 	crashed   map[string]bool
 	cut       func(a, b string) bool
 	port      int
@@ -26,7 +27,7 @@
 // New returns a network without nodes.
 func New() *Net {
 	return &Net{
-		listeners: map[string]*listener{}, conns: map[*conn]bool{}, crashed: map[string]bool{},
+		listeners: map[string]*listener{}, conns: map[*conn]bool{}, packets: map[string]*packetConn{}, crashed: map[string]bool{},
 		cut: func(string, string) bool { return false },
 	}
 }
--- /dev/null
+++ b/gateway/network/memnet/packet.go
@@ -0,0 +1,82 @@
+package memnet
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// packetsAhead is how many datagrams wait for a slow reader; more are lost.
+const packetsAhead = 64
+
+// packetConn receives datagrams. Those between nodes that are cut off from each other, or to a node that
+// has crashed, are lost.
+type packetConn struct {
+	node   *Node
+	at     string
+	in     chan packet
+	closed chan struct{}
+	once   sync.Once
+}
+
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+// ListenPacket implements the network of the project.
+func (m *Node) ListenPacket(address string) (net.PacketConn, error) {
+	c := &packetConn{node: m, at: address, in: make(chan packet, packetsAhead), closed: make(chan struct{})}
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.net.packets[address] = c
+	return c, nil
+}
+
+// ReadFrom implements [net.PacketConn].
+func (c *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.in:
+		return copy(b, p.data), p.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo implements [net.PacketConn].
+func (c *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	n := c.node.net
+	n.mu.Lock()
+	other := n.packets[to.String()]
+	lost := other == nil || n.crashed[c.node.name] || n.crashed[other.node.name] || n.cut(c.node.name, other.node.name)
+	n.mu.Unlock()
+	if lost {
+		return len(b), nil
+	}
+	select {
+	case other.in <- packet{append([]byte(nil), b...), c.LocalAddr()}:
+	default:
+	}
+	return len(b), nil
+}
+
+// Close implements [net.PacketConn].
+func (c *packetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr implements [net.PacketConn].
+func (c *packetConn) LocalAddr() net.Addr {
+	return net.UDPAddrFromAddrPort(netip.MustParseAddrPort(c.at))
+}
+
+// SetDeadline implements [net.PacketConn]; there are none.
+func (c *packetConn) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline implements [net.PacketConn]; there are none.
+func (c *packetConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline implements [net.PacketConn]; there are none.
+func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
--- a/gateway/network/network.go
+++ b/gateway/network/network.go
@@ -12,6 +12,8 @@
 type Network interface {
 	// Listen listens on an address; port 0 takes a free one.
 	Listen(address string) (net.Listener, error)
+	// ListenPacket listens for datagrams on an address.
+	ListenPacket(address string) (net.PacketConn, error)
 	// Dial connects; a connection that can't come about is a *net.OpError with Op "dial".
 	Dial(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -22,6 +24,11 @@
 // Listen implements [Network].
 func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 
+// ListenPacket implements [Network].
+func (TCP) ListenPacket(address string) (net.PacketConn, error) {
+	return net.ListenPacket("udp", address)
+}
+
 // Dial implements [Network].
 func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	var d net.Dialer
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -113,6 +113,13 @@
 	p.view.Failed(time.Now(), id)
 }
 
+// Lost records that an endpoint lost an answer.
+func (p *Placement) Lost(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Lost(time.Now(), id)
+}
+
 // Succeeded clears the suspicion of an endpoint.
 func (p *Placement) Succeeded(id string) {
 	p.mu.Lock()
--- a/gateway/upstream/quiet.go
+++ b/gateway/upstream/quiet.go
@@ -1,21 +1,24 @@
 package upstream
 
 import (
+	"errors"
+	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// quiet tells whether nothing has arrived on an idle connection. It looks without waiting and
-// without taking bytes: one system call, no goroutine for each idle connection. Connections that are
-// no sockets (in tests) count as quiet unless bytes are buffered.
+// quiet tells whether nothing has arrived on an idle connection. It looks without waiting and without
+// taking bytes: one system call, no goroutine for each idle connection. Connections that are no plain
+// sockets are read from for a moment.
 func (c *Conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
 	sock, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return c.quietFor(time.Millisecond)
 	}
 	raw, err := sock.SyscallConn()
 	if err != nil {
@@ -30,3 +33,16 @@
 	})
 	return err == nil && quiet
 }
+
+// quietFor tells whether nothing arrives within d.
+func (c *Conn) quietFor(d time.Duration) bool {
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		return false
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
+}
