relay: instances follow one of their data centre in place of the store

Cause: on the grown site of 87 instances the calls to the store were the largest price by far (each instance watched two kinds), and what they ask is the same. Change: an instance mirrors what it knows and answers watches of others with the age of its knowledge; one a data centre asks the store. The age counts from the beginning of the call that asked for it. Whoever follows one that is dead, cut off or out of date asks the store itself. Ruled out: vouching by datagrams, since a datagram that waited in a buffer of a frozen process would prove too much.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -49,6 +49,8 @@
 	// PeerServiceListInstancesProcedure is the fully-qualified name of the PeerService's ListInstances
 	// RPC.
 	PeerServiceListInstancesProcedure = "/agateway.peer.v1.PeerService/ListInstances"
+	// PeerServiceWatchStoreProcedure is the fully-qualified name of the PeerService's WatchStore RPC.
+	PeerServiceWatchStoreProcedure = "/agateway.peer.v1.PeerService/WatchStore"
 	// PeerServiceRegisterProcedure is the fully-qualified name of the PeerService's Register RPC.
 	PeerServiceRegisterProcedure = "/agateway.peer.v1.PeerService/Register"
 	// PeerServiceUpdatePlaceProcedure is the fully-qualified name of the PeerService's UpdatePlace RPC.
@@ -79,6 +81,9 @@
 	PushConfiguration(context.Context, *connect.Request[v1.PushConfigurationRequest]) (*connect.Response[v1.PushConfigurationResponse], error)
 	// ListInstances passes on the platform's list of instances.
 	ListInstances(context.Context, *connect.Request[v1.ListInstancesRequest]) (*connect.Response[v1.ListInstancesResponse], error)
+	// WatchStore passes on what the called instance knows of the platform's store, as a watch of the store
+	// itself would: it returns what changed after a revision, waiting for a change.
+	WatchStore(context.Context, *connect.Request[v1.WatchStoreRequest]) (*connect.Response[v1.WatchStoreResponse], error)
 	Register(context.Context, *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error)
 	UpdatePlace(context.Context, *connect.Request[v1.UpdatePlaceRequest]) (*connect.Response[v1.UpdatePlaceResponse], error)
 	TakeOver(context.Context, *connect.Request[v1.TakeOverRequest]) (*connect.Response[v1.TakeOverResponse], error)
@@ -132,6 +137,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ListInstances")),
 			connect.WithClientOptions(opts...),
 		),
+		watchStore: connect.NewClient[v1.WatchStoreRequest, v1.WatchStoreResponse](
+			httpClient,
+			baseURL+PeerServiceWatchStoreProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("WatchStore")),
+			connect.WithClientOptions(opts...),
+		),
 		register: connect.NewClient[v1.RegisterRequest, v1.RegisterResponse](
 			httpClient,
 			baseURL+PeerServiceRegisterProcedure,
@@ -184,6 +195,7 @@
 	pullConfiguration *connect.Client[v1.PullConfigurationRequest, v1.PullConfigurationResponse]
 	pushConfiguration *connect.Client[v1.PushConfigurationRequest, v1.PushConfigurationResponse]
 	listInstances     *connect.Client[v1.ListInstancesRequest, v1.ListInstancesResponse]
+	watchStore        *connect.Client[v1.WatchStoreRequest, v1.WatchStoreResponse]
 	register          *connect.Client[v1.RegisterRequest, v1.RegisterResponse]
 	updatePlace       *connect.Client[v1.UpdatePlaceRequest, v1.UpdatePlaceResponse]
 	takeOver          *connect.Client[v1.TakeOverRequest, v1.TakeOverResponse]
@@ -218,6 +230,11 @@
 	return c.listInstances.CallUnary(ctx, req)
 }
 
+// WatchStore calls agateway.peer.v1.PeerService.WatchStore.
+func (c *peerServiceClient) WatchStore(ctx context.Context, req *connect.Request[v1.WatchStoreRequest]) (*connect.Response[v1.WatchStoreResponse], error) {
+	return c.watchStore.CallUnary(ctx, req)
+}
+
 // Register calls agateway.peer.v1.PeerService.Register.
 func (c *peerServiceClient) Register(ctx context.Context, req *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error) {
 	return c.register.CallUnary(ctx, req)
@@ -265,6 +282,9 @@
 	PushConfiguration(context.Context, *connect.Request[v1.PushConfigurationRequest]) (*connect.Response[v1.PushConfigurationResponse], error)
 	// ListInstances passes on the platform's list of instances.
 	ListInstances(context.Context, *connect.Request[v1.ListInstancesRequest]) (*connect.Response[v1.ListInstancesResponse], error)
+	// WatchStore passes on what the called instance knows of the platform's store, as a watch of the store
+	// itself would: it returns what changed after a revision, waiting for a change.
+	WatchStore(context.Context, *connect.Request[v1.WatchStoreRequest]) (*connect.Response[v1.WatchStoreResponse], error)
 	Register(context.Context, *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error)
 	UpdatePlace(context.Context, *connect.Request[v1.UpdatePlaceRequest]) (*connect.Response[v1.UpdatePlaceResponse], error)
 	TakeOver(context.Context, *connect.Request[v1.TakeOverRequest]) (*connect.Response[v1.TakeOverResponse], error)
@@ -314,6 +334,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ListInstances")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceWatchStoreHandler := connect.NewUnaryHandler(
+		PeerServiceWatchStoreProcedure,
+		svc.WatchStore,
+		connect.WithSchema(peerServiceMethods.ByName("WatchStore")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceRegisterHandler := connect.NewUnaryHandler(
 		PeerServiceRegisterProcedure,
 		svc.Register,
@@ -368,6 +394,8 @@
 			peerServicePushConfigurationHandler.ServeHTTP(w, r)
 		case PeerServiceListInstancesProcedure:
 			peerServiceListInstancesHandler.ServeHTTP(w, r)
+		case PeerServiceWatchStoreProcedure:
+			peerServiceWatchStoreHandler.ServeHTTP(w, r)
 		case PeerServiceRegisterProcedure:
 			peerServiceRegisterHandler.ServeHTTP(w, r)
 		case PeerServiceUpdatePlaceProcedure:
@@ -411,6 +439,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateway.peer.v1.PeerService.ListInstances is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) WatchStore(context.Context, *connect.Request[v1.WatchStoreRequest]) (*connect.Response[v1.WatchStoreResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateway.peer.v1.PeerService.WatchStore is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Register(context.Context, *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateway.peer.v1.PeerService.Register is not implemented"))
 }
--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -24,9 +24,10 @@
 	seen map[string]routing.State
 }
 
-// endpointsGap bounds the calls that a run of changes costs, to two a second. A change is in force
-// that much later at the most, a quarter of the time that a leaving endpoint may still be used.
-const endpointsGap = 500 * time.Millisecond
+// endpointsGap bounds the calls that a run of changes costs, to five a second of each instance that asks
+// the store. A change is in force that much later at the most, and as much again at those who follow, a
+// fifth of the time that a leaving endpoint may still be used.
+const endpointsGap = 200 * time.Millisecond
 
 // NewEndpoints returns a follower that knows nothing yet. changes is called with the whole list when it
 // changed.
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -32,7 +32,10 @@
 
 // Options of a follower.
 type Options struct {
-	Store Store
+	// Source returns whom to ask next: the store, or another instance that does.
+	Source func() Store
+	// Mirror takes what is known, for instances that follow this one.
+	Mirror *Mirror
 	// Wait is how long a watch waits.
 	Wait time.Duration
 	Now  clock.Now
@@ -66,9 +69,9 @@
 		var page platform.Page
 		var err error
 		if listed {
-			page, err = l.Store.Watch(ctx, l.kind, since, l.patience())
+			page, err = l.Source().Watch(ctx, l.kind, since, l.patience())
 		} else {
-			page, err = l.Store.List(ctx, l.kind)
+			page, err = l.Source().List(ctx, l.kind)
 		}
 		if err != nil {
 			listed = listed && !errorx.IsOfType(err, platform.ErrHistoryGone)
@@ -79,11 +82,7 @@
 			continue
 		}
 		pause = pauseLeast
-		if listed {
-			f.changed(l.proved(began, &page), page.Objects)
-		} else {
-			f.replace(began, page.Objects)
-		}
+		l.take(f, listed, began, &page)
 		l.worked()
 		since, listed = page.Revision, true
 		if len(page.Objects) > 0 {
@@ -92,14 +91,27 @@
 	}
 }
 
+// take hands on what a call returned.
+func (l *loop) take(f follower, watched bool, began time.Duration, page *platform.Page) {
+	if watched {
+		proved := l.proved(began, page)
+		f.changed(proved, page.Objects)
+		l.Mirror.update(l.kind, proved, page)
+		return
+	}
+	proved := began - page.Age
+	f.replace(proved, page.Objects)
+	l.Mirror.replace(l.kind, proved, page)
+}
+
 // proved returns until when a watch's answer shows that there was nothing newer: from its beginning, and
 // for as long as it waited where nothing came, since the store can't have said so before that.
 func (l *loop) proved(began time.Duration, page *platform.Page) time.Duration {
 	wait := l.patience()
 	if len(page.Objects) > 0 || l.Now()-began < wait {
-		return began
+		return began - page.Age
 	}
-	return began + wait
+	return began + wait - page.Age
 }
 
 // patience returns how long the next watch waits: hardly at all while the store does not answer, so that
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/clock"
@@ -28,7 +29,9 @@
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/placement"
+	"github.com/agateway/agateway/gateway/relay"
 	"github.com/agateway/agateway/gateway/settings"
 	"github.com/agateway/agateway/gateway/telemetry"
 	"github.com/agateway/agateway/gateway/upstream"
@@ -57,6 +60,8 @@
 	pool          *upstream.Pool
 	forwarder     *forward.Forwarder
 	exchange      *exchange.Exchange
+	mirror        *follow.Mirror
+	chooser       *relay.Chooser
 
 	callers  *callers
 	servers  []*http.Server
@@ -114,7 +119,9 @@
 // listeners are all the addresses that are listened on.
 type listeners struct {
 	callers, ready, directory, metrics net.Listener
-	peers                              net.PacketConn
+	// Other instances are reached at one address: by datagrams, and for calls.
+	peers net.PacketConn
+	calls net.Listener
 }
 
 func listen(s *settings.Front, n network.Network) (*listeners, error) {
@@ -124,6 +131,7 @@
 		address string
 	}{
 		{&l.callers, s.Listen.Callers}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.metrics, s.Listen.Metrics},
+		{&l.calls, s.Listen.Peers},
 	} {
 		if a.address == "" {
 			continue
@@ -159,7 +167,8 @@
 	view.QueueFactor, view.LastResort = queueFactor, true
 	f.placement = placement.New(view, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
-	following := follow.Options{Store: f.store, Wait: s.Store.Watch, Now: f.env.Clock, Log: t.Log}
+	f.mirror = follow.NewMirror(f.env.Clock)
+	following := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.Store.Watch, Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(following, f.reconfigured)
 	following.Wait = s.Store.WatchList
 	f.endpoints = follow.NewEndpoints(following, f.listed)
@@ -169,6 +178,11 @@
 		},
 		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.told, Told: f.placement.SetPeer, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
+	f.chooser = relay.New(relay.Options{
+		Self: s.Instance.ID, DataCentre: s.Instance.DataCentre, Store: f.store, Others: f.exchange.Others,
+		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network), Readers: s.Store.Readers, Timeout: s.Store.Timeout,
+		AgeMost: ageWaits * s.Store.Watch, Clock: f.env.Clock,
+	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
 			DataCentre: s.Instance.DataCentre, KeyBound: f.keyBound(), DenyBound: time.Duration(denyShare * float64(s.Bounds.Apply)),
@@ -180,6 +194,13 @@
 	})
 }
 
+// ageWaits times the wait of a watch is how old the knowledge of an instance that is followed may be: its
+// own watch and that of the follower each add one wait in calm times.
+const ageWaits = 2
+
+// source returns whom the followers ask next.
+func (f *Front) source() follow.Store { return f.chooser.Source() }
+
 // choices is how many endpoints a choice compares at random, besides one of the own data centre. What
 // is known of the others' choices is some tens of milliseconds old, so with many candidates all
 // instances would take the same one when a data centre is lost and its streams move at once: with 8 of
@@ -233,6 +254,8 @@
 	f.work.Go(f.callers.run)
 	f.handle(l.ready, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
 	f.handle(l.directory, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
+	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Mirror: f.mirror})
+	f.handle(l.calls, func(r chi.Router) { r.Handle(path+"*", handler) })
 	if l.metrics != nil {
 		f.handle(l.metrics, func(r chi.Router) { r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics) })
 	}
@@ -244,7 +267,9 @@
 func (f *Front) handle(l net.Listener, routes func(chi.Router)) {
 	r := chi.NewRouter()
 	routes(r)
-	server := &http.Server{Handler: r, ReadHeaderTimeout: smallTimeout, IdleTimeout: smallTimeout}
+	server := &http.Server{Handler: r, ReadHeaderTimeout: smallTimeout, IdleTimeout: smallTimeout, Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true) // between instances
 	f.servers = append(f.servers, server)
 	f.work.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/gateway/peering/peering.go
+++ b/gateway/peering/peering.go
@@ -22,6 +22,8 @@
 
 // Service implements peerv1connect.PeerServiceHandler.
 type Service struct {
+	peerv1connect.UnimplementedPeerServiceHandler // WatchStore is served by instances that forward
+
 	Config  *config.Config
 	Fleet   *fleet.Fleet
 	Running *running.Running
--- /dev/null
+++ b/gateway/relay/relay.go
@@ -0,0 +1,153 @@
+// Package relay lets instances follow each other in place of the platform's store. Few instances of a data
+// centre ask the store; the others ask those, so that what the store is asked grows with the number of data
+// centres and not of instances.
+//
+// Failure modes: an instance that is followed may be cut off from the store; it says how old its knowledge
+// is, and is left for the store itself when that is too old or it does not answer. Nothing is proved by
+// its word alone: the age that it tells counts from the beginning of the call that asked for it.
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/directory"
+	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/gateway/exchange"
+	"github.com/agateway/agateway/gateway/follow"
+	"github.com/agateway/agateway/gateway/peers"
+	"github.com/agateway/agateway/platform"
+)
+
+// Server answers the instances that follow this one.
+type Server struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	Mirror *follow.Mirror
+}
+
+// WatchStore implements the schema's service.
+func (s *Server) WatchStore(ctx context.Context, r *connect.Request[peerv1.WatchStoreRequest]) (*connect.Response[peerv1.WatchStoreResponse], error) {
+	var page platform.Page
+	var err error
+	if r.Msg.All {
+		page, err = s.Mirror.List(ctx, r.Msg.Kind)
+	} else {
+		page, err = s.Mirror.Watch(ctx, r.Msg.Kind, r.Msg.Since, time.Duration(r.Msg.WaitMs)*time.Millisecond)
+	}
+	if errorx.IsOfType(err, platform.ErrHistoryGone) {
+		return connect.NewResponse(&peerv1.WatchStoreResponse{Gone: true}), nil
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	out := &peerv1.WatchStoreResponse{Revision: page.Revision, AgeMs: uint32(page.Age.Milliseconds()) + 1}
+	for _, o := range page.Objects {
+		out.Objects = append(out.Objects, &peerv1.StoreObject{Name: o.Name, Revision: o.Revision, Spec: o.Spec, Deleted: o.Deleted})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Options of a chooser.
+type Options struct {
+	// Self is the name of this instance, DataCentre where it runs.
+	Self, DataCentre string
+	Store            follow.Store
+	Others           func() []exchange.Peer
+	Pool             *peers.Pool
+	// Readers is how many instances of a data centre ask the store.
+	Readers int
+	// Timeout bounds a call besides its wait, AgeMost how old the knowledge of another instance may be.
+	Timeout, AgeMost time.Duration
+	Clock            clock.Now
+}
+
+// Chooser decides whom this instance follows. It is safe for concurrent use.
+type Chooser struct {
+	Options
+	mu sync.Mutex
+	// direct is until when the store is asked, since another instance was of no use.
+	direct time.Duration
+}
+
+// New returns a chooser.
+func New(o Options) *Chooser { return &Chooser{Options: o} }
+
+// directFor is how long the store is asked after another instance was of no use: long enough for one
+// that died to be left out of the announcements.
+const directFor = 3 * time.Second
+
+// Source returns whom to ask next.
+func (c *Chooser) Source() follow.Store {
+	c.mu.Lock()
+	direct := c.Clock() < c.direct
+	c.mu.Unlock()
+	if direct {
+		return c.Store
+	}
+	byID := map[string]exchange.Peer{}
+	ids := []string{c.Self}
+	for _, p := range c.Others() {
+		if p.DataCentre == c.DataCentre && p.Ready {
+			byID[p.ID] = p
+			ids = append(ids, p.ID)
+		}
+	}
+	readers := directory.Rank(directory.Key{ID: "readers"}, ids, c.Readers)
+	if slices.Contains(readers, c.Self) || len(readers) == 0 {
+		return c.Store
+	}
+	// Those who don't read spread over those who do.
+	at := directory.Rank(directory.Key{ID: c.Self}, readers, 1)[0]
+	return &remote{chooser: c, address: byID[at].Peers}
+}
+
+func (c *Chooser) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.direct = c.Clock() + directFor
+}
+
+// remote follows another instance.
+type remote struct {
+	chooser *Chooser
+	address string
+}
+
+var watchStore = peerv1connect.PeerServiceClient.WatchStore
+
+// List implements [follow.Store].
+func (r *remote) List(ctx context.Context, kind string) (platform.Page, error) {
+	return r.call(ctx, &peerv1.WatchStoreRequest{Kind: kind, All: true}, 0)
+}
+
+// Watch implements [follow.Store].
+func (r *remote) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error) {
+	return r.call(ctx, &peerv1.WatchStoreRequest{Kind: kind, Since: since, WaitMs: uint32(wait.Milliseconds())}, wait)
+}
+
+func (r *remote) call(ctx context.Context, req *peerv1.WatchStoreRequest, wait time.Duration) (platform.Page, error) {
+	c := r.chooser
+	resp, err := peers.Call(ctx, c.Pool, r.address, wait+c.Timeout, watchStore, req)
+	if err != nil {
+		c.failed()
+		return platform.Page{}, platform.ErrUnavailable.Wrap(err, "no answer from the instance at %s", r.address)
+	}
+	if resp.Gone {
+		return platform.Page{}, platform.ErrHistoryGone.New("the instance at %s has forgotten", r.address)
+	}
+	page := platform.Page{Revision: resp.Revision, Age: time.Duration(resp.AgeMs) * time.Millisecond}
+	if page.Age > c.AgeMost {
+		c.failed() // what it knows is taken all the same; the next call goes to the store
+	}
+	for _, o := range resp.Objects {
+		page.Objects = append(page.Objects, platform.Object{Name: o.Name, Revision: o.Revision, Spec: o.Spec, Deleted: o.Deleted})
+	}
+	return page, nil
+}
