relay: an instance that is cut off says so before its followers break a bound

Cause: what an instance told its followers could be 1.8 s old before they left it, and that of the endpoints 4 s: an endpoint that left just after the cut would have got work from instances that reach the store for longer than the 2 s allowed. Change: a mirror does not tell what is older than 1.25 s, also in the middle of a watch; both kinds are watched for 0.9 s. Before: TestFollowersHearOfLeaving failed with the old settings by up to 2 s. After: all instances but the one cut off keep the bound of 2 s.

--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -16,7 +16,9 @@
 // ask for is the same. Revisions are the store's own, so a follower can change from one source to another
 // at any time. It is safe for concurrent use.
 type Mirror struct {
-	now   clock.Now
+	now clock.Now
+	// stale is the age from which what is known is not told any more.
+	stale time.Duration
 	mu    sync.Mutex
 	kinds map[string]*mirrored
 }
@@ -31,11 +33,17 @@
 	changed  chan struct{}
 }
 
+// staleStep is how often a waiting watch looks whether the knowledge has grown too old.
+const staleStep = 100 * time.Millisecond
+
 // removedMost is how many removed objects are remembered. A follower that is behind more lists again.
 const removedMost = 500
 
-// NewMirror returns a mirror that knows nothing.
-func NewMirror(now clock.Now) *Mirror { return &Mirror{now: now, kinds: map[string]*mirrored{}} }
+// NewMirror returns a mirror that knows nothing. It does not tell what it knows once that is older than
+// stale: those who follow have to learn within their own bounds that this instance is cut off.
+func NewMirror(now clock.Now, stale time.Duration) *Mirror {
+	return &Mirror{now: now, stale: stale, kinds: map[string]*mirrored{}}
+}
 
 func (m *Mirror) kind(kind string) *mirrored {
 	k := m.kinds[kind]
@@ -101,13 +109,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(kind)
-	age, known := k.proof.Age(m.now())
-	if !known {
-		return platform.Page{}, platform.ErrUnavailable.New("nothing known of %s", kind)
+	age, err := m.age(k, kind)
+	if err != nil {
+		return platform.Page{}, err
 	}
 	return platform.Page{Objects: k.since(0, false), Revision: k.revision, Age: age}, nil
 }
 
+// age returns how old the knowledge of a kind is, and fails when that is too old to be told.
+func (m *Mirror) age(k *mirrored, kind string) (time.Duration, error) {
+	age, known := k.proof.Age(m.now())
+	if !known || age >= m.stale {
+		return 0, platform.ErrUnavailable.New("what is known of %s is %v old", kind, age)
+	}
+	return age, nil
+}
+
 // since returns the objects that changed after a revision, in the order of their changes.
 func (k *mirrored) since(revision uint64, removed bool) []platform.Object {
 	var out []platform.Object
@@ -124,6 +141,8 @@
 func (m *Mirror) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	stale := time.NewTicker(staleStep)
+	defer stale.Stop()
 	for {
 		page, changed, err := m.look(kind, since)
 		if err != nil || len(page.Objects) > 0 {
@@ -131,6 +150,7 @@
 		}
 		select {
 		case <-changed:
+		case <-stale.C:
 		case <-timeout.C:
 			page, _, err = m.look(kind, since)
 			return page, err
@@ -144,9 +164,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(kind)
-	age, known := k.proof.Age(m.now())
-	if !known {
-		return platform.Page{}, k.changed, platform.ErrUnavailable.New("nothing known of %s", kind)
+	age, err := m.age(k, kind)
+	if err != nil {
+		return platform.Page{}, k.changed, err
 	}
 	if since < k.oldest {
 		return platform.Page{}, k.changed, platform.ErrHistoryGone.New("changes up to %d are forgotten", k.oldest)
--- /dev/null
+++ b/gateway/follow/mirror_test.go
@@ -0,0 +1,116 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/platform"
+)
+
+func object(name string, revision uint64) platform.Object {
+	return platform.Object{Name: name, Revision: revision, Spec: []byte("{}")}
+}
+
+func names(p platform.Page) []string {
+	out := []string{}
+	for _, o := range p.Objects {
+		name := o.Name
+		if o.Deleted {
+			name = "-" + name
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// mirrorWorld is a mirror of two objects, known to be the newest 100 ms ago.
+func mirrorWorld() (*Mirror, time.Time) {
+	began := time.Now()
+	m := NewMirror(func() time.Duration { return time.Since(began) }, time.Minute)
+	m.replace("k", 0, &platform.Page{Objects: []platform.Object{object("a", 5), object("b", 7)}, Revision: 9})
+	time.Sleep(100 * time.Millisecond)
+	return m, began
+}
+
+func TestMirrorListsAndWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := mirrorWorld()
+		ctx := context.Background()
+		page, err := m.List(ctx, "k")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names(page), []string{"a", "b"})
+		assert.Equal(t, page.Revision, uint64(9))
+		assert.Equal(t, page.Age, 100*time.Millisecond)
+		began := time.Now()
+		page, err = m.Watch(ctx, "k", 9, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Objects), 0)
+		assert.Equal(t, time.Since(began), time.Second)
+		assert.Equal(t, page.Age, 1100*time.Millisecond, "its own knowledge grew old meanwhile")
+		time.AfterFunc(50*time.Millisecond, func() {
+			gone := object("a", 5)
+			gone.Deleted = true
+			m.update("k", time.Second, &platform.Page{Objects: []platform.Object{object("c", 11), gone}, Revision: 12})
+		})
+		page, err = m.Watch(ctx, "k", 9, time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names(page), []string{"c", "-a"})
+		assert.Equal(t, page.Revision, uint64(12))
+		page, err = m.Watch(ctx, "k", 11, time.Second) // of a follower that knows c from the store
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names(page), []string{"-a"})
+		page, err = m.List(ctx, "k")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names(page), []string{"b", "c"})
+	})
+}
+
+func TestMirrorThatKnowsNothing(t *testing.T) {
+	m := NewMirror(func() time.Duration { return 0 }, time.Minute)
+	_, err := m.List(context.Background(), "k")
+	assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
+	_, err = m.Watch(context.Background(), "k", 1, time.Millisecond)
+	assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
+}
+
+// TestMirrorForgets: a follower that missed removals which are forgotten has to list again; so has one
+// from before this instance's own list.
+func TestMirrorForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := mirrorWorld()
+		ctx := context.Background()
+		_, err := m.Watch(ctx, "k", 8, time.Millisecond)
+		assert.Assert(t, errorx.IsOfType(err, platform.ErrHistoryGone))
+		for i := range removedMost + 1 {
+			o := object(fmt.Sprint("x", i), 10)
+			o.Deleted = true
+			m.update("k", 0, &platform.Page{Objects: []platform.Object{o}, Revision: uint64(10 + i)})
+		}
+		_, err = m.Watch(ctx, "k", 9, time.Millisecond)
+		assert.Assert(t, errorx.IsOfType(err, platform.ErrHistoryGone))
+		_, err = m.Watch(ctx, "k", 10, time.Millisecond)
+		assert.NilError(t, err)
+	})
+}
+
+// TestMirrorThatIsCutOffSaysSo: its followers have to leave it well before they get new work to an endpoint
+// that left, so a waiting watch ends as soon as the knowledge is too old.
+func TestMirrorThatIsCutOffSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		m := NewMirror(func() time.Duration { return time.Since(began) }, 1250*time.Millisecond)
+		m.replace("k", 0, &platform.Page{Revision: 9})
+		time.Sleep(time.Second)
+		_, err := m.Watch(context.Background(), "k", 9, time.Second)
+		assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
+		assert.Assert(t, time.Since(began) <= 1350*time.Millisecond)
+		_, err = m.List(context.Background(), "k")
+		assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
+	})
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -167,10 +167,9 @@
 	view.QueueFactor, view.LastResort = queueFactor, true
 	f.placement = placement.New(view, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
-	f.mirror = follow.NewMirror(f.env.Clock)
+	f.mirror = follow.NewMirror(f.env.Clock, s.Store.Watch+staleMargin)
 	following := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.Store.Watch, Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(following, f.reconfigured)
-	following.Wait = s.Store.WatchList
 	f.endpoints = follow.NewEndpoints(following, f.listed)
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
@@ -181,7 +180,7 @@
 	f.chooser = relay.New(relay.Options{
 		Self: s.Instance.ID, DataCentre: s.Instance.DataCentre, Store: f.store, Others: f.exchange.Others,
 		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network), Readers: s.Store.Readers, Timeout: s.Store.Timeout,
-		AgeMost: ageWaits * s.Store.Watch, Clock: f.env.Clock,
+		Clock: f.env.Clock,
 	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
@@ -194,9 +193,9 @@
 	})
 }
 
-// ageWaits times the wait of a watch is how old the knowledge of an instance that is followed may be: its
-// own watch and that of the follower each add one wait in calm times.
-const ageWaits = 2
+// staleMargin is by how much what an instance tells its followers may be older than a watch waits: it
+// covers an answer of the store that takes 350 ms.
+const staleMargin = 350 * time.Millisecond
 
 // source returns whom the followers ask next.
 func (f *Front) source() follow.Store { return f.chooser.Source() }
--- /dev/null
+++ b/gateway/front/relay_test.go
@@ -0,0 +1,121 @@
+package front_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// TestFewAskTheStore: nine instances in three data centres ask it as often as three would.
+func TestFewAskTheStore(t *testing.T) {
+	calls := func(fronts int) int {
+		n := 0
+		run(t, fronts, 1, 1, func(w *world) {
+			before := w.store.Counts()
+			time.Sleep(10 * time.Second)
+			after := w.store.Counts()
+			n = after.Reads + after.Watches - before.Reads - before.Watches
+		})
+		return n
+	}
+	three, nine := calls(3), calls(9)
+	assert.Assert(t, nine <= three+3, "%d calls of nine instances, %d of three", nine, three)
+}
+
+// TestFollowingKeepsTheBounds: whoever is cut off from the store, one that asks it or one that follows,
+// changes are in force at all others within their bound, and nobody serves a key longer than its bound.
+func TestFollowingKeepsTheBounds(t *testing.T) {
+	const fronts = 6
+	for cut := range fronts {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			run(t, fronts, 1, 1, func(w *world) {
+				w.net.Partition(nil)
+				w.net.AddCut(func(a, b string) bool {
+					return a == "store" && b == fmt.Sprint("f", cut) || b == "store" && a == fmt.Sprint("f", cut)
+				})
+				time.Sleep(200 * time.Millisecond)
+				c := w.config
+				c.Version = 9
+				c.Teams = []route.Team{{Name: "desk", Keys: []string{"new-key"}}}
+				w.store.PutConfiguration(&c)
+				acknowledged := time.Now()
+				for time.Since(acknowledged) < 12*time.Second {
+					for i := range fronts {
+						sent := time.Since(acknowledged)
+						a, err := w.do(i, ping())
+						assert.NilError(t, err)
+						if a.Status == 200 {
+							assert.Assert(t, sent < 5*time.Second, "instance %d served a key %v after it was taken away", i, sent)
+							assert.Assert(t, i == cut || sent < 3500*time.Millisecond, "instance %d served a key %v after it was taken away", i, sent)
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				for i := range fronts {
+					r := ping()
+					r.Key = "new-key"
+					a, err := w.do(i, r)
+					assert.NilError(t, err)
+					assert.Assert(t, i == cut || a.Status == 200, "instance %d: %d", i, a.Status)
+				}
+			})
+		})
+	}
+}
+
+// TestStoreAwayForAll: instances that follow grow old as those do that ask the store themselves.
+func TestStoreAwayForAll(t *testing.T) {
+	run(t, 6, 1, 1, func(w *world) {
+		w.store.SetFault(standin.Fault{Outage: standin.Reset})
+		time.Sleep(5 * time.Second)
+		for i := range 6 {
+			a, err := w.do(i, ping())
+			assert.NilError(t, err)
+			assert.Equal(t, a.Status, 503, "instance %d", i)
+			assert.Assert(t, !w.isReady(i))
+		}
+		w.store.SetFault(standin.Fault{})
+		time.Sleep(3 * time.Second)
+		for i := range 6 {
+			a, err := w.do(i, ping())
+			assert.NilError(t, err)
+			assert.Equal(t, a.Status, 200, "instance %d", i)
+		}
+	})
+}
+
+// TestFollowersHearOfLeaving: an endpoint leaves just after an instance that others follow was cut off from
+// the store, without a word. All who reach the store give it no new work after 2 s.
+func TestFollowersHearOfLeaving(t *testing.T) {
+	const fronts = 6
+	for cut := range fronts {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			run(t, fronts, 1, 2, func(w *world) {
+				w.net.AddCut(func(a, b string) bool {
+					return a == "store" && b == fmt.Sprint("f", cut) || b == "store" && a == fmt.Sprint("f", cut)
+				})
+				time.Sleep(100 * time.Millisecond)
+				w.store.Remove(platform.KindEndpoint, w.plains[0].Config().ID)
+				left := time.Now()
+				for time.Since(left) < 5*time.Second {
+					for i := range fronts {
+						r := ping()
+						r.ID = fmt.Sprintf("%d-%s", i, w.id())
+						_, err := w.do(i, r)
+						assert.NilError(t, err)
+					}
+				}
+				for _, r := range w.plains[0].Runs() {
+					of := r.ID[0] == byte('0'+cut)
+					assert.Assert(t, of || r.At.Sub(left) < 2*time.Second, "%s after %v", r.ID, r.At.Sub(left))
+				}
+			})
+		})
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -2,9 +2,9 @@
 // centre ask the store; the others ask those, so that what the store is asked grows with the number of data
 // centres and not of instances.
 //
-// Failure modes: an instance that is followed may be cut off from the store; it says how old its knowledge
-// is, and is left for the store itself when that is too old or it does not answer. Nothing is proved by
-// its word alone: the age that it tells counts from the beginning of the call that asked for it.
+// Failure modes: an instance that is followed may be cut off from the store; it says so once its knowledge is
+// too old, and is left for the store itself, as one that does not answer. Nothing is proved by its word
+// alone: the age that it tells counts from the beginning of the call that asked for it.
 package relay
 
 import (
@@ -63,9 +63,9 @@
 	Pool             *peers.Pool
 	// Readers is how many instances of a data centre ask the store.
 	Readers int
-	// Timeout bounds a call besides its wait, AgeMost how old the knowledge of another instance may be.
-	Timeout, AgeMost time.Duration
-	Clock            clock.Now
+	// Timeout bounds a call besides its wait.
+	Timeout time.Duration
+	Clock   clock.Now
 }
 
 // Chooser decides whom this instance follows. It is safe for concurrent use.
@@ -143,9 +143,6 @@
 		return platform.Page{}, platform.ErrHistoryGone.New("the instance at %s has forgotten", r.address)
 	}
 	page := platform.Page{Revision: resp.Revision, Age: time.Duration(resp.AgeMs) * time.Millisecond}
-	if page.Age > c.AgeMost {
-		c.failed() // what it knows is taken all the same; the next call goes to the store
-	}
 	for _, o := range resp.Objects {
 		page.Objects = append(page.Objects, platform.Object{Name: o.Name, Revision: o.Revision, Spec: o.Spec, Deleted: o.Deleted})
 	}
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -34,11 +34,9 @@
 // FrontStore says how to reach the platform's store.
 type FrontStore struct {
 	Address string        `ini:"address" required:"yes" check:"address" doc:"address of the platform's store"`
-	Timeout time.Duration `ini:"timeout" default:"1s" min:"10ms" doc:"time one call may take; a watch may take its wait besides"`
-	Watch   time.Duration `ini:"watch" default:"900ms" min:"50ms" doc:"how long a watch of the configuration waits; the proof that it is the newest grows this old in calm times"`
+	Timeout time.Duration `ini:"timeout" default:"700ms" min:"10ms" doc:"time one call may take; a watch may take its wait besides"`
+	Watch   time.Duration `ini:"watch" default:"900ms" min:"50ms" doc:"how long a watch waits; the proof that nothing newer exists grows this old in calm times"`
 	Readers int           `ini:"readers" default:"1" min:"1" doc:"instances of a data centre that ask the store; the others ask those"`
-	// A watch whose connection has gone silent is noticed after its wait and the timeout.
-	WatchList time.Duration `ini:"watch_list" default:"2s" min:"50ms" doc:"how long a watch of the endpoints waits; changes are told at once"`
 }
 
 // FrontBounds are what the deployment asks for.
