--- /dev/null
+++ b/cli/command/state.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/agateway/agateway/gateway/front"
+)
+
+// stateTimeout bounds the call.
+const stateTimeout = 3 * time.Second
+
+func stateCommand() *cobra.Command {
+	var raw bool
+	c := &cobra.Command{
+		Use: "state ADDRESS", Short: "Shows what an instance that forwards believes now (ADDRESS is that of its metrics)",
+		Args: cobra.ExactArgs(1), SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := fetchState(cmd.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			if raw {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(s)
+			}
+			return printState(cmd.OutOrStdout(), s)
+		},
+	}
+	c.Flags().BoolVar(&raw, "json", false, "print as JSON")
+	return c
+}
+
+func fetchState(ctx context.Context, address string) (*front.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+front.StatePath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s answered with status %d", address, resp.StatusCode)
+	}
+	s := &front.State{}
+	return s, json.NewDecoder(resp.Body).Decode(s)
+}
+
+func printState(out io.Writer, s *front.State) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "instance\t%s\nready\t%v\nstopping\t%v\nconfiguration\t%d, known to be the newest %d ms ago\nopen requests\t%d\nstore calls\t%d\n",
+		s.Instance, s.Ready, s.Stopping, s.Configuration, s.AgeMS, s.Open, s.StoreCalls)
+	_, _ = fmt.Fprintln(w, "\nPEER\tDATA CENTRE\tREADY\tCALLERS")
+	for _, p := range s.Peers {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", p.ID, p.DataCentre, p.Ready, p.Callers)
+	}
+	_, _ = fmt.Fprintln(w, "\nENDPOINT\tSERVICE\tDATA CENTRE\tLEAVING\tSUSPECTED\tLOAD\tOPEN")
+	for _, e := range s.Endpoints {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%d\n", e.ID, e.Service, e.DataCentre, e.Leaving, e.Suspected, e.Load, e.Open)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cli/explain/explain_test.go
@@ -0,0 +1,44 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `
+   4.1000 front-a {"endpoint":"e1","instance":"a","level":"info","msg":"endpoint listed","time":"2026-01-01T00:00:01Z"}
+{"endpoint":"e9","instance":"a","level":"info","msg":"endpoint listed","time":"2026-01-01T00:00:01Z"}
+{"instance":"b","level":"warning","msg":"store lost","time":"2026-01-01T00:00:02Z"}
+{"attempt":1,"endpoint":"e1","instance":"a","level":"info","msg":"placed","request":"r1","time":"2026-01-01T00:00:03Z"}
+not a log line
+{"age_ms":3900,"instance":"b","level":"warning","msg":"configuration too old for keys","request":"r1","status":503,"time":"2026-01-01T00:00:03.5Z"}
+{"instance":"b","level":"warning","lines":7,"msg":"decisions left out of the log","time":"2026-01-01T00:00:03.2Z"}
+{"endpoint":"e1","instance":"a","level":"info","msg":"attempt failed","request":"r1","error":"reset","time":"2026-01-01T00:00:03.25Z"}
+{"instance":"a","level":"info","msg":"answered","request":"r2","time":"2026-01-01T00:00:03.1Z"}
+{"instance":"c","level":"warning","msg":"store lost","time":"2026-01-01T00:00:03Z"}
+`
+
+func TestStory(t *testing.T) {
+	var l Log
+	assert.NilError(t, l.Read(strings.NewReader(logs)))
+	assert.Equal(t, l.Unread, 2)
+	s, ok := l.Of("r1")
+	assert.Assert(t, ok)
+	var out bytes.Buffer
+	assert.NilError(t, s.Print(&out))
+	assert.Equal(t, out.String(), `request r1, first seen 2026-01-01T00:00:03Z
+   +0.000 s  a                    placed attempt=1 endpoint=e1
+   +0.250 s  a                    attempt failed endpoint=e1 error=reset
+   +0.500 s  b                    configuration too old for keys age_ms=3900 status=503
+           ^ old: the configuration was known to be in force 3.9 s before
+what these instances believed, from 5s before
+   -2.000 s  a                    endpoint listed endpoint=e1
+   -1.000 s  b                    store lost
+7 lines were left out meanwhile: the story may have gaps
+`)
+	_, ok = l.Of("r3")
+	assert.Assert(t, !ok)
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -256,7 +256,10 @@
 	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Mirror: f.mirror})
 	f.handle(l.calls, func(r chi.Router) { r.Handle(path+"*", handler) })
 	if l.metrics != nil {
-		f.handle(l.metrics, func(r chi.Router) { r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics) })
+		f.handle(l.metrics, func(r chi.Router) {
+			r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics)
+			r.Get(StatePath, f.answerState)
+		})
 	}
 }
 
--- /dev/null
+++ b/gateway/front/state.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/exchange"
+)
+
+// StatePath is where an instance tells what it believes, on its metrics address.
+const StatePath = "/state"
+
+// State is what an instance believes now.
+type State struct {
+	Instance string `json:"instance"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	// Configuration is the version in force, 0 for none; AgeMS is how long ago it was known to be the
+	// newest, in milliseconds.
+	Configuration uint64          `json:"configuration"`
+	AgeMS         int64           `json:"age_ms"`
+	Open          int             `json:"open_requests"`
+	StoreCalls    uint64          `json:"store_calls"`
+	Peers         []exchange.Peer `json:"peers"`
+	Endpoints     []EndpointState `json:"endpoints"`
+}
+
+// EndpointState is what is believed of an endpoint.
+type EndpointState struct {
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Leaving    bool   `json:"leaving"`
+	// Suspected endpoints failed this instance a short while ago.
+	Suspected bool `json:"suspected"`
+	// Load is the number of requests believed to be there, Open those of this instance.
+	Load int `json:"load"`
+	Open int `json:"open"`
+}
+
+// State returns what the instance believes now.
+func (f *Front) State() State {
+	s := State{
+		Instance: f.settings.Instance.ID, Ready: f.ready(), Stopping: f.draining.Load(),
+		Open: f.forwarder.Open(), StoreCalls: f.store.Calls(), Peers: f.exchange.Others(),
+	}
+	if table, age := f.configuration.Table(); table != nil {
+		s.Configuration, s.AgeMS = table.Version(), age.Milliseconds()
+	}
+	for _, e := range f.placement.List() {
+		s.Endpoints = append(s.Endpoints, EndpointState{
+			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+			Leaving: e.State == routing.Leaving, Suspected: e.Suspected, Load: e.Estimate, Open: e.Open,
+		})
+	}
+	return s
+}
+
+func (f *Front) answerState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(f.State()); err != nil {
+		f.telemetry.Log.WithError(err).Debug("state not delivered")
+	}
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -324,6 +324,18 @@
 	}
 }
 
+// TestState: what an instance believes can be looked at.
+func TestState(t *testing.T) {
+	run(t, 2, 1, 1, func(w *world) {
+		s := w.fronts[0].State()
+		assert.Assert(t, s.Ready)
+		assert.Equal(t, s.Configuration, uint64(3))
+		assert.Assert(t, s.AgeMS < 1500)
+		assert.Equal(t, len(s.Peers), 1)
+		assert.Equal(t, len(s.Endpoints), 2)
+	})
+}
+
 func (w *world) isReady(i int) bool {
 	a, err := standin.Do(context.Background(), w.net.Node("caller").Dial, readyAddress(i), standin.Request{Method: http.MethodGet, Path: "/ready", Host: "x"})
 	return err == nil && a.Status == http.StatusOK
