limits: retries are counted by all instances together; a refused connection is no repetition

Each of 87 instances had an equal part of the retry budget, room for one repetition at a time, and every refused connection used it up, while of the bound for all together a tenth was used. Ruled out: engines without room (routing refused none), the silence threshold. Change: a sliding window over what all instances count, told with the announcements; an instance that does not hear all others uses its part of the reserve only; nothing is charged for a connection that was refused. Announcements come less often in large fleets (0.4 s up to 12 instances, 1 s from 75); the watch after a change is short, so that followers are not sent away.

--- a/core/limits/budget.go
+++ b/core/limits/budget.go
@@ -23,9 +23,3 @@
 	b.tokens--
 	return true
 }
-
-// Resize changes the reserve, as the number of instances that share it changes.
-func (b *Budget) Resize(most float64) {
-	b.most = most
-	b.tokens = min(b.tokens, most)
-}
--- /dev/null
+++ b/core/limits/window_test.go
@@ -0,0 +1,119 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func settings() WindowSettings {
+	return WindowSettings{Share: 0.8, Reserve: 150, Length: 10 * time.Second, Margin: 0.7}
+}
+
+func TestWindowSlides(t *testing.T) {
+	w := NewWindow(settings())
+	n := 0
+	for ; w.Repeat(0, 1, 1); n++ {
+	}
+	assert.Equal(t, n, 105)
+	assert.Assert(t, !w.Repeat(9*time.Second, 1, 1))
+	assert.Assert(t, w.Repeat(11*time.Second, 1, 1))
+	for range 100 {
+		w.Request(11 * time.Second)
+	}
+	for n = 1; w.Repeat(12*time.Second, 1, 1); n++ {
+	}
+	assert.Equal(t, n, 161)
+}
+
+func TestWindowOfOneThatIsCutOff(t *testing.T) {
+	w := NewWindow(settings())
+	n := 0
+	for ; w.Repeat(0, 1, 10); n++ {
+	}
+	assert.Equal(t, n, 10)
+}
+
+// fleet is instances that tell each other what they counted.
+type fleet struct {
+	windows []*Window
+	sent    []time.Duration
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for range n {
+		f.windows = append(f.windows, NewWindow(settings()))
+	}
+	return f
+}
+
+func (f *fleet) exchange(now time.Duration) {
+	for i, a := range f.windows {
+		for j, b := range f.windows {
+			if i != j {
+				a.Heard(now, fmt.Sprint(j), b.Own())
+			}
+		}
+	}
+}
+
+// most returns the most repetitions in any window of 10 s.
+func (f *fleet) most() int {
+	most := 0
+	for i, from := range f.sent {
+		n := 0
+		for _, at := range f.sent[i:] {
+			if at-from < 10*time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestFleetKeepsTheWindow: 87 instances before engines of which all refuse: each request would be sent again
+// ten times. The bound holds although each hears of the others 400 ms late.
+func TestFleetKeepsTheWindow(t *testing.T) {
+	f, r := newFleet(87), rand.New(rand.NewPCG(1, 1))
+	const perSecond = 27
+	for ms := 0; ms < 30000; ms += 10 {
+		now := time.Duration(ms) * time.Millisecond
+		if ms%400 == 0 {
+			f.exchange(now)
+		}
+		if r.Float64() > perSecond*0.01 {
+			continue
+		}
+		w := f.windows[r.IntN(len(f.windows))]
+		w.Request(now)
+		for range 10 {
+			if w.Repeat(now, 87, 87) {
+				f.sent = append(f.sent, now)
+			}
+		}
+	}
+	bound := 0.8*perSecond*10 + 150
+	assert.Assert(t, float64(f.most()) < bound, "%d of %.0f", f.most(), bound)
+}
+
+// TestFleetRecoversTogether: a data centre is lost, and a third of 190 streams move at once, one repetition
+// each. With a budget split among 87 instances half of them were refused.
+func TestFleetRecoversTogether(t *testing.T) {
+	f := newFleet(87)
+	for i := range 190 {
+		f.windows[i%87].Request(time.Duration(i) * 37 * time.Millisecond)
+	}
+	f.exchange(7 * time.Second)
+	moved := 0
+	for i := range 63 {
+		if f.windows[(i*2)%87].Repeat(7100*time.Millisecond, 87, 87) {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 63)
+}
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/platform"
@@ -21,13 +23,17 @@
 // Pace of announcements. A stream is placed every tenth of a second or so on a small deployment, so
 // what is told within changeGap of a change reaches the others before most of their own choices.
 const (
-	// Every is the time between two announcements in calm times.
-	Every = 400 * time.Millisecond
+	// every is the time between two announcements in calm times, of a fleet of up to smallFleet
+	// instances. Larger fleets announce less often, up to everyMost: what all instances receive grows
+	// with the square of their number.
+	every      = 400 * time.Millisecond
+	everyMost  = time.Second
+	smallFleet = 12
 	// changeGap is the least time between two announcements.
 	changeGap = 60 * time.Millisecond
-	// silence is how long an instance may say nothing before it is left out: three announcements may
-	// be lost.
-	silence = 4 * Every
+	// silenceTimes is how many announcements may be due without one being heard before an instance is
+	// left out: two may be lost.
+	silenceTimes = 3.5
 	// placedMost, suspectsMost and readMost keep an announcement within 2,000 bytes; usual ones have
 	// 200 to 400.
 	placedMost   = 24
@@ -51,10 +57,11 @@
 	Store Store
 	// Ready tells whether callers may be sent to this instance.
 	Ready func() bool
-	// Own returns what this instance has to tell of endpoints.
-	Own func() routing.Told
-	// Told takes what another instance tells of them; the zero value when it fell silent.
-	Told func(instance string, t routing.Told)
+	// Own returns what this instance has to tell of endpoints, Uses what it has counted by service.
+	Own  func() routing.Told
+	Uses func() map[string]limits.Counted
+	// Told takes what another instance tells; the zero value and nil when it fell silent.
+	Told func(instance string, t routing.Told, uses map[string]limits.Counted)
 	// Clock also runs while the machine is suspended.
 	Clock clock.Now
 	Log   *logrus.Entry
@@ -76,7 +83,7 @@
 // New returns an exchange that knows only this instance.
 func New(o Options) *Exchange {
 	return &Exchange{
-		Options: o, changed: make(chan struct{}, 1), table: newTable(o.Self.ID, silence),
+		Options: o, changed: make(chan struct{}, 1), table: newTable(o.Self.ID),
 		// A process that starts again goes on above what it told before.
 		sequence: uint64(time.Now().UnixNano()),
 		sent:     o.Scope.Counter("announcements_sent_total"), received: o.Scope.Counter("announcements_received_total"),
@@ -98,7 +105,7 @@
 // wait returns when the next announcement is due.
 func (x *Exchange) wait(ctx context.Context) {
 	sleep(ctx, changeGap)
-	t := time.NewTimer(Every - changeGap)
+	t := time.NewTimer(x.pace() - changeGap)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -107,6 +114,19 @@
 	}
 }
 
+// pace returns the time between two announcements.
+func (x *Exchange) pace() time.Duration {
+	_, known := x.Instances()
+	return pace(known)
+}
+
+func pace(instances int) time.Duration {
+	if instances <= smallFleet {
+		return every
+	}
+	return min(time.Duration(float64(every)*math.Sqrt(float64(instances)/smallFleet)), everyMost)
+}
+
 // Changed makes the next announcement come soon.
 func (x *Exchange) Changed() {
 	select {
@@ -118,11 +138,11 @@
 // Now announces at once, such as when this instance leaves.
 func (x *Exchange) Now() { x.announce(false) }
 
-// Alive returns how many instances are heard from, this one included.
-func (x *Exchange) Alive() int {
+// Instances returns from how many instances is heard, and how many are known, this one included.
+func (x *Exchange) Instances() (heard, known int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return len(x.table.alive()) + 1
+	return x.table.count() + 1, len(x.table.records) + 1
 }
 
 // Others returns the other instances that are heard from.
@@ -216,7 +236,7 @@
 
 // announce tells all others what this instance is and has placed.
 func (x *Exchange) announce(hello bool) {
-	own, ready := x.Own(), x.Ready()
+	own, uses, ready := x.Own(), x.Uses(), x.Ready()
 	x.mu.Lock()
 	x.sequence++
 	a := &peerv1.Announcement{
@@ -225,6 +245,9 @@
 	}
 	addresses := x.table.addresses()
 	x.mu.Unlock()
+	for service, c := range uses {
+		a.Uses = append(a.Uses, &peerv1.ServiceUse{Service: service, Requests: c.Requests, Repeats: c.Repeats})
+	}
 	a.Suspects = own.Suspects[:min(len(own.Suspects), suspectsMost)]
 	for _, r := range own.Read[:min(len(own.Read), readMost)] {
 		a.Read = append(a.Read, &peerv1.ReadAt{Endpoint: r.Endpoint, Prompt: r.Prompt})
@@ -289,7 +312,7 @@
 	if came || turned {
 		x.Log.WithFields(logrus.Fields{"peer": p.ID, "ready": p.Ready, "data_centre": p.DataCentre}).Info("peer heard")
 	}
-	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects, Read: decodeRead(a.Read)})
+	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects, Read: decodeRead(a.Read)}, decodeUses(a.Uses))
 	if a.Hello {
 		x.Changed()
 	}
@@ -303,6 +326,14 @@
 	return out
 }
 
+func decodeUses(in []*peerv1.ServiceUse) map[string]limits.Counted {
+	out := make(map[string]limits.Counted, len(in))
+	for _, u := range in {
+		out[u.Service] = limits.Counted{Requests: u.Requests, Repeats: u.Repeats}
+	}
+	return out
+}
+
 func decodeRead(in []*peerv1.ReadAt) []routing.Read {
 	out := make([]routing.Read, len(in))
 	for i, r := range in {
@@ -314,11 +345,12 @@
 // expire forgets what instances placed that have fallen silent.
 func (x *Exchange) expire() {
 	x.mu.Lock()
-	gone := x.table.expire(x.Clock())
+	silence := time.Duration(silenceTimes * float64(pace(len(x.table.records)+1)))
+	gone := x.table.expire(x.Clock(), silence)
 	x.mu.Unlock()
 	for _, id := range gone {
 		x.Log.WithField("peer", id).Warn("peer silent")
-		x.Told(id, routing.Told{})
+		x.Told(id, routing.Told{}, nil)
 	}
 }
 
--- a/gateway/exchange/peers.go
+++ b/gateway/exchange/peers.go
@@ -27,12 +27,20 @@
 // table is what is known of the others. It is not safe for concurrent use.
 type table struct {
 	self    string
-	silence time.Duration
 	records map[string]*record
 }
 
-func newTable(self string, silence time.Duration) *table {
-	return &table{self: self, silence: silence, records: map[string]*record{}}
+func newTable(self string) *table { return &table{self: self, records: map[string]*record{}} }
+
+// count returns how many other instances are heard from.
+func (t *table) count() int {
+	n := 0
+	for _, r := range t.records {
+		if r.alive {
+			n++
+		}
+	}
+	return n
 }
 
 // known adds an instance that the store names, unless it has been heard.
@@ -63,10 +71,10 @@
 }
 
 // expire returns the instances that have fallen silent since the last call.
-func (t *table) expire(now time.Duration) []string {
+func (t *table) expire(now, silence time.Duration) []string {
 	var out []string
 	for id, r := range t.records {
-		if r.alive && now-r.heard > t.silence {
+		if r.alive && now-r.heard > silence {
 			r.alive, r.Ready = false, false
 			out = append(out, id)
 		}
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -47,8 +47,8 @@
 	Options
 	kind string
 	// gap is the least time between two watches, so that a run of changes costs one call.
-	gap    time.Duration
-	broken bool
+	gap             time.Duration
+	broken, hurried bool
 }
 
 // Pauses after a failed call: they double up to pauseMost, which is short against the time that
@@ -58,6 +58,8 @@
 	pauseMost  = 400 * time.Millisecond
 	// brokenWait is how long a watch waits while the store does not answer.
 	brokenWait = 10 * time.Millisecond
+	// hurriedWait is how long the watch after a change waits.
+	hurriedWait = 250 * time.Millisecond
 )
 
 func (l *loop) run(ctx context.Context, f follower) {
@@ -84,6 +86,7 @@
 		pause = pauseLeast
 		l.take(f, listed, began, &page)
 		l.worked()
+		l.hurried = listed && len(page.Objects) > 0
 		since, listed = page.Revision, true
 		if len(page.Objects) > 0 {
 			sleep(ctx, l.gap)
@@ -116,9 +119,15 @@
 
 // patience returns how long the next watch waits: hardly at all while the store does not answer, so that
 // its return is noticed soon.
+//
+// After a change it waits less: a watch that returned a change proves only what was known when it began,
+// and the next one has to prove more before that is too old for those who follow.
 func (l *loop) patience() time.Duration {
-	if l.broken {
+	switch {
+	case l.broken:
 		return brokenWait
+	case l.hurried:
+		return min(hurriedWait, l.Wait)
 	}
 	return l.Wait
 }
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -61,6 +61,8 @@
 	header   http.Header // of the engine's answer; set before the first event is reported
 	cancel   context.CancelFunc
 
+	// repeat tells that the request was sent before.
+	repeat bool
 	// began tells that an event of it came, over that it reported its end. Both belong to the
 	// session's goroutine.
 	began, over bool
@@ -72,7 +74,7 @@
 // when the prompt has to be read.
 func (s *session) launch(number int, e *routing.Endpoint, from copies.Holder) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, placed: routing.Placed{Tokens: s.tokens()}}
+	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.mayHaveRun, placed: routing.Placed{Tokens: s.tokens()}}
 	if from == (copies.Holder{}) {
 		a.placed.Unread = s.req.PromptTokens
 	}
@@ -124,6 +126,10 @@
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
+	if a.repeat && !s.f.mayRepeat(s.req.service) {
+		conn.Keep()
+		return message{kind: attemptFailed, failure: generation.NoEndpoint, err: ErrBudget.New("too much was sent once more lately")}
+	}
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
 	if err != nil {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/placement"
 	"github.com/agateway/agateway/gateway/upstream"
 )
@@ -43,6 +44,8 @@
 	// RetryShare and RetryReserve bound requests sent once more: a share of the requests, and a
 	// number that all instances share.
 	RetryShare, RetryReserve float64
+	// RetryWindow is the time within which they are counted.
+	RetryWindow time.Duration
 	// SilenceFloor is the least silence of a stream that counts as the loss of its engine.
 	SilenceFloor time.Duration
 	// FirstEvent is how long an engine may take for the first event before it is asked whether it
@@ -58,8 +61,11 @@
 	Configuration Configuration
 	Placement     *placement.Placement
 	Pool          *upstream.Pool
-	// Instances returns how many instances serve; connections and retries are shared among them.
-	Instances func() int
+	// Instances returns from how many instances is heard, and how many are known, this one included;
+	// connections and retries are shared among them.
+	Instances func() (heard, known int)
+	// Clock also runs while the machine is suspended.
+	Clock clock.Now
 	// Placed is called when a stream was placed, so that other instances learn of it.
 	Placed func()
 	Log    Log
@@ -69,7 +75,7 @@
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
 	Options
-	budgets budgets
+	budgets *budgets
 	reads   reads
 	locator locator
 	open    atomic.Int64
@@ -81,7 +87,10 @@
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, budgets: newBudgets(&o.Settings), metrics: newMetrics(o.Scope)}
+	if o.Settings.RetryWindow == 0 {
+		o.Settings.RetryWindow = leastWindow
+	}
+	return &Forwarder{Options: o, budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope)}
 }
 
 // Open returns the number of requests in progress.
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	scope                              tally.Scope
 	accepted, answered, retries        tally.Counter
+	repeatsRefused                     tally.Counter
 	silences, moved, movedByCopy       tally.Counter
 	recovered, brokenOff, callerLeft   tally.Counter
 	firstEvent, plainAnswer, eventMove tally.Histogram
@@ -24,7 +25,7 @@
 	}
 	return metrics{
 		scope: s, accepted: s.Counter("requests_accepted_total"), answered: s.Counter("requests_answered_total"),
-		retries: s.Counter("requests_sent_again_total"), silences: s.Counter("streams_silent_total"),
+		retries: s.Counter("requests_sent_again_total"), repeatsRefused: s.Counter("requests_not_sent_again_total"), silences: s.Counter("streams_silent_total"),
 		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callerLeft: s.Counter("callers_left_total"),
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -19,6 +19,8 @@
 	ErrRefused = namespace.NewType("refused")
 	// ErrEngine: an engine ran the request and failed it.
 	ErrEngine = namespace.NewType("engine_failed")
+	// ErrBudget: the instances together have sent as much once more as they may.
+	ErrBudget = namespace.NewType("retry_budget", errorx.Temporary())
 	// ErrEvents: a stream is not one of events.
 	ErrEvents = namespace.NewType("malformed_events")
 )
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -111,11 +111,8 @@
 	if how != notRun && (p.req.route.Repeat == route.Once || p.req.route.Stream || p.runs >= p.req.route.Attempts) {
 		return false
 	}
-	if !p.f.budgets.retry(p.req.service, p.f.Instances()) {
-		return false
-	}
-	p.f.metrics.retries.Inc(1)
-	return true
+	// What could not be connected to has not arrived anywhere, so the next send is no repetition.
+	return p.sent == 0 || p.f.mayRepeat(p.req.service)
 }
 
 // final ends a request that goes nowhere else: with an endpoint's own failure if there is one, else
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -178,10 +178,6 @@
 		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, refused.retryAfter)
 		return
 	}
-	if a.Attempt > 1 && !s.f.budgets.retry(s.req.service, s.f.Instances()) {
-		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, 0)
-		return
-	}
 	e, from, err := s.choose(a)
 	if err != nil {
 		s.f.Log.Decision(s.req.ID, "no engine", logrus.Fields{"error": err.Error(), "avoided": len(a.Avoid)})
@@ -189,7 +185,6 @@
 		return
 	}
 	if a.Attempt > 1 {
-		s.f.metrics.retries.Inc(1)
 		s.f.metrics.moved.Inc(1)
 	}
 	s.machine.Routed(a.Attempt, e.ID)
--- a/gateway/forward/target.go
+++ b/gateway/forward/target.go
@@ -13,7 +13,8 @@
 func (f *Forwarder) target(req *request, e *routing.Endpoint) upstream.Target {
 	t := upstream.Target{ID: e.ID, Address: e.Address}
 	if s := req.table.Service(e.Service); s != nil && s.Connections > 0 {
-		t.Connections = max(s.Connections/max(f.Instances(), 1), leastConnections)
+		heard, _ := f.Instances()
+		t.Connections = max(s.Connections/max(heard, 1), leastConnections)
 	}
 	return t
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/clock"
@@ -175,7 +176,7 @@
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 		},
-		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.told, Told: f.placement.SetPeer, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
+		Conn: l.peers, Store: f.store, Ready: f.ready, Own: f.told, Uses: f.uses, Told: f.heard, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
 	f.chooser = relay.New(relay.Options{
 		Self: s.Instance.ID, DataCentre: s.Instance.DataCentre, Store: f.store, Others: f.exchange.Others,
@@ -185,17 +186,17 @@
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
 			DataCentre: s.Instance.DataCentre, KeyBound: f.keyBound(), DenyBound: time.Duration(denyShare * float64(s.Bounds.Apply)),
-			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve,
+			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve, RetryWindow: s.Retries.Window,
 			SilenceFloor: s.Streams.Silence, FirstEvent: s.Streams.FirstEvent, Probe: s.Streams.Probe, Connect: s.Streams.Connect,
 		},
-		Configuration: f.configuration, Placement: f.placement, Pool: f.pool, Instances: f.exchange.Alive,
+		Configuration: f.configuration, Placement: f.placement, Pool: f.pool, Instances: f.exchange.Instances, Clock: f.env.Clock,
 		Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope,
 	})
 }
 
 // staleMargin is by how much what an instance tells its followers may be older than a watch waits: it
-// covers an answer of the store that takes 350 ms.
-const staleMargin = 350 * time.Millisecond
+// covers an answer of the store that takes 250 ms, or the shorter watch that follows a change.
+const staleMargin = 600 * time.Millisecond
 
 // source returns whom the followers ask next.
 func (f *Front) source() follow.Store { return f.chooser.Source() }
@@ -207,6 +208,15 @@
 // of the engines read one.
 const choices = 6
 
+// uses returns what this instance has counted, by service.
+func (f *Front) uses() map[string]limits.Counted { return f.forwarder.Uses() }
+
+// heard takes what another instance tells.
+func (f *Front) heard(instance string, t routing.Told, uses map[string]limits.Counted) {
+	f.placement.SetPeer(instance, t)
+	f.forwarder.HeardUses(instance, uses)
+}
+
 // queueFactor times its slots is what an endpoint may hold: what waits there for a slot is served
 // sooner than what waits here, as long as the wait is within the aim. At three times the slots, a
 // request waits for two others.
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -49,8 +49,9 @@
 
 // FrontRetries bounds what is sent once more.
 type FrontRetries struct {
-	Share   float64 `ini:"share" default:"0.2" min:"0" doc:"requests sent once more, per request"`
-	Reserve float64 `ini:"reserve" default:"50" min:"0" doc:"requests sent once more besides, shared by all instances"`
+	Share   float64       `ini:"share" default:"0.2" min:"0" doc:"requests sent once more, per request"`
+	Reserve float64       `ini:"reserve" default:"50" min:"0" doc:"requests sent once more besides, shared by all instances"`
+	Window  time.Duration `ini:"window" default:"10s" min:"1s" doc:"time within which they are counted"`
 }
 
 // FrontStreams says when the engine of a stream counts as lost.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -192,5 +192,8 @@
 	})
 }
 
+// Keep returns a connection on which nothing was sent.
+func (c *Conn) Keep() { c.pool.keep(c, 0) }
+
 // Reused tells that the connection served a request before.
 func (c *Conn) Reused() bool { return c.reused }
