--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core platform api gateway cli
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 
-.PHONY: all build demo test lint bench generate tidy
+.PHONY: all build demo test lint bench soak generate tidy
 all: build
 
 build:
@@ -20,6 +20,12 @@
 	go vet $(PACKAGES)
 	@for m in $(MODULES); do (cd $$m && go tool staticcheck ./...) || exit 1; done
 
+# The daemon as processes under random faults: make soak SEED=n SECONDS=s
+SEED ?= 1
+SECONDS ?= 20
+soak: build
+	./bin/agateway soak --seed $(SEED) --seconds $(SECONDS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
--- /dev/null
+++ b/cli/command/soak.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/agateway/agateway/cli/soak"
+)
+
+func soakCommand() *cobra.Command {
+	var o soak.Options
+	var seconds int
+	c := &cobra.Command{
+		Use: "soak", Short: "Runs instances as processes under random faults and checks what callers and endpoints see",
+		Args: cobra.NoArgs, SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o.Length, o.Out = time.Duration(seconds)*time.Second, cmd.OutOrStdout()
+			r, err := soak.Run(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d asked=%d served=%d refused=%d unknown=%d streams=%d findings=%d\n",
+				o.Seed, r.Faults, r.Asked, r.Served, r.Refused, r.Unknown, r.Streams, len(r.Findings))
+			if len(r.Findings) > 0 {
+				return fmt.Errorf("%d promises were broken; logs in %s", len(r.Findings), r.Logs)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of faults and load")
+	f.IntVar(&seconds, "seconds", 20, "how long faults are injected")
+	f.IntVar(&o.Fronts, "fronts", 5, "instances")
+	f.IntVar(&o.Engines, "engines", 9, "model engines")
+	f.IntVar(&o.Plain, "plain", 4, "plain endpoints")
+	f.IntVar(&o.Callers, "callers", 20, "callers")
+	f.StringVar(&o.Program, "program", "bin/agatewayd", "the daemon")
+	return c
+}
--- /dev/null
+++ b/cli/soak/callers.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// How long callers wait.
+const (
+	streamWait = 12 * time.Second
+	plainWait  = 1500 * time.Millisecond
+	// lateMost is by how much an answer may come later than its caller waits: a paused instance can't
+	// answer, so a caller gives up by itself then.
+	lateMost = 500 * time.Millisecond
+)
+
+// asked is a request with what became of it.
+type asked struct {
+	id, key string
+	once    bool // it must not run twice
+	sent    time.Time
+	ended   time.Time
+	answer  standin.Answer
+	err     error
+}
+
+// caller asks for one thing after the other, on a connection that it keeps as long as it can.
+type caller struct {
+	soak *soak
+	rnd  *rand.Rand
+	conn *standin.Client
+	at   int // the process it is connected to
+	n    int
+	name string
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// run asks until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	defer func() {
+		if c.conn != nil {
+			c.conn.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		c.one(ctx)
+		time.Sleep(time.Duration(c.rnd.IntN(80)) * time.Millisecond)
+	}
+}
+
+// one asks for one thing, and hands what became of it to the checks.
+func (c *caller) one(ctx context.Context) {
+	c.n++
+	r, a := c.request()
+	if !c.connect(ctx) {
+		return
+	}
+	wait, cancel := context.WithTimeout(context.Background(), r.Wait+lateMost)
+	defer cancel()
+	a.sent = time.Now()
+	a.answer, a.err = c.conn.Do(wait, r)
+	a.ended = time.Now()
+	if a.err != nil || a.answer.Closes || !a.answer.Whole || a.answer.Status != http.StatusOK {
+		c.conn.Close()
+		c.conn = nil
+	}
+	c.soak.check(&r, a)
+}
+
+// request draws what to ask for.
+func (c *caller) request() (standin.Request, *asked) {
+	id := fmt.Sprintf("%s-%d", c.name, c.n)
+	key := keptKey
+	if now, before := c.soak.world.lastKeys(); c.rnd.IntN(2) == 0 {
+		key = now
+		if c.rnd.IntN(3) == 0 {
+			key = before
+		}
+	}
+	r := standin.Request{Method: http.MethodPost, Host: host, ID: id, Key: key, Body: "the case " + id, Wait: plainWait}
+	a := &asked{id: id, key: key}
+	switch c.rnd.IntN(4) {
+	case 0:
+		r.Path, r.Wait, r.Prompt, r.Tokens = "/brief/1", streamWait, fmt.Sprintf("%x", id), promptSize
+	case 1:
+		r.Path = "/ping/1"
+	default:
+		r.Path, a.once = "/log/1", true
+	}
+	return r, a
+}
+
+// connect takes the open connection, or opens one to a process at random.
+func (c *caller) connect(ctx context.Context) bool {
+	if c.conn != nil {
+		return true
+	}
+	const connectTimeout = time.Second
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	c.at = c.rnd.IntN(len(c.soak.world.processes))
+	conn, err := standin.Open(ctx, dial, c.soak.world.processes[c.at].callers)
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+// whole tells what is wrong with a stream's events; empty when nothing is.
+func whole(a *standin.Answer, prompt string) string {
+	for i, e := range a.Events {
+		if e.ID != i+1 {
+			return fmt.Sprintf("event %d has number %d", i+1, e.ID)
+		}
+		if want := fmt.Sprintf("%s %d", prompt, i+1); e.Data != want {
+			return fmt.Sprintf("event %d is %q, not %q", i+1, e.Data, want)
+		}
+	}
+	if a.Whole && len(a.Events) != streamSize {
+		return fmt.Sprintf("a stream that ended as whole has %d events", len(a.Events))
+	}
+	return ""
+}
+
+// refusedAsNotRun tells whether an answer promises that the request has not run.
+func refusedAsNotRun(a *standin.Answer) bool {
+	switch a.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return !strings.HasPrefix(a.Signed, "signed-by-")
+	}
+	return false
+}
--- /dev/null
+++ b/cli/soak/process.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one instance of the daemon. It is started again whenever it ends.
+type process struct {
+	name, program, settings, log string
+	callers, ready, directory    string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	starts  int
+	closing bool
+	ended   chan struct{}
+}
+
+// restartAfter is the pause before a process that ended is started again.
+const restartAfter = 300 * time.Millisecond
+
+// ports returns n free addresses on the loopback interface.
+func ports(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// newProcess writes the settings of an instance.
+func newProcess(dir, program, store string, i int) (*process, error) {
+	at, err := ports(4)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name: fmt.Sprint("front-", i), program: program, callers: at[0], ready: at[1], directory: at[2],
+		settings: filepath.Join(dir, fmt.Sprintf("front-%d.ini", i)), log: filepath.Join(dir, fmt.Sprintf("front-%d.log", i)),
+		ended: make(chan struct{}),
+	}
+	text := fmt.Sprintf(`[instance]
+id = %s
+data_centre = dc%d
+region = r
+[listen]
+callers = %s
+ready = %s
+directory = %s
+peers = %s
+[store]
+address = %s
+[bounds]
+revoke = %v
+grace = %v
+[retries]
+share = 0.8
+reserve = 150
+`, p.name, i%dataCentres, at[0], at[1], at[2], at[3], store, revokeBound, grace)
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// run keeps the process running until stop.
+func (p *process) run() {
+	defer close(p.ended)
+	for p.start() {
+		_ = p.cmd.Wait() // however it ended
+		time.Sleep(restartAfter)
+	}
+}
+
+// start starts the process, unless the soak ends.
+func (p *process) start() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return false
+	}
+	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return false
+	}
+	p.cmd = exec.Command(p.program, "front", "--config", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.starts++
+	err = p.cmd.Start()
+	_ = out.Close() // the process has its own
+	return err == nil
+}
+
+// signal sends a signal to the process as it runs now.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s) // it may have ended meanwhile
+	}
+}
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.closing = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
--- /dev/null
+++ b/cli/soak/soak.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// Options of a soak.
+type Options struct {
+	Seed    uint64
+	Length  time.Duration
+	Fronts  int
+	Engines int
+	Plain   int
+	Callers int
+	// Program is the daemon.
+	Program string
+	// Out takes a line for each fault and finding.
+	Out io.Writer
+}
+
+// Result is what a soak found.
+type Result struct {
+	Asked, Served, Refused, Unknown, Streams, Faults int
+	// Findings are promises that were broken.
+	Findings []string
+	// Logs is the folder with the logs of the processes; it is kept when there are findings.
+	Logs string
+}
+
+// soak is one run.
+type soak struct {
+	Options
+	world *world
+	began time.Time
+
+	mu     sync.Mutex
+	all    map[string]*asked
+	result Result
+}
+
+// Run runs a soak.
+func Run(ctx context.Context, o Options) (Result, error) {
+	dir, err := os.MkdirTemp("", "agateway-soak-")
+	if err != nil {
+		return Result{}, err
+	}
+	s := &soak{Options: o, began: time.Now(), all: map[string]*asked{}, result: Result{Logs: dir}}
+	if s.world, err = newWorld(dir, o.Program, o); err != nil {
+		return Result{}, err
+	}
+	defer s.world.close()
+	if !s.waitReady(ctx) {
+		return Result{}, fmt.Errorf("the instances did not become ready; logs in %s", dir)
+	}
+	s.play(ctx)
+	s.checkRuns()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.result.Findings) == 0 {
+		_ = os.RemoveAll(dir) // what is left there is of no use
+	}
+	return s.result, nil
+}
+
+// Times of a run.
+const (
+	readyWithin = 10 * time.Second
+	readyStep   = 50 * time.Millisecond
+	// faultsMost is how many faults overlap.
+	faultsMost = 4
+	// calm is the time at the end without new faults: after it all has to be served again.
+	calm = 6 * time.Second
+)
+
+// waitReady waits until all instances say that they are ready.
+func (s *soak) waitReady(ctx context.Context) bool {
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(readyStep) {
+		ready := 0
+		for _, p := range s.world.processes {
+			a, err := standin.Do(ctx, dial, p.ready, standin.Request{Method: http.MethodGet, Path: "/ready", Host: "x"})
+			if err == nil && a.Status == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(s.world.processes) {
+			return true
+		}
+	}
+	return false
+}
+
+// play runs callers and faults, then a calm time in which all has to be served again.
+func (s *soak) play(ctx context.Context) {
+	work, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for i := range s.Callers {
+		c := &caller{soak: s, rnd: rand.New(rand.NewPCG(s.Seed, uint64(i))), name: fmt.Sprint("c", i)}
+		wg.Go(func() { c.run(work) })
+	}
+	s.injectFaults(ctx)
+	time.Sleep(calm / 2)
+	if !s.waitReady(ctx) {
+		s.finding("instances are not ready %v after the last fault", calm/2+readyWithin)
+	}
+	time.Sleep(calm / 2)
+	s.checkServed(ctx)
+	stop()
+	wg.Wait()
+}
+
+// injectFaults brings faults about at random, some at a time, each for a while.
+func (s *soak) injectFaults(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, ^uint64(0)))
+	var ends []func()
+	until := time.Now().Add(s.Length)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		what, end := faults[rnd.IntN(len(faults))](s.world, rnd)
+		s.mu.Lock()
+		s.result.Faults++
+		s.mu.Unlock()
+		s.say("%s", what)
+		if end != nil {
+			ends = append(ends, end)
+		}
+		if len(ends) > faultsMost || len(ends) > 0 && rnd.IntN(2) == 0 {
+			ends[0]()
+			ends = ends[1:]
+		}
+		time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+	}
+	for _, end := range ends {
+		end()
+	}
+	s.say("no more faults")
+}
+
+func (s *soak) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.Out, "%8.3f s  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (s *soak) finding(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	s.say("FINDING: %s", text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Findings = append(s.result.Findings, text)
+}
+
+// check looks at what became of a request.
+func (s *soak) check(r *standin.Request, a *asked) {
+	s.mu.Lock()
+	s.all[a.id] = a
+	s.result.Asked++
+	switch {
+	case a.err != nil || !a.answer.Whole:
+		s.result.Unknown++
+	case a.answer.Status == http.StatusOK:
+		s.result.Served++
+	default:
+		s.result.Refused++
+	}
+	s.mu.Unlock()
+	if a.err != nil || a.answer.Status != http.StatusOK {
+		return
+	}
+	if r.Prompt != "" {
+		s.mu.Lock()
+		s.result.Streams++
+		s.mu.Unlock()
+		if wrong := whole(&a.answer, r.Prompt); wrong != "" {
+			s.finding("stream %s: %s", a.id, wrong)
+		}
+		return
+	}
+	if a.answer.Whole && a.answer.Body != "answer to "+a.id {
+		s.finding("request %s got %q", a.id, a.answer.Body)
+	}
+}
+
+// checkServed asks each instance for each kind of thing after the faults are over.
+func (s *soak) checkServed(ctx context.Context) {
+	for i, p := range s.world.processes {
+		for _, r := range []standin.Request{
+			{Path: "/ping/1", Wait: plainWait}, {Path: "/brief/1", Wait: streamWait, Prompt: "ca1f", Tokens: promptSize},
+		} {
+			r.Method, r.Host, r.Key, r.ID = http.MethodPost, host, keptKey, fmt.Sprintf("calm-%d-%s", i, r.Path[1:5])
+			a, err := standin.Do(ctx, dial, p.callers, r)
+			if err != nil || a.Status != http.StatusOK || !a.Whole {
+				s.finding("%s does not serve %s %v after the last fault: status %d, %v", p.name, r.Path, calm, a.Status, err)
+			}
+		}
+	}
+}
+
+// checkRuns compares what endpoints ran with what callers were told.
+func (s *soak) checkRuns() {
+	runs := map[string][]standin.Run{}
+	for _, k := range s.world.workers {
+		for _, r := range k.runs() {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+	}
+	for id, of := range runs {
+		a := s.all[id]
+		if a == nil {
+			continue // in progress at the end, or of the last look
+		}
+		if a.once && len(of) > 1 {
+			s.finding("request %s ran %d times", id, len(of))
+		}
+		if a.once && a.err == nil && refusedAsNotRun(&a.answer) {
+			s.finding("request %s was refused with %d and ran", id, a.answer.Status)
+		}
+		if at, taken := s.world.takenAway(a.key); taken && a.sent.Sub(at) > revokeBound {
+			s.finding("request %s ran with key %s, %v after it was taken away", id, a.key, a.sent.Sub(at))
+		}
+		for _, r := range of {
+			if r.Key != "" {
+				s.finding("request %s: its key was passed on", id)
+			}
+		}
+	}
+	for _, a := range s.all {
+		if a.once && a.err == nil && a.answer.Status == http.StatusOK && len(runs[a.id]) == 0 {
+			s.finding("request %s was answered and never ran", a.id)
+		}
+	}
+}
