--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -26,16 +28,27 @@
 // restartAfter is the pause before a process that ended is started again.
 const restartAfter = 300 * time.Millisecond
 
+// Ports that the system does not give to outgoing connections: an instance that starts again needs the
+// port it had.
+const (
+	portFrom = 12000
+	portTo   = 32000
+)
+
 // ports returns n free addresses on the loopback interface.
 func ports(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n && tries < portTo-portFrom; tries++ {
+		address := fmt.Sprintf("127.0.0.1:%d", portFrom+rand.IntN(portTo-portFrom))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue // in use
 		}
 		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+		out = append(out, address)
+	}
+	if len(out) < n {
+		return nil, errors.New("no free ports")
 	}
 	return out, nil
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -1,10 +1,9 @@
 package directory
 
 import (
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/agateway/agateway/core/rendezvous"
 )
 
 // Key names a request: a team and the idempotency key it gave.
@@ -178,18 +177,5 @@
 
 // Rank returns the n members that rank highest for a key by rendezvous hash.
 func Rank(k Key, members []string, n int) []string {
-	type ranked struct {
-		member string
-		weight uint64
-	}
-	all := make([]ranked, len(members))
-	for i, m := range members {
-		all[i] = ranked{m, xxhash.Sum64String(k.Team + "\x00" + k.ID + "\x00" + m)}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].weight > all[j].weight })
-	out := make([]string, 0, n)
-	for i := 0; i < len(all) && i < n; i++ {
-		out = append(out, all[i].member)
-	}
-	return out
+	return rendezvous.Rank(k.Team+"\x00"+k.ID, members, n)
 }
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/agateway/agateway/core/rendezvous"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/platform"
@@ -109,9 +110,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view.SetHomes(func(endpoint string) bool {
-		own := rank(b.opt.Instance, endpoint)
+		own := rendezvous.Weight(b.opt.Instance, endpoint)
 		for _, id := range ids {
-			if rank(id, endpoint) > own {
+			if rendezvous.Weight(id, endpoint) > own {
 				return false
 			}
 		}
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -5,8 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/agateway/agateway/core/rendezvous"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/platform"
@@ -131,10 +130,10 @@
 	}
 	var out []platform.Listed
 	for _, group := range byService {
-		sort.Slice(group, func(i, j int) bool { return rank(instance, group[i].ID) > rank(instance, group[j].ID) })
+		sort.Slice(group, func(i, j int) bool {
+			return rendezvous.Weight(instance, group[i].ID) > rendezvous.Weight(instance, group[j].ID)
+		})
 		out = append(out, group[:min(n, len(group))]...)
 	}
 	return out
 }
-
-func rank(instance, id string) uint64 { return xxhash.Sum64String(instance + "\x00" + id) }
--- a/gateway/config/change.go
+++ b/gateway/config/change.go
@@ -9,6 +9,7 @@
 
 	operatorv1 "github.com/agateway/agateway/api/operator/v1"
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -164,7 +165,7 @@
 		if err == nil || errorx.IsOfType(err, platform.ErrNotFound) || try == resolveTries || ctx.Err() != nil {
 			return o, err
 		}
-		sleep(ctx, resolvePause)
+		pause.For(ctx, resolvePause)
 	}
 }
 
--- a/gateway/config/sync.go
+++ b/gateway/config/sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -21,22 +22,22 @@
 
 // Follow keeps the configuration up to date from the platform until ctx ends.
 func (c *Config) Follow(ctx context.Context, s Sync) {
-	pause := s.Pause
+	backoff := s.Pause
 	var since uint64
 	for ctx.Err() == nil {
 		if !s.Watches() {
-			sleep(ctx, s.Pause)
+			pause.For(ctx, s.Pause)
 			since = 0 // start from a list when the duty comes back
 			continue
 		}
 		next, err := c.pull(ctx, since, s.Wait)
 		if err != nil {
 			c.scope.Counter("platform_watch_failures").Inc(1)
-			sleep(ctx, pause)
-			pause = min(2*pause, s.Wait)
+			pause.For(ctx, backoff)
+			backoff = min(2*backoff, s.Wait)
 			continue
 		}
-		since, pause = next, s.Pause
+		since, backoff = next, s.Pause
 	}
 }
 
@@ -77,12 +78,3 @@
 	}
 	return max(lowest, 1), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/agateway/agateway/gateway/once"
 	"github.com/agateway/agateway/gateway/operator"
 	"github.com/agateway/agateway/gateway/orders"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peering"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/pipeline"
@@ -291,7 +292,7 @@
 			}
 		}
 		d.Backends.SetMembers(ids)
-		pause(ctx, shareEvery)
+		pause.For(ctx, shareEvery)
 	}
 }
 
@@ -322,7 +323,7 @@
 	log := d.telemetry.Log
 	log.Info("leaving")
 	d.Fleet.Leave(ctx)
-	pause(ctx, d.settings.Callers.DrainAnnounce)
+	pause.For(ctx, d.settings.Callers.DrainAnnounce)
 	d.Pipeline.Drain()
 	close(d.closing)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.Drain)
@@ -335,15 +336,6 @@
 	d.Close()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Close ends the instance at once, as a crash does.
 func (d *Daemon) Close() {
 	d.cancel()
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -104,7 +105,7 @@
 
 // wait returns when the next announcement is due.
 func (x *Exchange) wait(ctx context.Context) {
-	sleep(ctx, changeGap)
+	pause.For(ctx, changeGap)
 	t := time.NewTimer(x.pace() - changeGap)
 	defer t.Stop()
 	select {
@@ -180,15 +181,15 @@
 // join makes this instance known, and finds the others.
 func (x *Exchange) join(ctx context.Context) {
 	for !x.register(ctx) && ctx.Err() == nil {
-		sleep(ctx, joinPause/2+rand.N(joinPause))
+		pause.For(ctx, joinPause/2+rand.N(joinPause))
 	}
 	for ctx.Err() == nil {
 		if !x.find(ctx) {
-			sleep(ctx, joinPause/2+rand.N(joinPause))
+			pause.For(ctx, joinPause/2+rand.N(joinPause))
 			continue
 		}
 		x.announce(true)
-		sleep(ctx, rejoinFrom+rand.N(rejoinFrom))
+		pause.For(ctx, rejoinFrom+rand.N(rejoinFrom))
 	}
 }
 
@@ -284,7 +285,7 @@
 	for ctx.Err() == nil {
 		n, _, err := x.Conn.ReadFrom(buf)
 		if err != nil {
-			sleep(ctx, changeGap)
+			pause.For(ctx, changeGap)
 			continue
 		}
 		x.receive(buf[:n])
@@ -353,12 +354,3 @@
 		x.Told(id, routing.Told{}, nil)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -65,7 +66,7 @@
 func (l *loop) run(ctx context.Context, f follower) {
 	var since uint64
 	listed := false
-	pause := pauseLeast
+	backoff := pauseLeast
 	for ctx.Err() == nil {
 		began := l.Now()
 		var page platform.Page
@@ -78,18 +79,18 @@
 		if err != nil {
 			listed = listed && !errorx.IsOfType(err, platform.ErrHistoryGone)
 			if l.failed(ctx, f, began, err) {
-				sleep(ctx, pause/2+rand.N(pause))
-				pause = min(2*pause, pauseMost)
+				pause.For(ctx, backoff/2+rand.N(backoff))
+				backoff = min(2*backoff, pauseMost)
 			}
 			continue
 		}
-		pause = pauseLeast
+		backoff = pauseLeast
 		l.take(f, listed, began, &page)
 		l.worked()
 		l.hurried = listed && len(page.Objects) > 0
 		since, listed = page.Revision, true
 		if len(page.Objects) > 0 {
-			sleep(ctx, l.gap)
+			pause.For(ctx, l.gap)
 		}
 	}
 }
@@ -155,12 +156,3 @@
 		l.Log.WithField("kind", l.kind).Info("source regained")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -12,6 +12,7 @@
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
 )
@@ -167,7 +168,7 @@
 		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNone) || !time.Now().Add(waitStep).Before(until) {
 			return nil, refuse(http.StatusServiceUnavailable, err.Error(), whenRoom(0))
 		}
-		if !sleep(ctx, waitStep) {
+		if !pause.For(ctx, waitStep) {
 			return nil, refuse(http.StatusServiceUnavailable, "no room in time", whenRoom(0))
 		}
 	}
@@ -301,14 +302,3 @@
 		to["Content-Type"] = nil // nothing is guessed from the body
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -20,7 +20,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
-	"github.com/agateway/agateway/core/directory"
+	"github.com/agateway/agateway/core/rendezvous"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/follow"
@@ -112,12 +112,12 @@
 			ids = append(ids, p.ID)
 		}
 	}
-	readers := directory.Rank(directory.Key{ID: "readers"}, ids, c.Readers)
+	readers := rendezvous.Rank("readers", ids, c.Readers)
 	if slices.Contains(readers, c.Self) || len(readers) == 0 {
 		return &store{c}
 	}
 	// Those who don't read spread over those who do.
-	at := directory.Rank(directory.Key{ID: c.Self}, readers, 1)[0]
+	at := rendezvous.Rank(c.Self, readers, 1)[0]
 	return &remote{chooser: c, address: byID[at].Peers}
 }
 
