limits: a line for engines; copies yield to new streams; callers come back when room is expected

Cause: under bursts of 2.5 and 4 times with a third of the engines gone, 3,025 looks for an engine found all full, callers were refused after 1.5 s and told to come back after 0.1 to 0.4 s, only to be refused again, and half of the engines' memory held copies. Ruled out: more requests at an engine (its memory is full). Change: streams wait in the order of rank and arrival for up to half of their aim; who would wait longer, by the pace at which room was found lately, is refused on arrival with that time; copies fill an engine to 60% only; callers are spread over the time in which room is expected.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -208,7 +208,11 @@
 			return false
 		}
 	}
-	if n.Memory > 0 && float64(n.used()+p.r.Tokens) > p.v.set.MemoryFactor*float64(n.Memory) {
+	memory := p.v.set.MemoryFactor
+	if p.r.Copy {
+		memory = p.v.set.CopyFactor
+	}
+	if n.Memory > 0 && float64(n.used()+p.r.Tokens) > memory*float64(n.Memory) {
 		p.full = true
 		return false
 	}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -32,6 +32,9 @@
 	// MemoryFactor times an engine's memory is what requests and copies placed there may need
 	// at their largest. Estimates of output are upper bounds, so all of it may be given away.
 	MemoryFactor float64
+	// CopyFactor times an engine's memory is up to where copies may fill it: beyond it new requests go
+	// before copies of running ones.
+	CopyFactor float64
 }
 
 // DefaultSettings returns the settings measured in docs/CAPACITY.md.
@@ -39,7 +42,7 @@
 	return Settings{
 		SuspectFirst: time.Second, SuspectMost: 15 * time.Second,
 		CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
-		Choices: 5, HomeChoices: 3, HomeWorth: 0.25, QueueFactor: 1.25, RecoveryFactor: 2, MemoryFactor: 1,
+		Choices: 5, HomeChoices: 3, HomeWorth: 0.25, QueueFactor: 1.25, RecoveryFactor: 2, MemoryFactor: 1, CopyFactor: 0.6,
 		Doubt: 1, DoubtShare: 0.25,
 	}
 }
--- /dev/null
+++ b/gateway/forward/await.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/pause"
+)
+
+// lines are who waits for engines, by service. The zero value is empty; it is safe for concurrent use.
+type lines struct {
+	mu   sync.Mutex
+	all  map[string]*limits.Line
+	next atomic.Uint64
+}
+
+func (l *lines) get(service string) *limits.Line {
+	if l.all == nil {
+		l.all = map[string]*limits.Line{}
+	}
+	line := l.all[service]
+	if line == nil {
+		line = &limits.Line{}
+		l.all[service] = line
+	}
+	return line
+}
+
+// Waiting for an engine with room.
+const (
+	// awaitStep is how often the first of a line looks for room.
+	awaitStep = 20 * time.Millisecond
+	// awaitParts of awaitOf the aim may be waited: the rest is for reading the prompt.
+	awaitParts = 1
+	awaitOf    = 2
+	// awaitUnset is waited where a route has no aim.
+	awaitUnset = 2 * time.Second
+)
+
+// awaitEngine waits until an engine has room for a stream, in the order of rank and arrival. A stream that
+// is not expected to find room while it could still be on time is refused at once, with the time at which
+// room is expected.
+func (f *Forwarder) awaitEngine(ctx context.Context, req *request) *refusal {
+	latest := req.arrived.Add(awaitUnset)
+	if aim := req.route.Aim; aim > 0 {
+		latest = req.arrived.Add(aim * awaitParts / awaitOf)
+	}
+	id := f.lines.next.Add(1)
+	if waits, expected := f.join(req, id, latest); !waits {
+		return f.noRoom(req, "no room is expected in time", expected)
+	}
+	defer f.leave(req, id)
+	for {
+		if f.admitted(req, id) {
+			return nil
+		}
+		if !time.Now().Add(awaitStep).Before(latest) {
+			return f.noRoom(req, "no room in time", f.expected(req))
+		}
+		if !pause.For(ctx, awaitStep) {
+			return f.noRoom(req, "the caller left", 0)
+		}
+		if refused := f.stillAllowed(req); refused != nil {
+			return refused
+		}
+	}
+}
+
+func (f *Forwarder) join(req *request, id uint64, latest time.Time) (bool, time.Duration) {
+	f.lines.mu.Lock()
+	defer f.lines.mu.Unlock()
+	return f.lines.get(req.service).Join(time.Now(), id, req.rank, latest)
+}
+
+func (f *Forwarder) leave(req *request, id uint64) {
+	f.lines.mu.Lock()
+	defer f.lines.mu.Unlock()
+	f.lines.get(req.service).Leave(id)
+}
+
+func (f *Forwarder) expected(req *request) time.Duration {
+	f.lines.mu.Lock()
+	defer f.lines.mu.Unlock()
+	return f.lines.get(req.service).Expected(time.Now())
+}
+
+// admitted tells whether it is the request's turn and an engine has room.
+func (f *Forwarder) admitted(req *request, id uint64) bool {
+	f.lines.mu.Lock()
+	defer f.lines.mu.Unlock()
+	line := f.lines.get(req.service)
+	if !line.First(id) {
+		return false
+	}
+	if _, err := f.Placement.Pick(f.engineRequest(req)); errors.Is(err, routing.ErrFull) {
+		return false
+	}
+	line.Admitted(time.Now())
+	return true
+}
+
+func (f *Forwarder) noRoom(req *request, why string, expected time.Duration) *refusal {
+	return refuse(http.StatusServiceUnavailable, why, whenRoom(expected)).with(logrus.Fields{
+		"rank": req.rank, "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
+	})
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -78,6 +78,7 @@
 	budgets *budgets
 	reads   reads
 	locator locator
+	lines   lines
 	open    atomic.Int64
 	metrics metrics
 
--- a/gateway/forward/refuse.go
+++ b/gateway/forward/refuse.go
@@ -64,7 +64,13 @@
 
 func soon() time.Duration { return soonLeast + rand.N(soonSpread) }
 
+// Pauses before a caller comes back whose request found no room.
+const (
+	roomLeast  = 400 * time.Millisecond
+	roomSpread = 800 * time.Millisecond
+)
+
 // whenRoom spreads the return of callers over the time in which room is expected.
 func whenRoom(expected time.Duration) time.Duration {
-	return max(expected, soonLeast) + rand.N(max(expected/2, soonSpread))
+	return max(expected, roomLeast) + rand.N(max(expected/2, roomSpread))
 }
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -49,11 +49,14 @@
 	lastAt              time.Time
 }
 
-// waitForEngine is how long a stream waits when no engine has room: a part of the usual aim for the
-// first event, so that the caller can still be served elsewhere when it is refused.
+// waitForEngine is how long a stream that was begun waits when no engine has room to go on.
 const waitForEngine = 1500 * time.Millisecond
 
 func (f *Forwarder) serveSession(ctx context.Context, w http.ResponseWriter, req *request) {
+	if refused := f.awaitEngine(ctx, req); refused != nil {
+		f.answerRefusal(w, req, refused)
+		return
+	}
 	f.metrics.accepted.Inc(1)
 	s := &session{
 		f: f, req: req, w: w, ctx: ctx, lastEvent: req.LastEvent,
@@ -207,10 +210,12 @@
 }
 
 // request describes the stream for a choice of engine.
-func (s *session) request() *routing.Request {
+func (s *session) request() *routing.Request { return s.f.engineRequest(s.req) }
+
+func (f *Forwarder) engineRequest(req *request) *routing.Request {
 	return &routing.Request{
-		Service: s.req.service, Model: s.req.Model, DataCentre: s.f.Settings.DataCentre, Key: s.req.ID,
-		Prefixes: []uint64{s.req.promptKey()}, Tokens: s.tokens(), Prompt: s.req.PromptTokens, Weights: engineWeights(),
+		Service: req.service, Model: req.Model, DataCentre: f.Settings.DataCentre, Key: req.ID,
+		Prefixes: []uint64{req.promptKey()}, Tokens: req.PromptTokens + req.OutputTokens, Prompt: req.PromptTokens, Weights: engineWeights(),
 	}
 }
 
