--- /dev/null
+++ b/cli/e2e/queue_test.go
@@ -0,0 +1,72 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	operatorv1 "github.com/agateway/agateway/api/operator/v1"
+)
+
+// TestContractOrder: deployments that share engines are admitted in the order of their
+// contracts, whoever came first.
+func TestContractOrder(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, slots: 4}, func(w *world) {
+		plans := w.deployment()
+		plans.Name, plans.Contract = "plan-writer", &operatorv1.Contract{Class: "background", DeadlineMs: 60000, QueueMs: 40000}
+		_, err := w.gateways[0].Config.PutDeployment(w.ctx(), plans, 0, "plans")
+		assert.NilError(t, err)
+		briefs := w.deployment()
+		briefs.Contract.QueueMs = 40000
+		_, err = w.gateways[0].Config.PutDeployment(w.ctx(), briefs, 1, "briefs")
+		assert.NilError(t, err)
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		ask := func(model string, n int) {
+			for i := range n {
+				wg.Go(func() {
+					status, _, text := w.post(0, "/v1/completions", nil, fmt.Sprintf(`{"model":%q,"prompt":"%d","max_tokens":50,"seed":7}`, model, i))
+					assert.Equal(t, status, 200, text)
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, model)
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		ask("plan-writer", 4) // these run
+		ask("plan-writer", 8) // these wait
+		ask("brief-llm", 4)   // and these go before them
+		wg.Wait()
+		for i, model := range order {
+			assert.Equal(t, model == "brief-llm", i >= 4 && i < 8, "%v", order)
+		}
+	})
+}
+
+// TestLongQueueIsNotSilence: a caller that waits its turn for long hears so. Callers that
+// heard nothing took the instance for dead and asked again, until they gave up.
+func TestLongQueueIsNotSilence(t *testing.T) {
+	run(t, shape{gateways: 1, engines: 1, slots: 2}, func(w *world) {
+		d := w.deployment()
+		d.Contract = &operatorv1.Contract{Class: "long", DeadlineMs: 600000, QueueMs: 300000}
+		_, err := w.gateways[0].Config.PutDeployment(w.ctx(), d, 1, "long queue")
+		assert.NilError(t, err)
+		var wg sync.WaitGroup
+		for i := range 8 { // each takes six seconds, two at a time
+			wg.Go(func() {
+				r := w.request(300)
+				r.Prompt, r.Deadline = fmt.Sprint(i), 100*time.Second
+				a, err := w.client(0).Generate(w.ctx(), r)
+				w.check(r, a, err)
+				assert.Equal(t, a.Resumes, 0)
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, w.total().Streams, int64(8))
+	})
+}
--- a/gateway/cmd/agatewayd/front.go
+++ b/gateway/cmd/agatewayd/front.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -55,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	go f.WatchFile(context.Background(), file) // until the process ends
 	go func() {
 		for range reload {
 			f.Reload(file)
--- /dev/null
+++ b/gateway/forward/progress.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/generation"
+)
+
+func (s *session) take(m message) {
+	now := time.Now()
+	switch m.kind {
+	case attemptSent:
+		s.mayHaveRun = true
+		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
+	case attemptEvent:
+		s.event(now, m)
+	case attemptDone:
+		j := s.machine.Journal()
+		s.machine.Done(now, m.attempt, j.Len(), j.Hash(), "")
+	case attemptFailed:
+		s.failed(now, m)
+	case attemptProbed:
+		s.machine.Probed(now, m.attempt, m.alive, m.events)
+	case attemptCopied:
+		s.copied(now, m)
+	}
+}
+
+// event passes an event on if it is the next one of the current attempt.
+func (s *session) event(now time.Time, m message) {
+	if !m.numbered {
+		s.machine.Alive(now, m.attempt)
+		return
+	}
+	a := s.attempts[m.attempt]
+	if a != nil {
+		a.read()
+	}
+	if !s.numbered && a == s.current() { // of an attempt that was given up, the first event may be lost
+		s.first, s.numbered = m.id, true
+	}
+	if !s.numbered {
+		return
+	}
+	index := int(int64(m.id - s.first))
+	if !s.machine.Token(now, m.attempt, index, nil) {
+		return
+	}
+	if s.relayed == 0 {
+		s.begin(a)
+	}
+	s.wentOn(now, m)
+	s.paced(now)
+	s.relayed++
+	s.lastEvent = strconv.FormatUint(m.id, 10)
+	if _, err := s.w.Write(m.block); err != nil {
+		s.machine.Abort(now)
+		return
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		s.machine.Abort(now)
+	}
+}
+
+// paced records the pause before an event.
+func (s *session) paced(now time.Time) {
+	if s.relayed == 0 {
+		s.firstAfter = now.Sub(s.req.arrived)
+	} else {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
+// begin sends the head of the answer, that of the engine whose event is first.
+func (s *session) begin(a *attempt) {
+	s.f.metrics.firstEvent.RecordDuration(time.Since(s.req.arrived))
+	if a != nil && a.header != nil {
+		copyHeader(s.w.Header(), a.header)
+	}
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// wentOn records that a stream whose engine was lost goes on.
+func (s *session) wentOn(now time.Time, m message) {
+	if s.lostAt.IsZero() {
+		return
+	}
+	pause := now.Sub(s.lastAt)
+	s.lostAt = time.Time{}
+	s.f.metrics.recovered.Inc(1)
+	s.f.metrics.eventMove.RecordDuration(pause)
+	s.f.Log.Decision(s.req.ID, "went on", logrus.Fields{"endpoint": m.endpoint, "event": m.id, "pause_ms": pause.Milliseconds()})
+}
+
+// failed takes the end of an attempt that brought no whole answer.
+func (s *session) failed(now time.Time, m message) {
+	if s.machine.GaveUp(m.attempt) {
+		return
+	}
+	if m.answer != nil {
+		s.last = m.answer
+	}
+	if a := s.attempts[m.attempt]; a != nil {
+		a.over = true
+	}
+	if m.failure == generation.Refused {
+		s.dropCopy() // the run did not begin, so there is nothing to copy
+	}
+	s.lost(now)
+	s.f.Log.Decision(s.req.ID, "attempt failed", logrus.Fields{
+		"attempt": m.attempt, "endpoint": m.endpoint, "error": errorText(m.err), "not_run": m.failure == generation.Refused, "events": s.relayed,
+	})
+	s.machine.Failed(now, m.attempt, m.failure, 0)
+}
+
+func (s *session) lost(now time.Time) {
+	if s.relayed > 0 && s.lostAt.IsZero() {
+		s.lostAt = now
+	}
+}
+
+// cancel ends an attempt that is not needed any more. Its engine sees the connection close.
+func (s *session) cancel(number int) {
+	a := s.attempts[number]
+	if a == nil {
+		return
+	}
+	if !s.machine.Ended() && !a.over {
+		s.lost(time.Now())
+		s.f.metrics.silences.Inc(1)
+		s.f.Placement.Failed(a.endpoint.ID)
+		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayed})
+	}
+	a.cancel()
+}
--- /dev/null
+++ b/gateway/front/reload_test.go
@@ -0,0 +1,31 @@
+package front_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReload: a good file sets the log level, a bad one changes nothing and says what is wrong.
+func TestReload(t *testing.T) {
+	run(t, 1, 1, 1, func(w *world) {
+		file := filepath.Join(t.TempDir(), "front.ini")
+		assert.NilError(t, os.WriteFile(file, []byte(frontSettings(0)+"[logs]\nlevel = warning\n"), 0o600))
+		w.fronts[0].Reload(file)
+		_, err := w.do(0, ping())
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Assert(t, !strings.Contains(w.logs.String(), `"msg":"answered"`))
+		assert.NilError(t, os.WriteFile(file, []byte("[instance]\nid =\n"), 0o600))
+		w.fronts[0].Reload(file)
+		time.Sleep(time.Second)
+		assert.Assert(t, strings.Contains(w.logs.String(), "[instance] id: is required"))
+		a, err := w.do(0, ping())
+		assert.NilError(t, err)
+		assert.Equal(t, a.Status, 200)
+	})
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -155,9 +155,9 @@
 func readyAddress(i int) string     { return fmt.Sprintf("10.0.0.%d:81", i+1) }
 func directoryAddress(i int) string { return fmt.Sprintf("10.0.0.%d:82", i+1) }
 
-// front starts an instance.
-func (w *world) front(i int) *front.Front {
-	s, err := settings.ParseFront(fmt.Appendf(nil, `
+// frontSettings are the settings of an instance.
+func frontSettings(i int) string {
+	return fmt.Sprintf(`
 [instance]
 id = f%d
 data_centre = %s
@@ -172,7 +172,12 @@
 [retries]
 share = 0.8
 reserve = 150
-`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), i+1))
+`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), i+1)
+}
+
+// front starts an instance.
+func (w *world) front(i int) *front.Front {
+	s, err := settings.ParseFront([]byte(frontSettings(i)))
 	assert.NilError(w.t, err)
 	node := fmt.Sprint("f", i)
 	w.net.SetCrashed(node, false)
