front: tests of large bodies, of streams that can't go on, of overload

Measured: 40 streams before engines that hold 27: none without an answer, none cut, refusals within half of the aim with the time to come back.

--- a/gateway/front/rules_test.go
+++ b/gateway/front/rules_test.go
@@ -193,7 +193,7 @@
 				c := w.config
 				c.Version = 9
 				c.Teams = []route.Team{{Name: "desk", Keys: []string{"new-key"}}}
-				c.Routes = append([]route.Route{{Name: "new", Host: host, Prefix: "/new/", Targets: c.Routes[2].Targets, Repeat: route.Idempotent, Attempts: 2}}, c.Routes[1:]...)
+				c.Routes = append([]route.Route{{Name: "new", Host: host, Prefix: "/new/", Targets: c.Routes[3].Targets, Repeat: route.Idempotent, Attempts: 2}}, c.Routes[1:]...)
 				w.store.PutConfiguration(&c)
 				time.Sleep(1500 * time.Millisecond)
 				old := w.config
@@ -323,7 +323,7 @@
 func TestLimitsOnCallers(t *testing.T) {
 	run(t, 1, 1, 1, func(w *world) {
 		r := logLift()
-		r.Body = strings.Repeat("x", 2<<20)
+		r.Body = strings.Repeat("x", 3<<20)
 		a, err := w.do(0, r)
 		if err == nil { // the answer may be overtaken by the close, since the body was not read
 			assert.Equal(t, a.Status, http.StatusRequestEntityTooLarge)
@@ -336,3 +336,75 @@
 		assert.Equal(t, len(w.plains[0].Runs()), 0)
 	})
 }
+
+// TestLargeBodies: what is not kept in memory is passed on as it comes, unchanged, with a length or in chunks.
+func TestLargeBodies(t *testing.T) {
+	run(t, 1, 1, 1, func(w *world) {
+		for _, size := range []int{1, 200 << 10, 256 << 10, 900 << 10} {
+			r := logLift()
+			r.Body, r.ID = strings.Repeat("0123456789", size/10+1), w.id()
+			a, err := w.do(0, r)
+			assert.NilError(t, err)
+			assert.Equal(t, a.Status, 200)
+			runs := w.plains[0].Runs()
+			assert.Assert(t, runs[len(runs)-1].Body == r.Body, "%d bytes", len(r.Body))
+		}
+	})
+}
+
+// TestStreamThatCannotGoOn: a stream that may not be continued runs once, and ends visibly broken when its
+// engine is lost.
+func TestStreamThatCannotGoOn(t *testing.T) {
+	run(t, 1, 6, 1, func(w *world) {
+		r := brief("b1")
+		r.Path = "/note/1"
+		a, err := w.do(0, r)
+		assert.NilError(t, err)
+		whole(t, a, "b1", 0)
+		got := w.stream(0, r)
+		time.Sleep(2 * time.Second)
+		engine, _ := w.serving()
+		w.crashEngine(engine)
+		a = <-got
+		assert.Assert(t, !a.Whole)
+		assert.Assert(t, len(a.Events) > 0 && len(a.Events) < events)
+		total := 0
+		for _, e := range w.engines {
+			total += len(e.Runs())
+		}
+		assert.Equal(t, total, 2)
+	})
+}
+
+// TestOverload: forty streams for three engines that hold nine each. Who finds no room is told so within
+// half of the aim and when to come back; nobody is left without an answer, and none is cut.
+func TestOverload(t *testing.T) {
+	run(t, 2, 3, 1, func(w *world) {
+		const callers = 40
+		answers := make(chan standin.Answer, callers)
+		for i := range callers {
+			go func() {
+				r := brief(string(rune('a'+i%26)) + "0")
+				began := time.Now()
+				a, err := w.do(i%2, r)
+				if err == nil && a.Status != http.StatusOK && time.Since(began) > 2400*time.Millisecond {
+					a.Body = "late"
+				}
+				answers <- a
+			}()
+			time.Sleep(20 * time.Millisecond)
+		}
+		served, refused := 0, 0
+		for range callers {
+			switch a := <-answers; {
+			case a.Status == http.StatusOK && a.Whole && len(a.Events) == events:
+				served++
+			case a.Status == http.StatusServiceUnavailable && a.RetryAfter != "" && a.Body != "late":
+				refused++
+			default:
+				t.Errorf("status %d, %d events, whole %v, %s", a.Status, len(a.Events), a.Whole, a.Body)
+			}
+		}
+		assert.Assert(t, served >= 20, "%d served, %d refused", served, refused)
+	})
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -119,13 +119,14 @@
 		Routes: []route.Route{
 			{Name: "brief", Host: host, Prefix: "/brief/", Targets: to("engines"), Stream: true, Repeat: route.Resumable,
 				Timeout: 25 * time.Second, Aim: 4500 * time.Millisecond, Pause: 700 * time.Millisecond, Attempts: 5},
+			{Name: "note", Host: host, Prefix: "/note/", Targets: to("engines"), Stream: true, Timeout: 25 * time.Second, Aim: 4500 * time.Millisecond, Attempts: 3},
 			{Name: "log", Host: host, Prefix: "/log/", Targets: to("plain"), Repeat: route.Once, Timeout: 1500 * time.Millisecond, Aim: 300 * time.Millisecond, Attempts: 3},
 			{Name: "ping", Host: host, Prefix: "/ping/", Targets: to("plain"), Repeat: route.Idempotent, Timeout: 1500 * time.Millisecond, Aim: 300 * time.Millisecond, Attempts: 2},
 			{Name: "open", Host: host, Prefix: "/open/", Targets: to("plain"), Repeat: route.Idempotent, Timeout: 1500 * time.Millisecond, Attempts: 2, Public: true},
 		},
 		Services: []route.Service{{Name: "engines", Connections: 200, Engine: engine}, {Name: "plain", Connections: 100}},
 		Teams:    []route.Team{{Name: "desk", Keys: []string{key, "another-key"}}},
-		Limits:   route.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits:   route.Limits{HeaderBytes: 16 << 10, BodyBytes: 2 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 }
 
