--- a/gateway/front/rules_test.go
+++ b/gateway/front/rules_test.go
@@ -264,6 +264,7 @@
 			assert.Equal(t, a.Status, 200)
 		}
 		assert.Equal(t, len(worker.Runs()), 0)
+		assert.Assert(t, worker.Refused() <= 1, "the address was tried %d times", worker.Refused())
 	})
 }
 
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -198,7 +198,7 @@
 // where that is safe.
 func (x *Exchange) Finish() {
 	detached := x.stop()
-	if !detached || !x.sent.Load() || x.resp.Close || x.conn.reader.Buffered() > 0 || x.unframed() {
+	if !detached || !x.sent.Load() || x.resp.Close || x.unframed() {
 		x.conn.Discard()
 		return
 	}
