upstream: an answer that overtakes the writer's last step keeps its connection

The answer was read before the writer had noted that all was sent. On the platform each such connection was thrown away and opened anew. Ruled out: the informational answer of that case. Change: the end of an exchange waits for the writer, 20 ms at the most.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -56,22 +56,29 @@
 	return x, nil
 }
 
-// writerEnd bounds the wait for the writer of a closed connection. It can be longer only while the
-// caller's own body is awaited, and then something was sent already.
+// writerEnd bounds the wait for the writer of a connection that was closed or answered. It takes longer only
+// while the caller's own body is awaited or the endpoint does not read it.
 const writerEnd = 20 * time.Millisecond
 
-// nothingLeft tells whether it is certain that the connection took no byte of the request.
-func (x *Exchange) nothingLeft() bool {
+// writerEnds tells whether the writer ends within a moment.
+func (x *Exchange) writerEnds() bool {
 	t := time.NewTimer(writerEnd)
 	defer t.Stop()
 	select {
 	case <-x.done:
-		return x.written.Load() == 0
+		return true
 	case <-t.C:
 		return false
 	}
 }
 
+// nothingLeft tells whether it is certain that the connection took no byte of the request.
+func (x *Exchange) nothingLeft() bool { return x.writerEnds() && x.written.Load() == 0 }
+
+// allSent tells whether the whole request was written. An endpoint that has all of it may answer before
+// the writer has returned from its last write.
+func (x *Exchange) allSent() bool { return x.writerEnds() && x.sent.Load() }
+
 // write sends the request. It runs beside the reader, since an endpoint may answer before it has read
 // a long body.
 func (x *Exchange) write(r *Request) {
@@ -198,7 +205,7 @@
 // where that is safe.
 func (x *Exchange) Finish() {
 	detached := x.stop()
-	if !detached || !x.sent.Load() || x.resp.Close || x.unframed() {
+	if !detached || !x.allSent() || x.resp.Close || x.unframed() {
 		x.conn.Discard()
 		return
 	}
