front: no new streams once stopping; one doubter alone does not lose a copy

Cause: streams taken in the first second after SIGTERM were still at work when the grace ended (a stream takes 6.5 s, one in twenty 10 s), and each copy whose holder one other instance doubted was made a second time.

--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -61,8 +61,13 @@
 	return out
 }
 
-// Usable tells whether an endpoint is listed, does not leave and is not suspected by anybody.
+// doubtersMost is how many other instances may doubt an endpoint that is still taken to hold what it held:
+// one alone may have a bad link to it.
+const doubtersMost = 1
+
+// Usable tells whether an endpoint is listed, does not leave, and is suspected neither by this instance nor
+// by several others.
 func (v *View) Usable(now time.Time, id string) bool {
 	n := v.nodes[id]
-	return n != nil && n.takesWork(now) && n.doubters == 0
+	return n != nil && n.takesWork(now) && n.doubters <= doubtersMost
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -120,8 +120,9 @@
 	if !since.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
-	if refused == nil && !since.IsZero() && req.route.Stream && time.Since(since) > streamsAfterDrain {
-		refused = refuse(http.StatusServiceUnavailable, "draining", soon())
+	if refused == nil && !since.IsZero() && req.route.Stream {
+		// A stream lasts about as long as the process has left; another instance can end it for certain.
+		refused = refuse(http.StatusServiceUnavailable, "stopping", soon())
 	}
 	if refused != nil {
 		f.answerRefusal(w, req, refused)
@@ -130,10 +131,6 @@
 	f.serve(w, r, req)
 }
 
-// streamsAfterDrain is how long a draining instance still begins streams: callers keep its address
-// for a while, but a stream lasts nearly as long as the process has left.
-const streamsAfterDrain = time.Second
-
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	if !req.deadline.IsZero() {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -173,7 +173,8 @@
 	return p.view.Suspects(time.Now())
 }
 
-// Usable tells whether an endpoint is listed, does not leave and is not suspected by anybody.
+// Usable tells whether an endpoint is listed, does not leave, and is suspected neither by this instance nor
+// by several others.
 func (p *Placement) Usable(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
