forward: a stream that all engines refused is refused as not run

Cause: found while reading: 'may have run' was set when a request was sent and not taken back when the engine said that it had not run it, so callers got 502 without a time to come back. Test: TestAllEnginesRefuse (failed with 502 before).

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -63,18 +63,19 @@
 
 	// repeat tells that the request was sent before.
 	repeat bool
-	// began tells that an event of it came, over that it reported its end. Both belong to the
-	// session's goroutine.
-	began, over bool
-	placed      routing.Placed
-	once        sync.Once // the prompt was read
+	// sent tells that it was sent, began that an event of it came, over that it reported its end, and
+	// refused that its engine has not run it. They belong to the session's goroutine.
+	sent, began, over, refused bool
+
+	placed routing.Placed
+	once   sync.Once // the prompt was read
 }
 
 // launch sends the request to an engine. from is a copy of the run's memory there; the zero holder
 // when the prompt has to be read.
 func (s *session) launch(number int, e *routing.Endpoint, from copies.Holder) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.mayHaveRun, placed: routing.Placed{Tokens: s.tokens()}}
+	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.sent(), placed: routing.Placed{Tokens: s.tokens()}}
 	if from == (copies.Holder{}) {
 		a.placed.Unread = s.req.PromptTokens
 	}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -132,12 +132,13 @@
 }
 
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, req *request) {
-	ctx, cancel := context.WithCancel(r.Context())
+	ctx := r.Context()
 	if !req.deadline.IsZero() {
-		ctx, cancel = context.WithDeadline(r.Context(), req.deadline)
+		limited, cancel := context.WithDeadline(ctx, req.deadline)
+		defer cancel()
+		ctx = limited
 		_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(lateWrite))
 	}
-	defer cancel()
 	if refused := req.readBody(w, r); refused != nil {
 		f.answerRefusal(w, req, refused)
 		return
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -81,7 +81,7 @@
 			return p.ended(ctx, how)
 		}
 		if how == answered {
-			p.keepFailure(a)
+			p.last = a
 		}
 		if !p.mayGoOn(how) {
 			return p.final(nil)
@@ -102,8 +102,6 @@
 	return a.status >= http.StatusInternalServerError && a.rest == nil && p.req.route.Repeat == route.Idempotent && p.runs < p.req.route.Attempts
 }
 
-func (p *plain) keepFailure(a *answer) { p.last = a }
-
 // mayGoOn tells whether the request may be sent to another endpoint.
 func (p *plain) mayGoOn(how outcome) bool {
 	if !p.req.replayable {
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -10,11 +10,14 @@
 	"github.com/agateway/agateway/core/generation"
 )
 
+// take hands what an attempt reported to the machine.
 func (s *session) take(m message) {
 	now := time.Now()
 	switch m.kind {
 	case attemptSent:
-		s.mayHaveRun = true
+		if a := s.attempts[m.attempt]; a != nil {
+			a.sent = true
+		}
 		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
 	case attemptEvent:
 		s.event(now, m)
@@ -106,7 +109,7 @@
 		s.last = m.answer
 	}
 	if a := s.attempts[m.attempt]; a != nil {
-		a.over = true
+		a.over, a.refused = true, m.failure == generation.Refused
 	}
 	if m.failure == generation.Refused {
 		s.dropCopy() // the run did not begin, so there is nothing to copy
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -32,8 +32,6 @@
 	// lastEvent is the id of the last event passed on, or what the caller came with.
 	lastEvent string
 	relayed   int
-	// mayHaveRun tells that an engine took the request and did not say that it has not run it.
-	mayHaveRun bool
 	// copies knows where a copy of the memory of the run is kept, copyAt is the engine for which it is
 	// accounted, and checkedAt when that engine was last looked at.
 	copies    *copies.Keeper
@@ -177,7 +175,7 @@
 // start chooses an engine for an attempt and sends the request there.
 func (s *session) start(a generation.Start) {
 	now := time.Now()
-	if refused := s.f.stillAllowed(s.req); refused != nil && !s.mayHaveRun {
+	if refused := s.f.stillAllowed(s.req); refused != nil && !s.mayHaveRun() {
 		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, refused.retryAfter)
 		return
 	}
@@ -201,7 +199,7 @@
 		return e, from, nil
 	}
 	r := s.request()
-	r.Avoid, r.Recovery = a.Avoid, s.mayHaveRun
+	r.Avoid, r.Recovery = a.Avoid, s.mayHaveRun()
 	d, err := s.f.Placement.Pick(r)
 	if err != nil {
 		return nil, copies.Holder{}, err
@@ -227,6 +225,26 @@
 	return routing.Weights{Cache: 2, Remote: 0.02, Unread: 1, Running: 0.5, Memory: 0.3}
 }
 
+// sent tells whether the request was sent to any engine.
+func (s *session) sent() bool {
+	for _, a := range s.attempts {
+		if a.sent {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHaveRun tells whether the request was sent to an engine that did not say that it has not run it.
+func (s *session) mayHaveRun() bool {
+	for _, a := range s.attempts {
+		if a.sent && !a.refused {
+			return true
+		}
+	}
+	return false
+}
+
 // tokens is the memory that the stream needs at its largest.
 func (s *session) tokens() int { return s.req.PromptTokens + s.req.OutputTokens }
 
@@ -266,7 +284,7 @@
 func (s *session) refusal(a generation.Fail) *refusal {
 	inputs := logrus.Fields{"code": string(a.Code), "attempts": len(s.attempts)}
 	switch {
-	case !s.mayHaveRun:
+	case !s.mayHaveRun():
 		return refuse(http.StatusServiceUnavailable, "no engine took the request", whenRoom(a.RetryAfter)).with(inputs)
 	case a.Code == generation.CodeDeadline:
 		return refuse(http.StatusGatewayTimeout, "no answer in time", 0).with(inputs)
--- a/gateway/front/streams_test.go
+++ b/gateway/front/streams_test.go
@@ -196,3 +196,24 @@
 		whole(t, <-got, "b1", 0)
 	})
 }
+
+// TestAllEnginesRefuse: nothing ran, so the caller is told to come back, and soon enough to be on time.
+func TestAllEnginesRefuse(t *testing.T) {
+	run(t, 1, 6, 1, func(w *world) {
+		for _, e := range w.engines {
+			e.SetFault(standin.WorkerFault{Shed: true})
+		}
+		began := time.Now()
+		a, err := w.do(0, brief("b1"))
+		assert.NilError(t, err)
+		assert.Equal(t, a.Status, 503, a.Body)
+		assert.Assert(t, a.RetryAfter != "")
+		assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
+		for _, e := range w.engines {
+			e.SetFault(standin.WorkerFault{})
+		}
+		a, err = w.do(0, brief("b1"))
+		assert.NilError(t, err)
+		whole(t, a, "b1", 0)
+	})
+}
