front: a span for each request and each hop

Cause: the users' house style asks for traces with a span for each hop; the front had none. The caller's trace goes on; its header is passed on as it came.

--- a/gateway/exchange/exchange_bench_test.go
+++ b/gateway/exchange/exchange_bench_test.go
@@ -36,7 +36,9 @@
 	view := routing.NewView(routing.DefaultSettings())
 	x := New(Options{
 		Self: Peer{ID: "self"}, Log: logrus.NewEntry(log), Scope: tally.NoopScope, Clock: func() time.Duration { return 0 },
-		Told: func(instance string, t routing.Told, _ map[string]limits.Counted) { view.SetPeer(time.Time{}, instance, t) },
+		Told: func(instance string, t routing.Told, _ map[string]limits.Counted) {
+			view.SetPeer(time.Time{}, instance, t)
+		},
 	})
 	a := announcement("front-alm-hall-a-1", 1)
 	raw, err := proto.Marshal(a)
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -106,7 +106,9 @@
 		a.once.Do(func() { f.Placement.Release(a.endpoint.ID, routing.Placed{Unread: a.placed.Unread}) })
 		f.Placement.Finished(a.endpoint.ID, routing.Placed{Tokens: a.placed.Tokens})
 	}()
-	m := a.exchange(ctx)
+	hop, span := f.hop(ctx, &a.endpoint)
+	m := a.exchange(hop)
+	endHop(span, m.err)
 	m.attempt, m.endpoint = a.number, a.endpoint.ID
 	a.tell(ctx, m)
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/gateway/clock"
@@ -70,6 +71,8 @@
 	Placed func()
 	Log    Log
 	Scope  tally.Scope
+	// Tracer makes a span for each request and for each hop to an endpoint.
+	Tracer trace.Tracer
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
@@ -132,7 +135,8 @@
 }
 
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, req *request) {
-	ctx := r.Context()
+	ctx, span := f.span(r.Context(), req)
+	defer span.End()
 	if !req.deadline.IsZero() {
 		limited, cancel := context.WithDeadline(ctx, req.deadline)
 		defer cancel()
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -71,7 +71,9 @@
 		if refused != nil {
 			return p.final(refused)
 		}
-		a, how, err := p.try(ctx, e)
+		hop, span := p.f.hop(ctx, e)
+		a, how, err := p.try(hop, e)
+		endHop(span, err)
 		p.f.logTry(p.req, e, how, a, err)
 		if how == answered && !p.worthAnother(a) {
 			p.deliver(a)
--- a/gateway/forward/session_test.go
+++ b/gateway/forward/session_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/copies"
@@ -25,7 +26,7 @@
 // the first of them is lost. The second one must not be taken for the first of the stream: one stream in
 // a day lost its first event that way, with nothing to show it.
 func TestNumbersComeFromTheCurrentEngine(t *testing.T) {
-	f := New(Options{Placement: placement.New(routing.DefaultSettings(), 1), Log: quietLog{}, Scope: tally.NoopScope, Clock: func() time.Duration { return 0 }})
+	f := New(Options{Placement: placement.New(routing.DefaultSettings(), 1), Log: quietLog{}, Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: func() time.Duration { return 0 }})
 	now := time.Now()
 	w := httptest.NewRecorder()
 	s := &session{f: f, w: w, req: &request{route: &route.Route{Attempts: 5}}, copies: copies.New(copies.Settings{}), attempts: map[int]*attempt{}}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -190,7 +190,7 @@
 			SilenceFloor: s.Streams.Silence, FirstEvent: s.Streams.FirstEvent, Probe: s.Streams.Probe, Connect: s.Streams.Connect,
 		},
 		Configuration: f.configuration, Placement: f.placement, Pool: f.pool, Instances: f.exchange.Instances, Clock: f.env.Clock,
-		Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope,
+		Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
 	})
 }
 
--- a/gateway/settings/check.go
+++ b/gateway/settings/check.go
@@ -30,10 +30,15 @@
 	if s.Recovery.SilenceFloor > s.Recovery.SilenceCeiling {
 		out = append(out, "[recovery] silence_floor: must not exceed silence_ceiling")
 	}
-	if s.Traces.Exporter == "otlp" && s.Traces.Endpoint == "" {
-		out = append(out, "[traces] endpoint: is required for the exporter otlp")
+	return append(out, s.Traces.contradictions()...)
+}
+
+// contradictions checks the keys of traces against each other.
+func (t *Traces) contradictions() []string {
+	if t.Exporter == "otlp" && t.Endpoint == "" {
+		return []string{"[traces] endpoint: is required for the exporter otlp"}
 	}
-	return out
+	return nil
 }
 
 func checkAddress(text string) error {
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -13,6 +13,7 @@
 	Streams  FrontStreams  `ini:"streams"`
 	Process  FrontProcess  `ini:"process"`
 	Logs     FrontLogs     `ini:"logs"`
+	Traces   Traces        `ini:"traces"`
 }
 
 // FrontInstance says who and where this process is.
@@ -78,6 +79,7 @@
 	if s.Store.Watch+s.Store.Timeout >= s.Bounds.Revoke {
 		out = append(out, "[store] watch: with timeout has to be less than [bounds] revoke")
 	}
+	out = append(out, s.Traces.contradictions()...)
 	if s.Store.Watch >= s.Bounds.Apply {
 		out = append(out, "[store] watch: has to be less than [bounds] apply")
 	}
--- a/gateway/telemetry/telemetry.go
+++ b/gateway/telemetry/telemetry.go
@@ -48,7 +48,7 @@
 	log.SetLevel(level)
 	t := &Telemetry{Log: log.WithField("instance", s.Instance.ID)}
 	t.metrics()
-	return t, t.traces(s)
+	return t, t.traces(s.Traces, s.Instance.ID)
 }
 
 // NewFront sets up logs as JSON lines and metrics, for an instance that forwards.
@@ -63,7 +63,7 @@
 	log.SetLevel(level)
 	t := &Telemetry{Log: log.WithField("instance", s.Instance.ID)}
 	t.metrics()
-	return t, nil
+	return t, t.traces(s.Traces, s.Instance.ID)
 }
 
 func (t *Telemetry) metrics() {
@@ -81,22 +81,22 @@
 
 // traces sets up the tracer. Without an exporter spans are not recorded, but a caller's
 // traceparent still travels to the endpoint.
-func (t *Telemetry) traces(s *settings.Settings) error {
+func (t *Telemetry) traces(s settings.Traces, instance string) error {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
-	if s.Traces.Exporter == "none" {
+	if s.Exporter == "none" {
 		t.Tracer = otel.Tracer("agateway")
 		return nil
 	}
-	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(s.Traces.Endpoint))
+	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(s.Endpoint))
 	if err != nil {
 		return err
 	}
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
-		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Traces.Sample))),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Sample))),
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "agatewayd"),
-			attribute.String("service.instance.id", s.Instance.ID))),
+			attribute.String("service.instance.id", instance))),
 	)
 	otel.SetTracerProvider(provider)
 	t.Tracer = provider.Tracer("agateway")
