--- a/cli/command/soak.go
+++ b/cli/command/soak.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -12,6 +14,7 @@
 func soakCommand() *cobra.Command {
 	var o soak.Options
 	var seconds int
+	var report, page string
 	c := &cobra.Command{
 		Use: "soak", Short: "Runs instances as processes under random faults and checks what callers and endpoints see",
 		Args: cobra.NoArgs, SilenceUsage: true,
@@ -23,6 +26,12 @@
 			}
 			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d asked=%d served=%d refused=%d unknown=%d streams=%d findings=%d\n",
 				o.Seed, r.Faults, r.Asked, r.Served, r.Refused, r.Unknown, r.Streams, len(r.Findings))
+			if err := writeReport(report, r.WriteJSON); err != nil {
+				return err
+			}
+			if err := writeReport(page, r.WritePage); err != nil {
+				return err
+			}
 			if len(r.Findings) > 0 {
 				return fmt.Errorf("%d promises were broken; logs in %s", len(r.Findings), r.Logs)
 			}
@@ -37,5 +46,23 @@
 	f.IntVar(&o.Plain, "plain", 4, "plain endpoints")
 	f.IntVar(&o.Callers, "callers", 20, "callers")
 	f.StringVar(&o.Program, "program", "bin/agatewayd", "the daemon")
+	f.StringVar(&report, "report", "", "file for the figures, as JSON")
+	f.StringVar(&page, "page", "", "file for a page with a plot")
 	return c
 }
+
+// writeReport writes a report to a file; none without a name.
+func writeReport(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		_ = f.Close() // the first error counts
+		return err
+	}
+	return f.Close()
+}
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -29,11 +29,16 @@
 
 // Result is what a soak found.
 type Result struct {
-	Asked, Served, Refused, Unknown, Streams, Faults int
+	Asked   int `json:"asked"`
+	Served  int `json:"served"`
+	Refused int `json:"refused"`
+	Unknown int `json:"unknown"`
+	Streams int `json:"streams"`
+	Faults  int `json:"faults"`
 	// Findings are promises that were broken.
-	Findings []string
+	Findings []string `json:"findings"`
 	// Logs is the folder with the logs of the processes; it is kept when there are findings.
-	Logs string
+	Logs string `json:"logs"`
 }
 
 // soak is one run.
@@ -42,24 +47,25 @@
 	world *world
 	began time.Time
 
-	mu     sync.Mutex
-	all    map[string]*asked
-	result Result
+	mu      sync.Mutex
+	all     map[string]*asked
+	result  Result
+	figures figures
 }
 
 // Run runs a soak.
-func Run(ctx context.Context, o Options) (Result, error) {
+func Run(ctx context.Context, o Options) (Report, error) {
 	dir, err := os.MkdirTemp("", "agateway-soak-")
 	if err != nil {
-		return Result{}, err
+		return Report{}, err
 	}
-	s := &soak{Options: o, began: time.Now(), all: map[string]*asked{}, result: Result{Logs: dir}}
+	s := &soak{Options: o, began: time.Now(), all: map[string]*asked{}, result: Result{Logs: dir}, figures: newFigures()}
 	if s.world, err = newWorld(dir, o.Program, o); err != nil {
-		return Result{}, err
+		return Report{}, err
 	}
 	defer s.world.close()
 	if !s.waitReady(ctx) {
-		return Result{}, fmt.Errorf("the instances did not become ready; logs in %s", dir)
+		return Report{}, fmt.Errorf("the instances did not become ready; logs in %s", dir)
 	}
 	s.play(ctx)
 	s.checkRuns()
@@ -68,7 +74,7 @@
 	if len(s.result.Findings) == 0 {
 		_ = os.RemoveAll(dir) // what is left there is of no use
 	}
-	return s.result, nil
+	return s.figures.report(s.Seed, s.result), nil
 }
 
 // Times of a run.
@@ -126,6 +132,7 @@
 		what, end := faults[rnd.IntN(len(faults))](s.world, rnd)
 		s.mu.Lock()
 		s.result.Faults++
+		s.figures.moments = append(s.figures.moments, Moment{time.Since(s.began).Seconds(), what})
 		s.mu.Unlock()
 		s.say("%s", what)
 		if end != nil {
@@ -159,23 +166,12 @@
 func (s *soak) check(r *standin.Request, a *asked) {
 	s.mu.Lock()
 	s.all[a.id] = a
-	s.result.Asked++
-	switch {
-	case a.err != nil || !a.answer.Whole:
-		s.result.Unknown++
-	case a.answer.Status == http.StatusOK:
-		s.result.Served++
-	default:
-		s.result.Refused++
-	}
+	s.count(r, a)
 	s.mu.Unlock()
 	if a.err != nil || a.answer.Status != http.StatusOK {
 		return
 	}
 	if r.Prompt != "" {
-		s.mu.Lock()
-		s.result.Streams++
-		s.mu.Unlock()
 		if wrong := whole(&a.answer, r.Prompt); wrong != "" {
 			s.finding("stream %s: %s", a.id, wrong)
 		}
@@ -186,6 +182,37 @@
 	}
 }
 
+// count counts what became of a request.
+func (s *soak) count(r *standin.Request, a *asked) {
+	s.result.Asked++
+	now := s.figures.second(a.ended.Sub(s.began))
+	switch {
+	case a.err != nil || !a.answer.Whole:
+		s.result.Unknown++
+		now.Unknown++
+	case a.answer.Status != http.StatusOK:
+		s.result.Refused++
+		now.Refused++
+	default:
+		s.result.Served++
+		now.Served++
+		s.time(r, a)
+	}
+}
+
+// time records how long a request that was served took.
+func (s *soak) time(r *standin.Request, a *asked) {
+	if r.Prompt == "" {
+		record(s.figures.plain, a.ended.Sub(a.sent))
+		return
+	}
+	s.result.Streams++
+	if len(a.answer.Events) > 0 {
+		record(s.figures.firstEvent, a.answer.Events[0].At.Sub(a.sent))
+		record(s.figures.longestPause, a.answer.Longest())
+	}
+}
+
 // checkServed asks each instance for each kind of thing after the faults are over.
 func (s *soak) checkServed(ctx context.Context) {
 	for i, p := range s.world.processes {
