relay, exchange: a store that answers nobody is asked by one instance a data centre

Change: while nobody is ready, one a data centre asks and the others ask it; looking for each other backs off to 2.4 s.

--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -178,28 +178,34 @@
 	return out
 }
 
-// Pauses between tries to write the own object and read the others'. After that the list is read again
+// Pauses between tries to write the own object and read the others': they double up to joinMost, since a
+// store that is away would else be asked by each instance again and again. After that the list is read again
 // now and then: an instance whose hello was lost is found by it.
 const (
 	joinPause  = 300 * time.Millisecond
+	joinMost   = 2400 * time.Millisecond
 	rejoinFrom = 20 * time.Second
 )
 
 // join makes this instance known, and finds the others.
 func (x *Exchange) join(ctx context.Context) {
-	for !x.register(ctx) && ctx.Err() == nil {
-		pause.For(ctx, joinPause/2+rand.N(joinPause))
-	}
+	x.until(ctx, x.register)
 	for ctx.Err() == nil {
-		if !x.find(ctx) {
-			pause.For(ctx, joinPause/2+rand.N(joinPause))
-			continue
-		}
+		x.until(ctx, x.find)
 		x.announce(true)
 		pause.For(ctx, rejoinFrom+rand.N(rejoinFrom))
 	}
 }
 
+// until tries until something works.
+func (x *Exchange) until(ctx context.Context, try func(context.Context) bool) {
+	backoff := joinPause
+	for ctx.Err() == nil && !try(ctx) {
+		pause.For(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, joinMost)
+	}
+}
+
 // entry is this instance's object in the store.
 type entry struct {
 	Callers    string `json:"callers"`
--- a/gateway/front/relay_test.go
+++ b/gateway/front/relay_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// TestOutageIsNotPricedForEach: while the store answers nobody, one instance a data centre goes on asking.
+func TestOutageIsNotPricedForEach(t *testing.T) {
+	run(t, 12, 1, 1, func(w *world) {
+		w.store.SetFault(standin.Fault{Outage: standin.Busy})
+		time.Sleep(6 * time.Second)
+		before := w.store.Counts()
+		time.Sleep(10 * time.Second)
+		after := w.store.Counts()
+		calls := after.Reads + after.Watches - before.Reads - before.Watches
+		assert.Assert(t, calls < 300, "%d calls in 10 s", calls)
+		w.store.SetFault(standin.Fault{})
+		time.Sleep(2 * time.Second)
+		for i := range 12 {
+			assert.Assert(t, w.isReady(i), "instance %d", i)
+		}
+	})
+}
+
 // TestStoreAwayForAll: instances that follow grow old as those do that ask the store themselves.
 func TestStoreAwayForAll(t *testing.T) {
 	run(t, 6, 1, 1, func(w *world) {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -47,7 +47,7 @@
 		return connect.NewResponse(&peerv1.WatchStoreResponse{Gone: true}), nil
 	}
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return connect.NewResponse(&peerv1.WatchStoreResponse{Stale: true}), nil
 	}
 	out := &peerv1.WatchStoreResponse{Revision: page.Revision, AgeMs: uint32(page.Age.Milliseconds()) + 1}
 	for _, o := range page.Objects {
@@ -76,7 +76,8 @@
 	mu sync.Mutex
 	// direct is until when the store is asked, since another instance was of no use; around is until when
 	// others are asked, since the store does not answer this instance.
-	direct, around time.Duration
+	// unanswered is until when the one that asks for all is not asked, since it did not answer.
+	direct, around, unanswered time.Duration
 }
 
 // New returns a chooser.
@@ -94,33 +95,62 @@
 func (c *Chooser) Source() follow.Store {
 	c.mu.Lock()
 	now := c.Clock()
-	direct, around := now < c.direct, now < c.around
+	direct, around, unanswered := now < c.direct, now < c.around, now < c.unanswered
 	c.mu.Unlock()
 	if around {
 		if r := c.anyOther(); r != nil {
 			return r
 		}
 	}
+	if r := c.outage(); r != nil && !unanswered {
+		return r
+	}
 	if direct {
 		return &store{c}
 	}
+	if r := c.reader(func(p *exchange.Peer) bool { return p.Ready }); r != nil {
+		return r
+	}
+	return &store{c}
+}
+
+// reader returns the instance to follow: among those of the data centre that fit and this one, some ask
+// the store, and the others spread over them. It returns nil when this instance is one that asks.
+func (c *Chooser) reader(fits func(*exchange.Peer) bool) *remote {
 	byID := map[string]exchange.Peer{}
 	ids := []string{c.Self}
 	for _, p := range c.Others() {
-		if p.DataCentre == c.DataCentre && p.Ready {
+		if p.DataCentre == c.DataCentre && fits(&p) {
 			byID[p.ID] = p
 			ids = append(ids, p.ID)
 		}
 	}
 	readers := rendezvous.Rank("readers", ids, c.Readers)
-	if slices.Contains(readers, c.Self) || len(readers) == 0 {
-		return &store{c}
+	if slices.Contains(readers, c.Self) {
+		return nil
 	}
-	// Those who don't read spread over those who do.
 	at := rendezvous.Rank(c.Self, readers, 1)[0]
 	return &remote{chooser: c, address: byID[at].Peers}
 }
 
+// ownTry is how often an instance asks the store itself while it answers nobody, one in so many calls: enough
+// to find out that it alone can reach it, few enough that an outage is not priced for each instance.
+const ownTry = 16
+
+// outage returns whom to ask while no instance is ready, so that the store answers nobody: the one that asks
+// for all. It returns nil when some are ready, or when it is this instance's turn.
+func (c *Chooser) outage() *remote {
+	for _, p := range c.Others() {
+		if p.Ready {
+			return nil
+		}
+	}
+	if rand.IntN(ownTry) == 0 {
+		return nil
+	}
+	return c.reader(func(*exchange.Peer) bool { return true })
+}
+
 // anyOther returns an instance that says it is ready, so that the store answers it; nil when there is none.
 func (c *Chooser) anyOther() *remote {
 	var ready []exchange.Peer
@@ -136,10 +166,13 @@
 }
 
 // otherFailed takes that another instance was of no use: the store is asked.
-func (c *Chooser) otherFailed() {
+func (c *Chooser) otherFailed(silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.direct, c.around = c.Clock()+directFor, 0
+	if silent {
+		c.unanswered = c.direct
+	}
 }
 
 // storeFailed takes that the store did not answer this instance: another one is asked.
@@ -194,9 +227,13 @@
 	c := r.chooser
 	resp, err := peers.Call(ctx, c.Pool, r.address, wait+c.Timeout, watchStore, req)
 	if err != nil {
-		c.otherFailed()
+		c.otherFailed(true)
 		return platform.Page{}, platform.ErrUnavailable.Wrap(err, "no answer from the instance at %s", r.address)
 	}
+	if resp.Stale {
+		c.otherFailed(false)
+		return platform.Page{}, platform.ErrUnavailable.New("the store does not answer the instance at %s", r.address)
+	}
 	if resp.Gone {
 		return platform.Page{}, platform.ErrHistoryGone.New("the instance at %s has forgotten", r.address)
 	}
