--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -191,7 +191,7 @@
 	v.doubt.stale = true
 }
 
-// Lost records that an endpoint lost an answer: one that happens once is forgiven with the next success,
+// Lost records that an endpoint lost an answer: one that happens once is cleared by the next success,
 // a second one in a row is a failure.
 func (v *View) Lost(now time.Time, id string) {
 	n := v.nodes[id]
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -189,9 +189,6 @@
 // Header returns the answer's headers.
 func (x *Exchange) Header() http.Header { return x.resp.Header }
 
-// Length returns the length of the answer's body; -1 when it is not known.
-func (x *Exchange) Length() int64 { return x.resp.ContentLength }
-
 // Read reads the answer's body. The error is [io.EOF] only at its proper end.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
