limits, routing: what is sent again goes to streams with a copy first; replaced and full engines are left alone

Now: a fifth of the budget is kept for streams that go on from a copy; the room is looked at before a connection is made; an engine that answered for another incarnation is told to the others; one that refused gets nothing for 200 ms; that a request was sent is no progress for the wait for an engine (a stream that all refused would else be held for 5.8 s). Suspects are told by how long they are left out.

--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -141,7 +141,9 @@
 	if a == m.contender {
 		m.promote(now)
 	}
-	m.waitFrom = time.Time{}
+	if !m.cfg.Unverified { // else it only says that the request was sent, and the engine may yet refuse it
+		m.waitFrom = time.Time{}
+	}
 }
 
 // continues tells whether an acknowledgement is for the journal as it is now.
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -53,8 +53,12 @@
 	if why != NoEndpoint {
 		m.avoidEndpoint(a.stream.Endpoint)
 	}
-	if why == Refused {
+	switch why {
+	case Refused:
 		m.refused++
+	case NoEndpoint:
+	default:
+		m.waitFrom = time.Time{} // an engine had taken it
 	}
 	m.current, m.probe.out = nil, false
 	if a.stream.ID != "" {
--- a/core/limits/window.go
+++ b/core/limits/window.go
@@ -24,6 +24,8 @@
 	Length         time.Duration
 	// Margin is the part of the bound that is used.
 	Margin float64
+	// Kept is the part of the bound that only recoveries may use, which lose most when they are refused.
+	Kept float64
 }
 
 // Counted is what an instance has counted since it started.
@@ -58,16 +60,30 @@
 	w.own.Requests++
 }
 
-// Repeat takes one repetition for this instance, and returns false when there is no room. known and heard
-// are how many instances there are and from how many of them is heard, this one included: an instance that
-// does not hear all others may use its part of the reserve only.
-func (w *Window) Repeat(now time.Duration, heard, known int) bool {
+// Sharing says with how many others the bound is shared.
+type Sharing struct {
+	// Known is how many instances there are, and Heard from how many of them is heard, this one included.
+	Heard, Known int
+}
+
+// Room tells whether there is room for one repetition. An instance that does not hear all others may use its part
+// of the reserve only.
+func (w *Window) Room(now time.Duration, s Sharing, recovery bool) bool {
 	requests, repeats := w.sum(now)
 	part := 1.0
-	if known > heard && known > 0 {
-		part = float64(heard) / float64(known)
+	if s.Known > s.Heard {
+		part = float64(s.Heard) / float64(s.Known)
+	}
+	margin := w.set.Margin
+	if !recovery {
+		margin -= w.set.Kept
 	}
-	if float64(repeats+1) > w.set.Margin*(w.set.Share*float64(requests)+part*w.set.Reserve) {
+	return float64(repeats+1) <= margin*(w.set.Share*float64(requests)+part*w.set.Reserve)
+}
+
+// Repeat takes one repetition for this instance, and returns false when there is no room.
+func (w *Window) Repeat(now time.Duration, s Sharing, recovery bool) bool {
+	if !w.Room(now, s, recovery) {
 		return false
 	}
 	w.at(now).repeats++
--- a/core/limits/window_test.go
+++ b/core/limits/window_test.go
@@ -16,15 +16,15 @@
 func TestWindowSlides(t *testing.T) {
 	w := NewWindow(settings())
 	n := 0
-	for ; w.Repeat(0, 1, 1); n++ {
+	for ; w.Repeat(0, Sharing{1, 1}, true); n++ {
 	}
 	assert.Equal(t, n, 105)
-	assert.Assert(t, !w.Repeat(9*time.Second, 1, 1))
-	assert.Assert(t, w.Repeat(11*time.Second, 1, 1))
+	assert.Assert(t, !w.Repeat(9*time.Second, Sharing{1, 1}, true))
+	assert.Assert(t, w.Repeat(11*time.Second, Sharing{1, 1}, true))
 	for range 100 {
 		w.Request(11 * time.Second)
 	}
-	for n = 1; w.Repeat(12*time.Second, 1, 1); n++ {
+	for n = 1; w.Repeat(12*time.Second, Sharing{1, 1}, true); n++ {
 	}
 	assert.Equal(t, n, 161)
 }
@@ -32,7 +32,7 @@
 func TestWindowOfOneThatIsCutOff(t *testing.T) {
 	w := NewWindow(settings())
 	n := 0
-	for ; w.Repeat(0, 1, 10); n++ {
+	for ; w.Repeat(0, Sharing{1, 10}, true); n++ {
 	}
 	assert.Equal(t, n, 10)
 }
@@ -92,7 +92,7 @@
 		w := f.windows[r.IntN(len(f.windows))]
 		w.Request(now)
 		for range 10 {
-			if w.Repeat(now, 87, 87) {
+			if w.Repeat(now, Sharing{87, 87}, true) {
 				f.sent = append(f.sent, now)
 			}
 		}
@@ -111,9 +111,40 @@
 	f.exchange(7 * time.Second)
 	moved := 0
 	for i := range 63 {
-		if f.windows[(i*2)%87].Repeat(7100*time.Millisecond, 87, 87) {
+		if f.windows[(i*2)%87].Repeat(7100*time.Millisecond, Sharing{87, 87}, true) {
 			moved++
 		}
 	}
 	assert.Equal(t, moved, 63)
 }
+
+// TestRecoveriesGoFirst: a data centre is lost while engines refuse much of what comes. What is sent again for
+// requests of which nothing has arrived leaves room for the streams that have to go on.
+func TestRecoveriesGoFirst(t *testing.T) {
+	set := settings()
+	set.Margin, set.Kept = 0.75, 0.15
+	w := NewWindow(set)
+	for range 270 {
+		w.Request(0)
+	}
+	all := Sharing{1, 1}
+	others := 0
+	for ; w.Repeat(time.Second, all, false); others++ {
+	}
+	assert.Equal(t, others, 219) // 0.6 of 366
+	assert.Assert(t, !w.Room(time.Second, all, false))
+	recovered := 0
+	for ; w.Repeat(time.Second, all, true); recovered++ {
+	}
+	assert.Equal(t, recovered, 55)
+}
+
+// TestRoomTakesNothing: a look at the room does not use it up.
+func TestRoomTakesNothing(t *testing.T) {
+	w := NewWindow(WindowSettings{Reserve: 1, Length: time.Second, Margin: 1})
+	for range 3 {
+		assert.Assert(t, w.Room(0, Sharing{1, 1}, true))
+	}
+	assert.Assert(t, w.Repeat(0, Sharing{1, 1}, true))
+	assert.Assert(t, !w.Room(0, Sharing{1, 1}, true))
+}
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -49,7 +49,8 @@
 	return out
 }
 
-// Suspects returns the endpoints that failed this instance a short while ago, by id.
+// Suspects returns the endpoints that failed this instance a short while ago, those that are left out longest
+// first: others are told of some of them only.
 func (v *View) Suspects(now time.Time) []string {
 	var out []string
 	for id, n := range v.nodes {
@@ -57,7 +58,13 @@
 			out = append(out, id)
 		}
 	}
-	sort.Strings(out)
+	sort.Slice(out, func(i, j int) bool {
+		a, b := v.nodes[out[i]], v.nodes[out[j]]
+		if !a.until.Equal(b.until) {
+			return a.until.After(b.until)
+		}
+		return a.ID < b.ID
+	})
 	return out
 }
 
@@ -71,3 +78,29 @@
 	n := v.nodes[id]
 	return n != nil && n.takesWork(now) && n.doubters <= doubtersMost
 }
+
+// Ended records that this incarnation of an endpoint is gone though it is still listed: its address answered for
+// another one.
+func (v *View) Ended(now time.Time, id string) {
+	if n := v.nodes[id]; n != nil {
+		n.ended, n.endedAt = true, now
+	}
+}
+
+// endedTold is how long other instances are told of an endpoint that ended: some announcements may be lost, and in
+// a large fleet each goes to a part of the others.
+const endedTold = 5 * time.Second
+
+// EndedLately returns the endpoints that this instance found ended a short while ago, by id. Others are told, so
+// that not each of them sends a request there to find out: while the store is away, the list names engines that have
+// been replaced at the same address, and each such try counts against the retries that all instances share.
+func (v *View) EndedLately(now time.Time) []string {
+	var out []string
+	for id, n := range v.nodes {
+		if n.ended && now.Sub(n.endedAt) < endedTold {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -77,7 +77,10 @@
 	failures int       // in a row
 	until    time.Time // suspected until then
 	lost     bool      // its last answer did not arrive
+	fullTill time.Time // it refused a request a short while ago
 	leaving  bool      // the endpoint's own word
+	ended    bool      // its address answers for another incarnation
+	endedAt  time.Time // when this instance found that out; zero when it was told
 	home     bool      // this instance's own part of the endpoints
 	own      Placed    // what this instance has placed there
 	others   Placed    // what other instances told that they have placed there
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -222,6 +222,10 @@
 	if p.r.Copy {
 		return true
 	}
+	if p.now.Before(n.fullTill) {
+		p.full = true
+		return false
+	}
 	factor := p.v.set.QueueFactor
 	if p.r.Recovery {
 		factor = p.v.set.RecoveryFactor
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -61,6 +61,8 @@
 	Placed map[string]Placed
 	// Suspects are the endpoints that failed it a short while ago.
 	Suspects []string
+	// Ended are the endpoints that it found replaced at their address.
+	Ended []string
 	// Read are the prompts of its requests in progress that endpoints have read.
 	Read []Read
 }
@@ -79,6 +81,11 @@
 			v.CacheStored(now, r.Endpoint, r.Prompt)
 		}
 	}
+	for _, id := range t.Ended {
+		if n := v.nodes[id]; n != nil {
+			n.ended = true
+		}
+	}
 	old := v.peers[peer]
 	for id, p := range old.Placed {
 		if n := v.nodes[id]; n != nil {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -352,3 +352,18 @@
 	_, err = v.Pick(epoch.Add(2*time.Second), request(), rnd())
 	assert.Equal(t, err, ErrFull)
 }
+
+// TestFullEndpointIsLeftAlone: an endpoint that refused a request, whatever it is believed to hold, is not tried
+// again at once; another one is, and when none is left the request waits.
+func TestFullEndpointIsLeftAlone(t *testing.T) {
+	v := view(2)
+	v.Refused(epoch, "e000")
+	d, err := v.Pick(epoch, request(), rnd())
+	assert.NilError(t, err)
+	assert.Equal(t, d.Endpoint.ID, "e001")
+	v.Refused(epoch, "e001")
+	_, err = v.Pick(epoch.Add(100*time.Millisecond), request(), rnd())
+	assert.Equal(t, err, ErrFull)
+	_, err = v.Pick(epoch.Add(250*time.Millisecond), request(), rnd())
+	assert.NilError(t, err)
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -131,7 +131,7 @@
 
 func (n *node) takesWork(now time.Time) bool { return n.stays() && !now.Before(n.until) }
 
-func (n *node) stays() bool { return n.State == Live && !n.leaving }
+func (n *node) stays() bool { return n.State == Live && !n.leaving && !n.ended }
 
 // groupKey names the endpoints of a service, in one data centre or (empty) in all.
 type groupKey struct{ service, dataCentre string }
@@ -198,6 +198,18 @@
 	v.doubt.stale = true
 }
 
+// refusedPause is how long an endpoint that refused a request gets no other one. Requests last from 60 ms to some
+// seconds, so a place is free again soon; without the pause a request that can go nowhere else tries the same full
+// endpoints 150 times a second, and each try counts as one more arrival.
+const refusedPause = 200 * time.Millisecond
+
+// Refused records that an endpoint had no room for a request.
+func (v *View) Refused(now time.Time, id string) {
+	if n := v.nodes[id]; n != nil {
+		n.fullTill = now.Add(refusedPause)
+	}
+}
+
 // Lost records that an endpoint lost an answer: one that happens once is cleared by the next success,
 // a second one in a row is a failure.
 func (v *View) Lost(now time.Time, id string) {
@@ -237,7 +249,7 @@
 // described returns the endpoint with its state as it is believed.
 func (n *node) described() Endpoint {
 	e := n.Endpoint
-	if n.leaving {
+	if n.leaving || n.ended {
 		e.State = Leaving
 	}
 	return e
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -41,10 +41,11 @@
 	// its processor.
 	nearMost = 40
 	farMost  = 24
-	// placedMost, suspectsMost and readMost keep an announcement within 2,000 bytes; usual ones have
+	// placedMost, suspectsMost, endedMost and readMost keep an announcement within 2,400 bytes; usual ones have
 	// 200 to 400.
 	placedMost   = 24
-	suspectsMost = 16
+	suspectsMost = 32
+	endedMost    = 24
 	readMost     = 24
 	// datagramMost is the size of the receive buffer, in bytes.
 	datagramMost = 4096
@@ -266,6 +267,7 @@
 		a.Uses = append(a.Uses, &peerv1.ServiceUse{Service: service, Requests: c.Requests, Repeats: c.Repeats})
 	}
 	a.Suspects = own.Suspects[:min(len(own.Suspects), suspectsMost)]
+	a.Ended = own.Ended[:min(len(own.Ended), endedMost)]
 	for _, r := range own.Read[:min(len(own.Read), readMost)] {
 		a.Read = append(a.Read, &peerv1.ReadAt{Endpoint: r.Endpoint, Prompt: r.Prompt})
 	}
@@ -329,7 +331,7 @@
 	if came || turned {
 		x.Log.WithFields(logrus.Fields{"peer": p.ID, "ready": p.Ready, "data_centre": p.DataCentre}).Info("peer heard")
 	}
-	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects, Read: decodeRead(a.Read)}, decodeUses(a.Uses))
+	x.Told(p.ID, routing.Told{Placed: decodePlaced(a.Placed), Suspects: a.Suspects, Ended: a.Ended, Read: decodeRead(a.Read)}, decodeUses(a.Uses))
 	if a.Hello {
 		x.Changed()
 	}
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -61,8 +61,8 @@
 	header   http.Header // of the engine's answer; set before the first event is reported
 	cancel   context.CancelFunc
 
-	// repeat tells that the request was sent before.
-	repeat bool
+	// repeat tells that the request was sent before, recovery that it goes on from a copy of its memory.
+	repeat, recovery bool
 	// sent tells that it was sent, began that an event of it came, over that it reported its end, and
 	// refused that its engine has not run it. They belong to the session's goroutine.
 	sent, began, over, refused bool
@@ -75,7 +75,7 @@
 // when the prompt has to be read.
 func (s *session) launch(number int, e *routing.Endpoint, from copies.Holder) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.sent(), placed: routing.Placed{Tokens: s.tokens()}}
+	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.sent(), recovery: from != (copies.Holder{}), placed: routing.Placed{Tokens: s.tokens()}}
 	if from == (copies.Holder{}) {
 		a.placed.Unread = s.req.PromptTokens
 	}
@@ -125,13 +125,16 @@
 // exchange sends the request and reports the events; it returns how the attempt ended.
 func (a *attempt) exchange(ctx context.Context) message {
 	s := a.session
+	if a.repeat && !s.f.hasRoom(s.req.service, a.recovery) { // a connection would be made in vain
+		return a.noRoom()
+	}
 	conn, err := s.f.connect(ctx, s.req, &a.endpoint)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.repeat && !s.f.mayRepeat(s.req.service) {
+	if a.repeat && !s.f.mayRepeat(s.req.service, a.recovery) {
 		conn.Keep()
-		return message{kind: attemptFailed, failure: generation.NoEndpoint, err: ErrBudget.New("too much was sent once more lately")}
+		return a.noRoom()
 	}
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
@@ -153,6 +156,11 @@
 	return a.relay(ctx, x)
 }
 
+// noRoom ends an attempt that was not sent, since too much was sent once more lately.
+func (a *attempt) noRoom() message {
+	return message{kind: attemptFailed, failure: generation.NoEndpoint, err: ErrBudget.New("too much was sent once more lately")}
+}
+
 // lost classifies an attempt whose answer did not come.
 func (a *attempt) lost(ctx context.Context, err error) message {
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -17,12 +17,17 @@
 	windows map[string]*limits.Window
 }
 
-// margin keeps below the bound: what others count is heard up to a second late, and their windows do not
-// begin together.
-const margin = 0.7
+const (
+	// margin keeps below the bound: what others count is heard up to a second late, and their windows do not begin
+	// together. With 87 instances and 366 repetitions allowed, 90 may be sent before all others have heard of them.
+	margin = 0.75
+	// kept is for streams that go on from a copy of their memory: they are on time, where one that has to read its
+	// prompt again is late in any case.
+	kept = 0.15
+)
 
 func newBudgets(s *Settings, now clock.Now) *budgets {
-	set := limits.WindowSettings{Share: s.RetryShare, Reserve: s.RetryReserve, Length: s.RetryWindow, Margin: margin}
+	set := limits.WindowSettings{Share: s.RetryShare, Reserve: s.RetryReserve, Length: s.RetryWindow, Margin: margin, Kept: kept}
 	return &budgets{set: set, now: now, windows: map[string]*limits.Window{}}
 }
 
@@ -41,11 +46,18 @@
 	b.get(service).Request(b.now())
 }
 
+// room tells whether there is room for one repetition.
+func (b *budgets) room(service string, s limits.Sharing, recovery bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(service).Room(b.now(), s, recovery)
+}
+
 // repeat takes one repetition, and returns false when there is no room.
-func (b *budgets) repeat(service string, heard, known int) bool {
+func (b *budgets) repeat(service string, s limits.Sharing, recovery bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.get(service).Repeat(b.now(), heard, known)
+	return b.get(service).Repeat(b.now(), s, recovery)
 }
 
 // Uses returns what this instance has counted, by service.
@@ -73,10 +85,10 @@
 	}
 }
 
-// mayRepeat tells whether a request may be sent once more, and counts it.
-func (f *Forwarder) mayRepeat(service string) bool {
-	heard, known := f.Instances()
-	if !f.budgets.repeat(service, heard, known) {
+// mayRepeat tells whether a request may be sent once more, and counts it. recovery tells that it goes on
+// from a copy of its memory.
+func (f *Forwarder) mayRepeat(service string, recovery bool) bool {
+	if !f.budgets.repeat(service, f.sharing(), recovery) {
 		f.metrics.repeatsRefused.Inc(1)
 		return false
 	}
@@ -84,5 +96,15 @@
 	return true
 }
 
+// hasRoom tells whether a request could be sent once more, and counts nothing.
+func (f *Forwarder) hasRoom(service string, recovery bool) bool {
+	return f.budgets.room(service, f.sharing(), recovery)
+}
+
+func (f *Forwarder) sharing() limits.Sharing {
+	heard, known := f.Instances()
+	return limits.Sharing{Heard: heard, Known: known}
+}
+
 // leastWindow is the window used where settings name none.
 const leastWindow = 10 * time.Second
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -48,7 +48,10 @@
 // endpoint belongs to that one now.
 func (f *Forwarder) refusedBy(e *routing.Endpoint, status int) error {
 	if status == http.StatusMisdirectedRequest {
-		f.Placement.Gone(e.ID)
+		f.Placement.Ended(e.ID)
+		f.Placed() // the others should not try it too
+	} else {
+		f.Placement.Refused(e.ID)
 	}
 	return ErrRefused.New("endpoint %s refused with status %d", e.ID, status)
 }
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -113,7 +113,7 @@
 		return false
 	}
 	// What could not be connected to has not arrived anywhere, so the next send is no repetition.
-	return p.sent == 0 || p.f.mayRepeat(p.req.service)
+	return p.sent == 0 || p.f.mayRepeat(p.req.service, false)
 }
 
 // final ends a request that goes nowhere else: with an endpoint's own failure if there is one, else
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -236,7 +236,9 @@
 
 // told returns what this instance has to tell of endpoints.
 func (f *Front) told() routing.Told {
-	return routing.Told{Placed: f.placement.Own(), Suspects: f.placement.Suspects(), Read: f.forwarder.Read()}
+	t := f.placement.Told()
+	t.Read = f.forwarder.Read()
+	return t
 }
 
 func (f *Front) keyBound() time.Duration {
--- a/gateway/front/streams_test.go
+++ b/gateway/front/streams_test.go
@@ -217,3 +217,27 @@
 		whole(t, a, "b1", 0)
 	})
 }
+
+// TestStreamThatCannotGoOn: a stream that may not be continued runs once, and ends visibly broken when its
+// engine is lost.
+func TestStreamThatCannotGoOn(t *testing.T) {
+	run(t, 1, 6, 1, func(w *world) {
+		r := brief("b1")
+		r.Path = "/note/1"
+		a, err := w.do(0, r)
+		assert.NilError(t, err)
+		whole(t, a, "b1", 0)
+		got := w.stream(0, r)
+		time.Sleep(2 * time.Second)
+		engine, _ := w.serving()
+		w.crashEngine(engine)
+		a = <-got
+		assert.Assert(t, !a.Whole)
+		assert.Assert(t, len(a.Events) > 0 && len(a.Events) < events)
+		total := 0
+		for _, e := range w.engines {
+			total += len(e.Runs())
+		}
+		assert.Equal(t, total, 2)
+	})
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -19,13 +19,11 @@
 	mu   sync.Mutex
 	view *routing.View
 	rnd  *rand.Rand
-	// gone holds endpoints that said, or showed, that they ended while the list still names them.
-	gone map[string]bool
 }
 
 // New returns an empty placement.
 func New(s routing.Settings, seed uint64) *Placement {
-	return &Placement{view: routing.NewView(s), rnd: rand.New(rand.NewPCG(seed, seed)), gone: map[string]bool{}}
+	return &Placement{view: routing.NewView(s), rnd: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // SetEndpoints takes the list of endpoints; those it does not hold are dropped.
@@ -35,16 +33,8 @@
 	keep := make(map[string]bool, len(list))
 	for _, e := range list {
 		keep[e.ID] = true
-		if p.gone[e.ID] {
-			e.State = routing.Leaving
-		}
 		p.view.Upsert(e)
 	}
-	for id := range p.gone {
-		if !keep[id] {
-			delete(p.gone, id)
-		}
-	}
 	p.view.Retain(keep)
 }
 
@@ -113,6 +103,13 @@
 	p.view.Failed(time.Now(), id)
 }
 
+// Refused records that an endpoint had no room for a request.
+func (p *Placement) Refused(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Refused(time.Now(), id)
+}
+
 // Lost records that an endpoint lost an answer.
 func (p *Placement) Lost(id string) {
 	p.mu.Lock()
@@ -127,15 +124,11 @@
 	p.view.Succeeded(id)
 }
 
-// Gone records that this incarnation of an endpoint ended: its address answered for another one.
-func (p *Placement) Gone(id string) {
+// Ended records that this incarnation of an endpoint is gone: its address answered for another one.
+func (p *Placement) Ended(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gone[id] = true
-	if e, ok := p.view.Get(id); ok {
-		e.State = routing.Leaving
-		p.view.Upsert(e)
-	}
+	p.view.Ended(time.Now(), id)
 }
 
 // Stored records that an endpoint has read a prompt.
@@ -152,11 +145,13 @@
 	return p.view.Holds(time.Now(), prompt)
 }
 
-// Own returns what this instance has placed, by endpoint.
-func (p *Placement) Own() map[string]routing.Placed {
+// Told returns what other instances are told: what this one has placed, and which endpoints it found failing or
+// ended.
+func (p *Placement) Told() routing.Told {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.Own()
+	now := time.Now()
+	return routing.Told{Placed: p.view.Own(), Suspects: p.view.Suspects(now), Ended: p.view.EndedLately(now)}
 }
 
 // SetPeer takes what another instance told; the zero value forgets the instance.
@@ -166,13 +161,6 @@
 	p.view.SetPeer(time.Now(), peer, t)
 }
 
-// Suspects returns the endpoints that failed this instance a short while ago.
-func (p *Placement) Suspects() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.view.Suspects(time.Now())
-}
-
 // Usable tells whether an endpoint is listed, does not leave, and is suspected neither by this instance nor
 // by several others.
 func (p *Placement) Usable(id string) bool {
