soak: promises with a time bound are checked where nothing excuses them; a second SIGTERM changes nothing

Cause: the soak checked only what holds at all times; bounds (a leaving endpoint, a route's coming and going, a caller that leaves) were not looked at, as faults excuse them. A second SIGTERM, as two rolling restarts that overlap send it, ended the process at once and cut what was in progress.

Ruled out: checking bounds in every run with long margins (nothing would be noticed).

After: harm is remembered by subject and time, each bound is checked where its subjects were spared; every second seed has faults of one kind only. Only an interrupt ends a process that drains.

--- a/cli/soak/callers.go
+++ b/cli/soak/callers.go
@@ -29,6 +29,13 @@
 	ended   time.Time
 	answer  standin.Answer
 	err     error
+	wait    time.Duration
+	// left tells that the caller closed its connection before the answer had come.
+	left bool
+	// version is the one whose own route was asked for; 0 for another route.
+	version uint64
+	// process is the name of the instance that was asked.
+	process string
 }
 
 // caller asks for one thing after the other, on a connection that it keeps as long as it can.
@@ -39,6 +46,9 @@
 	at   int // the process it is connected to
 	n    int
 	name string
+	// seen is the highest version that was found in force on the open connection, by a process that did not start
+	// anew meanwhile.
+	seen uint64
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -66,18 +76,39 @@
 	if !c.connect(ctx) {
 		return
 	}
-	wait, cancel := context.WithTimeout(context.Background(), r.Wait+lateMost)
+	patience := r.Wait + lateMost
+	if a.left = c.rnd.IntN(leaveOneIn) == 0; a.left {
+		patience = time.Duration(10+c.rnd.IntN(1500)) * time.Millisecond
+	}
+	wait, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	a.process = c.soak.world.processes[c.at].name
 	a.sent = time.Now()
 	a.answer, a.err = c.conn.Do(wait, r)
 	a.ended = time.Now()
+	a.left = a.left && wait.Err() != nil
+	c.reverted(a)
 	if a.err != nil || a.answer.Closes || !a.answer.Whole || a.answer.Status != http.StatusOK {
 		c.conn.Close()
-		c.conn = nil
+		c.conn, c.seen = nil, 0
 	}
 	c.soak.check(&r, a)
 }
 
+// leaveOneIn is how many requests there are for one whose caller leaves early.
+const leaveOneIn = 12
+
+// reverted notes a version that was found in force, and finds fault with an older one after it.
+func (c *caller) reverted(a *asked) {
+	if a.version == 0 || a.err != nil || a.answer.Status != http.StatusOK {
+		return
+	}
+	if a.version < c.seen {
+		c.soak.finding("%s served version %d on a connection on which it had served %d", a.process, a.version, c.seen)
+	}
+	c.seen = max(c.seen, a.version)
+}
+
 // request draws what to ask for.
 func (c *caller) request() (standin.Request, *asked) {
 	id := fmt.Sprintf("%s-%d", c.name, c.n)
@@ -90,7 +121,14 @@
 	}
 	r := standin.Request{Method: http.MethodPost, Host: host, ID: id, Key: key, Body: "the case " + id, Wait: plainWait}
 	a := &asked{id: id, key: key}
-	switch c.rnd.IntN(4) {
+	defer func() { a.wait = r.Wait }()
+	r.Forged = c.rnd.IntN(4) == 0
+	switch c.rnd.IntN(5) {
+	case 4:
+		if v := c.soak.world.lastRoute(); v > 1 {
+			a.version = v - uint64(c.rnd.IntN(2))
+		}
+		r.Path, r.Key, a.key = versionPath(a.version)+"1", keptKey, keptKey
 	case 0:
 		r.Path, r.Wait, r.Prompt, r.Tokens = "/brief/1", streamWait, fmt.Sprintf("%x", id), promptSize
 	case 1:
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -12,11 +13,25 @@
 // fault begins something, and returns what it is and how it ends; nil where it ends by itself.
 type fault func(w *world, r *rand.Rand) (what string, end func())
 
-// faults are all that can be brought about, at equal odds.
-var faults = []fault{
-	storeLink, workerLink, workerLink, pause, kill, stop, reread, storeOutage, storeSlow, storeForgets,
-	storeLoses, workerFails, workerFails, crash, crash, dataCentre, leave, newKey, newKey,
-	answersLost, answersLost, storeAwayWhileKeyGoes, storeAwayWhileKeyGoes,
+// Faults by what they harm. Changes that the operator makes belong to all.
+var (
+	changes        = []fault{newKey, newKey, newRoute, newRoute, routesInARow, reread}
+	endpointFaults = []fault{
+		workerLink, workerLink, workerFails, workerFails, crash, crash, dataCentre, leave, leave, answersLost, answersLost, usedAgain,
+	}
+	processFaults = []fault{pause, kill, killAll, stop, stop, stopInARow}
+	storeFaults   = []fault{storeLink, storeOutage, storeSlow, storeForgets, storeLoses, storeAwayWhileKeyGoes, storeAwayWhileKeyGoes}
+)
+
+// faultsOf returns the faults of a seed, at equal odds. Every second seed has all of them. The others have those of
+// one kind, so that promises with a time bound are checked that the other kinds excuse: a leaving endpoint is known
+// in time only where the store answers.
+func faultsOf(seed uint64) []fault {
+	kinds := [][]fault{endpointFaults, processFaults, storeFaults}
+	if seed%2 == 1 {
+		return slices.Concat(append(kinds, changes)...)
+	}
+	return slices.Concat(kinds[seed/2%uint64(len(kinds))], changes)
 }
 
 var linkModes = []mode{delayed, reset, silent, oneWay}
@@ -24,34 +39,37 @@
 // storeLink harms the connection of an instance to the store.
 func storeLink(w *world, r *rand.Rand) (string, func()) {
 	i, m := r.IntN(len(w.proxies)), linkModes[r.IntN(len(linkModes))]
+	end := w.harms.begin(w.processes[i].name)
 	w.proxies[i].set(m)
-	return fmt.Sprintf("the store's link to front-%d %v", i, m), func() { w.proxies[i].set(pass) }
+	return fmt.Sprintf("the store's link to front-%d %v", i, m), func() { w.proxies[i].set(pass); end() }
 }
 
 // workerLink harms the connections to a worker.
 func workerLink(w *world, r *rand.Rand) (string, func()) {
 	k, m := w.workers[r.IntN(len(w.workers))], linkModes[r.IntN(len(linkModes))]
+	end := w.harms.begin(k.name)
 	k.proxy.set(m)
-	return fmt.Sprintf("the link to %s %v", k.name, m), func() { k.proxy.set(pass) }
+	return fmt.Sprintf("the link to %s %v", k.name, m), func() { k.proxy.set(pass); end() }
 }
 
 func anyProcess(w *world, r *rand.Rand) *process { return w.processes[r.IntN(len(w.processes))] }
 
 func pause(w *world, r *rand.Rand) (string, func()) {
 	p := anyProcess(w, r)
+	end := w.harms.begin(p.name)
 	p.signal(syscall.SIGSTOP)
-	return p.name + " pauses", func() { p.signal(syscall.SIGCONT) }
+	return p.name + " pauses", func() { p.signal(syscall.SIGCONT); end() }
 }
 
 func kill(w *world, r *rand.Rand) (string, func()) {
 	p := anyProcess(w, r)
-	p.signal(syscall.SIGKILL)
+	p.kill()
 	return p.name + " is killed", nil
 }
 
 func stop(w *world, r *rand.Rand) (string, func()) {
 	p := anyProcess(w, r)
-	p.signal(syscall.SIGTERM)
+	p.terminate()
 	return p.name + " is stopped", nil
 }
 
@@ -64,23 +82,21 @@
 func storeOutage(w *world, r *rand.Rand) (string, func()) {
 	all := []standin.Outage{standin.Busy, standin.Many, standin.Reset, standin.Silent}
 	o := all[r.IntN(len(all))]
-	w.store.SetFault(standin.Fault{Outage: o})
-	return "the store is away: " + string(o), func() { w.store.SetFault(standin.Fault{}) }
+	return "the store is away: " + string(o), w.harmStore(standin.Fault{Outage: o})
 }
 
 func storeSlow(w *world, r *rand.Rand) (string, func()) {
-	w.store.SetFault(standin.Fault{SlowMS: 100 + r.IntN(300)})
-	return "the store is slow", func() { w.store.SetFault(standin.Fault{}) }
+	return "the store is slow", w.harmStore(standin.Fault{SlowMS: 100 + r.IntN(300)})
 }
 
 func storeForgets(w *world, _ *rand.Rand) (string, func()) {
+	w.harms.moment(theStore)
 	w.store.Forget()
 	return "the store forgets its history", nil
 }
 
 func storeLoses(w *world, r *rand.Rand) (string, func()) {
-	w.store.SetFault(standin.Fault{LoseWrites: 1 + r.IntN(3), LateMS: r.IntN(1000)})
-	return "the store loses answers", func() { w.store.SetFault(standin.Fault{}) }
+	return "the store loses answers", w.harmStore(standin.Fault{LoseWrites: 1 + r.IntN(3), LateMS: r.IntN(1000)})
 }
 
 func workerFails(w *world, r *rand.Rand) (string, func()) {
@@ -90,8 +106,9 @@
 	}
 	names := []string{"refuses", "fails", "loses answers", "breaks off", "sends more than was asked for", "hangs"}
 	k, how := w.workers[r.IntN(len(w.workers))], names[r.IntN(len(names))]
+	end := w.harms.begin(k.name)
 	k.setFault(all[how])
-	return k.name + " " + how, func() { k.setFault(standin.WorkerFault{}) }
+	return k.name + " " + how, func() { k.setFault(standin.WorkerFault{}); end() }
 }
 
 func crash(w *world, r *rand.Rand) (string, func()) {
@@ -143,8 +160,50 @@
 
 // storeAwayWhileKeyGoes takes a key away while no instance can hear of it.
 func storeAwayWhileKeyGoes(w *world, _ *rand.Rand) (string, func()) {
-	w.store.SetFault(standin.Fault{Outage: standin.Reset})
+	end := w.harmStore(standin.Fault{Outage: standin.Reset})
 	time.AfterFunc(500*time.Millisecond, w.newKey)
-	time.AfterFunc(awayFor, func() { w.store.SetFault(standin.Fault{}) })
+	time.AfterFunc(awayFor, end)
 	return "the store is away while a key goes", nil
 }
+
+// newRoute sends a configuration with a route that the one before did not have, in place of the route that it had.
+func newRoute(w *world, _ *rand.Rand) (string, func()) {
+	return fmt.Sprintf("version %d brings a route and takes one away", w.newRoute()), nil
+}
+
+// routesInARow sends configurations in quick succession.
+func routesInARow(w *world, r *rand.Rand) (string, func()) {
+	n := 3 + r.IntN(5)
+	for range n {
+		w.newRoute()
+		time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
+	}
+	return fmt.Sprintf("%d configurations in a row", n), nil
+}
+
+// stopInARow stops half of the processes one after the other, each while the one before still ends.
+func stopInARow(w *world, _ *rand.Rand) (string, func()) {
+	for i, p := range w.processes {
+		if i%2 == 0 {
+			time.AfterFunc(time.Duration(i)*400*time.Millisecond, p.terminate)
+		}
+	}
+	return "half of the processes are stopped in a row", nil
+}
+
+// killAll kills all processes at the same moment.
+func killAll(w *world, _ *rand.Rand) (string, func()) {
+	for _, p := range w.processes {
+		p.kill()
+	}
+	return "all processes are killed", nil
+}
+
+// usedAgain lets a worker crash, and its address be used by a worker of another service.
+func usedAgain(w *world, r *rand.Rand) (string, func()) {
+	k := w.workers[r.IntN(len(w.workers))]
+	if !k.replace(time.Duration(800+r.IntN(1500)) * time.Millisecond) {
+		return k.name + " stays", nil
+	}
+	return "the address of " + k.name + " is used by another service", nil
+}
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -17,6 +17,7 @@
 type process struct {
 	name, program, settings, log string
 	callers, ready, directory    string
+	harms                        *harms
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -28,23 +29,33 @@
 // restartAfter is the pause before a process that ended is started again.
 const restartAfter = 300 * time.Millisecond
 
-// Ports that the system does not give to outgoing connections: an instance that starts again needs the
-// port it had.
+// Ports that the system does not give to outgoing connections: an instance that starts again needs the port it had.
+// Soaks that run side by side take their ports from different parts of them, by their process ids.
 const (
-	portFrom = 12000
-	portTo   = 32000
+	portFrom  = 12000
+	portTo    = 32000
+	portParts = 10
+	portsEach = (portTo - portFrom) / portParts
 )
 
-// ports returns n free addresses on the loopback interface.
-func ports(n int) ([]string, error) {
+// ports gives out addresses on the loopback interface, each once: between the look whether a port is free and the
+// start of the process that is to have it, it is free to be drawn again.
+type ports struct{ given map[int]bool }
+
+// take returns n free addresses.
+func (p *ports) take(n int) ([]string, error) {
+	if p.given == nil {
+		p.given = map[int]bool{}
+	}
 	var out []string
-	for tries := 0; len(out) < n && tries < portTo-portFrom; tries++ {
-		address := fmt.Sprintf("127.0.0.1:%d", portFrom+rand.IntN(portTo-portFrom))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
+	from := portFrom + os.Getpid()%portParts*portsEach
+	for tries := 0; len(out) < n && tries < 4*portsEach; tries++ {
+		port := from + rand.IntN(portsEach)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if p.given[port] || !free(address) {
+			continue
 		}
-		defer func() { _ = l.Close() }()
+		p.given[port] = true
 		out = append(out, address)
 	}
 	if len(out) < n {
@@ -53,16 +64,25 @@
 	return out, nil
 }
 
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
+
 // newProcess writes the settings of an instance.
-func newProcess(dir, program, store string, i int) (*process, error) {
-	at, err := ports(4)
+func newProcess(dir, program, store string, i int, free *ports, h *harms) (*process, error) {
+	const addresses = 4
+	at, err := free.take(addresses)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{
 		name: fmt.Sprint("front-", i), program: program, callers: at[0], ready: at[1], directory: at[2],
 		settings: filepath.Join(dir, fmt.Sprintf("front-%d.ini", i)), log: filepath.Join(dir, fmt.Sprintf("front-%d.log", i)),
-		ended: make(chan struct{}),
+		ended: make(chan struct{}), harms: h,
 	}
 	text := fmt.Sprintf(`[instance]
 id = %s
@@ -122,6 +142,15 @@
 	}
 }
 
+// kill ends the process as a kill does; it starts again.
+func (p *process) kill() {
+	p.harms.moment(p.name)
+	p.signal(syscall.SIGKILL)
+}
+
+// terminate asks the process to end; it starts again. That is no harm: what is in progress has to end well.
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
 // stop ends the process for good.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -127,9 +127,10 @@
 func (s *soak) injectFaults(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(s.Seed, ^uint64(0)))
 	var ends []func()
+	all := faultsOf(s.Seed)
 	until := time.Now().Add(s.Length)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		what, end := faults[rnd.IntN(len(faults))](s.world, rnd)
+		what, end := all[rnd.IntN(len(all))](s.world, rnd)
 		s.mu.Lock()
 		s.result.Faults++
 		s.figures.moments = append(s.figures.moments, Moment{time.Since(s.began).Seconds(), what})
@@ -227,38 +228,3 @@
 		}
 	}
 }
-
-// checkRuns compares what endpoints ran with what callers were told.
-func (s *soak) checkRuns() {
-	runs := map[string][]standin.Run{}
-	for _, k := range s.world.workers {
-		for _, r := range k.runs() {
-			runs[r.ID] = append(runs[r.ID], r)
-		}
-	}
-	for id, of := range runs {
-		a := s.all[id]
-		if a == nil {
-			continue // in progress at the end, or of the last look
-		}
-		if a.once && len(of) > 1 {
-			s.finding("request %s ran %d times", id, len(of))
-		}
-		if a.once && a.err == nil && refusedAsNotRun(&a.answer) {
-			s.finding("request %s was refused with %d and ran", id, a.answer.Status)
-		}
-		if at, taken := s.world.takenAway(a.key); taken && a.sent.Sub(at) > revokeBound {
-			s.finding("request %s ran with key %s, %v after it was taken away", id, a.key, a.sent.Sub(at))
-		}
-		for _, r := range of {
-			if r.Key != "" {
-				s.finding("request %s: its key was passed on", id)
-			}
-		}
-	}
-	for _, a := range s.all {
-		if a.once && a.err == nil && a.answer.Status == http.StatusOK && len(runs[a.id]) == 0 {
-			s.finding("request %s was answered and never ran", a.id)
-		}
-	}
-}
--- a/cli/soak/world.go
+++ b/cli/soak/world.go
@@ -38,6 +38,8 @@
 	state    string
 	starts   int
 	previous []*standin.Worker // earlier incarnations
+	// leaving is since when the store has known that an incarnation leaves, by its id.
+	leaving map[string]time.Time
 }
 
 // world is the store, endpoints and processes.
@@ -50,14 +52,20 @@
 	processes []*process
 	closed    chan struct{}
 
+	ports     ports
+	harms     harms
+	strangers []*standin.Worker // of another service, at addresses that were used before
+
 	mu      sync.Mutex
 	config  route.Configuration
 	revoked map[string]time.Time // keys that were taken away, and when the store had accepted it
 	keys    int
+	// routes holds when the store had accepted each version with a route of its own, by version.
+	routes map[uint64]time.Time
 }
 
 func newWorld(dir, program string, o Options) (*world, error) {
-	w := &world{store: standin.NewStore(entryTTL), fleet: standin.NewFleet(), closed: make(chan struct{}), revoked: map[string]time.Time{}}
+	w := &world{store: standin.NewStore(entryTTL), fleet: standin.NewFleet(), closed: make(chan struct{}), revoked: map[string]time.Time{}, routes: map[uint64]time.Time{}}
 	w.config = configuration()
 	w.store.PutConfiguration(&w.config)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -81,7 +89,7 @@
 			return nil, err
 		}
 		w.proxies = append(w.proxies, p)
-		process, err := newProcess(dir, program, p.address(), i)
+		process, err := newProcess(dir, program, p.address(), i, &w.ports, &w.harms)
 		if err != nil {
 			return nil, err
 		}
@@ -116,7 +124,7 @@
 		return err
 	}
 	cfg.Address = p.address()
-	k := &worker{world: w, name: name, config: cfg, proxy: p}
+	k := &worker{world: w, name: name, config: cfg, proxy: p, leaving: map[string]time.Time{}}
 	w.workers = append(w.workers, k)
 	if err := k.start(); err != nil {
 		return err
@@ -147,24 +155,70 @@
 
 // crash ends the incarnation: its connections are reset and its memory is lost. A new one begins later.
 func (k *worker) crash(down time.Duration) {
+	end := k.end()
+	time.AfterFunc(down, func() {
+		k.proxy.set(pass)
+		_ = k.start() // without a free port it stays away
+		end()
+	})
+}
+
+// end ends the incarnation.
+func (k *worker) end() (harmEnds func()) {
+	harmEnds = k.world.harms.begin(k.name)
 	k.mu.Lock()
 	k.state = ""
 	k.world.fleet.Remove(k.now)
 	k.stop()
 	k.mu.Unlock()
 	k.proxy.set(reset)
-	time.AfterFunc(down, func() {
+	return harmEnds
+}
+
+// reusedAfter is how long an address rests before it is used again.
+const reusedAfter = 2 * time.Second
+
+// replace ends the incarnation, and lets a worker of another service use the address for some time.
+func (k *worker) replace(used time.Duration) bool {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false
+	}
+	end := k.end()
+	cfg := k.config
+	cfg.ID, cfg.Service = "i-stranger-"+k.name, "others"
+	other := k.world.fleet.NewWorker(cfg)
+	k.world.mu.Lock()
+	k.world.strangers = append(k.world.strangers, other)
+	k.world.mu.Unlock()
+	stop := standin.Serve(l, other)
+	time.AfterFunc(reusedAfter, func() {
+		k.proxy.point(l.Addr().String())
+		k.proxy.set(pass)
+	})
+	time.AfterFunc(reusedAfter+used, func() {
+		stop()
+		k.proxy.set(reset)
 		k.proxy.set(pass)
 		_ = k.start() // without a free port it stays away
+		end()
 	})
+	return true
 }
 
+// leavesFor is how long a worker that said that it leaves goes on: twice as long as it may still get work.
+const leavesFor = 5 * time.Second
+
 // leave makes the worker say that it leaves, go on for a while, and begin anew.
 func (k *worker) leave() {
 	k.mu.Lock()
-	k.state = "draining"
+	if k.state == "ready" {
+		k.state = "draining"
+		k.world.store.Put(platform.KindEndpoint, k.now.Config().ID, k.now.Entry(k.state))
+		k.leaving[k.now.Config().ID] = time.Now()
+	}
 	k.mu.Unlock()
-	time.AfterFunc(3*time.Second, func() { k.crash(500 * time.Millisecond) })
+	time.AfterFunc(leavesFor, func() { k.crash(500 * time.Millisecond) })
 }
 
 // beat registers the worker again and again.
@@ -189,25 +243,86 @@
 	k.now.SetFault(f)
 }
 
+// ran is a request that an incarnation ran.
+type ran struct {
+	standin.Run
+	worker *worker
+	// leaving is since when the store has known that the incarnation leaves; zero when it does not.
+	leaving time.Time
+}
+
 // runs returns what all incarnations ran.
-func (k *worker) runs() []standin.Run {
+func (k *worker) runs() []ran {
 	k.mu.Lock()
-	all := append([]*standin.Worker{k.now}, k.previous...)
-	k.mu.Unlock()
-	var out []standin.Run
-	for _, one := range all {
-		out = append(out, one.Runs()...)
+	defer k.mu.Unlock()
+	var out []ran
+	for _, one := range append([]*standin.Worker{k.now}, k.previous...) {
+		for _, r := range one.Runs() {
+			out = append(out, ran{r, k, k.leaving[one.Config().ID]})
+		}
 	}
 	return out
 }
 
+// harmStore brings a fault of the store about, and returns what ends it.
+func (w *world) harmStore(f standin.Fault) func() {
+	end := w.harms.begin(theStore)
+	w.store.SetFault(f)
+	return func() {
+		w.store.SetFault(standin.Fault{})
+		end()
+	}
+}
+
+// versionPath is the path of the route that one version alone has.
+func versionPath(version uint64) string { return fmt.Sprintf("/version/%d/", version) }
+
+// newRoute sends a version with a route of its own, and takes the one of the version before away.
+func (w *world) newRoute() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config.Version++
+	kept := configuration().Routes
+	own := kept[len(kept)-1]
+	own.Name, own.Prefix = fmt.Sprint("version-", w.config.Version), versionPath(w.config.Version)
+	w.config.Routes = append(kept, own)
+	w.store.PutConfiguration(&w.config)
+	w.routes[w.config.Version] = time.Now()
+	return w.config.Version
+}
+
+// lastRoute returns the newest version that has a route of its own, 0 for none.
+func (w *world) lastRoute() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var last uint64
+	for v := range w.routes {
+		last = max(last, v)
+	}
+	return last
+}
+
+// inForce returns when the store had accepted a version with a route of its own, and when it had accepted the next
+// one, which took the route away; zero times where there is none.
+func (w *world) inForce(version uint64) (from, until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from = w.routes[version]
+	for v, at := range w.routes {
+		if v > version && (until.IsZero() || at.Before(until)) {
+			until = at
+		}
+	}
+	return from, until
+}
+
 // newKey adds a key, and takes the one before away.
 func (w *world) newKey() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.keys++
 	old := fmt.Sprint("key-", w.keys-1)
-	w.config.Version++
+	w.config.Version++ // the route of its own that an earlier version had stays
 	w.config.Teams = []route.Team{{Name: "desk", Keys: []string{keptKey, fmt.Sprint("key-", w.keys)}}}
 	w.store.PutConfiguration(&w.config)
 	w.revoked[old] = time.Now()
--- a/gateway/cmd/agatewayd/front.go
+++ b/gateway/cmd/agatewayd/front.go
@@ -39,7 +39,7 @@
 	return cmd
 }
 
-// runFront serves until SIGTERM or SIGINT, and then drains; a second one of them ends at once. A
+// runFront serves until SIGTERM or SIGINT, and then drains; an interrupt meanwhile ends at once. A
 // reader of the log that goes away (SIGPIPE) must not end it, nor must SIGHUP, which says that the
 // settings changed.
 func runFront(file string) error {
@@ -48,8 +48,7 @@
 		return err
 	}
 	signal.Ignore(syscall.SIGPIPE)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := stopSignals()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	f, err := front.Start(s, front.Environment{Network: network.TCP{}, Clock: clock.Boot, Out: os.Stdout})
@@ -62,11 +61,7 @@
 			f.Reload(file)
 		}
 	}()
-	<-signals
-	go func() {
-		<-signals
-		os.Exit(1)
-	}()
+	waitForStop(signals, os.Exit)
 	f.Drain()
 	return nil
 }
--- a/gateway/cmd/agatewayd/main.go
+++ b/gateway/cmd/agatewayd/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -46,14 +44,13 @@
 	return root
 }
 
-// run serves until SIGTERM or SIGINT, and then drains; a second signal ends at once.
+// run serves until SIGTERM or SIGINT, and then drains; an interrupt meanwhile ends at once.
 func run(cmd *cobra.Command, file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := stopSignals()
 	d, err := daemon.Start(s, network.TCP{}, os.Stderr)
 	if err != nil {
 		return err
@@ -61,13 +58,9 @@
 	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s peers=%s\n", d.Callers, d.Peers); err != nil {
 		return err
 	}
-	<-signals
+	waitForStop(signals, os.Exit)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() {
-		<-signals
-		os.Exit(1)
-	}()
 	d.Drain(ctx)
 	return nil
 }
