platform, listing: an endpoint that starts again under its name is another one; odd entries name none

Cause: nothing read when an endpoint started, so one that starts again under its name kept what was believed of the one before: prompts kept, copies, load, pace, failures, announcements. An entry of another writer that lacked fields, or had them of another type, was taken, and one with the address of a live endpoint hid that one; one bad object made a whole page unreadable. A good entry that turned bad stayed in use after a list during an outage, and after a watch always.

Ruled out: names alone in announcements with the time of the start beside each (every map would need the pair); telling by the count of heartbeats which entry is older (the store's copy of it is not kept up to date); keeping both entries of an address (a try each, for each instance, at each crash).

Now: the id of an endpoint names its incarnation, what it calls itself goes with requests. The list decides by name; an address belongs to the one that started last, else to the one that came last, unless the address itself answered for another one. Objects of a page are read one by one. Reports that tell a later start end what was believed.

The entries that relay_test wrote lacked slots and named no configured service; they are whole now.

--- a/core/listing/list.go
+++ b/core/listing/list.go
@@ -1,6 +1,7 @@
 package listing
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,12 +24,12 @@
 	return Settings{Outage: time.Second, Grace: 1800 * time.Millisecond}
 }
 
-// List is the endpoints as the platform lists them.
+// List is the endpoints as the platform lists them, an entry for each name. An endpoint that starts again under its name
+// replaces the one before.
 type List struct {
 	set       Settings
-	entries   map[string]entry
-	addresses map[string]string // the id that was put last, by address
-	dropped   map[string]bool   // ids whose address belongs to another one now, while they are listed
+	entries   map[string]entry // by name
+	puts      uint64           // counts names that came
 	failing   bool
 	failedAt  time.Duration // since when the store has been unreachable
 	graceEnds time.Duration
@@ -36,13 +37,13 @@
 
 type entry struct {
 	routing.Endpoint
-	missing bool // dropped by the store, kept until the grace ends
+	order   uint64 // of names: the later came later
+	missing bool   // dropped by the store, kept until the grace ends
+	ended   bool   // its address answered for another one
 }
 
 // New returns an empty list.
-func New(s Settings) *List {
-	return &List{set: s, entries: map[string]entry{}, addresses: map[string]string{}, dropped: map[string]bool{}}
-}
+func New(s Settings) *List { return &List{set: s, entries: map[string]entry{}} }
 
 // Unreachable takes a failed read that began at a time.
 func (l *List) Unreachable(began time.Duration) {
@@ -59,54 +60,59 @@
 	l.failing = false
 }
 
-// Put takes an entry. An endpoint that crashed stays listed until its heartbeats are missed, but its
-// address may be used again before that: then the one that came first is gone.
+// Put takes an entry.
 func (l *List) Put(e routing.Endpoint) {
-	if l.dropped[e.ID] {
-		return
-	}
-	_, known := l.entries[e.ID]
-	l.entries[e.ID] = entry{Endpoint: e}
-	if known || e.Address == "" {
-		return
+	name := e.CalledBy()
+	old, known := l.entries[name]
+	if !known || old.ID != e.ID {
+		l.puts++
+		old = entry{order: l.puts}
 	}
-	if old := l.addresses[e.Address]; old != "" && old != e.ID {
-		delete(l.entries, old)
-		l.dropped[old] = true
+	l.entries[name] = entry{Endpoint: e, order: old.order, ended: old.ended}
+}
+
+// Ended takes that addresses answered for others than some endpoints, by id. What says so is the address itself, so it
+// counts for more than the order in which entries come: an endpoint that was cut off from the store may have crashed
+// behind the cut, and what it wrote before arrives after what its successor wrote. It tells whether that is new.
+func (l *List) Ended(ids ...string) bool {
+	news := false
+	for name, e := range l.entries {
+		if !e.ended && slices.Contains(ids, e.ID) {
+			e.ended, news = true, true
+			l.entries[name] = e
+		}
 	}
-	l.addresses[e.Address] = e.ID
+	return news
 }
 
+// Drop takes an entry that can't be made use of: whatever was known under its name is not used any more, also while
+// missing entries still count.
+func (l *List) Drop(name string) { delete(l.entries, name) }
+
 // Remove takes the removal of an entry.
-func (l *List) Remove(now time.Duration, id string) {
-	delete(l.dropped, id)
-	e, ok := l.entries[id]
+func (l *List) Remove(now time.Duration, name string) {
+	e, ok := l.entries[name]
 	if !ok {
 		return
 	}
 	if now >= l.graceEnds {
-		delete(l.entries, id)
+		delete(l.entries, name)
 		return
 	}
 	e.missing = true
-	l.entries[id] = e
+	l.entries[name] = e
 }
 
 // Replace takes the whole list.
 func (l *List) Replace(now time.Duration, all []routing.Endpoint) {
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
-		listed[e.ID] = true
+		listed[e.CalledBy()] = true
 		l.Put(e)
 	}
-	for id := range l.entries {
-		if !listed[id] {
-			l.Remove(now, id)
-		}
-	}
-	for id := range l.dropped {
-		if !listed[id] {
-			delete(l.dropped, id)
+	for name := range l.entries {
+		if !listed[name] {
+			l.Remove(now, name)
 		}
 	}
 }
@@ -136,12 +142,34 @@
 	return 0, false
 }
 
-// Endpoints returns the endpoints that count, by id.
-func (l *List) Endpoints() []routing.Endpoint {
+// Endpoints returns the endpoints that count, by id: those of known services that have not ended, of which an address has one at a time. An
+// endpoint that crashed stays listed until its heartbeats are missed, but its address may be used again before that: it
+// belongs to the one that started last or, where that is not told, to the one that came last.
+func (l *List) Endpoints(known func(service string) bool) []routing.Endpoint {
+	owners := map[string]entry{}
 	out := make([]routing.Endpoint, 0, len(l.entries))
 	for _, e := range l.entries {
+		switch {
+		case e.ended || !known(e.Service):
+		case e.Address == "":
+			out = append(out, e.Endpoint)
+		default:
+			if o, taken := owners[e.Address]; !taken || e.after(&o) {
+				owners[e.Address] = e
+			}
+		}
+	}
+	for _, e := range owners {
 		out = append(out, e.Endpoint)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
+
+// after tells whether an entry's endpoint started after another's.
+func (e *entry) after(o *entry) bool {
+	if e.Born != o.Born && e.Born != 0 && o.Born != 0 {
+		return e.Born > o.Born
+	}
+	return e.order > o.order
+}
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -83,7 +83,8 @@
 // another one.
 func (v *View) Ended(now time.Time, id string) {
 	if n := v.nodes[id]; n != nil {
-		n.ended, n.endedAt = true, now
+		n.ended = true
+		v.ended[id] = now
 	}
 }
 
@@ -96,10 +97,12 @@
 // been replaced at the same address, and each such try counts against the retries that all instances share.
 func (v *View) EndedLately(now time.Time) []string {
 	var out []string
-	for id, n := range v.nodes {
-		if n.ended && now.Sub(n.endedAt) < endedTold {
-			out = append(out, id)
+	for id, at := range v.ended {
+		if now.Sub(at) >= endedTold {
+			delete(v.ended, id)
+			continue
 		}
+		out = append(out, id)
 	}
 	sort.Strings(out)
 	return out
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -24,7 +24,14 @@
 
 // Endpoint describes one back end.
 type Endpoint struct {
-	ID, Address, DataCentre string
+	// ID names one incarnation: one that starts again, even under the name that it had, is another endpoint, of which
+	// nothing is believed that was true of the one before.
+	ID string
+	// Name is what the endpoint calls itself; empty where that is its ID.
+	Name                string
+	Address, DataCentre string
+	// Born is when it started, in milliseconds of the Unix clock; 0 where that is not known.
+	Born int64
 	// Service groups endpoints that serve the same deployments.
 	Service string
 	Slots   int
@@ -39,6 +46,14 @@
 	ChecksFencing bool
 }
 
+// CalledBy returns the name by which requests call the endpoint.
+func (e *Endpoint) CalledBy() string {
+	if e.Name == "" {
+		return e.ID
+	}
+	return e.Name
+}
+
 func (e *Endpoint) serves(model, adapter, version string) bool {
 	if model == "" {
 		return true
@@ -86,7 +101,6 @@
 	fullTill time.Time       // it refused a request a short while ago
 	leaving  bool            // the endpoint's own word
 	ended    bool            // its address answers for another incarnation
-	endedAt  time.Time       // when this instance found that out; zero when it was told
 	home     bool            // this instance's own part of the endpoints
 	own      Placed          // what this instance has placed there
 	others   Placed          // what other instances told that they have placed there
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/health"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -367,3 +369,24 @@
 	_, err = v.Pick(epoch.Add(250*time.Millisecond), request(), rnd())
 	assert.NilError(t, err)
 }
+
+// TestAnnouncementsOfTheOneBefore: what others told of an endpoint that has started again since does not count for the
+// one after, nor does what this instance believed.
+func TestAnnouncementsOfTheOneBefore(t *testing.T) {
+	v, now := NewView(DefaultSettings()), time.Unix(0, 0)
+	v.Upsert(Endpoint{ID: "a@1", Name: "a", Service: "s"})
+	v.CacheStored(now, "a@1", 7)
+	v.Failed(now, "a@1")
+	v.Place("a@1", Placed{Tokens: 5, Unread: 5})
+	v.Upsert(Endpoint{ID: "a@2", Name: "a", Service: "s"})
+	v.Retain(map[string]bool{"a@2": true})
+	v.SetPeer(now, "p", Told{
+		Placed: map[string]Placed{"a@1": {Tokens: 9, Unread: 9}}, Suspects: []string{"a@1"}, Ended: []string{"a@1"},
+		Outcomes: map[string]health.Counts{"a@1": {Bad: 3}}, Paces: map[string]float64{"a@1": 4}, Read: []Read{{"a@1", 8}},
+	})
+	n := v.nodes["a@2"]
+	assert.Equal(t, n.used()+n.unread()+n.doubters, 0)
+	assert.Assert(t, v.Usable(now, "a@2") && !v.Holds(now, 7) && !v.Holds(now, 8))
+	assert.Equal(t, n.counts(now), health.Counts{})
+	assert.Equal(t, n.paceOf(now), 1.0)
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -64,6 +64,7 @@
 	homes  map[string][]*node // by service
 	peers  map[string]Told
 	doubt  doubt
+	ended  map[string]time.Time // endpoints that this instance found ended, and when
 	totals map[string]totals
 	usual  map[string]*health.Usual // time to read a prompt token, by service
 	cache  cacheIndex
@@ -72,7 +73,7 @@
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, homes: map[string][]*node{}, peers: map[string]Told{},
+		set: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, homes: map[string][]*node{}, peers: map[string]Told{}, ended: map[string]time.Time{},
 		totals: map[string]totals{}, usual: map[string]*health.Usual{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
@@ -94,6 +95,7 @@
 		v.link(n)
 	}
 	n.ID, n.Address, n.State, n.ChecksFencing = e.ID, e.Address, e.State, e.ChecksFencing
+	n.Name, n.Born = e.Name, e.Born
 	if e.Slots > 0 {
 		n.Slots = e.Slots
 	}
@@ -130,6 +132,7 @@
 	if n := v.nodes[id]; n != nil {
 		n.leaving, n.lost = false, false
 		n.trust.Forget()
+		n.outcomes, n.pace = health.Outcomes{}, health.Pace{}
 		v.CacheLost(id)
 	}
 }
--- a/gateway/exchange/exchange_test.go
+++ b/gateway/exchange/exchange_test.go
@@ -129,3 +129,23 @@
 		assert.Equal(t, pace(n).Round(time.Millisecond), want, "%d instances", n)
 	}
 }
+
+// FuzzAnnouncement: what comes in a datagram is taken or counted as malformed.
+func FuzzAnnouncement(f *testing.F) {
+	raw, err := proto.Marshal(encode(routing.Told{Placed: map[string]routing.Placed{"a@1": {Open: 1, Tokens: 2, Unread: 3}}}, nil))
+	assert.NilError(f, err)
+	f.Add(raw)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var a peerv1.Announcement
+		if proto.Unmarshal(raw, &a) != nil {
+			return
+		}
+		told, _ := decode(&a)
+		for id, p := range told.Placed {
+			if p.Open < 0 || p.Tokens < 0 || p.Unread < 0 {
+				t.Fatalf("%s: %+v", id, p)
+			}
+		}
+	})
+}
--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -16,6 +16,7 @@
 // Endpoints is the platform's list of endpoints. It is safe for concurrent use.
 type Endpoints struct {
 	loop    loop
+	known   func(service string) bool
 	changes func([]routing.Endpoint)
 
 	mu   sync.Mutex
@@ -29,12 +30,12 @@
 // still be used.
 const endpointsGap = 200 * time.Millisecond
 
-// NewEndpoints returns a follower that knows nothing yet. changes is called with the whole list when it
-// changed.
-func NewEndpoints(o Options, changes func([]routing.Endpoint)) *Endpoints {
+// NewEndpoints returns a follower that knows nothing yet. known tells whether the configuration names a service; changes
+// is called with the whole list when it changed.
+func NewEndpoints(o Options, known func(service string) bool, changes func([]routing.Endpoint)) *Endpoints {
 	return &Endpoints{
-		loop:    loop{Options: o, kind: platform.KindEndpoint, gap: endpointsGap},
-		changes: changes, list: listing.New(listing.DefaultSettings()), seen: map[string]routing.State{},
+		loop:  loop{Options: o, kind: platform.KindEndpoint, gap: endpointsGap},
+		known: known, changes: changes, list: listing.New(listing.DefaultSettings()), seen: map[string]routing.State{},
 	}
 }
 
@@ -51,6 +52,8 @@
 	for i := range objects {
 		if d, ok := e.decode(&objects[i]); ok {
 			all = append(all, d)
+		} else {
+			e.list.Drop(objects[i].Name)
 		}
 	}
 	e.list.Replace(now, all)
@@ -63,20 +66,29 @@
 	e.mu.Lock()
 	e.list.Reached(now)
 	for i := range objects {
-		if objects[i].Deleted {
-			e.list.Remove(now, objects[i].Name)
-		} else if d, ok := e.decode(&objects[i]); ok {
-			e.list.Put(d)
-		}
+		e.take(now, &objects[i])
 	}
 	e.mu.Unlock()
 	e.publish(len(objects) > 0)
 }
 
+// take takes what a watch told of one entry.
+func (e *Endpoints) take(now time.Duration, o *platform.Object) {
+	if o.Deleted {
+		e.list.Remove(now, o.Name)
+		return
+	}
+	if d, ok := e.decode(o); ok {
+		e.list.Put(d)
+		return
+	}
+	e.list.Drop(o.Name)
+}
+
 func (e *Endpoints) decode(o *platform.Object) (routing.Endpoint, bool) {
 	d, err := platform.DecodeEndpoint(*o)
 	if err != nil {
-		e.loop.Log.WithError(err).WithField("endpoint", o.Name).Error("entry of the list can't be read; left out")
+		e.loop.Log.WithError(err).WithField("endpoint", o.Name).Warn("entry of the list names no endpoint to use")
 		return d, false
 	}
 	return d, true
@@ -88,6 +100,16 @@
 	e.list.Unreachable(began)
 }
 
+// Ended takes endpoints, by id, whose addresses answered for others.
+func (e *Endpoints) Ended(ids ...string) {
+	e.mu.Lock()
+	news := e.list.Ended(ids...)
+	e.mu.Unlock()
+	if news {
+		e.publish(true)
+	}
+}
+
 // Publish tells the list again.
 func (e *Endpoints) Publish() { e.publish(true) }
 
@@ -104,7 +126,7 @@
 			e.publish(false)
 		})
 	}
-	all := e.list.Endpoints()
+	all := e.list.Endpoints(e.known)
 	if changed {
 		e.logChanges(all)
 	}
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -106,6 +106,9 @@
 
 // take hands on what a call returned.
 func (l *loop) take(f follower, watched bool, began time.Duration, page *platform.Page) {
+	if page.Unreadable > 0 {
+		l.Log.WithFields(logrus.Fields{"kind": l.kind, "objects": page.Unreadable, "revision": page.Revision}).Warn("objects can't be read; left out")
+	}
 	proved := l.proved(began, page)
 	if watched {
 		f.changed(proved, page.Objects)
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -88,7 +88,7 @@
 	}
 	a.sentAt = time.Now()
 	a.send = platform.Send{
-		Endpoint: e.ID, Left: s.req.left(time.Now()), Team: s.req.teamName(), Rank: s.req.rank,
+		Endpoint: e.CalledBy(), Left: s.req.left(time.Now()), Team: s.req.teamName(), Rank: s.req.rank,
 		LastEvent: s.lastEvent, CopyFrom: from.Address, CopyName: from.Handle, CopyTo: s.placeCopy(e),
 	}
 	s.attempts[number] = a
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -67,6 +67,8 @@
 	Instances func() (heard, known int)
 	// Clock also runs while the machine is suspended.
 	Clock clock.Now
+	// Ended is called with the id of an endpoint whose address answered for another one.
+	Ended func(id ...string)
 	// Placed is called when a stream was placed, so that other instances learn of it.
 	Placed func()
 	Log    Log
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -49,6 +49,7 @@
 func (f *Forwarder) refusedBy(e *routing.Endpoint, status int) error {
 	if status == http.StatusMisdirectedRequest {
 		f.Placement.Ended(e.ID)
+		f.Ended(e.ID)
 		f.Placed() // the others should not try it too
 	} else {
 		f.Placement.Refused(e.ID)
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -190,7 +190,7 @@
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
 	x, err := conn.Do(ctx, req.outgoing(&platform.Send{
-		Endpoint: e.ID, Left: req.left(time.Now()), Team: req.teamName(), Rank: -1,
+		Endpoint: e.CalledBy(), Left: req.left(time.Now()), Team: req.teamName(), Rank: -1,
 	}), req.mine)
 	if err != nil {
 		return nil, p.lost(ctx, e, err), err
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -30,13 +30,23 @@
 		report, err := s.f.report(ctx, a)
 		m := message{kind: attemptProbed}
 		if err == nil {
-			m.alive, m.events = holds(&report, s.req.ID, countable)
+			m.alive, m.events = s.f.stillHas(&a.endpoint, &report, s.req.ID, countable)
 		}
 		s.f.Log.Decision(s.req.ID, "engine asked", logrus.Fields{"endpoint": a.endpoint.ID, "alive": m.alive, "events": m.events, "error": errorText(err)})
 		a.tell(s.ctx, m)
 	}()
 }
 
+// stillHas tells whether an engine may still have a request. One that started again since it was listed knows nothing of
+// before, and what was believed of it is forgotten.
+func (f *Forwarder) stillHas(e *routing.Endpoint, r *platform.Report, id string, countable bool) (bool, int) {
+	if e.Born != 0 && r.Born > e.Born {
+		f.Placement.Forget(e.ID)
+		return false, 0
+	}
+	return holds(r, id, countable)
+}
+
 // holds tells whether a request may be among those that a report speaks of, and how many events the
 // engine has made for it. A request is named from its first event on; before that it is one of those
 // that wait or run without a name.
--- a/gateway/front/endpoints_test.go
+++ b/gateway/front/endpoints_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,42 @@
 	}
 }
 
+// TestAnEngineThatStartsAgain: under the name that it had. It is called by that name, nothing is believed of it that was
+// true of the one before, and a stream that the one before ran goes on from its copy.
+func TestAnEngineThatStartsAgain(t *testing.T) {
+	run(t, 2, 2, 0, func(w *world) {
+		answer := w.stream(0, brief("aa"))
+		time.Sleep(2 * time.Second)
+		id, _ := w.serving()
+		w.crashEngine(id)
+		time.Sleep(50 * time.Millisecond)
+		for i, e := range w.engines {
+			if cfg := e.Config(); cfg.ID == id {
+				cfg.Born = time.Now().UnixMilli()
+				w.engines = append(w.engines, w.worker(fmt.Sprint("e", i), strings.TrimPrefix(id, fmt.Sprint("i-e", i)), cfg))
+			}
+		}
+		whole(t, <-answer, "aa", 0)
+		time.Sleep(time.Second)
+		for i, f := range w.fronts {
+			named := 0
+			for _, e := range f.State().Endpoints {
+				if strings.HasPrefix(e.ID, id) {
+					named++
+					assert.Assert(t, e.ID != id && !e.Suspected && e.Load == 0, "front %d: %+v", i, e)
+				}
+			}
+			assert.Equal(t, named, 1)
+		}
+		for i := range 4 { // also at the one that started again: none of them is refused
+			whole(t, <-w.stream(i%2, brief(fmt.Sprint("b", i))), fmt.Sprint("b", i), 0)
+		}
+		for _, e := range w.engines {
+			assert.Equal(t, e.Refused(), 0)
+		}
+	})
+}
+
 // TestAddressUsedAgain: another endpoint has the address; what was meant for the first one does not run
 // there, and goes elsewhere.
 func TestAddressUsedAgain(t *testing.T) {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -173,7 +173,7 @@
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.Store.Watch + staleMargin + f.relay.Slack() })
 	following := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.Store.Watch, Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(following, f.reconfigured)
-	f.endpoints = follow.NewEndpoints(following, f.listed)
+	f.endpoints = follow.NewEndpoints(following, f.knownService, f.listed)
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
@@ -191,7 +191,7 @@
 			SilenceFloor: s.Streams.Silence, FirstEvent: s.Streams.FirstEvent, Probe: s.Streams.Probe, Connect: s.Streams.Connect,
 		},
 		Configuration: f.configuration, Placement: f.placement, Pool: f.pool, Instances: f.exchange.Instances, Clock: f.env.Clock,
-		Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
+		Ended: f.endpoints.Ended, Placed: f.exchange.Changed, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
 	})
 }
 
@@ -226,6 +226,9 @@
 // heard takes what another instance tells.
 func (f *Front) heard(instance string, t routing.Told, uses map[string]limits.Counted) {
 	f.placement.SetPeer(instance, t)
+	if len(t.Ended) > 0 {
+		f.endpoints.Ended(t.Ended...)
+	}
 	f.forwarder.HeardUses(instance, uses)
 }
 
@@ -248,6 +251,12 @@
 // reconfigured takes a new configuration: engines' memory comes with their service.
 func (f *Front) reconfigured(*route.Table) { f.endpoints.Publish() }
 
+// knownService tells whether the configuration names a service; all count before one is known.
+func (f *Front) knownService(name string) bool {
+	table, _ := f.configuration.Table()
+	return table == nil || table.Service(name) != nil
+}
+
 // listed takes the list of endpoints.
 func (f *Front) listed(all []routing.Endpoint) {
 	table, _ := f.configuration.Table()
--- a/gateway/front/relay_test.go
+++ b/gateway/front/relay_test.go
@@ -183,7 +183,7 @@
 		before := strings.Count(w.logs.String(), "source lost")
 		put := map[string]time.Time{}
 		for i := range 40 {
-			other := w.fleet.NewWorker(standin.WorkerConfig{ID: fmt.Sprint("i-other", i), Service: "other", Address: fmt.Sprintf("10.5.0.%d:80", i+1), Zone: "dc0"})
+			other := w.fleet.NewWorker(standin.WorkerConfig{ID: fmt.Sprint("i-other", i), Service: "plain", Slots: 1, Address: fmt.Sprintf("10.5.0.%d:80", i+1), Zone: "dc0"})
 			w.store.Put(platform.KindEndpoint, other.Config().ID, other.Entry("ready"))
 			put[other.Config().ID] = time.Now()
 			time.Sleep(600 * time.Millisecond)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -156,6 +156,13 @@
 	return p.view.Unread(id)
 }
 
+// Forget drops what was learned of an endpoint that started again and is not listed anew yet.
+func (p *Placement) Forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Forget(id)
+}
+
 // Ended records that this incarnation of an endpoint is gone: its address answered for another one.
 func (p *Placement) Ended(id string) {
 	p.mu.Lock()
