--- a/gateway/front/return_test.go
+++ b/gateway/front/return_test.go
@@ -88,3 +88,26 @@
 		assert.Assert(t, time.Since(began) < 10*time.Millisecond, "it is known by now that the store does not answer")
 	})
 }
+
+// TestLargeFleetReturns: the pattern is a fleet that starts at once before a store of limited calls, as after a loss of
+// power. 150 instances before a store that takes 350 reads and 75 writes a second are all ready within two seconds, and a
+// restart writes nothing.
+func TestLargeFleetReturns(t *testing.T) {
+	const fronts = 150
+	run(t, fronts, 6, 2, func(w *world) {
+		w.store.SetRates(standin.Rates{Reads: 350, Writes: 75})
+		time.Sleep(2 * time.Second)
+		before := w.store.Counts()
+		w.restartAll(500 * time.Millisecond)
+		began := time.Now()
+		for i := range fronts {
+			for !w.isReady(i) {
+				time.Sleep(20 * time.Millisecond)
+				assert.Assert(t, time.Since(began) < 2*time.Second, "instance %d", i)
+			}
+		}
+		after := w.store.Counts()
+		assert.Equal(t, after.Writes, before.Writes)
+		assert.Assert(t, after.Reads-before.Reads <= 3*fronts, "%d", after.Reads-before.Reads)
+	})
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -152,9 +152,15 @@
 	return worker
 }
 
-func frontAddress(i int) string     { return fmt.Sprintf("10.0.0.%d:80", i+1) }
-func readyAddress(i int) string     { return fmt.Sprintf("10.0.0.%d:81", i+1) }
-func directoryAddress(i int) string { return fmt.Sprintf("10.0.0.%d:82", i+1) }
+// frontIP is the address of an instance, of which there may be hundreds.
+func frontIP(i int) string {
+	const inANet = 250
+	return fmt.Sprintf("10.0.%d.%d", i/inANet, i%inANet+1)
+}
+
+func frontAddress(i int) string     { return frontIP(i) + ":80" }
+func readyAddress(i int) string     { return frontIP(i) + ":81" }
+func directoryAddress(i int) string { return frontIP(i) + ":82" }
 
 // frontSettings are the settings of an instance.
 func frontSettings(i int) string {
@@ -167,13 +173,13 @@
 callers = %s
 ready = %s
 directory = %s
-peers = 10.0.0.%d:83
+peers = %s:83
 [store]
 address = 10.0.9.1:80
 [retries]
 share = 0.8
 reserve = 150
-`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), i+1)
+`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), frontIP(i))
 }
 
 // front starts an instance.
