--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -3,6 +3,8 @@
 # switched off in [mechanisms] of the settings. Prints a row for each: the mean worth over all days and seeds, the
 # difference from all on (paired by day and seed), and its standard error.
 #
+# A day is a name in the site file, or a file relative to the root of the checkout.
+#
 #   BENCH=path/of/the/bench DAYS="trouble-1 scale-1" SEEDS="1 2 3" JOBS=6 scripts/ablation.sh SITE [MECHANISM...]
 set -euo pipefail
 site=$(realpath "$1")
@@ -21,8 +23,10 @@
 
 play() { # MECHANISM DAY SEED: a line with its worth
   cd "$work/$1"
-  "$BENCH" run "$site" "$2" --seed "$3" --no-cpu --why "ablation: $1" >"out-$2-$3.txt" 2>&1 || true
-  echo "$1 $2-$3 $(awk '$1 == "worth" {print $2; exit}' "out-$2-$3.txt")"
+  local out
+  out="out-$(basename "$2")-$3.txt"
+  "$BENCH" run "$site" "$2" --seed "$3" --no-cpu --why "ablation: $1" >"$out" 2>&1 || true
+  echo "$1 $2-$3 $(awk '$1 == "worth" {print $2; exit}' "$out")"
 }
 export -f play
 export work site BENCH
