--- a/cli/soak/world.go
+++ b/cli/soak/world.go
@@ -44,13 +44,14 @@
 
 // world is the store, endpoints and processes.
 type world struct {
-	store     *standin.Store
-	stopStore func()
-	proxies   []*proxy // of the store, one for each process
-	fleet     *standin.Fleet
-	workers   []*worker
-	processes []*process
-	closed    chan struct{}
+	store        *standin.Store
+	storeAddress string
+	stopStore    func()
+	proxies      []*proxy // of the store, one for each process
+	fleet        *standin.Fleet
+	workers      []*worker
+	processes    []*process
+	closed       chan struct{}
 
 	ports     ports
 	harms     harms
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.stopStore = standin.Serve(l, w.store)
+	w.storeAddress, w.stopStore = l.Addr().String(), standin.Serve(l, w.store)
 	for i := range o.Engines {
 		if err := w.add(fmt.Sprint("e", i), standin.WorkerConfig{Service: "engines", Zone: zone(i), Slots: 16, Prefill: 20, Step: streamStep, Events: streamSize}); err != nil {
 			return nil, err
