--- a/core/listing/list.go
+++ b/core/listing/list.go
@@ -142,9 +142,9 @@
 	return 0, false
 }
 
-// Endpoints returns the endpoints that count, by id: those of known services that have not ended, of which an address has one at a time. An
-// endpoint that crashed stays listed until its heartbeats are missed, but its address may be used again before that: it
-// belongs to the one that started last or, where that is not told, to the one that came last.
+// Endpoints returns the endpoints that count, by id: those of known services that have not ended, of which an address has
+// one at a time. An endpoint that crashed stays listed until its heartbeats are missed, but its address may be used again
+// before that: it belongs to the one that started last or, where that is not told, to the one that came last.
 func (l *List) Endpoints(known func(service string) bool) []routing.Endpoint {
 	owners := map[string]entry{}
 	out := make([]routing.Endpoint, 0, len(l.entries))
