soak, forward: a subject that nobody used, a loop that the library has, a time taken twice

Cause: a re-read of the change. harms had a subject for all that nothing recorded, and a search of a slice by hand; the search for a prompt took its time twice; the switch of the line was looked at after what it makes needless.

Before and after: behaviour is the same.

--- a/cli/soak/harm.go
+++ b/cli/soak/harm.go
@@ -1,16 +1,13 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// Subjects of harm besides processes and workers, which are named.
-const (
-	theStore = "store"
-	// anyone stands for what harms all.
-	anyone = "all"
-)
+// theStore is a subject of harm besides processes and workers, which are named.
+const theStore = "store"
 
 // settle is how long after harm has ended a promise with a time bound may still be late: instances find each other
 // and the store again.
@@ -50,7 +47,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, one := range h.all {
-		if !one.of(subjects) || one.began.After(to) {
+		if !slices.Contains(subjects, one.subject) || one.began.After(to) {
 			continue
 		}
 		if one.ended.IsZero() || one.ended.Add(settle).After(from) {
@@ -59,15 +56,3 @@
 	}
 	return true
 }
-
-func (h *harm) of(subjects []string) bool {
-	if h.subject == anyone {
-		return true
-	}
-	for _, s := range subjects {
-		if h.subject == s {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/forward/await.go
+++ b/gateway/forward/await.go
@@ -49,13 +49,13 @@
 // is not expected to find room while it could still be on time is refused at once, with the time at which
 // room is expected.
 func (f *Forwarder) awaitEngine(ctx context.Context, req *request) *refusal {
+	if f.Settings.Without.Line {
+		return nil
+	}
 	latest := req.arrived.Add(awaitUnset)
 	if aim := req.route.Aim; aim > 0 {
 		latest = req.arrived.Add(aim * awaitParts / awaitOf)
 	}
-	if f.Settings.Without.Line {
-		return nil
-	}
 	id := f.lines.next.Add(1)
 	if waits, expected := f.join(req, id, latest); !waits {
 		return f.noRoom(req, "no room is expected in time", expected)
--- a/gateway/forward/locate.go
+++ b/gateway/forward/locate.go
@@ -68,8 +68,9 @@
 		<-answers
 		found = f.Placement.Holds(key)
 	}
-	f.metrics.search.RecordDuration(time.Since(began))
-	f.Log.Decision(req.ID, "prompt looked for", logrus.Fields{"engines": len(engines), "found": found, "took_ms": time.Since(began).Milliseconds()})
+	took := time.Since(began)
+	f.metrics.search.RecordDuration(took)
+	f.Log.Decision(req.ID, "prompt looked for", logrus.Fields{"engines": len(engines), "found": found, "took_ms": took.Milliseconds()})
 }
 
 // question asks an engine which prompts it keeps, unless it was asked a short while ago.
@@ -92,6 +93,7 @@
 	f.locator.asked[e.ID] = q
 	go func() {
 		defer close(q.done)
+		// Others wait for the answer too, so it does not end with the request that asked first.
 		ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 		defer cancel()
 		raw, err := f.ask(ctx, e, http.MethodGet, platform.HeldPath, nil)
