follow, exchange: a watch that waits wakes up when there is anything to say; an instance that starts asks those it heard

Cause: found by reading the list of timers. Each watch of a follower looked each 50 ms whether what is known had grown too old: 40 wake-ups a second an instance on average, 640 for one with 16 followers. Ruled out: the pings (0.085% of a core at 300 instances, by profile).

--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -66,7 +66,11 @@
 // start at once.
 var helloAgain = []time.Duration{300 * time.Millisecond, time.Second}
 
-func (x *Exchange) meet() { x.metOnce.Do(func() { close(x.met) }) }
+// meet lets others of this instance ask those that were heard.
+func (x *Exchange) meet() {
+	x.refresh()
+	x.metOnce.Do(func() { close(x.met) })
+}
 
 // find reads the list of instances, says hello to those that are not heard, and waits for their answers. It tells whether this
 // instance's own entry is there as it should be, and whether the list was to be had.
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -251,6 +251,9 @@
 
 // tellSuspects tells all others whom this instance found lost. They are told as well, so that they can object.
 func (x *Exchange) tellSuspects(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
 	news := []membership.Member{x.ownEntry()}
 	r := x.current.Load()
 	to := r.everybody(false)
--- a/gateway/exchange/peers.go
+++ b/gateway/exchange/peers.go
@@ -80,10 +80,15 @@
 
 // rankSummers finds who sums up: in each data centre those with the widest links, and of those the first by a hash.
 func (r *roster) rankSummers() {
-	all := append([]Peer{r.self}, r.alive...)
-	slices.SortFunc(all, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(rendezvous.Weight("sums", b.ID), rendezvous.Weight("sums", a.ID)))
-	})
+	type ranked struct {
+		*Peer
+		weight uint64
+	}
+	all := []ranked{{&r.self, rendezvous.Weight("sums", r.self.ID)}}
+	for i := range r.alive {
+		all = append(all, ranked{&r.alive[i], rendezvous.Weight("sums", r.alive[i].ID)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(b.weight, a.weight)) })
 	for i := range all {
 		if dc := all[i].DataCentre; len(r.summers[dc]) < summers {
 			r.summers[dc] = append(r.summers[dc], all[i].ID)
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -36,8 +36,8 @@
 }
 
 const (
-	// staleStep is how often a waiting watch looks whether the knowledge has grown too old.
-	staleStep = 50 * time.Millisecond
+	// staleStep is the least time between two looks of a waiting watch.
+	staleStep = time.Millisecond
 	// stalePatience is how long a watch that comes while the knowledge is too old waits for better: this instance
 	// may just have noticed that the one it follows is lost, and asks another one or the store, which takes 10 ms.
 	stalePatience = 150 * time.Millisecond
@@ -198,21 +198,23 @@
 func (m *Mirror) Watch(ctx context.Context, r WatchRequest) (platform.Page, error) {
 	timeout := time.NewTimer(r.Wait)
 	defer timeout.Stop()
-	stale := time.NewTicker(staleStep)
-	defer stale.Stop()
 	w := m.watch(&r)
 	for {
-		page, ended, changed, err := m.look(&w)
+		page, ended, next, err := m.look(&w)
 		if ended {
 			return page, err
 		}
+		stale := time.NewTimer(next.after)
 		select {
-		case <-changed:
+		case <-next.changed:
+			stale.Stop()
 		case <-stale.C:
 		case <-timeout.C:
+			stale.Stop()
 			page, _, _, err = m.look(&w)
 			return page, err
 		case <-ctx.Done():
+			stale.Stop()
 			return platform.Page{}, platform.ErrUnavailable.Wrap(ctx.Err(), "watch ended")
 		}
 	}
@@ -237,21 +239,29 @@
 	return watch{kind: r.Kind, since: r.Since, began: now, enough: now - r.Known + freshStep, interrupts: m.interrupts}
 }
 
-// look returns what a watch would return now, whether it ends with that, and what to wait for else.
-func (m *Mirror) look(w *watch) (page platform.Page, ended bool, changed chan struct{}, err error) {
+// next is when a watch looks again: when anything has changed, or after some time.
+type next struct {
+	changed chan struct{}
+	after   time.Duration
+}
+
+// look returns what a watch would return now, whether it ends with that, and when to look again otherwise: when what is
+// known will have grown too old to be told. With a look each 50 ms instead, an instance with 16
+// followers woke up 640 times a second.
+func (m *Mirror) look(w *watch) (page platform.Page, ended bool, again next, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k := m.kind(w.kind)
+	k, now := m.kind(w.kind), m.now()
 	age, err := m.toldAge(k, w.kind)
 	if err != nil {
-		ended = w.fresh || m.now() >= w.began+stalePatience
-		return platform.Page{}, ended, k.changed, err
+		patience := w.began + stalePatience
+		return platform.Page{}, w.fresh || now >= patience, next{k.changed, max(patience-now, staleStep)}, err
 	}
 	w.fresh = true
 	if w.since < k.oldest {
-		return platform.Page{}, true, nil, platform.ErrHistoryGone.New("changes up to %d are forgotten", k.oldest)
+		return platform.Page{}, true, next{}, platform.ErrHistoryGone.New("changes up to %d are forgotten", k.oldest)
 	}
 	page = platform.Page{Objects: k.since(w.since, true), Revision: max(w.since, k.revision), Age: age}
-	ended = len(page.Objects) > 0 || m.now()-age >= w.enough || m.interrupts != w.interrupts
-	return page, ended, k.changed, nil
+	ended = len(page.Objects) > 0 || now-age >= w.enough || m.interrupts != w.interrupts
+	return page, ended, next{k.changed, max(m.stale()-age, staleStep)}, nil
 }
