--- a/core/generation/config.go
+++ b/core/generation/config.go
@@ -13,10 +13,10 @@
 	Frugal Policy = "frugal"
 	// Restart generates again from zero and drops what the caller already has.
 	Restart Policy = "restart"
-	// Rhythm takes silence against the stream's own rhythm for death, without a probe: for engines
-	// at which a stream can't be attached to again, but that keep a copy elsewhere, so that going on
-	// there costs next to nothing. An attempt without a token yet has no rhythm: it is probed.
-	Rhythm Policy = "rhythm"
+	// Move takes silence for death without a probe once an attempt has brought a token: for engines at which a stream
+	// can't be attached to again, but that keep a copy elsewhere, so that going on there costs next to nothing. An
+	// attempt without a token yet is probed.
+	Move Policy = "move"
 	// NoProbe takes silence for death, after SilenceCeiling.
 	NoProbe Policy = "no-probe"
 )
@@ -25,7 +25,7 @@
 // [DefaultConfig].
 type Config struct {
 	Policy Policy
-	// SilenceFactor times the observed gap between tokens is silence.
+	// SilenceFactor times the observed gap between tokens is silence; under the policy Move it is movedGaps times that.
 	SilenceFactor float64
 	// SilenceFloor and SilenceCeiling bound the silence threshold.
 	SilenceFloor, SilenceCeiling time.Duration
--- a/core/generation/ends_test.go
+++ b/core/generation/ends_test.go
@@ -126,7 +126,7 @@
 // TestRefusedAgainAndAgain: all engines refuse, each time that they are asked. That a request was sent is no
 // progress: the caller is told within the time that may be waited for an engine.
 func TestRefusedAgainAndAgain(t *testing.T) {
-	cfg := DefaultConfig(Rhythm)
+	cfg := DefaultConfig(Move)
 	cfg.Unverified = true
 	m := New(cfg, Origin{}, true, 100, epoch, epoch.Add(time.Minute))
 	now, refused := epoch, 0
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -210,7 +210,7 @@
 	}
 	m.seen(now, a)
 	a.resumes = 0
-	if a.spoke || m.cfg.Policy != Rhythm {
+	if a.spoke || m.cfg.Policy != Move {
 		m.observe(now)
 	}
 	m.lastToken, a.spoke = now, true
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -194,7 +194,7 @@
 		return
 	}
 	a.state, a.lastSeen = live, now // slow, not silent: the engine has nothing new
-	if m.cfg.Policy != Rhythm {
+	if m.cfg.Policy != Move {
 		a.backoff++
 	}
 }
@@ -287,7 +287,7 @@
 func (m *Machine) silent(now time.Time, a *attempt) {
 	m.stats.Silences++
 	switch {
-	case m.cfg.Policy == Restart, m.cfg.Policy == NoProbe, m.cfg.Policy == Rhythm && a.spoke:
+	case m.cfg.Policy == Restart, m.cfg.Policy == NoProbe, m.cfg.Policy == Move && a.spoke:
 		m.discard(a)
 		m.loseCurrent(now, a, Gone, 0)
 	default:
@@ -303,21 +303,19 @@
 		return m.cfg.SilenceCeiling
 	}
 	t := m.cfg.FirstTokenSilence
-	if m.gap > 0 && (a.spoke || m.cfg.Policy != Rhythm) {
+	switch {
+	case m.cfg.Policy == Move && a.spoke:
+		t = max(m.cfg.SilenceFloor, movedGaps*m.gap)
+	case m.cfg.Policy != Move && m.gap > 0:
 		t = max(time.Duration(m.cfg.SilenceFactor*float64(m.gap)), m.gap+deviationFactor*m.deviation)
-		t = min(max(t, m.cfg.SilenceFloor), m.ceiling())
+		t = min(max(t, m.cfg.SilenceFloor), m.cfg.SilenceCeiling)
 	}
 	return t << min(a.backoff+a.resumes, maxBackoff)
 }
 
-// ceiling returns the most that silence may last before it counts. A stream that is slow for a good
-// reason, such as prompts read beside it, must not be moved for ever: twice its own gap is allowed.
-func (m *Machine) ceiling() time.Duration {
-	if m.cfg.Policy == Rhythm {
-		return max(m.cfg.SilenceCeiling, 2*m.gap)
-	}
-	return m.cfg.SilenceCeiling
-}
+// movedGaps times its own gap is what a stream may be silent at least before it is moved. One that is slow for a good
+// reason, such as prompts read beside it, must not be moved for ever.
+const movedGaps = 2
 
 // Deadline returns when [Machine.Tick] has to be called next, if nothing else
 // happens before.
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -60,7 +60,7 @@
 
 // Without names mechanisms that are switched off, to find out what each is worth; see the settings of the same names.
 type Without struct {
-	Copies, CopyElsewhere, Rhythm, Search, Health, Pace, SharedRetries, Line, FirstLook bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, Line, FirstLook bool
 }
 
 // Others are the other instances, with which this one shares the endpoints.
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -84,16 +84,9 @@
 // goes on within the pause its route allows.
 func (s *session) config() generation.Config {
 	set := &s.f.Settings
-	c := generation.DefaultConfig(generation.Rhythm)
+	c := generation.DefaultConfig(generation.Move)
 	c.Unverified = true
 	c.SilenceFloor = set.SilenceFloor
-	c.SilenceCeiling = 2 * set.SilenceFloor
-	if p := s.req.route.Pause; p > 0 {
-		c.SilenceCeiling = max(p*pauseForSilence/pauseParts, c.SilenceFloor)
-	}
-	if set.Without.Rhythm {
-		c.SilenceCeiling = c.SilenceFloor
-	}
 	c.FirstTokenSilence = set.FirstEvent
 	c.ProbeTimeout = set.Probe
 	c.AckTimeout = set.Connect + connectMargin
@@ -106,13 +99,6 @@
 // the attempt says first that nothing was sent.
 const connectMargin = 50 * time.Millisecond
 
-// Of the longest pause, three quarters may pass before the engine is given up: connecting to the
-// engine with the copy and reading the last tokens there takes 50 to 150 ms.
-const (
-	pauseForSilence = 3
-	pauseParts      = 4
-)
-
 func (s *session) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -191,7 +191,7 @@
 // without returns the mechanisms of forwarding that are switched off.
 func without(m *settings.FrontMechanisms) forward.Without {
 	return forward.Without{
-		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Rhythm: !m.Rhythm, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
+		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
 		SharedRetries: !m.SharedRetries, Line: !m.Line, FirstLook: !m.FirstLook,
 	}
 }
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -87,7 +87,6 @@
 type FrontMechanisms struct {
 	Copies        bool `ini:"copies" default:"true" doc:"engines keep a copy of each stream's memory elsewhere"`
 	CopyElsewhere bool `ini:"copy_elsewhere" default:"true" doc:"that copy is kept in another data centre"`
-	Rhythm        bool `ini:"rhythm" default:"true" doc:"silence of an engine is judged by the stream's own rhythm; else by [streams] silence alone"`
 	Search        bool `ini:"search" default:"true" doc:"engines are asked for a prompt that no instance remembers"`
 	ByPrompt      bool `ini:"by_prompt" default:"true" doc:"engines are compared that rank highest for the prompt; else random ones"`
 	Health        bool `ini:"health" default:"true" doc:"endpoints that fail requests get less of them"`
