--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -182,7 +182,7 @@
 		}
 	}
 	if self {
-		some = append(some, Peer{ID: c.set.Self, Link: c.set.Link})
+		some = append(some, Peer{ID: c.set.Self, DataCentre: c.set.DataCentre, Link: c.set.Link})
 	}
 	return rank(some)
 }
@@ -194,7 +194,7 @@
 }
 
 // above returns whom this instance follows in a tree.
-func (c *Chooser) above(t tree) string { return t.above(&c.set, t.place(c.set.Self)) }
+func (c *Chooser) above(t tree) string { return t.above(&c.set) }
 
 // slowFactor times the store's last answer is what the next one may take: one that has become slow is not given
 // up for it.
--- a/core/source/chooser_test.go
+++ b/core/source/chooser_test.go
@@ -358,3 +358,45 @@
 		assert.Assert(t, n <= DefaultSettings().Followers, "%d follow %s", n, id)
 	}
 }
+
+// TestTreeStaysWithinDataCentres: the pattern is a fleet in five data centres whose traffic between them is paid for. What
+// changes crosses to each of them once, the way up stays short, and all hear from the store also while the first of a
+// data centre is dead or cut off.
+func TestTreeStaysWithinDataCentres(t *testing.T) {
+	const instances, dataCentres, longest = 295, 5, 4
+	f := newFleet(instances, 1)
+	for i, id := range f.ids {
+		dc := fmt.Sprint("dc", i%dataCentres)
+		f.peers[id].DataCentre, f.choosers[id].set.DataCentre = dc, dc
+	}
+	f.step()
+	f.storeCalls = 0
+	f.step()
+	assert.Equal(t, f.storeCalls, 1)
+	crossing := func() []string {
+		var out []string
+		for _, id := range f.ids {
+			probe := *f.choosers[id]
+			if p := probe.Choose(f.now, f.others(id), 1).Peer; p != "" && !f.dead[id] && f.peers[p].DataCentre != f.peers[id].DataCentre {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	heads := crossing()
+	assert.Equal(t, len(heads), dataCentres-1)
+	for _, id := range f.ids {
+		way := f.way(id)
+		assert.Assert(t, way >= 0 && way <= longest, "%s: %d", id, way)
+	}
+	f.dead[heads[0]], f.unreachable[heads[1]] = true, true
+	for range 3 {
+		f.step()
+	}
+	assert.Equal(t, len(crossing()), dataCentres-1)
+	for _, id := range f.ids {
+		if !f.dead[id] {
+			assert.Assert(t, f.way(id) >= 0, "%s", id)
+		}
+	}
+}
--- a/core/source/doc.go
+++ b/core/source/doc.go
@@ -2,7 +2,7 @@
 // another instance that follows it.
 //
 // Each call to the store is counted and priced, and what all instances ask for is the same. So the instances of a region
-// form a tree. They are ranked by the bandwidth of their links and by a hash, which all agree on; the first few ask
+// form a tree, that of a data centre below the first of it. They are ranked by the bandwidth of their links and by a hash, which all agree on; the first few ask
 // the store, and each other one follows an instance that ranks before it. An instance has as many followers as its
 // link can serve. Since everybody follows upwards in one order, views of the fleet that differ can't close a ring, and
 // what an instance sends to its followers does not grow with the fleet. One region asks once however many data centres
--- a/core/source/settings.go
+++ b/core/source/settings.go
@@ -4,7 +4,7 @@
 
 // Peer is another instance that is believed to be alive.
 type Peer struct {
-	ID, Region string
+	ID, DataCentre, Region string
 	// Ready tells that it knows a configuration to be in force: what it passes on is fresh.
 	Ready bool
 	// Store tells whether the store answers it.
@@ -26,10 +26,10 @@
 
 // Settings of a chooser. The zero value is not usable; see [DefaultSettings].
 type Settings struct {
-	// Self is the name of this instance, Region where it runs, and Link the bandwidth of its link in Mbit/s, 0 for
-	// unknown.
-	Self, Region string
-	Link         int
+	// Self is the name of this instance, DataCentre and Region where it runs, and Link the bandwidth of its link in
+	// Mbit/s, 0 for unknown.
+	Self, DataCentre, Region string
+	Link                     int
 	// Roots is how many instances of a region ask the store.
 	Roots int
 	// Followers is how many instances follow the same one where its link is not known. Otherwise each follower takes
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -220,7 +220,8 @@
 
 func (f *Front) sourceSettings() source.Settings {
 	s := source.DefaultSettings()
-	s.Self, s.Region, s.Link = f.settings.Instance.ID, f.settings.Instance.Region, int(f.settings.Process.Link)
+	s.Self, s.DataCentre, s.Region = f.settings.Instance.ID, f.settings.Instance.DataCentre, f.settings.Instance.Region
+	s.Link = int(f.settings.Process.Link)
 	s.Roots = f.settings.Store.Readers
 	if !f.settings.Mechanisms.Tree {
 		s.Roots = math.MaxInt
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -69,7 +69,7 @@
 	known := make([]source.Peer, len(others))
 	for i := range others {
 		p := &others[i]
-		known[i] = source.Peer{ID: p.ID, Region: p.Region, Ready: p.Ready, Store: p.Store, Link: p.Link}
+		known[i] = source.Peer{ID: p.ID, DataCentre: p.DataCentre, Region: p.Region, Ready: p.Ready, Store: p.Store, Link: p.Link}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
