exchange: a test's instance tells whether it is ready without a race

Ruled out: a race in the daemon: there Ready is a method that locks. Before and after: go test -race ./gateway/exchange failed 2 tests; passes, assertions as they were.

--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,7 +57,7 @@
 type node struct {
 	*Exchange
 	index int
-	ready bool
+	ready atomic.Bool
 	stop  context.CancelFunc
 	log   *logrus.Logger
 
@@ -177,9 +178,10 @@
 	assert.NilError(w, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n := &node{index: i, ready: true, log: log, uses: map[string]limits.Counted{}, view: routing.NewView(routing.DefaultSettings()), heard: map[string]map[string]limits.Counted{}}
+	n := &node{index: i, log: log, uses: map[string]limits.Counted{}, view: routing.NewView(routing.DefaultSettings()), heard: map[string]map[string]limits.Counted{}}
+	n.ready.Store(true)
 	n.Exchange = New(Options{
-		Self: w.self(i), Conn: conn, Store: w.store, Ready: func() bool { return n.ready }, Access: func() source.Access { return source.Unknown },
+		Self: w.self(i), Conn: conn, Store: w.store, Ready: n.ready.Load, Access: func() source.Access { return source.Unknown },
 		Endpoints: n, Uses: n.counted, Clock: func() time.Duration { return time.Since(w.began) + time.Hour },
 		Log: logrus.NewEntry(log), Scope: tally.NewTestScope("", nil),
 	})
@@ -330,7 +332,7 @@
 func TestLeavingIsKnownAtOnce(t *testing.T) {
 	const size = 80
 	runFleet(t, size, true, func(w *fleet) {
-		w.nodes[3].ready = false
+		w.nodes[3].ready.Store(false)
 		w.nodes[3].Now()
 		took := w.until(time.Second, func(n *node) bool { return !slices.Contains(n.Entry("hall-3", "south"), w.self(3).Callers) })
 		assert.Assert(w, took <= 50*time.Millisecond, "%v", took)
@@ -347,7 +349,7 @@
 		n.members.node.SetIncarnation(1)
 		n.Exchange.mu.Unlock()
 		time.Sleep(2 * time.Second)
-		n.ready = false
+		n.ready.Store(false)
 		n.Now()
 		took := w.until(time.Second, func(n *node) bool { return !slices.Contains(n.Entry("hall-2", "south"), w.self(2).Callers) })
 		assert.Assert(w, took <= 300*time.Millisecond, "%v", took)
