platform, front: calls to the store are counted by kind, call and whether the answer may be old

Cause: calls to the store are the largest price of the large site, and no metric told an operator who makes them for what. Conclusion: store_calls_total{kind,call,stale} on each instance.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,6 +154,7 @@
 	dial := network.Within(f.env.Network, s.Streams.Connect)
 	f.decisions = decisions.New(t.Log)
 	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.Within(f.env.Network, s.Store.Timeout))
+	f.store.Observe(f.countCall)
 	view := routing.DefaultSettings()
 	view.Choices = choices
 	view.QueueFactor, view.LastResort, view.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
@@ -200,6 +202,11 @@
 // it covers the pause and the shorter watch that follow a change.
 const staleMargin = 600 * time.Millisecond
 
+// countCall counts the calls to the store by what they ask for: each one is paid for.
+func (f *Front) countCall(c platform.StoreCall) {
+	f.telemetry.Scope.Tagged(map[string]string{"kind": c.Kind, "call": c.Verb, "stale": strconv.FormatBool(c.Stale)}).Counter("store_calls_total").Inc(1)
+}
+
 // follow keeps routes and endpoints in step with the store, or with another instance, once it is known which others there
 // are.
 func (f *Front) follow(ctx context.Context) {
