forward: an attempt that was not sent leaves no copy, and keeps the one it was to go on from

An attempt for which the retry budget had no room recorded the engine chosen for its copy as one that holds a copy. The next attempt went there, was refused or found nobody, and so on: up to 22 placements for a stream, half of them arrivals that an engine refused. A copy that did exist was forgotten when the budget had no room for the attempt that was to use it. Ruled out: engines that refuse by themselves (all refusals are of attempts with from_copy after one that was not sent). Test: TestWhatWasNotSentLeavesNoCopy, two of three cases failed before.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -61,8 +61,10 @@
 	header   http.Header // of the engine's answer; set before the first event is reported
 	cancel   context.CancelFunc
 
-	// repeat tells that the request was sent before, recovery that it goes on from a copy of its memory.
-	repeat, recovery bool
+	// repeat tells that the request was sent before.
+	repeat bool
+	// from is the copy of the run's memory from which it goes on; zero when the prompt has to be read.
+	from copies.Holder
 	// sent tells that it was sent, began that an event of it came, over that it reported its end, and
 	// refused that its engine has not run it. They belong to the session's goroutine.
 	sent, began, over, refused bool
@@ -79,8 +81,8 @@
 // when the prompt has to be read. cached tells that the engine may have read a part of it already.
 func (s *session) launch(number int, e *routing.Endpoint, from copies.Holder, cached bool) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.sent(), recovery: from != (copies.Holder{}), placed: routing.Placed{Tokens: s.tokens()}}
-	if from == (copies.Holder{}) {
+	a := &attempt{session: s, number: number, endpoint: *e, cancel: cancel, repeat: s.sent(), from: from, placed: routing.Placed{Tokens: s.tokens()}}
+	if !a.recovery() {
 		a.placed.Unread = s.req.PromptTokens
 	}
 	if a.placed.Unread > 0 && !cached {
@@ -99,6 +101,9 @@
 	go a.run(ctx)
 }
 
+// recovery tells that the attempt goes on from a copy of the run's memory.
+func (a *attempt) recovery() bool { return a.from != copies.Holder{} }
+
 // read records that the engine has read the prompt: it made an event.
 func (a *attempt) read() {
 	a.began = true
@@ -141,14 +146,14 @@
 // exchange sends the request and reports the events; it returns how the attempt ended.
 func (a *attempt) exchange(ctx context.Context) message {
 	s := a.session
-	if a.repeat && !s.f.hasRoom(s.req.service, a.recovery) { // a connection would be made in vain
+	if a.repeat && !s.f.hasRoom(s.req.service, a.recovery()) { // a connection would be made in vain
 		return a.noRoom()
 	}
 	conn, err := s.f.connect(ctx, s.req, &a.endpoint)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.repeat && !s.f.mayRepeat(s.req.service, a.recovery) {
+	if a.repeat && !s.f.mayRepeat(s.req.service, a.recovery()) {
 		conn.Keep()
 		return a.noRoom()
 	}
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -127,6 +127,16 @@
 	s.account("")
 }
 
+// restoreCopy takes back the copy from which a run was to go on that was not sent; the zero holder where it was to read
+// its prompt. The engine chosen for the copy of that run has none.
+func (s *session) restoreCopy(from copies.Holder) {
+	s.dropCopy()
+	if from != (copies.Holder{}) {
+		s.copies.Begin(time.Now(), from)
+		s.account(from.Endpoint)
+	}
+}
+
 // renewCopy looks after the engine that holds the copy, and asks for another copy when one is due.
 func (s *session) renewCopy(now time.Time) {
 	if now.Sub(s.checkedAt) >= copyCheck {
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -119,11 +119,15 @@
 	if m.answer != nil {
 		s.last = m.answer
 	}
-	if a := s.attempts[m.attempt]; a != nil {
+	a := s.attempts[m.attempt]
+	if a != nil {
 		a.over, a.refused = true, m.failure == generation.Refused
 	}
-	if m.failure == generation.Refused {
+	switch {
+	case m.failure == generation.Refused:
 		s.dropCopy() // the run did not begin, so there is nothing to copy
+	case m.failure == generation.NoEndpoint && a != nil:
+		s.restoreCopy(a.from) // it was not sent
 	}
 	s.lost(now)
 	s.f.Log.Decision(s.req.ID, "attempt failed", logrus.Fields{
--- a/gateway/forward/session_test.go
+++ b/gateway/forward/session_test.go
@@ -45,3 +45,36 @@
 	}
 	assert.Equal(t, w.Body.String(), "123")
 }
+
+// TestWhatWasNotSentLeavesNoCopy: an attempt for which the retry budget has no room is not sent, so the engine that was to
+// keep its copy has none. Streams went on there up to ten times each, were refused, and counted as arrivals each time.
+func TestWhatWasNotSentLeavesNoCopy(t *testing.T) {
+	chosen := copies.Holder{Endpoint: "e3", Address: "10.0.0.3:80"}
+	held := copies.Holder{Endpoint: "e4", Address: "10.0.0.4:80", Handle: "h"}
+	tests := []struct {
+		name    string
+		failure generation.Failure
+		from    copies.Holder
+		want    copies.Holder
+	}{
+		{"no room, prompt to be read", generation.NoEndpoint, copies.Holder{}, copies.Holder{}},
+		{"no room, copy not used yet", generation.NoEndpoint, held, held},
+		{"engine refused, copy used", generation.Refused, held, copies.Holder{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := New(Options{Placement: placement.New(routing.DefaultSettings(), 1), Log: quietLog{}, Scope: tally.NoopScope, Clock: func() time.Duration { return 0 }})
+			now := time.Now()
+			s := &session{f: f, req: &request{route: &route.Route{Attempts: 5}}, copies: copies.New(copies.Settings{}), attempts: map[int]*attempt{}, relayed: 3}
+			s.machine = generation.New(s.config(), generation.Origin{}, true, 0, now, now.Add(time.Minute))
+			s.attempts[1] = &attempt{session: s, number: 1, endpoint: routing.Endpoint{ID: "e2"}, from: tt.from, cancel: func() {}}
+			s.copies.Begin(now, chosen)
+			s.account(chosen.Endpoint)
+			s.failed(now, message{attempt: 1, endpoint: "e2", failure: tt.failure})
+			holder, ok := s.copies.Holder()
+			assert.Equal(t, ok, tt.want != copies.Holder{})
+			assert.Equal(t, holder, tt.want)
+			assert.Equal(t, s.copyAt, tt.want.Endpoint)
+		})
+	}
+}
