--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -303,17 +303,15 @@
 )
 
 func (d *Daemon) register(ctx context.Context) {
-	tick := time.NewTicker(registerEvery)
-	defer tick.Stop()
-	for {
-		self := d.Fleet.Self()
-		entry := platform.Listed{ID: self.ID, Role: platform.RoleGateway, Address: d.Peers, DataCentre: self.DataCentre, Leaving: self.Leaving}
-		_ = d.platform.Register(ctx, entry, registerTTL) // the next tick tries again
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	d.registerOnce(ctx)
+	pause.Every(ctx, registerEvery, func() { d.registerOnce(ctx) })
+}
+
+func (d *Daemon) registerOnce(ctx context.Context) {
+	self := d.Fleet.Self()
+	entry := platform.Listed{ID: self.ID, Role: platform.RoleGateway, Address: d.Peers, DataCentre: self.DataCentre, Leaving: self.Leaving}
+	if err := d.platform.Register(ctx, entry, registerTTL); err != nil {
+		d.telemetry.Log.WithError(err).Warn("own entry not renewed; tried again soon")
 	}
 }
 
--- a/gateway/decisions/decisions.go
+++ b/gateway/decisions/decisions.go
@@ -12,6 +12,8 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
+
+	"github.com/agateway/agateway/gateway/pause"
 )
 
 // Budgets of lines a second. A line costs 5 us of processor time and one that is left out 0.2 us
@@ -60,18 +62,11 @@
 
 // Run logs how many lines were left out, once a second, until ctx ends.
 func (l *Log) Run(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if n := l.left.Swap(0); n > 0 {
-				l.log.WithField("lines", n).Warn("decisions left out of the log")
-			}
+	pause.Every(ctx, time.Second, func() {
+		if n := l.left.Swap(0); n > 0 {
+			l.log.WithField("lines", n).Warn("decisions left out of the log")
 		}
-	}
+	})
 }
 
 // queueLines is how many lines wait for the reader of the output: about 256 kB.
--- /dev/null
+++ b/gateway/exchange/knowledge_test.go
@@ -0,0 +1,97 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/routing"
+)
+
+// TestSumsAreFresh: what all instances sent again is known to all within two seconds, also when the one that sums up has
+// just died.
+func TestSumsAreFresh(t *testing.T) {
+	const size, sent = 100, 10
+	runFleet(t, size, true, func(w *fleet) {
+		assert.Equal(w, w.nodes[0].repeats(), uint64(0))
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			n.uses["s"] = limits.Counted{Requests: 100, Repeats: sent}
+			n.mu.Unlock()
+		}
+		took := w.until(10*time.Second, func(n *node) bool { return n.repeats() == size*sent })
+		w.Logf("sums known to all after %v", took)
+		assert.Assert(w, took <= 2*time.Second, "%v", took)
+	})
+}
+
+// TestOwnersKnowAll: in a fleet too large for all to tell all, an instance that asks knows what each other one has placed
+// at an engine, a moment after it was placed and a moment after it ended.
+func TestOwnersKnowAll(t *testing.T) {
+	const size, engine, prompt = 100, "i-engine", 0xb1
+	runFleet(t, size, true, func(w *fleet) {
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			n.view.Upsert(routing.Endpoint{ID: engine, Service: "engines", Slots: 6, Memory: 88000})
+			n.mu.Unlock()
+		}
+		place := func(i int, told routing.Told) {
+			n := w.nodes[i]
+			n.mu.Lock()
+			n.told = told
+			n.mu.Unlock()
+			n.Changed(engine)
+		}
+		unread := func(i int) int {
+			n := w.nodes[i]
+			n.Ask(w.Context(), prompt, []string{engine})
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.view.Unread(time.Now(), engine)
+		}
+		for i := range 3 {
+			place(i, routing.Told{Placed: map[string]routing.Placed{engine: {Open: 1, Tokens: 9400, Unread: 8000}}})
+		}
+		time.Sleep(2 * changeGap)
+		for i := 3; i < size; i++ {
+			assert.Equal(w, unread(i), 3*8000, "instance %d", i)
+		}
+		assert.Equal(w, unread(0), 2*8000, "its own is not counted twice")
+		place(0, routing.Told{Read: []routing.Read{{Endpoint: engine, Prompt: prompt}}})
+		place(1, routing.Told{})
+		time.Sleep(2 * changeGap)
+		for i := 3; i < size; i++ {
+			assert.Equal(w, unread(i), 8000, "instance %d", i)
+			assert.Assert(w, w.nodes[i].view.Holds(time.Now(), prompt))
+		}
+		owner := w.nodes[50].roster().owners(engine)[0]
+		for i, n := range w.nodes {
+			if n.Self.ID == owner {
+				w.kill(i)
+			}
+		}
+		for i := 3; i < size; i++ {
+			if w.nodes[i].Self.ID != owner {
+				assert.Equal(w, unread(i), 8000, "instance %d asks the second owner", i)
+			}
+		}
+	})
+}
+
+// TestNoAnswerIsNotWaitedFor: owners that are all lost cost a choice 25 ms.
+func TestNoAnswerIsNotWaitedFor(t *testing.T) {
+	const size, engine = 100, "i-engine"
+	runFleet(t, size, true, func(w *fleet) {
+		asking := 0
+		for w.nodes[asking].roster().owned(engine) {
+			asking++
+		}
+		w.net.SetCut(func(a, _ string) bool { return a == fmt.Sprint("f", asking) })
+		began := time.Now()
+		w.nodes[asking].Ask(w.Context(), 1, []string{engine})
+		assert.Equal(w, time.Since(began), askTimeout)
+	})
+}
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -10,6 +10,7 @@
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 )
 
@@ -116,19 +117,12 @@
 
 // watch pings others until ctx ends.
 func (x *Exchange) watch(ctx context.Context) {
-	tick := time.NewTicker(pingEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			x.ping()
-			x.say()
-			x.roster()
-			x.logMoved()
-		}
-	}
+	pause.Every(ctx, pingEvery, func() {
+		x.ping()
+		x.say()
+		x.roster()
+		x.logMoved()
+	})
 }
 
 // outgoing is a datagram to be sent once the members are unlocked.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -29,6 +29,7 @@
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/placement"
 	"github.com/agateway/agateway/gateway/relay"
@@ -301,14 +302,5 @@
 
 // sweep closes idle connections that endpoints are about to close, or whose endpoint is gone.
 func (f *Front) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.pool.Retain(f.placement.Known)
-		}
-	}
+	pause.Every(ctx, sweepEvery, func() { f.pool.Retain(f.placement.Known) })
 }
--- a/gateway/once/sweep.go
+++ b/gateway/once/sweep.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -28,18 +29,11 @@
 
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) {
-	tick := time.NewTicker(s.Every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	pause.Every(ctx, s.Every, func() {
 		if s.Holds() {
 			s.sweep(ctx)
 		}
-	}
+	})
 }
 
 func (s *Sweeper) sweep(ctx context.Context) {
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -23,6 +23,7 @@
 	"github.com/agateway/agateway/gateway/backends"
 	"github.com/agateway/agateway/gateway/config"
 	"github.com/agateway/agateway/gateway/endpoint"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/platform"
 )
 
@@ -68,18 +69,11 @@
 
 // Run holds the lease and gives orders until ctx ends, and then gives the lease up.
 func (o *Orders) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			o.release()
-			return
-		case <-t.C:
-		}
+	defer o.release()
+	pause.Every(ctx, tick, func() {
 		o.renew(ctx)
 		o.give(ctx)
-	}
+	})
 }
 
 // Holds tells whether this instance holds the lease now.
--- a/gateway/pause/pause.go
+++ b/gateway/pause/pause.go
@@ -17,3 +17,17 @@
 		return true
 	}
 }
+
+// Every calls do each time that d has passed, until ctx ends. A call that takes longer than d delays the next ones.
+func Every(ctx context.Context, d time.Duration, do func()) {
+	tick := time.NewTicker(d)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			do()
+		}
+	}
+}
--- a/gateway/peering/lists.go
+++ b/gateway/peering/lists.go
@@ -10,6 +10,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/platform"
 )
@@ -36,16 +37,8 @@
 
 // Run keeps the list up to date until ctx ends.
 func (l *Lists) Run(ctx context.Context) {
-	tick := time.NewTicker(l.Every)
-	defer tick.Stop()
-	for {
-		l.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+	l.refresh(ctx)
+	pause.Every(ctx, l.Every, func() { l.refresh(ctx) })
 }
 
 func (l *Lists) refresh(ctx context.Context) {
--- a/gateway/running/running.go
+++ b/gateway/running/running.go
@@ -17,6 +17,7 @@
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 )
 
@@ -57,18 +58,12 @@
 	return directory.Owner{Instance: self.ID, Process: self.Process}
 }
 
+// expireEvery is how often entries are looked through; they are kept for seconds.
+const expireEvery = time.Second
+
 // Run lets entries expire until ctx ends.
 func (r *Running) Run(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			r.expire(ctx, now)
-		}
-	}
+	pause.Every(ctx, expireEvery, func() { r.expire(ctx, time.Now()) })
 }
 
 func (r *Running) expire(ctx context.Context, now time.Time) {
