generation, forward: an engine is asked whether it lives when its first event is late, not after 0.7 s

Ruled out: a longer fixed time (short prompts and deployments with fast engines would be found dead late).

--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -20,12 +20,13 @@
 	from     int
 	began    time.Time
 	lastSeen time.Time
-	backoff  int  // silences in a row that a probe answered as alive
-	resumes  int  // resumes of this stream in a row that brought no token
-	broken   bool // the connection is known to be gone
-	same     bool // resumes a stream that was already running
-	dropped  bool // its cancellation was queued
-	spoke    bool // a token of it was accepted
+	due      time.Time // of the first token, where that is known; not suspected before
+	backoff  int       // silences in a row that a probe answered as alive
+	resumes  int       // resumes of this stream in a row that brought no token
+	broken   bool      // the connection is known to be gone
+	same     bool      // resumes a stream that was already running
+	dropped  bool      // its cancellation was queued
+	spoke    bool      // a token of it was accepted
 }
 
 // Machine is the state of one generation. The zero value is not usable.
@@ -188,6 +189,14 @@
 	m.journal.reset()
 }
 
+// Expect reports when the first token of an attempt is due at the latest, such as from the length of its prompt and the usual
+// speed of engines. The attempt is not suspected before.
+func (m *Machine) Expect(number int, due time.Time) {
+	if a := m.find(number); a != nil && !m.ended {
+		a.due = due
+	}
+}
+
 // Token reports a token. It returns true when the token is accepted and has to
 // go to the caller; false when it is dropped or already there.
 func (m *Machine) Token(now time.Time, number, index int, text []byte) bool {
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -278,7 +278,7 @@
 			m.drop(now, a, Gone, 0)
 		}
 	case live:
-		if !now.Before(a.lastSeen.Add(m.silence(a))) {
+		if !now.Before(m.suspectAt(a)) {
 			m.silent(now, a)
 		}
 	}
@@ -297,6 +297,15 @@
 
 const maxBackoff = 4
 
+// suspectAt returns when an attempt is suspected that says nothing more.
+func (m *Machine) suspectAt(a *attempt) time.Time {
+	at := a.lastSeen.Add(m.silence(a))
+	if !a.spoke && a.due.After(at) {
+		return a.due
+	}
+	return at
+}
+
 // silence returns how long an attempt may say nothing before it is suspected.
 func (m *Machine) silence(a *attempt) time.Duration {
 	if m.cfg.Policy == Restart || m.cfg.Policy == NoProbe {
@@ -339,7 +348,7 @@
 	if a := m.current; a != nil && a.state == starting {
 		earlier(a.began.Add(m.cfg.AckTimeout))
 	} else if a != nil && a.state == live {
-		earlier(a.lastSeen.Add(m.silence(a)))
+		earlier(m.suspectAt(a))
 	}
 	return next
 }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -75,6 +75,8 @@
 	assert.Assert(t, !known)
 	_, known = u.Factor(0, time.Second)
 	assert.Assert(t, !known)
+	_, known = (&Usual{}).Expected(8000)
+	assert.Assert(t, !known)
 	for i := range 200 {
 		took := time.Second
 		if i%10 < 3 {
@@ -85,6 +87,9 @@
 	factor, known := u.Factor(8000, 4*time.Second)
 	assert.Assert(t, known)
 	assert.Assert(t, factor > 3 && factor < 5, "%.2f", factor)
+	expected, known := u.Expected(16000)
+	assert.Assert(t, known)
+	assert.Assert(t, expected > 1600*time.Millisecond && expected < 2600*time.Millisecond, "%v", expected)
 }
 
 var trust = TrustSettings{First: time.Second, Most: 15 * time.Second}
--- a/core/health/pace.go
+++ b/core/health/pace.go
@@ -81,3 +81,8 @@
 	}
 	return float64(took) / float64(units) / u.perUnit, true
 }
+
+// Expected returns how long some units of work usually take; false where nothing is known.
+func (u *Usual) Expected(units int) (time.Duration, bool) {
+	return time.Duration(u.perUnit * float64(units)), u.perUnit > 0 && units > 0
+}
--- a/core/routing/outcome.go
+++ b/core/routing/outcome.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// Expected returns how long the engines of a service usually take to read some prompt tokens; false where that is not known.
+func (v *View) Expected(service string, tokens int) (time.Duration, bool) {
+	return v.usualOf(service).Expected(tokens)
+}
+
 // slowFactor is how many times as long as usual an engine may take before it counts as slow: prompts that came
 // meanwhile, of which this instance has not heard, may be read first.
 const slowFactor = 2
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -15,10 +15,11 @@
 	now := time.Now()
 	switch m.kind {
 	case attemptSent:
+		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
 		if a := s.attempts[m.attempt]; a != nil {
 			a.sent = true
+			s.expect(now, a)
 		}
-		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
 	case attemptEvent:
 		s.event(now, m)
 	case attemptDone:
@@ -34,6 +35,23 @@
 	}
 }
 
+// lateBy times as long as usual is when a prompt is read late: three of four engines take less, also where another prompt is
+// read beside it.
+const lateBy = 1.25
+
+// aimParts: at most one part in so many of the route's aim is waited before an engine is asked, so that a prompt whose engine
+// says nothing can be read elsewhere in time.
+const aimParts = 3
+
+// expect spares an engine that reads a long prompt the question whether it is alive, until it is late. Each question takes a
+// new connection.
+func (s *session) expect(now time.Time, a *attempt) {
+	if usual, known := s.f.Placement.Expected(s.req.service, a.reading); known {
+		late := time.Duration(lateBy * float64(usual))
+		s.machine.Expect(a.number, now.Add(min(late, s.req.route.Aim/aimParts)))
+	}
+}
+
 // reading records that an engine which is alive has not read the prompt yet.
 func (s *session) reading(m message) {
 	if a := s.attempts[m.attempt]; m.alive && a != nil && !a.began && a.reading > 0 {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -170,6 +170,13 @@
 	return p.view.Unread(time.Now(), id)
 }
 
+// Expected returns how long the engines of a service usually take to read some prompt tokens; false where that is not known.
+func (p *Placement) Expected(service string, tokens int) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Expected(service, tokens)
+}
+
 // Forget drops what was learned of an endpoint that started again and is not listed anew yet.
 func (p *Placement) Forget(id string) {
 	p.mu.Lock()
