limits, forward: an instance may use a twentieth of an endpoint's connections where an equal share is less

After the return of 295 instances the first two ready in each data centre get the callers of all for half a second; with 1800 / 295 = 6 connections to each of five idle endpoints they refused 406 requests (57 at one instance) with 'all connections in use', 388 of them within two seconds. Test: TestFirstInstancesAfterAReturn, equal shares refuse and a burst does not, within the bound.

--- a/gateway/forward/target.go
+++ b/gateway/forward/target.go
@@ -3,25 +3,23 @@
 import (
 	"net/http"
 
+	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
 )
 
-// target returns how an endpoint is connected to. Its connections are shared by all instances; one
-// more than the share is of no use, since the endpoint resets what goes beyond its bound.
+// target returns how an endpoint is connected to. Its connections are shared by all instances: it resets what goes beyond
+// its bound.
 func (f *Forwarder) target(req *request, e *routing.Endpoint) upstream.Target {
 	t := upstream.Target{ID: e.ID, Address: e.Address}
 	if s := req.table.Service(e.Service); s != nil && s.Connections > 0 {
 		_, known := f.Others.Instances()
-		t.Connections = max(s.Connections/max(known, 1), leastConnections)
+		t.Connections = limits.Connections(s.Connections, known)
 	}
 	return t
 }
 
-// leastConnections is what an instance may always have, however many share an endpoint.
-const leastConnections = 2
-
 // outgoing builds the request as it goes to an endpoint.
 func (req *request) outgoing(s *platform.Send) *upstream.Request {
 	r := req.http
