routing: no copy is placed at an engine that several others lost

The choice only ranked engines lower that others had lost, the watch over copies gives them up at once; where most of a data centre had crashed the six candidates were all of that kind. The stream had no copy until another one was asked for and moved whole. Ruled out: list too old (the engines are listed for seconds after a crash; that is what the doubts are for). Test: TestNoCopyAtAnEngineThatOthersLost, failed before.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -236,6 +236,9 @@
 			return false
 		}
 	}
+	if p.r.Copy && n.othersDoubt(p.now) > doubtersMost {
+		return false // a copy there would be given up at once
+	}
 	memory := p.v.set.MemoryFactor
 	if p.r.Copy {
 		memory = p.v.set.CopyFactor
