Revert: where the engines asked about are full, more are asked about before one is taken blindly

Not found: which part costs (the wait for more answers, summaries known for 0.25 s in place of 2, or copies that find no room).

--- a/core/routing/likely.go
+++ b/core/routing/likely.go
@@ -66,19 +66,3 @@
 	}
 	return out
 }
-
-// Unknown returns the n endpoints that rank highest for the prompt of a request, of those of which it is not known what other
-// instances have placed there: whom to ask about when those asked about before have no room.
-func (v *View) Unknown(now time.Time, r *Request, n int) []Endpoint {
-	prompt, ok := r.prompt()
-	if !ok {
-		return nil
-	}
-	p := picker{v: v, now: now, r: r}
-	takes := func(m *node) bool { return !m.known(now) && p.eligible(m) }
-	var out []Endpoint
-	for _, m := range ranked(v.groups[groupKey{r.Service, ""}], prompt, n, takes) {
-		out = append(out, m.described())
-	}
-	return out
-}
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -74,8 +74,6 @@
 	Cached float64
 	// Candidates is how many endpoints were compared.
 	Candidates int
-	// Known tells that it is known what other instances have placed there.
-	Known bool
 }
 
 // typicalPrompt bounds from below what counts as one prompt in a score, in tokens: short prompts
@@ -114,7 +112,7 @@
 		}
 		return Decision{}, ErrNone
 	}
-	return Decision{p.best.Endpoint, p.score, p.cached, p.n, p.best.known(now)}, nil
+	return Decision{p.best.Endpoint, p.score, p.cached, p.n}, nil
 }
 
 // all compares all members of a group, beginning anywhere.
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -29,21 +29,13 @@
 // not answered; a stream holds its place for some seconds.
 const summaryTTL = 2 * time.Second
 
-// knownFor is how long it counts as known from a summary what others have placed at an engine: under a heavy load an engine gets
-// a stream and loses one about each half second.
-const knownFor = 250 * time.Millisecond
-
 // told is the last summary of an endpoint.
 type told struct {
 	Summary
 	at time.Time
 }
 
-func (t *told) fresh(now time.Time) bool { return t.within(now, summaryTTL) }
-
-func (t *told) within(now time.Time, d time.Duration) bool {
-	return !t.at.IsZero() && now.Sub(t.at) < d
-}
+func (t *told) fresh(now time.Time) bool { return !t.at.IsZero() && now.Sub(t.at) < summaryTTL }
 
 // SetOwned says of which endpoints this instance hears all that others place there. Without it, that is all of them.
 func (v *View) SetOwned(owned func(id string) bool) {
@@ -95,12 +87,6 @@
 	}
 }
 
-// Known tells whether it is known what other instances have placed at an endpoint.
-func (v *View) Known(now time.Time, id string) bool {
-	n := v.nodes[id]
-	return n != nil && n.known(now)
-}
-
 // othersPlaced is what other instances are believed to have placed at an endpoint.
 func (n *node) othersPlaced(now time.Time) Placed {
 	if !n.owned && n.told.fresh(now) {
@@ -118,4 +104,4 @@
 }
 
 // known tells whether it is known what others have placed at an endpoint.
-func (n *node) known(now time.Time) bool { return n.owned || n.told.within(now, knownFor) }
+func (n *node) known(now time.Time) bool { return n.owned || n.told.fresh(now) }
--- a/gateway/forward/await.go
+++ b/gateway/forward/await.go
@@ -62,7 +62,8 @@
 	}
 	defer f.leave(req, id)
 	for {
-		if f.admitted(ctx, req, id) {
+		f.askOwners(ctx, req)
+		if f.admitted(req, id) {
 			return nil
 		}
 		if !time.Now().Add(awaitStep).Before(latest) {
@@ -84,9 +85,6 @@
 	// askMost is how many engines are asked about: those that a choice compares, and those that are left of them for a
 	// copy in another data centre.
 	askMost = 10
-	// askRounds bounds how often more are asked about. Each takes a round trip of 3 ms; after four of them 40 engines are
-	// known, which is nearly enough for a fleet with one place in twenty free.
-	askRounds = 4
 )
 
 // askOwners brings what is known of the engines up to date among which a request will be placed.
@@ -96,10 +94,7 @@
 		return
 	}
 	req.askedAt = now
-	f.askAbout(ctx, req, f.Placement.Likely(f.engineRequest(req), askMost))
-}
-
-func (f *Forwarder) askAbout(ctx context.Context, req *request, engines []routing.Endpoint) {
+	engines := f.Placement.Likely(f.engineRequest(req), askMost)
 	ids := make([]string, len(engines))
 	for i := range engines {
 		ids[i] = engines[i].ID
@@ -107,22 +102,6 @@
 	f.Others.Ask(ctx, req.promptKey(), ids)
 }
 
-// pickEngine chooses an engine. As long as the best one is not known, since those asked about have no room, more of them are
-// asked about; if that remains so, all count as full. Where owners do not answer, engines are taken as they are known here.
-func (f *Forwarder) pickEngine(ctx context.Context, req *request, r *routing.Request) (routing.Decision, error) {
-	for range askRounds {
-		d, err := f.Placement.Pick(r)
-		if err != nil || d.Known {
-			return d, err
-		}
-		f.askAbout(ctx, req, append(f.Placement.Unknown(r, askMost), d.Endpoint))
-		if !f.Placement.Informed(d.Endpoint.ID) {
-			return d, nil
-		}
-	}
-	return routing.Decision{}, routing.ErrFull
-}
-
 func (f *Forwarder) join(req *request, id uint64, latest time.Time) (bool, time.Duration) {
 	f.lines.mu.Lock()
 	defer f.lines.mu.Unlock()
@@ -141,23 +120,15 @@
 	return f.lines.get(req.service).Expected(time.Now())
 }
 
-func (f *Forwarder) first(req *request, id uint64) bool {
-	f.lines.mu.Lock()
-	defer f.lines.mu.Unlock()
-	return f.lines.get(req.service).First(id)
-}
-
 // admitted tells whether it is the request's turn and an engine has room.
-func (f *Forwarder) admitted(ctx context.Context, req *request, id uint64) bool {
-	if !f.first(req, id) {
-		return false
-	}
-	f.askOwners(ctx, req)
-	_, err := f.pickEngine(ctx, req, f.engineRequest(req))
+func (f *Forwarder) admitted(req *request, id uint64) bool {
 	f.lines.mu.Lock()
 	defer f.lines.mu.Unlock()
 	line := f.lines.get(req.service)
-	if errors.Is(err, routing.ErrFull) {
+	if !line.First(id) {
+		return false
+	}
+	if _, err := f.Placement.Pick(f.engineRequest(req)); errors.Is(err, routing.ErrFull) {
 		line.FoundFull()
 		return false
 	}
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -74,10 +74,10 @@
 	if s.f.Settings.Without.CopyElsewhere {
 		r.Away = ""
 	}
-	d, err := s.f.pickEngine(s.ctx, s.req, r)
+	d, err := s.f.Placement.Pick(r)
 	if err != nil {
 		r.Away = ""
-		d, err = s.f.pickEngine(s.ctx, s.req, r)
+		d, err = s.f.Placement.Pick(r)
 	}
 	if err != nil {
 		return nil
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -191,7 +191,7 @@
 	s.f.askOwners(s.ctx, s.req)
 	r := s.request()
 	r.Avoid, r.Recovery = a.Avoid, s.mayHaveRun()
-	d, err := s.f.pickEngine(s.ctx, s.req, r)
+	d, err := s.f.Placement.Pick(r)
 	if err != nil {
 		return nil, copies.Holder{}, false, err
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -52,21 +52,6 @@
 	return p.view.Likely(time.Now(), r, n)
 }
 
-// Unknown returns the n endpoints that rank highest for the prompt of a request, of those of which it is not known what other
-// instances have placed there.
-func (p *Placement) Unknown(r *routing.Request, n int) []routing.Endpoint {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.view.Unknown(time.Now(), r, n)
-}
-
-// Informed tells whether it is known what other instances have placed at an endpoint.
-func (p *Placement) Informed(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.view.Known(time.Now(), id)
-}
-
 // Get returns an endpoint.
 func (p *Placement) Get(id string) (routing.Endpoint, bool) {
 	p.mu.Lock()
