--- a/gateway/exchange/doc.go
+++ b/gateway/exchange/doc.go
@@ -13,7 +13,8 @@
 // asked what is placed there. That takes one round trip, and is as exact as if all told all.
 //
 // Digests (digest.go): in a large fleet one instance of each data centre sums up what its instances found out about
-// endpoints and what they sent again, and all are told the sums within two seconds.
+// endpoints and what they sent again, and all are told the sums within two seconds. What was sent again counts against one bound
+// for all, so it is told on at once where it is much.
 //
 // Failure modes: a datagram that is lost is made good by what comes after it. Nothing is repeated or acknowledged, and no
 // connection can go silent. An instance that falls silent is left out, and what it placed is forgotten. One that is cut
