--- a/core/limits/connections.go
+++ b/core/limits/connections.go
@@ -2,9 +2,9 @@
 
 // How the connections that an endpoint takes are divided among the instances.
 const (
-	// burstParts: each instance may use one part in so many of an endpoint's bound even where an equal share is less. When a
-	// fleet returns, callers go to the first few instances that are ready, ten of 295, and these need it for half a second;
-	// the others hold one connection or none.
+	// burstParts: each instance may use one part in so many of an endpoint's bound, where its equal share is less. When a
+	// fleet returns, all callers meet the first few instances that are ready, ten of 295, for half a second, while the
+	// others hold one connection or none.
 	burstParts = 20
 	// connectionsLeast is what an instance may always use.
 	connectionsLeast = 2
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -77,10 +77,11 @@
 	KeepDead time.Duration
 	// DeadEvery is how many intervals lie between pings to dead members.
 	DeadEvery int
-	// Firsthand tells that members tell all others directly when they change: what is heard from the member itself is passed
-	// on once, for those who lost that. When 1,000 members start at once, passing each on several times takes a minute.
+	// Firsthand tells that members tell all others directly when they change. What is heard from the member itself is then
+	// passed on only once, for those that lost the direct message: when 1,000 members start at once, passing each on several
+	// times takes a minute.
 	Firsthand bool
-	// Repair is with every how many messages a member at random is told besides, which makes good what was lost.
+	// Repair: one message in so many tells of one more member, drawn at random. It makes good news that was lost.
 	Repair int
 	// SlowFrom is the number of members from which the interval grows and a message tells fewer members; 0 for never.
 	SlowFrom int
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -31,8 +31,8 @@
 	Member
 	since time.Time // of the state
 	told  int       // how often the news was passed on
-	// behind tells that somebody has told an older incarnation: if it was the member itself, it has to hear which one is
-	// known, since it started again while its clock was behind.
+	// behind tells that an older incarnation was heard than is known. The member itself may have told it, after a start
+	// while its clock was set back, so the next message to it tells the known one.
 	behind bool
 }
 
--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -71,7 +71,7 @@
 // Choose returns whom to ask now. peers are the other instances that are alive, and chance is a random number from 0
 // to 1.
 func (c *Chooser) Choose(now time.Duration, peers []Peer, chance float64) Choice {
-	c.forgive(now)
+	c.readmit(now)
 	c.starting = !slices.ContainsFunc(peers, func(p Peer) bool { return p.Ready })
 	if c.cutOff && c.probeDue(now, peers) {
 		return c.probe(now)
@@ -94,10 +94,10 @@
 	return Choice{Peer: c.above(all)}
 }
 
-// asRoot asks the store for those who follow. Where another instance of the region is cut off from the store, this one
-// may be so too: unless it was answered lately, it follows one of another region that is answered, and probes the
-// store meanwhile. Otherwise a region that is cut off as a whole would hear nothing until each of its instances had
-// found out for itself.
+// asRoot asks the store, on behalf of all that follow this instance. Where the store does not answer another instance of
+// the region, it may not answer this one either: unless it did so lately, this instance follows one of another region that
+// is answered, and probes the store meanwhile. Otherwise a region that is cut off as a whole would hear nothing until each
+// of its instances had found out for itself.
 func (c *Chooser) asRoot(now time.Duration, peers []Peer) Choice {
 	doubtful := c.Access(now) != Answered && slices.ContainsFunc(peers, func(p Peer) bool { return c.near(&p) && p.Store == CutOff })
 	answered := c.farAnswered(peers)
@@ -132,7 +132,7 @@
 	return Choice{Patience: c.patience(), Probe: true}
 }
 
-// anyOf spreads this instance and others over some that have no place for them in their tree.
+// anyOf chooses one of some instances by a hash, so that those which follow outside of their own tree spread evenly.
 func (c *Chooser) anyOf(some tree) Choice {
 	ids := make([]string, len(some))
 	for i := range some {
@@ -144,8 +144,8 @@
 // near tells whether an instance is of the own region.
 func (c *Chooser) near(p *Peer) bool { return p.Region == c.set.Region }
 
-// forgive lets instances be asked again whose time is over.
-func (c *Chooser) forgive(now time.Duration) {
+// readmit lets instances be asked again that were left out for long enough.
+func (c *Chooser) readmit(now time.Duration) {
 	for _, out := range []map[string]time.Duration{c.silent, c.useless} {
 		for id, until := range out {
 			if now >= until {
--- a/gateway/forward/await.go
+++ b/gateway/forward/await.go
@@ -82,8 +82,8 @@
 const (
 	// askAgain is how long their answers are used by a request that still waits or is sent again.
 	askAgain = 100 * time.Millisecond
-	// askMost is how many engines are asked about: those that a choice compares, and those that are left of them for a
-	// copy in another data centre.
+	// askMost is how many engines are asked about: the six that a choice compares, and some more for the copy, which goes
+	// to another data centre than the first choice.
 	askMost = 10
 )
 
