--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -149,6 +149,10 @@
 	}
 }
 
+// Repeated makes those that sum up learn soon that something was sent once more. Where all are told all, that waits for the
+// next announcement.
+func (x *Exchange) Repeated() { x.Freed() }
+
 // Now tells the others at once what this instance is, such as when it leaves.
 func (x *Exchange) Now() { x.say() }
 
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	f.metrics.retries.Inc(1)
-	f.Others.Freed() // they count it as well
+	f.Others.Repeated()
 	return true
 }
 
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -72,6 +72,8 @@
 	Changed(endpoints ...string)
 	// Freed does so where a request has ended or its prompt has been read: it is not as urgent.
 	Freed(endpoints ...string)
+	// Repeated makes the others learn soon that something was sent once more, which counts against one bound for all.
+	Repeated()
 	// Ask brings what is known of some engines up to date before a prompt is placed at one of them.
 	Ask(ctx context.Context, prompt uint64, endpoints []string)
 }
@@ -82,6 +84,7 @@
 func (alone) Instances() (alive, known int)         { return 1, 1 }
 func (alone) Changed(...string)                     {}
 func (alone) Freed(...string)                       {}
+func (alone) Repeated()                             {}
 func (alone) Ask(context.Context, uint64, []string) {}
 
 // Options of a forwarder.
