generation: the test of many refusals looks at all that the machine wants at a moment

Cause: the test let time pass after each batch of actions, so it saw five refusals in a second with and without the pause: too weak.

--- a/core/generation/ends_test.go
+++ b/core/generation/ends_test.go
@@ -167,7 +167,8 @@
 	const roundTrip = 6 * time.Millisecond
 	now, refused := epoch, 0
 	for !m.Ended() && now.Before(epoch.Add(time.Second)) {
-		for _, a := range m.Ready() {
+		actions := m.Ready()
+		for _, a := range actions {
 			if s, ok := a.(Start); ok {
 				refused++
 				m.Routed(s.Attempt, "e"+strconv.Itoa(refused))
@@ -176,8 +177,10 @@
 				m.Failed(now, s.Attempt, Refused, 0)
 			}
 		}
-		now = m.Deadline(now)
-		m.Tick(now)
+		if len(actions) == 0 {
+			now = m.Deadline(now)
+			m.Tick(now)
+		}
 	}
-	assert.Assert(t, refused >= refusalsAtOnce && refused <= 10, "%d in a second", refused)
+	assert.Assert(t, refused >= 3 && refused <= 10, "%d in a second", refused)
 }
