routing: one way to an owner's summary that still counts

Cause: the check whether an owner's summary is used in place of what was heard stood four times. Behaviour and tests as they were; lint, core/routing, gateway/forward, gateway/front and gateway/exchange pass.

--- a/core/routing/outcome.go
+++ b/core/routing/outcome.go
@@ -23,8 +23,8 @@
 // counts are the outcomes at an endpoint as far as this instance knows.
 func (n *node) counts(now time.Time) health.Counts {
 	others := n.othersOutcomes
-	if !n.owned && n.told.fresh(now) {
-		others = n.told.Outcomes
+	if s := n.summary(now); s != nil {
+		others = s.Outcomes
 	}
 	return n.outcomes.Counts(now).Add(others)
 }
@@ -105,8 +105,8 @@
 // paceOf returns how many times as long as usual an engine takes; 1 where that may be chance.
 func (n *node) paceOf(now time.Time) float64 {
 	others := n.othersPace
-	if !n.owned && n.told.fresh(now) {
-		others = max(others, n.told.Pace)
+	if s := n.summary(now); s != nil {
+		others = max(others, s.Pace)
 	}
 	if f := max(n.pace.Factor(now), others); f >= slowFactor {
 		return f
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -87,18 +87,26 @@
 	}
 }
 
+// summary returns what an owner told of an endpoint; nil where this instance hears all itself, or the summary is too old.
+func (n *node) summary(now time.Time) *Summary {
+	if n.owned || !n.told.fresh(now) {
+		return nil
+	}
+	return &n.told.Summary
+}
+
 // othersPlaced is what other instances are believed to have placed at an endpoint.
 func (n *node) othersPlaced(now time.Time) Placed {
-	if !n.owned && n.told.fresh(now) {
-		return n.told.Placed
+	if s := n.summary(now); s != nil {
+		return s.Placed
 	}
 	return n.others
 }
 
 // othersDoubt is how many other instances an endpoint failed a short while ago.
 func (n *node) othersDoubt(now time.Time) int {
-	if !n.owned && n.told.fresh(now) {
-		return max(n.doubters, n.told.Doubters)
+	if s := n.summary(now); s != nil {
+		return max(n.doubters, s.Doubters)
 	}
 	return n.doubters
 }
--- a/gateway/exchange/digest.go
+++ b/gateway/exchange/digest.go
@@ -112,7 +112,8 @@
 	return encodeDigest(d, routing.Combine(all), x.sums.uses)
 }
 
-// newDigest takes what this instance has counted itself into the sums, and returns the next digest without them.
+// newDigest takes what this instance has counted itself into the sums, and returns the next digest without them. The caller
+// holds heardMu.
 func (x *Exchange) newDigest(uses map[string]limits.Counted) *peerv1.Digest {
 	x.sums.add(x.sums.own, uses)
 	x.sums.own = uses
