forward: log lines name a request's content, and how far the engine was with it when it was lost

Sight for the incident of retries beyond their bound: request ids are new with each attempt of a caller, so the log could not say that two were the same request, nor whether the engine had begun to answer before it ended.

One request lost three engines in 18 ms before any began to answer, 2 to 7 ms after it was sent: what ends there had not begun to run it.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -50,6 +50,8 @@
 	events int
 	// holder is the copy that was made; zero when none was.
 	holder copies.Holder
+	// headAt is when the answer of an attempt that failed began; zero when it did not.
+	headAt time.Time
 }
 
 // attempt is one engine's stream for a session. It runs in a goroutine of its own.
@@ -68,6 +70,7 @@
 	// sent tells that it was sent, began that an event of it came, over that it reported its end, and
 	// refused that its engine has not run it. They belong to the session's goroutine.
 	sent, began, over, refused bool
+	events                     int // that came
 
 	placed routing.Placed
 	once   sync.Once // the prompt was read
@@ -174,7 +177,10 @@
 		return message{kind: attemptFailed, failure: generation.Broken, err: errUnsigned}
 	}
 	a.header = platform.ToClient(x.Header())
-	return a.relay(ctx, x)
+	headAt := time.Now()
+	m := a.relay(ctx, x)
+	m.headAt = headAt
+	return m
 }
 
 // noRoom ends an attempt that was not sent, since too much was sent once more lately.
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -68,7 +68,7 @@
 		inputs["error"] = errorText(err)
 		f.Log.Decision(req.ID, "not run", inputs)
 	default:
-		inputs["error"] = errorText(err)
+		inputs["error"], inputs["content"] = errorText(err), req.contentText()
 		f.Log.Refusal(req.ID, "outcome unknown", inputs)
 	}
 }
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -67,6 +67,7 @@
 	}
 	a := s.attempts[m.attempt]
 	if a != nil {
+		a.events++
 		a.read()
 	}
 	if !s.numbered && a == s.current() { // of an attempt that was given up, the first event may be lost
@@ -148,9 +149,16 @@
 		s.restoreCopy(a.from) // it was not sent
 	}
 	s.lost(now)
-	s.f.Log.Decision(s.req.ID, "attempt failed", logrus.Fields{
+	inputs := logrus.Fields{
 		"attempt": m.attempt, "endpoint": m.endpoint, "error": errorText(m.err), "not_run": m.failure == generation.Refused, "events": s.relayed,
-	})
+	}
+	if a != nil && m.failure == generation.Broken {
+		inputs["content"], inputs["after_ms"], inputs["its_events"] = s.req.contentText(), now.Sub(a.sentAt).Milliseconds(), a.events
+		if !m.headAt.IsZero() {
+			inputs["answering_ms"] = now.Sub(m.headAt).Milliseconds()
+		}
+	}
+	s.f.Log.Decision(s.req.ID, "attempt failed", inputs)
 	s.machine.Failed(now, m.attempt, m.failure, 0)
 }
 
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -308,6 +308,7 @@
 	inputs := logrus.Fields{
 		"attempt": a.number, "endpoint": a.endpoint.ID, "data_centre": a.endpoint.DataCentre,
 		"prompt_tokens": s.req.PromptTokens, "events": s.relayed, "configuration": s.req.table.Version(),
+		"content": s.req.contentText(),
 	}
 	if a.send.CopyFrom != "" {
 		inputs["from_copy"] = a.send.CopyFrom
