front: a test of a request that ends each engine that begins it (known red)

Stand-in workers end at requests that they are told of, once the answer has begun or while the prompt is read, and come back under another id.

--- /dev/null
+++ b/gateway/front/crashes_test.go
@@ -0,0 +1,198 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// fatalBody is the body of a request that ends each worker that begins to run it.
+const fatalBody = "ends whoever runs it"
+
+// outbreak makes some requests fatal, and records what that costs. A worker that ended is back under another id after
+// some seconds, and its old entry stays listed for as long.
+type outbreak struct {
+	*world
+	mu     sync.Mutex
+	ends   []time.Time
+	fatals map[string]*standin.Worker // all incarnations of all workers
+	number int
+	over   bool
+}
+
+// Times of a worker that ends, and the time within which all instances have to know.
+const (
+	fatalAfter  = 60 * time.Millisecond
+	backAfter   = 5 * time.Second
+	unlistAfter = 3 * time.Second
+	settle      = 3 * time.Second
+	settleLarge = 5 * time.Second
+)
+
+// outbreak runs f while some requests are fatal.
+func (w *world) outbreak(fatal standin.Fatal, f func(*outbreak)) {
+	o := &outbreak{world: w, fatals: map[string]*standin.Worker{}}
+	for _, list := range [][]*standin.Worker{w.engines, w.plains} {
+		for _, e := range list {
+			o.fatals[e.Config().ID] = e
+		}
+	}
+	if fatal.Matches == nil {
+		fatal.Matches = func(r *standin.Run) bool { return r.Body == fatalBody }
+	}
+	fatal.After, fatal.End = fatalAfter, o.end
+	w.fleet.SetFatal(&fatal)
+	defer o.close()
+	f(o)
+}
+
+// close keeps workers that ended from coming back: their world is about to end.
+func (o *outbreak) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.over = true
+}
+
+// end ends a worker as a crash of its process does.
+func (o *outbreak) end(worker *standin.Worker) {
+	cfg := worker.Config()
+	o.mu.Lock()
+	o.ends = append(o.ends, time.Now())
+	o.number++
+	number := o.number
+	o.mu.Unlock()
+	o.fleet.Remove(worker)
+	go o.net.Crash(o.nodeOf(cfg.Address))
+	time.AfterFunc(unlistAfter, func() { o.store.Remove(platform.KindEndpoint, cfg.ID) })
+	time.AfterFunc(backAfter, func() { o.back(cfg, number) })
+}
+
+// back starts a worker again at the address of one that ended.
+func (o *outbreak) back(cfg standin.WorkerConfig, number int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over {
+		return
+	}
+	next := o.worker(o.nodeOf(cfg.Address), fmt.Sprint("-", number), cfg)
+	o.fatals[next.Config().ID] = next
+}
+
+// nodeOf returns the node that listens at an address of a worker.
+func (o *outbreak) nodeOf(address string) string {
+	for i, e := range o.engines {
+		if e.Config().Address == address {
+			return fmt.Sprint("e", i)
+		}
+	}
+	for i, p := range o.plains {
+		if p.Config().Address == address {
+			return fmt.Sprint("p", i)
+		}
+	}
+	o.t.Fatalf("no worker at %s", address)
+	return ""
+}
+
+// sends returns when fatal requests arrived at workers.
+func (o *outbreak) sends() []time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []time.Time
+	for _, w := range o.fatals {
+		for _, r := range w.Runs() {
+			if r.Body == fatalBody {
+				out = append(out, r.At)
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+func (o *outbreak) ended() []time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.ends)
+}
+
+// after returns how many fatal requests arrived at workers later than a while after the third of them had ended one.
+func (o *outbreak) after(while time.Duration) int {
+	ends := o.ended()
+	if len(ends) < 3 {
+		return 0
+	}
+	n := 0
+	for _, at := range o.sends() {
+		if at.Sub(ends[2]) > while {
+			n++
+		}
+	}
+	return n
+}
+
+func fatalBrief() standin.Request {
+	r := brief("fa7a1")
+	r.Body = fatalBody
+	return r
+}
+
+// insist asks again and again, at any instance, and once more at once where that failed.
+func (o *outbreak) insist(r standin.Request, times int, every time.Duration) []standin.Answer {
+	var mu sync.Mutex
+	var all []standin.Answer
+	var work sync.WaitGroup
+	for i := range times {
+		work.Go(func() {
+			for again := range 2 {
+				a, err := o.do((i*5+again)%len(o.fronts), r)
+				if err != nil {
+					a.Body = err.Error()
+				}
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+				if a.Status == http.StatusOK {
+					return
+				}
+			}
+		})
+		time.Sleep(every)
+	}
+	work.Wait()
+	return all
+}
+
+// TestRequestThatEndsEngines: one request ended 76 of 24 engines' incarnations in 40 s. An engine ends 60 ms after it has begun to
+// answer, is back after 5 s, and the request comes again at any instance, from callers that ask once more. Each attempt of
+// a caller began with nothing known and had up to five engines; nothing told that the engines had ended under the same
+// request. The logs showed the same content at each engine that was lost, and no engine lost without it.
+// What is asked: none of these requests reaches an engine later than the settling time after the third engine ended.
+func TestRequestThatEndsEngines(t *testing.T) {
+	for _, c := range []struct {
+		fronts, engines int
+		settle          time.Duration
+	}{{9, 24, settle}, {90, 90, settleLarge}} {
+		t.Run(fmt.Sprint(c.fronts), func(t *testing.T) {
+			run(t, c.fronts, c.engines, 1, func(w *world) {
+				w.outbreak(standin.Fatal{}, func(o *outbreak) {
+					answers := o.insist(fatalBrief(), 30, 700*time.Millisecond)
+					assert.Assert(w.t, len(o.ended()) >= 3)
+					w.t.Logf("%d engines ended, %d sends", len(o.ended()), len(o.sends()))
+					assert.Equal(w.t, o.after(c.settle), 0, "requests that reached engines too late")
+					for _, a := range answers {
+						assert.Assert(w.t, a.Status == http.StatusBadGateway || a.Status == http.StatusServiceUnavailable, "%d %s", a.Status, a.Body)
+					}
+				})
+			})
+		})
+	}
+}
--- a/scripts/race.sh
+++ b/scripts/race.sh
@@ -7,7 +7,7 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 for try in 1 2 3 4 5; do
-	go test -race -count=1 -timeout 10m -vet=off "$@" >"$out" 2>&1
+	go test -race -count=1 -timeout 10m -vet=off -skip "$(./scripts/known-red.sh 2>/dev/null)" "$@" >"$out" 2>&1
 	rc=$?
 	grep -E '^(ok|FAIL|---|    ---|\?|panic)|WARNING: DATA RACE|_test\.go:|ThreadSanitizer|^SIGSEGV' "$out"
 	[ "$rc" -eq 0 ] && exit 0
