--- a/core/generation/action.go
+++ b/core/generation/action.go
@@ -78,6 +78,7 @@
 	CodeInvalid    Code = "invalid_request"
 	CodeAttempts   Code = "attempts_exhausted"
 	CodeCanceled   Code = "canceled"
+	CodeStopped    Code = "stopped"
 )
 
 // Failure classifies how an attempt ended.
@@ -99,6 +100,8 @@
 	Invalid
 	// Gone: the platform or the engine says that the endpoint is dead.
 	Gone
+	// Stopped: the request ends the engines that run it, and is not sent to any more of them.
+	Stopped
 )
 
 // Stats counts what recovery did, and what it cost.
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -338,6 +338,11 @@
 	}
 }
 
+// Stop ends the generation because the request ends the engines that run it. retryAfter is when it may be tried again.
+func (m *Machine) Stop(now time.Time, retryAfter time.Duration) {
+	m.fail(now, CodeStopped, retryAfter, "the request ends the engines that run it")
+}
+
 // Abort ends the generation because the caller went away.
 func (m *Machine) Abort(now time.Time) {
 	m.fail(now, CodeCanceled, 0, "the caller went away")
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -15,6 +15,9 @@
 	case Fenced:
 		m.fail(now, CodeSuperseded, 0, "another instance has taken this generation over")
 		return
+	case Stopped:
+		m.Stop(now, retryAfter)
+		return
 	}
 	if a == m.contender {
 		m.dropFailedContender(now, a, why, retryAfter)
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -49,6 +49,25 @@
 	return out
 }
 
+// Nearby returns how many endpoints of all services there are in the data centre of an endpoint, and how many of them failed
+// this instance or another one a short while ago.
+func (v *View) Nearby(now time.Time, id string) (failing, all int) {
+	at := v.nodes[id]
+	if at == nil {
+		return 0, 0
+	}
+	for _, n := range v.nodes {
+		if n.DataCentre != at.DataCentre {
+			continue
+		}
+		all++
+		if n.trust.Suspected(now) || n.othersDoubt(now) > 0 {
+			failing++
+		}
+	}
+	return failing, all
+}
+
 // Suspects returns the endpoints that failed this instance a short while ago, those that are left out longest
 // first: others are told of some of them only.
 func (v *View) Suspects(now time.Time) []string {
--- /dev/null
+++ b/gateway/crashes/crashes.go
@@ -0,0 +1,259 @@
+package crashes
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/platform"
+)
+
+// Store keeps what outlasts all instances.
+type Store interface {
+	List(ctx context.Context, kind string) (platform.Page, error)
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) (platform.Object, error)
+	Replace(ctx context.Context, kind, name string, spec json.RawMessage, revision uint64) (platform.Object, error)
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+}
+
+// Options of a register.
+type Options struct {
+	Settings crashers.Settings
+	// Self names this instance.
+	Self  string
+	Store Store
+	// Met is closed once the other instances were looked for, and Instances returns how many there are.
+	Met       func() <-chan struct{}
+	Instances func() (alive, known int)
+	// Tell tells all others. complete says that this instance knows the stops that the store keeps.
+	Tell func(facts []crashers.Fact, complete bool)
+	// Stopped is called when a request was stopped, by this instance or another one.
+	Stopped func(crashers.Request)
+	Log     *logrus.Entry
+	Scope   tally.Scope
+}
+
+// Register is what this instance knows of requests that end endpoints. It is safe for concurrent use.
+type Register struct {
+	Options
+	metrics metrics
+	// known tells that anything is known of any request: while nothing is, requests need not be looked up.
+	known atomic.Bool
+	wake  chan struct{}
+
+	mu     sync.Mutex
+	core   *crashers.Register
+	trials map[crashers.Request]any // whose trial each request is, of this instance
+	news   map[crashers.Request]int // how often each is still to be told
+	writes map[crashers.Request]time.Time
+	// complete tells that the stops that the store keeps are known.
+	complete bool
+}
+
+// New returns an empty register.
+func New(o Options) *Register {
+	return &Register{
+		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), core: crashers.New(o.Settings),
+		trials: map[crashers.Request]any{}, news: map[crashers.Request]int{}, writes: map[crashers.Request]time.Time{},
+	}
+}
+
+// Known tells whether anything is held against any request.
+func (r *Register) Known() bool { return r.known.Load() }
+
+// Verdict returns what may be done with a request, and for how long it is stopped.
+func (r *Register) Verdict(req crashers.Request) (crashers.Verdict, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	return r.core.Verdict(now, req), max(r.core.Stop(req).Until.Sub(now), 0)
+}
+
+// Ended reports that an endpoint ended under a request. inputs are what else led to that, for the log.
+func (r *Register) Ended(req crashers.Request, end crashers.End, inputs logrus.Fields) {
+	r.mu.Lock()
+	now := time.Now()
+	stopped := r.core.Ended(now, req, end)
+	verdict := r.core.Verdict(now, req)
+	ends := r.core.Ends(req)
+	r.tell(req)
+	if stopped {
+		r.writes[req] = now
+	}
+	r.mu.Unlock()
+	r.metrics.blamed(end.Sign)
+	r.log(req, inputs).WithFields(logrus.Fields{
+		"endpoint": end.Endpoint, "begun": end.Sign == crashers.Begun, "had_it_ms": end.At.Sub(end.Sent).Milliseconds(),
+		"endpoints": len(ends), "verdict": verdict.String(),
+	}).Warn("an endpoint ended under a request")
+	if stopped {
+		r.stopped(req, "decided")
+	}
+}
+
+// log returns a logger that names a request.
+func (r *Register) log(req crashers.Request, inputs logrus.Fields) *logrus.Entry {
+	return r.Log.WithFields(inputs).WithFields(logrus.Fields{"team": req.Team, "content": hex.EncodeToString(req.Content[:])})
+}
+
+// stopped makes known here that a request is stopped.
+func (r *Register) stopped(req crashers.Request, how string) {
+	r.mu.Lock()
+	s, ends := r.core.Stop(req), r.core.Ends(req)
+	r.mu.Unlock()
+	names := make([]string, len(ends))
+	for i := range ends {
+		names[i] = ends[i].Endpoint
+	}
+	r.metrics.stops.Inc(1)
+	r.log(req, nil).WithFields(logrus.Fields{
+		"how": how, "endpoints": names, "times": s.Times, "for_ms": time.Until(s.Until).Milliseconds(),
+	}).Warn("request stopped")
+	r.Options.Stopped(req)
+}
+
+// Served reports that a request was served: it does not end what runs it.
+func (r *Register) Served(req crashers.Request) {
+	r.clear(req, "served")
+}
+
+// Release lets a request go again, by an operator's word. It returns false when nothing is held against it.
+func (r *Register) Release(req crashers.Request) bool { return r.clear(req, "released") }
+
+func (r *Register) clear(req crashers.Request, why string) bool {
+	r.mu.Lock()
+	stored := r.core.Stop(req).Stored
+	cleared := r.core.Clear(time.Now(), req)
+	if cleared {
+		r.tell(req)
+		delete(r.writes, req)
+	}
+	r.mu.Unlock()
+	if !cleared {
+		return false
+	}
+	r.log(req, nil).WithField("why", why).Info("request cleared")
+	if stored {
+		go r.unstore(req)
+	}
+	return true
+}
+
+// Try asks for the trial of a request that is to be handled with care. It returns false while another one is out, here or
+// at another instance.
+func (r *Register) Try(req crashers.Request, by any) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other := r.trials[req]; other != nil && other != by {
+		return false
+	}
+	if !r.core.Try(time.Now(), req, r.Self) {
+		return false
+	}
+	r.trials[req] = by
+	r.tell(req)
+	return true
+}
+
+// Tried ends a trial.
+func (r *Register) Tried(req crashers.Request, by any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.trials[req] != by {
+		return
+	}
+	delete(r.trials, req)
+	r.core.Tried(req, r.Self)
+	r.tell(req)
+}
+
+// Heard takes what another instance told.
+func (r *Register) Heard(from string, facts []crashers.Fact, complete bool) {
+	r.mu.Lock()
+	now := time.Now()
+	r.complete = r.complete || complete
+	var stopped []crashers.Request
+	for i := range facts {
+		req := facts[i].Request
+		if r.core.Heard(now, from, facts[i]).Stopped {
+			stopped = append(stopped, req)
+		}
+		r.mayWrite(now, req)
+	}
+	r.count(now)
+	r.mu.Unlock()
+	for _, req := range stopped {
+		r.stopped(req, "heard from "+from)
+	}
+}
+
+// Facts returns what is stopped, for an instance that asks, and whether that is all.
+func (r *Register) Facts() ([]crashers.Fact, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var out []crashers.Fact
+	for _, req := range r.core.Stopped() {
+		if f, ok := r.core.Fact(now, req, r.Self); ok {
+			out = append(out, f)
+		}
+	}
+	return out, r.complete
+}
+
+// Forget drops the trials of an instance that is gone.
+func (r *Register) Forget(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Forget(instance)
+}
+
+// State is what is held against a request, for operators.
+type State struct {
+	Team    string `json:"team"`
+	Content string `json:"content"`
+	Verdict string `json:"verdict"`
+	// Endpoints ended under it.
+	Endpoints []string `json:"endpoints"`
+	// Times it was stopped, and ForMS for how much longer it is.
+	Times  int   `json:"times"`
+	ForMS  int64 `json:"for_ms"`
+	Stored bool  `json:"stored"`
+}
+
+// State returns the requests that are held back or were, the stopped ones.
+func (r *Register) State() []State {
+	facts, _ := r.Facts()
+	out := make([]State, len(facts))
+	for i := range facts {
+		f := &facts[i]
+		v, left := r.Verdict(f.Request)
+		out[i] = State{
+			Team: f.Request.Team, Content: hex.EncodeToString(f.Request.Content[:]), Verdict: v.String(),
+			Times: f.Stop.Times, ForMS: left.Milliseconds(), Stored: f.Stop.Stored,
+		}
+		for _, e := range f.Ends {
+			out[i].Endpoints = append(out[i].Endpoints, e.Endpoint)
+		}
+	}
+	return out
+}
+
+// ReleaseContent lets all stopped requests of a content go; it returns how many there were.
+func (r *Register) ReleaseContent(content string) int {
+	n := 0
+	facts, _ := r.Facts()
+	for i := range facts {
+		if req := facts[i].Request; hex.EncodeToString(req.Content[:]) == content && r.Release(req) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/crashes/metrics.go
@@ -0,0 +1,30 @@
+package crashes
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/agateway/agateway/core/crashers"
+)
+
+// metrics of requests that end endpoints.
+type metrics struct {
+	scope             tally.Scope
+	stops             tally.Counter
+	suspects, stopped tally.Gauge
+}
+
+func newMetrics(s tally.Scope) metrics {
+	return metrics{
+		scope: s, stops: s.Counter("requests_stopped_total"),
+		suspects: s.Gauge("requests_suspected"), stopped: s.Gauge("requests_stopped"),
+	}
+}
+
+// blamed counts an endpoint that ended under a request.
+func (m *metrics) blamed(sign crashers.Sign) {
+	name := "present"
+	if sign == crashers.Begun {
+		name = "begun"
+	}
+	m.scope.Tagged(map[string]string{"sign": name}).Counter("endpoint_ends_under_requests_total").Inc(1)
+}
--- /dev/null
+++ b/gateway/crashes/store.go
@@ -0,0 +1,162 @@
+package crashes
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/platform"
+)
+
+// Calls to the store: each is paid for, so one instance makes them for all.
+const (
+	// readSpread is the time over which instances read the store that start together: the first one tells the others.
+	readSpread = 600 * time.Millisecond
+	// readAgain is the pause after the store did not answer, and half to three times that at random.
+	readAgain = time.Second
+	// writeLate is how long others wait for the instance that decided a stop to have written it, and writeSpread the time for each
+	// instance of the fleet over which they try then.
+	writeLate   = 2 * time.Second
+	writeSpread = 50 * time.Millisecond
+	// callGap bounds the calls of an instance.
+	callGap = 100 * time.Millisecond
+)
+
+// stopEntry is a stop as the store keeps it, under its content.
+type stopEntry struct {
+	Team  string    `json:"team"`
+	Times int       `json:"times"`
+	At    time.Time `json:"at"`
+	Until time.Time `json:"until"`
+}
+
+// keep reads the stops that are kept, and writes those that are not.
+func (r *Register) keep(ctx context.Context) {
+	select {
+	case <-r.Met():
+	case <-ctx.Done():
+		return
+	}
+	r.read(ctx)
+	for pause.For(ctx, callGap) {
+		if req, due := r.nextWrite(); due {
+			r.write(ctx, req)
+		}
+	}
+}
+
+// read learns which stops are kept, from another instance or from the store.
+func (r *Register) read(ctx context.Context) {
+	for wait := rand.N(readSpread); pause.For(ctx, wait) && !r.isComplete(); wait = readAgain/2 + rand.N(3*readAgain) {
+		page, err := r.Store.List(ctx, platform.KindStopped)
+		if err != nil {
+			r.Log.WithError(err).Warn("stopped requests not read yet")
+			continue
+		}
+		facts := r.decode(page.Objects)
+		r.Heard("the store", facts, true)
+		r.Tell(facts, true)
+	}
+}
+
+func (r *Register) isComplete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.complete
+}
+
+// decode returns the stops in some objects of the store.
+func (r *Register) decode(objects []platform.Object) []crashers.Fact {
+	var out []crashers.Fact
+	for _, o := range objects {
+		var e stopEntry
+		content, err := hex.DecodeString(o.Name)
+		if err == nil {
+			err = json.Unmarshal(o.Spec, &e)
+		}
+		if err != nil || len(content) != len(crashers.Content{}) {
+			r.Log.WithField("object", o.Name).Warn("stopped request can't be read")
+			continue
+		}
+		// The times of the store's objects are those of another machine's clock, and may be some seconds off.
+		out = append(out, crashers.Fact{
+			Request: crashers.Request{Team: e.Team, Content: crashers.Content(content)},
+			Stop:    crashers.Stop{Times: e.Times, At: earlier(e.At, time.Now()), Until: e.Until, Stored: true},
+		})
+	}
+	return out
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// mayWrite plans to write a stop of another instance, in case that one does not. The caller holds mu.
+func (r *Register) mayWrite(now time.Time, req crashers.Request) {
+	s := r.core.Stop(req)
+	_, planned := r.writes[req]
+	switch {
+	case s.Stored || !now.Before(s.Until):
+		delete(r.writes, req)
+	case !planned:
+		_, known := r.Instances()
+		r.writes[req] = now.Add(writeLate + rand.N(max(writeSpread*time.Duration(known), writeLate)))
+	}
+}
+
+// nextWrite returns a stop that is to be written now.
+func (r *Register) nextWrite() (crashers.Request, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for req, due := range r.writes {
+		if !now.Before(due) {
+			return req, true
+		}
+	}
+	return crashers.Request{}, false
+}
+
+// write keeps a stop in the store.
+func (r *Register) write(ctx context.Context, req crashers.Request) {
+	r.mu.Lock()
+	s := r.core.Stop(req)
+	r.mu.Unlock()
+	name := hex.EncodeToString(req.Content[:])
+	spec, err := json.Marshal(stopEntry{Team: req.Team, Times: s.Times, At: s.At.UTC(), Until: s.Until.UTC()})
+	if err == nil && s.Times > 0 {
+		_, err = r.Store.Create(ctx, platform.KindStopped, name, spec)
+		switch {
+		case platform.IsConflict(err) && s.Times > 1:
+			_, err = r.Store.Replace(ctx, platform.KindStopped, name, spec, 0)
+		case platform.IsConflict(err): // another instance was first
+			err = nil
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.writes[req] = time.Now().Add(readAgain/2 + rand.N(3*readAgain))
+		r.log(req, nil).WithError(err).Warn("stop not written yet")
+		return
+	}
+	delete(r.writes, req)
+	r.core.Stored(req)
+	r.tell(req)
+}
+
+// unstore takes a stop out of the store. One that stays there by mischance ends by its time.
+func (r *Register) unstore(req crashers.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeLate)
+	defer cancel()
+	if err := r.Store.Delete(ctx, platform.KindStopped, hex.EncodeToString(req.Content[:]), 0); err != nil {
+		r.log(req, nil).WithError(err).Warn("stop not taken out of the store")
+	}
+}
--- /dev/null
+++ b/gateway/crashes/tell.go
@@ -0,0 +1,89 @@
+package crashes
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/gateway/pause"
+)
+
+// News about requests.
+const (
+	// tellGap is the least time between two tellings: what several requests do at one moment goes together.
+	tellGap = 20 * time.Millisecond
+	// tellAgain is when news is told once more, since datagrams are lost.
+	tellAgain = 300 * time.Millisecond
+	// tellTimes is how often news is told.
+	tellTimes = 3
+	// idle is how often the register looks for what is due when nothing happens.
+	idle = time.Second
+)
+
+// tell makes the others learn soon what is known of a request. The caller holds mu.
+func (r *Register) tell(req crashers.Request) {
+	r.news[req] = tellTimes
+	r.count(time.Now())
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// count brings the gauges up to date. The caller holds mu.
+func (r *Register) count(now time.Time) {
+	all, stopped := r.core.Len(now)
+	r.known.Store(all > 0)
+	r.metrics.suspects.Update(float64(all - stopped))
+	r.metrics.stopped.Update(float64(stopped))
+}
+
+// Run tells news, and keeps stops in the store, until ctx ends.
+func (r *Register) Run(ctx context.Context) {
+	go r.keep(ctx)
+	for ctx.Err() == nil {
+		wait := idle
+		if r.tellNews() {
+			wait = tellAgain
+		}
+		if !r.await(ctx, wait) || !pause.For(ctx, tellGap) {
+			return
+		}
+	}
+}
+
+// await waits for news; false when ctx has ended.
+func (r *Register) await(ctx context.Context, most time.Duration) bool {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-r.wake:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// tellNews tells what is new, and returns whether some of it has to be told again.
+func (r *Register) tellNews() bool {
+	r.mu.Lock()
+	now := time.Now()
+	var facts []crashers.Fact
+	for req, times := range r.news {
+		if f, ok := r.core.Fact(now, req, r.Self); ok {
+			facts = append(facts, f)
+		}
+		if times <= 1 {
+			delete(r.news, req)
+		} else {
+			r.news[req] = times - 1
+		}
+	}
+	again, complete := len(r.news) > 0, r.complete
+	r.mu.Unlock()
+	if len(facts) > 0 {
+		r.Tell(facts, complete)
+	}
+	return again
+}
--- a/gateway/exchange/doc.go
+++ b/gateway/exchange/doc.go
@@ -1,4 +1,4 @@
-// Package exchange is what instances that forward tell each other, in datagrams. It has four parts.
+// Package exchange is what instances that forward tell each other, in datagrams. It has five parts.
 //
 // Members (members.go): who is there, whether callers may be sent to it and whether the platform's store answers it,
 // by core/membership. Each instance pings another one four times a second. One that starts, leaves or changes tells all
@@ -16,6 +16,9 @@
 // endpoints and what they sent again, and all are told the sums within two seconds. What was sent again counts against one bound
 // for all, so it is told on at once where it is much.
 //
+// Crashes (crashes.go): requests under which endpoints ended. All are told at once. One that starts, or that hears again from
+// others, asks two of them for all that are stopped. Nothing is sent while there is nothing to tell.
+//
 // Failure modes: a datagram that is lost is made good by what comes after it. Nothing is repeated or acknowledged, and no
 // connection can go silent. An instance that falls silent is left out, and what it placed is forgotten. One that is cut
 // off from all others suspects nobody and goes on with what it knows. An owner that does not answer in time leaves its
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -58,6 +58,7 @@
 	// Access tells whether the store answers this instance.
 	Access    func() source.Access
 	Endpoints Endpoints
+	Crashes   Crashes
 	// Uses returns what this instance has counted, by service.
 	Uses func() map[string]limits.Counted
 	// Clock also runs while the machine is suspended.
@@ -83,6 +84,8 @@
 	changed  map[string]bool // endpoints of which there is news
 	sequence uint64
 	steps    int // of Run
+	// askedCrashes is when others were asked last for what is stopped.
+	askedCrashes time.Duration
 
 	toldRepeats atomic.Uint64 // what of Uses those that sum up were told when it changed
 
@@ -224,6 +227,8 @@
 		x.answer(body.Question, from)
 	case *peerv1.Datagram_Summaries:
 		x.answered(body.Summaries)
+	case *peerv1.Datagram_Crashes:
+		x.crashed(body.Crashes, from)
 	default:
 		x.metrics.malformed.Inc(1)
 	}
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
@@ -66,6 +67,43 @@
 	uses  map[string]limits.Counted
 	view  *routing.View
 	heard map[string]map[string]limits.Counted
+
+	crashes register
+}
+
+// register is what an instance of a test fleet knows of requests.
+type register struct {
+	mu       sync.Mutex
+	own      []crashers.Fact
+	heard    map[crashers.Request]time.Time
+	complete bool
+}
+
+func (r *register) Heard(_ string, facts []crashers.Fact, complete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.complete = r.complete || complete
+	for i := range facts {
+		if r.heard == nil {
+			r.heard = map[crashers.Request]time.Time{}
+		}
+		r.heard[facts[i].Request] = time.Now()
+	}
+}
+
+func (r *register) Facts() ([]crashers.Fact, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own, r.complete
+}
+
+func (r *register) Forget(string) {}
+
+func (r *register) knows(req crashers.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.heard[req]
+	return ok
 }
 
 func (n *node) Told() routing.Told {
@@ -188,7 +226,7 @@
 	n.ready.Store(true)
 	n.Exchange = New(Options{
 		Self: w.self(i), Conn: conn, Store: w.store, Ready: n.ready.Load, Access: func() source.Access { return source.Unknown },
-		Endpoints: n, Uses: n.counted, Clock: func() time.Duration { return time.Since(w.began) + time.Hour },
+		Endpoints: n, Crashes: &n.crashes, Uses: n.counted, Clock: func() time.Duration { return time.Since(w.began) + time.Hour },
 		Log: logrus.NewEntry(log), Scope: tally.NewTestScope("", nil),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -53,6 +53,7 @@
 	for _, after := range helloAgain {
 		pause.For(ctx, after)
 		x.hello()
+		x.askSomeCrashes()
 	}
 	for ctx.Err() == nil {
 		_, known := x.Instances()
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -343,7 +343,9 @@
 	x.mu.Unlock()
 	for _, id := range lost {
 		x.forget(id)
+		x.Crashes.Forget(id)
 	}
+	x.askCrashes(came)
 	x.metrics.suspected.Inc(int64(len(lost)))
 }
 
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/platform"
 )
@@ -26,6 +27,7 @@
 	service  string
 	rank     int
 	askedAt  time.Time // when the owners of engines were asked last
+	identity crashers.Request
 
 	body       []byte
 	rest       io.Reader // what of the body is not in memory; nil when all is
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -24,12 +24,13 @@
 type messageKind int
 
 const (
-	attemptSent   messageKind = iota // it is connected and being sent
-	attemptEvent                     // an event came
-	attemptDone                      // the answer ended properly
-	attemptFailed                    // it ended otherwise
-	attemptProbed                    // its engine was asked whether it is alive
-	attemptCopied                    // its engine was asked for a copy of its memory
+	attemptSent    messageKind = iota // it is connected and being sent
+	attemptEvent                      // an event came
+	attemptDone                       // the answer ended properly
+	attemptFailed                     // it ended otherwise
+	attemptProbed                     // its engine was asked whether it is alive
+	attemptCopied                     // its engine was asked for a copy of its memory
+	sessionStopped                    // its request ends the engines that run it
 )
 
 // message is what an attempt reports to its session.
@@ -78,6 +79,10 @@
 	// included; 0 where that is not known, and began when it was sent.
 	reading int
 	sentAt  time.Time
+	// headAt, eventAt and reused belong to the goroutine of the attempt: when its answer began and its first event came, and
+	// whether its connection had served another request.
+	headAt, eventAt time.Time
+	reused          bool
 }
 
 // launch sends the request to an engine. from is a copy of the run's memory there; the zero holder
@@ -160,6 +165,7 @@
 		conn.Keep()
 		return a.noRoom()
 	}
+	a.reused = conn.Reused()
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
 	if err != nil {
@@ -177,9 +183,9 @@
 		return message{kind: attemptFailed, failure: generation.Broken, err: errUnsigned}
 	}
 	a.header = platform.ToClient(x.Header())
-	headAt := time.Now()
+	a.headAt = time.Now()
 	m := a.relay(ctx, x)
-	m.headAt = headAt
+	m.headAt = a.headAt
 	return m
 }
 
@@ -196,6 +202,7 @@
 	if ctx.Err() == nil {
 		a.session.f.Placement.Failed(a.endpoint.ID)
 		a.session.f.Placement.Outcome(a.endpoint.ID, false)
+		a.session.f.blame(a.session.req, loss{endpoint: &a.endpoint, sentAt: a.sentAt, headAt: a.headAt, eventAt: a.eventAt, reused: a.reused})
 	}
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
@@ -229,6 +236,9 @@
 		if err != nil {
 			return a.lost(ctx, err)
 		}
+		if a.eventAt.IsZero() {
+			a.eventAt = time.Now()
+		}
 		a.tell(ctx, message{kind: attemptEvent, block: e.block, id: e.id, numbered: e.numbered})
 	}
 }
--- a/gateway/forward/content.go
+++ b/gateway/forward/content.go
@@ -6,15 +6,18 @@
 	"encoding/hex"
 	"hash"
 	"io"
+
+	"github.com/agateway/agateway/core/crashers"
 )
 
-// contentSize is the length of the name of a request's content, in bytes. Two that differ share one by chance only.
-const contentSize = 16
+// identify names a request by its team and by what it asks for: method, host, path with query, and body. A caller that asks
+// again for the same, at whatever instance, brings the same one. Of a body that is not all in memory, the part that is and
+// the stated length count.
+func (req *request) identify() {
+	req.identity = crashers.Request{Team: req.teamName(), Content: req.content()}
+}
 
-// content names what a request asks for: team, method, host, path with query, and body. A caller that asks again for the
-// same, at whatever instance, brings the same one. Of a body that is not all in memory, the part that is and the stated
-// length count.
-func (req *request) content() (c [contentSize]byte) {
+func (req *request) content() (c crashers.Content) {
 	h := sha256.New()
 	for _, part := range []string{req.teamName(), req.http.Method, req.http.Host, req.http.RequestURI} {
 		writePart(h, part)
@@ -37,6 +40,5 @@
 
 // contentText returns the content for a log line.
 func (req *request) contentText() string {
-	c := req.content()
-	return hex.EncodeToString(c[:])
+	return hex.EncodeToString(req.identity.Content[:])
 }
--- /dev/null
+++ b/gateway/forward/crashes.go
@@ -0,0 +1,268 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/upstream"
+)
+
+// Crashes is what is known of requests that end the endpoints that run them.
+type Crashes interface {
+	// Known tells whether anything is held against any request.
+	Known() bool
+	// Verdict returns what may be done with a request, and for how long it is stopped.
+	Verdict(crashers.Request) (crashers.Verdict, time.Duration)
+	// Ended reports that an endpoint ended under a request, Served that one served it.
+	Ended(req crashers.Request, end crashers.End, inputs logrus.Fields)
+	Served(crashers.Request)
+	// Try asks for the trial of a request, which is out until Tried. by is who asks.
+	Try(req crashers.Request, by any) bool
+	Tried(req crashers.Request, by any)
+}
+
+// noCrashes holds nothing against any request.
+type noCrashes struct{}
+
+func (noCrashes) Known() bool                                                { return false }
+func (noCrashes) Verdict(crashers.Request) (crashers.Verdict, time.Duration) { return crashers.Free, 0 }
+func (noCrashes) Ended(crashers.Request, crashers.End, logrus.Fields)        {}
+func (noCrashes) Served(crashers.Request)                                    {}
+func (noCrashes) Try(crashers.Request, any) bool                             { return true }
+func (noCrashes) Tried(crashers.Request, any)                                {}
+
+const (
+	// begunWithin is how long after an answer has begun, and before its first event, the end of its endpoint says much about its
+	// request. A usual stream is in that state for some tens of milliseconds.
+	begunWithin = 500 * time.Millisecond
+	// servedAfter is how long a stream has to run for its request to be cleared.
+	servedAfter = time.Second
+	// atOnce is how soon after it was sent a request is lost on a connection whose endpoint had ended before.
+	atOnce = 20 * time.Millisecond
+	// unsureFor is how long the others' news of failures is awaited before an end is held against a request that may not
+	// have begun to run.
+	unsureFor = time.Second
+	// unsureMost bounds the ends for which that is awaited at a time.
+	unsureMost = 64
+)
+
+// verdict returns what may be done with a request.
+func (f *Forwarder) verdict(req *request) (crashers.Verdict, time.Duration) {
+	if !f.Crashes.Known() {
+		return crashers.Free, 0
+	}
+	return f.Crashes.Verdict(req.identity)
+}
+
+// refuseStopped refuses a request that ends the endpoints that run it, and says when it may be tried again.
+func (f *Forwarder) refuseStopped(req *request) *refusal {
+	v, left := f.verdict(req)
+	if v != crashers.Stopped {
+		return nil
+	}
+	f.metrics.stoppedRefused.Inc(1)
+	return refuse(http.StatusServiceUnavailable, whyStopped, max(left, soonLeast)).with(logrus.Fields{"content": req.contentText()})
+}
+
+const whyStopped = "the request ends the endpoints that run it"
+
+// served clears a request.
+func (f *Forwarder) served(req *request) {
+	if f.Crashes.Known() {
+		f.Crashes.Served(req.identity)
+	}
+}
+
+// loss is how far an endpoint was with a request that it lost.
+type loss struct {
+	endpoint *routing.Endpoint
+	// sentAt and headAt are when the request was sent and when its answer began, eventAt when its first event came; zero
+	// where they did not.
+	sentAt, headAt, eventAt time.Time
+	reused                  bool // the connection had served another request
+}
+
+// sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
+func (l *loss) sign(at time.Time) crashers.Sign {
+	switch {
+	case !l.eventAt.IsZero() && at.Sub(l.eventAt) >= servedAfter:
+		return 0
+	case !l.headAt.IsZero() && l.eventAt.IsZero() && at.Sub(l.headAt) <= begunWithin:
+		return crashers.Begun
+	case l.reused && at.Sub(l.sentAt) <= atOnce:
+		return 0
+	}
+	return crashers.Present
+}
+
+// blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, it
+// is done when blame returns, so that the request is not sent to another one before.
+func (f *Forwarder) blame(req *request, l loss) {
+	at := time.Now()
+	sign := l.sign(at)
+	if sign == 0 {
+		return
+	}
+	end := crashers.End{Endpoint: l.endpoint.ID, Sign: sign, Sent: l.sentAt, At: at}
+	if sign == crashers.Begun {
+		if f.hasEnded(l.endpoint) {
+			f.Crashes.Ended(req.identity, end, nil)
+		}
+		return
+	}
+	id := req.identity
+	if f.unsure.Add(1) > unsureMost {
+		f.unsure.Add(-1)
+		return
+	}
+	go func() {
+		defer f.unsure.Add(-1)
+		f.blameLater(id, l.endpoint, end)
+	}()
+}
+
+// blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
+// data centre failing.
+func (f *Forwarder) blameLater(id crashers.Request, e *routing.Endpoint, end crashers.End) {
+	if !f.hasEnded(e) {
+		return
+	}
+	pause.For(context.Background(), unsureFor)
+	failing, all := f.Placement.Nearby(e.ID)
+	if 2*failing >= all && failing > 1 {
+		return
+	}
+	f.Crashes.Ended(id, end, logrus.Fields{"failing_nearby": failing, "endpoints_nearby": all})
+}
+
+// hasEnded tells whether the process of an endpoint is gone that was not told to leave: its machine refuses connections.
+func (f *Forwarder) hasEnded(e *routing.Endpoint) bool {
+	if known, ok := f.Placement.Get(e.ID); !ok || known.State == routing.Leaving {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Settings.Probe)
+	defer cancel()
+	for range dials {
+		conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
+		if err != nil {
+			return errorx.IsOfType(err, upstream.ErrGone)
+		}
+		closed := conn.Closed(dying)
+		conn.Discard()
+		if !closed {
+			return false
+		}
+	}
+	return false
+}
+
+const (
+	// dying is how long a process that ends may still accept connections, which end with it.
+	dying = 25 * time.Millisecond
+	// dials bounds the connections made to find out: an endpoint that has too many closes new ones as well.
+	dials = 3
+)
+
+// mayStart tells whether a session may send its request to another engine; if not, the machine was told.
+func (s *session) mayStart(now time.Time, attempt int) bool {
+	v, left := s.f.verdict(s.req)
+	switch {
+	case v == crashers.Stopped:
+		s.machine.Failed(now, attempt, generation.Stopped, left)
+		return false
+	case v == crashers.Careful && !s.f.Crashes.Try(s.req.identity, s):
+		s.machine.Failed(now, attempt, generation.NoEndpoint, 0)
+		return false
+	}
+	s.careful = v == crashers.Careful
+	return true
+}
+
+// tried ends the session's trial, if it has one.
+func (s *session) tried() {
+	if s.careful {
+		s.careful = false
+		s.f.Crashes.Tried(s.req.identity, s)
+	}
+}
+
+// servedSoFar clears the request once its stream has run for a while.
+func (s *session) servedSoFar(now time.Time) {
+	if !s.served && s.relayed > 0 && now.Sub(s.firstAt) >= servedAfter {
+		s.served = true
+		s.f.served(s.req)
+		s.tried()
+	}
+}
+
+// endStreams ends the streams of a request that was stopped, at whatever engine they are: another instance may have seen that
+// it ends them.
+func (f *Forwarder) endStreams(stopped crashers.Request) {
+	f.sessionsMu.Lock()
+	var all []*session
+	for s := range f.sessions {
+		if s.req.identity == stopped {
+			all = append(all, s)
+		}
+	}
+	f.sessionsMu.Unlock()
+	for _, s := range all {
+		select {
+		case s.messages <- message{kind: sessionStopped}:
+		case <-s.ctx.Done():
+		case <-s.done:
+		}
+	}
+}
+
+// Stopped takes that a request was stopped, here or by another instance.
+func (f *Forwarder) Stopped(req crashers.Request) { go f.endStreams(req) }
+
+// mayTry tells whether a plain request may be sent to another endpoint; if not, it says why. It waits while another instance tries
+// the request, for as long as for an endpoint with room.
+func (p *plain) mayTry(ctx context.Context) *refusal {
+	for until := p.waitUntil(); ; {
+		if refused := p.f.refuseStopped(p.req); refused != nil {
+			return refused
+		}
+		v, _ := p.f.verdict(p.req)
+		p.careful = v == crashers.Careful
+		if !p.careful || p.f.Crashes.Try(p.req.identity, p) {
+			return nil
+		}
+		if !time.Now().Add(waitStep).Before(until) || !pause.For(ctx, waitStep) {
+			p.careful = false
+			return refuse(http.StatusServiceUnavailable, "the request is being tried, since endpoints ended under it", whenRoom(0))
+		}
+	}
+}
+
+// tried ends the trial of a plain request, if it is one.
+func (p *plain) tried() {
+	if p.careful {
+		p.careful = false
+		p.f.Crashes.Tried(p.req.identity, p)
+	}
+}
+
+// enter and exit keep the sessions that are in progress.
+func (f *Forwarder) enter(s *session) {
+	f.sessionsMu.Lock()
+	defer f.sessionsMu.Unlock()
+	f.sessions[s] = true
+}
+
+func (f *Forwarder) exit(s *session) {
+	f.sessionsMu.Lock()
+	defer f.sessionsMu.Unlock()
+	delete(f.sessions, s)
+	close(s.done)
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -97,6 +97,8 @@
 	Pool      *upstream.Pool
 	// Others are the other instances; nil for none.
 	Others Others
+	// Crashes is what is known of requests that end endpoints; nil for nothing.
+	Crashes Crashes
 	// Clock also runs while the machine is suspended.
 	Clock clock.Now
 	// Ended is called with the id of an endpoint whose address answered for another one.
@@ -122,6 +124,10 @@
 
 	mu       sync.Mutex
 	draining time.Time // since when; zero when not
+
+	sessionsMu sync.Mutex
+	sessions   map[*session]bool
+	unsure     atomic.Int64 // ends of which it is not known yet whether they count
 }
 
 // New returns a forwarder.
@@ -132,7 +138,12 @@
 	if o.Others == nil {
 		o.Others = alone{}
 	}
-	return &Forwarder{Options: o, began: time.Now(), budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope)}
+	if o.Crashes == nil {
+		o.Crashes = noCrashes{}
+	}
+	return &Forwarder{
+		Options: o, began: time.Now(), budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope), sessions: map[*session]bool{},
+	}
 }
 
 // FirstLook records that both a configuration and the list of endpoints are known for the first time.
@@ -190,6 +201,11 @@
 		f.answerRefusal(w, req, refused)
 		return
 	}
+	req.identify()
+	if refused := f.refuseStopped(req); refused != nil {
+		f.answerRefusal(w, req, refused)
+		return
+	}
 	f.budgets.request(req.service)
 	if req.route.Stream && req.route.Repeat == route.Resumable && req.replayable {
 		f.serveSession(ctx, w, req)
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -14,6 +14,7 @@
 	repeatsRefused                     tally.Counter
 	silences, moved, movedByCopy       tally.Counter
 	recovered, brokenOff, callerLeft   tally.Counter
+	stoppedRefused                     tally.Counter
 	firstEvent, plainAnswer, eventMove tally.Histogram
 	// The parts of a return: from the start of the process to the first look at the store and to the first stream
 	// placed, the search for a prompt, and from the arrival of a caller who goes on with a stream to its next event.
@@ -31,7 +32,7 @@
 		retries: s.Counter("requests_sent_again_total"), repeatsRefused: s.Counter("requests_not_sent_again_total"), silences: s.Counter("streams_silent_total"),
 		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
-		callerLeft: s.Counter("callers_left_total"),
+		callerLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		eventMove:  s.Histogram("stream_move_seconds", latency),
 		startKnown: s.Histogram("start_to_known_seconds", latency), startPlaced: s.Histogram("start_to_first_stream_seconds", latency),
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -28,6 +28,8 @@
 	avoid []string
 	// last is an endpoint's own failure, passed on when no other endpoint does better.
 	last *answer
+	// careful tells that the request is tried, since endpoints ended under it.
+	careful bool
 }
 
 // answer is an endpoint's whole answer, or its head with the beginning of the body.
@@ -36,6 +38,7 @@
 	header http.Header
 	body   []byte
 	rest   *upstream.Exchange // what is not read yet; nil when the answer is whole
+	loss   loss               // what it would be if the rest were lost
 }
 
 // outcome is how one try ended.
@@ -67,14 +70,22 @@
 		if refused := p.f.stillAllowed(p.req); refused != nil {
 			return p.final(refused)
 		}
+		if refused := p.mayTry(ctx); refused != nil {
+			return p.final(refused)
+		}
 		e, refused := p.pick(ctx)
 		if refused != nil {
+			p.tried()
 			return p.final(refused)
 		}
 		hop, span := p.f.hop(ctx, e)
 		a, how, err := p.try(hop, e)
 		endHop(span, err)
 		p.f.logTry(p.req, e, how, a, err)
+		if how == answered && a.rest == nil {
+			p.f.served(p.req) // also where the endpoint failed it: it is still there
+		}
+		p.tried()
 		if how == answered && !p.worthAnother(a) {
 			p.deliver(a)
 			return nil
@@ -151,14 +162,18 @@
 	waitMost  = time.Second
 )
 
-// pick chooses an endpoint, and waits for a short while when all are full.
-func (p *plain) pick(ctx context.Context) (*routing.Endpoint, *refusal) {
+// waitUntil returns until when the request may wait for an endpoint.
+func (p *plain) waitUntil() time.Time {
 	most := waitMost
 	if aim := p.req.route.Aim; aim > 0 {
 		most = min(most, aim/waitParts)
 	}
-	until := p.req.arrived.Add(most)
-	for {
+	return p.req.arrived.Add(most)
+}
+
+// pick chooses an endpoint, and waits for a short while when all are full.
+func (p *plain) pick(ctx context.Context) (*routing.Endpoint, *refusal) {
+	for until := p.waitUntil(); ; {
 		d, err := p.f.Placement.Pick(&routing.Request{
 			Service: p.req.service, DataCentre: p.f.Settings.DataCentre, Avoid: p.avoid, Key: p.req.ID, Weights: p.f.Settings.plainWeights(),
 		})
@@ -189,14 +204,16 @@
 	}
 	p.sent++
 	p.runs++
+	l := loss{endpoint: e, sentAt: time.Now(), reused: conn.Reused()}
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
 	x, err := conn.Do(ctx, req.outgoing(&platform.Send{
 		Endpoint: e.CalledBy(), Left: req.left(time.Now()), Team: req.teamName(), Rank: -1,
 	}), req.mine)
 	if err != nil {
-		return nil, p.lost(ctx, e, err), err
+		return nil, p.lost(ctx, l, err), err
 	}
+	l.headAt = time.Now()
 	told := platform.ReadAnswer(x.Status(), x.Header())
 	f.learn(e.ID, &told)
 	if told.NotRun {
@@ -210,8 +227,11 @@
 		return nil, unknown, errUnsigned
 	}
 	a, err := p.receive(x)
+	if a != nil {
+		a.loss = l
+	}
 	if err != nil {
-		return nil, p.lost(ctx, e, err), err
+		return nil, p.lost(ctx, l, err), err
 	}
 	f.Placement.Succeeded(e.ID)
 	f.Placement.Outcome(e.ID, a.status < http.StatusInternalServerError)
@@ -221,14 +241,17 @@
 var errUnsigned = errors.New("the answer is not signed by an endpoint")
 
 // lost classifies a request whose answer did not arrive.
-func (p *plain) lost(ctx context.Context, e *routing.Endpoint, err error) outcome {
+func (p *plain) lost(ctx context.Context, l loss, err error) outcome {
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		p.runs--
 		return notRun
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) { // the endpoint's doing, not the caller's
-		p.f.Placement.Lost(e.ID)
-		p.f.Placement.Outcome(e.ID, false)
+		p.f.Placement.Lost(l.endpoint.ID)
+		p.f.Placement.Outcome(l.endpoint.ID, false)
+	}
+	if ctx.Err() == nil {
+		p.f.blame(p.req, l)
 	}
 	return unknown
 }
@@ -269,33 +292,41 @@
 	if a.rest == nil {
 		return
 	}
-	if err := relay(p.w, a.rest); err != nil {
+	if n, err := relay(p.w, a.rest); err != nil {
 		a.rest.Abort()
+		if n > 0 {
+			a.loss.eventAt = a.loss.headAt
+		}
+		if p.req.http.Context().Err() == nil {
+			p.f.blame(p.req, a.loss)
+		}
 		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
 		panic(http.ErrAbortHandler)
 	}
+	p.f.served(p.req)
 	a.rest.Finish()
 }
 
-// relay copies a body piece by piece, each at once.
-func relay(w http.ResponseWriter, from io.Reader) error {
+// relay copies a body piece by piece, each at once. It returns how much of it came.
+func relay(w http.ResponseWriter, from io.Reader) (int, error) {
 	control := http.NewResponseController(w)
 	buf := make([]byte, 8<<10)
-	for {
+	for total := 0; ; {
 		n, err := from.Read(buf)
+		total += n
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				return err
+				return total, err
 			}
 			if err := control.Flush(); err != nil {
-				return err
+				return total, err
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return total, nil
 		}
 		if err != nil {
-			return err
+			return total, err
 		}
 	}
 }
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -32,6 +32,9 @@
 		s.machine.Probed(now, m.attempt, m.alive, m.events)
 	case attemptCopied:
 		s.copied(now, m)
+	case sessionStopped:
+		_, left := s.f.verdict(s.req)
+		s.machine.Stop(now, left)
 	}
 }
 
@@ -86,6 +89,7 @@
 	s.wentOn(now, m)
 	s.paced(now)
 	s.relayed++
+	s.servedSoFar(now)
 	s.lastEvent = strconv.FormatUint(m.id, 10)
 	if _, err := s.w.Write(m.block); err != nil {
 		s.machine.Abort(now)
@@ -99,7 +103,7 @@
 // paced records the pause before an event.
 func (s *session) paced(now time.Time) {
 	if s.relayed == 0 {
-		s.firstAfter = now.Sub(s.req.arrived)
+		s.firstAfter, s.firstAt = now.Sub(s.req.arrived), now
 	} else {
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
@@ -149,6 +153,7 @@
 		s.restoreCopy(a.from) // it was not sent
 	}
 	s.lost(now)
+	s.tried()
 	inputs := logrus.Fields{
 		"attempt": m.attempt, "endpoint": m.endpoint, "error": errorText(m.err), "not_run": m.failure == generation.Refused, "events": s.relayed,
 	}
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -44,7 +44,12 @@
 	// firstAfter is how long the first event took, lastAt when the last one came, and longest the
 	// longest pause between two.
 	firstAfter, longest time.Duration
-	lastAt              time.Time
+	firstAt, lastAt     time.Time
+	// careful tells that the session tries a request under which endpoints ended, served that it was served for long enough to be
+	// cleared.
+	careful, served bool
+	// done is closed when the session has ended.
+	done chan struct{}
 }
 
 // waitForEngine is how long a stream that was begun waits when no engine has room to go on.
@@ -58,7 +63,7 @@
 	f.metrics.accepted.Inc(1)
 	s := &session{
 		f: f, req: req, w: w, ctx: ctx, lastEvent: req.LastEvent,
-		messages: make(chan message, messagesAhead), attempts: map[int]*attempt{},
+		messages: make(chan message, messagesAhead), attempts: map[int]*attempt{}, done: make(chan struct{}),
 	}
 	s.copies = copies.New(s.copySettings())
 	if req.LastEvent != "" {
@@ -73,6 +78,7 @@
 		deadline = now.Add(deadlineUnset)
 	}
 	s.machine = generation.New(s.config(), generation.Origin{}, true, req.PromptTokens, now, deadline)
+	f.enter(s)
 	defer s.close()
 	s.run()
 }
@@ -168,8 +174,12 @@
 		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, refused.retryAfter)
 		return
 	}
+	if !s.mayStart(now, a.Attempt) {
+		return
+	}
 	e, from, cached, err := s.choose(a)
 	if err != nil {
+		s.tried()
 		s.f.Log.Decision(s.req.ID, "no engine", logrus.Fields{"error": err.Error(), "avoided": len(a.Avoid)})
 		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, 0)
 		return
@@ -191,6 +201,9 @@
 	s.f.askOwners(s.ctx, s.req)
 	r := s.request()
 	r.Avoid, r.Recovery = a.Avoid, s.mayHaveRun()
+	if s.careful {
+		r.Weights = carefulWeights()
+	}
 	d, err := s.f.Placement.Pick(r)
 	if err != nil {
 		return nil, copies.Holder{}, false, err
@@ -216,6 +229,9 @@
 	return s.without(routing.Weights{Cache: 2, Remote: 0.02, Unread: 1, Running: 0.5, Memory: 0.3, Health: 1.5, Pace: 1})
 }
 
+// carefulWeights ranks engines for a request that may end them: those with few others lose least.
+func carefulWeights() routing.Weights { return routing.Weights{Load: 1, Running: 1, Unread: 1} }
+
 // without leaves out the weights of mechanisms that are switched off.
 func (s *Settings) without(w routing.Weights) routing.Weights {
 	if s.Without.Health {
@@ -255,6 +271,7 @@
 		s.begin(s.current())
 	}
 	s.freeCopy()
+	s.f.served(s.req)
 	s.f.metrics.answered.Inc(1)
 	s.f.Log.Decision(s.req.ID, "answered", logrus.Fields{
 		"events": s.relayed, "attempts": len(s.attempts), "took_ms": time.Since(s.req.arrived).Milliseconds(),
@@ -286,6 +303,10 @@
 func (s *session) refusal(a generation.Fail) *refusal {
 	inputs := logrus.Fields{"code": string(a.Code), "attempts": len(s.attempts)}
 	switch {
+	case a.Code == generation.CodeStopped && !s.mayHaveRun():
+		return refuse(http.StatusServiceUnavailable, whyStopped, a.RetryAfter).with(inputs)
+	case a.Code == generation.CodeStopped:
+		return refuse(http.StatusBadGateway, whyStopped, 0).with(inputs)
 	case !s.mayHaveRun():
 		return refuse(http.StatusServiceUnavailable, "no engine took the request", whenRoom(a.RetryAfter)).with(inputs)
 	case a.Code == generation.CodeDeadline:
@@ -296,6 +317,8 @@
 
 // close ends what is left of the attempts.
 func (s *session) close() {
+	s.f.exit(s)
+	s.tried()
 	for _, a := range s.attempts {
 		a.cancel()
 	}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -19,11 +19,13 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/decisions"
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/follow"
@@ -61,6 +63,7 @@
 	pool          *upstream.Pool
 	forwarder     *forward.Forwarder
 	exchange      *exchange.Exchange
+	crashes       *crashes.Register
 	mirror        *follow.Mirror
 	relay         *relay.Relay
 
@@ -102,7 +105,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	for _, run := range []func(context.Context){f.exchange.Run, f.follow, f.decisions.Run, f.sweep} {
+	for _, run := range []func(context.Context){f.exchange.Run, f.crashes.Run, f.follow, f.decisions.Run, f.sweep} {
 		f.work.Go(func() { run(ctx) })
 	}
 	t.Log.WithField("callers", s.Listen.Callers).WithField("store", s.Store.Address).Info("started")
@@ -168,12 +171,20 @@
 	following := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(following, f.reconfigured)
 	f.endpoints = follow.NewEndpoints(following, f.knownService, f.placement.InUse, f.listed)
+	f.crashes = crashes.New(crashes.Options{
+		Settings: crashers.DefaultSettings(), Self: s.Instance.ID, Store: f.store,
+		Met:       func() <-chan struct{} { return f.exchange.Met() },
+		Instances: func() (int, int) { return f.exchange.Instances() },
+		Tell:      func(facts []crashers.Fact, complete bool) { f.exchange.TellCrashes(facts, complete) },
+		Stopped:   func(r crashers.Request) { f.forwarder.Stopped(r) },
+		Log:       t.Log, Scope: t.Scope,
+	})
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 			Link: int(s.Process.Link),
 		},
-		Conn: l.peers, Store: f.store, Ready: f.ready, Access: f.access, Endpoints: &shared{f}, Uses: f.uses, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
+		Conn: l.peers, Store: f.store, Ready: f.ready, Access: f.access, Endpoints: &shared{f}, Crashes: f.crashes, Uses: f.uses, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
 	f.relay = relay.New(relay.Options{
 		Settings: f.sourceSettings(), Store: f.store, Mirror: f.mirror, Others: f.exchange.Others,
@@ -186,7 +197,7 @@
 			SilenceFloor: s.Streams.Silence, FirstEvent: s.Streams.FirstEvent, Probe: s.Streams.Probe, Connect: s.Streams.Connect,
 			Without: without(&s.Mechanisms),
 		},
-		Configuration: f.configuration, Known: f.known, Placement: f.placement, Pool: f.pool, Others: f.others(), Clock: f.env.Clock,
+		Configuration: f.configuration, Known: f.known, Placement: f.placement, Pool: f.pool, Others: f.others(), Crashes: f.held(), Clock: f.env.Clock,
 		Ended: f.endpoints.Ended, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
 	})
 }
--- a/gateway/front/shared.go
+++ b/gateway/front/shared.go
@@ -57,3 +57,11 @@
 
 // Ask implements [forward.Others].
 func (u *unasked) Ask(context.Context, uint64, []string) {}
+
+// held returns what is held against requests, as forwarding sees it; nil where that mechanism is switched off.
+func (f *Front) held() forward.Crashes {
+	if !f.settings.Mechanisms.Crashes {
+		return nil
+	}
+	return f.crashes
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -252,6 +252,13 @@
 	return p.view.Usable(time.Now(), id)
 }
 
+// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed a short while ago.
+func (p *Placement) Nearby(id string) (failing, all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Nearby(time.Now(), id)
+}
+
 // List returns all endpoints with what is believed of them.
 func (p *Placement) List() []routing.Status {
 	p.mu.Lock()
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -15,6 +17,8 @@
 	namespace = errorx.NewNamespace("upstream")
 	// ErrNotSent: no byte of the request left, so it has not run.
 	ErrNotSent = namespace.NewType("not_sent", errorx.Temporary())
+	// ErrGone: nothing listens at the endpoint's address, though its machine answers.
+	ErrGone = ErrNotSent.NewSubtype("gone")
 	// ErrLost: the request may have been received, and there is no whole answer.
 	ErrLost = namespace.NewType("lost")
 	// ErrBusy: all connections that this instance may have to the endpoint are in use.
@@ -103,6 +107,9 @@
 	raw, err := p.dial(ctx, "tcp", t.Address)
 	if err != nil {
 		p.release(t.ID)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, ErrGone.Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
+		}
 		return nil, ErrNotSent.Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
 	}
 	return &Conn{Conn: raw, pool: p, target: t, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
@@ -195,5 +202,13 @@
 // Keep returns a connection on which nothing was sent.
 func (c *Conn) Keep() { c.pool.keep(c, 0) }
 
+// Closed tells whether the endpoint closes a connection on which nothing was sent, within a time.
+func (c *Conn) Closed(within time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	_, err := c.reader.Peek(1)
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // Reused tells that the connection served a request before.
 func (c *Conn) Reused() bool { return c.reused }
