Stopped requests: bystanders, plain services, popular requests, loss of all, trials, many of one team

An end now says nothing about a request where another one was at more engines that ended, or was stopped; failures of a data centre are counted at the moment of the end, not as they stand later; a request that lost a second engine waits until that is judged.

--- a/core/crashers/bounds.go
+++ b/core/crashers/bounds.go
@@ -27,7 +27,7 @@
 // expire drops what does not count any more.
 func (r *Register) expire(now time.Time) {
 	for req, e := range r.entries {
-		if now.Sub(e.last()) >= r.set.Keep {
+		if now.Sub(e.last()) >= r.set.Keep && !e.tried(now, "", false) {
 			r.drop(req)
 		}
 	}
@@ -87,13 +87,26 @@
 func (r *Register) compare(now time.Time, a, b Request) int {
 	x, y := r.entries[a], r.entries[b]
 	return cmp.Or(
-		cmp.Compare(r.Verdict(now, a), r.Verdict(now, b)),
+		cmp.Compare(x.rank(now), y.rank(now)),
 		cmp.Compare(len(x.ends), len(y.ends)),
 		x.last().Compare(y.last()),
 		slices.Compare(a.Content[:], b.Content[:]),
 	)
 }
 
+// rank is how much is known against a request: nothing, some ends, that it was stopped, that it is.
+func (e *entry) rank(now time.Time) int {
+	switch {
+	case now.Before(e.stop.Until):
+		return 3
+	case e.stop.Times > 0:
+		return 2
+	case len(e.ends) > 0:
+		return 1
+	}
+	return 0
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -1,6 +1,7 @@
 package crashers
 
 import (
+	"slices"
 	"time"
 )
 
@@ -69,8 +70,9 @@
 	TrialMost time.Duration
 	// PerTeam and Most bound the requests in a register.
 	PerTeam, Most int
-	// TeamStops is how many stopped requests of a team make one end enough for its next one.
-	TeamStops int
+	// Harmful is how many requests of a team that are stopped, or had begun where an endpoint ended, make each other one of it be
+	// handled with care, one of the team at a time, and one end at which it had begun enough to stop it.
+	Harmful int
 }
 
 // DefaultSettings returns the usual settings.
@@ -78,7 +80,7 @@
 	return Settings{
 		Ends: 3, Moment: 300 * time.Millisecond, Keep: time.Hour,
 		StopFirst: 10 * time.Minute, StopMost: 4 * time.Hour, TrialMost: 30 * time.Second,
-		PerTeam: 64, Most: 1024, TeamStops: 4,
+		PerTeam: 64, Most: 1024, Harmful: 4,
 	}
 }
 
@@ -86,8 +88,8 @@
 type Register struct {
 	set     Settings
 	entries map[Request]*entry
-	// ended is who was blamed for the end of an endpoint: the requests that had begun there.
-	ended map[string]*blame
+	// ended are the endpoints that ended, each with the requests that were there.
+	ended map[string]*ended
 	teams map[string]int // entries by team
 }
 
@@ -109,15 +111,15 @@
 	Stored bool
 }
 
-// blame is the end of an endpoint at which requests had begun.
-type blame struct {
-	at    time.Time
-	begun map[Request]bool
+// ended is an endpoint that ended.
+type ended struct {
+	at  time.Time
+	had map[Request]bool
 }
 
 // New returns an empty register.
 func New(s Settings) *Register {
-	return &Register{set: s, entries: map[Request]*entry{}, ended: map[string]*blame{}, teams: map[string]int{}}
+	return &Register{set: s, entries: map[Request]*entry{}, ended: map[string]*ended{}, teams: map[string]int{}}
 }
 
 // Len returns how many requests the register holds, and how many of them are stopped.
@@ -146,9 +148,7 @@
 	if e == nil || !end.At.After(e.cleared) {
 		return
 	}
-	if end.Sign == Begun {
-		r.blame(req, end)
-	}
+	r.had(req, &end)
 	for i := range e.ends {
 		if e.ends[i].Endpoint == end.Endpoint {
 			e.ends[i].Sign = max(e.ends[i].Sign, end.Sign)
@@ -164,13 +164,12 @@
 // endsKept times the ends that stop a request are remembered of it.
 const endsKept = 4
 
-func (r *Register) blame(req Request, end End) {
-	b := r.ended[end.Endpoint]
-	if b == nil {
-		b = &blame{at: end.At, begun: map[Request]bool{}}
-		r.ended[end.Endpoint] = b
+// had notes that an endpoint had a request when it ended.
+func (r *Register) had(req Request, end *End) {
+	if r.ended[end.Endpoint] == nil {
+		r.ended[end.Endpoint] = &ended{at: end.At, had: map[Request]bool{}}
 	}
-	b.begun[req] = true
+	r.ended[end.Endpoint].had[req] = true
 }
 
 // decide stops a request under which enough endpoints have ended, and tells whether it is stopped.
@@ -208,12 +207,17 @@
 		need, since = 1, latest(e.stop.Until, e.cleared)
 	}
 	all, begun := r.occasions(now, req, e, since)
-	if begun > 0 && r.stoppedOf(now, req.Team) >= r.set.TeamStops {
+	if begun > 0 && r.watched(now, req.Team) {
 		return 0
 	}
 	return max(need-all, 0)
 }
 
+// watched tells whether a team sends so many requests that end endpoints that its next one is likely to do the same.
+func (r *Register) watched(now time.Time, team string) bool {
+	return r.harmfulOf(now, team) >= r.set.Harmful
+}
+
 // occasions counts the moments at which endpoints ended under a request, and the endpoints at which it had begun.
 func (r *Register) occasions(now time.Time, req Request, e *entry, since time.Time) (all, begun int) {
 	var last time.Time
@@ -231,34 +235,64 @@
 	return all, begun
 }
 
-// counts tells whether an end says anything about a request: it does not where only others had begun there.
+// counts tells whether an end says anything about a request: it does not where another one is a better reason for it.
 func (r *Register) counts(req Request, end *End) bool {
-	b := r.ended[end.Endpoint]
-	return end.Sign == Begun || b == nil || b.begun[req]
+	if end.Sign == Begun {
+		return true
+	}
+	mine := len(r.entries[req].ends)
+	for other := range r.ended[end.Endpoint].had {
+		e := r.entries[other]
+		if other == req || e == nil {
+			continue
+		}
+		sign := e.signAt(end.Endpoint)
+		if sign == Begun || sign == Present && (e.stop.Times > 0 || len(e.ends) > mine) {
+			return false
+		}
+	}
+	return true
+}
+
+// signAt returns how far an endpoint was with the request when it ended; 0 where that is not held against it.
+func (e *entry) signAt(endpoint string) Sign {
+	for i := range e.ends {
+		if e.ends[i].Endpoint == endpoint {
+			return e.ends[i].Sign
+		}
+	}
+	return 0
 }
 
-// stoppedOf returns how many requests of a team are stopped.
-func (r *Register) stoppedOf(now time.Time, team string) int {
+// harmfulOf returns how many requests of a team are stopped, or had begun at an endpoint that ended and were not served since.
+func (r *Register) harmfulOf(now time.Time, team string) int {
 	n := 0
 	for req, e := range r.entries {
-		if req.Team == team && now.Before(e.stop.Until) {
+		if req.Team == team && (now.Before(e.stop.Until) || e.begunSince(now.Add(-r.set.StopFirst))) {
 			n++
 		}
 	}
 	return n
 }
 
+// begunSince tells whether an endpoint ended at which the request had begun.
+func (e *entry) begunSince(at time.Time) bool {
+	return slices.ContainsFunc(e.ends, func(end End) bool { return end.Sign == Begun && end.At.After(at) })
+}
+
 // Verdict returns what may be done with a request.
 func (r *Register) Verdict(now time.Time, req Request) Verdict {
 	e := r.entries[req]
-	switch {
-	case e == nil:
-		return Free
-	case now.Before(e.stop.Until):
+	if e == nil {
+		e = &entry{}
+	}
+	if now.Before(e.stop.Until) {
 		return Stopped
 	}
 	missing := r.missing(now, req, e)
 	switch {
+	case e.cleared.IsZero() && r.watched(now, req.Team):
+		return Careful
 	case missing <= 1 && (len(e.ends) > 0 || e.stop.Times > 0):
 		return Careful
 	case missing < r.set.Ends:
@@ -315,19 +349,30 @@
 // Try asks for the trial of a request that is to be handled with care. It returns false while another one is
 // tried.
 func (r *Register) Try(now time.Time, req Request, who string) bool {
-	e := r.entries[req]
-	if e == nil {
-		return true
-	}
-	for other, until := range e.trials {
-		if other != who && now.Before(until) {
-			return false
+	watched := r.watched(now, req.Team)
+	for other, e := range r.entries {
+		if other == req || watched && other.Team == req.Team {
+			if e.tried(now, who, other == req) {
+				return false
+			}
 		}
 	}
-	e.try(who, now.Add(r.set.TrialMost))
+	if e := r.entry(now, req); e != nil {
+		e.try(who, now.Add(r.set.TrialMost))
+	}
 	return true
 }
 
+// tried tells whether anybody is trying a request; not counting who asks, where it is the same one.
+func (e *entry) tried(now time.Time, who string, same bool) bool {
+	for by, until := range e.trials {
+		if now.Before(until) && !(same && by == who) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entry) try(who string, until time.Time) {
 	if e.trials == nil {
 		e.trials = map[string]time.Time{}
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -57,6 +57,16 @@
 			{req: mine, end: end("b", Present, 901, 1800)}, {req: other, end: end("b", Begun, 901, 1800)},
 			{req: mine, end: end("c", Present, 1801, 2700)}, {req: other, end: end("c", Begun, 1801, 2700)},
 		}, Free},
+		{"beside one that was at more", []step{
+			{req: other, end: end("x", Present, 0, 500)},
+			{req: mine, end: end("a", Present, 501, 900)}, {req: other, end: end("a", Present, 501, 900)},
+			{req: mine, end: end("b", Present, 901, 1800)}, {req: other, end: end("b", Present, 901, 1800)},
+			{req: mine, end: end("c", Present, 1801, 2700)}, {req: other, end: end("c", Present, 1801, 2700)},
+		}, Free},
+		{"beside one that had begun and was served since", []step{
+			{req: mine, end: end("a", Present, 0, 900)}, {req: other, end: end("a", Begun, 0, 900)}, {req: other, clear: true, end: End{At: at(1000)}},
+			{req: mine, end: end("b", Present, 1001, 1800)}, {req: mine, end: end("c", Present, 1801, 2700)},
+		}, Stopped},
 		{"two that had both begun", []step{
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: other, end: end("a", Begun, 0, 900)},
 		}, Suspect},
@@ -124,6 +134,36 @@
 	assert.Assert(t, r.Try(at(1200), req, "f2"))
 }
 
+// TestWatchedTeams: where a team has several requests that end endpoints, what it has not been served yet is tried one at a time, at one
+// instance; what it was served, and other teams, are not touched.
+func TestWatchedTeams(t *testing.T) {
+	set := DefaultSettings()
+	r := New(set)
+	served := request("desk", 100)
+	r.Ended(at(0), served, end("x", Begun, -900, 0))
+	r.Clear(at(10), served)
+	for n := range set.Harmful {
+		assert.Equal(t, r.Verdict(at(5000), request("desk", 200)), Free)
+		stop(r, request("desk", n), 1000*n)
+	}
+	now := at(10000)
+	a, b := request("desk", 200), request("desk", 201)
+	assert.Equal(t, r.Verdict(now, a), Careful)
+	assert.Equal(t, r.Verdict(now, served), Free)
+	assert.Equal(t, r.Verdict(now, request("other", 200)), Free)
+	assert.Assert(t, r.Try(now, a, "f1"))
+	assert.Assert(t, !r.Try(now, b, "f1"))
+	other := New(set)
+	for _, req := range append(r.Stopped(), a) {
+		f, ok := r.Fact(now, req, "f1")
+		assert.Assert(t, ok)
+		other.Heard(now, "f1", f)
+	}
+	assert.Assert(t, !other.Try(now, b, "f2"))
+	r.Tried(a, "f1")
+	assert.Assert(t, r.Try(now, b, "f1"))
+}
+
 // TestFactsComeInAnyOrder: whoever hears the same facts believes the same, in whatever order and how often they come.
 func TestFactsComeInAnyOrder(t *testing.T) {
 	req := request("desk", 1)
@@ -181,7 +221,7 @@
 	all, _ := r.Len(now)
 	assert.Equal(t, all, set.PerTeam+1)
 	assert.Equal(t, r.Verdict(now, theirs), Stopped)
-	assert.Assert(t, ended <= 1000+2*set.TeamStops, "%d", ended)
+	assert.Assert(t, ended <= 1000+2*set.Harmful, "%d", ended)
 	for n := range 40 {
 		stop(r, request(fmt.Sprint("team", n), 1), 20000)
 		for m := range set.PerTeam {
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -10,8 +10,8 @@
 // Who is blamed. An endpoint that ends takes all its requests with it, and most of them have nothing to do with it:
 //
 //   - An endpoint that ended right after its answer had begun ([Begun]) says much: few requests are at that point at any
-//     moment. One that ended while it had the request ([Present]) says little, and nothing where another request had
-//     begun there.
+//     moment. One that ended while it had the request ([Present]) says little, and nothing where there is a better reason:
+//     another request had begun there, was stopped, or was at more endpoints that ended.
 //   - Ends at the same moment count as one, unless the request was sent to the later endpoint after the earlier one had
 //     ended: they may have one cause, such as the loss of a data centre.
 //   - A request that is served is cleared: what was held against it before does not count any more.
@@ -28,8 +28,8 @@
 // and the latest stop and the latest clearing count.
 //
 // Bounds: a team has at most [Settings.PerTeam] requests in a register, and all together [Settings.Most]. The
-// least suspicious go first, those of the team that has most of them before others. A team with many stopped
-// requests sends more of them likely, so one [Begun] end is enough for its next one.
+// least suspicious go first, those of the team that has most of them before others. A team with several such
+// requests sends more of them likely: what it has not been served yet is tried one at a time, and one [Begun] end is enough.
 //
 // Failure modes: what an instance has not heard yet it does not count, so that more endpoints end. Two contents
 // that share a name are taken for one request; the name has 128 bits and belongs to one team.
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -44,8 +44,8 @@
 // Heard takes what another instance, or the place where stops are kept, told. It returns what that changed.
 func (r *Register) Heard(now time.Time, from string, f Fact) Change {
 	before := r.Verdict(now, f.Request)
-	if r.entries[f.Request] == nil && len(f.Ends) == 0 && f.Stop.Times == 0 {
-		return Change{} // it was cleared or is tried, and nothing is held against it here
+	if r.entries[f.Request] == nil && len(f.Ends) == 0 && f.Stop.Times == 0 && !f.Trying {
+		return Change{} // it was cleared, and nothing is held against it here
 	}
 	e := r.entry(now, f.Request)
 	if e == nil {
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -49,9 +50,18 @@
 	return out
 }
 
+// heardFailed notes which endpoints another instance has found failing since it told the last time.
+func (v *View) heardFailed(now time.Time, old, t *Told) {
+	for _, id := range t.Suspects {
+		if n := v.nodes[id]; n != nil && !slices.Contains(old.Suspects, id) {
+			n.failedAt = now
+		}
+	}
+}
+
 // Nearby returns how many endpoints of all services there are in the data centre of an endpoint, and how many of them failed
-// this instance or another one a short while ago.
-func (v *View) Nearby(now time.Time, id string) (failing, all int) {
+// this instance or another one last within a time.
+func (v *View) Nearby(id string, from, to time.Time) (failed, all int) {
 	at := v.nodes[id]
 	if at == nil {
 		return 0, 0
@@ -61,11 +71,11 @@
 			continue
 		}
 		all++
-		if n.trust.Suspected(now) || n.othersDoubt(now) > 0 {
-			failing++
+		if !n.failedAt.Before(from) && !n.failedAt.After(to) {
+			failed++
 		}
 	}
-	return failing, all
+	return failed, all
 }
 
 // Suspects returns the endpoints that failed this instance a short while ago, those that are left out longest
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -99,6 +99,7 @@
 	outcomes health.Outcomes // of requests of this instance
 	pace     health.Pace     // as this instance observed it
 	lost     bool            // its last answer did not arrive
+	failedAt time.Time       // when it last failed this instance, or was heard to have failed another one
 	fullTill time.Time       // it refused a request a short while ago
 	leaving  bool            // the endpoint's own word
 	ended    bool            // its address answers for another incarnation
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -187,6 +187,7 @@
 		v.peers[peer] = t
 	}
 	v.say(&t)
+	v.heardFailed(now, &old, &t)
 	v.repace(&old, &t)
 	if len(old.Suspects)+len(t.Suspects) > 0 {
 		v.doubt.stale = true
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -216,7 +216,7 @@
 	if n == nil {
 		return
 	}
-	n.before = n.open
+	n.before, n.failedAt = n.open, now
 	n.trust.Failed(now, health.TrustSettings{First: v.set.SuspectFirst, Most: v.set.SuspectMost})
 	v.doubt.stale = true
 }
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,7 @@
 	rank     int
 	askedAt  time.Time // when the owners of engines were asked last
 	identity crashers.Request
+	losses   atomic.Int32 // of endpoints that may have ended under it
 
 	body       []byte
 	rest       io.Reader // what of the body is not in memory; nil when all is
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -202,7 +202,7 @@
 	if ctx.Err() == nil {
 		a.session.f.Placement.Failed(a.endpoint.ID)
 		a.session.f.Placement.Outcome(a.endpoint.ID, false)
-		a.session.f.blame(a.session.req, loss{endpoint: &a.endpoint, sentAt: a.sentAt, headAt: a.headAt, eventAt: a.eventAt, reused: a.reused})
+		a.session.f.blame(ctx, a.session.req, loss{endpoint: &a.endpoint, sentAt: a.sentAt, headAt: a.headAt, eventAt: a.eventAt, reused: a.reused})
 	}
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -49,7 +49,9 @@
 	atOnce = 20 * time.Millisecond
 	// unsureFor is how long the others' news of failures is awaited before an end is held against a request that may not
 	// have begun to run.
-	unsureFor = time.Second
+	unsureFor = 500 * time.Millisecond
+	// atOneMoment is how long before an end others of the data centre may have failed that were lost with it.
+	atOneMoment = 100 * time.Millisecond
 	// unsureMost bounds the ends for which that is awaited at a time.
 	unsureMost = 64
 )
@@ -103,9 +105,10 @@
 	return crashers.Present
 }
 
-// blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, it
-// is done when blame returns, so that the request is not sent to another one before.
-func (f *Forwarder) blame(req *request, l loss) {
+// blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, or
+// is not the first time for this attempt of the caller, it is done when blame returns, so that the request is not sent to
+// another one before.
+func (f *Forwarder) blame(ctx context.Context, req *request, l loss) {
 	at := time.Now()
 	sign := l.sign(at)
 	if sign == 0 {
@@ -118,15 +121,23 @@
 		}
 		return
 	}
-	id := req.identity
 	if f.unsure.Add(1) > unsureMost {
 		f.unsure.Add(-1)
 		return
 	}
+	judged := make(chan struct{})
 	go func() {
+		defer close(judged)
 		defer f.unsure.Add(-1)
-		f.blameLater(id, l.endpoint, end)
+		f.blameLater(req.identity, l.endpoint, end)
 	}()
+	if req.losses.Add(1) == 1 {
+		return
+	}
+	select {
+	case <-judged:
+	case <-ctx.Done():
+	}
 }
 
 // blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
@@ -136,11 +147,11 @@
 		return
 	}
 	pause.For(context.Background(), unsureFor)
-	failing, all := f.Placement.Nearby(e.ID)
-	if 2*failing >= all && failing > 1 {
+	failed, all := f.Placement.Nearby(e.ID, end.At.Add(-atOneMoment), end.At.Add(unsureFor))
+	if 2*failed >= all && failed > 1 {
 		return
 	}
-	f.Crashes.Ended(id, end, logrus.Fields{"failing_nearby": failing, "endpoints_nearby": all})
+	f.Crashes.Ended(id, end, logrus.Fields{"failed_nearby": failed, "endpoints_nearby": all})
 }
 
 // hasEnded tells whether the process of an endpoint is gone that was not told to leave: its machine refuses connections.
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -251,7 +251,7 @@
 		p.f.Placement.Outcome(l.endpoint.ID, false)
 	}
 	if ctx.Err() == nil {
-		p.f.blame(p.req, l)
+		p.f.blame(ctx, p.req, l)
 	}
 	return unknown
 }
@@ -297,8 +297,8 @@
 		if n > 0 {
 			a.loss.eventAt = a.loss.headAt
 		}
-		if p.req.http.Context().Err() == nil {
-			p.f.blame(p.req, a.loss)
+		if ctx := p.req.http.Context(); ctx.Err() == nil {
+			p.f.blame(ctx, p.req, a.loss)
 		}
 		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
 		panic(http.ErrAbortHandler)
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -59,6 +59,7 @@
 const (
 	host        = "desk.example"
 	key         = "key-of-the-desk"
+	keyOfField  = "key-of-the-field"
 	events      = 60
 	step        = 50 * time.Millisecond
 	promptSize  = 8000
@@ -125,8 +126,10 @@
 			{Name: "open", Host: host, Prefix: "/open/", Targets: to("plain"), Repeat: route.Idempotent, Timeout: 1500 * time.Millisecond, Attempts: 2, Public: true},
 		},
 		Services: []route.Service{{Name: "engines", Connections: 200, Engine: engine}, {Name: "plain", Connections: 100}},
-		Teams:    []route.Team{{Name: "desk", Keys: []string{key, "another-key"}}},
-		Limits:   route.Limits{HeaderBytes: 16 << 10, BodyBytes: 2 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Teams: []route.Team{
+			{Name: "desk", Keys: []string{key, "another-key"}}, {Name: "field", Keys: []string{keyOfField}},
+		},
+		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 2 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 }
 
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -252,11 +252,12 @@
 	return p.view.Usable(time.Now(), id)
 }
 
-// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed a short while ago.
-func (p *Placement) Nearby(id string) (failing, all int) {
+// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed last within a
+// time.
+func (p *Placement) Nearby(id string, from, to time.Time) (failed, all int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.Nearby(time.Now(), id)
+	return p.view.Nearby(id, from, to)
 }
 
 // List returns all endpoints with what is believed of them.
