soak, command: requests that end endpoints; stopped requests can be listed and released

Soak: a fault that makes a request fatal, callers that send it among others, and checks that it is stopped at the third end, that nothing else is, and that the answer comes at once and tells until when.

agateway stopped list|release, agateway state, and a call on the metrics address.

--- a/cli/command/soak.go
+++ b/cli/command/soak.go
@@ -46,6 +46,7 @@
 	f.IntVar(&o.Plain, "plain", 4, "plain endpoints")
 	f.IntVar(&o.Callers, "callers", 20, "callers")
 	f.StringVar(&o.Program, "program", "bin/agatewayd", "the daemon")
+	f.StringSliceVar(&o.Without, "without", nil, "mechanisms of the daemon to switch off, by their names in its settings")
 	f.StringVar(&report, "report", "", "file for the figures, as JSON")
 	f.StringVar(&page, "page", "", "file for a page with a plot")
 	return c
--- a/cli/command/state.go
+++ b/cli/command/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -38,9 +39,19 @@
 }
 
 func fetchState(ctx context.Context, address string) (*front.State, error) {
+	body, err := callInstance(ctx, http.MethodGet, address, front.StatePath)
+	if err != nil {
+		return nil, err
+	}
+	s := &front.State{}
+	return s, json.Unmarshal(body, s)
+}
+
+// callInstance calls an instance at the address of its metrics.
+func callInstance(ctx context.Context, method, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+front.StatePath, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -49,11 +60,14 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s answered with status %d", address, resp.StatusCode)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
 	}
-	s := &front.State{}
-	return s, json.NewDecoder(resp.Body).Decode(s)
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fmt.Errorf("%s answered with status %d: %s", address, resp.StatusCode, strings.TrimSpace(string(body)))
+	}
+	return body, nil
 }
 
 func printState(out io.Writer, s *front.State) error {
@@ -68,5 +82,9 @@
 	for _, e := range s.Endpoints {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%d\n", e.ID, e.Service, e.DataCentre, e.Leaving, e.Suspected, e.Load, e.Open)
 	}
+	if len(s.Stopped) > 0 {
+		_, _ = fmt.Fprintln(w)
+		printStopped(w, s.Stopped)
+	}
 	return w.Flush()
 }
--- a/cli/soak/callers.go
+++ b/cli/soak/callers.go
@@ -23,13 +23,13 @@
 
 // asked is a request with what became of it.
 type asked struct {
-	id, key string
-	once    bool // it must not run twice
-	sent    time.Time
-	ended   time.Time
-	answer  standin.Answer
-	err     error
-	wait    time.Duration
+	id, key, body string
+	once          bool // it must not run twice
+	sent          time.Time
+	ended         time.Time
+	answer        standin.Answer
+	err           error
+	wait          time.Duration
 	// left tells that the caller closed its connection before the answer had come.
 	left bool
 	// version is the one whose own route was asked for; 0 for another route.
@@ -121,7 +121,11 @@
 	}
 	r := standin.Request{Method: http.MethodPost, Host: host, ID: id, Key: key, Body: "the case " + id, Wait: plainWait}
 	a := &asked{id: id, key: key}
-	defer func() { a.wait = r.Wait }()
+	defer func() { a.wait, a.body = r.Wait, r.Body }()
+	if path, body := c.soak.world.fatals.draw(c.rnd); path != "" && c.rnd.IntN(fatalOneIn) == 0 {
+		askFatal(&r, a, path, body)
+		return r, a
+	}
 	r.Forged = c.rnd.IntN(4) == 0
 	switch c.rnd.IntN(5) {
 	case 4:
@@ -139,6 +143,15 @@
 	return r, a
 }
 
+// askFatal makes a request one that ends whoever runs it.
+func askFatal(r *standin.Request, a *asked, path, body string) {
+	r.Path, r.Body, r.Key, a.key = path, body, keptKey, keptKey
+	a.once = path == "/log/1"
+	if path == "/brief/1" {
+		r.Wait, r.Prompt, r.Tokens = streamWait, "fa7a1", promptSize
+	}
+}
+
 // connect takes the open connection, or opens one to a process at random.
 func (c *caller) connect(ctx context.Context) bool {
 	if c.conn != nil {
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -18,6 +18,7 @@
 	changes        = []fault{newKey, newKey, newRoute, newRoute, routesInARow, reread}
 	endpointFaults = []fault{
 		workerLink, workerLink, workerFails, workerFails, crash, crash, dataCentre, leave, leave, answersLost, answersLost, usedAgain,
+		fatalRequest, fatalRequest,
 	}
 	processFaults = []fault{pause, kill, killAll, stop, stop, stopInARow}
 	storeFaults   = []fault{storeLink, storeOutage, storeSlow, storeForgets, storeLoses, storeAwayWhileKeyGoes, storeAwayWhileKeyGoes}
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -73,7 +74,7 @@
 }
 
 // newProcess writes the settings of an instance.
-func newProcess(dir, program, store string, i int, free *ports, h *harms) (*process, error) {
+func newProcess(dir, program, store string, i int, free *ports, h *harms, without []string) (*process, error) {
 	const addresses = 4
 	at, err := free.take(addresses)
 	if err != nil {
@@ -102,6 +103,9 @@
 share = 0.8
 reserve = 150
 `, p.name, i%dataCentres, at[0], at[1], at[2], at[3], store, revokeBound, grace)
+	if len(without) > 0 {
+		text += "[mechanisms]\n" + strings.Join(without, " = false\n") + " = false\n"
+	}
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
--- a/cli/soak/promises.go
+++ b/cli/soak/promises.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/agateway/agateway/platform/standin"
 )
 
 // Bounds on what takes time. Each is checked where nothing that it depends on was harmed meanwhile; the margin is
@@ -34,6 +36,7 @@
 	for _, a := range s.all {
 		s.checkAnswer(a, runs[a.id])
 	}
+	s.checkFatal(runs)
 	for _, w := range s.world.strangers {
 		for _, r := range w.Runs() {
 			s.finding("request %s ran at a worker of another service", r.ID)
@@ -77,7 +80,7 @@
 	if a.once && a.err == nil && a.answer.Status == http.StatusOK && len(of) == 0 {
 		s.finding("request %s was answered and never ran", a.id)
 	}
-	if a.err != nil && !a.left && len(of) == 1 && h.spared(a.sent, a.ended, a.process, of[0].worker.name) {
+	if a.err != nil && !a.left && len(of) == 1 && of[0].Ended != standin.Crashed && h.spared(a.sent, a.ended, a.process, of[0].worker.name) {
 		s.finding("request %s was passed on by %s, and its connection closed without an answer after %v", a.id, a.process, a.ended.Sub(a.sent))
 	}
 	if a.err != nil || a.version == 0 {
--- a/cli/soak/proxy.go
+++ b/cli/soak/proxy.go
@@ -28,8 +28,10 @@
 
 // proxy stands between callers and a server on the loopback address.
 type proxy struct {
-	listener net.Listener
+	at       string
 	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
 	server   string
 	mode     mode
 	conns    map[net.Conn]bool
@@ -42,15 +44,43 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, server: server, conns: map[net.Conn]bool{}}
-	go p.run()
+	p.at = l.Addr().String()
+	go p.run(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
-func (p *proxy) run() {
+// refuse closes all connections and refuses new ones, as the machine of a process does that has ended.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	before, _ := p.now()
+	p.set(reset)
+	p.set(before)
+}
+
+// listen takes connections again.
+func (p *proxy) listen() error {
+	l, err := net.Listen("tcp", p.at)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return l.Close()
+	}
+	_ = p.listener.Close() // it may be one that listens
+	p.listener = l
+	go p.run(l)
+	return nil
+}
+
+func (p *proxy) run(l net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -155,6 +185,9 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.set(reset)
 }
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -21,8 +21,9 @@
 	Engines int
 	Plain   int
 	Callers int
-	// Program is the daemon.
+	// Program is the daemon, and Without names mechanisms of it that are switched off: whether the checks notice.
 	Program string
+	Without []string
 	// Out takes a line for each fault and finding.
 	Out io.Writer
 }
--- a/cli/soak/start_bench_test.go
+++ b/cli/soak/start_bench_test.go
@@ -34,7 +34,7 @@
 	defer w.close()
 	store, err := newProxy(w.storeAddress)
 	assert.NilError(b, err)
-	p, err := newProcess(b.TempDir(), daemon(b), store.address(), 0, &w.ports, &w.harms)
+	p, err := newProcess(b.TempDir(), daemon(b), store.address(), 0, &w.ports, &w.harms, nil)
 	assert.NilError(b, err)
 	prompt := standin.Request{Method: http.MethodPost, Host: host, Path: "/brief/1", Key: keptKey, Body: "case", Wait: streamWait, Prompt: "ab", Tokens: promptSize}
 	var plain, stream time.Duration
--- a/cli/soak/world.go
+++ b/cli/soak/world.go
@@ -55,6 +55,7 @@
 
 	ports     ports
 	harms     harms
+	fatals    fatals
 	strangers []*standin.Worker // of another service, at addresses that were used before
 
 	mu      sync.Mutex
@@ -90,7 +91,7 @@
 			return nil, err
 		}
 		w.proxies = append(w.proxies, p)
-		process, err := newProcess(dir, program, p.address(), i, &w.ports, &w.harms)
+		process, err := newProcess(dir, program, p.address(), i, &w.ports, &w.harms, o.Without)
 		if err != nil {
 			return nil, err
 		}
@@ -154,17 +155,23 @@
 	return nil
 }
 
-// crash ends the incarnation: its connections are reset and its memory is lost. A new one begins later.
+// crash ends the incarnation, and its memory is lost. A new one begins later.
 func (k *worker) crash(down time.Duration) {
+	k.mu.Lock()
+	gone := k.state == ""
+	k.mu.Unlock()
+	if gone {
+		return
+	}
 	end := k.end()
 	time.AfterFunc(down, func() {
-		k.proxy.set(pass)
-		_ = k.start() // without a free port it stays away
+		_ = k.start()        // without a free port it stays away
+		_ = k.proxy.listen() // as well without its own
 		end()
 	})
 }
 
-// end ends the incarnation.
+// end ends the incarnation: its connections are closed, and new ones refused.
 func (k *worker) end() (harmEnds func()) {
 	harmEnds = k.world.harms.begin(k.name)
 	k.mu.Lock()
@@ -172,7 +179,7 @@
 	k.world.fleet.Remove(k.now)
 	k.stop()
 	k.mu.Unlock()
-	k.proxy.set(reset)
+	k.proxy.refuse()
 	return harmEnds
 }
 
@@ -186,6 +193,10 @@
 		return false
 	}
 	end := k.end()
+	if k.proxy.listen() != nil {
+		return true // the address is somebody else's now
+	}
+	k.proxy.set(reset)
 	cfg := k.config
 	cfg.ID, cfg.Service = "i-stranger-"+k.name, "others"
 	other := k.world.fleet.NewWorker(cfg)
--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -31,7 +31,9 @@
 type End struct {
 	// Endpoint is the incarnation that ended.
 	Endpoint string
-	Sign     Sign
+	// Service is what the endpoint belongs to.
+	Service string
+	Sign    Sign
 	// Sent is when the request was sent there, and At when the endpoint ended.
 	Sent, At time.Time
 }
@@ -70,8 +72,8 @@
 	TrialMost time.Duration
 	// PerTeam and Most bound the requests in a register.
 	PerTeam, Most int
-	// Harmful is how many requests of a team that are stopped, or had begun where an endpoint ended, make each other one of it be
-	// handled with care, one of the team at a time, and one end at which it had begun enough to stop it.
+	// Harmful is how many requests of a team to a service that are stopped, or had begun where an endpoint ended, make each other
+	// one be handled with care, one of the team at a time, and one end at which it had begun enough to stop it.
 	Harmful int
 }
 
@@ -95,6 +97,7 @@
 
 // entry is what is known of a request.
 type entry struct {
+	service string // whose endpoints ended
 	ends    []End
 	cleared time.Time
 	stop    Stop
@@ -134,9 +137,14 @@
 
 // Ended reports that an endpoint ended under a request. It returns true when that stops the request.
 func (r *Register) Ended(now time.Time, req Request, end End) bool {
-	before := r.Verdict(now, req)
+	before := r.isStopped(now, req)
 	r.add(now, req, end)
-	return r.decide(now, req) && before != Stopped
+	return r.decide(now, req) && !before
+}
+
+func (r *Register) isStopped(now time.Time, req Request) bool {
+	e := r.entries[req]
+	return e != nil && now.Before(e.stop.Until)
 }
 
 // add takes an end, once for each endpoint and request.
@@ -148,6 +156,7 @@
 	if e == nil || !end.At.After(e.cleared) {
 		return
 	}
+	e.service = end.Service
 	r.had(req, &end)
 	for i := range e.ends {
 		if e.ends[i].Endpoint == end.Endpoint {
@@ -207,15 +216,16 @@
 		need, since = 1, latest(e.stop.Until, e.cleared)
 	}
 	all, begun := r.occasions(now, req, e, since)
-	if begun > 0 && r.watched(now, req.Team) {
+	if begun > 0 && r.watched(now, req.Team, e.service) {
 		return 0
 	}
 	return max(need-all, 0)
 }
 
-// watched tells whether a team sends so many requests that end endpoints that its next one is likely to do the same.
-func (r *Register) watched(now time.Time, team string) bool {
-	return r.harmfulOf(now, team) >= r.set.Harmful
+// watched tells whether a team sends so many requests that end endpoints of a service that its next one is likely to do the
+// same.
+func (r *Register) watched(now time.Time, team, service string) bool {
+	return r.harmfulOf(now, team, service) >= r.set.Harmful
 }
 
 // occasions counts the moments at which endpoints ended under a request, and the endpoints at which it had begun.
@@ -264,11 +274,12 @@
 	return 0
 }
 
-// harmfulOf returns how many requests of a team are stopped, or had begun at an endpoint that ended and were not served since.
-func (r *Register) harmfulOf(now time.Time, team string) int {
+// harmfulOf returns how many requests of a team to a service are stopped, or had begun at an endpoint that ended and were not
+// served since.
+func (r *Register) harmfulOf(now time.Time, team, service string) int {
 	n := 0
 	for req, e := range r.entries {
-		if req.Team == team && (now.Before(e.stop.Until) || e.begunSince(now.Add(-r.set.StopFirst))) {
+		if req.Team == team && e.service == service && (now.Before(e.stop.Until) || e.begunSince(now.Add(-r.set.StopFirst))) {
 			n++
 		}
 	}
@@ -280,8 +291,8 @@
 	return slices.ContainsFunc(e.ends, func(end End) bool { return end.Sign == Begun && end.At.After(at) })
 }
 
-// Verdict returns what may be done with a request.
-func (r *Register) Verdict(now time.Time, req Request) Verdict {
+// Verdict returns what may be done with a request to a service.
+func (r *Register) Verdict(now time.Time, req Request, service string) Verdict {
 	e := r.entries[req]
 	if e == nil {
 		e = &entry{}
@@ -291,7 +302,7 @@
 	}
 	missing := r.missing(now, req, e)
 	switch {
-	case e.cleared.IsZero() && r.watched(now, req.Team):
+	case e.cleared.IsZero() && r.watched(now, req.Team, service):
 		return Careful
 	case missing <= 1 && (len(e.ends) > 0 || e.stop.Times > 0):
 		return Careful
@@ -346,18 +357,19 @@
 	e.ends = kept
 }
 
-// Try asks for the trial of a request that is to be handled with care. It returns false while another one is
+// Try asks for the trial of a request to a service that is to be handled with care. It returns false while another one is
 // tried.
-func (r *Register) Try(now time.Time, req Request, who string) bool {
-	watched := r.watched(now, req.Team)
+func (r *Register) Try(now time.Time, req Request, service, who string) bool {
+	watched := r.watched(now, req.Team, service)
 	for other, e := range r.entries {
-		if other == req || watched && other.Team == req.Team {
+		if other == req || watched && other.Team == req.Team && e.service == service {
 			if e.tried(now, who, other == req) {
 				return false
 			}
 		}
 	}
 	if e := r.entry(now, req); e != nil {
+		e.service = service
 		e.try(who, now.Add(r.set.TrialMost))
 	}
 	return true
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -18,7 +18,7 @@
 
 // end is the end of an endpoint that had a request for a while.
 func end(endpoint string, sign Sign, sent, ended int) End {
-	return End{Endpoint: endpoint, Sign: sign, Sent: at(sent), At: at(ended)}
+	return End{Endpoint: endpoint, Service: "engines", Sign: sign, Sent: at(sent), At: at(ended)}
 }
 
 // TestVerdicts: the pattern is a request whose endpoints end, in the ways in which that happens.
@@ -87,7 +87,7 @@
 				}
 				r.Ended(s.end.At, s.req, s.end)
 			}
-			assert.Equal(t, r.Verdict(at(3000), mine), c.want)
+			assert.Equal(t, r.Verdict(at(3000), mine, "engines"), c.want)
 		})
 	}
 }
@@ -107,31 +107,31 @@
 	stop(r, req, 0)
 	until := r.Stop(req).Until
 	assert.Equal(t, until.Sub(at(2900)), set.StopFirst)
-	assert.Equal(t, r.Verdict(until.Add(-1), req), Stopped)
+	assert.Equal(t, r.Verdict(until.Add(-1), req, "engines"), Stopped)
 	assert.Equal(t, r.Ended(at(3500), req, end("on its way", Begun, 2000, 3500)), false)
-	assert.Equal(t, r.Verdict(until, req), Careful, "what was on its way does not count against the trial")
-	assert.Assert(t, r.Try(until, req, "f1"))
-	assert.Assert(t, !r.Try(until, req, "f2"), "one at a time")
+	assert.Equal(t, r.Verdict(until, req, "engines"), Careful, "what was on its way does not count against the trial")
+	assert.Assert(t, r.Try(until, req, "engines", "f1"))
+	assert.Assert(t, !r.Try(until, req, "engines", "f2"), "one at a time")
 	next := until.Add(time.Second)
 	assert.Assert(t, r.Ended(next, req, End{Endpoint: "z", Sign: Begun, Sent: until, At: next}))
 	assert.Equal(t, r.Stop(req).Until.Sub(next), 2*set.StopFirst)
 	assert.Equal(t, r.Stop(req).Times, 2)
 	r.Clear(next.Add(time.Second), req)
-	assert.Equal(t, r.Verdict(next.Add(time.Second), req), Free)
+	assert.Equal(t, r.Verdict(next.Add(time.Second), req, "engines"), Free)
 }
 
 // TestTrials: a trial whose end is not heard counts for a while, and that of an instance that is gone not at all.
 func TestTrials(t *testing.T) {
 	r, req := New(DefaultSettings()), request("desk", 1)
 	r.Ended(at(900), req, end("a", Begun, 0, 900))
-	assert.Assert(t, r.Try(at(1000), req, "f1"))
-	assert.Assert(t, !r.Try(at(1100), req, "f2"))
-	assert.Assert(t, r.Try(at(1000).Add(DefaultSettings().TrialMost), req, "f2"))
+	assert.Assert(t, r.Try(at(1000), req, "engines", "f1"))
+	assert.Assert(t, !r.Try(at(1100), req, "engines", "f2"))
+	assert.Assert(t, r.Try(at(1000).Add(DefaultSettings().TrialMost), req, "engines", "f2"))
 	r.Tried(req, "f2")
-	r.Try(at(1100), req, "f3")
+	r.Try(at(1100), req, "engines", "f3")
 	r.Forget("f3")
 	r.Forget("f1")
-	assert.Assert(t, r.Try(at(1200), req, "f2"))
+	assert.Assert(t, r.Try(at(1200), req, "engines", "f2"))
 }
 
 // TestWatchedTeams: where a team has several requests that end endpoints, what it has not been served yet is tried one at a time, at one
@@ -143,25 +143,25 @@
 	r.Ended(at(0), served, end("x", Begun, -900, 0))
 	r.Clear(at(10), served)
 	for n := range set.Harmful {
-		assert.Equal(t, r.Verdict(at(5000), request("desk", 200)), Free)
+		assert.Equal(t, r.Verdict(at(5000), request("desk", 200), "engines"), Free)
 		stop(r, request("desk", n), 1000*n)
 	}
 	now := at(10000)
 	a, b := request("desk", 200), request("desk", 201)
-	assert.Equal(t, r.Verdict(now, a), Careful)
-	assert.Equal(t, r.Verdict(now, served), Free)
-	assert.Equal(t, r.Verdict(now, request("other", 200)), Free)
-	assert.Assert(t, r.Try(now, a, "f1"))
-	assert.Assert(t, !r.Try(now, b, "f1"))
+	assert.Equal(t, r.Verdict(now, a, "engines"), Careful)
+	assert.Equal(t, r.Verdict(now, served, "engines"), Free)
+	assert.Equal(t, r.Verdict(now, request("other", 200), "engines"), Free)
+	assert.Assert(t, r.Try(now, a, "engines", "f1"))
+	assert.Assert(t, !r.Try(now, b, "engines", "f1"))
 	other := New(set)
 	for _, req := range append(r.Stopped(), a) {
 		f, ok := r.Fact(now, req, "f1")
 		assert.Assert(t, ok)
 		other.Heard(now, "f1", f)
 	}
-	assert.Assert(t, !other.Try(now, b, "f2"))
+	assert.Assert(t, !other.Try(now, b, "engines", "f2"))
 	r.Tried(a, "f1")
-	assert.Assert(t, r.Try(now, b, "f1"))
+	assert.Assert(t, r.Try(now, b, "engines", "f1"))
 }
 
 // TestFactsComeInAnyOrder: whoever hears the same facts believes the same, in whatever order and how often they come.
@@ -179,9 +179,9 @@
 		for _, i := range order {
 			r.Heard(at(4000), "f2", facts[i])
 		}
-		assert.Equal(t, r.Verdict(at(4000), req), Stopped, "%v: b, c and d", order)
-		r.Heard(at(4100), "f3", Fact{Request: req, Cleared: at(4050)})
-		assert.Equal(t, r.Verdict(at(4100), req), Free, "%v", order)
+		assert.Equal(t, r.Verdict(at(4000), req, "engines"), Stopped, "%v: b, c and d", order)
+		r.Heard(at(4100), "f3", Fact{Request: req, Service: "engines", Cleared: at(4050)})
+		assert.Equal(t, r.Verdict(at(4100), req, "engines"), Free, "%v", order)
 		assert.Equal(t, r.Heard(at(4200), "f2", facts[4]), Change{}, "%v: what came before the clearing", order)
 	}
 }
@@ -194,7 +194,7 @@
 	assert.Assert(t, ok)
 	f.Ends = nil
 	assert.Equal(t, b.Heard(at(4000), "f1", f), Change{Stopped: true})
-	assert.Equal(t, b.Verdict(at(4000), req), Stopped)
+	assert.Equal(t, b.Verdict(at(4000), req, "engines"), Stopped)
 	assert.Equal(t, b.Heard(at(4001), "f1", f), Change{})
 	f.Stop.Until = f.Stop.Until.Add(24 * time.Hour)
 	b.Heard(at(4002), "f1", f)
@@ -212,7 +212,7 @@
 	ended := 0
 	for n := range 1000 {
 		req := request("desk", n)
-		for sent := 10 * n; r.Verdict(at(sent), req) != Stopped && sent < 10*n+9; sent += 3 {
+		for sent := 10 * n; r.Verdict(at(sent), req, "engines") != Stopped && sent < 10*n+9; sent += 3 {
 			ended++
 			r.Ended(at(sent+1), req, end(fmt.Sprint(sent), Begun, sent, sent+1))
 		}
@@ -220,7 +220,7 @@
 	now := at(10000)
 	all, _ := r.Len(now)
 	assert.Equal(t, all, set.PerTeam+1)
-	assert.Equal(t, r.Verdict(now, theirs), Stopped)
+	assert.Equal(t, r.Verdict(now, theirs, "engines"), Stopped)
 	assert.Assert(t, ended <= 1000+2*set.Harmful, "%d", ended)
 	for n := range 40 {
 		stop(r, request(fmt.Sprint("team", n), 1), 20000)
@@ -230,9 +230,9 @@
 	}
 	all, _ = r.Len(at(23000))
 	assert.Equal(t, all, set.Most)
-	assert.Equal(t, r.Verdict(at(23000), theirs), Stopped)
+	assert.Equal(t, r.Verdict(at(23000), theirs, "engines"), Stopped)
 	for n := range 40 {
-		assert.Equal(t, r.Verdict(at(23000), request(fmt.Sprint("team", n), 1)), Stopped, "team %d", n)
+		assert.Equal(t, r.Verdict(at(23000), request(fmt.Sprint("team", n), 1), "engines"), Stopped, "team %d", n)
 	}
 	r.expire(at(23000).Add(set.Keep + set.StopMost))
 	all, _ = r.Len(at(23000).Add(set.Keep + set.StopMost))
@@ -264,7 +264,7 @@
 		assert.Assert(t, all <= set.PerTeam)
 		for _, req := range r.Stopped() {
 			assert.Assert(t, !r.Stop(req).Until.After(now.Add(set.StopMost)))
-			assert.Assert(t, r.Verdict(now, req) >= Careful)
+			assert.Assert(t, r.Verdict(now, req, "engines") >= Careful)
 		}
 	})
 }
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -9,6 +9,8 @@
 // Fact is what one instance tells others of a request. Times are those of the clock of whoever holds it.
 type Fact struct {
 	Request Request
+	// Service is whose endpoints ended.
+	Service string
 	Ends    []End
 	// Cleared is when it was cleared last; zero for never.
 	Cleared time.Time
@@ -24,7 +26,7 @@
 	if e == nil {
 		return Fact{}, false
 	}
-	return Fact{Request: req, Ends: sorted(e.ends), Cleared: e.cleared, Stop: e.stop, Trying: now.Before(e.trials[who])}, true
+	return Fact{Request: req, Service: e.service, Ends: sorted(e.ends), Cleared: e.cleared, Stop: e.stop, Trying: now.Before(e.trials[who])}, true
 }
 
 // Stopped returns the requests that are or were stopped and have not been cleared since, in a fixed order.
@@ -43,7 +45,7 @@
 
 // Heard takes what another instance, or the place where stops are kept, told. It returns what that changed.
 func (r *Register) Heard(now time.Time, from string, f Fact) Change {
-	before := r.Verdict(now, f.Request)
+	before := r.isStopped(now, f.Request)
 	if r.entries[f.Request] == nil && len(f.Ends) == 0 && f.Stop.Times == 0 && !f.Trying {
 		return Change{} // it was cleared, and nothing is held against it here
 	}
@@ -51,23 +53,23 @@
 	if e == nil {
 		return Change{}
 	}
+	e.service = f.Service
 	cleared := f.Cleared.After(e.cleared) && !f.Cleared.After(now)
 	if cleared {
 		e.clear(f.Cleared)
 	}
 	for _, end := range f.Ends[:min(len(f.Ends), endsKept*r.set.Ends)] {
 		if !end.At.After(now) && (end.Sign == Present || end.Sign == Begun) {
+			end.Service = f.Service
 			r.add(now, f.Request, end)
 		}
 	}
 	e.heardStop(r.bounded(now, f.Stop))
 	e.heardTrial(from, f.Trying, now.Add(r.set.TrialMost))
-	r.decide(now, f.Request)
-	after := r.Verdict(now, f.Request)
-	return Change{Cleared: cleared && before > after, Stopped: after == Stopped && before != Stopped}
+	return Change{Cleared: cleared, Stopped: r.decide(now, f.Request) && !before}
 }
 
-// Change is what a fact changed.
+// Change is what a fact changed: the request was cleared, or it was not stopped and is now.
 type Change struct{ Cleared, Stopped bool }
 
 // bounded keeps a stop within what this register would decide itself.
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -68,12 +68,12 @@
 // Known tells whether anything is held against any request.
 func (r *Register) Known() bool { return r.known.Load() }
 
-// Verdict returns what may be done with a request, and for how long it is stopped.
-func (r *Register) Verdict(req crashers.Request) (crashers.Verdict, time.Duration) {
+// Verdict returns what may be done with a request to a service, and for how long it is stopped.
+func (r *Register) Verdict(req crashers.Request, service string) (crashers.Verdict, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return r.core.Verdict(now, req), max(r.core.Stop(req).Until.Sub(now), 0)
+	return r.core.Verdict(now, req, service), max(r.core.Stop(req).Until.Sub(now), 0)
 }
 
 // Ended reports that an endpoint ended under a request. inputs are what else led to that, for the log.
@@ -81,7 +81,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	stopped := r.core.Ended(now, req, end)
-	verdict := r.core.Verdict(now, req)
+	verdict := r.core.Verdict(now, req, end.Service)
 	ends := r.core.Ends(req)
 	r.tell(req)
 	if stopped {
@@ -148,13 +148,13 @@
 
 // Try asks for the trial of a request that is to be handled with care. It returns false while another one is out, here or
 // at another instance.
-func (r *Register) Try(req crashers.Request, by any) bool {
+func (r *Register) Try(req crashers.Request, service string, by any) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if other := r.trials[req]; other != nil && other != by {
 		return false
 	}
-	if !r.core.Try(time.Now(), req, r.Self) {
+	if !r.core.Try(time.Now(), req, service, r.Self) {
 		return false
 	}
 	r.trials[req] = by
@@ -218,6 +218,7 @@
 // State is what is held against a request, for operators.
 type State struct {
 	Team    string `json:"team"`
+	Service string `json:"service"`
 	Content string `json:"content"`
 	Verdict string `json:"verdict"`
 	// Endpoints ended under it.
@@ -234,9 +235,9 @@
 	out := make([]State, len(facts))
 	for i := range facts {
 		f := &facts[i]
-		v, left := r.Verdict(f.Request)
+		v, left := r.Verdict(f.Request, f.Service)
 		out[i] = State{
-			Team: f.Request.Team, Content: hex.EncodeToString(f.Request.Content[:]), Verdict: v.String(),
+			Team: f.Request.Team, Service: f.Service, Content: hex.EncodeToString(f.Request.Content[:]), Verdict: v.String(),
 			Times: f.Stop.Times, ForMS: left.Milliseconds(), Stored: f.Stop.Stored,
 		}
 		for _, e := range f.Ends {
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -28,10 +28,11 @@
 
 // stopEntry is a stop as the store keeps it, under its content.
 type stopEntry struct {
-	Team  string    `json:"team"`
-	Times int       `json:"times"`
-	At    time.Time `json:"at"`
-	Until time.Time `json:"until"`
+	Team    string    `json:"team"`
+	Service string    `json:"service"`
+	Times   int       `json:"times"`
+	At      time.Time `json:"at"`
+	Until   time.Time `json:"until"`
 }
 
 // keep reads the stops that are kept, and writes those that are not.
@@ -84,8 +85,8 @@
 		}
 		// The times of the store's objects are those of another machine's clock, and may be some seconds off.
 		out = append(out, crashers.Fact{
-			Request: crashers.Request{Team: e.Team, Content: crashers.Content(content)},
-			Stop:    crashers.Stop{Times: e.Times, At: earlier(e.At, time.Now()), Until: e.Until, Stored: true},
+			Request: crashers.Request{Team: e.Team, Content: crashers.Content(content)}, Service: e.Service,
+			Stop: crashers.Stop{Times: e.Times, At: earlier(e.At, time.Now()), Until: e.Until, Stored: true},
 		})
 	}
 	return out
@@ -127,10 +128,11 @@
 // write keeps a stop in the store.
 func (r *Register) write(ctx context.Context, req crashers.Request) {
 	r.mu.Lock()
-	s := r.core.Stop(req)
+	f, _ := r.core.Fact(time.Now(), req, r.Self)
 	r.mu.Unlock()
+	s := f.Stop
 	name := hex.EncodeToString(req.Content[:])
-	spec, err := json.Marshal(stopEntry{Team: req.Team, Times: s.Times, At: s.At.UTC(), Until: s.Until.UTC()})
+	spec, err := json.Marshal(stopEntry{Team: req.Team, Service: f.Service, Times: s.Times, At: s.At.UTC(), Until: s.Until.UTC()})
 	if err == nil && s.Times > 0 {
 		_, err = r.Store.Create(ctx, platform.KindStopped, name, spec)
 		switch {
--- a/gateway/exchange/crashes.go
+++ b/gateway/exchange/crashes.go
@@ -101,7 +101,7 @@
 }
 
 func encodeFact(now time.Time, f *crashers.Fact) *peerv1.CrashFact {
-	out := &peerv1.CrashFact{Team: f.Request.Team, Content: f.Request.Content[:], Trying: f.Trying}
+	out := &peerv1.CrashFact{Team: f.Request.Team, Content: f.Request.Content[:], Service: f.Service, Trying: f.Trying}
 	for _, e := range f.Ends {
 		out.Ends = append(out.Ends, &peerv1.EndUnder{
 			Endpoint: e.Endpoint, Sign: peerv1.EndSign(e.Sign), SentAge: milliseconds(now.Sub(e.Sent)), Age: milliseconds(now.Sub(e.At)),
@@ -132,7 +132,7 @@
 }
 
 func decodeFact(now time.Time, f *peerv1.CrashFact) crashers.Fact {
-	out := crashers.Fact{Request: crashers.Request{Team: f.Team, Content: crashers.Content(f.Content)}, Trying: f.Trying}
+	out := crashers.Fact{Request: crashers.Request{Team: f.Team, Content: crashers.Content(f.Content)}, Service: f.Service, Trying: f.Trying}
 	ago := func(ms uint64) time.Time { return now.Add(-ofMilliseconds(ms)) }
 	for _, e := range f.Ends {
 		out.Ends = append(out.Ends, crashers.End{Endpoint: e.GetEndpoint(), Sign: crashers.Sign(e.GetSign()), Sent: ago(e.GetSentAge()), At: ago(e.GetAge())})
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -19,30 +19,34 @@
 type Crashes interface {
 	// Known tells whether anything is held against any request.
 	Known() bool
-	// Verdict returns what may be done with a request, and for how long it is stopped.
-	Verdict(crashers.Request) (crashers.Verdict, time.Duration)
+	// Verdict returns what may be done with a request to a service, and for how long it is stopped.
+	Verdict(req crashers.Request, service string) (crashers.Verdict, time.Duration)
 	// Ended reports that an endpoint ended under a request, Served that one served it.
 	Ended(req crashers.Request, end crashers.End, inputs logrus.Fields)
 	Served(crashers.Request)
-	// Try asks for the trial of a request, which is out until Tried. by is who asks.
-	Try(req crashers.Request, by any) bool
+	// Try asks for the trial of a request to a service, which is out until Tried. by is who asks.
+	Try(req crashers.Request, service string, by any) bool
 	Tried(req crashers.Request, by any)
 }
 
 // noCrashes holds nothing against any request.
 type noCrashes struct{}
 
-func (noCrashes) Known() bool                                                { return false }
-func (noCrashes) Verdict(crashers.Request) (crashers.Verdict, time.Duration) { return crashers.Free, 0 }
-func (noCrashes) Ended(crashers.Request, crashers.End, logrus.Fields)        {}
-func (noCrashes) Served(crashers.Request)                                    {}
-func (noCrashes) Try(crashers.Request, any) bool                             { return true }
-func (noCrashes) Tried(crashers.Request, any)                                {}
+func (noCrashes) Known() bool { return false }
+func (noCrashes) Verdict(crashers.Request, string) (crashers.Verdict, time.Duration) {
+	return crashers.Free, 0
+}
+func (noCrashes) Ended(crashers.Request, crashers.End, logrus.Fields) {}
+func (noCrashes) Served(crashers.Request)                             {}
+func (noCrashes) Try(crashers.Request, string, any) bool              { return true }
+func (noCrashes) Tried(crashers.Request, any)                         {}
 
 const (
 	// begunWithin is how long after an answer has begun, and before its first event, the end of its endpoint says much about its
 	// request. A usual stream is in that state for some tens of milliseconds.
 	begunWithin = 500 * time.Millisecond
+	// triedAfter is how long after its first event a stream is tried: a request that ends its engine has done so by then.
+	triedAfter = 250 * time.Millisecond
 	// servedAfter is how long a stream has to run for its request to be cleared.
 	servedAfter = time.Second
 	// atOnce is how soon after it was sent a request is lost on a connection whose endpoint had ended before.
@@ -61,7 +65,7 @@
 	if !f.Crashes.Known() {
 		return crashers.Free, 0
 	}
-	return f.Crashes.Verdict(req.identity)
+	return f.Crashes.Verdict(req.identity, req.service)
 }
 
 // refuseStopped refuses a request that ends the endpoints that run it, and says when it may be tried again.
@@ -114,7 +118,7 @@
 	if sign == 0 {
 		return
 	}
-	end := crashers.End{Endpoint: l.endpoint.ID, Sign: sign, Sent: l.sentAt, At: at}
+	end := crashers.End{Endpoint: l.endpoint.ID, Service: l.endpoint.Service, Sign: sign, Sent: l.sentAt, At: at}
 	if sign == crashers.Begun {
 		if f.hasEnded(l.endpoint) {
 			f.Crashes.Ended(req.identity, end, nil)
@@ -189,7 +193,7 @@
 	case v == crashers.Stopped:
 		s.machine.Failed(now, attempt, generation.Stopped, left)
 		return false
-	case v == crashers.Careful && !s.f.Crashes.Try(s.req.identity, s):
+	case v == crashers.Careful && !s.f.Crashes.Try(s.req.identity, s.req.service, s):
 		s.machine.Failed(now, attempt, generation.NoEndpoint, 0)
 		return false
 	}
@@ -205,12 +209,15 @@
 	}
 }
 
-// servedSoFar clears the request once its stream has run for a while.
+// servedSoFar ends the trial of the request once its stream has run for a moment, and clears it after a while.
 func (s *session) servedSoFar(now time.Time) {
-	if !s.served && s.relayed > 0 && now.Sub(s.firstAt) >= servedAfter {
+	ran := now.Sub(s.firstAt)
+	if ran >= triedAfter {
+		s.tried()
+	}
+	if !s.served && ran >= servedAfter {
 		s.served = true
 		s.f.served(s.req)
-		s.tried()
 	}
 }
 
@@ -246,7 +253,7 @@
 		}
 		v, _ := p.f.verdict(p.req)
 		p.careful = v == crashers.Careful
-		if !p.careful || p.f.Crashes.Try(p.req.identity, p) {
+		if !p.careful || p.f.Crashes.Try(p.req.identity, p.req.service, p) {
 			return nil
 		}
 		if !time.Now().Add(waitStep).Before(until) || !pause.For(ctx, waitStep) {
--- a/gateway/front/crashes_faults_test.go
+++ b/gateway/front/crashes_faults_test.go
@@ -249,6 +249,38 @@
 	})
 }
 
+// TestOperatorReleases: an operator sees at any instance what is stopped, and lets it go at all of them and in the store.
+func TestOperatorReleases(t *testing.T) {
+	run(t, 3, 12, 1, func(w *world) {
+		w.outbreak(standin.Fatal{}, func(o *outbreak) {
+			o.insist(fatalBrief(), 3, 700*time.Millisecond)
+			time.Sleep(time.Second)
+			s := w.fronts[1].State().Stopped
+			assert.Equal(w.t, len(s), 1)
+			assert.Equal(w.t, s[0].Verdict, "stopped")
+			assert.Equal(w.t, s[0].Team, "desk")
+			assert.Equal(w.t, len(s[0].Endpoints), 3)
+			assert.Assert(w.t, s[0].Stored)
+			w.fleet.SetFatal(nil)
+			release := standin.Request{Method: http.MethodPost, Host: "x", Path: "/stopped/" + s[0].Content + "/release"}
+			call := func() standin.Answer {
+				a, err := standin.Do(w.t.Context(), w.net.Node("operator").Dial, metricsAddress(2), release)
+				assert.NilError(w.t, err)
+				return a
+			}
+			assert.Equal(w.t, call().Status, http.StatusNoContent)
+			assert.Equal(w.t, call().Status, http.StatusNotFound)
+			time.Sleep(100 * time.Millisecond)
+			a, err := o.do(0, fatalBrief())
+			assert.NilError(w.t, err)
+			whole(w.t, a, "fa7a1", 0)
+			w.restartAll(500 * time.Millisecond)
+			time.Sleep(2 * time.Second)
+			assert.Equal(w.t, len(w.fronts[0].State().Stopped), 0)
+		})
+	})
+}
+
 // TestManyRequestsOfOneTeam: a team sends hundreds of different requests that end engines. After some of them its next ones
 // are tried one at a time, and the streams of another team are served.
 func TestManyRequestsOfOneTeam(t *testing.T) {
--- a/gateway/front/serve.go
+++ b/gateway/front/serve.go
@@ -30,6 +30,7 @@
 		f.handle(l.metrics, func(r chi.Router) {
 			r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics)
 			r.Get(StatePath, f.answerState)
+			r.Post(ReleasePath, f.answerRelease)
 		})
 	}
 }
--- a/gateway/front/state.go
+++ b/gateway/front/state.go
@@ -4,14 +4,20 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/go-chi/chi/v5"
+
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/exchange"
 )
 
 // StatePath is where an instance tells what it believes, on its metrics address.
 const StatePath = "/state"
 
+// ReleasePath is where a stopped request is let go, by its content, on the metrics address of any instance.
+const ReleasePath = "/stopped/{content}/release"
+
 // State is what an instance believes now.
 type State struct {
 	Instance string `json:"instance"`
@@ -29,6 +35,8 @@
 	CutOff    bool            `json:"cut_off"`
 	Peers     []exchange.Peer `json:"peers"`
 	Endpoints []EndpointState `json:"endpoints"`
+	// Stopped are the requests that are stopped, or were and have not been served since.
+	Stopped []crashes.State `json:"stopped"`
 }
 
 // EndpointState is what is believed of an endpoint.
@@ -50,7 +58,7 @@
 	s := State{
 		Instance: f.settings.Instance.ID, Ready: f.ready(), Stopping: f.draining.Load(),
 		Open: f.forwarder.Open(), StoreCalls: f.store.Calls(), Peers: f.exchange.Others(),
-		Follows: f.relay.Follows(), CutOff: f.access() == source.CutOff,
+		Follows: f.relay.Follows(), CutOff: f.access() == source.CutOff, Stopped: f.crashes.State(),
 	}
 	if table, age := f.configuration.Table(); table != nil {
 		s.Configuration, s.AgeMS = table.Version(), age.Milliseconds()
@@ -70,3 +78,12 @@
 		f.telemetry.Log.WithError(err).Debug("state not delivered")
 	}
 }
+
+// answerRelease lets a stopped request go, at all instances.
+func (f *Front) answerRelease(w http.ResponseWriter, r *http.Request) {
+	if f.crashes.ReleaseContent(chi.URLParam(r, "content")) == 0 {
+		http.Error(w, "no stopped request has this content", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -165,6 +165,8 @@
 func readyAddress(i int) string     { return frontIP(i) + ":81" }
 func directoryAddress(i int) string { return frontIP(i) + ":82" }
 
+func metricsAddress(i int) string { return frontIP(i) + ":84" }
+
 // frontSettings are the settings of an instance.
 func frontSettings(i int) string {
 	return fmt.Sprintf(`
@@ -177,12 +179,13 @@
 ready = %s
 directory = %s
 peers = %s:83
+metrics = %s
 [store]
 address = 10.0.9.1:80
 [retries]
 share = 0.8
 reserve = 150
-`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), frontIP(i))
+`, i, dc(i), frontAddress(i), readyAddress(i), directoryAddress(i), frontIP(i), metricsAddress(i))
 }
 
 // front starts an instance.
