--- /dev/null
+++ b/cli/e2e/crashes_test.go
@@ -0,0 +1,78 @@
+package e2e
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/cli/caller"
+	"github.com/agateway/agateway/cli/standin/engine"
+)
+
+// TestPromptThatEndsEngines: the callers of the project's own interface send a prompt that ends each engine that has read it, which
+// is back after five seconds. It comes again, at any instance. Each generation may be tried at twelve engines, and nothing
+// remembered what the one before had done.
+// What is asked: no engine ends at it later than three seconds after the third, and other generations are served.
+func TestPromptThatEndsEngines(t *testing.T) {
+	const (
+		fatal  = "ends whoever reads it"
+		settle = 3 * time.Second
+		back   = 5 * time.Second
+	)
+	run(t, shape{gateways: 3, engines: 12, policy: "frugal"}, func(w *world) {
+		var mu sync.Mutex
+		var ends []time.Time
+		over := false
+		start := func(i int) {
+			w.addEngine(i)
+			w.engines[i].SetFault(engine.Fault{DieAtPrompt: fatal})
+		}
+		w.exited = func(i int) {
+			mu.Lock()
+			defer mu.Unlock()
+			ends = append(ends, time.Now())
+			time.AfterFunc(back, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				if !over {
+					start(i)
+				}
+			})
+		}
+		for i := range w.engines {
+			w.engines[i].SetFault(engine.Fault{DieAtPrompt: fatal})
+		}
+		var work sync.WaitGroup
+		for i := range 15 {
+			work.Go(func() {
+				r := w.request(20)
+				r.Prompt, r.Deadline = fatal, 20*time.Second
+				ctx, cancel := context.WithTimeout(w.ctx(), 20*time.Second)
+				defer cancel()
+				_, err := w.client(i).Generate(ctx, r)
+				assert.Check(w.t, err != nil)
+			})
+			time.Sleep(700 * time.Millisecond)
+		}
+		work.Wait()
+		mu.Lock()
+		late := 0
+		for _, at := range ends {
+			if len(ends) > 3 && at.Sub(ends[2]) > settle {
+				late++
+			}
+		}
+		w.t.Logf("%d engines ended, %d later than %v after the third", len(ends), late, settle)
+		assert.Check(w.t, len(ends) >= 3)
+		assert.Check(w.t, late == 0, "%d", late)
+		over = true
+		mu.Unlock()
+		var a *caller.Answer
+		r := w.request(20)
+		a, err := w.client(0).Generate(w.ctx(), r)
+		w.check(r, a, err)
+	})
+}
--- a/cli/e2e/world_test.go
+++ b/cli/e2e/world_test.go
@@ -64,6 +64,7 @@
 	services []*plain.Plain
 	gateways []*daemon.Daemon
 	logs     *lockedBuffer
+	exited   func(i int) // is called when an engine ends by itself
 	dep      *operatorv1.Deployment
 }
 
@@ -135,8 +136,17 @@
 		PrefillRate: 20000, CacheBlocks: 1000, Lag: 200 * time.Millisecond, Gaps: 0.1, ChecksFencing: !w.shape.ignoreFencing,
 		LoadTime: time.Second, Salt: w.shape.salt, Seed: uint64(i), Models: []endpoint.LoadedModel{{Name: model, Version: version}},
 		Platform: w.platformFrom(id), Network: w.net.Node(id),
+		Exit: func() {
+			if w.exited != nil {
+				w.exited(i)
+			}
+		},
 	})
 	assert.NilError(w.t, err)
+	if i < len(w.engines) {
+		w.engines[i] = e
+		return
+	}
 	w.engines = append(w.engines, e)
 }
 
--- a/cli/standin/engine/engine.go
+++ b/cli/standin/engine/engine.go
@@ -226,6 +226,9 @@
 	if now.Before(s.readyAt) {
 		return true
 	}
+	if e.endsAt(s) {
+		return false
+	}
 	if len(s.tokens) < s.request.MaxTokens {
 		salt := e.cfg.Salt
 		if salt != 0 {
--- a/cli/standin/engine/fault.go
+++ b/cli/standin/engine/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/agateway/agateway/cli/standin/serve"
@@ -12,6 +13,8 @@
 	// Die ends the engine at once; DieAtToken when any stream reaches that many tokens.
 	Die        bool `json:"die,omitempty"`
 	DieAtToken int  `json:"die_at_token,omitempty"`
+	// DieAtPrompt ends the engine when it has read a prompt that contains this.
+	DieAtPrompt string `json:"die_at_prompt,omitempty"`
 	// Freeze stops everything until a fault without it is set.
 	Freeze bool `json:"freeze,omitempty"`
 	// Silent makes the connections that are open now silent for good; new ones work.
@@ -61,6 +64,15 @@
 	e.Close()
 }
 
+// endsAt tells whether the engine ends at a stream that is about to run.
+func (e *Engine) endsAt(s *stream) bool {
+	if e.fault.DieAtPrompt == "" || !strings.Contains(s.request.Prompt, e.fault.DieAtPrompt) {
+		return false
+	}
+	go e.die()
+	return true
+}
+
 func (e *Engine) dieAt(tokens int) {
 	if e.fault.DieAtToken > 0 && tokens >= e.fault.DieAtToken {
 		e.fault.DieAtToken = 0
--- /dev/null
+++ b/gateway/crashes/codec_test.go
@@ -0,0 +1,52 @@
+package crashes
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/crashers"
+)
+
+// stoppedFact is a stopped request.
+func stoppedFact(team string) crashers.Fact {
+	now := time.Now()
+	end := crashers.End{Endpoint: "i-1", Sign: crashers.Begun, Sent: now.Add(-2 * time.Second), At: now.Add(-time.Second)}
+	return crashers.Fact{
+		Request: crashers.Request{Team: team, Content: crashers.Content{1, 2, 3}}, Service: "engines", Ends: []crashers.End{end, end, end},
+		Stop: crashers.Stop{Times: 1, At: now, Until: now.Add(10 * time.Minute)},
+	}
+}
+
+// TestFactsOnTheWire: what is told arrives as it was, to a millisecond.
+func TestFactsOnTheWire(t *testing.T) {
+	now := time.Now().Truncate(time.Millisecond)
+	f := stoppedFact("desk")
+	f.Cleared, f.Trying, f.Stop.Stored = now.Add(-time.Minute), true, true
+	got := DecodeFacts(now, EncodeFacts(now, []crashers.Fact{f}))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Request, f.Request)
+	assert.Equal(t, len(got[0].Ends), len(f.Ends))
+	near := func(a, b time.Time) {
+		t.Helper()
+		assert.Assert(t, a.Sub(b).Abs() <= time.Millisecond, "%v %v", a, b)
+	}
+	for i, e := range got[0].Ends {
+		assert.Equal(t, e.Endpoint, f.Ends[i].Endpoint)
+		assert.Equal(t, e.Sign, f.Ends[i].Sign)
+		near(e.Sent, f.Ends[i].Sent)
+		near(e.At, f.Ends[i].At)
+	}
+	near(got[0].Cleared, f.Cleared)
+	near(got[0].Stop.Until, f.Stop.Until)
+	assert.Equal(t, got[0].Stop.Times, 1)
+	assert.Assert(t, got[0].Trying && got[0].Stop.Stored)
+	cut := EncodeFacts(now, []crashers.Fact{f})
+	cut[0].Content = cut[0].Content[1:]
+	assert.Equal(t, len(DecodeFacts(now, cut)), 0)
+	assert.Equal(t, ofMilliseconds(math.MaxUint64), ageMost)
+	assert.Equal(t, len(DecodeFacts(now, []*peerv1.CrashFact{nil})), 0)
+}
--- /dev/null
+++ b/gateway/crashes/judge.go
@@ -0,0 +1,117 @@
+package crashes
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/gateway/pause"
+)
+
+const (
+	// begunWithin is how long after an answer has begun, and before its first event, the end of its endpoint says much about its
+	// request. A usual stream is in that state for some tens of milliseconds.
+	begunWithin = 500 * time.Millisecond
+	// ServedAfter is how long a stream has to run for its request to be cleared, and TriedAfter for its trial to be over: a request
+	// that ends its engine has done so by then.
+	ServedAfter = time.Second
+	TriedAfter  = 250 * time.Millisecond
+	// atOnce is how soon after it was sent a request is lost on a connection whose endpoint had ended before.
+	atOnce = 20 * time.Millisecond
+	// unsureFor is how long the others' news of failures is awaited before an end is held against a request that may not
+	// have begun to run.
+	unsureFor = 500 * time.Millisecond
+	// atOneMoment is how long before an end others of the data centre may have failed that were lost with it.
+	atOneMoment = 100 * time.Millisecond
+	// unsureMost bounds the ends for which news is awaited at a time.
+	unsureMost = 64
+)
+
+// Loss is a request that an endpoint lost, and how far it was with it.
+type Loss struct {
+	Request           crashers.Request
+	Endpoint, Service string
+	// SentAt and HeadAt are when the request was sent and when its answer began, EventAt when its first event came; zero
+	// where they did not.
+	SentAt, HeadAt, EventAt time.Time
+	// Reused tells that the connection had served another request.
+	Reused bool
+}
+
+// sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
+func (l *Loss) sign(at time.Time) crashers.Sign {
+	switch {
+	case !l.EventAt.IsZero() && at.Sub(l.EventAt) >= ServedAfter:
+		return 0
+	case !l.HeadAt.IsZero() && l.EventAt.IsZero() && at.Sub(l.HeadAt) <= begunWithin:
+		return crashers.Begun
+	case l.Reused && at.Sub(l.SentAt) <= atOnce:
+		return 0
+	}
+	return crashers.Present
+}
+
+// Judge finds out whether a request is to blame for the end of an endpoint. It is safe for concurrent use.
+type Judge struct {
+	// Ended takes what is held against a request.
+	Ended func(req crashers.Request, end crashers.End, inputs logrus.Fields)
+	// HasEnded tells whether the process of an endpoint is gone that was not told to leave.
+	HasEnded func(endpoint string) bool
+	// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed last
+	// within a time.
+	Nearby func(endpoint string, from, to time.Time) (failed, all int)
+
+	unsure atomic.Int64 // ends of which it is not known yet whether they count
+}
+
+// Blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, or
+// is not the first time for this attempt of the caller, it is done when Blame returns, so that the request is not sent to
+// another one before. before counts the times for this attempt.
+func (j *Judge) Blame(ctx context.Context, before *atomic.Int32, l Loss) {
+	at := time.Now()
+	sign := l.sign(at)
+	if sign == 0 {
+		return
+	}
+	end := crashers.End{Endpoint: l.Endpoint, Service: l.Service, Sign: sign, Sent: l.SentAt, At: at}
+	if sign == crashers.Begun {
+		if j.HasEnded(l.Endpoint) {
+			j.Ended(l.Request, end, nil)
+		}
+		return
+	}
+	if j.unsure.Add(1) > unsureMost {
+		j.unsure.Add(-1)
+		return
+	}
+	judged := make(chan struct{})
+	go func() {
+		defer close(judged)
+		defer j.unsure.Add(-1)
+		j.blameLater(l.Request, end)
+	}()
+	if before.Add(1) == 1 {
+		return
+	}
+	select {
+	case <-judged:
+	case <-ctx.Done():
+	}
+}
+
+// blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
+// data centre failing.
+func (j *Judge) blameLater(req crashers.Request, end crashers.End) {
+	if !j.HasEnded(end.Endpoint) {
+		return
+	}
+	pause.For(context.Background(), unsureFor)
+	failed, all := j.Nearby(end.Endpoint, end.At.Add(-atOneMoment), end.At.Add(unsureFor))
+	if 2*failed >= all && failed > 1 {
+		return
+	}
+	j.Ended(req, end, logrus.Fields{"failed_nearby": failed, "endpoints_nearby": all})
+}
--- a/gateway/exchange/crashes.go
+++ b/gateway/exchange/crashes.go
@@ -7,6 +7,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/gateway/crashes"
 )
 
 // Crashes is what this instance knows of requests that end endpoints.
@@ -26,10 +27,6 @@
 	askedOf = 2
 	// askGap is the least time between two such questions: where hundreds start at once, each is heard on its own.
 	askGap = 200 * time.Millisecond
-	// contentSize is the size of a content on the wire, in bytes.
-	contentSize = len(crashers.Content{})
-	// ageMost bounds the ages that are believed.
-	ageMost = 30 * 24 * time.Hour
 )
 
 // TellCrashes tells all others of requests, at once: an instance that does not know lets another endpoint end.
@@ -41,7 +38,7 @@
 	for {
 		n := min(len(facts), factsMost)
 		x.send(&peerv1.Datagram{Body: &peerv1.Datagram_Crashes{Crashes: &peerv1.Crashes{
-			Instance: x.Self.ID, Complete: complete, Facts: encodeFacts(time.Now(), facts[:n]),
+			Instance: x.Self.ID, Complete: complete, Facts: crashes.EncodeFacts(time.Now(), facts[:n]),
 		}}}, to...)
 		if facts = facts[n:]; len(facts) == 0 {
 			return
@@ -89,63 +86,5 @@
 		x.tellFacts(facts, complete, from)
 		return
 	}
-	x.Crashes.Heard(c.Instance, decodeFacts(time.Now(), c.Facts), c.Complete)
-}
-
-func encodeFacts(now time.Time, facts []crashers.Fact) []*peerv1.CrashFact {
-	out := make([]*peerv1.CrashFact, len(facts))
-	for i := range facts {
-		out[i] = encodeFact(now, &facts[i])
-	}
-	return out
-}
-
-func encodeFact(now time.Time, f *crashers.Fact) *peerv1.CrashFact {
-	out := &peerv1.CrashFact{Team: f.Request.Team, Content: f.Request.Content[:], Service: f.Service, Trying: f.Trying}
-	for _, e := range f.Ends {
-		out.Ends = append(out.Ends, &peerv1.EndUnder{
-			Endpoint: e.Endpoint, Sign: peerv1.EndSign(e.Sign), SentAge: milliseconds(now.Sub(e.Sent)), Age: milliseconds(now.Sub(e.At)),
-		})
-	}
-	if !f.Cleared.IsZero() {
-		age := milliseconds(now.Sub(f.Cleared))
-		out.ClearedAge = &age
-	}
-	if s := f.Stop; s.Times > 0 {
-		out.Stops, out.Stored = uint32(s.Times), s.Stored
-		out.StopAge, out.StopLeft = milliseconds(now.Sub(s.At)), milliseconds(s.Until.Sub(now))
-	}
-	return out
-}
-
-// milliseconds returns a time in whole milliseconds, 0 for less than none.
-func milliseconds(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
-
-func decodeFacts(now time.Time, facts []*peerv1.CrashFact) []crashers.Fact {
-	var out []crashers.Fact
-	for _, f := range facts {
-		if len(f.GetContent()) == contentSize {
-			out = append(out, decodeFact(now, f))
-		}
-	}
-	return out
-}
-
-func decodeFact(now time.Time, f *peerv1.CrashFact) crashers.Fact {
-	out := crashers.Fact{Request: crashers.Request{Team: f.Team, Content: crashers.Content(f.Content)}, Service: f.Service, Trying: f.Trying}
-	ago := func(ms uint64) time.Time { return now.Add(-ofMilliseconds(ms)) }
-	for _, e := range f.Ends {
-		out.Ends = append(out.Ends, crashers.End{Endpoint: e.GetEndpoint(), Sign: crashers.Sign(e.GetSign()), Sent: ago(e.GetSentAge()), At: ago(e.GetAge())})
-	}
-	if f.ClearedAge != nil {
-		out.Cleared = ago(*f.ClearedAge)
-	}
-	if f.Stops > 0 {
-		out.Stop = crashers.Stop{Times: int(f.Stops), At: ago(f.StopAge), Until: now.Add(ofMilliseconds(f.StopLeft)), Stored: f.Stored}
-	}
-	return out
-}
-
-func ofMilliseconds(ms uint64) time.Duration {
-	return time.Duration(min(ms, uint64(ageMost.Milliseconds()))) * time.Millisecond
+	x.Crashes.Heard(c.Instance, crashes.DecodeFacts(time.Now(), c.Facts), c.Complete)
 }
--- a/gateway/exchange/crashes_test.go
+++ b/gateway/exchange/crashes_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/crashers"
 )
 
@@ -67,33 +65,3 @@
 		})
 	}
 }
-
-// TestFactsOnTheWire: what is told arrives as it was, to a millisecond.
-func TestFactsOnTheWire(t *testing.T) {
-	now := time.Now().Truncate(time.Millisecond)
-	f := stoppedFact("desk")
-	f.Cleared, f.Trying, f.Stop.Stored = now.Add(-time.Minute), true, true
-	got := decodeFacts(now, encodeFacts(now, []crashers.Fact{f}))
-	assert.Equal(t, len(got), 1)
-	assert.Equal(t, got[0].Request, f.Request)
-	assert.Equal(t, len(got[0].Ends), len(f.Ends))
-	near := func(a, b time.Time) {
-		t.Helper()
-		assert.Assert(t, a.Sub(b).Abs() <= time.Millisecond, "%v %v", a, b)
-	}
-	for i, e := range got[0].Ends {
-		assert.Equal(t, e.Endpoint, f.Ends[i].Endpoint)
-		assert.Equal(t, e.Sign, f.Ends[i].Sign)
-		near(e.Sent, f.Ends[i].Sent)
-		near(e.At, f.Ends[i].At)
-	}
-	near(got[0].Cleared, f.Cleared)
-	near(got[0].Stop.Until, f.Stop.Until)
-	assert.Equal(t, got[0].Stop.Times, 1)
-	assert.Assert(t, got[0].Trying && got[0].Stop.Stored)
-	cut := encodeFacts(now, []crashers.Fact{f})
-	cut[0].Content = cut[0].Content[1:]
-	assert.Equal(t, len(decodeFacts(now, cut)), 0)
-	assert.Equal(t, ofMilliseconds(math.MaxUint64), ageMost)
-	assert.Equal(t, len(decodeFacts(now, []*peerv1.CrashFact{nil})), 0)
-}
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/agateway/agateway/core/copies"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
 )
@@ -79,10 +80,8 @@
 	// included; 0 where that is not known, and began when it was sent.
 	reading int
 	sentAt  time.Time
-	// headAt, eventAt and reused belong to the goroutine of the attempt: when its answer began and its first event came, and
-	// whether its connection had served another request.
-	headAt, eventAt time.Time
-	reused          bool
+	// loss is what it would be if its engine were lost now. It belongs to the goroutine of the attempt.
+	loss crashes.Loss
 }
 
 // launch sends the request to an engine. from is a copy of the run's memory there; the zero holder
@@ -165,7 +164,7 @@
 		conn.Keep()
 		return a.noRoom()
 	}
-	a.reused = conn.Reused()
+	a.loss = s.req.loss(&a.endpoint, conn.Reused())
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
 	if err != nil {
@@ -183,9 +182,9 @@
 		return message{kind: attemptFailed, failure: generation.Broken, err: errUnsigned}
 	}
 	a.header = platform.ToClient(x.Header())
-	a.headAt = time.Now()
+	a.loss.HeadAt = time.Now()
 	m := a.relay(ctx, x)
-	m.headAt = a.headAt
+	m.headAt = a.loss.HeadAt
 	return m
 }
 
@@ -202,7 +201,7 @@
 	if ctx.Err() == nil {
 		a.session.f.Placement.Failed(a.endpoint.ID)
 		a.session.f.Placement.Outcome(a.endpoint.ID, false)
-		a.session.f.blame(ctx, a.session.req, loss{endpoint: &a.endpoint, sentAt: a.sentAt, headAt: a.headAt, eventAt: a.eventAt, reused: a.reused})
+		a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
 	}
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
@@ -236,8 +235,8 @@
 		if err != nil {
 			return a.lost(ctx, err)
 		}
-		if a.eventAt.IsZero() {
-			a.eventAt = time.Now()
+		if a.loss.EventAt.IsZero() {
+			a.loss.EventAt = time.Now()
 		}
 		a.tell(ctx, message{kind: attemptEvent, block: e.block, id: e.id, numbered: e.numbered})
 	}
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/upstream"
 )
@@ -41,25 +42,6 @@
 func (noCrashes) Try(crashers.Request, string, any) bool              { return true }
 func (noCrashes) Tried(crashers.Request, any)                         {}
 
-const (
-	// begunWithin is how long after an answer has begun, and before its first event, the end of its endpoint says much about its
-	// request. A usual stream is in that state for some tens of milliseconds.
-	begunWithin = 500 * time.Millisecond
-	// triedAfter is how long after its first event a stream is tried: a request that ends its engine has done so by then.
-	triedAfter = 250 * time.Millisecond
-	// servedAfter is how long a stream has to run for its request to be cleared.
-	servedAfter = time.Second
-	// atOnce is how soon after it was sent a request is lost on a connection whose endpoint had ended before.
-	atOnce = 20 * time.Millisecond
-	// unsureFor is how long the others' news of failures is awaited before an end is held against a request that may not
-	// have begun to run.
-	unsureFor = 500 * time.Millisecond
-	// atOneMoment is how long before an end others of the data centre may have failed that were lost with it.
-	atOneMoment = 100 * time.Millisecond
-	// unsureMost bounds the ends for which that is awaited at a time.
-	unsureMost = 64
-)
-
 // verdict returns what may be done with a request.
 func (f *Forwarder) verdict(req *request) (crashers.Verdict, time.Duration) {
 	if !f.Crashes.Known() {
@@ -87,80 +69,15 @@
 	}
 }
 
-// loss is how far an endpoint was with a request that it lost.
-type loss struct {
-	endpoint *routing.Endpoint
-	// sentAt and headAt are when the request was sent and when its answer began, eventAt when its first event came; zero
-	// where they did not.
-	sentAt, headAt, eventAt time.Time
-	reused                  bool // the connection had served another request
-}
-
-// sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
-func (l *loss) sign(at time.Time) crashers.Sign {
-	switch {
-	case !l.eventAt.IsZero() && at.Sub(l.eventAt) >= servedAfter:
-		return 0
-	case !l.headAt.IsZero() && l.eventAt.IsZero() && at.Sub(l.headAt) <= begunWithin:
-		return crashers.Begun
-	case l.reused && at.Sub(l.sentAt) <= atOnce:
-		return 0
-	}
-	return crashers.Present
-}
-
-// blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, or
-// is not the first time for this attempt of the caller, it is done when blame returns, so that the request is not sent to
-// another one before.
-func (f *Forwarder) blame(ctx context.Context, req *request, l loss) {
-	at := time.Now()
-	sign := l.sign(at)
-	if sign == 0 {
-		return
-	}
-	end := crashers.End{Endpoint: l.endpoint.ID, Service: l.endpoint.Service, Sign: sign, Sent: l.sentAt, At: at}
-	if sign == crashers.Begun {
-		if f.hasEnded(l.endpoint) {
-			f.Crashes.Ended(req.identity, end, nil)
-		}
-		return
-	}
-	if f.unsure.Add(1) > unsureMost {
-		f.unsure.Add(-1)
-		return
-	}
-	judged := make(chan struct{})
-	go func() {
-		defer close(judged)
-		defer f.unsure.Add(-1)
-		f.blameLater(req.identity, l.endpoint, end)
-	}()
-	if req.losses.Add(1) == 1 {
-		return
-	}
-	select {
-	case <-judged:
-	case <-ctx.Done():
-	}
-}
-
-// blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
-// data centre failing.
-func (f *Forwarder) blameLater(id crashers.Request, e *routing.Endpoint, end crashers.End) {
-	if !f.hasEnded(e) {
-		return
-	}
-	pause.For(context.Background(), unsureFor)
-	failed, all := f.Placement.Nearby(e.ID, end.At.Add(-atOneMoment), end.At.Add(unsureFor))
-	if 2*failed >= all && failed > 1 {
-		return
-	}
-	f.Crashes.Ended(id, end, logrus.Fields{"failed_nearby": failed, "endpoints_nearby": all})
+// loss describes a request that is being sent to an endpoint, as it would be lost there.
+func (req *request) loss(e *routing.Endpoint, reused bool) crashes.Loss {
+	return crashes.Loss{Request: req.identity, Endpoint: e.ID, Service: e.Service, SentAt: time.Now(), Reused: reused}
 }
 
 // hasEnded tells whether the process of an endpoint is gone that was not told to leave: its machine refuses connections.
-func (f *Forwarder) hasEnded(e *routing.Endpoint) bool {
-	if known, ok := f.Placement.Get(e.ID); !ok || known.State == routing.Leaving {
+func (f *Forwarder) hasEnded(id string) bool {
+	e, ok := f.Placement.Get(id)
+	if !ok || e.State == routing.Leaving {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Settings.Probe)
@@ -212,10 +129,10 @@
 // servedSoFar ends the trial of the request once its stream has run for a moment, and clears it after a while.
 func (s *session) servedSoFar(now time.Time) {
 	ran := now.Sub(s.firstAt)
-	if ran >= triedAfter {
+	if ran >= crashes.TriedAfter {
 		s.tried()
 	}
-	if !s.served && ran >= servedAfter {
+	if !s.served && ran >= crashes.ServedAfter {
 		s.served = true
 		s.f.served(s.req)
 	}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/gateway/clock"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/placement"
 	"github.com/agateway/agateway/gateway/upstream"
 )
@@ -113,6 +114,7 @@
 type Forwarder struct {
 	Options
 	budgets *budgets
+	judge   crashes.Judge
 	reads   reads
 	locator locator
 	lines   lines
@@ -127,7 +129,6 @@
 
 	sessionsMu sync.Mutex
 	sessions   map[*session]bool
-	unsure     atomic.Int64 // ends of which it is not known yet whether they count
 }
 
 // New returns a forwarder.
@@ -141,9 +142,11 @@
 	if o.Crashes == nil {
 		o.Crashes = noCrashes{}
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		Options: o, began: time.Now(), budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope), sessions: map[*session]bool{},
 	}
+	f.judge.Ended, f.judge.HasEnded, f.judge.Nearby = o.Crashes.Ended, f.hasEnded, o.Placement.Nearby
+	return f
 }
 
 // FirstLook records that both a configuration and the list of endpoints are known for the first time.
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -12,6 +12,7 @@
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
@@ -38,7 +39,7 @@
 	header http.Header
 	body   []byte
 	rest   *upstream.Exchange // what is not read yet; nil when the answer is whole
-	loss   loss               // what it would be if the rest were lost
+	loss   crashes.Loss       // what it would be if the rest were lost
 }
 
 // outcome is how one try ended.
@@ -204,7 +205,7 @@
 	}
 	p.sent++
 	p.runs++
-	l := loss{endpoint: e, sentAt: time.Now(), reused: conn.Reused()}
+	l := req.loss(e, conn.Reused())
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
 	x, err := conn.Do(ctx, req.outgoing(&platform.Send{
@@ -213,7 +214,7 @@
 	if err != nil {
 		return nil, p.lost(ctx, l, err), err
 	}
-	l.headAt = time.Now()
+	l.HeadAt = time.Now()
 	told := platform.ReadAnswer(x.Status(), x.Header())
 	f.learn(e.ID, &told)
 	if told.NotRun {
@@ -241,17 +242,17 @@
 var errUnsigned = errors.New("the answer is not signed by an endpoint")
 
 // lost classifies a request whose answer did not arrive.
-func (p *plain) lost(ctx context.Context, l loss, err error) outcome {
+func (p *plain) lost(ctx context.Context, l crashes.Loss, err error) outcome {
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		p.runs--
 		return notRun
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) { // the endpoint's doing, not the caller's
-		p.f.Placement.Lost(l.endpoint.ID)
-		p.f.Placement.Outcome(l.endpoint.ID, false)
+		p.f.Placement.Lost(l.Endpoint)
+		p.f.Placement.Outcome(l.Endpoint, false)
 	}
 	if ctx.Err() == nil {
-		p.f.blame(ctx, p.req, l)
+		p.f.judge.Blame(ctx, &p.req.losses, l)
 	}
 	return unknown
 }
@@ -295,10 +296,10 @@
 	if n, err := relay(p.w, a.rest); err != nil {
 		a.rest.Abort()
 		if n > 0 {
-			a.loss.eventAt = a.loss.headAt
+			a.loss.EventAt = a.loss.HeadAt
 		}
 		if ctx := p.req.http.Context(); ctx.Err() == nil {
-			p.f.blame(ctx, p.req, a.loss)
+			p.f.judge.Blame(ctx, &p.req.losses, a.loss)
 		}
 		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
 		panic(http.ErrAbortHandler)
