--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -67,6 +67,8 @@
 	// PeerServiceHandOverTicketsProcedure is the fully-qualified name of the PeerService's
 	// HandOverTickets RPC.
 	PeerServiceHandOverTicketsProcedure = "/agateway.peer.v1.PeerService/HandOverTickets"
+	// PeerServiceTellCrashesProcedure is the fully-qualified name of the PeerService's TellCrashes RPC.
+	PeerServiceTellCrashesProcedure = "/agateway.peer.v1.PeerService/TellCrashes"
 )
 
 // PeerServiceClient is a client for the agateway.peer.v1.PeerService service.
@@ -94,6 +96,8 @@
 	AskTicket(context.Context, *connect.Request[v1.AskTicketRequest]) (*connect.Response[v1.AskTicketResponse], error)
 	// HandOverTickets gives the outcomes of an instance that leaves to another one.
 	HandOverTickets(context.Context, *connect.Request[v1.HandOverTicketsRequest]) (*connect.Response[v1.HandOverTicketsResponse], error)
+	// TellCrashes tells of requests under which endpoints ended, and returns what is stopped where that is asked for.
+	TellCrashes(context.Context, *connect.Request[v1.Crashes]) (*connect.Response[v1.Crashes], error)
 }
 
 // NewPeerServiceClient constructs a client for the agateway.peer.v1.PeerService service. By
@@ -185,6 +189,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("HandOverTickets")),
 			connect.WithClientOptions(opts...),
 		),
+		tellCrashes: connect.NewClient[v1.Crashes, v1.Crashes](
+			httpClient,
+			baseURL+PeerServiceTellCrashesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("TellCrashes")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -203,6 +213,7 @@
 	runTicket         *connect.Client[v1.RunTicketRequest, v1.RunTicketResponse]
 	askTicket         *connect.Client[v1.AskTicketRequest, v1.AskTicketResponse]
 	handOverTickets   *connect.Client[v1.HandOverTicketsRequest, v1.HandOverTicketsResponse]
+	tellCrashes       *connect.Client[v1.Crashes, v1.Crashes]
 }
 
 // Heartbeat calls agateway.peer.v1.PeerService.Heartbeat.
@@ -270,6 +281,11 @@
 	return c.handOverTickets.CallUnary(ctx, req)
 }
 
+// TellCrashes calls agateway.peer.v1.PeerService.TellCrashes.
+func (c *peerServiceClient) TellCrashes(ctx context.Context, req *connect.Request[v1.Crashes]) (*connect.Response[v1.Crashes], error) {
+	return c.tellCrashes.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the agateway.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Heartbeat exchanges liveness, usage of shared limits and the configuration digest.
@@ -295,6 +311,8 @@
 	AskTicket(context.Context, *connect.Request[v1.AskTicketRequest]) (*connect.Response[v1.AskTicketResponse], error)
 	// HandOverTickets gives the outcomes of an instance that leaves to another one.
 	HandOverTickets(context.Context, *connect.Request[v1.HandOverTicketsRequest]) (*connect.Response[v1.HandOverTicketsResponse], error)
+	// TellCrashes tells of requests under which endpoints ended, and returns what is stopped where that is asked for.
+	TellCrashes(context.Context, *connect.Request[v1.Crashes]) (*connect.Response[v1.Crashes], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -382,6 +400,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("HandOverTickets")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTellCrashesHandler := connect.NewUnaryHandler(
+		PeerServiceTellCrashesProcedure,
+		svc.TellCrashes,
+		connect.WithSchema(peerServiceMethods.ByName("TellCrashes")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agateway.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -410,6 +434,8 @@
 			peerServiceAskTicketHandler.ServeHTTP(w, r)
 		case PeerServiceHandOverTicketsProcedure:
 			peerServiceHandOverTicketsHandler.ServeHTTP(w, r)
+		case PeerServiceTellCrashesProcedure:
+			peerServiceTellCrashesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -470,3 +496,7 @@
 func (UnimplementedPeerServiceHandler) HandOverTickets(context.Context, *connect.Request[v1.HandOverTicketsRequest]) (*connect.Response[v1.HandOverTicketsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateway.peer.v1.PeerService.HandOverTickets is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) TellCrashes(context.Context, *connect.Request[v1.Crashes]) (*connect.Response[v1.Crashes], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateway.peer.v1.PeerService.TellCrashes is not implemented"))
+}
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -189,6 +189,14 @@
 	return b.view.List(time.Now())
 }
 
+// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed last within a
+// time.
+func (b *Backends) Nearby(id string, from, to time.Time) (failed, all int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Nearby(id, from, to)
+}
+
 // Slots returns the slots of a service's endpoints that take work.
 func (b *Backends) Slots(service string) int {
 	b.mu.Lock()
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/agateway/agateway/api/operator/v1/operatorv1connect"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/lease"
 	"github.com/agateway/agateway/core/membership"
@@ -24,6 +25,7 @@
 	"github.com/agateway/agateway/gateway/backends"
 	"github.com/agateway/agateway/gateway/callers"
 	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/fleet"
 	"github.com/agateway/agateway/gateway/network"
@@ -58,6 +60,7 @@
 	network   network.Network
 	platform  *platform.Objects
 	running   *running.Running
+	crashes   *crashes.Register
 	peering   *peering.Service
 	servers   []*http.Server
 	cancel    context.CancelFunc
@@ -127,14 +130,23 @@
 		Key: []byte(s.Keys.Cursor), Entries: s.Tickets.Entries, Bytes: s.Tickets.Bytes, BodyKept: s.Tickets.BodyKept,
 		TTL: s.Tickets.TTL, Fleet: d.Fleet, Pool: d.Pool, Timeout: s.Peers.Timeout, Run: run, Scope: t.Scope,
 	})
+	met := make(chan struct{})
+	close(met) // the list of instances does not say which requests are stopped
+	d.crashes = crashes.New(crashes.Options{
+		Settings: crashers.DefaultSettings(), Self: s.Instance.ID, Store: d.platform.Store(),
+		Met:       func() <-chan struct{} { return met },
+		Instances: func() (int, int) { n := len(d.Fleet.Others()) + 1; return n, n },
+		Tell:      func(facts []crashers.Fact, complete bool) { d.peering.SpreadCrashes(facts, complete) },
+		Stopped:   func(crashers.Request) {}, Log: t.Log, Scope: t.Scope,
+	})
 	d.Pipeline = pipeline.New(&pipeline.Deps{
-		Settings: s, Config: d.Config, Backends: d.Backends, Client: client, Fleet: d.Fleet, Running: d.running,
+		Settings: s, Config: d.Config, Backends: d.Backends, Client: client, Crashes: d.crashes, Fleet: d.Fleet, Running: d.running,
 		Tickets: d.Tickets, Claims: &once.Claims{Platform: d.platform, Run: run, BodyKept: s.Tickets.BodyKept, Scope: t.Scope},
 		Tracer: t.Tracer, Scope: t.Scope, Log: t.Log,
 	})
 	d.peering = &peering.Service{
 		Config: d.Config, Fleet: d.Fleet, Running: d.running, Tickets: d.Tickets, Pool: d.Pool,
-		Timeout: s.Peers.Timeout, Scope: t.Scope, Lists: d.lists(),
+		Timeout: s.Peers.Timeout, Scope: t.Scope, Lists: d.lists(), Crashes: d.crashes,
 	}
 }
 
@@ -249,7 +261,7 @@
 	sweeper := &once.Sweeper{
 		Platform: d.platform, Holds: d.Orders.Holds, TTL: d.settings.Tickets.ClaimTTL, Every: sweepEvery, PerSecond: sweepRate, Scope: d.telemetry.Scope,
 	}
-	parts := []func(context.Context){d.shareEndpoints, sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow}
+	parts := []func(context.Context){d.shareEndpoints, sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Lists.Run, d.follow, d.crashes.Run, d.peering.AskCrashes}
 	if d.settings.Instance.Register {
 		parts = append(parts, d.register)
 	}
--- a/gateway/endpoint/engine.go
+++ b/gateway/endpoint/engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -131,6 +132,9 @@
 // one that broke.
 func transportError(err error) error {
 	var op *net.OpError
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ErrGone.Wrap(err, "can't connect")
+	}
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrRefused.Wrap(err, "can't connect")
 	}
--- a/gateway/endpoint/wire.go
+++ b/gateway/endpoint/wire.go
@@ -20,6 +20,8 @@
 	namespace = errorx.NewNamespace("endpoint")
 	// ErrRefused: the endpoint took no work, or could not be reached.
 	ErrRefused = namespace.NewType("refused", errorx.Temporary())
+	// ErrGone: nothing listens at the endpoint's address, though its machine answers.
+	ErrGone = ErrRefused.NewSubtype("gone")
 	// ErrBroken: the connection ended; work may have run.
 	ErrBroken = namespace.NewType("broken", errorx.Temporary())
 	// ErrMismatch: the engine can't continue the given sequence.
--- a/gateway/peering/peering.go
+++ b/gateway/peering/peering.go
@@ -11,11 +11,14 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/fleet"
 	"github.com/agateway/agateway/gateway/once"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/running"
 )
@@ -29,6 +32,7 @@
 	Running *running.Running
 	Tickets *once.Tickets
 	Lists   *Lists
+	Crashes *crashes.Register
 	Pool    *peers.Pool
 	Timeout time.Duration
 	Scope   tally.Scope
@@ -149,7 +153,55 @@
 	return connect.NewResponse(&peerv1.HandOverTicketsResponse{}), nil
 }
 
+// TellCrashes takes what another instance tells of requests, and returns what is stopped.
+func (s *Service) TellCrashes(_ context.Context, r *connect.Request[peerv1.Crashes]) (*connect.Response[peerv1.Crashes], error) {
+	if r.Msg.Ask {
+		return connect.NewResponse(s.told(s.Crashes.Facts())), nil
+	}
+	s.hear(r.Msg)
+	return connect.NewResponse(&peerv1.Crashes{}), nil
+}
+
+func (s *Service) told(facts []crashers.Fact, complete bool) *peerv1.Crashes {
+	return &peerv1.Crashes{Instance: s.Fleet.Self().ID, Complete: complete, Facts: crashes.EncodeFacts(time.Now(), facts)}
+}
+
+func (s *Service) hear(c *peerv1.Crashes) {
+	s.Crashes.Heard(c.Instance, crashes.DecodeFacts(time.Now(), c.Facts), c.Complete)
+}
+
+// SpreadCrashes tells all others of requests, at once: an instance that does not know lets another endpoint end.
+func (s *Service) SpreadCrashes(facts []crashers.Fact, complete bool) {
+	req := s.told(facts, complete)
+	for _, m := range s.Fleet.Others() {
+		go func() {
+			if _, err := peers.Call(context.Background(), s.Pool, m.Peer, s.Timeout, crashesMethod, req); err != nil {
+				s.Scope.Counter("crashes_not_told").Inc(1) // it asks by itself
+			}
+		}()
+	}
+}
+
+// askCrashesEvery is the time between two questions for what is stopped: one that was cut off knows soon after it is back.
+const askCrashesEvery = 2 * time.Second
+
+// AskCrashes asks another instance after the other for what is stopped, until ctx ends.
+func (s *Service) AskCrashes(ctx context.Context) {
+	pause.Every(ctx, askCrashesEvery, func() {
+		for _, m := range s.Fleet.Sample(1) {
+			resp, err := peers.Call(ctx, s.Pool, m.Peer, s.Timeout, crashesMethod, &peerv1.Crashes{Instance: s.Fleet.Self().ID, Ask: true})
+			if err != nil {
+				s.Scope.Counter("crashes_not_told").Inc(1)
+				continue
+			}
+			s.hear(resp)
+		}
+	})
+}
+
 var (
+	crashesMethod = peerv1connect.PeerServiceClient.TellCrashes
+
 	pushMethod = peerv1connect.PeerServiceClient.PushConfiguration
 	pullMethod = peerv1connect.PeerServiceClient.PullConfiguration
 	listMethod = peerv1connect.PeerServiceClient.ListInstances
--- a/gateway/pipeline/deps.go
+++ b/gateway/pipeline/deps.go
@@ -12,6 +12,7 @@
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/gateway/backends"
 	"github.com/agateway/agateway/gateway/config"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/fleet"
 	"github.com/agateway/agateway/gateway/once"
@@ -25,19 +26,22 @@
 	Config   *config.Config
 	Backends *backends.Backends
 	Client   *endpoint.Client
-	Fleet    *fleet.Fleet
-	Running  *running.Running
-	Tickets  *once.Tickets
-	Claims   *once.Claims
-	Tracer   trace.Tracer
-	Scope    tally.Scope
-	Log      *logrus.Entry
+	// Crashes is what is known of requests that end endpoints.
+	Crashes *crashes.Register
+	Fleet   *fleet.Fleet
+	Running *running.Running
+	Tickets *once.Tickets
+	Claims  *once.Claims
+	Tracer  trace.Tracer
+	Scope   tally.Scope
+	Log     *logrus.Entry
 
 	open     atomic.Int64
 	draining atomic.Bool
 	recovery generation.Config
 	retries  retryBudget
 	metrics  *metrics
+	judge    crashes.Judge
 	usage    func() map[string]limits.Usage
 }
 
@@ -51,6 +55,7 @@
 	e := &d.Settings.Endpoints
 	d.retries.budget = limits.NewBudget(e.RetryShare, e.RetryReserve)
 	d.metrics = newMetrics(d.Scope)
+	d.judge.Ended, d.judge.HasEnded, d.judge.Nearby = d.Crashes.Ended, d.hasEnded, d.nearby
 }
 
 // retryBudget is a budget shared by all requests of the instance.
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/ticket"
 	"github.com/agateway/agateway/gateway/apierr"
@@ -104,16 +105,24 @@
 func (d *dispatch) call(ctx context.Context, dep *config.Deployment, c *once.Call) (*http.Response, func(), error) {
 	req := d.request(dep, nil)
 	idempotent := dep.Idempotent(c.Method)
+	t := &callTrial{Deps: d.Deps, request: crashers.Request{Team: c.Team, Content: contentOfCall(c)}, service: dep.Service}
+	defer t.end()
 	until := time.Now().Add(min(dep.QueueWait, time.Until(c.Deadline)))
 	for try := 1; ; try++ {
+		if err := t.begin(); err != nil {
+			return nil, nil, err
+		}
 		e, err := d.pick(ctx, &req, until)
 		if err != nil {
 			return nil, nil, err
 		}
+		sentAt := time.Now()
 		resp, done, err := d.try(ctx, &e, c, idempotent && try < plainTries)
 		if err == nil {
+			t.served()
 			return resp, done, nil
 		}
+		t.lost(ctx, &e, sentAt, err)
 		callErr, again := judgePlain(err, idempotent)
 		if !again || try == plainTries || ctx.Err() != nil || !d.retries.retry() {
 			return nil, nil, callErr
--- a/gateway/pipeline/receiver.go
+++ b/gateway/pipeline/receiver.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/endpoint"
 )
 
@@ -21,7 +22,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.attempts[r.number].acked = true
+	s.attempts[r.number].acked, s.attempts[r.number].ackedAt = true, now
 	if s.closed {
 		s.Backends.Cancel(r.endpoint, a.Stream, r.number)
 		return
@@ -59,6 +60,7 @@
 	}
 	now := time.Now()
 	accepted := s.machine.Token(now, r.number, index, text)
+	s.began(now, r.number)
 	if accepted {
 		s.count(now)
 		s.sink.token(now, index, text, s.machine.Journal().Hash())
@@ -67,6 +69,21 @@
 	s.settle(now)
 }
 
+// began notes that an attempt makes tokens, and clears the request once it has done so for a while. The lock is held.
+func (s *session) began(now time.Time, number int) {
+	at := s.attempts[number]
+	if at == nil {
+		return // it was given up
+	}
+	if at.tokenAt.IsZero() {
+		at.tokenAt = now
+	}
+	if !at.served && now.Sub(at.tokenAt) >= crashes.ServedAfter {
+		at.served = true
+		s.served()
+	}
+}
+
 // count keeps the figures of a token that goes to the caller.
 func (s *session) count(now time.Time) {
 	s.metrics.tokens.Inc(1)
--- a/gateway/pipeline/relay.go
+++ b/gateway/pipeline/relay.go
@@ -83,7 +83,7 @@
 	generation.CodeDeadline: apierr.DeadlineExceeded, generation.CodeNoEndpoint: apierr.Unavailable,
 	generation.CodeSuperseded: apierr.Superseded, generation.CodeCannotGoOn: apierr.CannotContinue,
 	generation.CodeInvalid: apierr.InvalidRequest, generation.CodeAttempts: apierr.Unavailable,
-	generation.CodeCanceled: apierr.DeadlineExceeded,
+	generation.CodeCanceled: apierr.DeadlineExceeded, generation.CodeStopped: apierr.Unavailable,
 }
 
 // answer sends what is left to send when the generation has ended.
--- a/gateway/pipeline/route.go
+++ b/gateway/pipeline/route.go
@@ -22,6 +22,9 @@
 	if x.Form == Plain {
 		return nil
 	}
+	if err := r.stopped(x.identity(), x.Deployment.Service); err != nil {
+		return err
+	}
 	x.session = newSession(r.Deps, x, r.request(x.Deployment, x.Generation))
 	return nil
 }
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/core/routing"
@@ -18,6 +20,7 @@
 type session struct {
 	*Deps
 	x       *Exchange
+	request crashers.Request
 	routing routing.Request
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -37,6 +40,8 @@
 	announced bool // the directory knows of it
 	keepEntry bool // the directory keeps it for a caller that may come back
 	closed    bool // nothing is done any more, and the caller's connection is not used
+
+	losses atomic.Int32 // of engines that may have ended under the request
 }
 
 // attempt is what the session holds of one attempt.
@@ -45,10 +50,13 @@
 	cancel   context.CancelFunc
 	acked    bool
 	dropped  bool
+	// ackedAt is when its engine took it, and tokenAt when its first token came; zero when they did not.
+	ackedAt, tokenAt time.Time
+	served           bool // long enough for the request to be cleared
 }
 
 func newSession(d *Deps, x *Exchange, r routing.Request) *session {
-	return &session{Deps: d, x: x, routing: r, attempts: map[int]*attempt{}, ended: make(chan struct{})}
+	return &session{Deps: d, x: x, request: x.identity(), routing: r, attempts: map[int]*attempt{}, ended: make(chan struct{})}
 }
 
 // start makes the machine and carries out its first action. The streams live on when the
@@ -134,6 +142,7 @@
 		s.drop(a)
 	case generation.Finish:
 		s.finish = &a
+		s.served()
 		s.end()
 	case generation.Fail:
 		s.fail = &a
@@ -176,6 +185,7 @@
 
 // close ends what is left of the session: nothing is sent to the caller any more.
 func (s *session) close() {
+	s.Crashes.Tried(s.request, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.machine.Ended() {
--- a/gateway/pipeline/streams.go
+++ b/gateway/pipeline/streams.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/gateway/endpoint"
 )
@@ -31,8 +32,15 @@
 	s.mu.Lock()
 	req.Avoid, req.Recovery, req.Version = a.Avoid, a.Recovery, s.x.entry.Version
 	s.mu.Unlock()
+	if !s.mayStart(a.Attempt) {
+		return
+	}
+	if v, _ := s.Crashes.Verdict(s.request, req.Service); v == crashers.Careful {
+		req.Weights = carefulWeights()
+	}
 	e, err := s.pick(ctx, &req, time.Now().Add(roomWait))
 	if err != nil {
+		s.Crashes.Tried(s.request, s)
 		s.failed(a.Attempt, generation.NoEndpoint, 0)
 		return
 	}
@@ -45,8 +53,13 @@
 	s.mu.Unlock()
 	ctx, span := s.Tracer.Start(ctx, "engine")
 	defer span.End()
+	sentAt := time.Now()
 	stream, err := s.Client.Open(ctx, e.Address, start)
-	s.receive(a.Attempt, id, stream, err)
+	if err = s.read(a.Attempt, id, stream, err); err != nil {
+		s.blame(ctx, &e, sentAt, at, err)
+		s.Crashes.Tried(s.request, s)
+		s.endpointFailed(a.Attempt, id, err)
+	}
 }
 
 func (s *session) startRequest(a generation.Start) *endpoint.StartRequest {
@@ -89,19 +102,18 @@
 	s.Backends.Sent(id)
 	defer s.Backends.Finished(id)
 	stream, err := s.Client.Resume(ctx, address, s.x.entry.Generation, a.Stream.ID, a.From, a.Attempt)
-	s.receive(a.Attempt, id, stream, err)
+	if err = s.read(a.Attempt, id, stream, err); err != nil {
+		s.endpointFailed(a.Attempt, id, err)
+	}
 }
 
-// receive reads a stream to its end and reports how it ended.
-func (s *session) receive(number int, id string, stream *endpoint.Stream, err error) {
-	if err == nil {
-		r := &receiver{s: s, number: number, endpoint: id}
-		err = stream.Receive(r)
-		stream.Close()
-	}
+// read reads a stream to its end; err is why it was not opened. It returns how it ended, nil for well.
+func (s *session) read(number int, id string, stream *endpoint.Stream, err error) error {
 	if err != nil {
-		s.endpointFailed(number, id, err)
+		return err
 	}
+	defer stream.Close()
+	return stream.Receive(&receiver{s: s, number: number, endpoint: id})
 }
 
 // failureOf turns an endpoint's error into the machine's.
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -40,6 +40,9 @@
 	return &Objects{store: store.NewStore(address, timeout, network.Within(n, timeout/2))}
 }
 
+// Store returns the store itself, for what lies there without an envelope.
+func (o *Objects) Store() *store.Store { return o.store }
+
 // Reachable tells whether a call succeeded within the last d.
 func (o *Objects) Reachable(d time.Duration) bool {
 	return time.Since(time.UnixMilli(o.lastOK.Load())) < d
