crashes: tests of what is kept and told; a team is held back only while it sends such requests; no polling

A request's name does not depend on its id or on other headers. The register waits for what is due in place of looking ten times a second.

--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -72,9 +72,11 @@
 	TrialMost time.Duration
 	// PerTeam and Most bound the requests in a register.
 	PerTeam, Most int
-	// Harmful is how many requests of a team to a service that are stopped, or had begun where an endpoint ended, make each other
-	// one be handled with care, one of the team at a time, and one end at which it had begun enough to stop it.
-	Harmful int
+	// Harmful is how many requests of a team that had begun where an endpoint of a service ended, within HarmfulWithin, make each
+	// other one to that service be handled with care, one of the team at a time, and one end at which it had begun
+	// enough to stop it.
+	Harmful       int
+	HarmfulWithin time.Duration
 }
 
 // DefaultSettings returns the usual settings.
@@ -82,7 +84,7 @@
 	return Settings{
 		Ends: 3, Moment: 300 * time.Millisecond, Keep: time.Hour,
 		StopFirst: 10 * time.Minute, StopMost: 4 * time.Hour, TrialMost: 30 * time.Second,
-		PerTeam: 64, Most: 1024, Harmful: 4,
+		PerTeam: 64, Most: 1024, Harmful: 4, HarmfulWithin: 30 * time.Second,
 	}
 }
 
@@ -274,12 +276,12 @@
 	return 0
 }
 
-// harmfulOf returns how many requests of a team to a service are stopped, or had begun at an endpoint that ended and were not
-// served since.
+// harmfulOf returns how many requests of a team had begun lately at endpoints of a service that ended, and were not served
+// since.
 func (r *Register) harmfulOf(now time.Time, team, service string) int {
 	n := 0
 	for req, e := range r.entries {
-		if req.Team == team && e.service == service && (now.Before(e.stop.Until) || e.begunSince(now.Add(-r.set.StopFirst))) {
+		if req.Team == team && e.service == service && e.begunSince(now.Add(-r.set.HarmfulWithin)) {
 			n++
 		}
 	}
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -162,6 +162,8 @@
 	assert.Assert(t, !other.Try(now, b, "engines", "f2"))
 	r.Tried(a, "f1")
 	assert.Assert(t, r.Try(now, b, "engines", "f1"))
+	assert.Equal(t, r.Verdict(now, a, "another service"), Free)
+	assert.Equal(t, r.Verdict(now.Add(set.HarmfulWithin), a, "engines"), Free, "it has stopped sending them")
 }
 
 // TestFactsComeInAnyOrder: whoever hears the same facts believes the same, in whatever order and how often they come.
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -46,7 +46,8 @@
 	metrics metrics
 	// known tells that anything is known of any request: while nothing is, requests need not be looked up.
 	known atomic.Bool
-	wake  chan struct{}
+	// wake and writesWake tell that there is news, and a stop to be written.
+	wake, writesWake chan struct{}
 
 	mu     sync.Mutex
 	core   *crashers.Register
@@ -60,7 +61,7 @@
 // New returns an empty register.
 func New(o Options) *Register {
 	return &Register{
-		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), core: crashers.New(o.Settings),
+		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), writesWake: make(chan struct{}, 1), core: crashers.New(o.Settings),
 		trials: map[crashers.Request]any{}, news: map[crashers.Request]int{}, writes: map[crashers.Request]time.Time{},
 	}
 }
@@ -85,7 +86,7 @@
 	ends := r.core.Ends(req)
 	r.tell(req)
 	if stopped {
-		r.writes[req] = now
+		r.writeAt(req, now)
 	}
 	r.mu.Unlock()
 	r.metrics.blamed(end.Sign)
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -43,10 +43,34 @@
 		return
 	}
 	r.read(ctx)
-	for pause.For(ctx, callGap) {
-		if req, due := r.nextWrite(); due {
-			r.write(ctx, req)
+	for ctx.Err() == nil {
+		req, wait := r.nextWrite()
+		if wait > 0 {
+			r.awaitWrites(ctx, wait)
+			continue
 		}
+		r.write(ctx, req)
+		pause.For(ctx, callGap)
+	}
+}
+
+// awaitWrites waits for a while, or until another stop is to be written.
+func (r *Register) awaitWrites(ctx context.Context, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-r.writesWake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// writeAt plans to write a stop. The caller holds mu.
+func (r *Register) writeAt(req crashers.Request, at time.Time) {
+	r.writes[req] = at
+	select {
+	case r.writesWake <- struct{}{}:
+	default:
 	}
 }
 
@@ -108,23 +132,26 @@
 		delete(r.writes, req)
 	case !planned:
 		_, known := r.Instances()
-		r.writes[req] = now.Add(writeLate + rand.N(max(writeSpread*time.Duration(known), writeLate)))
+		r.writeAt(req, now.Add(writeLate+rand.N(max(writeSpread*time.Duration(known), writeLate))))
 	}
 }
 
-// nextWrite returns a stop that is to be written now.
-func (r *Register) nextWrite() (crashers.Request, bool) {
+// nextWrite returns the stop that is to be written next, and how long that is from now.
+func (r *Register) nextWrite() (next crashers.Request, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	wait = never
 	for req, due := range r.writes {
-		if !now.Before(due) {
-			return req, true
+		if d := time.Until(due); d < wait {
+			next, wait = req, d
 		}
 	}
-	return crashers.Request{}, false
+	return next, wait
 }
 
+// never is waited where nothing is to be written.
+const never = time.Hour
+
 // write keeps a stop in the store.
 func (r *Register) write(ctx context.Context, req crashers.Request) {
 	r.mu.Lock()
--- a/gateway/crashes/tell.go
+++ b/gateway/crashes/tell.go
@@ -16,8 +16,8 @@
 	tellAgain = 300 * time.Millisecond
 	// tellTimes is how often news is told.
 	tellTimes = 3
-	// idle is how often the register looks for what is due when nothing happens.
-	idle = time.Second
+	// idle is how often the gauges are brought up to date when nothing happens.
+	idle = 5 * time.Second
 )
 
 // tell makes the others learn soon what is known of a request. The caller holds mu.
@@ -41,7 +41,7 @@
 // Run tells news, and keeps stops in the store, until ctx ends.
 func (r *Register) Run(ctx context.Context) {
 	go r.keep(ctx)
-	for ctx.Err() == nil {
+	for {
 		wait := idle
 		if r.tellNews() {
 			wait = tellAgain
@@ -80,6 +80,7 @@
 			r.news[req] = times - 1
 		}
 	}
+	r.count(now)
 	again, complete := len(r.news) > 0, r.complete
 	r.mu.Unlock()
 	if len(facts) > 0 {
--- /dev/null
+++ b/gateway/forward/content_test.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/route"
+)
+
+// TestIdentity: what makes two requests the same, and what does not.
+func TestIdentity(t *testing.T) {
+	type parts struct {
+		team, method, host, target, body, id, prompt string
+		large                                        int64 // the stated length of a body that is not all in memory
+	}
+	of := func(p parts) crashers.Request {
+		r, err := http.NewRequest(p.method, "http://x", nil)
+		assert.NilError(t, err)
+		r.Host, r.RequestURI = p.host, p.target
+		r.Header.Set("Prompt", p.prompt)
+		req := &request{http: r, body: []byte(p.body), replayable: p.large == 0, length: p.large}
+		req.ID = p.id
+		if p.team != "" {
+			req.team = &route.Team{Name: p.team}
+		}
+		req.identify()
+		return req.identity
+	}
+	one := parts{team: "desk", method: http.MethodPost, host: "a.example", target: "/brief/1?x=1", body: "case", id: "1"}
+	change := func(f func(*parts)) parts {
+		p := one
+		f(&p)
+		return p
+	}
+	for name, p := range map[string]parts{
+		"another id":     change(func(p *parts) { p.id = "2" }),
+		"another header": change(func(p *parts) { p.prompt = "b1" }),
+	} {
+		assert.Equal(t, of(p), of(one), name)
+	}
+	seen := map[crashers.Content]string{of(one).Content: "one"}
+	for name, p := range map[string]parts{
+		"another team":                  change(func(p *parts) { p.team = "field" }),
+		"no team":                       change(func(p *parts) { p.team = "" }),
+		"another method":                change(func(p *parts) { p.method = http.MethodPut }),
+		"another host":                  change(func(p *parts) { p.host = "b.example" }),
+		"another path":                  change(func(p *parts) { p.target = "/brief/2?x=1" }),
+		"another query":                 change(func(p *parts) { p.target = "/brief/1?x=2" }),
+		"another body":                  change(func(p *parts) { p.body = "cases" }),
+		"no body":                       change(func(p *parts) { p.body = "" }),
+		"a part that moved":             change(func(p *parts) { p.host, p.target = "a.example/", "brief/1?x=1" }),
+		"a long body":                   change(func(p *parts) { p.body, p.large = strings.Repeat("x", bodyKept), 1<<20 }),
+		"a longer one with that start":  change(func(p *parts) { p.body, p.large = strings.Repeat("x", bodyKept), 2<<20 }),
+		"one in chunks with that start": change(func(p *parts) { p.body, p.large = strings.Repeat("x", bodyKept), -1 }),
+		"a long one with another start": change(func(p *parts) { p.body, p.large = strings.Repeat("y", bodyKept), 1<<20 }),
+	} {
+		c := of(p).Content
+		assert.Equal(t, seen[c], "", name)
+		seen[c] = name
+	}
+}
