--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -32,7 +32,9 @@
 
 // Loss is a request that an endpoint lost, and how far it was with it.
 type Loss struct {
-	Request           crashers.Request
+	Request crashers.Request
+	// ID is that of the caller's attempt, for the log.
+	ID                string
 	Endpoint, Service string
 	// SentAt and HeadAt are when the request was sent and when its answer began, EventAt when its first event came; zero
 	// where they did not.
@@ -79,7 +81,7 @@
 	end := crashers.End{Endpoint: l.Endpoint, Service: l.Service, Sign: sign, Sent: l.SentAt, At: at}
 	if sign == crashers.Begun {
 		if j.HasEnded(l.Endpoint) {
-			j.Ended(l.Request, end, nil)
+			j.Ended(l.Request, end, logrus.Fields{"request": l.ID})
 		}
 		return
 	}
@@ -91,7 +93,7 @@
 	go func() {
 		defer close(judged)
 		defer j.unsure.Add(-1)
-		j.blameLater(l.Request, end)
+		j.blameLater(&l, end)
 	}()
 	if before.Add(1) == 1 {
 		return
@@ -104,7 +106,7 @@
 
 // blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
 // data centre failing.
-func (j *Judge) blameLater(req crashers.Request, end crashers.End) {
+func (j *Judge) blameLater(l *Loss, end crashers.End) {
 	if !j.HasEnded(end.Endpoint) {
 		return
 	}
@@ -113,5 +115,5 @@
 	if 2*failed >= all && failed > 1 {
 		return
 	}
-	j.Ended(req, end, logrus.Fields{"failed_nearby": failed, "endpoints_nearby": all})
+	j.Ended(l.Request, end, logrus.Fields{"request": l.ID, "failed_nearby": failed, "endpoints_nearby": all})
 }
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -71,7 +71,7 @@
 
 // loss describes a request that is being sent to an endpoint, as it would be lost there.
 func (req *request) loss(e *routing.Endpoint, reused bool) crashes.Loss {
-	return crashes.Loss{Request: req.identity, Endpoint: e.ID, Service: e.Service, SentAt: time.Now(), Reused: reused}
+	return crashes.Loss{Request: req.identity, ID: req.ID, Endpoint: e.ID, Service: e.Service, SentAt: time.Now(), Reused: reused}
 }
 
 // hasEnded tells whether the process of an endpoint is gone that was not told to leave: its machine refuses connections.
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -84,7 +84,7 @@
 	}
 	s.mu.Lock()
 	l := crashes.Loss{
-		Request: s.request, Endpoint: incarnation(e), Service: e.Service, SentAt: sentAt, HeadAt: at.ackedAt, EventAt: at.tokenAt,
+		Request: s.request, ID: s.x.entry.Generation, Endpoint: incarnation(e), Service: e.Service, SentAt: sentAt, HeadAt: at.ackedAt, EventAt: at.tokenAt,
 	}
 	ours := s.closed || at.dropped
 	s.mu.Unlock()
