crashes: streams with events never wait to be judged; what is told fits its datagrams; no index outgrows its bound

Found by reading: a stream that had moved once already waited up to half a second in its second recovery; a fact with twelve ends of long names took 600 bytes, so sixteen of them were more than a datagram holds; endpoints that ended stayed an hour in the register also when their requests were dropped; a stream with events would have been ended when its request was stopped by others.

--- a/core/crashers/bounds.go
+++ b/core/crashers/bounds.go
@@ -31,11 +31,6 @@
 			r.drop(req)
 		}
 	}
-	for endpoint, b := range r.ended {
-		if now.Sub(b.at) >= r.set.Keep {
-			delete(r.ended, endpoint)
-		}
-	}
 }
 
 // last returns when anything was last held against a request, or cleared.
@@ -48,9 +43,13 @@
 }
 
 func (r *Register) drop(req Request) {
-	if r.entries[req] == nil {
+	e := r.entries[req]
+	if e == nil {
 		return
 	}
+	for i := range e.ends {
+		r.unhad(req, &e.ends[i])
+	}
 	delete(r.entries, req)
 	if r.teams[req.Team]--; r.teams[req.Team] <= 0 {
 		delete(r.teams, req.Team)
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -239,6 +239,7 @@
 	r.expire(at(23000).Add(set.Keep + set.StopMost))
 	all, _ = r.Len(at(23000).Add(set.Keep + set.StopMost))
 	assert.Equal(t, all, 0)
+	assert.Equal(t, len(r.ended)+len(r.teams), 0)
 }
 
 // FuzzHeard: whatever others tell, the register stays within its bounds, and a stop within its time.
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -56,7 +56,7 @@
 	e.service = f.Service
 	cleared := f.Cleared.After(e.cleared) && !f.Cleared.After(now)
 	if cleared {
-		e.clear(f.Cleared)
+		r.clear(f.Request, f.Cleared)
 	}
 	for _, end := range f.Ends[:min(len(f.Ends), endsKept*r.set.Ends)] {
 		if !end.At.After(now) && (end.Sign == Present || end.Sign == Begun) {
--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -41,6 +41,8 @@
 	SentAt, HeadAt, EventAt time.Time
 	// Reused tells that the connection had served another request.
 	Reused bool
+	// Begun tells that the caller has events already: it must not wait, so nothing is found out before Blame returns.
+	Begun bool
 }
 
 // sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
@@ -78,6 +80,11 @@
 	if sign == 0 {
 		return
 	}
+	if l.Begun {
+		l.Begun = false
+		go j.Blame(context.Background(), before, l)
+		return
+	}
 	end := crashers.End{Endpoint: l.Endpoint, Service: l.Service, Sign: sign, Sent: l.SentAt, At: at}
 	if sign == crashers.Begun {
 		if j.HasEnded(l.Endpoint) {
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -46,7 +46,7 @@
 	for ctx.Err() == nil {
 		req, wait := r.nextWrite()
 		if wait > 0 {
-			r.awaitWrites(ctx, wait)
+			pause.Until(ctx, wait, r.writesWake)
 			continue
 		}
 		r.write(ctx, req)
@@ -54,17 +54,6 @@
 	}
 }
 
-// awaitWrites waits for a while, or until another stop is to be written.
-func (r *Register) awaitWrites(ctx context.Context, most time.Duration) {
-	t := time.NewTimer(most)
-	defer t.Stop()
-	select {
-	case <-r.writesWake:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // writeAt plans to write a stop. The caller holds mu.
 func (r *Register) writeAt(req crashers.Request, at time.Time) {
 	r.writes[req] = at
--- a/gateway/crashes/tell.go
+++ b/gateway/crashes/tell.go
@@ -46,25 +46,12 @@
 		if r.tellNews() {
 			wait = tellAgain
 		}
-		if !r.await(ctx, wait) || !pause.For(ctx, tellGap) {
+		if !pause.Until(ctx, wait, r.wake) || !pause.For(ctx, tellGap) {
 			return
 		}
 	}
 }
 
-// await waits for news; false when ctx has ended.
-func (r *Register) await(ctx context.Context, most time.Duration) bool {
-	t := time.NewTimer(most)
-	defer t.Stop()
-	select {
-	case <-r.wake:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // tellNews tells what is new, and returns whether some of it has to be told again.
 func (r *Register) tellNews() bool {
 	r.mu.Lock()
--- a/gateway/exchange/crashes.go
+++ b/gateway/exchange/crashes.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/gateway/crashes"
@@ -21,8 +23,8 @@
 }
 
 const (
-	// factsMost bounds the facts in a datagram, of some 150 bytes each, to what two packets hold.
-	factsMost = 16
+	// factBytes bounds the facts in a datagram to what two packets hold.
+	factBytes = 2800
 	// askedOf is how many instances are asked for what is stopped, since answers may be lost.
 	askedOf = 2
 	// askGap is the least time between two such questions: where hundreds start at once, each is heard on its own.
@@ -35,17 +37,29 @@
 }
 
 func (x *Exchange) tellFacts(facts []crashers.Fact, complete bool, to ...net.Addr) {
+	all := crashes.EncodeFacts(time.Now(), facts)
 	for {
-		n := min(len(facts), factsMost)
+		n := fitting(all)
 		x.send(&peerv1.Datagram{Body: &peerv1.Datagram_Crashes{Crashes: &peerv1.Crashes{
-			Instance: x.Self.ID, Complete: complete, Facts: crashes.EncodeFacts(time.Now(), facts[:n]),
+			Instance: x.Self.ID, Complete: complete, Facts: all[:n],
 		}}}, to...)
-		if facts = facts[n:]; len(facts) == 0 {
+		if all = all[n:]; len(all) == 0 {
 			return
 		}
 	}
 }
 
+// fitting returns how many facts go into one datagram.
+func fitting(facts []*peerv1.CrashFact) int {
+	size := 0
+	for n, f := range facts {
+		if size += proto.Size(f); size > factBytes && n > 0 {
+			return n
+		}
+	}
+	return len(facts)
+}
+
 // askCrashes asks some of those that were just heard for what is stopped: they, or this instance, were away.
 func (x *Exchange) askCrashes(ids []string) {
 	x.sendMu.Lock()
--- a/gateway/exchange/crashes_test.go
+++ b/gateway/exchange/crashes_test.go
@@ -20,6 +20,30 @@
 	}
 }
 
+// TestManyFactsArrive: what is told of many requests, under which many endpoints ended, goes into several datagrams.
+func TestManyFactsArrive(t *testing.T) {
+	runFleet(t, 3, true, func(w *fleet) {
+		var facts []crashers.Fact
+		for i := range 100 {
+			f := stoppedFact("desk")
+			f.Request.Content[15] = byte(i)
+			for len(f.Ends) < 12 {
+				f.Ends = append(f.Ends, f.Ends[0])
+			}
+			f.Ends = append([]crashers.End(nil), f.Ends...)
+			for n := range f.Ends {
+				f.Ends[n].Endpoint = fmt.Sprint("i-ce052d86f5@mm1n1qpn-", n)
+			}
+			facts = append(facts, f)
+		}
+		w.nodes[0].TellCrashes(facts, true)
+		time.Sleep(100 * time.Millisecond)
+		for i := range facts {
+			assert.Assert(w, w.nodes[1].crashes.knows(facts[i].Request), "%d", i)
+		}
+	})
+}
+
 // TestAllHearOfCrashes: what one instance tells of a request all know at once, and those that were cut off, or start, know soon
 // after they are heard: in less time than the three seconds that a fleet has to settle.
 func TestAllHearOfCrashes(t *testing.T) {
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -13,6 +13,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -48,13 +49,7 @@
 	if left <= 0 || f.Settings.Without.FirstLook {
 		return
 	}
-	t := time.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-f.Known:
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, left, f.Known)
 }
 
 // accept finds out where a request may go. The configuration has to be known, and for a request with a
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -80,6 +80,9 @@
 	// included; 0 where that is not known, and began when it was sent.
 	reading int
 	sentAt  time.Time
+	// begunBefore tells that the caller had events when the attempt was placed, and proven that it had them for long enough: the
+	// request does not end its engines.
+	begunBefore, proven bool
 	// loss is what it would be if its engine were lost now. It belongs to the goroutine of the attempt.
 	loss crashes.Loss
 }
@@ -96,6 +99,7 @@
 		a.reading = a.placed.Unread + s.f.Placement.Unread(e.ID)
 	}
 	a.sentAt = time.Now()
+	a.begunBefore, a.proven = s.relayed > 0, s.served
 	a.send = platform.Send{
 		Endpoint: e.CalledBy(), Left: s.req.left(time.Now()), Team: s.req.teamName(), Rank: s.req.rank,
 		LastEvent: s.lastEvent, CopyFrom: from.Address, CopyName: from.Handle, CopyTo: s.placeCopy(e),
@@ -165,6 +169,7 @@
 		return a.noRoom()
 	}
 	a.loss = s.req.loss(&a.endpoint, conn.Reused())
+	a.loss.Begun = a.begunBefore
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
 	if err != nil {
@@ -201,7 +206,9 @@
 	if ctx.Err() == nil {
 		a.session.f.Placement.Failed(a.endpoint.ID)
 		a.session.f.Placement.Outcome(a.endpoint.ID, false)
-		a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
+		if !a.proven {
+			a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
+		}
 	}
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -33,8 +33,9 @@
 	case attemptCopied:
 		s.copied(now, m)
 	case sessionStopped:
-		_, left := s.f.verdict(s.req)
-		s.machine.Stop(now, left)
+		if _, left := s.f.verdict(s.req); s.relayed == 0 { // a stream that runs does no harm
+			s.machine.Stop(now, left)
+		}
 	}
 }
 
--- a/gateway/pause/pause.go
+++ b/gateway/pause/pause.go
@@ -31,3 +31,15 @@
 		}
 	}
 }
+
+// Until waits for d, until woken, or until ctx ends. It returns false when ctx has ended.
+func Until[T any](ctx context.Context, d time.Duration, woken <-chan T) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-woken:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
