crashes: an instance that does not hear all others reads the store when an endpoint ended under a request

Found by reading: an instance that is cut off from the others but not from the store heard of no stop, and would end three more endpoints by itself. It reads the store once for each end that it reports itself; where all are heard nothing is read. Also: a trial ends when its request is free again, and no connections are made to find out about ends where the mechanism is off.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -46,8 +46,8 @@
 	metrics metrics
 	// known tells that anything is known of any request: while nothing is, requests need not be looked up.
 	known atomic.Bool
-	// wake and writesWake tell that there is news, and a stop to be written.
-	wake, writesWake chan struct{}
+	// wake and keeperWake tell that there is news, and that the store is to be read or written.
+	wake, keeperWake chan struct{}
 
 	mu     sync.Mutex
 	core   *crashers.Register
@@ -61,7 +61,7 @@
 // New returns an empty register.
 func New(o Options) *Register {
 	return &Register{
-		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), writesWake: make(chan struct{}, 1), core: crashers.New(o.Settings),
+		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), keeperWake: make(chan struct{}, 1), core: crashers.New(o.Settings),
 		trials: map[crashers.Request]any{}, news: map[crashers.Request]int{}, writes: map[crashers.Request]time.Time{},
 	}
 }
@@ -88,6 +88,7 @@
 	if stopped {
 		r.writeAt(req, now)
 	}
+	r.readAfterEnd()
 	r.mu.Unlock()
 	r.metrics.blamed(end.Sign)
 	r.log(req, inputs).WithFields(logrus.Fields{
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -119,12 +119,19 @@
 	log.SetOutput(io.Discard)
 	r := New(Options{
 		Settings: crashers.DefaultSettings(), Self: fmt.Sprint("f", i), Store: w.store, Met: func() <-chan struct{} { return met },
-		Instances: func() (int, int) { return n, n },
+		Instances: func() (int, int) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.mute[i] {
+				return 1, n
+			}
+			return n, n
+		},
 		Tell: func(facts []crashers.Fact, complete bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			for j, other := range w.all {
-				if j != i && !w.mute[i] {
+				if j != i && !w.mute[i] && !w.mute[j] {
 					go other.Heard(fmt.Sprint("f", i), facts, complete)
 				}
 			}
@@ -203,6 +210,28 @@
 	})
 }
 
+// TestAnInstanceThatHearsNobody: the store answers an instance that is cut off from all others. It learns there of a stop as soon
+// as one endpoint has ended under the request here.
+func TestAnInstanceThatHearsNobody(t *testing.T) {
+	runFleet(t, 9, func(w *fleet) {
+		w.mu.Lock()
+		w.mute[4] = true
+		w.mu.Unlock()
+		w.harm(1, 2, 3)
+		time.Sleep(time.Second)
+		reads, _ := w.store.calls()
+		v, _ := w.all[4].Verdict(harmful, "engines")
+		assert.Equal(w, v, crashers.Free)
+		w.harm(4)
+		time.Sleep(100 * time.Millisecond)
+		v, _ = w.all[4].Verdict(harmful, "engines")
+		assert.Equal(w, v, crashers.Stopped)
+		time.Sleep(time.Minute)
+		after, _ := w.store.calls()
+		assert.Equal(w, after-reads, 1)
+	})
+}
+
 // TestReleasedEverywhere: what was let go is let go at all instances, and stays so after their loss.
 func TestReleasedEverywhere(t *testing.T) {
 	runFleet(t, 9, func(w *fleet) {
--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -41,8 +41,8 @@
 	SentAt, HeadAt, EventAt time.Time
 	// Reused tells that the connection had served another request.
 	Reused bool
-	// Begun tells that the caller has events already: it must not wait, so nothing is found out before Blame returns.
-	Begun bool
+	// Urgent tells that the caller has events already and must not wait: nothing is found out before Blame returns.
+	Urgent bool
 }
 
 // sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
@@ -60,7 +60,7 @@
 
 // Judge finds out whether a request is to blame for the end of an endpoint. It is safe for concurrent use.
 type Judge struct {
-	// Ended takes what is held against a request.
+	// Ended takes what is held against a request; nil where nothing is.
 	Ended func(req crashers.Request, end crashers.End, inputs logrus.Fields)
 	// HasEnded tells whether the process of an endpoint is gone that was not told to leave.
 	HasEnded func(endpoint string) bool
@@ -77,11 +77,11 @@
 func (j *Judge) Blame(ctx context.Context, before *atomic.Int32, l Loss) {
 	at := time.Now()
 	sign := l.sign(at)
-	if sign == 0 {
+	if sign == 0 || j.Ended == nil {
 		return
 	}
-	if l.Begun {
-		l.Begun = false
+	if l.Urgent {
+		l.Urgent = false
 		go j.Blame(context.Background(), before, l)
 		return
 	}
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -35,18 +35,20 @@
 	Until   time.Time `json:"until"`
 }
 
-// keep reads the stops that are kept, and writes those that are not.
+// keep reads the stops that are kept, again when others may know of some that this instance can't hear of, and writes those
+// that are not.
 func (r *Register) keep(ctx context.Context) {
 	select {
 	case <-r.Met():
 	case <-ctx.Done():
 		return
 	}
-	r.read(ctx)
+	r.read(ctx, rand.N(readSpread))
 	for ctx.Err() == nil {
+		r.read(ctx, 0)
 		req, wait := r.nextWrite()
 		if wait > 0 {
-			pause.Until(ctx, wait, r.writesWake)
+			pause.Until(ctx, wait, r.keeperWake)
 			continue
 		}
 		r.write(ctx, req)
@@ -57,15 +59,19 @@
 // writeAt plans to write a stop. The caller holds mu.
 func (r *Register) writeAt(req crashers.Request, at time.Time) {
 	r.writes[req] = at
+	r.wakeKeeper()
+}
+
+func (r *Register) wakeKeeper() {
 	select {
-	case r.writesWake <- struct{}{}:
+	case r.keeperWake <- struct{}{}:
 	default:
 	}
 }
 
 // read learns which stops are kept, from another instance or from the store.
-func (r *Register) read(ctx context.Context) {
-	for wait := rand.N(readSpread); pause.For(ctx, wait) && !r.isComplete(); wait = readAgain/2 + rand.N(3*readAgain) {
+func (r *Register) read(ctx context.Context, wait time.Duration) {
+	for ; !r.isComplete() && pause.For(ctx, wait) && !r.isComplete(); wait = readAgain/2 + rand.N(3*readAgain) {
 		page, err := r.Store.List(ctx, platform.KindStopped)
 		if err != nil {
 			r.Log.WithError(err).Warn("stopped requests not read yet")
@@ -77,6 +83,15 @@
 	}
 }
 
+// readAfterEnd plans to read the store, since an endpoint ended under a request here and some others are not heard: they
+// may have stopped it. The caller holds mu.
+func (r *Register) readAfterEnd() {
+	if alive, known := r.Instances(); alive < known {
+		r.complete = false
+		r.wakeKeeper()
+	}
+}
+
 func (r *Register) isComplete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -169,7 +169,7 @@
 		return a.noRoom()
 	}
 	a.loss = s.req.loss(&a.endpoint, conn.Reused())
-	a.loss.Begun = a.begunBefore
+	a.loss.Urgent = a.begunBefore
 	a.tell(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.req.outgoing(&a.send), s.req.mine)
 	if err != nil {
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -113,8 +113,11 @@
 	case v == crashers.Careful && !s.f.Crashes.Try(s.req.identity, s.req.service, s):
 		s.machine.Failed(now, attempt, generation.NoEndpoint, 0)
 		return false
+	case v != crashers.Careful:
+		s.tried()
+		return true
 	}
-	s.careful = v == crashers.Careful
+	s.careful = true
 	return true
 }
 
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -139,13 +139,16 @@
 	if o.Others == nil {
 		o.Others = alone{}
 	}
-	if o.Crashes == nil {
+	held := o.Crashes
+	if held == nil {
 		o.Crashes = noCrashes{}
 	}
 	f := &Forwarder{
 		Options: o, began: time.Now(), budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope), sessions: map[*session]bool{},
 	}
-	f.judge.Ended, f.judge.HasEnded, f.judge.Nearby = o.Crashes.Ended, f.hasEnded, o.Placement.Nearby
+	if held != nil {
+		f.judge.Ended, f.judge.HasEnded, f.judge.Nearby = held.Ended, f.hasEnded, o.Placement.Nearby
+	}
 	return f
 }
 
