--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -46,7 +46,7 @@
 	Free Verdict = iota
 	// Suspect: endpoints ended under it.
 	Suspect
-	// Careful: one more end stops it, so it is tried by one instance at a time.
+	// Careful: it had begun at an endpoint that ended, or one more end stops it, so it is tried by one instance at a time.
 	Careful
 	// Stopped: it is not sent to any endpoint.
 	Stopped
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -35,7 +35,11 @@
 		want  Verdict
 	}{
 		{"nothing", nil, Free},
-		{"one end", []step{{req: mine, end: end("a", Begun, 0, 900)}}, Suspect},
+		{"one end", []step{{req: mine, end: end("a", Present, 0, 900)}}, Suspect},
+		{"one end at which it had begun", []step{{req: mine, end: end("a", Begun, 0, 900)}}, Careful},
+		{"two of requests that may not have begun", []step{
+			{req: mine, end: end("a", Present, 0, 900)}, {req: mine, end: end("b", Present, 901, 1800)},
+		}, Careful},
 		{"two ends, one after the other", []step{{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 901, 1800)}}, Careful},
 		{"three", []step{
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 901, 1800)}, {req: mine, end: end("c", Begun, 1801, 2700)},
@@ -47,10 +51,13 @@
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 100, 1400)}, {req: mine, end: end("c", Begun, 200, 2000)},
 		}, Stopped},
 		{"three at one moment", []step{
-			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 100, 910)}, {req: mine, end: end("c", Begun, 200, 920)},
+			{req: mine, end: end("a", Present, 0, 900)}, {req: mine, end: end("b", Present, 100, 910)}, {req: mine, end: end("c", Present, 200, 920)},
 		}, Suspect},
+		{"three at one moment, begun", []step{
+			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 100, 910)}, {req: mine, end: end("c", Begun, 200, 920)},
+		}, Careful},
 		{"the same end told again", []step{
-			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("a", Begun, 0, 1400)}, {req: mine, end: end("a", Present, 0, 1900)},
+			{req: mine, end: end("a", Present, 0, 900)}, {req: mine, end: end("a", Present, 0, 1400)}, {req: mine, end: end("a", Present, 0, 1900)},
 		}, Suspect},
 		{"beside one that had begun", []step{
 			{req: mine, end: end("a", Present, 0, 900)}, {req: other, end: end("a", Begun, 0, 900)},
@@ -69,10 +76,10 @@
 		}, Stopped},
 		{"two that had both begun", []step{
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: other, end: end("a", Begun, 0, 900)},
-		}, Suspect},
+		}, Careful},
 		{"served in between", []step{
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, end: end("b", Begun, 901, 1800)}, {req: mine, clear: true, end: End{At: at(2000)}},
-			{req: mine, end: end("c", Begun, 2001, 2700)},
+			{req: mine, end: end("c", Present, 2001, 2700)},
 		}, Suspect},
 		{"an end that is heard after a later service", []step{
 			{req: mine, end: end("a", Begun, 0, 900)}, {req: mine, clear: true, end: End{At: at(2000)}}, {req: mine, end: end("b", Begun, 901, 1800)},
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -15,8 +15,8 @@
 //   - Ends at the same moment count as one, unless the request was sent to the later endpoint after the earlier one had
 //     ended: they may have one cause, such as the loss of a data centre.
 //   - A request that is served is cleared: what was held against it before does not count any more.
-//   - A request to which one more end is missing is tried by one instance at a time ([Careful]), so that the next end
-//     tells, and costs one endpoint.
+//   - A request that had begun where an endpoint ended, or to which one more end is missing, is tried by one instance at a time
+//     ([Careful]), so that the next end tells, and costs one endpoint.
 //
 // Callers report an end only where the endpoint is known to have ended: not for silence, lost answers, endpoints that were
 // told to leave, or the loss of most of a data centre.
--- a/core/crashers/ends.go
+++ b/core/crashers/ends.go
@@ -69,7 +69,7 @@
 	if now.Before(e.stop.Until) {
 		return true
 	}
-	if r.missing(now, req, e) > 0 {
+	if missing, _ := r.weigh(now, req, e); missing > 0 {
 		return false
 	}
 	times := e.stop.Times + 1
@@ -88,17 +88,17 @@
 	return d
 }
 
-// missing returns how many more ends stop a request.
-func (r *Register) missing(now time.Time, req Request, e *entry) int {
+// weigh returns how many more ends stop a request, and at how many that count it had begun.
+func (r *Register) weigh(now time.Time, req Request, e *entry) (missing, begun int) {
 	need, since := r.set.Ends, e.cleared
 	if e.stop.Times > 0 { // it was stopped and may be tried again
 		need, since = 1, latest(e.stop.Until, e.cleared)
 	}
 	all, begun := r.occasions(now, req, e, since)
 	if begun > 0 && r.watched(now, req.Team, e.service) {
-		return 0
+		return 0, begun
 	}
-	return max(need-all, 0)
+	return max(need-all, 0), begun
 }
 
 // watched tells whether a team sends so many requests that end endpoints of a service that its next one is likely to do the
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -11,11 +11,11 @@
 	if now.Before(e.stop.Until) {
 		return Stopped
 	}
-	missing := r.missing(now, req, e)
+	missing, begun := r.weigh(now, req, e)
 	switch {
 	case e.cleared.IsZero() && r.watched(now, req.Team, service):
 		return Careful
-	case missing <= 1 && (len(e.ends) > 0 || e.stop.Times > 0):
+	case begun > 0, missing <= 1:
 		return Careful
 	case missing < r.set.Ends:
 		return Suspect
