--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -232,6 +232,28 @@
 	})
 }
 
+// TestOldStopsAreSwept: whoever reads a stop that has been over for a day takes it out of the store.
+func TestOldStopsAreSwept(t *testing.T) {
+	runFleet(t, 3, func(w *fleet) {
+		w.harm(0, 1, 2)
+		time.Sleep(time.Second)
+		assert.Equal(w, w.store.kept(), 1)
+		restart := func() {
+			for i := range w.all {
+				w.stops[i]()
+				w.start(i, len(w.all))
+			}
+			time.Sleep(2 * readSpread)
+		}
+		restart()
+		assert.Equal(w, w.store.kept(), 1)
+		w.verdicts(crashers.Stopped)
+		time.Sleep(crashers.DefaultSettings().StopFirst + sweepAfter)
+		restart()
+		assert.Equal(w, w.store.kept(), 0)
+	})
+}
+
 // TestReleasedEverywhere: what was let go is let go at all instances, and stays so after their loss.
 func TestReleasedEverywhere(t *testing.T) {
 	runFleet(t, 9, func(w *fleet) {
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -24,6 +24,10 @@
 	writeSpread = 50 * time.Millisecond
 	// callGap bounds the calls of an instance.
 	callGap = 100 * time.Millisecond
+	// sweepAfter is how long after its end a stop is taken out of the store by whoever reads it: a request that did no harm for
+	// so long begins anew. sweepMost bounds how many are at a time.
+	sweepAfter = 24 * time.Hour
+	sweepMost  = 8
 )
 
 // stopEntry is a stop as the store keeps it, under its content.
@@ -80,6 +84,18 @@
 		facts := r.decode(page.Objects)
 		r.Heard("the store", facts, true)
 		r.Tell(facts, true)
+		r.sweep(facts)
+	}
+}
+
+// sweep takes stops out of the store that are long over.
+func (r *Register) sweep(facts []crashers.Fact) {
+	swept := 0
+	for i := range facts {
+		if time.Since(facts[i].Stop.Until) >= sweepAfter && swept < sweepMost {
+			swept++
+			r.unstore(facts[i].Request)
+		}
 	}
 }
 
