--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -78,7 +78,8 @@
 	HarmfulWithin time.Duration
 }
 
-// DefaultSettings returns the usual settings.
+// DefaultSettings returns the usual settings. A request is stopped for about as long as it takes an operator to look at it; an
+// hour of ends finds out one that comes a few times an hour.
 func DefaultSettings() Settings {
 	return Settings{
 		Ends: 3, Moment: 300 * time.Millisecond, Keep: time.Hour,
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -29,7 +29,8 @@
 //
 // Bounds: a team has at most [Settings.PerTeam] requests in a register, and all together [Settings.Most]. The
 // least suspicious go first, those of the team that has most of them before others. A team that has sent several
-// such requests within a short time sends more of them likely: what it has not been served yet is tried one at a time, and one [Begun] end is enough.
+// such requests within a short time sends more of them likely: what it has not been served yet is tried one at a time, and
+// one [Begun] end is enough.
 //
 // Failure modes: what an instance has not heard yet it does not count, so that more endpoints end. Two contents
 // that share a name are taken for one request; the name has 128 bits and belongs to one team.
