--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -84,7 +84,8 @@
 	}
 	s.mu.Lock()
 	l := crashes.Loss{
-		Request: s.request, ID: s.x.entry.Generation, Endpoint: incarnation(e), Service: e.Service, SentAt: sentAt, HeadAt: at.ackedAt, EventAt: at.tokenAt,
+		Request: s.request, ID: s.x.entry.Generation, Endpoint: incarnation(e), Service: e.Service,
+		SentAt: sentAt, HeadAt: at.ackedAt, EventAt: at.tokenAt, Urgent: s.machine.Journal().Len() > 0,
 	}
 	ours := s.closed || at.dropped
 	s.mu.Unlock()
