forward: a draining instance refuses requests whose deadline is after its end

What callers saw: calls that must not be repeated were passed on by an instance that drained, and their connections closed without an answer when the grace was over.

Cause: in the first three quarters of the drain any plain request was taken, whatever its deadline; the deadline was compared with the forced end in the last quarter only. A request that may run for longer than a quarter of the grace, 1.9 s of 8 s, could outlast it. Also, the time compared was that of arrival, taken before the request may be held for the first look at the store.

Change: the deadline is compared with the forced end at all times. A part of the shutdown is left only to requests that have no deadline. Why it works: a request ends at its deadline at the latest, and that is before the forced end.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -168,31 +168,6 @@
 // Open returns the number of requests in progress.
 func (f *Forwarder) Open() int { return int(f.open.Load()) }
 
-// drain is a graceful shutdown in progress.
-type drain struct {
-	// until is when the process ends at the latest, and last when it takes its last request.
-	until, last time.Time
-}
-
-// lastParts: no request is taken in the last part in so many of the shutdown unless it has to end within what is left.
-const lastParts = 4
-
-// Drain makes the forwarder say on each answer that the connection closes, and refuse what may not end before the process
-// does, which is at until.
-func (f *Forwarder) Drain(until time.Time) {
-	f.drain.Store(&drain{until: until, last: until.Add(-time.Until(until) / lastParts)})
-}
-
-// refuses returns the refusal of a request that may not end before the process does; nil for others. A stream lasts about as long
-// as the process has left.
-func (d *drain) refuses(now time.Time, req *request) *refusal {
-	ends := now.Before(d.last) || !req.deadline.IsZero() && req.deadline.Before(d.until)
-	if ends && !req.route.Stream {
-		return nil
-	}
-	return refuse(http.StatusServiceUnavailable, "stopping", soon())
-}
-
 // ServeHTTP implements [http.Handler].
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
@@ -203,7 +178,7 @@
 	if d := f.drain.Load(); d != nil {
 		w.Header().Set("Connection", "close")
 		if refused == nil {
-			refused = d.refuses(arrived, req)
+			refused = d.refuses(time.Now(), req)
 		}
 	}
 	if refused != nil {
--- a/gateway/front/stopping_test.go
+++ b/gateway/front/stopping_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -41,25 +42,30 @@
 // time is left are refused as not run.
 func TestStoppingWithCallersThatKeepComing(t *testing.T) {
 	run(t, 2, 1, 2, func(w *world) {
-		var callers sync.WaitGroup
-		done := make(chan struct{})
-		go func() { defer close(done); w.fronts[0].Drain() }()
-		served, refused := 0, 0
-		for ended := false; !ended; {
-			callers.Go(func() { w.leaving(logLift(), &served, &refused) })
-			select {
-			case <-done:
-				ended = true
-			case <-time.After(7 * time.Millisecond):
-			}
-		}
-		callers.Wait()
-		w.fronts[0] = nil
+		served, refused := w.callWhileDraining(7 * time.Millisecond)
 		assert.Assert(t, served > 100, "%d", served)
 		assert.Assert(t, refused > 10, "%d", refused)
 	})
 }
 
+// callWhileDraining drains an instance while calls that must not be repeated come at an even pace, and checks what becomes of each.
+func (w *world) callWhileDraining(pace time.Duration) (served, refused int) {
+	var callers sync.WaitGroup
+	done := make(chan struct{})
+	go func() { defer close(done); w.fronts[0].Drain() }()
+	for ended := false; !ended; {
+		callers.Go(func() { w.leaving(logLift(), &served, &refused) })
+		select {
+		case <-done:
+			ended = true
+		case <-time.After(pace):
+		}
+	}
+	callers.Wait()
+	w.fronts[0] = nil
+	return served, refused
+}
+
 // leaving sends a request to an instance that drains: it is served, refused as not run, or not accepted any more.
 func (w *world) leaving(r standin.Request, served, refused *int) {
 	r.ID = w.id()
@@ -78,3 +84,26 @@
 		}
 	}
 }
+
+// TestStoppingWithSlowEndpoints: requests that take longer than a quarter of the grace are not cut when an instance ends its drain by
+// force.
+func TestStoppingWithSlowEndpoints(t *testing.T) {
+	for _, c := range []struct{ grace, timeout, work time.Duration }{
+		{8 * time.Second, 3 * time.Second, 2400 * time.Millisecond},
+		{4 * time.Second, 1500 * time.Millisecond, 1400 * time.Millisecond},
+		{8 * time.Second, 3 * time.Second, 900 * time.Millisecond},
+		{8 * time.Second, 1500 * time.Millisecond, 1400 * time.Millisecond},
+		{2 * time.Second, 3 * time.Second, 2400 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint(c.grace, c.timeout, c.work), func(t *testing.T) {
+			runWith(t, 2, 1, 12, func(w *world) {
+				w.settings, w.plainWork = fmt.Sprintf("[bounds]\ngrace = %v\n", c.grace), c.work
+				w.config.Routes[routeLog].Timeout = c.timeout
+			}, func(w *world) {
+				served, refused := w.callWhileDraining(70 * time.Millisecond)
+				t.Logf("%d served, %d refused", served, refused)
+				assert.Assert(t, refused > 0)
+			})
+		})
+	}
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -34,6 +34,9 @@
 	plains  []*standin.Worker
 	stops   []func()
 	logs    *lockedBuffer
+	// settings are added to those of each instance, and plainWork is how long a plain request takes.
+	settings  string
+	plainWork time.Duration
 	// frontsMu guards fronts where instances are killed while others ask.
 	frontsMu sync.Mutex
 
@@ -68,15 +71,26 @@
 	plainWork   = 20 * time.Millisecond
 	slots       = 8
 	dataCentres = 3
+	// routeLog is the index of the route of calls that must not be repeated.
+	routeLog = 2
 )
 
 func dc(i int) string { return fmt.Sprint("dc", i%dataCentres) }
 
 // run builds a world, lets it come together, and runs f in it.
 func run(t *testing.T, fronts, engines, plains int, f func(*world)) {
+	runWith(t, fronts, engines, plains, func(*world) {}, f)
+}
+
+// runWith does the same in a world that prepare has changed.
+func runWith(t *testing.T, fronts, engines, plains int, prepare, f func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, net: memnet.New(), began: time.Now(), store: standin.NewStore(0), fleet: standin.NewFleet(), logs: &lockedBuffer{}}
+		w := &world{
+			t: t, net: memnet.New(), began: time.Now(), store: standin.NewStore(0), fleet: standin.NewFleet(), logs: &lockedBuffer{},
+			plainWork: plainWork,
+		}
 		w.config = configuration()
+		prepare(w)
 		w.store.PutConfiguration(&w.config)
 		l, err := w.net.Node("store").Listen("10.0.9.1:80")
 		assert.NilError(t, err)
@@ -143,7 +157,7 @@
 }
 
 func (w *world) plain(i int) *standin.Worker {
-	return w.worker(fmt.Sprint("p", i), "", standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), Zone: dc(i), Slots: slots, Work: plainWork})
+	return w.worker(fmt.Sprint("p", i), "", standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), Zone: dc(i), Slots: slots, Work: w.plainWork})
 }
 
 func (w *world) worker(node, suffix string, cfg standin.WorkerConfig) *standin.Worker {
@@ -196,7 +210,7 @@
 
 // front starts an instance.
 func (w *world) front(i int) *front.Front {
-	s, err := settings.ParseFront([]byte(frontSettings(i)))
+	s, err := settings.ParseFront([]byte(frontSettings(i) + w.settings))
 	assert.NilError(w.t, err)
 	node := fmt.Sprint("f", i)
 	w.net.SetCrashed(node, false)
