--- a/cli/command/soak.go
+++ b/cli/command/soak.go
@@ -47,6 +47,9 @@
 	f.IntVar(&o.Callers, "callers", 20, "callers")
 	f.StringVar(&o.Program, "program", "bin/agatewayd", "the daemon")
 	f.StringSliceVar(&o.Without, "without", nil, "mechanisms of the daemon to switch off, by their names in its settings")
+	f.StringSliceVar(&o.Only, "only", nil, "faults to draw, by name, in place of those of the seed")
+	f.DurationVar(&o.Grace, "grace", soak.DefaultGrace, "time that an instance has to end after SIGTERM")
+	f.DurationVar(&o.Work, "work", soak.DefaultWork, "how long plain requests take")
 	f.StringVar(&report, "report", "", "file for the figures, as JSON")
 	f.StringVar(&page, "page", "", "file for a page with a plot")
 	return c
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -13,28 +15,50 @@
 // fault begins something, and returns what it is and how it ends; nil where it ends by itself.
 type fault func(w *world, r *rand.Rand) (what string, end func())
 
-// Faults by what they harm. Changes that the operator makes belong to all.
+// faults are all faults by their names.
+var faults = map[string]fault{
+	"new-key": newKey, "new-route": newRoute, "routes-in-a-row": routesInARow, "reread": reread, "bad-build": badBuild,
+	"worker-link": workerLink, "worker-fails": workerFails, "crash": crash, "data-centre": dataCentre, "leave": leave,
+	"answers-lost": answersLost, "used-again": usedAgain, "fatal-request": fatalRequest,
+	"pause": pause, "kill": kill, "kill-all": killAll, "stop": stop, "stop-in-a-row": stopInARow,
+	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgets,
+	"store-loses": storeLoses, "key-goes-unheard": storeAwayWhileKeyGoes,
+}
+
+// Names of faults by what they harm; one that is named twice is twice as frequent. Changes that the operator makes belong to all.
 var (
-	changes        = []fault{newKey, newKey, newRoute, newRoute, routesInARow, reread, badBuild, badBuild}
-	endpointFaults = []fault{
-		workerLink, workerLink, workerFails, workerFails, crash, crash, dataCentre, leave, leave, answersLost, answersLost, usedAgain,
-		fatalRequest, fatalRequest,
+	changes        = []string{"new-key", "new-key", "new-route", "new-route", "routes-in-a-row", "reread", "bad-build", "bad-build"}
+	endpointFaults = []string{
+		"worker-link", "worker-link", "worker-fails", "worker-fails", "crash", "crash", "data-centre", "leave", "leave",
+		"answers-lost", "answers-lost", "used-again", "fatal-request", "fatal-request",
+	}
+	processFaults = []string{"pause", "kill", "kill-all", "stop", "stop", "stop-in-a-row"}
+	storeFaults   = []string{
+		"store-link", "store-outage", "store-slow", "store-forgets", "store-loses", "key-goes-unheard", "key-goes-unheard",
 	}
-	processFaults = []fault{pause, kill, killAll, stop, stop, stopInARow}
-	storeFaults   = []fault{storeLink, storeOutage, storeSlow, storeForgets, storeLoses, storeAwayWhileKeyGoes, storeAwayWhileKeyGoes}
 )
 
-// faultsOf returns the faults of a seed, at equal odds. Every second seed has all of them. The others have those of
+// faultsOf returns the names of the faults of a seed, at equal odds. Every second seed has all of them. The others have those of
 // one kind, so that promises with a time bound are checked that the other kinds excuse: a leaving endpoint is known
 // in time only where the store answers.
-func faultsOf(seed uint64) []fault {
-	kinds := [][]fault{endpointFaults, processFaults, storeFaults}
+func faultsOf(seed uint64) []string {
+	kinds := [][]string{endpointFaults, processFaults, storeFaults}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, changes)...)
 	}
 	return slices.Concat(kinds[seed/2%uint64(len(kinds))], changes)
 }
 
+// checkNames reports a name that no fault has.
+func checkNames(names []string) error {
+	for _, n := range names {
+		if faults[n] == nil {
+			return fmt.Errorf("no fault %q; there are %s", n, strings.Join(slices.Sorted(maps.Keys(faults)), ", "))
+		}
+	}
+	return nil
+}
+
 var linkModes = []mode{delayed, reset, silent, oneWay}
 
 // storeLink harms the connection of an instance to the store.
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -74,7 +74,7 @@
 }
 
 // newProcess writes the settings of an instance.
-func newProcess(dir, program, store string, i int, free *ports, h *harms, without []string) (*process, error) {
+func newProcess(dir, program, store string, i int, free *ports, h *harms, o *Options) (*process, error) {
 	const addresses = 4
 	at, err := free.take(addresses)
 	if err != nil {
@@ -105,9 +105,9 @@
 [rollouts]
 share = 0.1
 reserve = 50
-`, p.name, i%dataCentres, at[0], at[1], at[2], at[3], store, revokeBound, grace)
-	if len(without) > 0 {
-		text += "[mechanisms]\n" + strings.Join(without, " = false\n") + " = false\n"
+`, p.name, i%dataCentres, at[0], at[1], at[2], at[3], store, revokeBound, o.Grace)
+	if len(o.Without) > 0 {
+		text += "[mechanisms]\n" + strings.Join(o.Without, " = false\n") + " = false\n"
 	}
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -24,10 +24,20 @@
 	// Program is the daemon, and Without names mechanisms of it that are switched off: whether the checks notice.
 	Program string
 	Without []string
+	// Only names the faults that are drawn; empty for those of the seed.
+	Only []string
+	// Grace is the time that a process has to end after SIGTERM, Work how long plain requests take.
+	Grace, Work time.Duration
 	// Out takes a line for each fault and finding.
 	Out io.Writer
 }
 
+// Usual times of processes and plain endpoints.
+const (
+	DefaultGrace = 4 * time.Second
+	DefaultWork  = 15 * time.Millisecond
+)
+
 // Result is what a soak found.
 type Result struct {
 	Asked   int `json:"asked"`
@@ -56,6 +66,9 @@
 
 // Run runs a soak.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if err := checkNames(o.Only); err != nil {
+		return Report{}, err
+	}
 	dir, err := os.MkdirTemp("", "agateway-soak-")
 	if err != nil {
 		return Report{}, err
@@ -130,9 +143,12 @@
 	rnd := rand.New(rand.NewPCG(s.Seed, ^uint64(0)))
 	var ends []func()
 	all := faultsOf(s.Seed)
+	if len(s.Only) > 0 {
+		all = s.Only
+	}
 	until := time.Now().Add(s.Length)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		what, end := all[rnd.IntN(len(all))](s.world, rnd)
+		what, end := faults[all[rnd.IntN(len(all))]](s.world, rnd)
 		s.mu.Lock()
 		s.result.Faults++
 		s.figures.moments = append(s.figures.moments, Moment{time.Since(s.began).Seconds(), what})
--- a/cli/soak/start_bench_test.go
+++ b/cli/soak/start_bench_test.go
@@ -29,12 +29,13 @@
 // BenchmarkStart: from the start of a process to its first answer to a request that came meanwhile, and to the first event
 // of a stream whose prompt an engine keeps that no instance remembers.
 func BenchmarkStart(b *testing.B) {
-	w, err := newWorld(b.TempDir(), "", Options{Engines: 24, Plain: 3})
+	options := Options{Engines: 24, Plain: 3, Grace: DefaultGrace, Work: DefaultWork}
+	w, err := newWorld(b.TempDir(), "", options)
 	assert.NilError(b, err)
 	defer w.close()
 	store, err := newProxy(w.storeAddress)
 	assert.NilError(b, err)
-	p, err := newProcess(b.TempDir(), daemon(b), store.address(), 0, &w.ports, &w.harms, nil)
+	p, err := newProcess(b.TempDir(), daemon(b), store.address(), 0, &w.ports, &w.harms, &options)
 	assert.NilError(b, err)
 	prompt := standin.Request{Method: http.MethodPost, Host: host, Path: "/brief/1", Key: keptKey, Body: "case", Wait: streamWait, Prompt: "ab", Tokens: promptSize}
 	var plain, stream time.Duration
--- a/cli/soak/world.go
+++ b/cli/soak/world.go
@@ -15,7 +15,6 @@
 const (
 	dataCentres = 3
 	revokeBound = 3 * time.Second
-	grace       = 4 * time.Second
 	entryTTL    = 1500 * time.Millisecond
 	beat        = 400 * time.Millisecond
 	streamStep  = 30 * time.Millisecond
@@ -82,7 +81,7 @@
 		}
 	}
 	for i := range o.Plain {
-		if err := w.add(fmt.Sprint("p", i), standin.WorkerConfig{Service: "plain", Zone: zone(i), Slots: 16, Work: 15 * time.Millisecond}); err != nil {
+		if err := w.add(fmt.Sprint("p", i), standin.WorkerConfig{Service: "plain", Zone: zone(i), Slots: 16, Work: o.Work}); err != nil {
 			return nil, err
 		}
 	}
@@ -92,7 +91,7 @@
 			return nil, err
 		}
 		w.proxies = append(w.proxies, p)
-		process, err := newProcess(dir, program, p.address(), i, &w.ports, &w.harms, o.Without)
+		process, err := newProcess(dir, program, p.address(), i, &w.ports, &w.harms, &o)
 		if err != nil {
 			return nil, err
 		}
