front: requests in progress when the grace is over are told what became of them

What callers saw: a request that ran when an instance ended its drain by force had its connection closed without an answer, as if the instance had crashed: calls without a deadline, calls and streams that began before the signal, bodies that still arrived.

Cause: the drain ended with the close of all connections; nothing ended the requests first.

Evidence: TestForcedEnd on the code before: a call and a stream whose prompt is read get EOF, a body that arrives slowly gets EOF.

Change: at the forced end, 0.3 s before the grace is over, the contexts of the requests in progress end. Each is answered: 502 where it may have run, 503 where it has not, 408 for a body that did not arrive; a stream with events breaks off after a whole event, so that its caller goes on elsewhere from the last one. Then 0.2 s are left for the answers to be written, and idle connections are closed.

A request of which only a part of the head has come gets no answer, as before; it is not passed on.

--- a/gateway/forward/await.go
+++ b/gateway/forward/await.go
@@ -72,7 +72,7 @@
 			return f.noRoom(req, "no room in time", f.expected(req))
 		}
 		if !pause.For(ctx, awaitStep) {
-			return f.noRoom(req, "the caller left", 0)
+			return f.noRoom(req, whyLeft(ctx), 0)
 		}
 		if refused := f.stillAllowed(req); refused != nil {
 			return refused
@@ -161,6 +161,14 @@
 	return true
 }
 
+// whyLeft tells why a request does not wait any longer whose context ended.
+func whyLeft(ctx context.Context) string {
+	if isEnding(ctx) {
+		return whyEnding
+	}
+	return "the caller left"
+}
+
 func (f *Forwarder) noRoom(req *request, why string, expected time.Duration) *refusal {
 	return refuse(http.StatusServiceUnavailable, why, whenRoom(expected)).with(logrus.Fields{
 		"rank": req.rank, "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
--- a/gateway/forward/drain.go
+++ b/gateway/forward/drain.go
@@ -1,30 +1,49 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 )
 
 // drain is a graceful shutdown in progress.
 type drain struct {
-	// until is when the process ends at the latest.
+	// until is when requests in progress are ended by force.
 	until time.Time
 	// last is when the last request without a deadline is taken.
 	last time.Time
+	// closed is set when no request is taken any more.
+	closed bool
 }
 
 // lastParts: the last part in so many of the shutdown is left to requests without a deadline that were taken before.
 const lastParts = 4
 
+// errEnding is why the contexts of requests end that are in progress when the process has to end.
+var errEnding = errors.New("the instance ends")
+
+// whyEnding is what callers are told then.
+const whyEnding = "the instance ended before the answer came"
+
 // Drain begins a graceful shutdown: each answer says that its connection closes, and requests that may not end before until are refused.
 func (f *Forwarder) Drain(until time.Time) {
 	f.drain.Store(&drain{until: until, last: until.Add(-time.Until(until) / lastParts)})
 }
 
+// Refuse makes the forwarder refuse all requests that come from now on.
+func (f *Forwarder) Refuse() { f.drain.Store(&drain{closed: true}) }
+
+// End ends the requests in progress: those that can still be answered are told what became of them.
+func (f *Forwarder) End() {
+	f.Refuse()
+	f.end()
+}
+
 // refuses returns the refusal of a request that may not end before the process does; nil for others. A stream lasts about as long
 // as the process has left.
 func (d *drain) refuses(now time.Time, req *request) *refusal {
-	if !req.route.Stream && d.ends(now, req) {
+	if !d.closed && !req.route.Stream && d.ends(now, req) {
 		return nil
 	}
 	return refuse(http.StatusServiceUnavailable, "stopping", soon())
@@ -37,3 +56,19 @@
 	}
 	return req.deadline.Before(d.until)
 }
+
+// endable returns a context that also ends when the process has to. What is left of the request's body is not waited for then.
+func (f *Forwarder) endable(ctx context.Context, w http.ResponseWriter) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(f.ending, func() {
+		cancel(errEnding)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// isEnding tells whether a context ended since the process has to.
+func isEnding(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnding) }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -133,6 +133,9 @@
 	metrics     metrics
 
 	drain atomic.Pointer[drain]
+	// ending ends when requests in progress have to, by end.
+	ending context.Context
+	end    context.CancelFunc
 
 	sessionsMu sync.Mutex
 	sessions   map[*session]bool
@@ -156,6 +159,7 @@
 	f := &Forwarder{
 		Options: o, began: time.Now(), budgets: newBudgets(&o.Settings, o.Clock), metrics: newMetrics(o.Scope), sessions: map[*session]bool{},
 	}
+	f.ending, f.end = context.WithCancel(context.Background())
 	if held != nil {
 		f.judge.Ended, f.judge.HasEnded, f.judge.Nearby = held.Ended, f.hasEnded, o.Placement.Nearby
 	}
@@ -191,6 +195,8 @@
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, span := f.span(r.Context(), req)
 	defer span.End()
+	ctx, release := f.endable(ctx, w)
+	defer release()
 	if !req.deadline.IsZero() {
 		limited, cancel := context.WithDeadline(ctx, req.deadline)
 		defer cancel()
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -149,7 +149,13 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		p.f.metrics.callerLeft.Inc(1)
 	}
-	if how == unknown || p.runs > 0 {
+	mayHaveRun := how == unknown || p.runs > 0
+	switch {
+	case isEnding(ctx) && mayHaveRun:
+		return refuse(http.StatusBadGateway, whyEnding, 0)
+	case isEnding(ctx):
+		return refuse(http.StatusServiceUnavailable, whyEnding, soon())
+	case mayHaveRun:
 		return refuse(http.StatusGatewayTimeout, "no answer in time", 0)
 	}
 	return refuse(http.StatusServiceUnavailable, "no room in time", whenRoom(0))
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -159,7 +159,9 @@
 		s.machine.Tick(s.req.deadline)
 		return
 	}
-	s.f.metrics.callerLeft.Inc(1)
+	if !isEnding(s.ctx) {
+		s.f.metrics.callerLeft.Inc(1)
+	}
 	s.machine.Abort(time.Now())
 }
 
@@ -325,7 +327,7 @@
 func (s *session) fail(a generation.Fail) {
 	if s.relayed > 0 {
 		s.f.metrics.brokenOff.Inc(1)
-		s.f.Log.Refusal(s.req.ID, "stream broken off", logrus.Fields{"events": s.relayed, "code": string(a.Code)})
+		s.f.Log.Refusal(s.req.ID, "stream broken off", logrus.Fields{"events": s.relayed, "code": string(a.Code), "ending": isEnding(s.ctx)})
 		panic(http.ErrAbortHandler)
 	}
 	if s.last != nil && a.Code != generation.CodeCanceled {
@@ -339,6 +341,10 @@
 func (s *session) refusal(a generation.Fail) *refusal {
 	inputs := logrus.Fields{"code": string(a.Code), "attempts": len(s.attempts)}
 	switch {
+	case isEnding(s.ctx) && !s.mayHaveRun():
+		return refuse(http.StatusServiceUnavailable, whyEnding, soon()).with(inputs)
+	case isEnding(s.ctx):
+		return refuse(http.StatusBadGateway, whyEnding, 0).with(inputs)
 	case a.Code == generation.CodeStopped && !s.mayHaveRun():
 		return refuse(http.StatusServiceUnavailable, whyStopped, a.RetryAfter).with(inputs)
 	case a.Code == generation.CodeStopped:
--- a/gateway/front/callers.go
+++ b/gateway/front/callers.go
@@ -1,11 +1,13 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,6 +99,21 @@
 // stop takes no more connections.
 func (c *callers) stop() { _ = c.listener.Close() }
 
+// shutdown takes no more connections, closes idle ones and waits for a time at the most until the answers of the others are written.
+func (c *callers) shutdown(most time.Duration) {
+	c.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), most)
+	defer cancel()
+	c.mu.Lock()
+	servers := slices.Clone(c.servers)
+	c.mu.Unlock()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			c.log.WithError(err).Warn("connections were in use at the end")
+		}
+	}
+}
+
 // close ends all connections.
 func (c *callers) close() {
 	c.stop()
--- a/gateway/front/drain.go
+++ b/gateway/front/drain.go
@@ -8,42 +8,50 @@
 
 // Times of a graceful shutdown.
 const (
-	// drainLeast is how long a leaving instance still takes requests: callers were told its address
-	// a short while ago. It is the time they keep the answer, and a margin.
+	// drainMargin is by how much longer a leaving instance takes requests than callers keep its address.
 	drainMargin = 500 * time.Millisecond
 	// drainQuiet is how long no request may have been in progress before the process ends.
 	drainQuiet = 300 * time.Millisecond
 	// drainStep is how often that is looked at.
 	drainStep = 20 * time.Millisecond
-	// drainSpare is what is left of the grace when the process ends in any case.
-	drainSpare = 300 * time.Millisecond
+	// drainSpare is what is left of the grace when requests are ended by force, drainAnswers the part of it in which their answers are
+	// written.
+	drainSpare   = 300 * time.Millisecond
+	drainAnswers = 200 * time.Millisecond
 )
 
-// Drain shuts down gracefully: not ready and out of the directory at once, requests that still come are
-// served, each with the word that its connection closes, and the process ends when none is left or the
-// grace is nearly over.
+// Drain shuts down gracefully: the instance is not ready and out of the directory at once, and requests that still come are served,
+// each with the word that its connection closes. It ends when none is left, or when the grace is nearly over. Requests in progress are
+// told so then.
 func (f *Front) Drain() {
 	log := f.telemetry.Log
 	began := time.Now()
+	until := began.Add(f.settings.Bounds.Grace - drainSpare)
 	log.WithField("open", f.forwarder.Open()).Info("stopping")
 	f.draining.Store(true)
-	f.forwarder.Drain(began.Add(f.settings.Bounds.Grace - drainSpare))
+	f.forwarder.Drain(until)
 	f.exchange.Now()
-	least := f.settings.Bounds.Keep + drainMargin
-	most := f.settings.Bounds.Grace - drainSpare
+	f.awaitQuiet(began, until)
+	open := f.forwarder.Open()
+	f.forwarder.End()
+	f.callers.shutdown(drainAnswers)
+	log.WithFields(logrus.Fields{"open": open, "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	f.Close()
+}
+
+// awaitQuiet waits until callers know that the instance leaves and no request has been in progress for a while.
+func (f *Front) awaitQuiet(began, until time.Time) {
+	least := began.Add(f.settings.Bounds.Keep + drainMargin)
 	quietSince := began
-	for {
-		time.Sleep(drainStep)
-		now := time.Now()
+	for now := began; now.Before(until); now = time.Now() {
 		if f.forwarder.Open() > 0 {
 			quietSince = now
 		}
-		if now.Sub(began) >= most || now.Sub(began) >= least && now.Sub(quietSince) >= drainQuiet {
-			break
+		if now.After(least) && now.Sub(quietSince) >= drainQuiet {
+			return
 		}
+		time.Sleep(drainStep)
 	}
-	log.WithFields(logrus.Fields{"open": f.forwarder.Open(), "took_ms": time.Since(began).Milliseconds()}).Info("stopped")
-	f.Close()
 }
 
 // Close ends the instance at once.
--- a/gateway/front/stopping_test.go
+++ b/gateway/front/stopping_test.go
@@ -1,13 +1,17 @@
 package front_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/agateway/agateway/platform/standin"
 )
@@ -107,3 +111,58 @@
 		})
 	}
 }
+
+// TestForcedEnd: callers whose requests are in progress when the grace is over are told what became of them. A stream with events
+// breaks off visibly and goes on at another instance.
+func TestForcedEnd(t *testing.T) {
+	runWith(t, 2, 6, 2, func(w *world) {
+		w.settings, w.plainWork = "[bounds]\ngrace = 2s\n", 10*time.Second
+		w.config.Routes[routeLog].Timeout = 0
+	}, func(w *world) {
+		streaming := w.stream(0, brief("b1"))
+		time.Sleep(1500 * time.Millisecond)
+		slow := w.sendPart(0, "POST /log/1 HTTP/1.1\r\nHost: "+host+"\r\nAgateway-Attempt-Id: 51\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 9\r\n\r\nli")
+		head := w.sendPart(0, "POST /log/1 HT")
+		call := logLift()
+		call.Wait = 0
+		calling := w.stream(0, call)
+		unread := brief("b2")
+		unread.Tokens = 3 * promptSize
+		reading := w.stream(0, unread)
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		w.fronts[0].Drain()
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+		w.fronts[0] = nil
+		for name, got := range map[string]chan standin.Answer{"call": calling, "unread prompt": reading} {
+			a := <-got
+			assert.Check(t, a.Status == http.StatusBadGateway && a.Whole, "%s: %d %s", name, a.Status, a.Body)
+		}
+		assert.Check(t, is.Equal(<-slow, http.StatusRequestTimeout))
+		assert.Check(t, is.Equal(<-head, 0))
+		assert.Equal(t, w.plainRuns("51"), 0)
+		a := <-streaming
+		assert.Assert(t, !a.Whole && len(a.Events) > 0, "%+v", a)
+		rest := brief("b1")
+		rest.LastEvent = len(a.Events)
+		b, err := w.do(1, rest)
+		assert.NilError(t, err)
+		whole(t, b, "b1", rest.LastEvent)
+	})
+}
+
+// sendPart sends a part of a request, and returns the channel on which the status of the answer comes, 0 for none.
+func (w *world) sendPart(i int, text string) chan int {
+	conn, err := w.net.Node("caller").Dial(context.Background(), "tcp", frontAddress(i))
+	assert.NilError(w.t, err)
+	_, err = io.WriteString(conn, text)
+	assert.NilError(w.t, err)
+	status := make(chan int, 1)
+	go func() {
+		defer close(status)
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			status <- resp.StatusCode
+		}
+	}()
+	return status
+}
