front: an instance takes no request after the last look at what is in progress

What callers saw: a call that arrived just when an instance had become quiet was passed on, and its connection was closed.

Cause: the drain looked whether no request had been in progress for 0.3 s, and closed all connections some microseconds later, while requests were still taken. Nothing closed the door before the last look.

Change: all requests are refused as not run first; then the requests that were taken before are waited for.

--- a/gateway/front/drain.go
+++ b/gateway/front/drain.go
@@ -32,6 +32,8 @@
 	f.forwarder.Drain(until)
 	f.exchange.Now()
 	f.awaitQuiet(began, until)
+	f.forwarder.Refuse() // before the last look at what is open
+	f.awaitNone(until)
 	open := f.forwarder.Open()
 	f.forwarder.End()
 	f.callers.shutdown(drainAnswers)
@@ -54,6 +56,13 @@
 	}
 }
 
+// awaitNone waits until no request is in progress.
+func (f *Front) awaitNone(until time.Time) {
+	for f.forwarder.Open() > 0 && time.Now().Before(until) {
+		time.Sleep(drainStep)
+	}
+}
+
 // Close ends the instance at once.
 func (f *Front) Close() {
 	f.cancel()
