daemon: ticket outcomes are handed over after a drain that ended by force

What callers saw: "outcome unknown" for a call that had run and been answered, after its owner's drain ended with another request in progress.

Cause: the hand-over used the context that bounds the wait for requests in progress, which was over by then.

--- a/cli/e2e/once_test.go
+++ b/cli/e2e/once_test.go
@@ -344,3 +344,27 @@
 		assert.Equal(t, ran(err), "draining/unknown")
 	})
 }
+
+// TestTicketOutcomesAfterADrainByForce: an instance whose drain ends with a request in progress hands over the outcomes of its tickets,
+// and the generation that it cuts goes on elsewhere.
+func TestTicketOutcomesAfterADrainByForce(t *testing.T) {
+	run(t, shape{gateways: 3, engines: 2, services: 1, policy: "latency", extra: "[callers]\ndrain = 1s\ndrain_announce = 100ms\n"}, func(w *world) {
+		r := w.request(300)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a, err := w.client(0).Generate(w.ctx(), r)
+			w.check(r, a, err)
+		}()
+		time.Sleep(time.Second)
+		ticket, err := w.only(0).Ticket(w.ctx())
+		assert.NilError(t, err)
+		_, err = w.only(1).Plain(w.ctx(), logLift(ticket, ""))
+		assert.NilError(t, err)
+		w.gateways[0].Drain(w.ctx())
+		_, err = w.only(2).Plain(w.ctx(), logLift(ticket, ""))
+		assert.Equal(t, ran(err), "ok")
+		assert.Equal(t, w.runs(lift), 1)
+		<-done
+	})
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -336,9 +336,9 @@
 	pause.For(ctx, d.settings.Callers.DrainAnnounce)
 	d.Pipeline.Drain()
 	close(d.closing)
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.Drain)
+	drain, cancel := context.WithTimeout(ctx, d.settings.Callers.Drain)
 	defer cancel()
-	if err := d.servers[0].Shutdown(ctx); err != nil {
+	if err := d.servers[0].Shutdown(drain); err != nil {
 		log.WithField("open", d.Pipeline.Open()).Error("requests were still in progress when the time to drain was over")
 	}
 	d.Tickets.HandOver(ctx)
