routing: copies of streams that move to another build take the room of requests

What callers saw: while a good build took over, streams paused for 1.35 s.

Cause: copies fill half of an engine's memory at the most, as a reserve for losses that may not come. When a service moves, its streams will run where their copies are; a target as large as the baseline had no room for a part of them, and their prompts were read again when the old engines stopped.

Evidence: a line in the log where no engine was found for a copy, which was missing; all streams that paused have it. A world's logs are also printed where the test that built it fails.

--- a/core/routing/overload_test.go
+++ b/core/routing/overload_test.go
@@ -336,3 +336,23 @@
 		}
 	}
 }
+
+// TestCopiesThatMoveTakeRoomOfRequests: the pattern is a service that moves to other engines. Its streams will run where their copies are,
+// so the copies may fill the engines as the streams would; those that found no room read their prompts again when the old engines stopped.
+func TestCopiesThatMoveTakeRoomOfRequests(t *testing.T) {
+	place := func(used int, short, moves bool) error {
+		now := time.Unix(0, 0)
+		v := NewView(DefaultSettings())
+		v.Upsert(Endpoint{ID: "e", Service: "s", Slots: 16, Memory: 100})
+		v.Place("e", Placed{Tokens: used})
+		_, err := v.Pick(now, &Request{Service: "s", Tokens: 10, Copy: true, Short: short, Moves: moves}, rand.New(rand.NewPCG(1, 1)))
+		return err
+	}
+	for _, short := range []bool{false, true} {
+		assert.NilError(t, place(30, short, false))
+		assert.ErrorIs(t, place(60, short, false), ErrFull)
+		assert.NilError(t, place(60, short, true))
+		assert.NilError(t, place(90, short, true))
+		assert.ErrorIs(t, place(91, short, true), ErrFull)
+	}
+}
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -38,6 +38,8 @@
 	Copy bool
 	// Short tells that requests wait for room: copies leave more of it.
 	Short bool
+	// Moves tells that the request will go on where its copy is: the copy may take as much room as the request.
+	Moves bool
 	// Recovery marks work that was lost once; it may use the reserve.
 	Recovery bool
 	// Key breaks ties, so that equal requests meet the same endpoint.
@@ -300,17 +302,18 @@
 }
 
 // spare tells whether the request is for a copy while nobody waits for room: what is not known then has room, most likely.
-func (p *picker) spare() bool { return p.r.Copy && !p.r.Short }
+func (p *picker) spare() bool { return p.r.Copy && (!p.r.Short || p.r.Moves) }
 
 // isFull tells whether an endpoint has no room for the request: too little memory, too many prompts to be read before its own, or too
 // many requests.
 func (p *picker) isFull(n *node) bool {
 	memory := p.v.set.MemoryFactor
-	if p.r.Copy {
+	switch {
+	case !p.r.Copy || p.r.Moves:
+	case p.r.Short:
+		memory = p.v.set.ShortCopyFactor
+	default:
 		memory = p.v.set.CopyFactor
-		if p.r.Short {
-			memory = p.v.set.ShortCopyFactor
-		}
 	}
 	if n.Memory > 0 && float64(n.used(p.now)+p.r.Tokens) > memory*float64(n.Memory) {
 		return true
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -72,6 +72,7 @@
 	r := s.request()
 	r.Avoid, r.Away, r.Copy, r.Weights = []string{e.ID}, e.DataCentre, true, copyWeights()
 	r.Builds, r.Short = s.f.Rollouts.CopyBuilds(s.req.service), s.f.short(s.req.service)
+	r.Moves = r.Builds.Only != ""
 	if s.f.Settings.Without.CopyElsewhere {
 		r.Away = ""
 	}
@@ -167,6 +168,7 @@
 func (s *session) copy(a *attempt, c copies.Copy) {
 	to := s.copyTarget(a, c)
 	if to == nil {
+		s.f.Log.Decision(s.req.ID, "no engine for a copy", logrus.Fields{"endpoint": a.endpoint.ID, "events": s.relayed, "to": c.To})
 		s.copies.Copied(time.Now(), copies.Holder{})
 		return
 	}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -23,7 +23,9 @@
 
 // world is a store, instances, engines and plain endpoints in virtual time.
 type world struct {
-	t       *testing.T
+	t *testing.T
+	// outer is the test in which the world was built: what it checks fails there.
+	outer   *testing.T
 	net     *memnet.Net
 	began   time.Time
 	store   *standin.Store
@@ -84,9 +86,10 @@
 
 // runWith does the same in a world that prepare has changed.
 func runWith(t *testing.T, fronts, engines, plains int, prepare, f func(*world)) {
+	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			t: t, net: memnet.New(), began: time.Now(), store: standin.NewStore(0), fleet: standin.NewFleet(), logs: &lockedBuffer{},
+			t: t, outer: outer, net: memnet.New(), began: time.Now(), store: standin.NewStore(0), fleet: standin.NewFleet(), logs: &lockedBuffer{},
 			plainWork: plainWork,
 		}
 		w.config = configuration()
@@ -112,7 +115,7 @@
 
 // end takes the world down.
 func (w *world) end() {
-	if w.t.Failed() {
+	if w.t.Failed() || w.outer.Failed() {
 		w.t.Log(w.logs.String())
 	}
 	w.store.SetFault(standin.Fault{})
