copies: a copy whose engine is about to stop is replaced at once

Cause: a copy at an engine of the build that is left was treated as lost, and another one was asked for after the pause that is meant for engines that fail. Streams whose prompts were read when the move began have half a second until the old engines stop.

Evidence: the log lines of the streams: first event at 14.25 s, no copy asked for until 14.55 s, old engines stopped at 14.70 s.

--- a/core/copies/keeper.go
+++ b/core/copies/keeper.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// Move takes that the engine that holds the copy is about to stop: another copy is due at once.
+func (k *Keeper) Move(now time.Time) {
+	k.lost(now)
+	if k.asked {
+		k.due = now
+	}
+}
+
 // lost asks for another copy soon.
 func (k *Keeper) lost(now time.Time) {
 	k.current = Holder{}
--- a/core/copies/keeper_test.go
+++ b/core/copies/keeper_test.go
@@ -83,3 +83,21 @@
 	_, due := k.Deadline()
 	assert.Assert(t, !due)
 }
+
+// TestAHolderThatStopsIsLeftAtOnce: streams whose copies were to follow them to another build of the engines waited as long as after a
+// copy that failed, and had none when the old build stopped.
+func TestAHolderThatStopsIsLeftAtOnce(t *testing.T) {
+	k := keeper()
+	k.Begin(at(0), first)
+	k.Move(at(1000))
+	_, ok := k.Holder()
+	assert.Assert(t, !ok)
+	c, now := k.Tick(at(1000))
+	assert.Assert(t, now)
+	assert.Equal(t, c, Copy{})
+	k = New(Settings{Retry: 100 * time.Millisecond})
+	k.Begin(at(0), first)
+	k.Move(at(10))
+	_, due := k.Deadline()
+	assert.Assert(t, !due, "engines that can't be asked are not asked")
+}
--- a/gateway/forward/rollouts.go
+++ b/gateway/forward/rollouts.go
@@ -91,7 +91,7 @@
 	h, copied := s.copies.Holder()
 	if e, known := s.f.Placement.Get(h.Endpoint); copied && known {
 		if builds := s.f.Rollouts.CopyBuilds(s.req.service); !builds.Allow(&e) {
-			s.copies.Lost(now, h.Endpoint)
+			s.copies.Move(now)
 			s.account("")
 			copied = false
 		}
