crashers: endpoints that end late under a request count as well

What callers saw: a request that ends its engine 1.5 s after its answer began ended four more with each attempt, and streams of others broke off with them.

Cause: an end counted only within the first second of a stream, and a stream that had run for a second cleared its request, so that its later engines were not looked at.

Change: a sign of its own for late ends; five of them stop a request, being served for a while does not clear them, a whole answer does. Ends of one attempt are held until there are two or until it ends without a whole answer, so that a usual crash tells nobody anything.

--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -15,14 +15,29 @@
 // Sign says how far an endpoint was with a request when it ended.
 type Sign uint8
 
-// Signs, the stronger ones larger.
+// Signs. Their numbers are those of the messages between instances; see [Sign.weight].
 const (
 	// Present: it had the request, and may not have begun to run it.
 	Present Sign = iota + 1
 	// Begun: its answer had begun a moment before.
 	Begun
+	// Late: its answer had gone on for a while.
+	Late
 )
 
+// weight orders signs by how much they say.
+func (s Sign) weight() int {
+	switch s {
+	case Begun:
+		return 3
+	case Present:
+		return 2
+	case Late:
+		return 1
+	}
+	return 0
+}
+
 // End is the end of an endpoint that had a request.
 type End struct {
 	// Endpoint is the incarnation that ended.
@@ -56,8 +71,8 @@
 
 // Settings of a register. The zero value is not usable; see [DefaultSettings].
 type Settings struct {
-	// Ends is how many endpoints may end under a request before it is stopped.
-	Ends int
+	// Ends is how many endpoints may end under a request before it is stopped, LateEnds how many where late ones count as well.
+	Ends, LateEnds int
 	// Moment is how far apart ends may be that count as one, where the request was at both endpoints at once.
 	Moment time.Duration
 	// Keep is how long an end counts.
@@ -79,7 +94,7 @@
 // hour of ends finds out one that comes a few times an hour.
 func DefaultSettings() Settings {
 	return Settings{
-		Ends: 3, Moment: 300 * time.Millisecond, Keep: time.Hour,
+		Ends: 3, LateEnds: 5, Moment: 300 * time.Millisecond, Keep: time.Hour,
 		StopFirst: 10 * time.Minute, StopMost: 4 * time.Hour, TrialMost: 30 * time.Second,
 		PerTeam: 64, Most: 1024, Harmful: 4, HarmfulWithin: 30 * time.Second,
 	}
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -12,9 +12,11 @@
 //   - An endpoint that ended right after its answer had begun ([Begun]) says much: few requests are at that point at any
 //     moment. One that ended while it had the request ([Present]) says little, and nothing where there is a better reason:
 //     another request had begun there, was stopped, or was at more endpoints that ended.
+//   - One that ended when its answer had gone on for a while ([Late]) says least: it takes [Settings.LateEnds] of them.
 //   - Ends at the same moment count as one, unless the request was sent to the later endpoint after the earlier one had
 //     ended: they may have one cause, such as the loss of a data centre.
-//   - A request that is served is cleared: what was held against it before does not count any more.
+//   - A request that is served is cleared: what was held against it before does not count any more. One that is being served for a while
+//     is cleared as well, unless endpoints ended under it later than that.
 //   - A request that had begun where an endpoint ended, or to which one more end is missing, is tried by one instance at a time
 //     ([Careful]), so that the next end tells, and costs one endpoint.
 //
--- a/core/crashers/ends.go
+++ b/core/crashers/ends.go
@@ -32,7 +32,9 @@
 	r.had(req, &end)
 	for i := range e.ends {
 		if e.ends[i].Endpoint == end.Endpoint {
-			e.ends[i].Sign = max(e.ends[i].Sign, end.Sign)
+			if end.Sign.weight() > e.ends[i].Sign.weight() {
+				e.ends[i].Sign = end.Sign
+			}
 			return
 		}
 	}
@@ -92,38 +94,54 @@
 
 // weigh returns how many more ends stop a request, and at how many that count it had begun.
 func (r *Register) weigh(now time.Time, req Request, e *entry) (missing, begun int) {
-	need, since := r.set.Ends, e.cleared
+	need, needLate, since := r.set.Ends, r.set.LateEnds, e.cleared
 	if e.stop.Times > 0 { // it was stopped and may be tried again
-		need, since = 1, latest(e.stop.Until, e.cleared)
+		need, needLate, since = 1, 1, latest(e.stop.Until, e.cleared)
 	}
-	all, begun := r.occasions(now, req, e, since)
-	if begun > 0 && r.watched(now, req.Team, e.service) {
-		return 0, begun
+	o := r.occasions(now, req, e, since)
+	if o.begun > 0 && r.watched(now, req.Team, e.service) {
+		return 0, o.begun
 	}
-	return max(need-all, 0), begun
+	missing = need - o.early
+	if o.all > o.early {
+		missing = min(missing, needLate-o.all)
+	}
+	return max(missing, 0), o.begun
 }
 
+// occasions are the moments at which endpoints ended under a request: all of them, those that are not late, and the endpoints at which it
+// had begun.
+type occasions struct{ all, early, begun int }
+
 // watched tells whether a team sends so many requests that end endpoints of a service that its next one is likely to do the
 // same.
 func (r *Register) watched(now time.Time, team, service string) bool {
 	return r.harmfulOf(now, team, service) >= r.set.Harmful
 }
 
-// occasions counts the moments at which endpoints ended under a request, and the endpoints at which it had begun.
-func (r *Register) occasions(now time.Time, req Request, e *entry, since time.Time) (all, begun int) {
-	var last time.Time
+// occasions counts the moments at which endpoints ended under a request.
+func (r *Register) occasions(now time.Time, req Request, e *entry, since time.Time) (o occasions) {
+	var last, lastEarly time.Time
 	for _, end := range sorted(e.ends) {
 		if !end.At.After(since) || now.Sub(end.At) >= r.set.Keep || !r.counts(req, &end) {
 			continue
 		}
 		if end.Sign == Begun {
-			begun++
+			o.begun++
+		}
+		if r.another(last, &end) {
+			o.all, last = o.all+1, end.At
 		}
-		if last.IsZero() || end.Sent.After(last) || end.At.Sub(last) > r.set.Moment {
-			all, last = all+1, end.At
+		if end.Sign != Late && r.another(lastEarly, &end) {
+			o.early, lastEarly = o.early+1, end.At
 		}
 	}
-	return all, begun
+	return o
+}
+
+// another tells whether an end is not of the same moment as one before, which ended at last; zero for none.
+func (r *Register) another(last time.Time, end *End) bool {
+	return last.IsZero() || end.Sent.After(last) || end.At.Sub(last) > r.set.Moment
 }
 
 // counts tells whether an end says anything about a request: it does not where another one is a better reason for it.
@@ -138,7 +156,7 @@
 			continue
 		}
 		sign := e.signAt(end.Endpoint)
-		if sign == Begun || sign == Present && (e.stop.Times > 0 || len(e.ends) > mine) {
+		if sign == Begun || sign != 0 && (e.stop.Times > 0 || len(e.ends) > mine) {
 			return false
 		}
 	}
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -59,7 +59,7 @@
 		r.clear(f.Request, f.Cleared)
 	}
 	for _, end := range f.Ends[:min(len(f.Ends), endsKept*r.set.Ends)] {
-		if !end.At.After(now) && (end.Sign == Present || end.Sign == Begun) {
+		if !end.At.After(now) && end.Sign.weight() > 0 {
 			end.Service = f.Service
 			r.add(now, f.Request, end)
 		}
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -1,6 +1,9 @@
 package crashers
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Verdict returns what may be done with a request to a service.
 func (r *Register) Verdict(now time.Time, req Request, service string) Verdict {
@@ -49,6 +52,15 @@
 	return true
 }
 
+// Progress forgets what is held against a request that has been served for a while, unless endpoints ended under it later than that. It
+// returns true when there was anything.
+func (r *Register) Progress(now time.Time, req Request) bool {
+	if e := r.entries[req]; e != nil && slices.ContainsFunc(e.ends, func(end End) bool { return end.Sign == Late }) {
+		return false
+	}
+	return r.Clear(now, req)
+}
+
 // clear forgets what was held against a request up to a time.
 func (r *Register) clear(req Request, at time.Time) {
 	e := r.entries[req]
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -134,7 +134,7 @@
 	r.mu.Unlock()
 	r.metrics.blamed(end.Sign)
 	r.log(req, inputs).WithFields(logrus.Fields{
-		"endpoint": end.Endpoint, "begun": end.Sign == crashers.Begun, "had_it_ms": end.At.Sub(end.Sent).Milliseconds(),
+		"endpoint": end.Endpoint, "begun": end.Sign == crashers.Begun, "late": end.Sign == crashers.Late, "had_it_ms": end.At.Sub(end.Sent).Milliseconds(),
 		"endpoints": len(f.Ends), "verdict": verdict.String(),
 	}).Warn("an endpoint ended under a request")
 	if stopped {
@@ -166,6 +166,13 @@
 	}
 }
 
+// Progressed reports that a request has been served for a while.
+func (r *Register) Progressed(req crashers.Request) {
+	if r.Known() {
+		r.clearBy(req, "served for a while", r.core.Progress)
+	}
+}
+
 // endpoints names the endpoints that ended under a request.
 func endpoints(f *crashers.Fact) []string {
 	out := make([]string, len(f.Ends))
@@ -179,9 +186,13 @@
 func (r *Register) Release(req crashers.Request) bool { return r.clear(req, "released") }
 
 func (r *Register) clear(req crashers.Request, why string) bool {
+	return r.clearBy(req, why, r.core.Clear)
+}
+
+func (r *Register) clearBy(req crashers.Request, why string, by func(time.Time, crashers.Request) bool) bool {
 	r.mu.Lock()
 	stored := r.core.Stop(req).Stored
-	cleared := r.core.Clear(time.Now(), req)
+	cleared := by(time.Now(), req)
 	if cleared {
 		r.tell(req)
 		delete(r.writes, req)
--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -41,6 +41,8 @@
 	SentAt, HeadAt, EventAt time.Time
 	// Reused tells that the connection had served another request.
 	Reused bool
+	// Served tells that the caller had been served for a while when the request was sent there.
+	Served bool
 	// Urgent tells that the caller has events already and must not wait: nothing is found out before Blame returns.
 	Urgent bool
 }
@@ -48,8 +50,8 @@
 // sign returns what the end of the endpoint at a time would say about the request; 0 for nothing.
 func (l *Loss) sign(at time.Time) crashers.Sign {
 	switch {
-	case !l.EventAt.IsZero() && at.Sub(l.EventAt) >= ServedAfter:
-		return 0
+	case l.Served, !l.EventAt.IsZero() && at.Sub(l.EventAt) >= ServedAfter:
+		return crashers.Late
 	case !l.HeadAt.IsZero() && l.EventAt.IsZero() && at.Sub(l.HeadAt) <= begunWithin:
 		return crashers.Begun
 	case l.Reused && at.Sub(l.SentAt) <= atOnce:
@@ -73,8 +75,8 @@
 
 // Blame finds out whether an endpoint has ended, and holds that against the request that it lost. Where that says much, or
 // is not the first time for this attempt of the caller, it is done when Blame returns, so that the request is not sent to
-// another one before. before counts the times for this attempt.
-func (j *Judge) Blame(ctx context.Context, before *atomic.Int32, l Loss) {
+// another one before. before are the losses of this attempt.
+func (j *Judge) Blame(ctx context.Context, before *Losses, l Loss) {
 	at := time.Now()
 	sign := l.sign(at)
 	if sign == 0 || j.Ended == nil {
@@ -92,35 +94,41 @@
 		}
 		return
 	}
+	judged := j.blameLater(&l, end, j.HasEnded, func(inputs logrus.Fields) {
+		before.take(&end, func() { j.Ended(l.Request, end, inputs) })
+	})
+	if judged == nil || before.count.Add(1) == 1 {
+		return
+	}
+	select {
+	case <-judged:
+	case <-ctx.Done():
+	}
+}
+
+// blameLater reports an end in the background, if the endpoint is gone and did not go with most of its data centre. It returns a channel
+// that is closed when that is decided; nil where too many are to be decided already.
+func (j *Judge) blameLater(l *Loss, end crashers.End, gone func(endpoint string) bool, report func(inputs logrus.Fields)) chan struct{} {
 	if j.unsure.Add(1) > unsureMost {
 		j.unsure.Add(-1)
-		return
+		return nil
 	}
 	judged := make(chan struct{})
 	go func() {
 		defer close(judged)
 		defer j.unsure.Add(-1)
-		j.blameLater(&l, end)
+		if gone(end.Endpoint) {
+			if inputs, alone := j.alone(l, end); alone {
+				report(inputs)
+			}
+		}
 	}()
-	if before.Add(1) == 1 {
-		return
-	}
-	select {
-	case <-judged:
-	case <-ctx.Done():
-	}
+	return judged
 }
 
-// blameLater holds an end against a request that may not have begun to run, unless it is put down to something else: most of the
-// data centre failing.
-func (j *Judge) blameLater(l *Loss, end crashers.End) {
-	if !j.HasEnded(end.Endpoint) {
-		return
-	}
+// alone tells whether an endpoint did not end with most of its data centre, and from what that was found out.
+func (j *Judge) alone(l *Loss, end crashers.End) (inputs logrus.Fields, alone bool) {
 	pause.For(context.Background(), unsureFor)
 	failed, all := j.Nearby(end.Endpoint, end.At.Add(-atOneMoment), end.At.Add(unsureFor))
-	if 2*failed >= all && failed > 1 {
-		return
-	}
-	j.Ended(l.Request, end, logrus.Fields{"request": l.ID, "failed_nearby": failed, "endpoints_nearby": all})
+	return logrus.Fields{"request": l.ID, "failed_nearby": failed, "endpoints_nearby": all}, 2*failed < all || failed <= 1
 }
--- a/gateway/crashes/metrics.go
+++ b/gateway/crashes/metrics.go
@@ -22,9 +22,6 @@
 
 // blamed counts an endpoint that ended under a request.
 func (m *metrics) blamed(sign crashers.Sign) {
-	name := "present"
-	if sign == crashers.Begun {
-		name = "begun"
-	}
+	name := map[crashers.Sign]string{crashers.Present: "present", crashers.Begun: "begun", crashers.Late: "late"}[sign]
 	m.scope.Tagged(map[string]string{"sign": name}).Counter("endpoint_ends_under_requests_total").Inc(1)
 }
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +13,7 @@
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
@@ -36,7 +36,7 @@
 	asks      int       // how often the owners of engines were asked, about others each time
 	askedAt   time.Time // when the owners of engines were asked last
 	identity  crashers.Request
-	losses    atomic.Int32 // of endpoints that may have ended under it
+	losses    crashes.Losses
 
 	body       []byte
 	rest       io.Reader // what of the body is not in memory; nil when all is
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -86,8 +86,6 @@
 	// trial counts the attempt where its service moves to another build; nil elsewhere. firstAt is when its first event came.
 	trial   *rollouts.Trial
 	firstAt time.Time
-	// proven tells that the caller had events for long enough when it was placed: the request does not end its engines.
-	proven bool
 	// loss is what it would be if its engine were lost now. Once it is launched it belongs to the goroutine of the attempt.
 	loss crashes.Loss
 }
@@ -104,8 +102,8 @@
 		a.reading = a.placed.Unread + s.f.Placement.Unread(e.ID)
 	}
 	a.sentAt = time.Now()
-	a.proven, a.loss = s.served, s.req.loss(e)
-	a.loss.Urgent = s.relayed > 0
+	a.loss = s.req.loss(e)
+	a.loss.Served, a.loss.Urgent = s.served, s.relayed > 0
 	a.send = platform.Send{
 		Endpoint: e.CalledBy(), Left: s.req.left(time.Now()), Team: s.req.teamName(), Rank: s.req.rank,
 		LastEvent: s.lastEvent, CopyFrom: from.Address, CopyName: from.Handle, CopyTo: s.placeCopy(e),
@@ -216,9 +214,7 @@
 	}
 	if ctx.Err() == nil {
 		a.countLost()
-		if !a.proven {
-			a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
-		}
+		a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
 	}
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -20,8 +20,9 @@
 type Crashes interface {
 	// Verdict returns what may be done with a request to a service, and for how long it is stopped.
 	Verdict(req crashers.Request, service string) (crashers.Verdict, time.Duration)
-	// Ended reports that an endpoint ended under a request, Served that one served it.
+	// Ended reports that an endpoint ended under a request, Progressed that one has served it for a while, and Served that it was served.
 	Ended(req crashers.Request, end crashers.End, inputs logrus.Fields)
+	Progressed(crashers.Request)
 	Served(crashers.Request)
 	// Admit tells whether a request may be sent to an endpoint of a service. One that is to be handled with care is tried by who asks,
 	// until Tried.
@@ -36,6 +37,7 @@
 	return crashers.Free, 0
 }
 func (noCrashes) Ended(crashers.Request, crashers.End, logrus.Fields) {}
+func (noCrashes) Progressed(crashers.Request)                         {}
 func (noCrashes) Served(crashers.Request)                             {}
 func (noCrashes) Admit(crashers.Request, string, any) crashes.Admission {
 	return crashes.Admission{}
@@ -126,7 +128,7 @@
 	}
 	if !s.served && ran >= crashes.ServedAfter {
 		s.served = true
-		s.f.Crashes.Served(s.req.identity)
+		s.f.Crashes.Progressed(s.req.identity)
 	}
 }
 
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -161,7 +161,7 @@
 	}
 	f.ending, f.end = context.WithCancel(context.Background())
 	if held != nil {
-		f.judge.Ended, f.judge.HasEnded, f.judge.Nearby = held.Ended, f.hasEnded, o.Placement.Nearby
+		f.judge = crashes.Judge{Ended: held.Ended, HasEnded: f.hasEnded, Nearby: o.Placement.Nearby}
 	}
 	return f
 }
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -309,6 +309,7 @@
 	}
 	s.freeCopy()
 	s.observeStream()
+	s.req.losses.End(true)
 	s.f.Crashes.Served(s.req.identity)
 	s.f.metrics.answered.Inc(1)
 	s.f.Log.Decision(s.req.ID, "answered", logrus.Fields{
@@ -359,6 +360,7 @@
 
 // close ends what is left of the attempts.
 func (s *session) close() {
+	s.req.losses.End(false)
 	s.f.exit(s)
 	s.tried()
 	for _, a := range s.attempts {
--- a/gateway/front/crashes_test.go
+++ b/gateway/front/crashes_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/agateway/agateway/platform"
 	"github.com/agateway/agateway/platform/standin"
@@ -125,14 +126,17 @@
 }
 
 // after returns how many fatal requests arrived at workers later than a while after the third of them had ended one.
-func (o *outbreak) after(while time.Duration) int {
+func (o *outbreak) after(while time.Duration) int { return o.later(3, while) }
+
+// later does the same for the end with a number.
+func (o *outbreak) later(end int, while time.Duration) int {
 	ends := o.ended()
-	if len(ends) < 3 {
+	if len(ends) < end {
 		return 0
 	}
 	n := 0
 	for _, at := range o.sends() {
-		if at.Sub(ends[2]) > while {
+		if at.Sub(ends[end-1]) > while {
 			n++
 		}
 	}
@@ -196,3 +200,38 @@
 		})
 	}
 }
+
+// TestRequestThatEndsEnginesLate: a request ends its engine after 1.5 s of its answer. A stream that had run for a second was cleared, and
+// its later engines were not looked at, so each attempt of a caller had five engines again.
+func TestRequestThatEndsEnginesLate(t *testing.T) {
+	const late = 5 // endpoints that may end late under a request before it is known
+	for _, c := range []struct {
+		times int
+		every time.Duration
+	}{{30, 700 * time.Millisecond}, {8, 6 * time.Second}} {
+		t.Run(fmt.Sprint("each ", c.every), func(t *testing.T) {
+			run(t, 9, 24, 1, func(w *world) {
+				w.outbreak(standin.Fatal{AfterEvents: 30}, func(o *outbreak) {
+					const pace = 400 * time.Millisecond
+					bystanders := o.bystanders(int(time.Duration(c.times)*c.every/pace), pace)
+					o.insist(fatalBrief(), c.times, c.every)
+					o.t.Logf("%d engines ended, %d sends", len(o.ended()), len(o.sends()))
+					assert.Check(o.t, is.Equal(o.later(late, settle), 0), "requests that reached engines too late")
+					for i := range bystanders {
+						whole(o.t, <-bystanders[i], fmt.Sprintf("b%x", i), 0)
+					}
+				})
+			})
+		})
+	}
+}
+
+// bystanders asks for streams that harm nobody, one after the other at all instances.
+func (o *outbreak) bystanders(n int, every time.Duration) []chan standin.Answer {
+	out := make([]chan standin.Answer, n)
+	for i := range out {
+		out[i] = make(chan standin.Answer, 1)
+		time.AfterFunc(time.Duration(i)*every, func() { out[i] <- <-o.stream(i%len(o.fronts), brief(fmt.Sprintf("b%x", i))) })
+	}
+	return out
+}
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -110,7 +109,13 @@
 	return d.Backends.Nearby(e.ID, from, to)
 }
 
-// served clears the request of a generation that runs, and ends its trial.
+// progressed clears the request of a generation that has run for a while, and ends its trial.
+func (s *session) progressed() {
+	s.Crashes.Progressed(s.request)
+	s.Crashes.Tried(s.request, s)
+}
+
+// served clears the request of a generation that ran, and ends its trial.
 func (s *session) served() {
 	s.Crashes.Served(s.request)
 	s.Crashes.Tried(s.request, s)
@@ -123,7 +128,7 @@
 	// endpoint was lost.
 	request func() crashers.Request
 	service string
-	losses  atomic.Int32
+	losses  crashes.Losses
 	careful bool // it is tried, since endpoints ended under it
 }
 
@@ -149,7 +154,7 @@
 
 // ran says of an error that the call may have run, where an endpoint was lost with it.
 func (t *callTrial) ran(err error) error {
-	if t.losses.Load() == 0 {
+	if !t.losses.Any() {
 		return err
 	}
 	return apierr.From(err).WithRan(apierr.Unknown)
--- a/gateway/pipeline/receiver.go
+++ b/gateway/pipeline/receiver.go
@@ -80,7 +80,7 @@
 	}
 	if !at.served && now.Sub(at.tokenAt) >= crashes.ServedAfter {
 		at.served = true
-		s.served()
+		s.progressed()
 	}
 }
 
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/endpoint"
 )
 
@@ -41,7 +41,7 @@
 	keepEntry bool // the directory keeps it for a caller that may come back
 	closed    bool // nothing is done any more, and the caller's connection is not used
 
-	losses atomic.Int32 // of engines that may have ended under the request
+	losses crashes.Losses
 }
 
 // attempt is what the session holds of one attempt.
@@ -143,9 +143,11 @@
 	case generation.Finish:
 		s.finish = &a
 		s.served()
+		s.losses.End(true)
 		s.end()
 	case generation.Fail:
 		s.fail = &a
+		s.losses.End(false)
 		s.end()
 	}
 }
