crashes: an engine that falls silent when a request has begun there counts as ended

What callers saw: engines that fell silent under one request, one after the other, each with the streams of others.

Cause: an end counted only where connections are refused; attempts given up for silence were not looked at.

Change: an engine lost between the beginning of its answer and the first event that can't be connected to counts, unless most of its data centre failed at that moment. Why only there: that moment takes some tens of milliseconds of a usual stream. TestPopularRequestsAreNotStopped has a row with losses by silence: nothing stopped.

--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -66,6 +66,8 @@
 	Ended func(req crashers.Request, end crashers.End, inputs logrus.Fields)
 	// HasEnded tells whether the process of an endpoint is gone that was not told to leave.
 	HasEnded func(endpoint string) bool
+	// Unreachable tells whether an endpoint that was not told to leave can't be connected to; nil where silence says nothing.
+	Unreachable func(endpoint string) bool
 	// Nearby returns how many endpoints there are in the data centre of an endpoint, and how many of them failed last
 	// within a time.
 	Nearby func(endpoint string, from, to time.Time) (failed, all int)
@@ -91,7 +93,9 @@
 	if sign == crashers.Begun {
 		if j.HasEnded(l.Endpoint) {
 			j.Ended(l.Request, end, logrus.Fields{"request": l.ID})
+			return
 		}
+		j.blameUnreachable(&l, end)
 		return
 	}
 	judged := j.blameLater(&l, end, j.HasEnded, func(inputs logrus.Fields) {
@@ -106,6 +110,26 @@
 	}
 }
 
+// BlameSilence finds out whether an endpoint that fell silent when the answer had begun, and before its first event, is gone, and holds that
+// against the request. Silence at any other moment says nothing: it has too many causes.
+func (j *Judge) BlameSilence(l Loss) {
+	if j.Ended == nil || l.Served || l.HeadAt.IsZero() || !l.EventAt.IsZero() {
+		return
+	}
+	j.blameUnreachable(&l, crashers.End{Endpoint: l.Endpoint, Service: l.Service, Sign: crashers.Begun, Sent: l.SentAt, At: time.Now()})
+}
+
+// blameUnreachable holds an end against a request in the background, if connections to the endpoint are not answered.
+func (j *Judge) blameUnreachable(l *Loss, end crashers.End) {
+	if j.Unreachable == nil {
+		return
+	}
+	j.blameLater(l, end, j.Unreachable, func(inputs logrus.Fields) {
+		inputs["unreachable"] = true
+		j.Ended(l.Request, end, inputs)
+	})
+}
+
 // blameLater reports an end in the background, if the endpoint is gone and did not go with most of its data centre. It returns a channel
 // that is closed when that is decided; nil where too many are to be decided already.
 func (j *Judge) blameLater(l *Loss, end crashers.End, gone func(endpoint string) bool, report func(inputs logrus.Fields)) chan struct{} {
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -83,6 +84,8 @@
 	// included; 0 where that is not known, and began when it was sent.
 	reading int
 	sentAt  time.Time
+	// silent is set when it was given up since nothing came.
+	silent atomic.Bool
 	// trial counts the attempt where its service moves to another build; nil elsewhere. firstAt is when its first event came.
 	trial   *rollouts.Trial
 	firstAt time.Time
@@ -212,6 +215,9 @@
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
+	if a.silent.Load() {
+		a.session.f.judge.BlameSilence(a.loss)
+	}
 	if ctx.Err() == nil {
 		a.countLost()
 		a.session.f.judge.Blame(ctx, &a.session.req.losses, a.loss)
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -87,6 +87,22 @@
 	return false
 }
 
+// isUnreachable tells whether an endpoint that was not told to leave can't be connected to.
+func (f *Forwarder) isUnreachable(id string) bool {
+	e, ok := f.Placement.Get(id)
+	if !ok || e.State == routing.Leaving {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Settings.Probe)
+	defer cancel()
+	conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
+	if err != nil {
+		return true
+	}
+	conn.Discard()
+	return false
+}
+
 const (
 	// dying is how long a process that ends may still accept connections, which end with it.
 	dying = 25 * time.Millisecond
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -185,6 +185,7 @@
 		s.lost(time.Now())
 		s.f.metrics.silences.Inc(1)
 		a.countLost()
+		a.silent.Store(true)
 		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayed})
 	}
 	a.cancel()
--- a/gateway/front/crashes_faults_test.go
+++ b/gateway/front/crashes_faults_test.go
@@ -118,6 +118,12 @@
 // TestPopularRequestsAreNotStopped: the pattern is one request that many callers send at once, while a data centre loses all its
 // engines again and again. Some of its copies are at engines that end each time; others are served, so nobody stops it.
 func TestPopularRequestsAreNotStopped(t *testing.T) {
+	t.Run("engines crash", func(t *testing.T) { popularUnderLosses(t, (*world).crashEngine) })
+	t.Run("engines fall silent", func(t *testing.T) { popularUnderLosses(t, (*world).darken) })
+}
+
+// popularUnderLosses loses the engines of a data centre in a way, again and again, under a popular request.
+func popularUnderLosses(t *testing.T, lose func(w *world, id string)) {
 	const losses = 20
 	run(t, 9, 24, 1, func(w *world) {
 		popular := brief("b0b")
@@ -142,10 +148,12 @@
 		for n := range losses {
 			time.Sleep(time.Second + 70*time.Millisecond*time.Duration(n))
 			for i := n % dataCentres; i < len(w.engines); i += dataCentres {
-				w.crashEngine(w.engines[i].Config().ID)
+				lose(w, w.engines[i].Config().ID)
 			}
 			time.Sleep(1200 * time.Millisecond)
+			w.net.SetCut(func(string, string) bool { return false })
 			for i := n % dataCentres; i < len(w.engines); i += dataCentres {
+				w.net.Crash(fmt.Sprint("e", i))
 				w.engines[i] = w.engine(i, fmt.Sprint("-", n))
 			}
 		}
--- a/gateway/front/crashes_test.go
+++ b/gateway/front/crashes_test.go
@@ -27,6 +27,9 @@
 	fatals map[string]*standin.Worker // all incarnations of all workers
 	number int
 	over   bool
+	// silent makes workers that end fall silent in place of closing their connections.
+	silent bool
+	down   map[int]bool
 }
 
 // Times of a worker that ends, and the time within which all instances have to know.
@@ -40,7 +43,7 @@
 
 // outbreak runs f while some requests are fatal.
 func (w *world) outbreak(fatal standin.Fatal, f func(*outbreak)) {
-	o := &outbreak{world: w, fatals: map[string]*standin.Worker{}}
+	o := &outbreak{world: w, fatals: map[string]*standin.Worker{}, down: map[int]bool{}}
 	for _, list := range [][]*standin.Worker{w.engines, w.plains} {
 		for _, e := range list {
 			o.fatals[e.Config().ID] = e
@@ -69,13 +72,27 @@
 	o.ends = append(o.ends, time.Now())
 	o.number++
 	number := o.number
+	o.down[number] = true
 	o.mu.Unlock()
 	o.fleet.Remove(worker)
-	go o.net.Crash(o.nodeOf(cfg.Address))
+	o.crash(o.nodeOf(cfg.Address), number)
 	time.AfterFunc(unlistAfter, func() { o.store.Remove(platform.KindEndpoint, cfg.ID) })
 	time.AfterFunc(backAfter, func() { o.back(cfg, number) })
 }
 
+// crash takes the connections of a worker's node away.
+func (o *outbreak) crash(node string, number int) {
+	if !o.silent {
+		go o.net.Crash(node)
+		return
+	}
+	o.net.AddCut(func(a, b string) bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return (a == node || b == node) && o.down[number]
+	})
+}
+
 // back starts a worker again at the address of one that ended.
 func (o *outbreak) back(cfg standin.WorkerConfig, number int) {
 	o.mu.Lock()
@@ -83,6 +100,10 @@
 	if o.over {
 		return
 	}
+	delete(o.down, number)
+	if o.silent {
+		o.net.Crash(o.nodeOf(cfg.Address)) // its old connections and listener
+	}
 	next := o.worker(o.nodeOf(cfg.Address), fmt.Sprint("-", number), cfg)
 	o.fatals[next.Config().ID] = next
 }
@@ -235,3 +256,15 @@
 	}
 	return out
 }
+
+// TestRequestThatSilencesEngines: the engines that begin a request fall silent, and connections to them hang.
+func TestRequestThatSilencesEngines(t *testing.T) {
+	run(t, 9, 24, 1, func(w *world) {
+		w.outbreak(standin.Fatal{}, func(o *outbreak) {
+			o.silent = true
+			o.insist(fatalBrief(), 30, 700*time.Millisecond)
+			o.t.Logf("%d engines fell silent, %d sends", len(o.ended()), len(o.sends()))
+			assert.Check(o.t, is.Equal(o.after(settle), 0), "requests that reached engines too late")
+		})
+	})
+}
