rollout: a target that many answers speak against pauses before it is found bad

What callers saw: a build that is twice as slow got requests later than 5 s after its 50th slow answer.

Cause: a canary pauses once the target fails or is slow in 15 requests more than the baseline would. Of answers that are twice as slow, a third is slower than usual ones, so it takes some 70 answers, and the judgement up to 11 s.

Change: once the target has answered as many requests as begin that time, and half of it is over, evidence above 0 pauses the canary. Good builds have evidence below 0 by then.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -47,6 +47,8 @@
 	dirty     bool
 	// held is set once the target has failed so much that its canary pauses.
 	held bool
+	// manyAt is when the target had answered [Settings.ManyAnswers] requests; zero before.
+	manyAt time.Time
 	// past are earlier totals, the oldest first.
 	past      []snapshot
 	endpoints Endpoints
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -16,6 +16,10 @@
 	Spread float64
 	// Hold is how many requests the target may fail or be slow with beyond the baseline's rate before a canary pauses.
 	Hold float64
+	// ManyAnswers is how many bad answers begin the time RollBack. A target that has answered as many and that the evidence speaks against
+	// pauses once HoldAfter of that time is over, though it is not found bad yet.
+	ManyAnswers uint64
+	HoldAfter   float64
 	// Surge is how long requests go to the target under their usual load before the end of the canary, SurgeLead how long before that,
 	// and SurgeSettle the longest requests of a service for which it is done: the load of long ones is not reached within the bound.
 	Surge, SurgeLead, SurgeSettle time.Duration
@@ -42,6 +46,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Share: 0.1, Reserve: 50, RollBack: 5 * time.Second, UnknownShare: 0.4, MaxRouteShare: 0.5, Spread: 2.5, Hold: 15,
+		ManyAnswers: 50, HoldAfter: 0.5,
 		Surge: 350 * time.Millisecond, SurgeLead: 1500 * time.Millisecond, SurgeSettle: 500 * time.Millisecond,
 		Ramp: 200 * time.Millisecond, RampSteps: 2, Settle: 200 * time.Millisecond,
 		SpareShare: 0.05, MinSpare: 500 * time.Millisecond, MaxSpare: 30 * time.Second, Unsure: -0.2, MinAnswers: 5,
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -14,7 +14,7 @@
 	}
 	j, _ := r.Judgement(now)
 	e := r.exposure(now)
-	r.held = r.held || j.Excess >= r.set.Hold
+	r.held = r.held || j.Excess >= r.set.Hold || r.doubted(now, &j)
 	if r.held || e.sent >= r.canaryBudget(&e) {
 		return 0
 	}
@@ -27,6 +27,19 @@
 	return r.canaryShare(now, route, &e)
 }
 
+// doubted tells that the target has answered enough requests to have harmed many if it is bad, some time ago, and that the evidence still
+// speaks against it.
+func (r *Rollout) doubted(now time.Time, j *Judgement) bool {
+	if j.Answered+j.Failed < r.set.ManyAnswers {
+		return false
+	}
+	if r.manyAt.IsZero() {
+		r.manyAt = now
+	}
+	wait := time.Duration(r.set.HoldAfter * float64(r.set.RollBack))
+	return j.Evidence > 0 && now.Sub(r.manyAt) >= wait
+}
+
 // ResumeWait returns how long a stream waits that the baseline has broken off: when that is stopped, all its streams come to the target at
 // once, and are more than it may get before the deadline.
 func (r *Rollout) ResumeWait(now time.Time) time.Duration {
--- a/core/rollout/table_test.go
+++ b/core/rollout/table_test.go
@@ -240,3 +240,13 @@
 		}
 	}
 }
+
+// TestSlowTargetIsLeftInTime: a target that is twice as slow is found bad late, since most of its answers are as fast as slow ones of the
+// baseline. It got requests later than the bound after its 50th slow answer.
+func TestSlowTargetIsLeftInTime(t *testing.T) {
+	const seeds = 40
+	c := modelConfig{service: plainService(), instances: 69, duration: 12 * time.Second, fault: &fault{slowShare: 1, slow: 2}, set: DefaultSettings()}
+	l := c.playSeeds(seeds)
+	assert.Equal(t, l.rolledBack, seeds)
+	assert.Equal(t, l.late, 0)
+}
