--- a/core/rollout/table_test.go
+++ b/core/rollout/table_test.go
@@ -250,3 +250,17 @@
 	assert.Equal(t, l.rolledBack, seeds)
 	assert.Equal(t, l.late, 0)
 }
+
+// TestMoveThatChanceMakesDear: in these runs more requests come during the move than in 999 of 1,000 others. The target has to stay within the
+// bound all the same.
+func TestMoveThatChanceMakesDear(t *testing.T) {
+	for _, c := range []struct {
+		fault fault
+		seed  uint64
+	}{{fault{fails: 0.2, from: 0.8}, 5}, {fault{slowShare: 0.3, slow: 4}, 51}} {
+		m := modelConfig{service: engineService(), instances: 69, duration: 12 * time.Second, fault: &c.fault, set: DefaultSettings()}
+		r := m.play(c.seed)
+		bound := m.set.Share*float64(r.all) + m.set.Reserve
+		assert.Check(t, float64(r.exposed) <= bound, "seed %d: %d of %.1f", c.seed, r.exposed, bound)
+	}
+}
