--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core platform api gateway cli
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 
-.PHONY: all build demo test lint bench soak deploy generate tidy
+.PHONY: all build demo test test-large lint bench soak regressions deploy generate tidy
 all: build
 
 build:
@@ -19,6 +19,10 @@
 	$(GO_TEST) -skip "$$(./scripts/known-red.sh)" -cpu 1 $(IN_VIRTUAL_TIME)
 	$(GO_TEST) -skip "$$(./scripts/known-red.sh 2>/dev/null)" $$(go list $(PACKAGES) | grep -vxF "$(IN_VIRTUAL_TIME)")
 
+# Fleets of up to 1,000 instances, which take too long with the race detector.
+test-large:
+	go test -count=1 -timeout 30m -vet=off -cpu 1 -run '^TestWhoIsAlive$$' ./gateway/exchange
+
 lint:
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	go vet $(PACKAGES)
@@ -35,6 +39,10 @@
 soak: build
 	./bin/agateway soak --seed $(SEED) --seconds $(SECONDS)
 
+# The soaks that once found a fault.
+regressions: build
+	./bin/agateway soak --regressions
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
--- a/cli/command/soak.go
+++ b/cli/command/soak.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,27 +16,27 @@
 	var o soak.Options
 	var seconds int
 	var report, page string
+	var regressions bool
 	c := &cobra.Command{
 		Use: "soak", Short: "Runs instances as processes under random faults and checks what callers and endpoints see",
 		Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			o.Length, o.Out = time.Duration(seconds)*time.Second, cmd.OutOrStdout()
+			if regressions {
+				return playRegressions(cmd, o)
+			}
 			r, err := soak.Run(cmd.Context(), o)
 			if err != nil {
 				return err
 			}
-			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d asked=%d served=%d refused=%d unknown=%d streams=%d findings=%d\n",
-				o.Seed, r.Faults, r.Asked, r.Served, r.Refused, r.Unknown, r.Streams, len(r.Findings))
+			printResult(o.Out, &r)
 			if err := writeReport(report, r.WriteJSON); err != nil {
 				return err
 			}
 			if err := writeReport(page, r.WritePage); err != nil {
 				return err
 			}
-			if len(r.Findings) > 0 {
-				return fmt.Errorf("%d promises were broken; logs in %s", len(r.Findings), r.Logs)
-			}
-			return nil
+			return brokenPromises(&r)
 		},
 	}
 	f := c.Flags()
@@ -50,11 +51,42 @@
 	f.StringSliceVar(&o.Only, "only", nil, "faults to draw, by name, in place of those of the seed")
 	f.DurationVar(&o.Grace, "grace", soak.DefaultGrace, "time that an instance has to end after SIGTERM")
 	f.DurationVar(&o.Work, "work", soak.DefaultWork, "how long plain requests take")
+	f.BoolVar(&regressions, "regressions", false, "play the soaks that once found a fault, in place of one seed")
 	f.StringVar(&report, "report", "", "file for the figures, as JSON")
 	f.StringVar(&page, "page", "", "file for a page with a plot")
 	return c
 }
 
+// playRegressions plays all soaks that once found a fault.
+func playRegressions(cmd *cobra.Command, base soak.Options) error {
+	var failed []error
+	for _, one := range soak.Regressions() {
+		_, _ = fmt.Fprintf(base.Out, "seed %d, %v: %s\n", one.Seed, one.Length, one.Cause)
+		r, err := one.Run(cmd.Context(), base)
+		if err == nil {
+			printResult(base.Out, &r)
+			err = brokenPromises(&r)
+		}
+		if err != nil {
+			failed = append(failed, fmt.Errorf("seed %d (%s): %w", one.Seed, one.Cause, err))
+		}
+	}
+	return errors.Join(failed...)
+}
+
+func printResult(out io.Writer, r *soak.Report) {
+	_, _ = fmt.Fprintf(out, "seed=%d faults=%d asked=%d served=%d refused=%d unknown=%d streams=%d findings=%d\n",
+		r.Seed, r.Faults, r.Asked, r.Served, r.Refused, r.Unknown, r.Streams, len(r.Findings))
+}
+
+// brokenPromises returns an error where a soak has findings.
+func brokenPromises(r *soak.Report) error {
+	if len(r.Findings) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d promises were broken; logs in %s", len(r.Findings), r.Logs)
+}
+
 // writeReport writes a report to a file; none without a name.
 func writeReport(name string, write func(io.Writer) error) error {
 	if name == "" {
--- /dev/null
+++ b/scripts/notice.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Counts how many seeds of the soak notice that a mechanism is switched off: a row for each mechanism, with the seeds that had a finding.
+#
+#   SEEDS="1 2 3 4" SECONDS_EACH=8 JOBS=3 scripts/notice.sh [MECHANISM...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+all=$(./bin/agatewayd front print | sed -n '/^\[mechanisms\]/,/^\[/s/^\([a-z_]*\) = true$/\1/p')
+seeds=${SEEDS:-1 2 3 4}
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+play() { # MECHANISM SEED
+  local off=()
+  [ "$1" = all-on ] || off=(--without "$1")
+  if ./bin/agateway soak --seed "$2" --seconds "${SECONDS_EACH:-8}" "${off[@]}" >"$work/$1-$2" 2>&1; then
+    echo "$1 $2 0"
+  else
+    echo "$1 $2 $(grep -c FINDING "$work/$1-$2")"
+  fi
+}
+export -f play
+export work SECONDS_EACH
+for name in all-on ${*:-$all}; do
+  for seed in $seeds; do echo "$name $seed"; done
+done | xargs -P "${JOBS:-3}" -L 1 bash -c 'play "$@"' _ >"$work/counts"
+awk '{n[$1]++; if ($3 > 0) {found[$1]++; seeds[$1] = seeds[$1] " " $2}} END {for (m in n) printf "%-16s %d of %d:%s\n", m, found[m], n[m], seeds[m]}' "$work/counts" | sort
