--- a/core/copies/keeper.go
+++ b/core/copies/keeper.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Move takes that the engine that holds the copy is about to stop: another copy is due at once.
+// Move records that the engine holding the copy is about to stop, which makes another copy due at once.
 func (k *Keeper) Move(now time.Time) {
 	k.lost(now)
 	if k.asked {
--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -15,13 +15,13 @@
 // Sign says how far an endpoint was with a request when it ended.
 type Sign uint8
 
-// Signs. Their numbers are those of the messages between instances; see [Sign.weight].
+// Signs. Their values are sent between instances; [Sign.weight] orders them.
 const (
 	// Present: it had the request, and may not have begun to run it.
 	Present Sign = iota + 1
 	// Begun: its answer had begun a moment before.
 	Begun
-	// Late: its answer had gone on for a while.
+	// Late: it had been answering for a while.
 	Late
 )
 
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -16,8 +16,8 @@
 	Spread float64
 	// Hold is how many requests the target may fail or be slow with beyond the baseline's rate before a canary pauses.
 	Hold float64
-	// ManyAnswers is how many bad answers begin the time RollBack. A target that has answered as many and that the evidence speaks against
-	// pauses once HoldAfter of that time is over, though it is not found bad yet.
+	// ManyAnswers is how many bad answers start the RollBack period. A canary whose target has answered as many requests pauses after
+	// the part HoldAfter of that period, if there is evidence against the target.
 	ManyAnswers uint64
 	HoldAfter   float64
 	// Surge is how long requests go to the target under their usual load before the end of the canary, SurgeLead how long before that,
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -27,8 +27,7 @@
 	return r.canaryShare(now, route, &e)
 }
 
-// doubted tells that the target has answered enough requests to have harmed many if it is bad, some time ago, and that the evidence still
-// speaks against it.
+// doubted reports whether the canary has to pause although the target is not found bad: see [Settings.ManyAnswers].
 func (r *Rollout) doubted(now time.Time, j *Judgement) bool {
 	if j.Answered+j.Failed < r.set.ManyAnswers {
 		return false
--- a/gateway/crashes/judge.go
+++ b/gateway/crashes/judge.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// BlameSilence finds out whether an endpoint that fell silent when the answer had begun, and before its first event, is gone, and holds that
-// against the request. Silence at any other moment says nothing: it has too many causes.
+// BlameSilence checks whether an endpoint that fell silent between the head of its answer and the first event can still be reached, and
+// counts it as ended if not. Silence at any other moment is ignored, since it has too many causes.
 func (j *Judge) BlameSilence(l Loss) {
 	if j.Ended == nil || l.Served || l.HeadAt.IsZero() || !l.EventAt.IsZero() {
 		return
@@ -150,7 +150,7 @@
 	return judged
 }
 
-// alone tells whether an endpoint did not end with most of its data centre, and from what that was found out.
+// alone reports whether an endpoint ended by itself, not with most of its data centre, and the inputs of that decision.
 func (j *Judge) alone(l *Loss, end crashers.End) (inputs logrus.Fields, alone bool) {
 	pause.For(context.Background(), unsureFor)
 	failed, all := j.Nearby(end.Endpoint, end.At.Add(-atOneMoment), end.At.Add(unsureFor))
--- a/gateway/crashes/losses.go
+++ b/gateway/crashes/losses.go
@@ -7,19 +7,19 @@
 	"github.com/agateway/agateway/core/crashers"
 )
 
-// lateLosses is how many endpoints have to end late under one attempt of a caller for the ends to count though it may be served yet.
+// lateLosses is the number of lost endpoints from which late ends are reported while the attempt goes on.
 const lateLosses = 2
 
-// Losses are the endpoints that one attempt of a caller has lost. Late ends are held until there are several, or until the attempt ends
-// without a whole answer: most of them are those of requests that only were there. The zero value is ready to use, and it is safe for
+// Losses tracks the endpoints that one attempt of a caller has lost. Late ends are held back until there are several, or until the attempt
+// ends without a whole answer, because most requests with a late end are bystanders. The zero value is ready to use. It is safe for
 // concurrent use.
 type Losses struct {
 	count atomic.Int32
 
 	mu    sync.Mutex
-	held  []func()
-	ended bool // without a whole answer
-	whole bool
+	held  []func() // report late ends
+	ended bool     // without a whole answer
+	whole bool     // ended with one
 }
 
 // Any tells whether an endpoint was lost with the request.
@@ -40,7 +40,7 @@
 	call(due)
 }
 
-// due returns what is to be reported now. The caller holds mu.
+// due takes the reports that are to be made now. The caller holds mu.
 func (l *Losses) due() []func() {
 	if !l.ended && int(l.count.Load()) < lateLosses {
 		return nil
@@ -50,7 +50,7 @@
 	return due
 }
 
-// End takes the end of the caller's attempt. After a whole answer, others say nothing more.
+// End records that the attempt ended. A whole answer is final: later calls change nothing.
 func (l *Losses) End(whole bool) {
 	l.mu.Lock()
 	l.whole = l.whole || whole
--- a/gateway/forward/drain.go
+++ b/gateway/forward/drain.go
@@ -17,13 +17,13 @@
 	closed bool
 }
 
-// lastParts: the last part in so many of the shutdown is left to requests without a deadline that were taken before.
+// lastParts divides the shutdown: in the last part no request without a deadline is taken.
 const lastParts = 4
 
-// errEnding is why the contexts of requests end that are in progress when the process has to end.
+// errEnding is the cause with which contexts of requests are cancelled at the forced end.
 var errEnding = errors.New("the instance ends")
 
-// whyEnding is what callers are told then.
+// whyEnding tells callers so.
 const whyEnding = "the instance ended before the answer came"
 
 // Drain begins a graceful shutdown: each answer says that its connection closes, and requests that may not end before until are refused.
@@ -57,7 +57,7 @@
 	return req.deadline.Before(d.until)
 }
 
-// endable returns a context that also ends when the process has to. What is left of the request's body is not waited for then.
+// endable returns a context that is also cancelled at the forced end. Reads of the request's body fail from then on.
 func (f *Forwarder) endable(ctx context.Context, w http.ResponseWriter) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(f.ending, func() {
@@ -70,5 +70,5 @@
 	}
 }
 
-// isEnding tells whether a context ended since the process has to.
+// isEnding reports whether a context was cancelled at the forced end.
 func isEnding(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnding) }
