front: the test of the forced end sends requests as the stand-in writes them

The raw request in TestForcedEnd held a header name of the platform, which belongs into platform/ alone. Assertions are as they were; the test passed twice with the race detector.

--- a/gateway/front/stopping_test.go
+++ b/gateway/front/stopping_test.go
@@ -121,8 +121,11 @@
 	}, func(w *world) {
 		streaming := w.stream(0, brief("b1"))
 		time.Sleep(1500 * time.Millisecond)
-		slow := w.sendPart(0, "POST /log/1 HTTP/1.1\r\nHost: "+host+"\r\nAgateway-Attempt-Id: 51\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 9\r\n\r\nli")
-		head := w.sendPart(0, "POST /log/1 HT")
+		part := logLift()
+		part.Method, part.Host, part.ID, part.Wait = http.MethodPost, host, "51", 0
+		text := part.Text()
+		slow := w.sendPart(0, text[:len(text)-1])
+		head := w.sendPart(0, text[:10])
 		call := logLift()
 		call.Wait = 0
 		calling := w.stream(0, call)
