crashers: a retry that is sent when its endpoint is known to have ended is another occasion

The retry of a lost stream is sent at the time at which the loss is noticed. Ends count as one moment unless the later endpoint had the request after the earlier one had ended, and equal times counted as one.

TestSentWhenTheOtherEnded fails before.

--- a/core/crashers/ends.go
+++ b/core/crashers/ends.go
@@ -141,7 +141,7 @@
 
 // another tells whether an end is not of the same moment as one before, which ended at last; zero for none.
 func (r *Register) another(last time.Time, end *End) bool {
-	return last.IsZero() || end.Sent.After(last) || end.At.Sub(last) > r.set.Moment
+	return last.IsZero() || !end.Sent.Before(last) || end.At.Sub(last) > r.set.Moment
 }
 
 // counts tells whether an end says anything about a request: it does not where another one is a better reason for it.
--- a/core/crashers/late_test.go
+++ b/core/crashers/late_test.go
@@ -75,3 +75,14 @@
 	assert.Equal(t, r.Verdict(at(20_000), mine, "engines"), Stopped)
 	assert.Equal(t, r.Verdict(at(20_000), other, "engines"), Free)
 }
+
+// TestSentWhenTheOtherEnded: a retry that is sent at the very time at which the endpoint before is known to have ended was not there when that
+// one ended.
+func TestSentWhenTheOtherEnded(t *testing.T) {
+	mine := request("desk", 1)
+	r := New(DefaultSettings())
+	for _, e := range []End{end("a", Present, 0, 900), end("b", Present, 900, 960), end("c", Present, 960, 1020)} {
+		r.Ended(e.At, mine, e)
+	}
+	assert.Equal(t, r.Verdict(at(1100), mine, "engines"), Stopped)
+}
