--- a/cli/soak/regressions.go
+++ b/cli/soak/regressions.go
@@ -37,6 +37,7 @@
 		{Seed: 2037, FaultDuration: 10 * time.Second, Cause: "the check that all is served asked while two requests ended three of four endpoints, as they may"},
 		{Seed: 1, FaultDuration: 10 * time.Second, FaultNames: shutdownFaults, WorkTime: slowWorkTime, Callers: 60, Cause: "calls taken early in a drain outlasted the instance"},
 		{Seed: 908, FaultDuration: 10 * time.Second, FaultNames: shutdownFaults, WorkTime: slowWorkTime, Callers: 60, Cause: "as seed 908, provoked"},
+		{Seed: 957620553, FaultDuration: 10 * time.Second, Cause: "a bad build was completed: no endpoint of the baseline was up when requests were to move"},
 	}
 }
 
--- a/core/rollout/interim_test.go
+++ b/core/rollout/interim_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 		if lowest > out.Evidence {
-			out.Evidence, out.Reason = lowest, fmt.Sprintf("%s on route %s", c.kind, c.route)
+			out.Evidence, out.Strongest = lowest, fmt.Sprintf("%s on route %s", c.kind, c.route)
 		}
 	}
 	for cell, n := range t {
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -57,6 +57,9 @@
 	// Reason names the route and what is worse there. It is empty while there is no evidence
 	// against the target.
 	Reason string
+	// Strongest describes the comparison with the most evidence, also if that speaks for the
+	// target. It is empty if nothing was compared.
+	Strongest string
 	// Evidence is the logarithm of the likelihood ratio of a bad target against a good one. The
 	// target is found bad once Evidence reaches Threshold.
 	Evidence, Threshold float64
@@ -86,7 +89,7 @@
 	consider := func(tested ...*comparison) {
 		count++
 		if e := evidence(s.EffectSizes, tested...); e > out.Evidence {
-			out.Evidence, out.Reason = e, describe(tested)
+			out.Evidence, out.Strongest = e, describe(tested)
 		}
 	}
 	byKind := map[testKind][]*comparison{}
@@ -109,8 +112,8 @@
 			out.Failed += n.Failed
 		}
 	}
-	if out.Evidence <= 0 {
-		out.Reason = ""
+	if out.Evidence > 0 {
+		out.Reason = out.Strongest
 	}
 	out.Compared = count > 0
 	if !out.Compared {
@@ -121,6 +124,14 @@
 	return out
 }
 
+// summary returns the judgement in one line, for logs and operators.
+func (j *Judgement) summary() string {
+	if !j.Compared {
+		return "nothing to compare"
+	}
+	return fmt.Sprintf("evidence %.2f of %.2f: %s", j.Evidence, j.Threshold, j.Strongest)
+}
+
 // describe returns a description of comparisons of one kind, for logs and operators.
 func describe(tests []*comparison) string {
 	route, sum, expected := "route "+tests[0].route, outcomes{}, 0.0
--- a/core/rollout/reports.go
+++ b/core/rollout/reports.go
@@ -9,7 +9,7 @@
 	// Age is the time since the order was given.
 	Age      time.Duration
 	Decision Decision
-	// Reason is the reason of a roll-back; empty without one.
+	// Reason is the reason of the decision; empty without one.
 	Reason string
 	// MovingFor is the time since requests began to move; 0 before.
 	MovingFor time.Duration
@@ -75,7 +75,7 @@
 	case RollBack:
 		r.rollBack(in.Reason)
 	case Move:
-		r.move(now, in.MovingFor)
+		r.move(now, in.MovingFor, in.Reason)
 	}
 	if from.IsSummary {
 		r.applySummary(now, from, in)
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -75,7 +75,7 @@
 // State returns the order's state in the store, as last set by [Rollout.SetState].
 func (r *Rollout) State() State { return r.state }
 
-// Decision returns the decision, and the reason if the target is rolled back.
+// Decision returns the decision and its reason. The reason is empty while the order is undecided.
 func (r *Rollout) Decision() (Decision, string) { return r.decision, r.reason }
 
 // Age returns the time since the order was given.
@@ -121,9 +121,9 @@
 	}
 }
 
-func (r *Rollout) move(now time.Time, elapsed time.Duration) {
+func (r *Rollout) move(now time.Time, elapsed time.Duration, reason string) {
 	if r.decision == Undecided {
-		r.decision, r.movingAt = Move, now.Add(-elapsed)
+		r.decision, r.reason, r.movingAt = Move, reason, now.Add(-elapsed)
 	}
 }
 
@@ -222,20 +222,30 @@
 	case j.Bad:
 		r.rollBack(j.Reason)
 	case r.decision == Move || age < r.schedule.earliestMove || !informed:
-	case r.endpoints.Target > 0 && r.endpoints.Baseline == 0:
-		r.move(now, 0) // no request is at the baseline, and there is nothing to roll back to
+	case r.endpoints.Target > 0 && r.endpoints.Baseline == 0 && !r.counterEvidence(&j):
+		r.move(now, 0, "no endpoint of the baseline; "+j.summary())
 	case age < r.schedule.latestMove && r.goodEnough(now, &j):
 		if r.moveWithinBound(now) {
-			r.move(now, 0)
+			r.move(now, 0, "good enough; "+j.summary())
 		}
 	case age >= r.order.Duration:
 		r.rollBack("not proved in time")
 	}
 }
 
+// counterEvidence reports whether there is too much evidence against the target to move to it. That
+// holds too while the baseline has no endpoints: they may have crashed only a moment ago. Without a
+// baseline to compare with, a target that fails more requests than it answers is taken for bad.
+func (r *Rollout) counterEvidence(j *Judgement) bool {
+	if !j.Compared {
+		return r.paused || j.Failed > j.Answered
+	}
+	return r.paused || j.Evidence >= r.settings.MaxMoveEvidence
+}
+
 // goodEnough reports whether the target may get all requests.
 func (r *Rollout) goodEnough(now time.Time, j *Judgement) bool {
-	if r.paused || r.endpoints.Target == 0 || j.Compared && j.Evidence >= r.settings.MaxMoveEvidence {
+	if r.endpoints.Target == 0 || r.counterEvidence(j) {
 		return false
 	}
 	if j.Answered >= r.settings.MinAnswers {
--- a/gateway/rollouts/state.go
+++ b/gateway/rollouts/state.go
@@ -14,7 +14,7 @@
 	Service string `json:"service"`
 	Target  string `json:"target"`
 	// State is the order's state in the store, Decision is what the instances have decided, and Why
-	// is the reason of a roll-back.
+	// is the reason of that.
 	State    string `json:"state"`
 	Decision string `json:"decision"`
 	Why      string `json:"why,omitempty"`
