--- a/core/rollout/builds.go
+++ b/core/rollout/builds.go
@@ -13,7 +13,7 @@
 }
 
 type build struct {
-	firstSeen time.Time
+	firstSeen, lastSeen time.Time
 	// usable builds may get requests. retiredAt is when a completed order replaced the build, and
 	// zero before. Its endpoints are about to stop.
 	usable    bool
@@ -26,6 +26,9 @@
 	// retiredHold is how long a replaced build is kept out of use. Its endpoints may still be
 	// listed for that time after they have stopped.
 	retiredHold = 10 * time.Second
+	// absentRetention is how long a build is remembered while none of its endpoints is listed. All
+	// of them may have crashed, and those that replace them need not wait as a new build does.
+	absentRetention = 10 * time.Second
 )
 
 // Update takes the builds that are listed now. ordersKnown is when the list of orders was last
@@ -44,10 +47,10 @@
 			b.known[name] = n
 		}
 		waited := now.Sub(n.firstSeen) >= newBuildWait && ordersKnown.Sub(n.firstSeen) >= newBuildWait
-		n.usable = n.usable || waited || initial
+		n.usable, n.lastSeen = n.usable || waited || initial, now
 	}
-	for name := range b.known {
-		if !listed[name] && name != target {
+	for name, n := range b.known {
+		if !listed[name] && name != target && now.Sub(n.lastSeen) >= absentRetention {
 			delete(b.known, name)
 		}
 	}
--- a/core/rollout/builds_test.go
+++ b/core/rollout/builds_test.go
@@ -60,3 +60,25 @@
 	b.Update(after(time.Second), buildSet("v1", "v2"), after(time.Second), "v2", Running)
 	assert.Assert(t, b.Usable(after(time.Second), "v1", "v2", Running, false))
 }
+
+// TestBuildReturnsAfterCrashOfAllItsEndpoints: all endpoints of the baseline crash during an order,
+// and others of the same build replace them. They are used at once. Before, they waited as those of
+// a new build, and callers got 503 for 2.4 s although four endpoints were live.
+func TestBuildReturnsAfterCrashOfAllItsEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		absent time.Duration
+		usable bool
+	}{{time.Second, true}, {absentRetention - time.Second, true}, {absentRetention + time.Second, false}} {
+		var b Builds
+		b.Update(epoch, buildSet("v1"), epoch, "", Ordered)
+		b.Update(after(time.Second), buildSet("v1", "v2"), after(time.Second), "v2", Running)
+		crashed := 2 * time.Second
+		for at := crashed; at < crashed+c.absent; at += 500 * time.Millisecond {
+			b.Update(after(at), buildSet("v2"), after(at), "v2", Running)
+		}
+		back := crashed + c.absent
+		b.Update(after(back), buildSet("v1", "v2"), after(back), "v2", Running)
+		assert.Equal(t, b.Usable(after(back), "v1", "v2", Running, false), c.usable, "absent for %v", c.absent)
+		assert.Equal(t, b.Usable(after(back), "v1", "v2", RolledBack, false), c.usable, "absent for %v", c.absent)
+	}
+}
