--- a/core/health/outcomes.go
+++ b/core/health/outcomes.go
@@ -50,7 +50,7 @@
 }
 
 // Counts returns the outcomes, decayed to now.
-func (o *Outcomes) Counts(now time.Time) Counts {
+func (o Outcomes) Counts(now time.Time) Counts {
 	o.decay(now)
 	return o.counts
 }
--- a/core/health/pace.go
+++ b/core/health/pace.go
@@ -40,7 +40,7 @@
 }
 
 // Factor returns how many times as long as usual the endpoint takes, decayed to now.
-func (p *Pace) Factor(now time.Time) float64 {
+func (p Pace) Factor(now time.Time) float64 {
 	p.decay(now)
 	return math.Exp(p.logFactor)
 }
--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -46,6 +46,7 @@
 		return false, true
 	}
 	if peer != "" { // this instance places its own claims at once
+		n = v.observe(id)
 		n.claims = append(n.claims, grantedClaim{peer, now, Placed{Open: 1, Tokens: c.Tokens, PendingPrefill: c.PendingPrefill}})
 		v.claimedEndpoints[id] = true
 	}
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -95,6 +95,20 @@
 type node struct {
 	hash uint64 // of the ID, for rendezvous hashing
 	Endpoint
+	view     *View
+	inSubset bool // it is in this instance's own subset
+	// owned is the result of [View.Owned] at ownedVersion of the view.
+	owned        bool
+	ownedVersion uint64
+	// groupIndexes are the node's positions in the groups of groupKeys.
+	groupIndexes [maxGroups]int
+	*observations
+}
+
+// observations are what this instance has observed of an endpoint, and what others have told of it.
+// Most endpoints of a large fleet have none. They share noObservations; [View.observe] returns a
+// node whose observations may be written.
+type observations struct {
 	load           Load
 	loadAt         time.Time    // when the endpoint took the load report
 	open           int          // requests of this instance in progress
@@ -108,7 +122,6 @@
 	fullUntil      time.Time       // end of the backoff after a refusal
 	reportsLeaving bool            // the endpoint itself reports that it is leaving
 	ended          bool            // its address answers for another incarnation, or a peer reported so
-	inSubset       bool            // it is in this instance's own subset
 	own            Placed          // placed by this instance, except for the number of requests (open)
 	peerPlaced     Placed          // sum of what other instances reported as placed
 	claims         []grantedClaim  // granted to other instances that are about to place
@@ -117,10 +130,57 @@
 	// pace that one of them reported.
 	peerOutcomes health.Counts
 	peerPace     float64
-	// owned reports whether this instance receives all that other instances place there. If not,
-	// ownerSummary is the last summary that an owner sent.
-	owned        bool
+	// ownerSummary is the last summary that an owner sent; see [View.Owned].
 	ownerSummary receivedSummary
+	// touched is the number of the sweep before which they were last written; see [View.Sweep].
+	touched uint64
+}
+
+// noObservations are those of endpoints of which nothing is known. They are never written.
+var noObservations = &observations{}
+
+// observe returns an endpoint whose observations may be written; nil if it is not listed.
+func (v *View) observe(id string) *node {
+	n := v.nodes[id]
+	if n == nil {
+		return nil
+	}
+	if n.observations == noObservations {
+		n.observations = &observations{}
+		v.observed[id] = n
+	}
+	n.touched = v.sweeps
+	return n
+}
+
+// sweepInterval is the least time between two sweeps.
+const sweepInterval = 30 * time.Second
+
+// Sweep drops the observations that say nothing any more. Without it, the memory of an instance
+// would grow until it has met each endpoint once.
+func (v *View) Sweep(now time.Time) {
+	if now.Sub(v.sweptAt) < sweepInterval {
+		return
+	}
+	v.sweptAt = now
+	v.sweeps++
+	for id, n := range v.observed {
+		if n.touched+1 < v.sweeps && n.idle(now) {
+			n.observations = noObservations
+			delete(v.observed, id)
+		}
+	}
+}
+
+// negligibleCount is the decayed number of outcomes that is too small to matter.
+const negligibleCount = 0.01
+
+// idle reports whether the observations of an endpoint differ from none in nothing that matters.
+func (n *node) idle(now time.Time) bool {
+	placed := n.open > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0
+	health := n.ended || n.reportsLeaving || n.lastAnswerLost || n.suspectedBy > 0 || n.trust.Suspected(now) || n.trust.OnTrial()
+	counts := n.outcomes.Counts(now).Add(n.peerOutcomes)
+	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor
 }
 
 // openChange is a change of the number of this instance's requests in progress.
--- a/core/routing/outcome.go
+++ b/core/routing/outcome.go
@@ -8,7 +8,7 @@
 
 // CountSuccess records that an endpoint answered a request.
 func (v *View) CountSuccess(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.outcomes.Good(now)
 	}
 }
@@ -16,7 +16,7 @@
 // CountFailure records that an endpoint failed a request, or that the request was lost with its
 // answer.
 func (v *View) CountFailure(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.outcomes.Bad(now)
 	}
 }
@@ -46,8 +46,10 @@
 		return t.counts
 	}
 	t = serviceOutcomes{at: now}
-	for _, n := range v.groups[groupKey{service, ""}] {
-		t.counts = t.counts.Add(n.counts(now))
+	for _, n := range v.observed {
+		if n.Service == service {
+			t.counts = t.counts.Add(n.counts(now))
+		}
 	}
 	v.totals[service] = t
 	return t.counts
@@ -66,7 +68,7 @@
 // ObservePrefill records how long an engine took to prefill some tokens: those of a request and
 // those that were ahead of it.
 func (v *View) ObservePrefill(now time.Time, id string, tokens int, took time.Duration) {
-	n := v.nodes[id]
+	n := v.observe(id)
 	if n == nil {
 		return
 	}
@@ -77,7 +79,7 @@
 
 // ObserveOngoingPrefill records that an engine is still prefilling some tokens after some time.
 func (v *View) ObserveOngoingPrefill(now time.Time, id string, tokens int, passed time.Duration) {
-	n := v.nodes[id]
+	n := v.observe(id)
 	if n == nil {
 		return
 	}
@@ -127,7 +129,7 @@
 // endpoints without recent failures are left out.
 func (v *View) Outcomes(now time.Time) map[string]health.Counts {
 	out := map[string]health.Counts{}
-	for id, n := range v.nodes {
+	for id, n := range v.observed {
 		if c := n.outcomes.Counts(now); c.Bad >= minReportedFailures {
 			out[id] = c
 		}
@@ -139,7 +141,7 @@
 // long as usual they take.
 func (v *View) Paces(now time.Time) map[string]float64 {
 	out := map[string]float64{}
-	for id, n := range v.nodes {
+	for id, n := range v.observed {
 		if f := n.pace.Factor(now); f >= slowFactor {
 			out[id] = f
 		}
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -62,14 +62,14 @@
 // Place records what this instance has placed at an endpoint, except for the number of requests,
 // which [View.Sent] counts.
 func (v *View) Place(id string, w Placed) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.own.add(w)
 	}
 }
 
 // Release takes back what [View.Place] recorded, or a part of it.
 func (v *View) Release(id string, w Placed) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.own.subtract(w)
 	}
 }
@@ -84,7 +84,7 @@
 // are left out.
 func (v *View) OwnPlacements() map[string]Placed {
 	out := map[string]Placed{}
-	for id, n := range v.nodes {
+	for id, n := range v.observed {
 		p := n.own
 		p.Open = n.open
 		if p != (Placed{}) {
@@ -194,7 +194,7 @@
 		}
 	}
 	for _, id := range t.Ended {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.ended = true
 		}
 	}
@@ -216,17 +216,17 @@
 // addReport adds the report of an instance to the sums that the endpoints keep.
 func (v *View) addReport(t *PeerReport) {
 	for id, p := range t.Placed {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.peerPlaced.add(p)
 		}
 	}
 	for _, id := range t.Suspects {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.suspectedBy++
 		}
 	}
 	for id, c := range t.Outcomes {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.peerOutcomes = n.peerOutcomes.Add(c)
 		}
 	}
@@ -235,17 +235,17 @@
 // subtractReport subtracts the former report of an instance from the sums that the endpoints keep.
 func (v *View) subtractReport(t *PeerReport) {
 	for id, p := range t.Placed {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.peerPlaced.subtract(p)
 		}
 	}
 	for _, id := range t.Suspects {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.suspectedBy--
 		}
 	}
 	for id, c := range t.Outcomes {
-		if n := v.nodes[id]; n != nil {
+		if n := v.observe(id); n != nil {
 			n.peerOutcomes = n.peerOutcomes.Sub(c)
 		}
 	}
@@ -256,7 +256,7 @@
 func (v *View) updatePeerPaces(before, now *PeerReport) {
 	for _, paces := range []map[string]float64{before.Paces, now.Paces} {
 		for id := range paces {
-			if n := v.nodes[id]; n != nil {
+			if n := v.observe(id); n != nil {
 				n.peerPace = v.slowestPeerPace(id)
 			}
 		}
@@ -272,15 +272,23 @@
 }
 
 // applyPeerReports applies to a new endpoint what other instances reported before it was listed.
-func (v *View) applyPeerReports(n *node, id string) {
+func (v *View) applyPeerReports(id string) {
 	for _, t := range v.peerReports {
+		suspected := slices.Contains(t.Suspects, id)
+		_, placed := t.Placed[id]
+		_, counted := t.Outcomes[id]
+		_, slow := t.Paces[id]
+		if !suspected && !placed && !counted && !slow {
+			continue
+		}
+		n := v.observe(id)
 		n.peerPlaced.add(t.Placed[id])
 		n.peerOutcomes = n.peerOutcomes.Add(t.Outcomes[id])
+		n.peerPace = max(n.peerPace, t.Paces[id])
 		for _, s := range t.Suspects {
 			if s == id {
 				n.suspectedBy++
 			}
 		}
 	}
-	n.peerPace = v.slowestPeerPace(id)
 }
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -43,14 +43,22 @@
 // default is all of them.
 func (v *View) SetOwned(owned func(id string) bool) {
 	v.owned = owned
-	for id, n := range v.nodes {
-		n.owned = owned(id)
-	}
+	v.ownedVersion++
 }
 
 // Owned reports whether this instance receives all placements of other instances at an endpoint.
 func (v *View) Owned(id string) bool { return v.owned == nil || v.owned(id) }
 
+// isOwned returns the result of [View.Owned] for the node. To find the owners of an endpoint takes
+// a hash for each instance, so the result is only computed when it is needed, and kept until the
+// instances change.
+func (n *node) isOwned() bool {
+	if n.ownedVersion != n.view.ownedVersion || n.ownedVersion == 0 {
+		n.owned, n.ownedVersion = n.view.Owned(n.ID), n.view.ownedVersion
+	}
+	return n.owned
+}
+
 // Summary returns what this instance knows of an endpoint that it owns, without the part of the
 // instance that asks; false if the endpoint is not listed. prompt is the hash of the prompt asked
 // about; 0 for none.
@@ -82,7 +90,7 @@
 // ApplySummary records an owner's summary of an endpoint. prompt is the hash of the prompt that was
 // asked about.
 func (v *View) ApplySummary(now time.Time, s *Summary, prompt uint64) {
-	n := v.nodes[s.Endpoint]
+	n := v.observe(s.Endpoint)
 	if n == nil {
 		return
 	}
@@ -96,7 +104,7 @@
 // freshSummary returns the last summary from an owner; nil if this instance owns the endpoint
 // itself, or if the summary has expired.
 func (n *node) freshSummary(now time.Time) *Summary {
-	if n.owned || !n.ownerSummary.fresh(now) {
+	if !n.ownerSummary.fresh(now) || n.isOwned() {
 		return nil
 	}
 	return &n.ownerSummary.Summary
@@ -126,5 +134,5 @@
 
 // othersPlacedKnown reports whether the placements of other instances at an endpoint are known.
 func (n *node) othersPlacedKnown(now time.Time) bool {
-	return n.owned || !n.ownerSummary.receivedAt.IsZero() && now.Sub(n.ownerSummary.receivedAt) < placedKnownTTL
+	return !n.ownerSummary.receivedAt.IsZero() && now.Sub(n.ownerSummary.receivedAt) < placedKnownTTL || n.isOwned()
 }
--- a/core/routing/suspicion.go
+++ b/core/routing/suspicion.go
@@ -48,19 +48,17 @@
 
 func (v *View) findDegradedGroups(now time.Time) (degraded, down map[groupKey]bool) {
 	degraded, down = map[groupKey]bool{}, map[groupKey]bool{}
-	for key, group := range v.groups {
-		if key.dataCentre == "" {
-			continue
-		}
-		failing := 0
-		for _, n := range group {
-			if n.trust.Suspected(now) || n.suspectedByOthers(now) > 0 {
-				failing++
-			}
+	failing := map[groupKey]int{}
+	for _, n := range v.observed {
+		if n.DataCentre != "" && (n.trust.Suspected(now) || n.suspectedByOthers(now) > 0) {
+			failing[groupKey{n.Service, n.DataCentre}]++
 		}
-		if failing >= minDegradedEndpoints && float64(failing) >= v.settings.DegradedShare*float64(len(group)) {
+	}
+	for key, count := range failing {
+		size := float64(len(v.groups[key]))
+		if count >= minDegradedEndpoints && float64(count) >= v.settings.DegradedShare*size {
 			degraded[key] = true
-			down[key] = float64(failing) >= downShare*float64(len(group))
+			down[key] = float64(count) >= downShare*size
 		}
 	}
 	return degraded, down
@@ -70,7 +68,7 @@
 // not suspect in its former report.
 func (v *View) notePeerSuspects(now time.Time, old, t *PeerReport) {
 	for _, id := range t.Suspects {
-		if n := v.nodes[id]; n != nil && !slices.Contains(old.Suspects, id) {
+		if n := v.observe(id); n != nil && !slices.Contains(old.Suspects, id) {
 			n.failedAt = now
 		}
 	}
@@ -84,23 +82,22 @@
 	if target == nil {
 		return 0, 0
 	}
-	for _, n := range v.nodes {
-		if n.DataCentre != target.DataCentre {
+	for _, n := range v.observed {
+		if n.DataCentre != target.DataCentre || n.failedAt.IsZero() {
 			continue
 		}
-		all++
 		if !n.failedAt.Before(from) && !n.failedAt.After(to) {
 			failed++
 		}
 	}
-	return failed, all
+	return failed, v.dataCentreSizes[target.DataCentre]
 }
 
 // Suspects returns the IDs of the endpoints that this instance suspects, those with the longest
 // remaining suspicion first: other instances are told of some of them only.
 func (v *View) Suspects(now time.Time) []string {
 	var out []string
-	for id, n := range v.nodes {
+	for id, n := range v.observed {
 		if n.trust.Suspected(now) {
 			out = append(out, id)
 		}
@@ -129,7 +126,7 @@
 // Ended records that this incarnation of an endpoint is gone although it is still listed: its
 // address answered for another one.
 func (v *View) Ended(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.ended = true
 		v.endedAt[id] = now
 	}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -77,7 +76,9 @@
 type View struct {
 	settings         Settings
 	nodes            map[string]*node
+	observed         map[string]*node // the nodes with observations of their own
 	groups           map[groupKey][]*node
+	dataCentreSizes  map[string]int        // number of nodes by data centre
 	subsets          map[string][]*node    // this instance's own subset, by service
 	peerReports      map[string]PeerReport // by instance
 	degraded         degradedGroups
@@ -87,14 +88,18 @@
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
 	// owned tells for which endpoints this instance receives all reports of other instances; nil
-	// for all.
-	owned func(id string) bool
+	// for all. ownedVersion is raised each time that it is replaced.
+	owned        func(id string) bool
+	ownedVersion uint64
+	// sweeps counts the calls of Sweep that took effect, and sweptAt is the time of the last one.
+	sweeps  uint64
+	sweptAt time.Time
 }
 
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		settings: s, nodes: map[string]*node{}, groups: map[groupKey][]*node{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{},
+		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{},
 		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
@@ -105,11 +110,10 @@
 	n := v.nodes[e.ID]
 	switch {
 	case n == nil:
-		n = &node{Endpoint: Endpoint{Slots: 1}}
+		n = &node{Endpoint: Endpoint{Slots: 1}, view: v, observations: noObservations}
 		v.nodes[e.ID] = n
 		n.Service, n.DataCentre, n.hash = e.Service, e.DataCentre, xxhash.Sum64String(e.ID)
-		n.owned = v.Owned(e.ID)
-		v.applyPeerReports(n, e.ID)
+		v.applyPeerReports(e.ID)
 		v.addToGroups(n)
 	case n.Service != e.Service || n.DataCentre != e.DataCentre:
 		v.removeFromGroups(n)
@@ -145,14 +149,19 @@
 // UpdateStatus records what an endpoint reports of itself: its slots, models and role, and whether
 // it is leaving. An endpoint counts as leaving as soon as either it or the list says so.
 func (v *View) UpdateStatus(id string, slots int, models []Model, role string, leaving bool) {
-	if n := v.nodes[id]; n != nil {
-		n.Slots, n.Models, n.Role, n.reportsLeaving = max(slots, 1), models, role, leaving
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	n.Slots, n.Models, n.Role = max(slots, 1), models, role
+	if n.reportsLeaving != leaving {
+		v.observe(id).reportsLeaving = leaving
 	}
 }
 
 // Forget drops the health and cache state of an endpoint that was replaced under the same name.
 func (v *View) Forget(id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.reportsLeaving, n.lastAnswerLost = false, false
 		n.trust.Reset()
 		n.outcomes, n.pace = health.Outcomes{}, health.Pace{}
@@ -173,45 +182,76 @@
 // for all of them.
 type groupKey struct{ service, dataCentre string }
 
-func (v *View) groupKeys(n *node) [2]groupKey {
-	return [2]groupKey{{n.Service, ""}, {n.Service, n.DataCentre}}
+// maxGroups is the largest number of groups that a node is in.
+const maxGroups = 2
+
+// groupKeys returns the groups of a node. A node of which the data centre is not known is in one.
+func groupKeys(n *node) []groupKey {
+	if n.DataCentre == "" {
+		return []groupKey{{n.Service, ""}}
+	}
+	return []groupKey{{n.Service, ""}, {n.Service, n.DataCentre}}
 }
 
 func (v *View) addToGroups(n *node) {
-	for _, k := range v.groupKeys(n) {
+	v.dataCentreSizes[n.DataCentre]++
+	for i, k := range groupKeys(n) {
+		n.groupIndexes[i] = len(v.groups[k])
 		v.groups[k] = append(v.groups[k], n)
 	}
 }
 
+// removeFromGroups fills the gaps that the node leaves with the last node of each group.
 func (v *View) removeFromGroups(n *node) {
-	for _, k := range v.groupKeys(n) {
+	v.dataCentreSizes[n.DataCentre]--
+	for i, k := range groupKeys(n) {
 		g := v.groups[k]
-		i := slices.Index(g, n)
-		v.groups[k] = slices.Delete(g, i, i+1)
+		last := len(g) - 1
+		g[n.groupIndexes[i]] = g[last]
+		g[last].groupIndexes[i] = n.groupIndexes[i]
+		g[last] = nil
+		v.groups[k] = g[:last]
 	}
 }
 
 // Retain drops all endpoints that are not in keep, along with the load of requests that are still
 // open there.
 func (v *View) Retain(keep map[string]bool) {
-	for id, n := range v.nodes {
+	for id := range v.nodes {
 		if !keep[id] {
-			v.removeFromGroups(n)
-			delete(v.nodes, id)
+			v.Remove(id)
 		}
 	}
 }
 
+// Remove drops an endpoint, along with the load of requests that are still open there.
+func (v *View) Remove(id string) {
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	v.removeFromGroups(n)
+	delete(v.nodes, id)
+	delete(v.observed, id)
+}
+
+// SetMemory sets the memory of all endpoints of a service; see [Endpoint.Memory].
+func (v *View) SetMemory(service string, tokens int) {
+	for _, n := range v.groups[groupKey{service, ""}] {
+		n.Memory = tokens
+	}
+}
+
 // Report records an endpoint's load report.
 func (v *View) Report(now time.Time, id string, l Load) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.report(now, l)
 	}
 }
 
 // Sent records that this instance sent a request to an endpoint.
 func (v *View) Sent(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.recordChange(now, 1)
 	}
 }
@@ -227,7 +267,7 @@
 // Failed records that an endpoint failed a request. The endpoint is suspected, and so excluded, for
 // a while.
 func (v *View) Failed(now time.Time, id string) {
-	n := v.nodes[id]
+	n := v.observe(id)
 	if n == nil {
 		return
 	}
@@ -243,7 +283,7 @@
 
 // Refused records that an endpoint had no room for a request.
 func (v *View) Refused(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.fullUntil = now.Add(refusedBackoff)
 	}
 }
@@ -251,7 +291,7 @@
 // AnswerLost records that an answer of an endpoint did not arrive. The next success clears a single
 // lost answer; a second one in a row counts as a failure.
 func (v *View) AnswerLost(now time.Time, id string) {
-	n := v.nodes[id]
+	n := v.observe(id)
 	if n == nil {
 		return
 	}
@@ -263,7 +303,7 @@
 
 // Succeeded clears the suspicion of an endpoint.
 func (v *View) Succeeded(id string) {
-	if n := v.nodes[id]; n != nil {
+	if n := v.observe(id); n != nil {
 		n.trust.Succeeded()
 		n.lastAnswerLost = false
 		v.degraded.stale = true
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -227,6 +227,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.view.Sweep(now)
 	return routing.PeerReport{
 		Placed: p.view.OwnPlacements(), Suspects: p.view.Suspects(now), Ended: p.view.RecentlyEnded(now),
 		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now),
