--- a/core/listing/doc.go
+++ b/core/listing/doc.go
@@ -6,6 +6,9 @@
 // missing then is gone. [List] keeps missing entries for that time after an outage. At other times it
 // drops them at once, since an endpoint that left must get no new requests.
 //
+// A list of thousands changes with every endpoint that starts or leaves. So [List.Changes] returns
+// what has changed, at a cost in proportion to that.
+//
 // Times are given by the caller, from a clock that also runs while the machine is suspended. The
 // package does no I/O. A List is not safe for concurrent use.
 package listing
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -58,6 +60,9 @@
 // Service returns a service; nil if the configuration does not name it.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ServiceNames returns the names of all services, sorted.
+func (t *Table) ServiceNames() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Match returns the route of a request: the one of its host whose prefix matches the path and is
 // longest. The port in host is ignored.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -235,6 +235,9 @@
 	delete(v.observed, id)
 }
 
+// Len returns the number of endpoints.
+func (v *View) Len() int { return len(v.nodes) }
+
 // SetMemory sets the memory of all endpoints of a service; see [Endpoint.Memory].
 func (v *View) SetMemory(service string, tokens int) {
 	for _, n := range v.groups[groupKey{service, ""}] {
--- a/gateway/follow/diff.go
+++ b/gateway/follow/diff.go
@@ -1,18 +1,18 @@
 package follow
 
 import (
-	"slices"
-
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/core/listing"
 	"github.com/agateway/agateway/core/routing"
 )
 
-// listDiff is the difference between a list of endpoints and the one before.
+// listDiff describes changes of the list of endpoints for the log.
 type listDiff struct {
-	// changed are the IDs of endpoints that are new or have another state, and leaving those of
-	// them that are leaving. removed are the IDs that are not listed any more.
-	changed, leaving, removed []string
+	// changed are the IDs of endpoints that are new or have another state, and leaving is how many
+	// of them are leaving. removed are the IDs that are not listed any more.
+	changed, removed []string
+	leaving          int
 	// inUse are the changed and removed endpoints at which this instance has requests.
 	inUse []usedEndpoint
 }
@@ -22,40 +22,35 @@
 	leaving, removed bool
 }
 
-// diffFromLast returns what has changed since the last call.
-func (e *Endpoints) diffFromLast(all []routing.Endpoint) *listDiff {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// describe returns the differences that are logged.
+func (e *Endpoints) describe(changes []listing.Change) *listDiff {
 	d := &listDiff{}
-	states := make(map[string]routing.State, len(all))
-	for i := range all {
-		id, state := all[i].ID, all[i].State
-		states[id] = state
-		if old, known := e.lastStates[id]; known && old == state {
-			continue
-		}
-		d.changed = append(d.changed, id)
-		if state == routing.Leaving {
-			d.leaving = append(d.leaving, id)
-		}
-		if e.inUse(id) {
-			d.inUse = append(d.inUse, usedEndpoint{id: id, leaving: state == routing.Leaving})
-		}
-	}
-	for id := range e.lastStates {
-		if _, still := states[id]; still {
-			continue
-		}
-		d.removed = append(d.removed, id)
-		if e.inUse(id) {
-			d.inUse = append(d.inUse, usedEndpoint{id: id, removed: true})
+	for i := range changes {
+		c := &changes[i]
+		switch {
+		case c.After == nil:
+			d.removed = append(d.removed, c.Before.ID)
+			if e.inUse(c.Before.ID) {
+				d.inUse = append(d.inUse, usedEndpoint{id: c.Before.ID, removed: true})
+			}
+		case c.Before == nil || c.Before.State != c.After.State:
+			d.addChanged(c.After, e.inUse(c.After.ID))
 		}
 	}
-	slices.Sort(d.removed)
-	e.lastStates = states
 	return d
 }
 
+func (d *listDiff) addChanged(after *routing.Endpoint, inUse bool) {
+	leaving := after.State == routing.Leaving
+	d.changed = append(d.changed, after.ID)
+	if leaving {
+		d.leaving++
+	}
+	if inUse {
+		d.inUse = append(d.inUse, usedEndpoint{id: after.ID, leaving: leaving})
+	}
+}
+
 // maxLoggedNames bounds the IDs in the log line about a changed list.
 const maxLoggedNames = 8
 
@@ -67,9 +62,9 @@
 	if len(d.changed)+len(d.removed) == 0 {
 		return
 	}
-	names := append(slices.Clone(d.removed), d.changed...)
+	names := append(d.removed[:len(d.removed):len(d.removed)], d.changed...)
 	log.WithFields(logrus.Fields{
-		"listed": len(d.changed), "leaving": len(d.leaving), "gone": len(d.removed), "endpoints": names[:min(len(names), maxLoggedNames)],
+		"listed": len(d.changed), "leaving": d.leaving, "gone": len(d.removed), "endpoints": names[:min(len(names), maxLoggedNames)],
 	}).Info("list of endpoints changed")
 	for _, u := range d.inUse {
 		if u.removed {
--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -16,12 +16,25 @@
 	loop         loop
 	knownService func(service string) bool
 	inUse        func(id string) bool
-	onChange     func([]routing.Endpoint)
+	onChange     func(Update)
 
-	mu         sync.Mutex
-	list       *listing.List
-	expiry     *time.Timer // calls publish when missing entries expire; nil if not set
-	lastStates map[string]routing.State
+	// publishMu makes calls of onChange come one after the other, in the order of the changes.
+	publishMu sync.Mutex
+
+	mu     sync.Mutex
+	list   *listing.List
+	expiry *time.Timer // calls publish when missing entries expire; nil if not set
+}
+
+// Update tells how the endpoints in use have changed.
+type Update struct {
+	// Changes are those since the last update.
+	Changes []listing.Change
+	// Republished is set for a call of [Endpoints.Publish]: what depends on more than the list may
+	// have changed for any endpoint.
+	Republished bool
+	// All returns all endpoints in use, sorted by ID. It takes work in proportion to their number.
+	All func() []routing.Endpoint
 }
 
 // endpointsPauseAfterChange bounds the calls to the store during a run of changes to five a second
@@ -31,11 +44,11 @@
 
 // NewEndpoints returns an empty list. knownService reports whether the configuration names a
 // service. inUse reports whether requests of this instance are at the endpoint with an ID. onChange
-// is called with the whole list when it has changed.
-func NewEndpoints(o Options, knownService func(service string) bool, inUse func(id string) bool, onChange func([]routing.Endpoint)) *Endpoints {
+// is called when the list has changed. It must not call back.
+func NewEndpoints(o Options, knownService func(service string) bool, inUse func(id string) bool, onChange func(Update)) *Endpoints {
 	return &Endpoints{
 		loop:         loop{Options: o, kind: platform.KindEndpoint, pauseAfterChange: endpointsPauseAfterChange},
-		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()), lastStates: map[string]routing.State{},
+		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()),
 	}
 }
 
@@ -58,7 +71,7 @@
 	}
 	e.list.Replace(now, all)
 	e.mu.Unlock()
-	e.publish(true)
+	e.publish(false)
 }
 
 func (e *Endpoints) update(_ time.Duration, objects []platform.Object) {
@@ -69,7 +82,7 @@
 		e.apply(now, &objects[i])
 	}
 	e.mu.Unlock()
-	e.publish(len(objects) > 0)
+	e.publish(false)
 }
 
 // apply updates one entry with an object that a watch returned. The caller holds mu.
@@ -107,19 +120,38 @@
 	changed := e.list.MarkEnded(ids...)
 	e.mu.Unlock()
 	if changed {
-		e.publish(true)
+		e.publish(false)
 	}
 }
 
-// Publish calls onChange with the list even if it has not changed.
-func (e *Endpoints) Publish() { e.publish(true) }
+// Publish looks at all entries anew and calls onChange even if nothing has changed.
+func (e *Endpoints) Publish() {
+	e.mu.Lock()
+	e.list.Recheck()
+	e.mu.Unlock()
+	e.publish(true)
+}
+
+// publish calls onChange if the endpoints in use have changed, or if republish is set.
+func (e *Endpoints) publish(republish bool) {
+	e.publishMu.Lock()
+	defer e.publishMu.Unlock()
+	changes := e.takeChanges()
+	if len(changes) == 0 && !republish {
+		return
+	}
+	diff := e.describe(changes)
+	e.onChange(Update{Changes: changes, Republished: republish, All: e.all})
+	diff.log(e.loop.Log)
+}
 
-// publish drops the missing entries that have expired, and sets a timer for those that are left. It
-// calls onChange if changed is set or an entry was dropped.
-func (e *Endpoints) publish(changed bool) {
+// takeChanges drops the missing entries that have expired, sets a timer for those that are left,
+// and returns what has changed.
+func (e *Endpoints) takeChanges() []listing.Change {
 	now := e.loop.Now()
 	e.mu.Lock()
-	changed = e.list.Tick(now) || changed
+	defer e.mu.Unlock()
+	e.list.Tick(now)
 	if at, missing := e.list.Deadline(); missing && e.expiry == nil {
 		e.expiry = time.AfterFunc(at-now, func() {
 			e.mu.Lock()
@@ -128,12 +160,12 @@
 			e.publish(false)
 		})
 	}
-	all := e.list.Endpoints(e.knownService)
-	e.mu.Unlock()
-	if !changed {
-		return
-	}
-	diff := e.diffFromLast(all)
-	e.onChange(all)
-	diff.log(e.loop.Log)
+	return e.list.Changes(e.knownService)
+}
+
+// all returns all endpoints in use, sorted by ID.
+func (e *Endpoints) all() []routing.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.list.Endpoints(e.knownService)
 }
--- a/gateway/follow/endpoints_test.go
+++ b/gateway/follow/endpoints_test.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -35,9 +34,9 @@
 	log := logrus.New()
 	log.SetOutput(&f.log)
 	o := Options{Now: func() time.Duration { return time.Hour }, Log: logrus.NewEntry(log)}
-	f.Endpoints = NewEndpoints(o, func(service string) bool { return service == "plans" }, func(id string) bool { return id == f.usedID }, func(all []routing.Endpoint) {
+	f.Endpoints = NewEndpoints(o, func(service string) bool { return service == "plans" }, func(id string) bool { return id == f.usedID }, func(u Update) {
 		f.published = nil
-		for _, e := range all {
+		for _, e := range u.All() {
 			f.published = append(f.published, e.ID)
 		}
 	})
@@ -116,3 +115,27 @@
 	f.replace(0, all[50:])
 	assert.Equal(t, f.log.String(), "")
 }
+
+// TestOneChangeOfManyEndpoints: a watch that returns one changed entry costs no more allocations in
+// a list of 10,000 endpoints than in one of 256. Before, it took 47 ms and 6 MB in the larger one.
+func TestOneChangeOfManyEndpoints(t *testing.T) {
+	allocations := map[int]float64{}
+	for _, n := range []int{256, 10000} {
+		f := newEndpointsFixture()
+		f.loop.Log.Logger.SetLevel(logrus.ErrorLevel)
+		changed := 0
+		f.onChange = func(u Update) { changed += len(u.Changes) }
+		var all []platform.Object
+		for i := range n {
+			all = append(all, endpointObject(fmt.Sprint("e", i), fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), 36, uint64(i+1)))
+		}
+		f.replace(0, all)
+		assert.Equal(t, changed, n)
+		born := int64(100)
+		allocations[n] = testing.AllocsPerRun(20, func() {
+			born++
+			f.update(0, []platform.Object{endpointObject("e7", "10.0.7.1:80", born, uint64(n)+uint64(born))})
+		})
+	}
+	assert.Assert(t, allocations[10000] <= 2*allocations[256], "%v", allocations)
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -20,7 +20,6 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
-	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/clock"
@@ -286,10 +285,6 @@
 	return time.Duration(keyBoundShare * float64(f.settings.Bounds.Revoke))
 }
 
-// onConfigurationChange publishes the endpoints again, since the memory size of engines comes with
-// the configuration of their service.
-func (f *Front) onConfigurationChange(*route.Table) { f.endpoints.Publish() }
-
 // isServiceConfigured reports whether the configuration names a service. Until a configuration has
 // been read, it is true for all services.
 func (f *Front) isServiceConfigured(name string) bool {
@@ -297,30 +292,6 @@
 	return table == nil || table.Service(name) != nil
 }
 
-// onEndpointsChange takes a new list of endpoints and adds the memory size of engines to it.
-func (f *Front) onEndpointsChange(endpoints []routing.Endpoint) {
-	table, _ := f.configuration.Table()
-	for i := range endpoints {
-		if table == nil {
-			break
-		}
-		if s := table.Service(endpoints[i].Service); s != nil && s.Engine != nil {
-			endpoints[i].Memory = s.Engine.KVCapacityTokens
-		}
-	}
-	if f.rollouts != nil {
-		endpoints = f.rollouts.Usable(endpoints)
-	}
-	f.placement.SetEndpoints(endpoints)
-	if table != nil && len(endpoints) > 0 && (f.rollouts == nil || f.rollouts.OrdersRead()) {
-		f.syncedOnce.Do(func() {
-			close(f.synced)
-			f.forwarder.MarkSynced()
-			f.limitMemory()
-		})
-	}
-}
-
 // ready reports whether callers may be sent to this instance: it does not drain, and the proof of
 // its configuration is recent enough for requests with keys, if any route requires one.
 func (f *Front) ready() bool {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -39,6 +39,32 @@
 	p.view.Retain(keep)
 }
 
+// Update removes some endpoints, and adds or updates others.
+func (p *Placement) Update(changed []routing.Endpoint, removed []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range removed {
+		p.view.Remove(id)
+	}
+	for _, e := range changed {
+		p.view.Upsert(e)
+	}
+}
+
+// SetMemory sets the memory of all endpoints of a service; see [routing.Endpoint.Memory].
+func (p *Placement) SetMemory(service string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.SetMemory(service, tokens)
+}
+
+// Len returns the number of endpoints.
+func (p *Placement) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Len()
+}
+
 // Pick chooses an endpoint. The error is [routing.ErrNoEndpoint] when no endpoint is eligible,
 // and [routing.ErrFull] when eligible endpoints exist but all are full.
 func (p *Placement) Pick(r *routing.Request) (routing.Decision, error) {
--- a/gateway/rollouts/rollouts.go
+++ b/gateway/rollouts/rollouts.go
@@ -11,7 +11,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/agateway/agateway/core/rollout"
-	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/platform"
 )
@@ -66,6 +65,10 @@
 type service struct {
 	name   string
 	builds rollout.Builds
+	// listed is the number of listed endpoints by build, and usable tells which of these builds may
+	// get requests.
+	listed map[string]int
+	usable map[string]bool
 	// order is the one in progress or the last one; nil for none. given is when it was given, and
 	// revision that of its object in the store. withdrawn is set if the operator removed it before
 	// it was completed.
@@ -96,7 +99,7 @@
 func (r *Controller) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, listed: map[string]int{}, usable: map[string]bool{}}
 		r.services[name] = s
 	}
 	return s
@@ -225,37 +228,6 @@
 	return r.ordersRead
 }
 
-// Usable returns the listed endpoints whose builds may get requests.
-func (r *Controller) Usable(all []routing.Endpoint) []routing.Endpoint {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	builds := map[string]map[string]bool{}
-	for i := range all {
-		ofService := builds[all[i].Service]
-		if ofService == nil {
-			ofService = map[string]bool{}
-			builds[all[i].Service] = ofService
-		}
-		ofService[all[i].Build] = true
-	}
-	for name, ofService := range builds {
-		s := r.service(name)
-		s.builds.Update(now, ofService, r.ordersCurrentAt, s.target(), s.state())
-	}
-	var out []routing.Endpoint
-	for i := range all {
-		s := r.services[all[i].Service]
-		if s.builds.Usable(now, all[i].Build, s.target(), s.state(), s.withdrawn) {
-			out = append(out, all[i])
-		}
-	}
-	for name := range builds {
-		r.services[name].setEndpoints(out)
-	}
-	return out
-}
-
 // buildsChangeWithTime reports whether a build may become usable by the passing of time alone, so
 // that the endpoints have to be listed again. The caller holds mu.
 func (r *Controller) buildsChangeWithTime() bool {
