--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # Tests with fleets of up to 1,000 instances, which take too long with the race detector.
 test-large:
-	go test -count=1 -timeout 30m -vet=off -cpu 1 -run '^TestWhoIsAlive$$' ./gateway/exchange
+	go test -count=1 -timeout 30m -vet=off -cpu 1 -run '^TestWhoIsAlive' ./gateway/exchange
 
 lint:
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -81,6 +81,12 @@
 // back.
 func (n *Node) SetIncarnation(i uint64) { n.self.Incarnation = i }
 
+// SetSpreads sets whether the node passes on updates to many others. It raises the incarnation.
+func (n *Node) SetSpreads(spreads bool) {
+	n.self.Spreads = spreads
+	n.self.Incarnation++
+}
+
 // SetReadiness sets the node's own readiness and access to the store. It raises the incarnation and
 // returns true if that is a change.
 func (n *Node) SetReadiness(ready bool, store int) bool {
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -91,12 +91,14 @@
 	// received and the aggregate, and requestMu the questions and claims in progress.
 	mu            sync.Mutex
 	members       members
+	spreader      spreader
 	currentRoster atomic.Pointer[roster]
 
 	sendMu           sync.Mutex
 	changedEndpoints map[string]bool // endpoints with changes to announce
 	sequence         uint64
 	announceRounds   int // used by Run only
+	joins            int // calls of join, which only joinFleet makes
 	crashQuestions   crashQuestions
 
 	announcedRetries atomic.Uint64 // retries in ServiceCounts at the last announcement of changes
@@ -121,7 +123,8 @@
 	}
 	rnd := rand.New(rand.NewPCG(x.process, x.process))
 	x.members = members{node: membership.New(memberSettings(), x.initialMember(), rnd), probes: map[uint64]probe{}}
-	x.currentRoster.Store(newRoster(o.Self, nil, 0))
+	x.spreader = newSpreader()
+	x.currentRoster.Store(newRoster(o.Self, nil, 0, nil))
 	return x
 }
 
@@ -131,6 +134,8 @@
 	go x.joinFleet(ctx)
 	go x.monitorMembers(ctx)
 	go x.reportRollouts(ctx)
+	go x.runSpreader(ctx)
+	go x.answerJoins(ctx)
 	for ctx.Err() == nil {
 		x.awaitNextAnnouncement(ctx, x.announceDue())
 	}
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -223,7 +223,7 @@
 
 func (w *fleet) addToStore(i int) {
 	s := w.peer(i)
-	raw, err := json.Marshal(instanceEntry{s.Callers, s.Peers, s.DataCentre, s.Region})
+	raw, err := json.Marshal(instanceEntry{s.Callers, s.Peers, s.DataCentre, s.Region, s.Link, true})
 	assert.NilError(w, err)
 	w.store.objects[s.ID] = raw
 }
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
@@ -57,6 +56,7 @@
 	for _, after := range helloRetryDelays {
 		pause.For(ctx, after)
 		x.hello()
+		x.broadcastSelf()
 		x.askAnyForCrashes()
 	}
 	for ctx.Err() == nil {
@@ -69,7 +69,7 @@
 
 // helloRetryDelays are the delays before hello is sent again to the instances that were not heard.
 // Their replies may be among those that are lost when hundreds start at once.
-var helloRetryDelays = []time.Duration{300 * time.Millisecond, time.Second}
+var helloRetryDelays = []time.Duration{300 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond}
 
 // finishDiscovery closes the channel of DiscoveryDone, after the roster has taken in the instances
 // that were heard. It may be called more than once.
@@ -98,20 +98,39 @@
 	return registered, true
 }
 
-// hello sends this instance's entry to all instances that are not heard, and asks them for theirs.
+// hello makes this instance known to those that are not heard, and asks for their entries.
 func (x *Exchange) hello() {
 	r := x.refreshRoster()
-	heard := map[string]bool{}
-	for i := range r.alive {
-		heard[r.alive[i].ID] = true
-	}
-	var to []net.Addr
-	for id, address := range r.addresses {
-		if !heard[id] {
-			to = append(to, address)
-		}
+	unheard := r.unheard()
+	if r.large() && (x.joins == 0 || float64(len(unheard)) > maxDirectShare*float64(r.knownCount)) && x.join(r) {
+		return
 	}
-	x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_HELLO, []membership.Member{x.ownMember()}, to...)
+	x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_HELLO, []membership.Member{x.ownMember()}, unheard...)
+}
+
+// maxDirectShare is the share of the known instances that may be asked directly. An instance sends
+// the entries of all in as many datagrams as a tenth of them has instances.
+const maxDirectShare = 0.1
+
+// join asks a random instance of a large fleet, of this data centre at first, for the entries of all, and makes it spread the one
+// of this instance. At the start the first spreader of the data centre is asked too. When many
+// instances return, that one may know as little as this one. join returns false if no listed
+// instance spreads entries, as in a fleet that runs an earlier build.
+func (x *Exchange) join(r *roster) bool {
+	if len(r.listedSpreaders) == 0 {
+		return false
+	}
+	near := r.listedSpreaders
+	if x.joins == 0 && len(r.listedSpreadersNear) > 0 {
+		near = r.listedSpreadersNear
+	}
+	to := near[rand.IntN(len(near)):][:1]
+	if first := r.otherSpreaders(r.self.DataCentre); x.joins == 0 && len(first) > 0 && first[0] != to[0] {
+		to = []string{to[0], first[0]}
+	}
+	x.joins++
+	x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_JOIN, []membership.Member{x.ownMember()}, r.addressesOf(to...)...)
+	return true
 }
 
 // rediscover finds instances that were added since. It returns whether the list could be read.
@@ -150,6 +169,10 @@
 	Peers      string `json:"peers"`
 	DataCentre string `json:"data_centre"`
 	Region     string `json:"region"`
+	// Link is the bandwidth of the instance's link in Mbit/s; 0 if unknown.
+	Link int `json:"link,omitempty"`
+	// Spreads is set by instances that spread the entries of others.
+	Spreads bool `json:"spreads,omitempty"`
 }
 
 // registerSelf writes this instance's entry to the store. It returns false where it should be tried
@@ -171,7 +194,8 @@
 }
 
 func (x *Exchange) ownInstanceEntry() instanceEntry {
-	return instanceEntry{x.Self.Callers, x.Self.Peers, x.Self.DataCentre, x.Self.Region}
+	s := &x.Self
+	return instanceEntry{Callers: s.Callers, Peers: s.Peers, DataCentre: s.DataCentre, Region: s.Region, Link: s.Link, Spreads: true}
 }
 
 // seedMembers adds the listed instances to the members. It returns whether this instance's own
@@ -193,7 +217,9 @@
 			continue
 		}
 		others = true
-		x.members.node.Seed(x.membershipTime(), membership.Member{ID: o.Name, Address: e.Callers, PeerAddress: e.Peers, DataCentre: e.DataCentre, Region: e.Region})
+		x.members.node.Seed(x.membershipTime(), membership.Member{
+			ID: o.Name, Address: e.Callers, PeerAddress: e.Peers, DataCentre: e.DataCentre, Region: e.Region, LinkMbps: e.Link, Spreads: e.Spreads,
+		})
 	}
 	return registered, others
 }
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -83,7 +83,7 @@
 func (x *Exchange) initialMember() membership.Member {
 	s := &x.Self
 	return membership.Member{
-		ID: s.ID, DataCentre: s.DataCentre, Region: s.Region, Address: s.Callers, PeerAddress: s.Peers, LinkMbps: s.Link, Process: x.process,
+		ID: s.ID, DataCentre: s.DataCentre, Region: s.Region, Address: s.Callers, PeerAddress: s.Peers, LinkMbps: s.Link, Spreads: true, Process: x.process,
 		// A process that starts again continues above the incarnation of the one before, unless its
 		// clock was set back. It then learns the higher incarnation from the others, and raises its
 		// own above that.
@@ -114,7 +114,7 @@
 		x.mu.Unlock()
 		return r
 	}
-	r = newRoster(x.Self, x.members.node.Others(), x.members.node.Version())
+	r = newRoster(x.Self, x.members.node.Others(), x.members.node.Version(), r)
 	x.members.rosterBuiltAt = x.Clock()
 	x.currentRoster.Store(r)
 	x.Endpoints.SetOwned(r.owns) // under mu, so that calls come in the order of the rosters
@@ -213,7 +213,7 @@
 
 // newPing records a ping and returns its message; nil where the receiver's address is not known.
 func (x *Exchange) newPing(r *roster, to membership.Member, kind peerv1.GossipKind, target *peerv1.Member, p probe) []outgoing {
-	address := r.addresses[to.ID]
+	address := r.located[to.ID].address
 	if address == nil {
 		return nil
 	}
@@ -236,10 +236,15 @@
 	}
 }
 
-// broadcastSelf sends this instance's own entry to all known instances. Those believed dead are
-// included: they may be alive again.
+// broadcastSelf makes this instance's own entry known to all. Those believed dead are told as well
+// where all are told directly: they may be alive again.
 func (x *Exchange) broadcastSelf() {
-	x.sendMembers(noReplyWanted, []membership.Member{x.ownMember()}, x.roster().allAddresses(true)...)
+	r := x.roster()
+	if r.large() {
+		x.spreadNews(r, []membership.Member{x.ownMember()})
+		return
+	}
+	x.sendMembers(noReplyWanted, []membership.Member{x.ownMember()}, r.allAddresses(true)...)
 }
 
 // ownMember returns this instance's own entry as of now.
@@ -265,15 +270,20 @@
 	}
 	news := []membership.Member{x.ownMember()}
 	r := x.currentRoster.Load()
-	to := r.allAddresses(false)
+	var suspects []net.Addr
 	for i := range changes {
 		if m := changes[i].Member; m.State == membership.Suspect && len(news) < maxMembersPerDatagram {
 			news = append(news, m)
-			to = append(to, r.addressesOf(m.ID)...)
+			suspects = append(suspects, r.addressesOf(m.ID)...)
 		}
 	}
-	if len(news) > 1 {
-		x.sendMembers(noReplyWanted, news, to...)
+	switch {
+	case len(news) == 1:
+	case r.large():
+		x.sendMembers(noReplyWanted, news, suspects...)
+		x.spreadNews(x.refreshRoster(), news) // through instances that are not among the suspects
+	default:
+		x.sendMembers(noReplyWanted, news, append(r.allAddresses(false), suspects...)...)
 	}
 }
 
@@ -294,6 +304,7 @@
 	x.mu.Unlock()
 	x.sendGossip(out)
 	x.applyChanges(changes)
+	x.receiveSpread(g, from)
 	if refuted {
 		x.broadcastSelf()
 	}
@@ -305,7 +316,7 @@
 	switch g.Kind {
 	case peerv1.GossipKind_GOSSIP_KIND_PING:
 		return []outgoing{{from, &peerv1.Gossip{Kind: peerv1.GossipKind_GOSSIP_KIND_ACK, Number: g.Number, Members: peers.EncodeMembers(node.Updates(sender))}}}
-	case peerv1.GossipKind_GOSSIP_KIND_HELLO:
+	case peerv1.GossipKind_GOSSIP_KIND_HELLO, peerv1.GossipKind_GOSSIP_KIND_JOIN:
 		self := node.Self()
 		return []outgoing{{from, &peerv1.Gossip{Members: []*peerv1.Member{peers.EncodeMember(&self)}}}}
 	case peerv1.GossipKind_GOSSIP_KIND_PING_FOR:
--- a/gateway/exchange/roster.go
+++ b/gateway/exchange/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 
@@ -20,6 +21,8 @@
 	DataCentre, Region string
 	// Link is the bandwidth of its network link in Mbit/s; 0 for unknown.
 	Link int
+	// Spreads says that it spreads the entries of others.
+	Spreads bool
 	// Ready says that callers may be sent to it.
 	Ready bool
 	// Store says whether the platform's store answers it.
@@ -50,59 +53,158 @@
 	// known.
 	alive      []Peer
 	knownCount int
-	// addresses holds those of the other known instances, by id.
-	addresses map[string]net.Addr
+	// located holds the addresses and hashes of the other known instances, by id.
+	located map[string]located
 	// aliveHashes holds the hashes of the ids in alive, in the same order.
 	aliveHashes []uint64
 	selfHash    uint64
-	// aggregators holds the ids of the instances that aggregate, by data centre, highest rank
-	// first.
-	aggregators map[string][]string
+	// aggregators holds the ids of the instances that aggregate, and spreaders those of the
+	// instances that spread the entries of members; both by data centre, highest rank first.
+	aggregators, spreaders map[string][]string
+	// listedSpreaders are all other instances that spread entries and are not known to be lost, and
+	// listedSpreadersNear those of this data centre.
+	listedSpreaders, listedSpreadersNear []string
 }
 
-// newRoster returns a roster of this instance and the other known members.
-func newRoster(self Peer, known []membership.Member, version uint64) *roster {
+// located is what does not change while an instance keeps its address.
+type located struct {
+	text    string // the address as the member gives it
+	address net.Addr
+	// hash is that of the id, and weight the rank of the id among equal links.
+	hash, weight uint64
+}
+
+func locate(id, address string) located {
+	l := located{text: address, hash: xxhash.Sum64String(id), weight: rendezvous.Weight("sums", id)}
+	if resolved, err := net.ResolveUDPAddr("udp", address); err == nil {
+		l.address = resolved
+	}
+	return l
+}
+
+// newRoster returns a roster of this instance and the other known members. before is the roster
+// that it replaces, or nil: what is known of an address is taken from there.
+func newRoster(self Peer, known []membership.Member, version uint64, before *roster) *roster {
 	r := &roster{
-		self: self, version: version, knownCount: len(known), addresses: make(map[string]net.Addr, len(known)),
-		selfHash: xxhash.Sum64String(self.ID), aggregators: map[string][]string{},
+		self: self, version: version, knownCount: len(known), located: make(map[string]located, len(known)),
+		selfHash: xxhash.Sum64String(self.ID), aggregators: map[string][]string{}, spreaders: map[string][]string{},
 	}
+	var unheard []membership.Member
 	for i := range known {
 		m := &known[i]
-		if address, err := net.ResolveUDPAddr("udp", m.PeerAddress); err == nil {
-			r.addresses[m.ID] = address
+		l, ok := before.location(m.ID)
+		if !ok || l.text != m.PeerAddress {
+			l = locate(m.ID, m.PeerAddress)
 		}
-		if m.State == membership.Alive && m.HasReported() {
+		r.located[m.ID] = l
+		if m.State == membership.Alive && m.Spreads {
+			r.listedSpreaders = append(r.listedSpreaders, m.ID)
+			if m.DataCentre == self.DataCentre {
+				r.listedSpreadersNear = append(r.listedSpreadersNear, m.ID)
+			}
+		}
+		switch {
+		case m.State == membership.Alive && m.HasReported():
 			r.alive = append(r.alive, peerOf(m))
-			r.aliveHashes = append(r.aliveHashes, xxhash.Sum64String(m.ID))
+			r.aliveHashes = append(r.aliveHashes, l.hash)
+		case m.State == membership.Alive && m.Spreads:
+			unheard = append(unheard, *m)
 		}
 	}
-	r.rankAggregators()
+	r.rank(unheard)
 	return r
 }
 
+// location returns what is known of the address of an instance. r may be nil.
+func (r *roster) location(id string) (located, bool) {
+	if r == nil {
+		return located{}, false
+	}
+	l, ok := r.located[id]
+	return l, ok
+}
+
 func peerOf(m *membership.Member) Peer {
 	return Peer{
-		ID: m.ID, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: m.LinkMbps, Ready: m.Ready, Store: source.Access(m.Store),
+		ID: m.ID, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: m.LinkMbps, Spreads: m.Spreads, Ready: m.Ready, Store: source.Access(m.Store),
 	}
 }
 
-// rankAggregators selects the aggregators of each data centre: the instances with the fastest
-// links, and among those the highest by a hash.
-func (r *roster) rankAggregators() {
-	type ranked struct {
-		*Peer
-		weight uint64
-	}
-	all := []ranked{{&r.self, rendezvous.Weight("sums", r.self.ID)}}
+// ranked is an instance in a ranking: those with faster links come first, and among equal links the
+// order is by a hash.
+type ranked struct {
+	id, dataCentre string
+	link           int
+	weight         uint64
+}
+
+func (a *ranked) before(b *ranked) bool {
+	return a.link > b.link || a.link == b.link && a.weight > b.weight
+}
+
+// rank selects the aggregators and the spreaders of each data centre: the first ones that are
+// alive. Where too few spreaders are alive, those that were only listed take their places: while a
+// fleet starts, none is known to be alive.
+func (r *roster) rank(unheard []membership.Member) {
+	aggregators, spreaders := topRanked{}, topRanked{}
+	self := ranked{r.self.ID, r.self.DataCentre, r.self.Link, rendezvous.Weight("sums", r.self.ID)}
+	aggregators.add(self)
+	spreaders.add(self)
 	for i := range r.alive {
-		all = append(all, ranked{&r.alive[i], rendezvous.Weight("sums", r.alive[i].ID)})
+		p := &r.alive[i]
+		one := ranked{p.ID, p.DataCentre, p.Link, r.located[p.ID].weight}
+		aggregators.add(one)
+		if p.Spreads {
+			spreaders.add(one)
+		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(b.weight, a.weight)) })
-	for i := range all {
-		if dc := all[i].DataCentre; len(r.aggregators[dc]) < aggregatorsPerDataCentre {
-			r.aggregators[dc] = append(r.aggregators[dc], all[i].ID)
+	listed := topRanked{}
+	for i := range unheard {
+		m := &unheard[i]
+		listed.add(ranked{m.ID, m.DataCentre, m.LinkMbps, r.located[m.ID].weight})
+	}
+	r.aggregators, r.spreaders = aggregators.ids(), spreaders.ids()
+	for dc, ids := range listed.ids() {
+		r.spreaders[dc] = append(r.spreaders[dc], ids[:min(len(ids), max(aggregatorsPerDataCentre-len(r.spreaders[dc]), 0))]...)
+	}
+}
+
+// topRanked holds the first aggregatorsPerDataCentre instances of each data centre.
+type topRanked map[string][]ranked
+
+func (t topRanked) add(one ranked) {
+	top := t[one.dataCentre]
+	at := len(top)
+	for at > 0 && one.before(&top[at-1]) {
+		at--
+	}
+	if at < aggregatorsPerDataCentre {
+		top = slices.Insert(top, at, one)
+		t[one.dataCentre] = top[:min(len(top), aggregatorsPerDataCentre)]
+	}
+}
+
+func (t topRanked) ids() map[string][]string {
+	out := make(map[string][]string, len(t))
+	for dc, top := range t {
+		for i := range top {
+			out[dc] = append(out[dc], top[i].id)
 		}
 	}
+	return out
+}
+
+// large reports whether the fleet is so large that entries of members are spread by a few instances
+// instead of being sent to all directly.
+func (r *roster) large() bool { return r.knownCount > maxFullMeshPeers }
+
+// firstSpreader returns the first instance that spreads entries in this data centre. While this
+// instance knows no other one there, that is this one.
+func (r *roster) firstSpreader() string { return r.spreaders[r.self.DataCentre][0] }
+
+// otherSpreaders returns the instances that spread entries in a data centre, without this one.
+func (r *roster) otherSpreaders(dataCentre string) []string {
+	return slices.DeleteFunc(slices.Clone(r.spreaders[dataCentre]), func(id string) bool { return id == r.self.ID })
 }
 
 // fullMesh reports whether the fleet is so small that every instance announces to every other.
@@ -152,7 +254,7 @@
 func (r *roster) addressesOf(ids ...string) []net.Addr {
 	out := make([]net.Addr, 0, len(ids))
 	for _, id := range ids {
-		if a := r.addresses[id]; a != nil {
+		if a := r.located[id].address; a != nil {
 			out = append(out, a)
 		}
 	}
@@ -162,15 +264,31 @@
 // allAddresses returns the addresses of the other instances that are alive. With includeNotAlive it
 // returns those of all that are known.
 func (r *roster) allAddresses(includeNotAlive bool) []net.Addr {
-	out := make([]net.Addr, 0, len(r.addresses))
+	out := make([]net.Addr, 0, len(r.located))
 	if !includeNotAlive {
 		for i := range r.alive {
-			out = append(out, r.addresses[r.alive[i].ID])
+			out = append(out, r.located[r.alive[i].ID].address)
 		}
 		return out
 	}
-	for _, a := range r.addresses {
-		out = append(out, a)
+	for _, l := range r.located {
+		out = append(out, l.address)
+	}
+	return out
+}
+
+// unheard returns the addresses of the known instances that are not alive as far as this instance
+// has heard.
+func (r *roster) unheard() []net.Addr {
+	heard := make(map[string]bool, len(r.alive))
+	for i := range r.alive {
+		heard[r.alive[i].ID] = true
+	}
+	var out []net.Addr
+	for id, l := range r.located {
+		if !heard[id] {
+			out = append(out, l.address)
+		}
 	}
 	return out
 }
@@ -180,12 +298,25 @@
 	var out []net.Addr
 	for i := range r.alive {
 		if r.alive[i].DataCentre == name {
-			out = append(out, r.addresses[r.alive[i].ID])
+			out = append(out, r.located[r.alive[i].ID].address)
 		}
 	}
 	return out
 }
 
+// dataCentres returns the names of all data centres with instances that are alive or spread
+// entries, sorted.
+func (r *roster) dataCentres() []string {
+	names := map[string]bool{}
+	for dc := range r.aggregators {
+		names[dc] = true
+	}
+	for dc := range r.spreaders {
+		names[dc] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // sortByDistance orders instances for a caller: those of its data centre first, then those of its
 // region. Equally near ones keep their order.
 func sortByDistance(peers []Peer, dataCentre, region string) {
