--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -37,6 +37,8 @@
 	fleetStarting bool
 	// failedPeers and stalePeers map excluded instances to the end of their exclusion.
 	failedPeers, stalePeers map[string]time.Duration
+	// members is the memory that treeOf reuses.
+	members []Peer
 }
 
 // New returns a chooser that assumes the store to be reachable.
@@ -189,18 +191,24 @@
 }
 
 // treeOf returns the tree of the peers for which include is true. Peers that failed are left out;
-// this instance is added if includeSelf is set.
+// this instance is added if includeSelf is set. The tree is valid until the next call.
 func (c *Chooser) treeOf(peers []Peer, include func(*Peer) bool, includeSelf bool) tree {
-	members := make([]Peer, 0, len(peers)+1)
+	members := c.members[:0]
 	for i := range peers {
 		if c.failedPeers[peers[i].ID] == 0 && include(&peers[i]) {
-			members = append(members, peers[i])
+			members = append(members, withWeight(peers[i]))
 		}
 	}
+	if !slices.IsSortedFunc(members, compareRank) {
+		slices.SortFunc(members, compareRank)
+	}
 	if includeSelf {
-		members = append(members, Peer{ID: c.settings.Self, DataCentre: c.settings.DataCentre, LinkMbps: c.settings.LinkMbps})
+		self := withWeight(Peer{ID: c.settings.Self, DataCentre: c.settings.DataCentre, LinkMbps: c.settings.LinkMbps})
+		at, _ := slices.BinarySearchFunc(members, self, compareRank)
+		members = slices.Insert(members, at, self)
 	}
-	return rank(members)
+	c.members = members
+	return members
 }
 
 // isRoot reports whether this instance is among the first of a tree, which ask the store.
--- a/core/source/settings.go
+++ b/core/source/settings.go
@@ -12,6 +12,8 @@
 	StoreAccess Access
 	// LinkMbps is the bandwidth of its network link in Mbit/s; 0 if unknown.
 	LinkMbps int
+	// weight orders instances with equal links; 0 if it is not computed yet.
+	weight uint64
 }
 
 // Access says whether the store answers an instance.
--- a/core/source/tree.go
+++ b/core/source/tree.go
@@ -11,24 +11,30 @@
 // other one follows an instance that ranks before it.
 type tree []Peer
 
-// rank sorts instances by the bandwidth of their links, highest first, since those serve the most
-// followers. Equal links are ordered by a hash, so that all instances agree without coordination.
-func rank(peers []Peer) tree {
-	type weighted struct {
-		Peer
-		weight uint64
+// compareRank orders instances by the bandwidth of their links, highest first, since those serve the
+// most followers. Equal links are ordered by a hash, so that all instances agree without
+// coordination.
+func compareRank(a, b Peer) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(b.weight, a.weight))
+}
+
+// withWeight returns the peer with its weight set.
+func withWeight(p Peer) Peer {
+	if p.weight == 0 {
+		p.weight = rendezvous.Weight("source", p.ID)
 	}
-	all := make([]weighted, len(peers))
+	return p
+}
+
+// Ranked returns the peers in the order of their rank. [Chooser.Choose] takes peers in any order,
+// but has less work with ranked ones.
+func Ranked(peers []Peer) []Peer {
+	out := make([]Peer, len(peers))
 	for i := range peers {
-		all[i] = weighted{peers[i], rendezvous.Weight("source", peers[i].ID)}
-	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(b.weight, a.weight))
-	})
-	for i := range all {
-		peers[i] = all[i].Peer
+		out[i] = withWeight(peers[i])
 	}
-	return peers
+	slices.SortFunc(out, compareRank)
+	return out
 }
 
 // indexOf returns the position of an instance in the tree; -1 if it is not in it.
@@ -51,13 +57,21 @@
 // split returns the first instance of each data centre, and all instances of one data centre.
 func (t tree) split(dataCentre string) (heads, own tree) {
 	seen := map[string]bool{}
-	for _, p := range t {
+	count := 0
+	for i := range t {
+		if t[i].DataCentre == dataCentre {
+			count++
+		}
+	}
+	own = make(tree, 0, count)
+	for i := range t {
+		p := &t[i]
 		if !seen[p.DataCentre] {
 			seen[p.DataCentre] = true
-			heads = append(heads, p)
+			heads = append(heads, *p)
 		}
 		if p.DataCentre == dataCentre {
-			own = append(own, p)
+			own = append(own, *p)
 		}
 	}
 	return heads, own
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -50,6 +50,10 @@
 	// storeLatency is how long the store's last answer took, to this instance or to the one at the
 	// root of the chain that it follows.
 	storeLatency time.Duration
+	// ranked are the other instances in the order of their rank, and rankedFrom is the first element
+	// of the slice that they come from.
+	ranked     []source.Peer
+	rankedFrom *exchange.Peer
 }
 
 // New returns a relay that has not chosen a source yet.
@@ -73,15 +77,10 @@
 }
 
 func (r *Relay) choose(others []exchange.Peer) source.Choice {
-	known := make([]source.Peer, len(others))
-	for i := range others {
-		p := &others[i]
-		known[i] = source.Peer{ID: p.ID, DataCentre: p.DataCentre, Region: p.Region, Ready: p.Ready, StoreAccess: p.Store, LinkMbps: p.Link}
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock()
-	choice := r.chooser.Choose(now, known, rand.Float64())
+	choice := r.chooser.Choose(now, r.rankedPeers(others), rand.Float64())
 	if !choice.Probe && choice.Peer != r.follows {
 		r.Log.WithFields(logrus.Fields{"follows": choice.Peer, "before": r.follows, "cut_off": r.chooser.Access(now) == source.StoreUnreachable}).Info("source changed")
 		r.follows = choice.Peer
@@ -89,6 +88,24 @@
 	return choice
 }
 
+// rankedPeers returns the other instances in the order of their rank. It keeps the result while the
+// caller passes the same slice, which never changes. The caller holds mu.
+func (r *Relay) rankedPeers(others []exchange.Peer) []source.Peer {
+	if len(others) == 0 {
+		return nil
+	}
+	if len(others) == len(r.ranked) && &others[0] == r.rankedFrom {
+		return r.ranked
+	}
+	known := make([]source.Peer, len(others))
+	for i := range others {
+		p := &others[i]
+		known[i] = source.Peer{ID: p.ID, DataCentre: p.DataCentre, Region: p.Region, Ready: p.Ready, StoreAccess: p.Store, LinkMbps: p.Link}
+	}
+	r.ranked, r.rankedFrom = source.Ranked(known), &others[0]
+	return r.ranked
+}
+
 // Follows returns the ID of the instance that is followed. It is empty for the store itself, and
 // "nobody yet" before the first choice.
 func (r *Relay) Follows() string {
