--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -26,7 +26,8 @@
 	expiry *time.Timer // calls publish when missing entries expire; nil if not set
 	// decoded holds the revisions of the listed objects, by name. Most objects of a list that is
 	// read again are known.
-	decoded map[string]uint64
+	decoded  map[string]uint64
+	interner *interner
 }
 
 // Update tells how the endpoints in use have changed.
@@ -51,7 +52,7 @@
 func NewEndpoints(o Options, knownService func(service string) bool, inUse func(id string) bool, onChange func(Update)) *Endpoints {
 	return &Endpoints{
 		loop:         loop{Options: o, kind: platform.KindEndpoint, pauseAfterChange: endpointsPauseAfterChange},
-		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()), decoded: map[string]uint64{},
+		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()), decoded: map[string]uint64{}, interner: newInterner(),
 	}
 }
 
@@ -119,6 +120,7 @@
 		e.loop.Log.WithError(err).WithField("endpoint", o.Name).Warn("ignoring an unusable entry of the endpoint list")
 		return d, false
 	}
+	e.interner.intern(&d)
 	return d, true
 }
 
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -72,6 +72,10 @@
 	// outage.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// fullPage is the number of changes from which on an answer of the store is not followed by a
+	// pause. There are more to come, and a pause would only delay them: 9,999 endpoints that start
+	// come in twenty answers.
+	fullPage = 100
 	// waitWhileFailing is how long a watch waits after a failed call.
 	waitWhileFailing = 10 * time.Millisecond
 	// waitAfterChange bounds the wait of a watch that comes after one of the store that returned a
@@ -107,7 +111,7 @@
 		storeChanged := source.Direct && len(page.Objects) > 0
 		l.changedLast = listed && storeChanged
 		since, listed = page.Revision, true
-		if storeChanged {
+		if storeChanged && len(page.Objects) < fullPage {
 			pause.For(ctx, l.pauseAfterChange)
 		}
 	}
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -82,16 +82,39 @@
 
 // replace sets all objects of a kind to those of a list. The list may hold removed objects; removals
 // up to forgottenUpTo are not among them.
+//
+// A mirror that was filled before knows what the list lacks, so it keeps its history. Otherwise,
+// when the instance that asks the store has to list again, so would all others.
 func (m *Mirror) replace(kind string, currentAt time.Duration, page *platform.Page, forgottenUpTo uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(kind)
-	k.objects, k.log, k.removed, k.removedNow, k.forgottenUpTo = make(map[string]platform.Object, len(page.Objects)), nil, nil, 0, forgottenUpTo
+	if k.revision > 0 && k.revision <= page.Revision {
+		k.removeMissing(page)
+	} else {
+		k.objects, k.log, k.removed, k.removedNow, k.revision = make(map[string]platform.Object, len(page.Objects)), nil, nil, 0, 0
+		k.forgottenUpTo = forgottenUpTo
+	}
 	k.put(page, false)
 	k.freshness.Confirm(currentAt)
 	k.wake()
 }
 
+// removeMissing records the removal of the objects that a list does not hold.
+func (k *mirroredKind) removeMissing(page *platform.Page) {
+	listed := make(map[string]bool, len(page.Objects))
+	for i := range page.Objects {
+		listed[page.Objects[i].Name] = true
+	}
+	gone := platform.Page{Revision: page.Revision}
+	for name, o := range k.objects {
+		if !listed[name] && !o.Deleted {
+			gone.Objects = append(gone.Objects, platform.Object{Name: name, Deleted: true})
+		}
+	}
+	k.put(&gone, true)
+}
+
 // update changes the objects of a kind that a watch returned.
 func (m *Mirror) update(kind string, currentAt time.Duration, page *platform.Page) {
 	m.mu.Lock()
@@ -142,9 +165,12 @@
 	k.compactLog()
 }
 
-// set stores an object and appends its change to the log.
+// set stores an object and appends its change to the log, unless it is known.
 func (k *mirroredKind) set(o platform.Object) {
 	old, known := k.objects[o.Name]
+	if known && old.Revision == o.Revision && old.Deleted == o.Deleted {
+		return
+	}
 	if known && old.Deleted {
 		k.removedNow--
 	}
--- a/gateway/follow/mirror_scale_test.go
+++ b/gateway/follow/mirror_scale_test.go
@@ -205,3 +205,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(live.Objects), 150-15)
 }
+
+// TestListOfTheStoreKeepsHistory: the instance that asks the store finds its history gone and lists
+// again. Those that follow it get what has changed. Before, each of them had to list too.
+func TestListOfTheStoreKeepsHistory(t *testing.T) {
+	m := largeMirror(100)
+	gone := object("e3", 0)
+	gone.Deleted = true
+	m.update("k", 0, &platform.Page{Objects: []platform.Object{gone}, Revision: 110})
+	list := &platform.Page{Objects: []platform.Object{object("new", 150)}, Revision: 160}
+	for i := range 100 {
+		if i != 3 && i != 5 {
+			list.Objects = append(list.Objects, object(fmt.Sprint("e", i), uint64(i+1)))
+		}
+	}
+	m.replace("k", 0, list, list.Revision)
+	for since, want := range map[uint64][]string{100: {"-e3", "new", "-e5"}, 110: {"new", "-e5"}, 160: {}} {
+		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: since})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names(page), want)
+	}
+	part, err := m.List(context.Background(), ListRequest{Kind: "k"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(part.Objects), 99)
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -110,7 +110,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.decisions.Run, f.sweepConnections}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.decisions.Run, f.sweepConnections, f.tuneMemory}
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
