--- a/gateway/exchange/doc.go
+++ b/gateway/exchange/doc.go
@@ -3,10 +3,13 @@
 //
 // Members (members.go): which instances are alive, whether callers may be sent to them, and whether
 // the platform's store answers them. Package core/membership decides that. Each instance pings
-// another one four times a second. An instance that starts, leaves or changes tells all others
-// directly; an instance that finds another one lost does so too. This costs an instance 1.2 kB a
-// second each way, whatever the size of the fleet, and for each change a datagram to every other
-// instance.
+// another one four times a second. An instance that starts, leaves or changes tells all others; an
+// instance that finds another one lost does so too. This costs an instance 1.2 kB a second each
+// way, whatever the size of the fleet.
+//
+// Spreading (spread.go): in a fleet of up to maxFullMeshPeers others, all are told directly. In a
+// larger one, the first instances of each data centre, the spreaders, receive the entries and send
+// them on, fifteen to a datagram. An instance that starts asks two others for the entries of all.
 //
 // Announcements (announce.go): what an instance has placed at endpoints, and what it has found out
 // about them. In a fleet of up to maxFullMeshPeers others, a full mesh, every instance announces to
