--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -81,6 +81,9 @@
 // back.
 func (n *Node) SetIncarnation(i uint64) { n.self.Incarnation = i }
 
+// Renew raises the node's own incarnation, so that its entry is news to all others.
+func (n *Node) Renew() { n.self.Incarnation++ }
+
 // SetSpreads sets whether the node passes on updates to many others. It raises the incarnation.
 func (n *Node) SetSpreads(spreads bool) {
 	n.self.Spreads = spreads
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -53,10 +53,12 @@
 		x.retry(ctx, x.rediscover)
 		x.finishDiscovery()
 	}
-	for _, after := range helloRetryDelays {
+	for i, after := range helloRetryDelays {
 		pause.For(ctx, after)
 		x.hello()
-		x.broadcastSelf()
+		if i == renewAtRetry {
+			x.renewSelf()
+		}
 		x.askAnyForCrashes()
 	}
 	for ctx.Err() == nil {
@@ -69,7 +71,23 @@
 
 // helloRetryDelays are the delays before hello is sent again to the instances that were not heard.
 // Their replies may be among those that are lost when hundreds start at once.
-var helloRetryDelays = []time.Duration{300 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond}
+var helloRetryDelays = []time.Duration{300 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
+
+// renewAtRetry is the retry of hello at which this instance makes its entry known to all anew. When
+// many instances start at once, those that spread its entry before may not have known all others.
+const renewAtRetry = 1
+
+// renewSelf spreads this instance's own entry under a new incarnation. Those that have spread the one
+// before would not do so again.
+func (x *Exchange) renewSelf() {
+	if !x.currentRoster.Load().large() {
+		return
+	}
+	x.mu.Lock()
+	x.members.node.Renew()
+	x.mu.Unlock()
+	x.broadcastSelf()
+}
 
 // finishDiscovery closes the channel of DiscoveryDone, after the roster has taken in the instances
 // that were heard. It may be called more than once.
--- a/gateway/exchange/spread_test.go
+++ b/gateway/exchange/spread_test.go
@@ -68,6 +68,8 @@
 			w.nodes[i].ready.Store(false)
 			w.nodes[i].PublishStatus()
 			took := w.timeUntil(2*time.Second, func(n *node) bool {
+				n.Exchange.mu.Lock()
+				defer n.Exchange.mu.Unlock()
 				m, _ := n.members.node.Get(w.peer(i).ID)
 				return !m.Ready
 			})
