--- a/core/rollout/deadline_test.go
+++ b/core/rollout/deadline_test.go
@@ -22,8 +22,12 @@
 // moment when requests were to move. Requests moved to a target that had failed 8 of 11 requests,
 // and it was completed.
 func TestFailingTargetDoesNotReplaceAbsentBaseline(t *testing.T) {
-	for _, base := range []Counts{{Answered: 52, Failed: 10}, {}} {
-		r, now := rolloutAtMove(base, Counts{Answered: 3, Failed: 8}, 4, Endpoints{Target: 4})
+	for _, c := range []struct{ base, target Counts }{
+		{Counts{Answered: 52, Failed: 10}, Counts{Answered: 3, Failed: 8}}, {Counts{}, Counts{Answered: 3, Failed: 8}},
+		{Counts{Answered: 6, Failed: 3}, Counts{Answered: 5, Failed: 7}}, // most counts were lost with their instances
+	} {
+		base := c.base
+		r, now := rolloutAtMove(base, c.target, 4, Endpoints{Target: 4})
 		for ; r.Age(now) < r.order.Duration; now = now.Add(100 * time.Millisecond) {
 			r.Tick(now, true)
 			assert.Assert(t, !r.Moving(), "after %v, baseline %+v", r.Age(now), base)
@@ -60,15 +64,17 @@
 func TestFewAnswersAtTheMove(t *testing.T) {
 	for all := uint64(4); all <= 20; all++ {
 		for endpoints := 1; endpoints <= 4; endpoints++ {
-			for baseFailed := range uint64(16) {
-				for failed := uint64(0); failed <= all; failed++ {
-					r, now := rolloutAtMove(Counts{Answered: 62 - baseFailed, Failed: baseFailed}, Counts{Answered: all - failed, Failed: failed}, endpoints, Endpoints{Baseline: 4, Target: 4})
-					r.Tick(now, true)
-					switch {
-					case 2*failed >= all:
-						assert.Check(t, !r.Moving(), "%d of %d at %d endpoints, baseline %d of 62", failed, all, endpoints, baseFailed)
-					case failed == 0 && all >= r.settings.MinAnswers:
-						assert.Check(t, r.Moving(), "%d at %d endpoints, baseline %d of 62", all, endpoints, baseFailed)
+			for _, baseline := range []uint64{9, 62} {
+				for baseFailed := range min(baseline, 16) {
+					for failed := uint64(0); failed <= all; failed++ {
+						r, now := rolloutAtMove(Counts{Answered: baseline - baseFailed, Failed: baseFailed}, Counts{Answered: all - failed, Failed: failed}, endpoints, Endpoints{Baseline: 4, Target: 4})
+						r.Tick(now, true)
+						switch {
+						case 2*failed >= all:
+							assert.Check(t, !r.Moving(), "%d of %d at %d endpoints, baseline %d of %d", failed, all, endpoints, baseFailed, baseline)
+						case failed == 0 && all >= r.settings.MinAnswers && baseline > 9:
+							assert.Check(t, r.Moving(), "%d at %d endpoints, baseline %d of %d", all, endpoints, baseFailed, baseline)
+						}
 					}
 				}
 			}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -234,13 +234,12 @@
 }
 
 // counterEvidence reports whether there is too much evidence against the target to move to it. That
-// holds too while the baseline has no endpoints: they may have crashed only a moment ago. Without a
-// baseline to compare with, a target that fails more requests than it answers is taken for bad.
+// holds too while the baseline has no endpoints: they may have crashed only a moment ago. A target
+// that fails half of its requests is not moved to whatever the comparison says: with few answers of
+// the baseline, its rate of failures may be nearly anything.
 func (r *Rollout) counterEvidence(j *Judgement) bool {
-	if !j.Compared {
-		return r.paused || j.Failed > j.Answered
-	}
-	return r.paused || j.Evidence >= r.settings.MaxMoveEvidence
+	failsHalf := j.Failed > 0 && j.Failed >= j.Answered
+	return r.paused || failsHalf || j.Compared && j.Evidence >= r.settings.MaxMoveEvidence
 }
 
 // goodEnough reports whether the target may get all requests.
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -64,6 +64,10 @@
 	lastReceivedAt time.Duration // when the last gossip was received from any instance
 	rosterBuiltAt  time.Duration // when the roster was built
 	lastLossAt     time.Duration // when a member was last found lost
+	// joinedSinceTable is how many members became alive since this instance last asked for the
+	// entries of all, and lastJoinAt is when the last one did.
+	joinedSinceTable int
+	lastJoinAt       time.Duration
 	// unloggedJoined and unloggedLost are the members that became alive or were lost since the last
 	// log lines about that.
 	unloggedJoined, unloggedLost []string
@@ -131,6 +135,7 @@
 	pause.Every(ctx, pingInterval, func() {
 		x.pingMembers()
 		x.broadcastIfChanged()
+		x.reconcile()
 		x.roster()
 		x.askWaitingForCrashes()
 		x.logMemberChanges()
@@ -370,6 +375,10 @@
 	if len(lost) > 0 {
 		x.members.lastLossAt = x.Clock()
 	}
+	if len(joined) > 0 {
+		x.members.joinedSinceTable += len(joined)
+		x.members.lastJoinAt = x.Clock()
+	}
 	x.mu.Unlock()
 	for _, id := range lost {
 		x.dropAnnouncement(id)
--- a/gateway/exchange/spread.go
+++ b/gateway/exchange/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -254,6 +255,35 @@
 	}
 }
 
+const (
+	// reconcileShare is the share of the known instances that have to become alive before this
+	// instance compares what it knows with another one, and reconcileQuiet is how long none must
+	// have done so since.
+	reconcileShare = 0.1
+	reconcileQuiet = 150 * time.Millisecond
+)
+
+// reconcile asks a random instance of this data centre for the entries of all, after many instances
+// have started. While they do, those that spread entries may not know all others yet, so that some
+// entries don't reach all.
+func (x *Exchange) reconcile() {
+	r := x.currentRoster.Load()
+	if !r.large() || len(r.listedSpreadersNear) == 0 {
+		return
+	}
+	x.mu.Lock()
+	m := &x.members
+	due := float64(m.joinedSinceTable) >= reconcileShare*float64(r.knownCount) && x.Clock()-m.lastJoinAt >= reconcileQuiet
+	if due {
+		m.joinedSinceTable = 0
+	}
+	x.mu.Unlock()
+	if due {
+		to := r.listedSpreadersNear[rand.IntN(len(r.listedSpreadersNear))]
+		x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_JOIN, []membership.Member{x.ownMember()}, r.addressesOf(to)...)
+	}
+}
+
 // answerJoins sends the entries of all members to the instances that wait for them, until ctx ends.
 // Those that wait at the same time are sent the same datagrams.
 func (x *Exchange) answerJoins(ctx context.Context) {
