--- a/core/rollout/deadline_test.go
+++ b/core/rollout/deadline_test.go
@@ -49,13 +49,20 @@
 	}
 }
 
-// TestTargetReplacesAbsentBaseline: if the baseline has no endpoints, a target without evidence
-// against it gets the requests, even if few answers are known.
+// TestTargetReplacesAbsentBaseline: if the baseline has no endpoints, a target gets the requests
+// once as many good answers of it are known as otherwise. In the soak, instances that had lost their
+// counts moved to a bad target of which they knew nothing.
 func TestTargetReplacesAbsentBaseline(t *testing.T) {
-	for _, target := range []Counts{{}, {Answered: 2}, {Answered: 40}} {
-		r, now := rolloutAtMove(Counts{Answered: 52, Failed: 10}, target, 4, Endpoints{Target: 4})
+	for _, c := range []struct {
+		base, target Counts
+		moves        bool
+	}{
+		{Counts{Answered: 52, Failed: 10}, Counts{Answered: 40}, true}, {Counts{}, Counts{Answered: 9}, true},
+		{Counts{Answered: 52, Failed: 10}, Counts{}, false}, {Counts{Answered: 9}, Counts{Answered: 2}, false}, {Counts{}, Counts{Failed: 7}, false},
+	} {
+		r, now := rolloutAtMove(c.base, c.target, 4, Endpoints{Target: 4})
 		r.Tick(now, true)
-		assert.Assert(t, r.Moving(), "%+v", target)
+		assert.Equal(t, r.Moving(), c.moves, "%+v", c)
 	}
 }
 
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -222,10 +222,11 @@
 	case j.Bad:
 		r.rollBack(j.Reason)
 	case r.decision == Move || age < r.schedule.earliestMove || !informed:
-	case r.endpoints.Target > 0 && r.endpoints.Baseline == 0 && !r.counterEvidence(&j):
-		r.move(now, 0, "no endpoint of the baseline; "+j.summary())
 	case age < r.schedule.latestMove && r.goodEnough(now, &j):
-		if r.moveWithinBound(now) {
+		// Without endpoints of the baseline, to wait would only cost more requests.
+		if r.endpoints.Baseline == 0 {
+			r.move(now, 0, "no endpoint of the baseline; "+j.summary())
+		} else if r.moveWithinBound(now) {
 			r.move(now, 0, "good enough; "+j.summary())
 		}
 	case age >= r.order.Duration:
