--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -156,12 +156,7 @@
 	x.signalChange()
 }
 
-func (x *Exchange) signalChange() {
-	select {
-	case x.changeSignal <- struct{}{}:
-	default:
-	}
-}
+func (x *Exchange) signalChange() { signal(x.changeSignal) }
 
 // Freed makes the owners of some endpoints learn soon that the endpoints hold less than before. In
 // a full mesh that waits for the next announcement.
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -130,10 +130,10 @@
 // the entries of all in as many datagrams as a tenth of them has instances.
 const maxDirectShare = 0.1
 
-// join asks a random instance of a large fleet, of this data centre at first, for the entries of all, and makes it spread the one
-// of this instance. At the start the first spreader of the data centre is asked too. When many
-// instances return, that one may know as little as this one. join returns false if no listed
-// instance spreads entries, as in a fleet that runs an earlier build.
+// join asks a random instance of a large fleet, of this data centre at first, for the entries of
+// all, and makes it spread the one of this instance. At the start the first spreader of the data
+// centre is asked too. When many instances return, that one may know as little as this one. join
+// returns false if no listed instance spreads entries, as in a fleet that runs an earlier build.
 func (x *Exchange) join(r *roster) bool {
 	if len(r.listedSpreaders) == 0 {
 		return false
@@ -147,7 +147,7 @@
 		to = []string{to[0], first[0]}
 	}
 	x.joins++
-	x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_JOIN, []membership.Member{x.ownMember()}, r.addressesOf(to...)...)
+	x.askForAll(r, to...)
 	return true
 }
 
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -300,18 +300,19 @@
 		x.metrics.malformed.Inc(1)
 		return
 	}
+	members := peers.DecodeMembers(g.Members)
 	x.mu.Lock()
 	node := x.members.node
 	before := node.Self().Incarnation
 	x.members.lastReceivedAt = x.Clock()
-	node.Receive(x.membershipTime(), peers.DecodeMembers(g.Members))
+	node.Receive(x.membershipTime(), members)
 	out := x.reply(g, from)
 	refuted := node.Self().Incarnation != before
 	changes := node.Changes()
 	x.mu.Unlock()
 	x.sendGossip(out)
 	x.applyChanges(changes)
-	x.receiveSpread(g, from)
+	x.receiveSpread(g.Kind, members, from)
 	if refuted {
 		x.broadcastSelf()
 	}
--- a/gateway/exchange/spread.go
+++ b/gateway/exchange/spread.go
@@ -11,7 +11,6 @@
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/gateway/pause"
-	"github.com/agateway/agateway/gateway/peers"
 )
 
 const (
@@ -110,6 +109,8 @@
 	signal(s.join)
 }
 
+// signal wakes the receiver of a channel with room for one signal. Signals that it has not taken
+// yet count as one.
 func signal(wake chan<- struct{}) {
 	select {
 	case wake <- struct{}{}:
@@ -202,18 +203,19 @@
 }
 
 // receiveSpread takes the part of a gossip message that concerns the spreading of entries.
-func (x *Exchange) receiveSpread(g *peerv1.Gossip, from net.Addr) {
+// The first of the members is the sender.
+func (x *Exchange) receiveSpread(kind peerv1.GossipKind, members []membership.Member, from net.Addr) {
 	r := x.currentRoster.Load()
-	sameDataCentre := g.Members[0].DataCentre == r.self.DataCentre
-	switch g.Kind {
+	sameDataCentre := members[0].DataCentre == r.self.DataCentre
+	switch kind {
 	case peerv1.GossipKind_GOSSIP_KIND_JOIN:
 		x.spreader.addJoining(from)
-		x.spreader.add(peers.DecodeMembers(g.Members[:1]), true, x.spreadDue(r))
+		x.spreader.add(members[:1], true, x.spreadDue(r))
 	case peerv1.GossipKind_GOSSIP_KIND_SPREAD:
-		x.spreader.add(peers.DecodeMembers(g.Members), sameDataCentre, x.spreadDue(r))
+		x.spreader.add(members, sameDataCentre, x.spreadDue(r))
 	case peerv1.GossipKind_GOSSIP_KIND_BROADCAST:
-		if r.firstSpreader() == g.Members[0].Id {
-			x.spreader.markSpread(peers.DecodeMembers(g.Members))
+		if r.firstSpreader() == members[0].ID {
+			x.spreader.markSpread(members)
 		}
 	}
 }
@@ -280,10 +282,15 @@
 	x.mu.Unlock()
 	if due {
 		to := r.listedSpreadersNear[rand.IntN(len(r.listedSpreadersNear))]
-		x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_JOIN, []membership.Member{x.ownMember()}, r.addressesOf(to)...)
+		x.askForAll(r, to)
 	}
 }
 
+// askForAll asks instances for the entries of all, and to spread the one of this instance.
+func (x *Exchange) askForAll(r *roster, ids ...string) {
+	x.sendMembers(peerv1.GossipKind_GOSSIP_KIND_JOIN, []membership.Member{x.ownMember()}, r.addressesOf(ids...)...)
+}
+
 // answerJoins sends the entries of all members to the instances that wait for them, until ctx ends.
 // Those that wait at the same time are sent the same datagrams.
 func (x *Exchange) answerJoins(ctx context.Context) {
--- a/gateway/relay/pack_test.go
+++ b/gateway/relay/pack_test.go
@@ -77,7 +77,7 @@
 // TestPartsAreJoined: later parts change and remove objects of earlier ones, and the list is as
 // fresh as its oldest part.
 func TestPartsAreJoined(t *testing.T) {
-	parts := newPartList()
+	parts := &partList{}
 	first := platform.Page{Objects: someObjects(0, 3), Revision: 3, Age: 30}
 	parts.add(&first)
 	changed, gone := someObjects(1, 1)[0], someObjects(2, 1)[0]
--- a/gateway/relay/peer_store.go
+++ b/gateway/relay/peer_store.go
@@ -39,7 +39,7 @@
 // List implements [follow.Store]. It reads the list part by part.
 func (r *peerStore) List(ctx context.Context, kind string) (platform.Page, error) {
 	req := &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true}
-	parts := newPartList()
+	parts := &partList{}
 	for {
 		resp, page, err := r.call(ctx, req, peerListTimeout)
 		if err != nil {
@@ -108,8 +108,6 @@
 	maxAge  time.Duration
 }
 
-func newPartList() *partList { return &partList{} }
-
 func (l *partList) add(page *platform.Page) {
 	l.parts++
 	l.maxAge = max(l.maxAge, page.Age)
