platform, core/admission, gateway/forward: the limits that endpoints state are read, logged and counted

Each change is one line now (endpoint limits changed: rate, rate_before, max_refusals), and endpoints_limited counts the endpoints that state one.

--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/health"
 )
 
@@ -87,6 +88,7 @@
 	totals           map[string]serviceOutcomes  // by service
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
+	statements       admission.Statements // limits that endpoints state
 	// owned tells for which endpoints this instance receives all reports of other instances; nil
 	// for all. ownedVersion is raised each time that it is replaced.
 	owned        func(id string) bool
@@ -167,6 +169,7 @@
 		n.outcomes, n.pace = health.Outcomes{}, health.Pace{}
 		v.CacheCleared(id)
 	}
+	v.statements.Remove(id)
 }
 
 func (n *node) takesWork(now time.Time) bool { return n.inService() && !n.trust.Suspected(now) }
@@ -231,6 +234,7 @@
 		return
 	}
 	v.removeFromGroups(n)
+	v.statements.Remove(id)
 	delete(v.nodes, id)
 	delete(v.observed, id)
 }
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -195,7 +195,7 @@
 	}
 	defer x.Abort() // no effect after Finish
 	signals := platform.ReadAnswer(x.Status(), x.Header())
-	s.f.recordLoad(a.endpoint.ID, &signals)
+	s.f.recordStatus(a.endpoint.ID, x.Status(), &signals)
 	switch {
 	case signals.NotRun:
 		return message{kind: attemptFailed, failure: generation.Refused, err: s.f.recordRefusal(&a.endpoint, x.Status())}
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -16,6 +16,7 @@
 	recovered, brokenOff, callersLeft   tally.Counter
 	stoppedRefused                      tally.Counter
 	claimsRefused                       tally.Counter
+	limitedEndpoints                    tally.Gauge // endpoints that state limits
 	firstEvent, plainAnswer, streamMove tally.Histogram
 	// Parts of the recovery after a restart: from the start of the process to the first read of the
 	// store and to the first placed stream, the search for a prompt, and from the arrival of a
@@ -35,8 +36,8 @@
 		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
-		claimsRefused: s.Counter("claims_refused_total"),
-		firstEvent:    s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
+		claimsRefused: s.Counter("claims_refused_total"), limitedEndpoints: s.Gauge("endpoints_limited"),
+		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
 		startToSync: s.Histogram("start_to_known_seconds", latency), startToFirstStream: s.Histogram("start_to_first_stream_seconds", latency),
 		promptSearch: s.Histogram("prompt_search_seconds", latency), callerResumed: s.Histogram("caller_went_on_seconds", latency),
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
@@ -38,11 +40,42 @@
 	return conn, err
 }
 
-// recordLoad records the load that an answer reports for its endpoint.
-func (f *Forwarder) recordLoad(id string, a *platform.Answer) {
+// recordStatus records what an answer says about its endpoint: its load, and the limits that it
+// states. An answer with status 421 comes from another endpoint.
+func (f *Forwarder) recordStatus(id string, status int, a *platform.Answer) {
 	if a.HasLoad {
 		f.Placement.RecordLoad(id, a.Load.Running, a.Load.Queued)
 	}
+	if status != http.StatusMisdirectedRequest {
+		f.recordLimits(id, a.Limits)
+	}
+}
+
+// recordLimits records the limits that an endpoint states, and logs a change.
+func (f *Forwarder) recordLimits(id string, l admission.Limits) {
+	before, changed, limited := f.Placement.RecordLimits(id, l)
+	if !changed {
+		return
+	}
+	f.metrics.limitedEndpoints.Update(float64(limited))
+	f.Log.Decision("", "endpoint limits changed", logrus.Fields{
+		"endpoint": id, "rate": rateText(l), "rate_before": rateText(before), "max_refusals": refusalsText(l), "max_refusals_before": refusalsText(before),
+	})
+}
+
+// rateText and refusalsText return limits for the log; empty for those that are not stated.
+func rateText(l admission.Limits) string {
+	if !l.HasRate {
+		return ""
+	}
+	return strconv.FormatFloat(l.Rate, 'g', -1, 64)
+}
+
+func refusalsText(l admission.Limits) string {
+	if !l.Fragile {
+		return ""
+	}
+	return strconv.Itoa(l.MaxRefusals)
 }
 
 // recordRefusal records that an endpoint refused a request, and returns the error to log. With
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -230,7 +230,7 @@
 	}
 	loss.HeadAt = time.Now()
 	signals := platform.ReadAnswer(x.Status(), x.Header())
-	f.recordLoad(e.ID, &signals)
+	f.recordStatus(e.ID, x.Status(), &signals)
 	if signals.NotRun {
 		p.possibleRuns--
 		x.Abort()
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/routing"
 )
 
@@ -140,6 +141,18 @@
 	p.view.Report(time.Now(), id, routing.Load{Running: running, Queued: waiting})
 }
 
+// RecordLimits records the limits that an answer of an endpoint states, or that it states none. It
+// returns the limits known before, whether they have changed, and how many endpoints state limits.
+func (p *Placement) RecordLimits(id string, l admission.Limits) (before admission.Limits, changed bool, limited int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, changed = p.view.RecordLimits(time.Now(), id, l)
+	if changed {
+		limited = p.view.LimitedEndpoints()
+	}
+	return before, changed, limited
+}
+
 // Failed records that an endpoint failed a request. The endpoint is avoided for a while.
 func (p *Placement) Failed(id string) {
 	p.mu.Lock()
