core/admission, core/routing, gateway/exchange, gateway/forward: the rate that an endpoint states holds for the sum of all instances

Cause: no instance read the limit, and nothing in the design could have kept it: the bounds that an instance keeps (connections, slots, retries of its own) say nothing of the sum over instances for one endpoint.

Now room at an endpoint that states a rate is claimed at its owner before anything is sent there, as it was for engines: requests, retries, streams that resume from a copy, probes, orders to engines. The owner admits them with one gate (generic cell rate algorithm, half a second of burst) and tells refused instances when to ask again, spread by the rate. Limits are announced with the statements' age, the newest wins, and a withdrawal is remembered for 10 s. What exceeds the rate goes to another endpoint, waits within half of the target latency, or is refused at once with a Retry-After that this instance's part of the rates can meet. Claims cost a round trip, only at endpoints that state a rate.

An equal share per instance was ruled out: at 985 instances and 8.3 a second each might send once in two minutes, and callers at few instances would leave most of the rate unused.

Before: 81 to 130 requests in 4 s where 44 to 66 are allowed (TestLimitsHoldForAllInstances). After: within the bound at 6 and 9 instances with even and uneven callers and rates of 0 to 10.3; in fleets of 6, 30 and 300 with the owner and half of the fleet killed (TestFleetKeepsStatedRate), gates at 985 (TestFleetsShareOneRate). News reach 6 and 30 instances within 0.1 s, 100 within 2 s (TestLimitsSpread). TestLimitedEngines: 30 arrivals with copies and probes unclaimed where 17 are allowed. The test counts from half a second after the first statement, as nobody knows before; the former count took arrivals of the second before it.

--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -22,6 +22,9 @@
 	Limits
 	// At is when the answer with the statement arrived.
 	At time.Time
+	// ChangedAt is when an instance first learned of these limits. It is set by
+	// [Statements.Record].
+	ChangedAt time.Time
 }
 
 // withdrawnTTL is how long it is remembered that an endpoint no longer states limits. Until then, an
@@ -31,37 +34,82 @@
 // Statements holds the newest statement of each endpoint that states limits, and of those that did
 // so a short time ago. The zero value is empty.
 type Statements struct {
-	byEndpoint map[string]Statement
+	byEndpoint map[string]*statement
 }
 
-// Record takes a statement of an endpoint. It returns the one before, and whether the limits have
-// changed. A statement that is older than the known one is ignored.
-func (s *Statements) Record(endpoint string, st Statement) (before Statement, changed bool) {
-	before, known := s.byEndpoint[endpoint]
-	if !known && !st.Stated() || known && st.At.Before(before.At) {
-		return before, false
+// statement is a statement with its origin.
+type statement struct {
+	Statement
+	observed bool // in an answer to this instance
+}
+
+// Record takes a statement of an endpoint. observed says that it was in an answer to this instance,
+// and not reported by a peer. It returns the statement before, and whether the limits have changed.
+// A statement that is not newer than the known one is ignored.
+func (s *Statements) Record(endpoint string, st Statement, observed bool) (before Statement, changed bool) {
+	known := s.byEndpoint[endpoint]
+	if known == nil {
+		if !st.Stated() {
+			return Statement{}, false
+		}
+		known = &statement{}
+		if s.byEndpoint == nil {
+			s.byEndpoint = map[string]*statement{}
+		}
+		s.byEndpoint[endpoint] = known
+	} else if !st.At.After(known.At) {
+		return known.Statement, false
 	}
-	if s.byEndpoint == nil {
-		s.byEndpoint = map[string]Statement{}
+	before = known.Statement
+	changed = st.Limits != before.Limits
+	st.ChangedAt = before.ChangedAt
+	if changed {
+		st.ChangedAt = st.At
 	}
-	s.byEndpoint[endpoint] = st
-	return before, st.Limits != before.Limits
+	*known = statement{st, observed}
+	return before, changed
 }
 
-// Of returns the newest statement of an endpoint; zero if it states nothing.
-func (s *Statements) Of(endpoint string) Statement { return s.byEndpoint[endpoint] }
+// Of returns the newest statement of an endpoint; zero if none is known.
+func (s *Statements) Of(endpoint string) Statement {
+	if known := s.byEndpoint[endpoint]; known != nil {
+		return known.Statement
+	}
+	return Statement{}
+}
 
 // Remove forgets an endpoint.
 func (s *Statements) Remove(endpoint string) { delete(s.byEndpoint, endpoint) }
 
-// Expire forgets the endpoints that stated no limits for withdrawnTTL.
+// Expire forgets the endpoints that have stated no limits for withdrawnTTL.
 func (s *Statements) Expire(now time.Time) {
-	for id, st := range s.byEndpoint {
-		if !st.Stated() && now.Sub(st.At) >= withdrawnTTL {
+	for id, known := range s.byEndpoint {
+		if !known.Stated() && now.Sub(known.At) >= withdrawnTTL {
 			delete(s.byEndpoint, id)
 		}
 	}
 }
 
-// All returns the known statements by endpoint. The caller must not change the result.
-func (s *Statements) All() map[string]Statement { return s.byEndpoint }
+// Observed returns the statements that were in answers to this instance, by endpoint. Other
+// statements are left to the instances that observed them: passed on again, they would seem newer
+// each time.
+func (s *Statements) Observed() map[string]Statement {
+	out := map[string]Statement{}
+	for id, known := range s.byEndpoint {
+		if known.observed {
+			out[id] = known.Statement
+		}
+	}
+	return out
+}
+
+// Stating returns how many endpoints state limits.
+func (s *Statements) Stating() int {
+	count := 0
+	for _, known := range s.byEndpoint {
+		if known.Stated() {
+			count++
+		}
+	}
+	return count
+}
--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -3,10 +3,12 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/agateway/agateway/core/admission"
 )
 
-// Claim asks the owner of an engine for room, right before a request is sent there. What instances
-// report to each other of their placements is some tens of milliseconds old. When engines return or
+// Claim asks the owner of an endpoint for room, right before a request is sent there. It is made for
+// engines, and for endpoints that state limits. What instances report to each other of their placements is some tens of milliseconds old. When engines return or
 // a data centre is lost, many requests are placed within that time, and without claims they end up
 // at the same engines.
 type Claim struct {
@@ -17,8 +19,27 @@
 	PrefillWithin time.Duration
 	// Recovery marks work that was lost once.
 	Recovery bool
+	// Limits is what the endpoint stated last, as far as the claiming instance knows.
+	Limits admission.Statement
+	// OwnerRank is the rank of this instance among the owners of the endpoint, 0 for the first.
+	OwnerRank int
+}
+
+// Grant is the answer to a claim.
+type Grant struct {
+	Granted bool
+	// Unknown says that the endpoint is not listed, so that nothing is known of its room.
+	Unknown bool
+	// RetryIn is when the instance may claim again after a refusal; 0 where that is not known.
+	RetryIn time.Duration
+	// Limits is what the endpoint stated last, as far as this instance knows.
+	Limits admission.Statement
 }
 
+// MayPlace reports whether the request may go to the endpoint. It may if the endpoint is not listed
+// at its owner and has room at its stated rate.
+func (g *Grant) MayPlace() bool { return g.Granted || g.Unknown && g.RetryIn == 0 }
+
 // grantedClaim is a claim of another instance that was granted.
 type grantedClaim struct {
 	peer   string
@@ -33,24 +54,28 @@
 	claimReportedAfter = 20 * time.Millisecond
 )
 
-// Claim grants or refuses a claim at an engine, by another instance or, where peer is empty, by
-// this one. known is false for an engine that is not listed.
-func (v *View) Claim(now time.Time, id, peer string, c Claim) (granted, known bool) {
+// Claim grants or refuses a claim at an endpoint, by another instance or, where peer is empty, by
+// this one.
+func (v *View) Claim(now time.Time, id, peer string, c Claim) Grant {
 	n := v.nodes[id]
 	if n == nil {
-		return false, false
+		admitted, retryIn := v.admitAtRate(now, id, &c.Limits.Limits, &c)
+		return Grant{Unknown: true, RetryIn: retryIn, Granted: admitted && c.Limits.HasRate}
 	}
+	v.statements.Record(id, c.Limits, false)
+	g := Grant{Limits: v.statements.Of(id)}
 	r := &Request{Tokens: c.Tokens, PromptTokens: c.PendingPrefill, PrefillWithin: c.PrefillWithin, Recovery: c.Recovery}
 	p := picker{v: v, now: now, r: r}
 	if !n.inService() || p.isFull(n) {
-		return false, true
+		return g
 	}
-	if peer != "" { // this instance places its own claims at once
+	g.Granted, g.RetryIn = v.admitAtRate(now, id, &g.Limits.Limits, &c)
+	if g.Granted && peer != "" && n.Memory > 0 { // this instance places its own claims at once
 		n = v.observe(id)
 		n.claims = append(n.claims, grantedClaim{peer, now, Placed{Open: 1, Tokens: c.Tokens, PendingPrefill: c.PendingPrefill}})
 		v.claimedEndpoints[id] = true
 	}
-	return true, true
+	return g
 }
 
 // pruneClaims drops the claims that a new report of an instance includes, and expired claims of any
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -120,6 +120,7 @@
 	lastAnswerLost bool            // the last answer did not arrive
 	failedAt       time.Time       // when it last failed this instance, or a peer first reported a failure
 	fullUntil      time.Time       // end of the backoff after a refusal
+	claimableAt    time.Time       // when room may be claimed there again; recoveries may claim it at any time
 	reportsLeaving bool            // the endpoint itself reports that it is leaving
 	ended          bool            // its address answers for another incarnation, or a peer reported so
 	own            Placed          // placed by this instance, except for the number of requests (open)
@@ -164,6 +165,7 @@
 	}
 	v.sweptAt = now
 	v.sweeps++
+	v.sweepGates(now)
 	for id, n := range v.observed {
 		if n.touched+1 < v.sweeps && n.idle(now) {
 			n.observations = noObservations
--- a/core/routing/overload_test.go
+++ b/core/routing/overload_test.go
@@ -91,7 +91,7 @@
 		}
 		engine := d.Endpoint.ID
 		if claims {
-			granted, _ := f.views[f.owner(engine)].Claim(f.now, engine, fmt.Sprint(i), Claim{Tokens: r.Tokens, PendingPrefill: r.PromptTokens})
+			granted := f.views[f.owner(engine)].Claim(f.now, engine, fmt.Sprint(i), Claim{Tokens: r.Tokens, PendingPrefill: r.PromptTokens}).Granted
 			if !granted {
 				f.applySummary(i, engine, r.Prefixes[0])
 				r.Avoid = append(r.Avoid, engine)
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/agateway/agateway/core/admission"
 )
 
 // Errors of [View.Pick].
@@ -105,6 +107,8 @@
 	Cached float64
 	// Candidates is how many eligible endpoints were compared.
 	Candidates int
+	// Limits is what the endpoint stated last.
+	Limits admission.Statement
 }
 
 // minPromptTokens is the least number of tokens that counts as one prompt in a score. Otherwise one
@@ -149,7 +153,7 @@
 		}
 		return Decision{}, ErrNoEndpoint
 	}
-	return Decision{p.best.Endpoint, p.bestScore, p.bestCached, p.compared}, nil
+	return Decision{p.best.Endpoint, p.bestScore, p.bestCached, p.compared, v.statements.Of(p.best.ID)}, nil
 }
 
 // considerAll compares all members of a group, from a random start.
@@ -308,7 +312,7 @@
 		}
 		p.sawKnown = true
 	}
-	if p.isFull(n) {
+	if p.isFull(n) || p.now.Before(n.claimableAt) && !p.r.Recovery {
 		p.sawFull = true
 		p.sawFullEngine = p.sawFullEngine || n.Memory > 0 && !n.trialInProgress()
 		return false
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/health"
 )
 
@@ -108,20 +109,22 @@
 	Paces map[string]float64
 	// Prefilled are the prompts of its requests in progress that endpoints have prefilled.
 	Prefilled []PrefilledPrompt
+	// Limits are the statements of limits that it received.
+	Limits map[string]admission.Statement
 }
 
-// empty reports whether nothing of the report has to be kept. Ended and Prefilled are applied when
-// the report arrives.
+// empty reports whether nothing of the report has to be kept. Ended, Prefilled and Limits are
+// applied when the report arrives.
 func (t *PeerReport) empty() bool {
 	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces) == 0
 }
 
-// Filter returns the part of the report that is about some endpoints.
+// Filter returns the part of the report that is about some endpoints. It keeps all limits.
 func (t *PeerReport) Filter(keep func(id string) bool) PeerReport {
 	dropped := func(id string) bool { return !keep(id) }
 	out := PeerReport{
 		Suspects: slices.DeleteFunc(slices.Clone(t.Suspects), dropped), Ended: slices.DeleteFunc(slices.Clone(t.Ended), dropped),
-		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces),
+		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Limits: t.Limits,
 	}
 	maps.DeleteFunc(out.Placed, func(id string, _ Placed) bool { return dropped(id) })
 	maps.DeleteFunc(out.Outcomes, func(id string, _ health.Counts) bool { return dropped(id) })
@@ -154,7 +157,7 @@
 // there. An endpoint that failed several of them is listed among the suspects twice, since more
 // reports make no difference.
 func Combine(all []PeerReport) PeerReport {
-	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}}
+	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}}
 	suspectedBy, ended := map[string]int{}, map[string]bool{}
 	for i := range all {
 		for _, id := range all[i].Suspects {
@@ -169,6 +172,11 @@
 		for id, f := range all[i].Paces {
 			out.Paces[id] = max(out.Paces[id], f)
 		}
+		for id, st := range all[i].Limits {
+			if st.At.After(out.Limits[id].At) {
+				out.Limits[id] = st
+			}
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(suspectedBy)) {
 		for range min(suspectedBy[id], maxSuspectingPeers+1) {
@@ -198,6 +206,7 @@
 			n.ended = true
 		}
 	}
+	v.ReportLimits(t.Limits)
 	v.pruneClaims(now, peer)
 	old := v.peerReports[peer]
 	delete(v.peerReports, peer)
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -89,6 +89,9 @@
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
 	statements       admission.Statements // limits that endpoints state
+	// rateGates admit what all instances send to endpoints that state a rate and that this instance
+	// owns.
+	rateGates map[string]*admission.RateGate
 	// owned tells for which endpoints this instance receives all reports of other instances; nil
 	// for all. ownedVersion is raised each time that it is replaced.
 	owned        func(id string) bool
@@ -101,7 +104,7 @@
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{},
+		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{}, rateGates: map[string]*admission.RateGate{},
 		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
--- a/gateway/exchange/announce.go
+++ b/gateway/exchange/announce.go
@@ -173,7 +173,7 @@
 }
 
 func (x *Exchange) sendAnnouncement(report routing.PeerReport, counts map[string]limits.RetryCounts, to []net.Addr) {
-	a := encodeAnnouncement(report, counts)
+	a := encodeAnnouncement(report, counts, time.Now())
 	a.Instance, a.Process = x.Self.ID, x.process
 	x.sendMu.Lock()
 	x.sequence++
@@ -188,7 +188,7 @@
 		x.metrics.malformed.Inc(1)
 		return
 	}
-	report, counts := decodeAnnouncement(a)
+	report, counts := decodeAnnouncement(a, time.Now())
 	h := &receivedAnnouncement{process: a.Process, sequence: a.Sequence, receivedAt: x.Clock(), report: report, counts: counts}
 	if a.Instance == x.Self.ID || !x.recordAnnouncement(a.Instance, h) {
 		return
--- a/gateway/exchange/digest.go
+++ b/gateway/exchange/digest.go
@@ -121,7 +121,7 @@
 	}
 	d := x.nextDigest(counts)
 	d.Instances = uint32(len(reports))
-	return encodeDigest(d, routing.Combine(reports), x.aggregate.totals)
+	return encodeDigest(d, routing.Combine(reports), x.aggregate.totals, time.Now())
 }
 
 // nextDigest adds this instance's own counts to the totals, and returns the next digest without a
@@ -171,7 +171,7 @@
 		x.Endpoints.SetPeerReport(name, routing.PeerReport{}, nil) // the new sender counts from zero
 	}
 	r := x.roster()
-	report, counts := decodeDigest(d)
+	report, counts := decodeDigest(d, time.Now())
 	if d.Instances == 0 { // a digest of counts only
 		x.Endpoints.SetPeerCounts(name, counts)
 		return true
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -5,8 +5,12 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/health"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
@@ -21,15 +25,18 @@
 	maxPrefilled = 24
 	maxOutcomes  = 16
 	maxPaces     = 16
+	maxLimits    = 6
 )
 
-// encodeAnnouncement returns an announcement of a report and of the counts by service. Of too many
-// placements, outcomes and paces it keeps the largest, of other lists the first entries.
-func encodeAnnouncement(own routing.PeerReport, counts map[string]limits.RetryCounts) *peerv1.Announcement {
+// encodeAnnouncement returns an announcement of a report and of the counts by service, as of now. Of
+// too many placements, outcomes and paces it keeps the largest, of limits those that changed last,
+// of other lists the first entries.
+func encodeAnnouncement(own routing.PeerReport, counts map[string]limits.RetryCounts, now time.Time) *peerv1.Announcement {
 	a := &peerv1.Announcement{
 		Suspects: own.Suspects[:min(len(own.Suspects), maxSuspects)],
 		Ended:    own.Ended[:min(len(own.Ended), maxEnded)],
 		Uses:     encodeCounts(counts),
+		Limits:   encodeLimits(own.Limits, maxLimits, now),
 	}
 	for _, r := range own.Prefilled[:min(len(own.Prefilled), maxPrefilled)] {
 		a.Read = append(a.Read, &peerv1.ReadAt{Endpoint: r.Endpoint, Prompt: r.Prompt})
@@ -98,6 +105,61 @@
 	return out
 }
 
+// encodeLimits returns the n statements whose limits changed last.
+func encodeLimits(all map[string]admission.Statement, n int, now time.Time) []*peerv1.StatedLimits {
+	var out []*peerv1.StatedLimits
+	for _, id := range largestKeys(all, n, func(st admission.Statement) float64 { return -now.Sub(st.ChangedAt).Seconds() }) {
+		out = append(out, encodeStatement(id, all[id], now))
+	}
+	return out
+}
+
+func decodeLimits(all []*peerv1.StatedLimits, now time.Time) map[string]admission.Statement {
+	out := make(map[string]admission.Statement, len(all))
+	for _, l := range all {
+		if id, st := decodeStatement(l, now); id != "" {
+			out[id] = st
+		}
+	}
+	return out
+}
+
+// milliPerUnit: rates are sent as whole thousandths.
+const milliPerUnit = 1000
+
+// encodeStatement returns what an endpoint stated, with its age; nil if nothing is known.
+func encodeStatement(endpoint string, st admission.Statement, now time.Time) *peerv1.StatedLimits {
+	if st.At.IsZero() {
+		return nil
+	}
+	out := &peerv1.StatedLimits{Endpoint: endpoint, Age: uint64(max(now.Sub(st.At), 0).Milliseconds())}
+	if st.HasRate {
+		out.Rate = proto.Uint64(uint64(math.Round(st.Rate * milliPerUnit)))
+	}
+	if st.Fragile {
+		out.Refusals = proto.Uint32(uint32(st.MaxRefusals))
+	}
+	return out
+}
+
+// decodeStatement returns an endpoint and what it stated; an empty id for nil.
+func decodeStatement(l *peerv1.StatedLimits, now time.Time) (endpoint string, st admission.Statement) {
+	if l == nil {
+		return "", admission.Statement{}
+	}
+	st.At = now.Add(-time.Duration(min(l.Age, maxStatementAge)) * time.Millisecond)
+	if l.Rate != nil {
+		st.Rate, st.HasRate = float64(*l.Rate)/milliPerUnit, true
+	}
+	if l.Refusals != nil {
+		st.MaxRefusals, st.Fragile = int(*l.Refusals), true
+	}
+	return l.Endpoint, st
+}
+
+// maxStatementAge is the largest age of a statement that is told apart, in milliseconds.
+const maxStatementAge = 1 << 32
+
 // tenthsPerUnit: outcomes and paces are sent as whole tenths.
 const tenthsPerUnit = 10
 
@@ -113,11 +175,11 @@
 	return ids[:min(len(ids), n)]
 }
 
-// decodeAnnouncement returns the report and the counts of an announcement.
-func decodeAnnouncement(a *peerv1.Announcement) (routing.PeerReport, map[string]limits.RetryCounts) {
+// decodeAnnouncement returns the report and the counts of an announcement that arrived now.
+func decodeAnnouncement(a *peerv1.Announcement, now time.Time) (routing.PeerReport, map[string]limits.RetryCounts) {
 	report := routing.PeerReport{
 		Suspects: a.Suspects, Ended: a.Ended, Placed: make(map[string]routing.Placed, len(a.Placed)),
-		Outcomes: decodeOutcomes(a.Outcomes), Paces: decodePaces(a.Paces),
+		Outcomes: decodeOutcomes(a.Outcomes), Paces: decodePaces(a.Paces), Limits: decodeLimits(a.Limits, now),
 	}
 	for _, p := range a.Placed {
 		report.Placed[p.Endpoint] = decodePlaced(p)
@@ -130,13 +192,14 @@
 
 // encodeDigest adds an aggregated report and the counts to a digest. A data centre that has lost
 // all its engines has more suspects than an instance, so a digest holds twice as many.
-func encodeDigest(d *peerv1.Digest, report routing.PeerReport, counts map[string]limits.RetryCounts) *peerv1.Digest {
+func encodeDigest(d *peerv1.Digest, report routing.PeerReport, counts map[string]limits.RetryCounts, now time.Time) *peerv1.Digest {
 	d.Suspects = report.Suspects[:min(len(report.Suspects), 2*maxSuspects)]
 	d.Ended = report.Ended[:min(len(report.Ended), maxEnded)]
 	d.Outcomes, d.Paces, d.Uses = encodeOutcomes(report.Outcomes), encodePaces(report.Paces), encodeCounts(counts)
+	d.Limits = encodeLimits(report.Limits, 2*maxLimits, now)
 	return d
 }
 
-func decodeDigest(d *peerv1.Digest) (routing.PeerReport, map[string]limits.RetryCounts) {
-	return routing.PeerReport{Suspects: d.Suspects, Ended: d.Ended, Outcomes: decodeOutcomes(d.Outcomes), Paces: decodePaces(d.Paces)}, decodeCounts(d.Uses)
+func decodeDigest(d *peerv1.Digest, now time.Time) (routing.PeerReport, map[string]limits.RetryCounts) {
+	return routing.PeerReport{Suspects: d.Suspects, Ended: d.Ended, Outcomes: decodeOutcomes(d.Outcomes), Paces: decodePaces(d.Paces), Limits: decodeLimits(d.Limits, now)}, decodeCounts(d.Uses)
 }
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/routing"
@@ -50,8 +51,10 @@
 	// 0 for none.
 	Summary(endpoint, asking string, prompt uint64) (routing.Summary, bool)
 	// Claim grants or refuses room at an endpoint that this instance owns. peer is the instance
-	// that claims it; empty for this one. known is false for an endpoint that is not listed here.
-	Claim(endpoint, peer string, c routing.Claim) (granted, known bool)
+	// that claims it; empty for this one.
+	Claim(endpoint, peer string, c routing.Claim) routing.Grant
+	// ReportLimits takes the limits of endpoints that another instance reported.
+	ReportLimits(limits map[string]admission.Statement)
 	// ApplySummary takes an owner's summary of an endpoint. prompt is the hash of the prompt that
 	// was asked about; 0 for none.
 	ApplySummary(s *routing.Summary, prompt uint64)
@@ -109,7 +112,7 @@
 
 	requestMu      sync.Mutex
 	pendingQueries map[uint64]*ownerQuery
-	pendingClaims  map[uint64]chan bool
+	pendingClaims  map[uint64]chan routing.Grant
 	lastRequest    uint64
 
 	metrics metrics
@@ -119,7 +122,7 @@
 func New(o Options) *Exchange {
 	x := &Exchange{
 		Options: o, process: rand.Uint64(), changeSignal: make(chan struct{}, 1), discoveryDone: make(chan struct{}),
-		changedEndpoints: map[string]bool{}, announcements: map[string]*receivedAnnouncement{}, aggregate: newAggregate(), pendingQueries: map[uint64]*ownerQuery{}, pendingClaims: map[uint64]chan bool{}, metrics: newMetrics(o.Scope),
+		changedEndpoints: map[string]bool{}, announcements: map[string]*receivedAnnouncement{}, aggregate: newAggregate(), pendingQueries: map[uint64]*ownerQuery{}, pendingClaims: map[uint64]chan routing.Grant{}, metrics: newMetrics(o.Scope),
 	}
 	rnd := rand.New(rand.NewPCG(x.process, x.process))
 	x.members = members{node: membership.New(memberSettings(), x.initialMember(), rnd), probes: map[uint64]probe{}}
--- a/gateway/exchange/exchange_bench_test.go
+++ b/gateway/exchange/exchange_bench_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 )
@@ -65,9 +66,14 @@
 
 func (v *viewEndpoints) SetOwned(owned func(string) bool) { v.view.SetOwned(owned) }
 
-func (v *viewEndpoints) Claim(endpoint, peer string, c routing.Claim) (granted, known bool) {
+func (v *viewEndpoints) Claim(endpoint, peer string, c routing.Claim) routing.Grant {
 	return v.view.Claim(time.Now(), endpoint, peer, c)
 }
+
+func (v *viewEndpoints) ReportLimits(limits map[string]admission.Statement) {
+	v.view.ReportLimits(limits)
+}
+
 func (v *viewEndpoints) Summary(endpoint, asking string, prompt uint64) (routing.Summary, bool) {
 	return v.view.Summary(time.Time{}, endpoint, asking, prompt)
 }
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
@@ -144,12 +145,18 @@
 	n.view.SetOwned(owned)
 }
 
-func (n *node) Claim(endpoint, peer string, c routing.Claim) (granted, known bool) {
+func (n *node) Claim(endpoint, peer string, c routing.Claim) routing.Grant {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.view.Claim(time.Now(), endpoint, peer, c)
 }
 
+func (n *node) ReportLimits(limits map[string]admission.Statement) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.ReportLimits(limits)
+}
+
 func (n *node) Summary(endpoint, asking string, prompt uint64) (routing.Summary, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/exchange/roster.go
+++ b/gateway/exchange/roster.go
@@ -238,6 +238,15 @@
 	return ids
 }
 
+// rankOfSelf returns the rank of this instance among the owners of an endpoint, 0 for the first. An
+// instance that is no owner comes after them.
+func (r *roster) rankOfSelf(endpoint string) int {
+	if rank := slices.Index(r.ownerIDs(endpoint), r.self.ID); rank >= 0 {
+		return rank
+	}
+	return ownersPerEndpoint
+}
+
 // owns reports whether this instance receives all placements at an endpoint. In a full mesh it does
 // for every endpoint.
 func (r *roster) owns(endpoint string) bool {
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -120,6 +120,10 @@
 	if !ok || e.State != routing.Live || s.f.Rollouts.RolledBack(&e) {
 		return nil, copies.Holder{}
 	}
+	if err := s.f.claimCall(s.ctx, e.ID, true); err != nil {
+		s.f.Log.Decision(s.req.ID, "copy not used", logrus.Fields{"endpoint": e.ID, "error": err.Error()})
+		return nil, copies.Holder{}
+	}
 	return &e, holder
 }
 
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -65,7 +65,7 @@
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
-	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits bool
 }
 
 // Peers is the set of other instances, which share the endpoints with this one.
@@ -83,20 +83,21 @@
 	Repeated()
 	// Ask refreshes what is known about some engines before a prompt is placed at one of them.
 	Ask(ctx context.Context, prompt uint64, endpoints []string)
-	// Claim asks for room at an engine right before a request is sent there, and returns whether it
-	// was granted.
-	Claim(ctx context.Context, endpoint string, c routing.Claim) bool
+	// Claim asks for room at an endpoint right before a request is sent there.
+	Claim(ctx context.Context, endpoint string, c routing.Claim) routing.Grant
 }
 
 // noPeers is the [Peers] of an instance that runs alone.
 type noPeers struct{}
 
-func (noPeers) Instances() (alive, known int)                     { return 1, 1 }
-func (noPeers) Changed(...string)                                 {}
-func (noPeers) Freed(...string)                                   {}
-func (noPeers) Repeated()                                         {}
-func (noPeers) Ask(context.Context, uint64, []string)             {}
-func (noPeers) Claim(context.Context, string, routing.Claim) bool { return true }
+func (noPeers) Instances() (alive, known int)         { return 1, 1 }
+func (noPeers) Changed(...string)                     {}
+func (noPeers) Freed(...string)                       {}
+func (noPeers) Repeated()                             {}
+func (noPeers) Ask(context.Context, uint64, []string) {}
+func (noPeers) Claim(context.Context, string, routing.Claim) routing.Grant {
+	return routing.Grant{Unknown: true}
+}
 
 // Options holds the settings and dependencies of a Forwarder.
 type Options struct {
@@ -131,6 +132,7 @@
 	promptLocations promptLocations
 	locator         promptLocator
 	waitQueues      waitQueues
+	returns         returnSchedules
 	// streamTimes holds how long recent streams took.
 	streamTimes  streamTimes
 	openRequests atomic.Int64
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// countRateClaim counts a claim at an endpoint that states a rate.
+func (m *metrics) countRateClaim(granted bool) {
+	m.scope.Tagged(map[string]string{"granted": strconv.FormatBool(granted)}).Counter("rate_claims_total").Inc(1)
+}
+
 func (m *metrics) countRefusal(status int) {
 	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_refused_total").Inc(1)
 }
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -24,6 +24,9 @@
 	ErrEngine = namespace.NewType("engine_failed")
 	// ErrBudget means that the instances together have used up the retry budget.
 	ErrBudget = namespace.NewType("retry_budget", errorx.Temporary())
+	// ErrLimited means that a request was not sent, as the endpoint would get more than it states
+	// that it takes.
+	ErrLimited = namespace.NewType("limited", errorx.Temporary())
 	// ErrEvents means that an answer is not a valid stream of events.
 	ErrEvents = namespace.NewType("malformed_events")
 )
@@ -57,6 +60,7 @@
 	if !changed {
 		return
 	}
+	f.Peers.Changed(id)
 	f.metrics.limitedEndpoints.Update(float64(limited))
 	f.Log.Decision("", "endpoint limits changed", logrus.Fields{
 		"endpoint": id, "rate": rateText(l), "rate_before": rateText(before), "max_refusals": refusalsText(l), "max_refusals_before": refusalsText(before),
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -180,22 +180,31 @@
 	return p.req.arrivedAt.Add(maxWait)
 }
 
-// pick chooses an endpoint, and waits briefly when all are full.
+// pick chooses an endpoint, and waits briefly when all are full. A request is refused at once if no
+// endpoint takes it in time at the rates that all of them state.
 func (p *plain) pick(ctx context.Context) (*routing.Endpoint, *refusal) {
 	for until := p.waitUntil(); ; {
-		d, err := p.f.Placement.Pick(&routing.Request{
-			Service: p.req.service, DataCentre: p.f.Settings.DataCentre, Avoid: p.avoid, Key: p.req.ID, Weights: p.f.Settings.plainWeights(),
-			Builds: p.f.builds(p.req),
-		})
+		d, err := p.f.claimEndpoint(ctx, p.routingRequest())
 		if err == nil {
 			return &d.Endpoint, nil
 		}
-		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNoEndpoint) || !time.Now().Add(roomWaitInterval).Before(until) {
-			return nil, refuse(http.StatusServiceUnavailable, err.Error(), retryWhenRoom(0))
+		next := time.Now().Add(roomWaitInterval)
+		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNoEndpoint) || !next.Before(until) {
+			return nil, p.f.refuseFull(p.req, err.Error())
 		}
-		if !pause.For(ctx, roomWaitInterval) {
-			return nil, refuse(http.StatusServiceUnavailable, "no room in time", retryWhenRoom(0))
+		if at, limited := p.f.nextAtLimit(p.req.service); limited && !at.Before(until) {
+			return nil, p.f.refuseFull(p.req, "all endpoints are at their limits")
 		}
+		if !pause.For(ctx, time.Until(next)) {
+			return nil, p.f.refuseFull(p.req, "no room in time")
+		}
+	}
+}
+
+// routingRequest describes the request for the choice of an endpoint.
+func (p *plain) routingRequest() *routing.Request {
+	return &routing.Request{
+		Service: p.req.service, DataCentre: p.f.Settings.DataCentre, Avoid: p.avoid, Key: p.req.ID, Weights: p.f.Settings.plainWeights(), Builds: p.f.builds(p.req),
 	}
 }
 
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/generation"
@@ -29,8 +30,11 @@
 		defer cancel()
 		report, err := s.f.fetchReport(ctx, a)
 		m := message{kind: attemptProbed}
-		if err == nil {
+		switch {
+		case err == nil:
 			m.alive, m.events = s.f.mayStillHave(&a.endpoint, &report, s.req.ID, countEvents)
+		case errorx.IsOfType(err, ErrLimited):
+			m.alive = true // it was not asked
 		}
 		placed := s.f.Placement.PlacedAt(a.endpoint.ID)
 		s.f.Log.Decision(s.req.ID, "engine probed", logrus.Fields{
@@ -79,8 +83,12 @@
 }
 
 // callEngine sends a management call to an engine on a new connection, and returns the body of the
-// answer. It returns [ErrRefused] for a status of 300 or above.
+// answer. It returns [ErrRefused] for a status of 300 or above, and [ErrLimited] if nothing was sent
+// since the engine is at the rate that it states.
 func (f *Forwarder) callEngine(ctx context.Context, e *routing.Endpoint, method, path string, body []byte) ([]byte, error) {
+	if err := f.claimCall(ctx, e.ID, path == platform.EngineReportPath); err != nil {
+		return nil, err
+	}
 	conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
 	if err != nil {
 		return nil, err
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -227,7 +227,7 @@
 		return &d.Endpoint, copies.Holder{}, d.Cached > 0, nil
 	}
 	s.f.queryOwners(s.ctx, s.req)
-	d, err := s.f.claimEngine(s.ctx, r)
+	d, err := s.f.claimEndpoint(s.ctx, r)
 	if err != nil {
 		return nil, copies.Holder{}, false, err
 	}
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -151,7 +151,7 @@
 // engines are full, and true when an engine was claimed or when the choice failed for another
 // reason.
 func (f *Forwarder) claimForFirst(ctx context.Context, req *request) bool {
-	d, err := f.claimEngine(ctx, f.engineRequest(req))
+	d, err := f.claimEndpoint(ctx, f.engineRequest(req))
 	f.waitQueues.mu.Lock()
 	defer f.waitQueues.mu.Unlock()
 	queue := f.waitQueues.get(req.service)
--- a/gateway/front/limits_test.go
+++ b/gateway/front/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,27 +17,26 @@
 
 func rateLimit(r float64) admission.Limits { return admission.Limits{Rate: r, HasRate: true} }
 
-// Bounds of what an endpoint that states a rate may get within limitWindow, from limitSettling after
-// it first stated the rate.
+// Bounds of what an endpoint that states a rate may get within limitWindow. What arrives within
+// limitNotice after it first stated the rate does not count: an instance that had no answer since
+// does not know of it.
 const (
-	limitWindow   = 4 * time.Second
-	limitFactor   = 1.5
-	limitSlack    = 5
-	limitSettling = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitNotice = 500 * time.Millisecond
 )
 
-// mostArrivals returns the largest number of requests that a worker got within limitWindow, among
-// the windows that end after from.
-func mostArrivals(e *standin.Worker, from time.Time) int {
-	all := e.Arrivals()
+// mostArrivals returns the largest number of requests that a worker got within limitWindow, after it
+// first stated its limits.
+func mostArrivals(e *standin.Worker, stated time.Time) int {
+	all := slices.DeleteFunc(e.Arrivals(), func(a standin.Arrival) bool { return a.At.Before(stated.Add(limitNotice)) })
 	most, first := 0, 0
 	for i := range all {
 		for all[i].At.Sub(all[first].At) >= limitWindow {
 			first++
 		}
-		if all[i].At.After(from) {
-			most = max(most, i-first+1)
-		}
+		most = max(most, i-first+1)
 	}
 	return most
 }
@@ -114,7 +114,7 @@
 				o := w.load(60, 15*time.Second, pingRequest, pick)
 				for i, r := range c.rates {
 					allowed := int(limitFactor*limitWindow.Seconds()*r) + limitSlack
-					got := mostArrivals(w.plains[i], began.Add(limitSettling))
+					got := mostArrivals(w.plains[i], began)
 					assert.Check(t, got <= allowed, "%d requests in %v at a rate of %v, %d allowed", got, limitWindow, r, allowed)
 				}
 				assert.Equal(t, o.served.Load(), o.sent.Load())
@@ -137,7 +137,7 @@
 		o := w.load(perSecond, seconds*time.Second, pingRequest, func(i int) int { return i % 6 })
 		arrivals := 0
 		for _, p := range w.plains {
-			got := mostArrivals(p, began.Add(limitSettling))
+			got := mostArrivals(p, began)
 			assert.Check(t, got <= int(limitFactor*limitWindow.Seconds()*ratePerEndpoint)+limitSlack, "%d requests in %v", got, limitWindow)
 			arrivals += len(p.Arrivals())
 		}
@@ -149,3 +149,27 @@
 		assert.Check(t, o.latest-o.soonest > 0.5, "callers come back between %v and %v s", o.soonest, o.latest)
 	})
 }
+
+// TestLimitedEngines checks that everything that is sent to an engine counts against the rate that
+// it states: streams, those that resume after the loss of another engine, probes, and orders to copy
+// memory. Streams that run there when it first states its rate go on, and others are served by the
+// engines that take them.
+func TestLimitedEngines(t *testing.T) {
+	run(t, 6, 8, 1, func(w *world) {
+		rates := []float64{1, 0.3, 2}
+		began := time.Now().Add(4 * time.Second)
+		time.AfterFunc(time.Until(began), func() {
+			for i, r := range rates {
+				w.engines[i].SetLimits(rateLimit(r), nil)
+			}
+		})
+		time.AfterFunc(7*time.Second, func() { w.crashEngine(w.engines[5].Config().ID) })
+		o := w.load(6, 14*time.Second, func() standin.Request { return briefRequest(w.newRequestID()) }, func(i int) int { return i % 6 })
+		for i, r := range rates {
+			allowed := int(limitFactor*limitWindow.Seconds()*r) + limitSlack
+			got := mostArrivals(w.engines[i], began)
+			assert.Check(t, got <= allowed, "%d requests in %v at a rate of %v, %d allowed", got, limitWindow, r, allowed)
+		}
+		assert.Equal(t, o.served.Load(), o.sent.Load())
+	})
+}
--- a/gateway/front/peer_endpoints.go
+++ b/gateway/front/peer_endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/exchange"
@@ -42,10 +43,14 @@
 	return s.f.placement.Summary(endpoint, asking, prompt)
 }
 
-func (s *peerEndpoints) Claim(endpoint, peer string, c routing.Claim) (granted, known bool) {
+func (s *peerEndpoints) Claim(endpoint, peer string, c routing.Claim) routing.Grant {
 	return s.f.placement.Claim(endpoint, peer, c)
 }
 
+func (s *peerEndpoints) ReportLimits(limits map[string]admission.Statement) {
+	s.f.placement.ReportLimits(limits)
+}
+
 func (s *peerEndpoints) ApplySummary(summary *routing.Summary, prompt uint64) {
 	s.f.placement.ApplySummary(summary, prompt)
 }
@@ -59,14 +64,16 @@
 }
 
 // noPeerQueries are other instances that are not asked about engines before a request is placed,
-// and that grant every claim.
+// and that know nothing of the room at an endpoint that is claimed.
 type noPeerQueries struct{ *exchange.Exchange }
 
 // Ask implements [forward.Peers].
 func (u *noPeerQueries) Ask(context.Context, uint64, []string) {}
 
 // Claim implements [forward.Peers].
-func (u *noPeerQueries) Claim(context.Context, string, routing.Claim) bool { return true }
+func (u *noPeerQueries) Claim(context.Context, string, routing.Claim) routing.Grant {
+	return routing.Grant{Unknown: true}
+}
 
 // forwardCrashes returns the register of requests that crash endpoints for the forwarder; nil where
 // that mechanism is switched off.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -269,7 +269,7 @@
 	p.view.Sweep(now)
 	return routing.PeerReport{
 		Placed: p.view.OwnPlacements(), Suspects: p.view.Suspects(now), Ended: p.view.RecentlyEnded(now),
-		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now),
+		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(),
 	}
 }
 
@@ -289,14 +289,41 @@
 	p.view.SetOwned(owned)
 }
 
-// Claim grants or refuses a claim at an engine. peer is the claiming instance; empty for this one.
-// known is false for an engine that is not listed here.
-func (p *Placement) Claim(id, peer string, c routing.Claim) (granted, known bool) {
+// Claim grants or refuses a claim at an endpoint. peer is the claiming instance; empty for this one.
+func (p *Placement) Claim(id, peer string, c routing.Claim) routing.Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.view.Claim(time.Now(), id, peer, c)
 }
 
+// DelayClaims records that no room can be claimed at an endpoint for some time.
+func (p *Placement) DelayClaims(id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.DelayClaims(time.Now(), id, d)
+}
+
+// ReportLimits records the limits of endpoints that a peer reported.
+func (p *Placement) ReportLimits(limits map[string]admission.Statement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.ReportLimits(limits)
+}
+
+// LimitsOf returns what an endpoint stated last; zero if it states nothing.
+func (p *Placement) LimitsOf(id string) admission.Statement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.LimitsOf(id)
+}
+
+// ServiceLimit returns the rates that the endpoints of a service state together.
+func (p *Placement) ServiceLimit(service string) routing.ServiceLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.ServiceLimit(service)
+}
+
 // Summary returns what this instance knows about an endpoint that it owns, leaving out what
 // askingPeer has placed there; false for an endpoint that is not listed.
 func (p *Placement) Summary(id, askingPeer string, prompt uint64) (routing.Summary, bool) {
