gateway/front, platform/standin: a failing test of endpoints that fall when they refuse too much

Endpoints of a service that state how many refusals in a second they survive fall one after the other under a burst of one and a half times of what they take: instances fill the waiting room of each, and send what one refuses to the next.

--- /dev/null
+++ b/gateway/front/fragile_test.go
@@ -0,0 +1,110 @@
+package front_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+const (
+	// fragileRefusals is how many refusals within a second a fragile endpoint survives.
+	fragileRefusals = 3
+	// fallDuration is how long a fragile endpoint that fell is gone.
+	fallDuration = 3 * time.Second
+)
+
+// fragileService makes the endpoints of a service fragile. An endpoint that falls loses its
+// connections, and a new incarnation comes back after fallDuration, fragile as well.
+type fragileService struct {
+	w       *world
+	restart func(i int, suffix string) *standin.Worker
+
+	mu    sync.Mutex
+	falls int
+	ended bool
+}
+
+func (s *fragileService) watch(i int, worker *standin.Worker) {
+	worker.SetLimits(admission.Limits{MaxRefusals: fragileRefusals, Fragile: true}, func() { s.fall(i, worker) })
+}
+
+// fall ends an incarnation, and starts the next one unless the test has ended.
+func (s *fragileService) fall(i int, worker *standin.Worker) {
+	id := worker.Config().ID
+	node, _, _ := strings.Cut(strings.TrimPrefix(id, "i-"), "-")
+	s.w.fleet.Remove(worker)
+	s.w.net.Crash(node)
+	s.mu.Lock()
+	s.falls++
+	suffix := fmt.Sprint("-", s.falls)
+	s.mu.Unlock()
+	time.Sleep(fallDuration)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.w.store.Remove(platform.KindEndpoint, id)
+	s.watch(i, s.restart(i, suffix))
+}
+
+// end lets no endpoint start again, and returns how many fell.
+func (s *fragileService) end() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return s.falls
+}
+
+// TestFragileServiceUnderBurst guards against a burst that makes fragile endpoints fall one after
+// the other: instances fill the waiting room of each endpoint, what it refuses goes to the next one,
+// and what a fallen one had goes to the others. Callers send half as much again as the endpoints
+// take. No more than two and a tenth of the endpoints may fall. Nearly all of the capacity is used,
+// and the rest is refused in time.
+func TestFragileServiceUnderBurst(t *testing.T) {
+	const plains, work = 8, 200 * time.Millisecond
+	runWith(t, 6, 1, plains, func(w *world) { w.plainWork = work }, func(w *world) {
+		s := &fragileService{w: w, restart: func(i int, suffix string) *standin.Worker { return w.newPlain(i, suffix) }}
+		for i, p := range w.plains {
+			s.watch(i, p)
+		}
+		pick := func(i int) int { return i % 6 }
+		w.load(60, 4*time.Second, logRequest, pick)
+		capacity := float64(plains*endpointSlots) / work.Seconds()
+		const seconds = 8
+		o := w.load(1.5*capacity, seconds*time.Second, logRequest, pick)
+		falls := s.end()
+		assert.Check(t, falls <= 2+plains/10, "%d of %d endpoints fell", falls, plains)
+		assert.Check(t, float64(o.served.Load()) >= 0.75*capacity*seconds, "%d served of %.0f", o.served.Load(), capacity*seconds)
+		assert.Check(t, o.slowest <= 400*time.Millisecond, "refused after %v", o.slowest)
+		assert.Check(t, o.other.Load() <= int64(falls*endpointSlots), "%d lost", o.other.Load())
+	})
+}
+
+// TestFragileEnginesUnderBurst is TestFragileServiceUnderBurst for streams. A stream whose engine
+// falls is resumed, which is one more request for the others.
+func TestFragileEnginesUnderBurst(t *testing.T) {
+	const engines = 6
+	run(t, 6, engines, 1, func(w *world) {
+		s := &fragileService{w: w, restart: func(i int, suffix string) *standin.Worker { return w.newEngine(i, suffix) }}
+		for i, e := range w.engines {
+			s.watch(i, e)
+		}
+		brief := func() standin.Request { return briefRequest(w.newRequestID()) }
+		pick := func(i int) int { return i % 6 }
+		w.load(3, 5*time.Second, brief, pick)
+		o := w.load(20, 8*time.Second, brief, pick)
+		falls := s.end()
+		assert.Check(t, falls <= 2+engines/10, "%d of %d engines fell", falls, engines)
+		assert.Check(t, o.served.Load() >= 60, "%d served", o.served.Load())
+		assert.Equal(t, o.other.Load(), int64(0))
+	})
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -104,7 +104,7 @@
 			w.engines = append(w.engines, w.newEngine(i, ""))
 		}
 		for i := range plains {
-			w.plains = append(w.plains, w.newPlain(i))
+			w.plains = append(w.plains, w.newPlain(i, ""))
 		}
 		for i := range fronts {
 			w.fronts = append(w.fronts, w.newFront(i))
@@ -161,8 +161,8 @@
 	})
 }
 
-func (w *world) newPlain(i int) *standin.Worker {
-	return w.newWorker(fmt.Sprint("p", i), "", standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, WorkTime: w.plainWork})
+func (w *world) newPlain(i int, suffix string) *standin.Worker {
+	return w.newWorker(fmt.Sprint("p", i), suffix, standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, WorkTime: w.plainWork})
 }
 
 func (w *world) newWorker(node, suffix string, cfg standin.WorkerConfig) *standin.Worker {
