cli/soak: endpoints that state rates, and fragile ones under a burst

A worker states a rate for six seconds and changes it once, also after a restart; the plain endpoints are fragile while requests take 12 times as long and two more callers for each slot come. Checked: arrivals in each 4 s against one and a half times the rate and 5, falls against 2 and a tenth of the endpoints, where no instance was disrupted.

--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/platform"
 	"github.com/agateway/agateway/platform/standin"
@@ -38,6 +40,7 @@
 	state    string
 	starts   int
 	previous []*standin.Worker // earlier incarnations
+	limits   admission.Limits  // that each incarnation states
 	// leavingSince holds, by the id of an incarnation, when the store had accepted that it is
 	// leaving.
 	leavingSince map[string]time.Time
@@ -54,10 +57,13 @@
 	processes    []*process
 	closed       chan struct{}
 
-	ports          portAllocator
-	disruptions    disruptions
-	fatalRequests  fatalRequests
-	rollouts       rollouts
+	ports         portAllocator
+	disruptions   disruptions
+	fatalRequests fatalRequests
+	rollouts      rollouts
+	limits        limits
+	// burst runs additional callers until ctx ends.
+	burst          func(ctx context.Context, callers int)
 	foreignWorkers []*standin.Worker // of another service, at reused addresses
 
 	mu        sync.Mutex
@@ -153,6 +159,9 @@
 		k.previous = append(k.previous, k.current)
 	}
 	k.current, k.state = k.env.fleet.NewWorker(cfg), "ready"
+	if k.limits.Stated() {
+		k.applyLimits()
+	}
 	k.stop = standin.Serve(l, k.current)
 	k.proxy.setServer(l.Addr().String())
 	return nil
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agateway/agateway/platform/standin"
@@ -87,6 +88,7 @@
 	}
 	s.runLoad(ctx)
 	s.checkRuns()
+	s.checkLimits()
 	s.checkRollouts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,10 +132,16 @@
 func (s *soak) runLoad(ctx context.Context) {
 	work, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	for i := range s.Callers {
-		c := &caller{soak: s, rnd: rand.New(rand.NewPCG(s.Seed, uint64(i))), name: fmt.Sprint("c", i)}
-		wg.Go(func() { c.run(work) })
+	var started atomic.Uint64
+	addCallers := func(ctx context.Context, n int) {
+		for range n {
+			number := started.Add(1) - 1
+			c := &caller{soak: s, rnd: rand.New(rand.NewPCG(s.Seed, number)), name: fmt.Sprint("c", number)}
+			wg.Go(func() { c.run(ctx) })
+		}
 	}
+	addCallers(work, s.Callers)
+	s.env.burst = addCallers
 	s.injectFaults(ctx)
 	time.Sleep(quietPeriod / 2)
 	if !s.waitReady(ctx) {
