core/reachability, gateway/reach: an instance knows whether it reaches the endpoints

Each refused call at a cut instance logged three failed connections, and no line said that the instance reached no endpoint at all. Now failures at two endpoints without a contact in between make it probe others, and two rounds without contact are one line, cut off from the endpoints, with the evidence; its end is another. One endpoint, or a data centre that is down, is not a cut.

--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -348,6 +349,24 @@
 	return e
 }
 
+// Sample returns up to n random endpoints in service, without those in except.
+func (v *View) Sample(n int, except map[string]bool, rnd *rand.Rand) []Endpoint {
+	var out []Endpoint
+	seen := 0
+	for id, node := range v.nodes {
+		if except[id] || !node.inService() {
+			continue
+		}
+		seen++
+		if len(out) < n {
+			out = append(out, node.snapshot())
+		} else if i := rnd.IntN(seen); i < n {
+			out[i] = node.snapshot()
+		}
+	}
+	return out
+}
+
 // Status is an endpoint with this instance's knowledge of it. Estimate is the number of requests
 // believed to be there, Open the number of those of this instance.
 type Status struct {
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -200,7 +200,7 @@
 	}
 	a.potentialLoss.SentAt, a.potentialLoss.Reused = time.Now(), conn.Reused()
 	a.report(ctx, message{kind: attemptSent})
-	x, err := conn.Do(ctx, s.req.upstreamRequest(&a.send), s.req.ownsAnswer)
+	x, err := s.f.exchange(ctx, conn, a.endpoint.ID, s.req.upstreamRequest(&a.send), s.req.ownsAnswer)
 	if err != nil {
 		return a.classifyLoss(ctx, err)
 	}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -91,6 +91,20 @@
 	Release(endpoint string, lease uint64, o admission.Outcome)
 }
 
+// Reach watches whether this instance can reach the endpoints.
+type Reach interface {
+	// Failed records that an endpoint could not be connected to, or reset a connection before it
+	// answered. Connected records that one answered on a new connection.
+	Failed(endpoint string)
+	Connected()
+}
+
+// alwaysReachable is the [Reach] of an instance that watches nothing.
+type alwaysReachable struct{}
+
+func (alwaysReachable) Failed(string) {}
+func (alwaysReachable) Connected()    {}
+
 // noPeers is the [Peers] of an instance that runs alone.
 type noPeers struct{}
 
@@ -115,6 +129,8 @@
 	Pool      *upstream.Pool
 	// Peers is the set of other instances; nil means that there are none.
 	Peers Peers
+	// Reach watches whether this instance can reach the endpoints; nil means that it can.
+	Reach Reach
 	// Crashes tracks the requests that crash endpoints; nil disables this.
 	Crashes Crashes
 	// Rollouts selects builds while services move to another build; nil means no rollouts.
@@ -156,7 +172,7 @@
 	sessions   map[*session]bool
 }
 
-// New returns a Forwarder. Nil Peers, Crashes and Rollouts are replaced by implementations that do
+// New returns a Forwarder. Nil Peers, Reach, Crashes and Rollouts are replaced by implementations that do
 // nothing.
 func New(o Options) *Forwarder {
 	if o.Settings.RetryWindow == 0 {
@@ -165,6 +181,9 @@
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
+	if o.Reach == nil {
+		o.Reach = alwaysReachable{}
+	}
 	if o.Rollouts == nil {
 		o.Rollouts = noRollouts{}
 	}
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -39,10 +39,23 @@
 	conn, err := f.Pool.Get(ctx, f.target(req, e))
 	if err != nil && !errorx.IsOfType(err, upstream.ErrBusy) {
 		f.Placement.Failed(e.ID)
+		f.Reach.Failed(e.ID)
 	}
 	return conn, err
 }
 
+// exchange sends a request on a connection to an endpoint and reads the head of its answer.
+func (f *Forwarder) exchange(ctx context.Context, conn *upstream.Conn, endpoint string, r *upstream.Request, owns func(int, http.Header) bool) (*upstream.Exchange, error) {
+	x, err := conn.Do(ctx, r, owns)
+	switch {
+	case err == nil && !conn.Reused():
+		f.Reach.Connected()
+	case err != nil && ctx.Err() == nil:
+		f.Reach.Failed(endpoint)
+	}
+	return x, err
+}
+
 // recordStatus records what an answer says about its endpoint: its load, and the limits that it
 // states. An answer with status 421 comes from another endpoint.
 func (f *Forwarder) recordStatus(id string, status int, a *platform.Answer) {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -32,6 +32,7 @@
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/placement"
+	"github.com/agateway/agateway/gateway/reach"
 	"github.com/agateway/agateway/gateway/relay"
 	"github.com/agateway/agateway/gateway/rollouts"
 	"github.com/agateway/agateway/gateway/settings"
@@ -60,6 +61,7 @@
 	endpoints     *follow.Endpoints
 	placement     *placement.Placement
 	pool          *upstream.Pool
+	reach         *reach.Monitor
 	forwarder     *forward.Forwarder
 	exchange      *exchange.Exchange
 	crashes       *crashes.Registry
@@ -110,7 +112,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.decisions.Run, f.sweepConnections, f.tuneMemory}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory}
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
@@ -179,6 +181,7 @@
 	}
 	f.placement = placement.New(routingSettings, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
+	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: func(bool) {}, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
 	followOptions := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(followOptions, f.onConfigurationChange)
@@ -210,7 +213,7 @@
 			SilenceFloor: s.Streams.Silence, FirstEventTimeout: s.Streams.FirstEvent, ProbeTimeout: s.Streams.Probe, ConnectTimeout: s.Streams.Connect,
 			Disabled: disabledMechanisms(&s.Mechanisms),
 		},
-		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Clock: f.env.Clock,
+		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Reach: f.reach, Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Clock: f.env.Clock,
 		OnEndpointReplaced: f.endpoints.MarkEnded, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
 	})
 }
--- a/gateway/network/memnet/memnet.go
+++ b/gateway/network/memnet/memnet.go
@@ -22,6 +22,7 @@
 	crashed   map[string]bool
 	hosts     map[string]string      // of nodes that listen, by node name
 	cut       func(a, b string) bool // whether data from a to b is lost
+	refused   func(a, b string) bool // whether new connections from a to b are refused
 	port      int
 }
 
@@ -30,7 +31,7 @@
 	return &Net{
 		listeners: map[string]*listener{}, conns: map[*conn]bool{}, packets: map[string]*packetConn{}, crashed: map[string]bool{},
 		hosts: map[string]string{},
-		cut:   func(string, string) bool { return false },
+		cut:   func(string, string) bool { return false }, refused: func(string, string) bool { return false },
 	}
 }
 
@@ -108,6 +109,7 @@
 	l := n.listeners[address]
 	crashed := n.crashed[m.name]
 	cut := l != nil && n.cut(m.name, l.node.name)
+	refused := l != nil && n.refused(m.name, l.node.name)
 	n.mu.Unlock()
 	if crashed {
 		return nil, errors.New("crashed")
@@ -116,7 +118,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if l == nil {
+	if l == nil || refused {
 		return nil, errRefused
 	}
 	ours, theirs := net.Pipe()
@@ -264,6 +266,23 @@
 	n.cut = cut
 }
 
+// SetRefused replaces the function that reports whether new connections from node a to node b are
+// refused. Open ones stay.
+func (n *Net) SetRefused(refused func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = refused
+}
+
+// Reset closes the open connections between nodes for which between returns true.
+func (n *Net) Reset(between func(a, b string) bool) {
+	n.forEachConn(func(c *conn) {
+		if between(c.from, c.to) || between(c.to, c.from) {
+			_ = c.Conn.Close()
+		}
+	})
+}
+
 // CloseAll closes all listeners and connections.
 func (n *Net) CloseAll() {
 	n.mu.Lock()
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -74,6 +74,13 @@
 	return p.view.Pick(time.Now(), r, p.random)
 }
 
+// Sample returns up to n random endpoints in service, without those in except.
+func (p *Placement) Sample(n int, except map[string]bool) []routing.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Sample(n, except, p.random)
+}
+
 // Likely returns the n endpoints at which the prompt of a request was most likely placed, the most
 // likely first. It returns all endpoints when the choice does not go by the prompt, and none for a
 // request without a prompt.
