gateway/forward, gateway/exchange, gateway/front: an instance that reaches no endpoint passes requests on to instances that do

Cause: an instance took 'I can't reach it' for 'it is down', endpoint by endpoint, refused, stayed in the directory, and told the others that sound endpoints fail.

Now an instance that is cut off says so in its entry, which reaches all others at once. Callers are sent elsewhere. Idempotent calls that hang on dead connections are passed on a quarter of a second after the cut was found. The cut instance tells nobody that endpoints fail, forgets the failures it saw, and attributes no crash to a request.

--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -33,6 +33,8 @@
 	// store, as a value of the caller of this package.
 	Ready bool
 	Store int
+	// Endpoints is its access to the endpoints, as a value of the caller of this package.
+	Endpoints int
 	// Spreads is set if the member passes on updates to many others when it is asked to.
 	Spreads bool
 	// LinkMbps is the bandwidth of its network link in Mbit/s; 0 if unknown.
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -90,13 +90,13 @@
 	n.self.Incarnation++
 }
 
-// SetReadiness sets the node's own readiness and access to the store. It raises the incarnation and
-// returns true if that is a change.
-func (n *Node) SetReadiness(ready bool, store int) bool {
-	if n.self.Ready == ready && n.self.Store == store {
+// SetReadiness sets the node's own readiness, and its access to the store and to the endpoints. It
+// raises the incarnation and returns true if that is a change.
+func (n *Node) SetReadiness(ready bool, store, endpoints int) bool {
+	if n.self.Ready == ready && n.self.Store == store && n.self.Endpoints == endpoints {
 		return false
 	}
-	n.self.Ready, n.self.Store = ready, store
+	n.self.Ready, n.self.Store, n.self.Endpoints = ready, store, endpoints
 	n.self.Incarnation++
 	return true
 }
--- a/core/routing/suspicion.go
+++ b/core/routing/suspicion.go
@@ -112,6 +112,18 @@
 	return out
 }
 
+// ForgetFailures drops the suspicions of all endpoints that failed this instance since a time, as the
+// failures were not theirs.
+func (v *View) ForgetFailures(since time.Time) {
+	for _, n := range v.observed {
+		if !n.failedAt.Before(since) || n.lastAnswerLost {
+			n.trust.Reset()
+			n.lastAnswerLost, n.fullUntil = false, time.Time{}
+		}
+	}
+	v.degraded.stale = true
+}
+
 // maxSuspectingPeers is how many other instances may suspect an endpoint that is still presumed to
 // hold what it held: a single one may have a bad link to it.
 const maxSuspectingPeers = 1
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/core/reachability"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/clock"
@@ -73,8 +75,11 @@
 	Ready func() bool
 	// StoreAccess reports whether the store answers this instance.
 	StoreAccess func() source.Access
-	Endpoints   Endpoints
-	Crashes     Crashes
+	// EndpointAccess reports whether this instance reaches the endpoints; nil where it does not
+	// tell.
+	EndpointAccess func() reachability.Access
+	Endpoints      Endpoints
+	Crashes        Crashes
 	// Rollouts is nil where services are not moved to other builds.
 	Rollouts Rollouts
 	// ServiceCounts returns what this instance has counted since its start, by service.
@@ -193,8 +198,14 @@
 // Others returns the other instances that are alive.
 func (x *Exchange) Others() []Peer { return x.roster().alive }
 
+// Helpers returns the other instances that can serve requests for this one.
+func (x *Exchange) Helpers() []Peer {
+	return slices.DeleteFunc(slices.Clone(x.Others()), func(p Peer) bool { return !p.Ready || p.Endpoints != reachability.AccessReached })
+}
+
 // EntryAddresses returns the addresses that a caller in the given data centre and region may use,
-// nearest first. Equally near ones are in random order.
+// nearest first. Equally near ones are in random order. Instances that are cut off from the
+// endpoints are left out, unless all are.
 func (x *Exchange) EntryAddresses(dataCentre, region string) []string {
 	var ready []Peer
 	for _, p := range x.Others() {
@@ -203,7 +214,13 @@
 		}
 	}
 	if x.Ready() {
-		ready = append(ready, x.Self)
+		self := x.Self
+		self.Endpoints = x.endpointAccess()
+		ready = append(ready, self)
+	}
+	cutOff := func(p Peer) bool { return p.Endpoints == reachability.AccessCutOff }
+	if connected := slices.DeleteFunc(slices.Clone(ready), cutOff); len(connected) > 0 {
+		ready = connected
 	}
 	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
 	sortByDistance(ready, dataCentre, region)
@@ -214,6 +231,13 @@
 	return out
 }
 
+func (x *Exchange) endpointAccess() reachability.Access {
+	if x.EndpointAccess == nil {
+		return reachability.AccessUnknown
+	}
+	return x.EndpointAccess()
+}
+
 // receiveBufferBytes is the size of the receive buffer.
 const receiveBufferBytes = 8192
 
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/reachability"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/network/memnet"
@@ -60,8 +61,10 @@
 	*Exchange
 	index int
 	ready atomic.Bool
-	stop  context.CancelFunc
-	log   *logrus.Logger
+	// access is a reachability.Access.
+	access atomic.Int64
+	stop   context.CancelFunc
+	log    *logrus.Logger
 
 	mu         sync.Mutex
 	report     routing.PeerReport
@@ -259,7 +262,8 @@
 	n.ready.Store(true)
 	n.Exchange = New(Options{
 		Self: w.peer(i), Conn: conn, Store: w.store, Ready: n.ready.Load, StoreAccess: func() source.Access { return source.StoreUnknown },
-		Endpoints: n, Crashes: &n.crashes, ServiceCounts: n.ownCounts, Clock: func() time.Duration { return time.Since(w.began) + time.Hour },
+		EndpointAccess: func() reachability.Access { return reachability.Access(n.access.Load()) },
+		Endpoints:      n, Crashes: &n.crashes, ServiceCounts: n.ownCounts, Clock: func() time.Duration { return time.Since(w.began) + time.Hour },
 		Log: logrus.NewEntry(log), Scope: tally.NewTestScope("", nil),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -231,12 +231,12 @@
 	}}}
 }
 
-// broadcastIfChanged sends this instance's entry to all others if its readiness or store access has
-// changed.
+// broadcastIfChanged sends this instance's entry to all others if its readiness, or its access to the
+// store or to the endpoints, has changed.
 func (x *Exchange) broadcastIfChanged() {
-	ready, access := x.Ready(), int(x.StoreAccess())
+	ready, store, endpoints := x.Ready(), int(x.StoreAccess()), int(x.endpointAccess())
 	x.mu.Lock()
-	changed := x.members.node.SetReadiness(ready, access)
+	changed := x.members.node.SetReadiness(ready, store, endpoints)
 	x.mu.Unlock()
 	if changed {
 		x.broadcastSelf()
--- a/gateway/exchange/roster.go
+++ b/gateway/exchange/roster.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/core/reachability"
 	"github.com/agateway/agateway/core/rendezvous"
 	"github.com/agateway/agateway/core/source"
 )
@@ -27,6 +28,8 @@
 	Ready bool
 	// Store says whether the platform's store answers it.
 	Store source.Access
+	// Endpoints says whether it reaches the endpoints.
+	Endpoints reachability.Access
 }
 
 // Limits that depend on the size of a fleet.
@@ -126,7 +129,7 @@
 
 func peerOf(m *membership.Member) Peer {
 	return Peer{
-		ID: m.ID, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: m.LinkMbps, Spreads: m.Spreads, Ready: m.Ready, Store: source.Access(m.Store),
+		ID: m.ID, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: m.LinkMbps, Spreads: m.Spreads, Ready: m.Ready, Store: source.Access(m.Store), Endpoints: reachability.Access(m.Endpoints),
 	}
 }
 
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -21,6 +21,7 @@
 type request struct {
 	platform.ClientRequest
 	httpRequest     *http.Request
+	passedOnBy      string // the instance that passes the request on; empty if it comes from a caller
 	arrivedAt       time.Time
 	deadline        time.Time // zero when neither caller nor route sets one
 	table           *route.Table
@@ -70,7 +71,7 @@
 func (f *Forwarder) resolve(req *request) *refusal {
 	table, age := f.Configuration.Table()
 	if table == nil {
-		return refuse(http.StatusServiceUnavailable, "no configuration yet", retrySoon())
+		return refuse(http.StatusServiceUnavailable, "no configuration yet", retrySoon()).elsewhere()
 	}
 	inputs := logrus.Fields{"configuration": table.Version(), "age_ms": age.Milliseconds()}
 	matched, ok := table.Match(req.httpRequest.Host, req.httpRequest.URL.Path)
@@ -83,7 +84,7 @@
 			return f.deny(http.StatusUnauthorized, "unknown key", age, inputs)
 		}
 		if age >= f.Settings.MaxConfigAgeForKeys {
-			return refuse(http.StatusServiceUnavailable, "configuration too old for keys", retryWhenStoreIsBack()).with(inputs)
+			return refuse(http.StatusServiceUnavailable, "configuration too old for keys", retryWhenStoreIsBack()).with(inputs).elsewhere()
 		}
 	}
 	if req.route == nil || !hasTarget(matched, req.service) {
@@ -106,7 +107,7 @@
 // deny refuses a request permanently, or temporarily when the configuration may be out of date.
 func (f *Forwarder) deny(status int, reason string, age time.Duration, inputs logrus.Fields) *refusal {
 	if age >= f.Settings.MaxConfigAgeForDenial {
-		return refuse(http.StatusServiceUnavailable, reason+" in a configuration that may be old", retryWhenStoreIsBack()).with(inputs)
+		return refuse(http.StatusServiceUnavailable, reason+" in a configuration that may be old", retryWhenStoreIsBack()).with(inputs).elsewhere()
 	}
 	return refuse(status, reason, 0).with(inputs)
 }
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/copies"
@@ -67,6 +68,8 @@
 	session  *session
 	number   int
 	endpoint routing.Endpoint
+	// helper is the instance that the request is passed on to, in place of an engine; nil for none.
+	helper *Helper
 	// lease is the number under which room at a fragile engine is held; 0 for none. roomOutcome is
 	// what is reported when it is released.
 	lease       uint64
@@ -108,7 +111,11 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	e, resumeFrom := choice.endpoint, choice.resumeFrom
 	a := &attempt{
-		session: s, number: number, endpoint: *e, lease: choice.lease, cancel: cancel, isRetry: s.wasSent(), resumeFrom: resumeFrom, placed: routing.Placed{Tokens: s.peakTokens()},
+		session: s, number: number, endpoint: *e, helper: choice.helper, lease: choice.lease, cancel: cancel, isRetry: s.wasSent(), resumeFrom: resumeFrom, placed: routing.Placed{Tokens: s.peakTokens()},
+	}
+	if choice.helper != nil {
+		s.launchAtPeer(ctx, a)
+		return
 	}
 	if !a.resumesFromCopy() {
 		a.placed.PendingPrefill = s.req.PromptTokens
@@ -132,12 +139,28 @@
 	go a.run(ctx)
 }
 
+// launchAtPeer starts an attempt that passes the request on to a helper. The helper places the stream
+// and its copy.
+func (s *session) launchAtPeer(ctx context.Context, a *attempt) {
+	a.placed = routing.Placed{}
+	a.sentAt = time.Now()
+	a.send = platform.EndpointRequest{LastEventID: s.lastEventID}
+	s.copies.RunStarted(a.sentAt, copies.Holder{})
+	s.attempts[a.number] = a
+	s.f.Log.Decision(s.req.ID, "passed on to a peer", logrus.Fields{"attempt": a.number, "peer": a.helper.ID, "data_centre": a.helper.DataCentre, "events": s.relayedEvents})
+	s.f.metrics.countPassedOn("stream")
+	go func() { a.report(ctx, a.exchangeWithPeer(ctx)) }()
+}
+
 // resumesFromCopy reports whether the attempt resumes from a copy of the run's memory.
 func (a *attempt) resumesFromCopy() bool { return a.resumeFrom != copies.Holder{} }
 
 // recordPrefilled records at the first event that the engine has prefilled the prompt.
 func (a *attempt) recordPrefilled() {
 	a.hasEvent = true
+	if a.helper != nil {
+		return
+	}
 	a.prefillOnce.Do(func() {
 		f, id := a.session.f, a.endpoint.ID
 		a.rolloutTrial.Answered(a.prefillTimePerUnit(time.Now()))
@@ -191,6 +214,7 @@
 	conn, err := s.f.connect(ctx, s.req, &a.endpoint)
 	if err != nil {
 		a.roomOutcome = connectOutcome(err)
+		go s.f.checkReach(s.f.shutdownCtx) // the next attempt is to know the result
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
 	if a.isRetry && !s.f.takeRetry(s.req.service, a.resumesFromCopy()) {
@@ -233,6 +257,9 @@
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
+	if a.helper != nil {
+		return message{kind: attemptFailed, failure: generation.Broken, err: err}
+	}
 	if a.gaveUpOnSilence.Load() {
 		a.session.f.attributor.AttributeSilence(a.potentialLoss)
 	}
@@ -245,12 +272,23 @@
 
 // recordLoss records that the engine lost an answer.
 func (a *attempt) recordLoss() {
+	if a.helper != nil {
+		return
+	}
 	p, id := a.session.f.Placement, a.endpoint.ID
 	p.Failed(id)
 	p.RecordOutcome(id, false)
 	a.rolloutTrial.Lost()
 }
 
+// recordComplete records that the engine has completed an answer.
+func (a *attempt) recordComplete() {
+	if a.helper == nil {
+		a.session.f.Placement.Succeeded(a.endpoint.ID)
+		a.session.f.Placement.RecordOutcome(a.endpoint.ID, true)
+	}
+}
+
 // readEngineFailure reads an engine's own error answer. A status below 500 is about the request
 // itself, so it is final.
 func (a *attempt) readEngineFailure(x *upstream.Exchange) message {
@@ -276,8 +314,7 @@
 	for {
 		e, err := events.next()
 		if err == io.EOF {
-			a.session.f.Placement.Succeeded(a.endpoint.ID)
-			a.session.f.Placement.RecordOutcome(a.endpoint.ID, true)
+			a.recordComplete()
 			x.Finish()
 			return message{kind: attemptDone}
 		}
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -170,7 +170,7 @@
 // first event on.
 func (s *session) canCopy() bool {
 	a := s.currentAttempt()
-	return a != nil && a.hasEvent && !a.ended
+	return a != nil && a.helper == nil && a.hasEvent && !a.ended
 }
 
 // requestCopy asks the engine of an attempt to copy the run's memory.
@@ -234,7 +234,7 @@
 	h, ok := s.copies.Holder()
 	a := s.currentAttempt()
 	s.accountCopy("")
-	if !ok || h.Handle == "" || a == nil {
+	if !ok || h.Handle == "" || a == nil || a.helper != nil {
 		return
 	}
 	f, e := s.f, a.endpoint
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -70,8 +70,8 @@
 	return crashes.Loss{Request: req.identity, ID: req.ID, Endpoint: e.ID, Service: e.Service}
 }
 
-// hasCrashed reports whether the process of an endpoint that was not told to leave is gone:
-// its machine refuses connections.
+// hasCrashed reports whether the process of an endpoint that was not told to leave is gone: its
+// machine refuses connections, and this instance reaches others.
 func (f *Forwarder) hasCrashed(id string) bool {
 	e, ok := f.Placement.Get(id)
 	if !ok || e.State == routing.Leaving {
@@ -82,7 +82,7 @@
 	for range maxProcessDials {
 		conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
 		if err != nil {
-			return errorx.IsOfType(err, upstream.ErrGone)
+			return errorx.IsOfType(err, upstream.ErrGone) && !f.Reach.Check(ctx)
 		}
 		closed := conn.Closed(processExitWait)
 		conn.Discard()
@@ -93,7 +93,8 @@
 	return false
 }
 
-// isUnreachable reports whether an endpoint that was not told to leave can't be connected to.
+// isUnreachable reports whether an endpoint that was not told to leave can't be connected to, while
+// this instance reaches others.
 func (f *Forwarder) isUnreachable(id string) bool {
 	e, ok := f.Placement.Get(id)
 	if !ok || e.State == routing.Leaving {
@@ -103,7 +104,7 @@
 	defer cancel()
 	conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
 	if err != nil {
-		return true
+		return !f.Reach.Check(ctx)
 	}
 	conn.Discard()
 	return false
--- a/gateway/forward/drain.go
+++ b/gateway/forward/drain.go
@@ -49,7 +49,7 @@
 	if !d.refuseAll && !req.route.Stream && d.endsInTime(now, req) {
 		return nil
 	}
-	return refuse(http.StatusServiceUnavailable, "stopping", retrySoon())
+	return refuse(http.StatusServiceUnavailable, "stopping", retrySoon()).elsewhere()
 }
 
 // endsInTime reports whether a request ends before the process does.
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -39,8 +39,8 @@
 
 // Settings configures a Forwarder. The durations come from the bounds in the settings file.
 type Settings struct {
-	// DataCentre is the data centre of this instance.
-	DataCentre string
+	// Instance and DataCentre are the name and the data centre of this instance.
+	Instance, DataCentre string
 	// MaxConfigAgeForKeys is the maximum age of the last confirmation of the configuration at which
 	// a request with a key is served. It bounds how long a revoked key is still accepted.
 	MaxConfigAgeForKeys time.Duration
@@ -66,7 +66,7 @@
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
-	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers bool
 }
 
 // Peers is the set of other instances, which share the endpoints with this one.
@@ -74,6 +74,8 @@
 	// Instances returns the number of instances that are alive and the number that are known, both
 	// including this one. Connections and retries are divided among them.
 	Instances() (alive, known int)
+	// Helpers returns the other instances that can serve requests for this one.
+	Helpers() []Helper
 	// Changed announces soon to the other instances that the state of some endpoints has changed.
 	Changed(endpoints ...string)
 	// Freed is like Changed for a request that has ended or whose prompt has been prefilled. It is
@@ -97,18 +99,25 @@
 	// answered. Connected records that one answered on a new connection.
 	Failed(endpoint string)
 	Connected()
+	// CutOff reports whether the instance reaches no endpoint. Check finds that out, which takes up
+	// to some hundred milliseconds.
+	CutOff() bool
+	Check(ctx context.Context) bool
 }
 
 // alwaysReachable is the [Reach] of an instance that watches nothing.
 type alwaysReachable struct{}
 
-func (alwaysReachable) Failed(string) {}
-func (alwaysReachable) Connected()    {}
+func (alwaysReachable) Failed(string)              {}
+func (alwaysReachable) Connected()                 {}
+func (alwaysReachable) CutOff() bool               { return false }
+func (alwaysReachable) Check(context.Context) bool { return false }
 
 // noPeers is the [Peers] of an instance that runs alone.
 type noPeers struct{}
 
 func (noPeers) Instances() (alive, known int)         { return 1, 1 }
+func (noPeers) Helpers() []Helper                     { return nil }
 func (noPeers) Changed(...string)                     {}
 func (noPeers) Freed(...string)                       {}
 func (noPeers) Repeated()                             {}
@@ -155,6 +164,8 @@
 	locator         promptLocator
 	waitQueues      waitQueues
 	returns         returnSchedules
+	helperLoads     helperLoads
+	pendingSends    pendingSends
 	// streamTimes holds how long recent streams took.
 	streamTimes  streamTimes
 	openRequests atomic.Int64
@@ -248,7 +259,9 @@
 		f.answerRefusal(w, req, refused)
 		return
 	}
-	f.retryBudgets.countRequest(req.service)
+	if req.passedOnBy == "" { // otherwise the instance that passes it on has counted it
+		f.retryBudgets.countRequest(req.service)
+	}
 	if req.route.Stream && req.route.RetryPolicy == route.Resumable && req.replayable {
 		f.serveSession(ctx, w, req)
 		return
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -18,7 +18,8 @@
 	recovered, brokenOff, callersLeft   tally.Counter
 	stoppedRefused                      tally.Counter
 	claimsRefused                       tally.Counter
-	limitedEndpoints                    tally.Gauge // endpoints that state limits
+	limitedEndpoints                    tally.Gauge   // endpoints that state limits
+	forPeers                            tally.Counter // requests that peers passed on
 	firstEvent, plainAnswer, streamMove tally.Histogram
 	// Parts of the recovery after a restart: from the start of the process to the first read of the
 	// store and to the first placed stream, the search for a prompt, and from the arrival of a
@@ -38,7 +39,7 @@
 		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
-		claimsRefused: s.Counter("claims_refused_total"), limitedEndpoints: s.Gauge("endpoints_limited"),
+		claimsRefused: s.Counter("claims_refused_total"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
 		startToSync: s.Histogram("start_to_known_seconds", latency), startToFirstStream: s.Histogram("start_to_first_stream_seconds", latency),
@@ -53,6 +54,11 @@
 	}
 }
 
+// countPassedOn counts a request that was passed on to a peer, by its outcome.
+func (m *metrics) countPassedOn(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_via_peers_total").Inc(1)
+}
+
 func (m *metrics) countRefusal(status int) {
 	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_refused_total").Inc(1)
 }
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -27,6 +27,8 @@
 	w            http.ResponseWriter
 	possibleRuns int // endpoints on which it may have run
 	sends        int // endpoints to which it was sent
+	// connectsFailed is how many endpoints could not be connected to.
+	connectsFailed int
 	// avoid holds the ids of endpoints that failed the request.
 	avoid []string
 	// lease is the number under which room at the chosen endpoint is held, if it is fragile; 0 for
@@ -75,16 +77,24 @@
 		if refused := p.f.revalidate(p.req); refused != nil {
 			return p.finish(refused)
 		}
+		if p.f.usesHelpers(p.req) {
+			return p.runViaPeers(ctx)
+		}
 		if refused := p.awaitAdmission(ctx); refused != nil {
 			return p.finish(refused)
 		}
 		e, refused := p.pick(ctx)
 		if refused != nil {
 			p.endCrashTrial()
+			if p.connectsFailed > 0 && p.becameCutOff(ctx) {
+				continue
+			}
 			return p.finish(refused)
 		}
 		hop, span := p.f.startHop(ctx, e)
+		hop, answered := p.withCutOff(hop)
 		reply, result, err := p.send(hop, e)
+		answered()
 		p.f.Peers.Release(e.ID, p.lease, p.roomOutcome)
 		endHop(span, err)
 		p.f.logAttempt(p.req, e, result, reply, err)
@@ -110,6 +120,16 @@
 	}
 }
 
+// becameCutOff reports whether the instance turns out to be cut off, so that the request can be passed
+// on. It may have run nowhere yet, or be idempotent.
+func (p *plain) becameCutOff(ctx context.Context) bool {
+	if !p.req.replayable || p.possibleRuns > 0 && p.req.route.RetryPolicy != route.Idempotent {
+		return false
+	}
+	p.f.checkReach(ctx)
+	return p.f.usesHelpers(p.req)
+}
+
 // timeIsUp reports whether the deadline has passed or the caller has left. Connections end at the
 // deadline, sometimes slightly before the context does.
 func (p *plain) timeIsUp(ctx context.Context) bool {
@@ -161,7 +181,7 @@
 	case isShutdown(ctx) && mayHaveRun:
 		return refuse(http.StatusBadGateway, reasonShutdown, 0)
 	case isShutdown(ctx):
-		return refuse(http.StatusServiceUnavailable, reasonShutdown, retrySoon())
+		return refuse(http.StatusServiceUnavailable, reasonShutdown, retrySoon()).elsewhere()
 	case mayHaveRun:
 		return refuse(http.StatusGatewayTimeout, "no answer in time", 0)
 	}
@@ -228,6 +248,7 @@
 	conn, err := f.connect(ctx, req, e)
 	if err != nil {
 		p.roomOutcome = connectOutcome(err)
+		p.connectsFailed++
 		return nil, outcomeNotRun, err
 	}
 	p.sends++
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -24,6 +24,10 @@
 		s.machine.Probed(time.Now(), p.Attempt, false, 0)
 		return
 	}
+	if a.helper != nil {
+		s.machine.Probed(time.Now(), p.Attempt, s.f.helperAlive(a.helper.ID), 0)
+		return
+	}
 	countEvents := s.relayedEvents == 0 && s.req.LastEventID == ""
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, s.f.Settings.ProbeTimeout)
--- a/gateway/forward/refuse.go
+++ b/gateway/forward/refuse.go
@@ -17,6 +17,8 @@
 	// retryAfter is sent as Retry-After; 0 sends none, where a retry does not help.
 	retryAfter time.Duration
 	inputs     logrus.Fields
+	// otherMayServe is set if another instance may be able to serve the request now.
+	otherMayServe bool
 }
 
 func refuse(status int, reason string, retryAfter time.Duration) *refusal {
@@ -29,6 +31,12 @@
 	return r
 }
 
+// elsewhere marks a refusal of a request that another instance may be able to serve now.
+func (r *refusal) elsewhere() *refusal {
+	r.otherMayServe = true
+	return r
+}
+
 // answerRefusal logs a refusal and sends it to the caller.
 func (f *Forwarder) answerRefusal(w http.ResponseWriter, req *request, r *refusal) {
 	f.metrics.countRefusal(r.status)
@@ -41,11 +49,23 @@
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", platform.RetryAfter(r.retryAfter))
 	}
+	if req.passedOnBy != "" {
+		h.Set(headerPeerRefusal, r.peerMark(f.Reach.CutOff()))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(r.status)
 	_, _ = w.Write([]byte(r.reason + "\n")) // the caller may be gone
 }
 
+// peerMark returns the value of headerPeerRefusal for a request that a peer passed on. cutOff tells
+// whether this instance reaches no endpoint.
+func (r *refusal) peerMark(cutOff bool) string {
+	if (r.otherMayServe || cutOff) && r.status == http.StatusServiceUnavailable {
+		return peerUnable
+	}
+	return peerRefused
+}
+
 // Bounds of Retry-After when another instance may serve the request: short, since it may do so
 // immediately, and spread so that callers refused together do not return together.
 const (
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -88,6 +88,9 @@
 	if refused := f.refuseTooLate(req, resumed || f.Placement.HoldsPrompt(req.promptKey())); refused != nil {
 		return refused
 	}
+	if f.usesHelpers(req) {
+		return nil
+	}
 	if refused := f.awaitEngine(ctx, req); refused != nil {
 		return refused
 	}
@@ -220,11 +223,21 @@
 	resumeFrom copies.Holder
 	// mayBeCached is set when the engine may already have prefilled part of the prompt.
 	mayBeCached bool
+	// helper is the instance that the request is passed on to, in place of an engine; nil for none.
+	helper *Helper
 }
 
 // chooseEngine returns the engine that holds a copy of the run's memory, with that copy, or else
 // the best other engine.
+// An instance that is cut off from the engines chooses a helper.
 func (s *session) chooseEngine(a generation.Start) (*engineChoice, error) {
+	if s.f.usesHelpers(s.req) {
+		if h := s.f.pickHelper(a.Avoid); h != nil {
+			s.accountCopy("")
+			e := h.endpoint()
+			return &engineChoice{endpoint: &e, helper: h}, nil
+		}
+	}
 	if choice := s.useCopy(a.Avoid); choice != nil {
 		s.f.metrics.movedByCopy.Inc(1)
 		return choice, nil
@@ -362,7 +375,7 @@
 	inputs := logrus.Fields{"code": string(a.Code), "attempts": len(s.attempts)}
 	switch {
 	case isShutdown(s.ctx) && !s.mayHaveRun():
-		return refuse(http.StatusServiceUnavailable, reasonShutdown, retrySoon()).with(inputs)
+		return refuse(http.StatusServiceUnavailable, reasonShutdown, retrySoon()).with(inputs).elsewhere()
 	case isShutdown(s.ctx):
 		return refuse(http.StatusBadGateway, reasonShutdown, 0).with(inputs)
 	case a.Code == generation.CodeStopped && !s.mayHaveRun():
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -181,7 +181,7 @@
 	}
 	f.placement = placement.New(routingSettings, rand.Uint64())
 	f.pool = upstream.NewPool(dial)
-	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: func(bool) {}, Log: t.Log, Scope: t.Scope})
+	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
 	followOptions := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(followOptions, f.onConfigurationChange)
@@ -200,7 +200,7 @@
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 			Link: int(s.Process.Link),
 		},
-		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), ServiceCounts: f.retryCounts, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
+		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), ServiceCounts: f.retryCounts, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
 	f.relay = relay.New(relay.Options{
 		Settings: f.sourceSettings(), Store: f.store, Mirror: f.mirror, Others: f.exchange.Others,
@@ -208,7 +208,7 @@
 	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
-			DataCentre: s.Instance.DataCentre, MaxConfigAgeForKeys: f.keyBound(), MaxConfigAgeForDenial: time.Duration(denyBoundShare * float64(s.Bounds.Apply)),
+			Instance: s.Instance.ID, DataCentre: s.Instance.DataCentre, MaxConfigAgeForKeys: f.keyBound(), MaxConfigAgeForDenial: time.Duration(denyBoundShare * float64(s.Bounds.Apply)),
 			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve, RetryWindow: s.Retries.Window,
 			SilenceFloor: s.Streams.Silence, FirstEventTimeout: s.Streams.FirstEvent, ProbeTimeout: s.Streams.Probe, ConnectTimeout: s.Streams.Connect,
 			Disabled: disabledMechanisms(&s.Mechanisms),
@@ -222,7 +222,7 @@
 func disabledMechanisms(m *settings.FrontMechanisms) forward.DisabledMechanisms {
 	return forward.DisabledMechanisms{
 		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
-		SharedRetries: !m.SharedRetries, WaitQueue: !m.Line, FirstLook: !m.FirstLook, Claims: !m.Claims, Limits: !m.Limits, Room: !m.Room,
+		SharedRetries: !m.SharedRetries, WaitQueue: !m.Line, FirstLook: !m.FirstLook, Claims: !m.Claims, Limits: !m.Limits, Room: !m.Room, ViaPeers: !m.ViaPeers,
 	}
 }
 
--- a/gateway/front/peer_endpoints.go
+++ b/gateway/front/peer_endpoints.go
@@ -21,6 +21,9 @@
 	}
 	t := f.placement.PeerReport()
 	t.Prefilled = f.forwarder.PromptLocations()
+	if f.reach.CutOff() { // the failures that it sees say nothing about the endpoints
+		t.Suspects, t.Outcomes, t.Paces = nil, nil, nil
+	}
 	return t
 }
 
@@ -63,15 +66,29 @@
 
 // forwardOthers returns the other instances for the forwarder.
 func (f *Front) forwardOthers() forward.Peers {
+	others := &forwardPeers{f.exchange}
 	if !f.settings.Mechanisms.Announcements || !f.settings.Mechanisms.Owners {
-		return &noPeerQueries{f.exchange}
+		return &noPeerQueries{others}
+	}
+	return others
+}
+
+// forwardPeers is the exchange as the forwarder uses it.
+type forwardPeers struct{ *exchange.Exchange }
+
+// Helpers implements [forward.Peers].
+func (p *forwardPeers) Helpers() []forward.Helper {
+	peers := p.Exchange.Helpers()
+	out := make([]forward.Helper, len(peers))
+	for i := range peers {
+		out[i] = forward.Helper{ID: peers[i].ID, Address: peers[i].Peers, DataCentre: peers[i].DataCentre}
 	}
-	return f.exchange
+	return out
 }
 
 // noPeerQueries are other instances that are not asked about engines before a request is placed,
 // and that know nothing of the room at an endpoint that is claimed.
-type noPeerQueries struct{ *exchange.Exchange }
+type noPeerQueries struct{ *forwardPeers }
 
 // Ask implements [forward.Peers].
 func (u *noPeerQueries) Ask(context.Context, uint64, []string) {}
--- a/gateway/front/serve.go
+++ b/gateway/front/serve.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/relay"
 	"github.com/agateway/agateway/platform"
 )
@@ -25,7 +26,10 @@
 	f.serveRoutes(l.ready, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
 	f.serveRoutes(l.directory, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
 	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Relay: f.relay}, connect.WithCompressMinBytes(compressMinBytes))
-	f.serveRoutes(l.peerCalls, func(r chi.Router) { r.Handle(path+"*", handler) })
+	f.serveRoutes(l.peerCalls, func(r chi.Router) {
+		r.Use(f.servePassedOn)
+		r.Handle(path+"*", handler)
+	})
 	if l.metrics != nil {
 		f.serveRoutes(l.metrics, func(r chi.Router) {
 			r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics)
@@ -53,6 +57,17 @@
 	})
 }
 
+// servePassedOn hands requests that other instances pass on to the forwarder, whatever their path.
+func (f *Front) servePassedOn(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forward.IsPassedOn(r) {
+			f.forwarder.ServePeer(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (f *Front) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if !f.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -9,7 +9,7 @@
 func EncodeMember(m *membership.Member) *peerv1.Member {
 	return &peerv1.Member{
 		Id: m.ID, Address: m.Address, PeerAddress: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: uint32(m.LinkMbps),
-		Incarnation: m.Incarnation, Process: m.Process, Leaving: m.Leaving, Ready: m.Ready, Store: peerv1.StoreAccess(m.Store),
+		Incarnation: m.Incarnation, Process: m.Process, Leaving: m.Leaving, Ready: m.Ready, Store: peerv1.StoreAccess(m.Store), Endpoints: peerv1.EndpointAccess(m.Endpoints),
 		Spreads: m.Spreads, State: peerv1.MemberState(m.State + 1), Beat: m.StatsVersion, OpenRequests: m.OpenRequests, Configuration: m.ConfigDigest,
 	}
 }
@@ -22,7 +22,7 @@
 	}
 	return membership.Member{
 		ID: m.GetId(), Address: m.GetAddress(), PeerAddress: m.GetPeerAddress(), DataCentre: m.GetDataCentre(), Region: m.GetRegion(), LinkMbps: int(m.GetLink()),
-		Incarnation: m.GetIncarnation(), Process: m.GetProcess(), Leaving: m.GetLeaving(), Ready: m.GetReady(), Store: int(m.GetStore()),
+		Incarnation: m.GetIncarnation(), Process: m.GetProcess(), Leaving: m.GetLeaving(), Ready: m.GetReady(), Store: int(m.GetStore()), Endpoints: int(m.GetEndpoints()),
 		Spreads: m.GetSpreads(), State: state, StatsVersion: m.GetBeat(), OpenRequests: m.GetOpenRequests(), ConfigDigest: m.GetConfiguration(),
 	}
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -167,6 +167,13 @@
 	p.view.Failed(time.Now(), id)
 }
 
+// ForgetFailures drops the suspicions of all endpoints that failed this instance since a time.
+func (p *Placement) ForgetFailures(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.ForgetFailures(since)
+}
+
 // Refused records that an endpoint had no room for a request.
 func (p *Placement) Refused(id string) {
 	p.mu.Lock()
