cli/soak, gateway/settings: instances that are cut off from all endpoints

A soak cuts one process, those of a data centre, or all but one off from all workers for seven seconds: open connections are reset, go silent or live on, new ones are reset. Workers tell the processes apart by their source address, which is a setting now ([process] source_ip, for machines with several). Checked: processes that are cut off serve two thirds as often as the others, from the settling time on.

--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -62,6 +62,8 @@
 	fatalRequests fatalRequests
 	rollouts      rollouts
 	limits        limits
+	cuts          cuts
+	workerProxies []*proxy // guarded by mu
 	// burst runs additional callers until ctx ends.
 	burst          func(ctx context.Context, callers int)
 	foreignWorkers []*standin.Worker // of another service, at reused addresses
@@ -130,7 +132,7 @@
 
 // add starts a worker behind a proxy.
 func (w *environment) add(name string, cfg standin.WorkerConfig) error {
-	p, err := newProxy("")
+	p, err := w.newWorkerProxy("")
 	if err != nil {
 		return err
 	}
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -23,7 +23,7 @@
 	"answers-lost": loseAnswers, "used-again": reuseAddress, "fatal-request": fatalRequest,
 	"pause": pause, "kill": kill, "kill-all": killAll, "stop": stop, "stop-in-a-row": stopInARow,
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
-	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst,
+	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -39,11 +39,12 @@
 		"store-link", "store-outage", "store-slow", "store-forgets", "store-loses", "key-goes-unheard", "key-goes-unheard",
 	}
 	limitFaults = []string{"rate", "rate", "rate", "fragile"}
+	cutFaults   = []string{"cut-off", "cut-off", "crash", "worker-link"}
 )
 
-// Seeds from firstLimitSeed to lastLimitSeed also draw limitFaults. The others keep the faults with
-// which they have found something.
-const firstLimitSeed, lastLimitSeed = 3000, 9999
+// Seeds from firstLimitSeed to lastSeed also draw limitFaults, and those from firstCutSeed cutFaults.
+// The others keep the faults with which they have found something.
+const firstLimitSeed, firstCutSeed, lastSeed = 3000, 4000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -51,9 +52,12 @@
 // in time that an endpoint is leaving only if the store answers.
 func faultNamesForSeed(seed uint64) []string {
 	kinds := [][]string{endpointFaults, processFaults, storeFaults}
-	if seed >= firstLimitSeed && seed <= lastLimitSeed {
+	if seed >= firstLimitSeed && seed <= lastSeed {
 		kinds = append(kinds, limitFaults)
 	}
+	if seed >= firstCutSeed && seed <= lastSeed {
+		kinds = append(kinds, cutFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	p := &process{
-		name: fmt.Sprint("front-", i), program: program, callersAddress: addresses[0], readyAddress: addresses[1], directoryAddress: addresses[2],
+		name: processName(i), program: program, callersAddress: addresses[0], readyAddress: addresses[1], directoryAddress: addresses[2],
 		settingsPath: filepath.Join(dir, fmt.Sprintf("front-%d.ini", i)), logPath: filepath.Join(dir, fmt.Sprintf("front-%d.log", i)),
 		done: make(chan struct{}), disruptions: h,
 	}
@@ -97,6 +97,8 @@
 peers = %s
 [store]
 address = %s
+[process]
+source_ip = %s
 [bounds]
 revoke = %v
 grace = %v
@@ -106,7 +108,7 @@
 [rollouts]
 share = 0.1
 reserve = 50
-`, p.name, i%dataCentres, addresses[0], addresses[1], addresses[2], addresses[3], store, revokeBound, o.ShutdownGrace)
+`, p.name, i%dataCentres, addresses[0], addresses[1], addresses[2], addresses[3], store, sourceIP(i), revokeBound, o.ShutdownGrace)
 	if len(o.DisabledMechanisms) > 0 {
 		settings += "[mechanisms]\n" + strings.Join(o.DisabledMechanisms, " = false\n") + " = false\n"
 	}
--- a/cli/soak/proxy.go
+++ b/cli/soak/proxy.go
@@ -36,6 +36,11 @@
 	server        string
 	mode          mode
 	conns         map[net.Conn]bool
+	// cutOf returns how the process at the other end of a connection is cut off, if it is; nil for a
+	// proxy from which no process is. silenced holds the connections of processes whose open
+	// connections are silent.
+	cutOf    func(caller net.Conn) (cutMode, bool)
+	silenced map[net.Conn]bool
 }
 
 // newProxy starts a proxy. The server may be empty and set later by setServer.
@@ -44,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, server: server, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, server: server, conns: map[net.Conn]bool{}, silenced: map[net.Conn]bool{}}
 	p.listenAddress = l.Addr().String()
 	go p.accept(l)
 	return p, nil
@@ -134,12 +139,13 @@
 		p.conns[c] = true
 	} else {
 		delete(p.conns, c)
+		delete(p.silenced, c)
 	}
 }
 
 func (p *proxy) serve(caller net.Conn) {
 	m, server := p.current()
-	if m == reset {
+	if m == reset || p.isCut(caller) {
 		abort(caller)
 		return
 	}
@@ -173,7 +179,7 @@
 			return
 		}
 		switch m, _ := p.current(); {
-		case m == silent, m == oneWay && toCaller:
+		case m == silent, m == oneWay && toCaller, p.isSilenced(to), p.isSilenced(from):
 			continue // dropped
 		case m == delayed:
 			time.Sleep(meanDelay/2 + rand.N(meanDelay))
@@ -185,6 +191,45 @@
 	}
 }
 
+// isCut reports whether the process at the other end of a new connection is cut off.
+func (p *proxy) isCut(caller net.Conn) bool {
+	p.mu.Lock()
+	cutOf := p.cutOf
+	p.mu.Unlock()
+	if cutOf == nil {
+		return false
+	}
+	_, cut := cutOf(caller)
+	return cut
+}
+
+func (p *proxy) isSilenced(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenced[c]
+}
+
+// applyCut applies cuts to the open connections. Connections that were silent are reset at the end of
+// a cut, as they have lost data.
+func (p *proxy) applyCut() {
+	p.mu.Lock()
+	var closed []net.Conn
+	for c := range p.conns {
+		m, cut := p.cutOf(c)
+		switch {
+		case p.silenced[c] && !cut, cut && m == cutResets:
+			closed = append(closed, c)
+			delete(p.silenced, c)
+		case cut && m == cutSilences:
+			p.silenced[c] = true
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range closed {
+		abort(c)
+	}
+}
+
 func (p *proxy) close() {
 	p.mu.Lock()
 	p.closed = true
--- a/cli/soak/rollouts.go
+++ b/cli/soak/rollouts.go
@@ -79,11 +79,17 @@
 		if err != nil {
 			continue // no free port
 		}
+		p, err := w.newWorkerProxy(l.Addr().String())
+		if err != nil {
+			_ = l.Close()
+			continue
+		}
 		cfg := k.config
-		cfg.ID, cfg.Build, cfg.Address = fmt.Sprintf("i-next-%d", i), badBuildName, l.Addr().String()
+		cfg.ID, cfg.Build, cfg.Address = fmt.Sprintf("i-next-%d", i), badBuildName, p.address()
 		worker := w.fleet.NewWorker(cfg)
 		worker.SetFault(fault)
-		o.workers, o.counterparts, stops = append(o.workers, worker), append(o.counterparts, k), append(stops, standin.Serve(l, worker))
+		stop := standin.Serve(l, worker)
+		o.workers, o.counterparts, stops = append(o.workers, worker), append(o.counterparts, k), append(stops, func() { p.close(); stop() })
 	}
 	w.mu.Lock()
 	w.rollouts.orders = append(w.rollouts.orders, o)
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -89,6 +89,7 @@
 	s.runLoad(ctx)
 	s.checkRuns()
 	s.checkLimits()
+	s.checkCuts()
 	s.checkRollouts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/cmd/agatewayd/front.go
+++ b/gateway/cmd/agatewayd/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -51,7 +52,7 @@
 	signals := stopSignals()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	f, err := front.Start(s, front.Environment{Network: network.TCP{}, Clock: clock.Boot, Out: os.Stdout})
+	f, err := front.Start(s, front.Environment{Network: network.TCP{Source: net.ParseIP(s.Process.Source)}, Clock: clock.Boot, Out: os.Stdout})
 	if err != nil {
 		return err
 	}
--- a/gateway/network/network.go
+++ b/gateway/network/network.go
@@ -19,7 +19,10 @@
 }
 
 // TCP is the network of the operating system, with TCP for connections and UDP for datagrams.
-type TCP struct{}
+type TCP struct {
+	// Source is the IP number from which connections are made; nil for any.
+	Source net.IP
+}
 
 // Listen implements [Network].
 func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
@@ -30,8 +33,11 @@
 }
 
 // Dial implements [Network].
-func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (t TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	var d net.Dialer
+	if t.Source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: t.Source}
+	}
 	return d.DialContext(ctx, network, address)
 }
 
--- a/gateway/settings/check.go
+++ b/gateway/settings/check.go
@@ -16,6 +16,7 @@
 var checks = map[string]func(string) error{
 	"address":          checkAddress,
 	"optional-address": checkOptionalAddress,
+	"optional-ip":      checkOptionalIP,
 	"url":              checkURL,
 	"secret":           checkSecret,
 	"sha256":           checkSHA256,
@@ -53,6 +54,13 @@
 	return nil
 }
 
+func checkOptionalIP(text string) error {
+	if text != "" && net.ParseIP(text) == nil {
+		return fmt.Errorf("%q is no IP number", text)
+	}
+	return nil
+}
+
 func checkOptionalAddress(text string) error {
 	if text == "" {
 		return nil
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -91,6 +91,7 @@
 type FrontProcess struct {
 	Memory int     `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB"`
 	Link   float64 `ini:"link_mbps" default:"0" min:"0" doc:"bandwidth of the instance's network link in Mbit/s; those with the widest links pass the most on to others. 0 for unknown"`
+	Source string  `ini:"source_ip" check:"optional-ip" doc:"IP number from which connections are made, on a machine with several; empty for any"`
 }
 
 // FrontMechanisms switch single mechanisms off, to measure the effect of each one on a deployment.
