--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -24,8 +24,10 @@
 )
 
 const (
-	// probesPerRound is how many endpoints a round probes.
+	// probesPerRound is how many endpoints a round probes, and firstProbes how many the first round
+	// of a check does: one of them is reached nearly always, and connections to endpoints are dear.
 	probesPerRound = 5
+	firstProbes    = 2
 	// probeInterval is the time between two rounds while the instance is cut off.
 	probeInterval = 250 * time.Millisecond
 	// openTime is how long a probe's connection has to stay open.
@@ -107,7 +109,7 @@
 	for ctx.Err() == nil {
 		if m.CutOff() {
 			pause.For(ctx, probeInterval)
-			m.round(ctx, map[string]bool{})
+			m.round(ctx, probesPerRound, map[string]bool{})
 			continue
 		}
 		select {
@@ -149,19 +151,21 @@
 		m.check = nil
 	}()
 	probed := map[string]bool{}
+	probes := firstProbes
 	for range reachability.Rounds {
-		if m.round(context.Background(), probed) > 0 {
+		if m.round(context.Background(), probes, probed) > 0 {
 			return
 		}
+		probes = probesPerRound
 	}
 }
 
-// round probes endpoints that are not in probed, and adds them. If there are none left, it probes
-// any. It returns how many were reached.
-func (m *Monitor) round(ctx context.Context, probed map[string]bool) (reached int) {
-	sample := m.Sample(probesPerRound, probed)
+// round probes up to n endpoints that are not in probed, and adds them. If there are none left, it
+// probes any. It returns how many were reached.
+func (m *Monitor) round(ctx context.Context, n int, probed map[string]bool) (reached int) {
+	sample := m.Sample(n, probed)
 	if len(sample) == 0 {
-		sample = m.Sample(probesPerRound, nil)
+		sample = m.Sample(n, nil)
 	}
 	results := make(chan bool, len(sample))
 	for i := range sample {
