--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -22,6 +22,7 @@
 	platform.ClientRequest
 	httpRequest     *http.Request
 	passedOnBy      string // the instance that passes the request on; empty if it comes from a caller
+	runsLeft        int    // on how many endpoints that instance lets it run; 0 for no such limit
 	arrivedAt       time.Time
 	deadline        time.Time // zero when neither caller nor route sets one
 	table           *route.Table
@@ -132,6 +133,14 @@
 	}
 }
 
+// maxRuns returns on how many endpoints the request may run.
+func (req *request) maxRuns() int {
+	if req.runsLeft > 0 {
+		return min(req.runsLeft, req.route.MaxAttempts)
+	}
+	return req.route.MaxAttempts
+}
+
 // timeLeft returns how much longer the caller waits, at least 1 ms; 0 when the caller gave no
 // limit.
 func (req *request) timeLeft(now time.Time) time.Duration {
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -139,7 +139,7 @@
 // retryMayHelp reports whether another endpoint may give a better answer: the route is idempotent
 // and the endpoint answered with a 5xx. A 4xx is about the request itself, so it is final.
 func (p *plain) retryMayHelp(a *answer) bool {
-	return a.status >= http.StatusInternalServerError && a.unread == nil && p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.route.MaxAttempts
+	return a.status >= http.StatusInternalServerError && a.unread == nil && p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns()
 }
 
 // mayRetry reports whether the request may be sent to another endpoint, and counts the retry.
@@ -147,7 +147,7 @@
 	if !p.req.replayable {
 		return false
 	}
-	if result != outcomeNotRun && (p.req.route.RetryPolicy == route.AtMostOnce || p.req.route.Stream || p.possibleRuns >= p.req.route.MaxAttempts) {
+	if result != outcomeNotRun && (p.req.route.RetryPolicy == route.AtMostOnce || p.req.route.Stream || p.possibleRuns >= p.req.maxRuns()) {
 		return false
 	}
 	// A failed connection has delivered nothing, so the next send is no retry.
@@ -349,6 +349,7 @@
 // [http.ErrAbortHandler] to close the connection.
 func (p *plain) deliver(a *answer) {
 	copyHeader(p.w.Header(), platform.HeadersToClient(a.header))
+	p.w.Header().Del(headerPeerRefusal) // only an instance may set it
 	p.w.WriteHeader(a.status)
 	if _, err := p.w.Write(a.body); err != nil && a.unread != nil {
 		a.unread.Abort()
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -116,7 +116,7 @@
 	c.ProbeTimeout = settings.ProbeTimeout
 	c.AckTimeout = settings.ConnectTimeout + ackMargin
 	c.WaitForEndpoint = resumeEngineWait
-	c.MaxAttempts = s.req.route.MaxAttempts
+	c.MaxAttempts = s.req.maxRuns()
 	return c
 }
 
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +28,8 @@
 const (
 	// headerPassedOnBy names the instance that passes a request on.
 	headerPassedOnBy = "Passed-On-By"
+	// headerRunsLeft is how many endpoints the helper may let run the request.
+	headerRunsLeft = "Runs-Left"
 	// headerPeerRefusal marks an answer that a helper gave itself, not an endpoint: peerRefused, or
 	// peerUnable if the request has not run and another helper may be able to serve it.
 	headerPeerRefusal = "Peer-Refusal"
@@ -113,7 +115,11 @@
 	arrivedAt := time.Now()
 	req, refused := f.accept(r, arrivedAt)
 	req.passedOnBy = r.Header.Get(headerPassedOnBy)
+	if n, err := strconv.Atoi(r.Header.Get(headerRunsLeft)); err == nil && n > 0 {
+		req.runsLeft = n
+	}
 	r.Header.Del(headerPassedOnBy)
+	r.Header.Del(headerRunsLeft)
 	f.metrics.forPeers.Inc(1)
 	if d := f.drain.Load(); d != nil && refused == nil {
 		refused = d.refuses(arrivedAt, req)
@@ -131,11 +137,13 @@
 // IsPassedOn reports whether a request comes from another instance.
 func IsPassedOn(r *http.Request) bool { return r.Header.Get(headerPassedOnBy) != "" }
 
-// peerRequest builds the request that is passed on to a helper.
-func (f *Forwarder) peerRequest(req *request, lastEventID string) *upstream.Request {
+// peerRequest builds the request that is passed on to a helper, which may let runsLeft endpoints run
+// it.
+func (f *Forwarder) peerRequest(req *request, lastEventID string, runsLeft int) *upstream.Request {
 	r := req.httpRequest
 	header := platform.HeadersToPeer(r.Header, req.timeLeft(time.Now()), lastEventID)
 	header.Set(headerPassedOnBy, f.Settings.Instance)
+	header.Set(headerRunsLeft, strconv.Itoa(runsLeft))
 	return &upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: req.bodyReader(), Length: req.upstreamLength()}
 }
 
@@ -185,7 +193,7 @@
 	if result == outcomeNotRun {
 		return true
 	}
-	return p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.route.MaxAttempts && p.f.takeRetry(p.req.service, false)
+	return p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns() && p.f.takeRetry(p.req.service, false)
 }
 
 // sendToPeer passes the request on to a helper and reads its answer.
@@ -194,20 +202,21 @@
 	if err != nil {
 		return nil, outcomeNotRun, err
 	}
+	runsLeft := max(p.req.route.MaxAttempts-p.possibleRuns, 1)
 	p.sends++
-	p.possibleRuns++
+	p.possibleRuns += runsLeft // the helper may use all of them
 	p.f.helperLoads.add(h.ID, 1)
 	defer p.f.helperLoads.add(h.ID, -1)
-	x, err := conn.Do(ctx, p.f.peerRequest(p.req, ""), anyAnswer)
+	x, err := conn.Do(ctx, p.f.peerRequest(p.req, "", runsLeft), anyAnswer)
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
-		p.possibleRuns--
+		p.possibleRuns -= runsLeft
 		return nil, outcomeNotRun, err
 	}
 	if err != nil {
 		return nil, outcomeUnknown, err
 	}
 	if x.Header().Get(headerPeerRefusal) == peerUnable {
-		p.possibleRuns--
+		p.possibleRuns -= runsLeft
 		x.Abort()
 		return nil, outcomeNotRun, ErrRefused.New("instance %s can't serve the request", h.ID)
 	}
@@ -215,7 +224,6 @@
 	if err != nil {
 		return nil, outcomeUnknown, err
 	}
-	a.header.Del(headerPeerRefusal)
 	return a, outcomeAnswered, nil
 }
 
@@ -251,7 +259,7 @@
 	s.f.helperLoads.add(h.ID, 1)
 	defer s.f.helperLoads.add(h.ID, -1)
 	a.report(ctx, message{kind: attemptSent})
-	x, err := conn.Do(ctx, s.f.peerRequest(s.req, a.send.LastEventID), anyAnswer)
+	x, err := conn.Do(ctx, s.f.peerRequest(s.req, a.send.LastEventID, max(s.req.maxRuns()-a.number+1, 1)), anyAnswer)
 	if err != nil {
 		return a.classifyLoss(ctx, err)
 	}
@@ -280,7 +288,6 @@
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
-	x.Header().Del(headerPeerRefusal)
 	return message{
 		kind: attemptFailed, failure: generation.Invalid, err: ErrEngine.New("instance %s answered with status %d", a.helper.ID, x.Status()),
 		answer: &answer{status: x.Status(), header: x.Header(), body: body},
@@ -291,6 +298,3 @@
 func (f *Forwarder) helperAlive(id string) bool {
 	return slices.ContainsFunc(f.Peers.Helpers(), func(h Helper) bool { return h.ID == id })
 }
-
-// isHelperName reports whether the name of an endpoint is that of a helper.
-func isHelperName(endpoint string) bool { return strings.HasPrefix(endpoint, helperPrefix) }
--- a/gateway/front/cutoff_test.go
+++ b/gateway/front/cutoff_test.go
@@ -150,3 +150,73 @@
 		})
 	}
 }
+
+// TestPassedOnRequestOutcomes checks what a caller of an instance without links gets, and how often
+// its request runs, for each way in which the endpoints fail the helpers. It is what a caller of the
+// helpers gets.
+func TestPassedOnRequestOutcomes(t *testing.T) {
+	type fault = standin.WorkerFault
+	for name, c := range map[string]struct {
+		request standin.Request
+		fault   fault
+		status  int
+		runs    int
+		signed  bool
+	}{
+		"once":                 {logRequest(), fault{}, 200, 1, true},
+		"idempotent":           {pingRequest(), fault{}, 200, 1, true},
+		"once, refused":        {logRequest(), fault{RefuseAll: true}, 503, 0, false},
+		"once, failed":         {logRequest(), fault{FailAll: true}, 500, 1, true},
+		"idempotent, failed":   {pingRequest(), fault{FailAll: true}, 500, 2, true},
+		"once, lost":           {logRequest(), fault{LoseAnswer: true}, 502, 1, false},
+		"idempotent, lost":     {pingRequest(), fault{LoseAnswer: true}, 502, 2, false},
+		"once, nothing said":   {logRequest(), fault{Hang: true}, 504, 1, false},
+		"unknown key":          {standin.Request{Path: "/ping/1", Key: "none", Timeout: 3 * time.Second}, fault{}, 401, 0, false},
+		"large body, streamed": {standin.Request{Path: "/log/1", Key: deskKey, Body: strings.Repeat("x", 400<<10), Timeout: 3 * time.Second}, fault{}, 200, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 3, 3, 3, func(w *world) {
+				heal := w.cutFromEndpoints(1, resets)
+				defer heal()
+				for range 3 { // so that the cut is found
+					_, _ = w.send(0, pingRequest())
+				}
+				w.setPlainFaults(c.fault, 0)
+				r := c.request
+				r.ID = w.newRequestID()
+				a, err := w.send(0, r)
+				assert.NilError(t, err)
+				assert.Equal(t, a.Status, c.status, a.Body)
+				assert.Equal(t, a.Signature != "", c.signed)
+				assert.Equal(t, w.plainRunCount(r.ID), c.runs)
+				assert.Equal(t, a.RetryAfter != "", c.status == 503)
+				assert.Assert(t, a.Complete)
+			})
+		})
+	}
+}
+
+// TestHelperIsKilled checks streams and calls of an instance without links whose helpers are killed:
+// streams go on at another helper, whole, and no call that must run once runs twice.
+func TestHelperIsKilled(t *testing.T) {
+	run(t, 4, 6, 3, func(w *world) {
+		heal := w.cutFromEndpoints(1, hang)
+		defer heal()
+		_ = w.drive(2*time.Second, 1, 1)
+		var answers []chan standin.Answer
+		const streams = 4
+		for i := range streams {
+			answers = append(answers, w.startStream(0, briefRequest(fmt.Sprint("c", i))))
+		}
+		time.Sleep(2 * time.Second)
+		w.killFront(1)
+		during := w.drive(3*time.Second, 1, 1)
+		for i, c := range answers {
+			assertWhole(t, <-c, fmt.Sprint("c", i), 0)
+		}
+		for _, id := range during.logs {
+			assert.Check(t, w.plainRunCount(id) <= 1, "%s ran %d times", id, w.plainRunCount(id))
+		}
+		assert.Check(t, during.served[true]*100 >= during.sent[true]*90, "%d of %d served", during.served[true], during.sent[true])
+	})
+}
--- a/gateway/front/state.go
+++ b/gateway/front/state.go
@@ -33,12 +33,12 @@
 	StoreCalls    uint64 `json:"store_calls"`
 	// Follows is the instance that is followed instead of the store; empty for the store itself.
 	// CutOff says that the store does not answer this instance.
-	Follows   string          `json:"follows"`
-	CutOff bool `json:"cut_off"`
+	Follows string `json:"follows"`
+	CutOff  bool   `json:"cut_off"`
 	// NoEndpoints says that the instance reaches no endpoint, and passes requests on to others.
 	NoEndpoints bool            `json:"no_endpoints"`
-	Peers     []exchange.Peer `json:"peers"`
-	Endpoints []EndpointState `json:"endpoints"`
+	Peers       []exchange.Peer `json:"peers"`
+	Endpoints   []EndpointState `json:"endpoints"`
 	// Stopped are the requests that are stopped now, and those that were and have not been served
 	// since.
 	Stopped []crashes.State `json:"stopped"`
