platform, core/departure, core/routing, gateway/forward: that an endpoint leaves is read from its answers, logged and counted

Each change is one line now (endpoint is leaving: source, age, the highest sequence number of its entries, requests of this instance there), and endpoints_leaving_by_answer counts them. The register decides what a later word of the same incarnation is; nothing asks it yet. Sequence numbers of entries are decoded for that.

--- /dev/null
+++ b/core/routing/departure.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/departure"
+)
+
+// DepartureSource is where it was learned that an endpoint leaves, or does not leave any more.
+type DepartureSource string
+
+// Values of DepartureSource.
+const (
+	FromAnswer DepartureSource = "answer" // an answer to this instance
+	FromPeer   DepartureSource = "peer"   // the report of another instance
+	FromEntry  DepartureSource = "entry"  // the endpoint's entry of the list
+)
+
+// DepartureEvent says that an endpoint counts as leaving because of an answer, or that it does not
+// any more.
+type DepartureEvent struct {
+	Endpoint string
+	Leaving  bool
+	Source   DepartureSource
+	// Age is the time since the last answer that said so.
+	Age time.Duration
+	// Sequence is the highest sequence number of the endpoint's entries, and Open the number of this
+	// instance's requests there.
+	Sequence uint64
+	Open     int
+	// Count is how many endpoints count as leaving because of an answer.
+	Count int
+}
+
+// RecordLeaving records that an answer of an endpoint says that it is leaving. An endpoint that is
+// not listed is ignored.
+func (v *View) RecordLeaving(now time.Time, id string) {
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	st := departure.Statement{At: now, Sequence: n.Sequence}
+	if v.departures.Said(now, id, st, true) {
+		v.addDepartureEvent(now, n, FromAnswer, st)
+	}
+}
+
+// CompareEntry compares the entry of an endpoint with what its answers said. It is called after each
+// [View.Upsert].
+func (v *View) CompareEntry(now time.Time, id string) {
+	n := v.nodes[id]
+	if n == nil {
+		return
+	}
+	st, _ := v.departures.Of(id)
+	if v.departures.Listed(now, id, n.State == Leaving, n.Sequence) {
+		v.addDepartureEvent(now, n, FromEntry, st)
+	}
+}
+
+func (v *View) addDepartureEvent(now time.Time, n *node, source DepartureSource, st departure.Statement) {
+	v.departureEvents = append(v.departureEvents, DepartureEvent{
+		Endpoint: n.ID, Leaving: v.departures.Leaving(n.ID), Source: source, Age: now.Sub(st.At), Sequence: n.Sequence, Open: n.open, Count: v.departures.Count(),
+	})
+}
+
+// TakeDepartureEvents returns the events since the last call.
+func (v *View) TakeDepartureEvents() []DepartureEvent {
+	out := v.departureEvents
+	v.departureEvents = nil
+	return out
+}
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -40,7 +40,9 @@
 	Service string
 	Slots   int
 	State   State
-	Models  []Model
+	// Sequence rises with each entry that this incarnation writes to the list; 0 if unknown.
+	Sequence uint64
+	Models   []Model
 	// Role is the role that the engine reports of itself.
 	Role string
 	// Memory is the capacity that running requests and copies share at an engine, in tokens; 0
@@ -166,6 +168,7 @@
 	v.sweptAt = now
 	v.sweeps++
 	v.sweepGates(now)
+	v.departures.Expire(now, func(id string) bool { return v.nodes[id] != nil })
 	for id, n := range v.observed {
 		if n.touched+1 < v.sweeps && n.idle(now) {
 			n.observations = noObservations
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
 )
 
@@ -90,6 +91,8 @@
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
 	statements       admission.Statements // limits that endpoints state
+	departures       departure.Register   // endpoints that said in answers that they leave
+	departureEvents  []DepartureEvent     // not yet taken
 	// rateGates admit what all instances send to endpoints that state a rate and that this instance
 	// owns.
 	rateGates map[string]*admission.RateGate
@@ -129,7 +132,7 @@
 		n.Service, n.DataCentre = e.Service, e.DataCentre
 		v.addToGroups(n)
 	}
-	n.ID, n.Address, n.State, n.ChecksFencing = e.ID, e.Address, e.State, e.ChecksFencing
+	n.ID, n.Address, n.State, n.Sequence, n.ChecksFencing = e.ID, e.Address, e.State, e.Sequence, e.ChecksFencing
 	n.Name, n.StartedUnixMS, n.Build, n.ColdFor = e.Name, e.StartedUnixMS, e.Build, e.ColdFor
 	if e.Slots > 0 {
 		n.Slots = e.Slots
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -56,14 +56,18 @@
 	return x, err
 }
 
-// recordStatus records what an answer says about its endpoint: its load, and the limits that it
-// states. An answer with status 421 comes from another endpoint.
+// recordStatus records what an answer says about its endpoint: its load, the limits that it states,
+// and that it is leaving. An answer with status 421 comes from another endpoint.
 func (f *Forwarder) recordStatus(id string, status int, a *platform.Answer) {
 	if a.HasLoad {
 		f.Placement.RecordLoad(id, a.Load.Running, a.Load.Queued)
 	}
-	if status != http.StatusMisdirectedRequest {
-		f.recordLimits(id, a.Limits)
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	f.recordLimits(id, a.Limits)
+	if a.Leaving {
+		f.Placement.RecordLeaving(id)
 	}
 }
 
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -180,6 +180,7 @@
 		routingSettings.SuspicionPenalty = 0
 	}
 	f.placement = placement.New(routingSettings, rand.Uint64())
+	f.placement.OnDeparture(f.onDeparture)
 	f.pool = upstream.NewPool(dial)
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	view   *routing.View
 	random *rand.Rand
+	// onDeparture is called for each event of the view; see [Placement.OnDeparture].
+	onDeparture func(routing.DepartureEvent)
 }
 
 // New returns a Placement without endpoints. seed seeds the random choices.
@@ -28,14 +30,33 @@
 	return &Placement{view: routing.NewView(s), random: rand.New(rand.NewPCG(seed, seed))}
 }
 
+// OnDeparture sets a function that is called, without the lock, each time that an endpoint begins or
+// ceases to count as leaving because of its answers. OnDeparture must be called before any other
+// method.
+func (p *Placement) OnDeparture(call func(routing.DepartureEvent)) { p.onDeparture = call }
+
+// unlockAndReport releases the lock and reports the departures that were recorded under it.
+func (p *Placement) unlockAndReport() {
+	events := p.view.TakeDepartureEvents()
+	p.mu.Unlock()
+	if p.onDeparture == nil {
+		return
+	}
+	for i := range events {
+		p.onDeparture(events[i])
+	}
+}
+
 // SetEndpoints replaces the list of endpoints. Endpoints that are not in the list are dropped.
 func (p *Placement) SetEndpoints(list []routing.Endpoint) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
+	now := time.Now()
 	keep := make(map[string]bool, len(list))
 	for _, e := range list {
 		keep[e.ID] = true
 		p.view.Upsert(e)
+		p.view.CompareEntry(now, e.ID)
 	}
 	p.view.Retain(keep)
 }
@@ -43,12 +64,14 @@
 // Update removes some endpoints, and adds or updates others.
 func (p *Placement) Update(changed []routing.Endpoint, removed []string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
 	for _, id := range removed {
 		p.view.Remove(id)
 	}
+	now := time.Now()
 	for _, e := range changed {
 		p.view.Upsert(e)
+		p.view.CompareEntry(now, e.ID)
 	}
 }
 
@@ -160,6 +183,13 @@
 	return before, changed, limited
 }
 
+// RecordLeaving records that an answer of an endpoint says that it is leaving.
+func (p *Placement) RecordLeaving(id string) {
+	p.mu.Lock()
+	defer p.unlockAndReport()
+	p.view.RecordLeaving(time.Now(), id)
+}
+
 // Failed records that an endpoint failed a request. The endpoint is avoided for a while.
 func (p *Placement) Failed(id string) {
 	p.mu.Lock()
