core/departure, core/routing, gateway/exchange, gateway/forward: an endpoint that says in an answer that it leaves gets nothing new

Cause: who leaves was learned from the platform's list alone, which stands still while the store is away, slow or away for some instances, and which some endpoints never tell. The class: news that comes by one way alone, so that a fault of that way hides it.

Now an answer, of a request or of a call to an engine, makes its endpoint leave until a later word of the same incarnation: an entry that says ready with a higher sequence number than was known, once the list has said leaving since, or after 10 s. Each request passes one place after its endpoint was chosen (connect), also one that waited, is sent again or resumes from a copy, and is withheld there; probes and searches too. Streams that run there go on; a silent one moves. What answers said is told on with its age and sequence number, by the instance that got the answer. Where all endpoints of a service leave, callers are refused at once.

An answer without the word does not take it back: it may have been sent before. A list entry alone does not either, since it may have been written before and come late.

--- a/core/routing/departure.go
+++ b/core/routing/departure.go
@@ -35,13 +35,28 @@
 // RecordLeaving records that an answer of an endpoint says that it is leaving. An endpoint that is
 // not listed is ignored.
 func (v *View) RecordLeaving(now time.Time, id string) {
+	if n := v.nodes[id]; n != nil {
+		v.noteDeparture(now, id, departure.Statement{At: now, Sequence: n.Sequence}, FromAnswer)
+	}
+}
+
+// ReportDepartures records the endpoints of which a peer reports that they said that they leave. They
+// need not be listed here yet.
+func (v *View) ReportDepartures(now time.Time, departures map[string]departure.Statement) {
+	for id, st := range departures {
+		v.noteDeparture(now, id, st, FromPeer)
+	}
+}
+
+func (v *View) noteDeparture(now time.Time, id string, st departure.Statement, source DepartureSource) {
+	first := v.departures.Said(now, id, st, source == FromAnswer)
 	n := v.nodes[id]
 	if n == nil {
 		return
 	}
-	st := departure.Statement{At: now, Sequence: n.Sequence}
-	if v.departures.Said(now, id, st, true) {
-		v.addDepartureEvent(now, n, FromAnswer, st)
+	n.saysLeaving = v.departures.Leaving(id)
+	if first {
+		v.addDepartureEvent(now, n, source, st)
 	}
 }
 
@@ -56,8 +71,13 @@
 	if v.departures.Listed(now, id, n.State == Leaving, n.Sequence) {
 		v.addDepartureEvent(now, n, FromEntry, st)
 	}
+	n.saysLeaving = v.departures.Leaving(id)
 }
 
+// ObservedDepartures returns the endpoints that said in answers to this instance that they leave, as
+// far as the list does not say it too.
+func (v *View) ObservedDepartures() map[string]departure.Statement { return v.departures.Observed() }
+
 func (v *View) addDepartureEvent(now time.Time, n *node, source DepartureSource, st departure.Statement) {
 	v.departureEvents = append(v.departureEvents, DepartureEvent{
 		Endpoint: n.ID, Leaving: v.departures.Leaving(n.ID), Source: source, Age: now.Sub(st.At), Sequence: n.Sequence, Open: n.open, Count: v.departures.Count(),
@@ -70,3 +90,10 @@
 	v.departureEvents = nil
 	return out
 }
+
+// MayUse reports whether a request may be sent to an endpoint. One that is not listed may be used by
+// a request that chose it before.
+func (v *View) MayUse(id string) bool {
+	n := v.nodes[id]
+	return n == nil || n.inService()
+}
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -99,6 +99,8 @@
 	Endpoint
 	view     *View
 	inSubset bool // it is in this instance's own subset
+	// saysLeaving is set while it counts as leaving because of its answers.
+	saysLeaving bool
 	// owned is the result of [View.Owned] at ownedVersion of the view.
 	owned        bool
 	ownedVersion uint64
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -15,6 +16,8 @@
 	// ErrNoEndpoint is returned if no endpoint of the service is able to take the request: none
 	// serves the model, or all that do are excluded.
 	ErrNoEndpoint = errors.New("routing: no eligible endpoint")
+	// ErrAllLeaving is the [ErrNoEndpoint] for a service whose endpoints are all leaving.
+	ErrAllLeaving = fmt.Errorf("%w: all are leaving", ErrNoEndpoint)
 	// ErrFull is returned if eligible endpoints exist, but none has room.
 	ErrFull = errors.New("routing: all eligible endpoints are full")
 )
@@ -120,8 +123,8 @@
 
 // Pick chooses an endpoint. It compares a sample; if that has no eligible endpoint, it scans the
 // whole group. Engines with unknown placements are used only if none is known, and suspected
-// endpoints only as [Settings.FallBackToSuspected] allows. It returns [ErrNoEndpoint] or [ErrFull]
-// if there is none.
+// endpoints only as [Settings.FallBackToSuspected] allows. It returns [ErrNoEndpoint],
+// [ErrAllLeaving] or [ErrFull] if there is none.
 func (v *View) Pick(now time.Time, r *Request, rnd *rand.Rand) (Decision, error) {
 	group := v.groups[groupKey{r.Service, ""}]
 	if len(group) == 0 {
@@ -148,8 +151,11 @@
 		p.considerAll(group, rnd)
 	}
 	if p.best == nil {
-		if p.sawFull {
+		switch {
+		case p.sawFull:
 			return Decision{}, ErrFull
+		case !p.sawStaying:
+			return Decision{}, ErrAllLeaving
 		}
 		return Decision{}, ErrNoEndpoint
 	}
@@ -185,6 +191,7 @@
 	bestTie               uint64
 	compared              int
 	sawFull               bool
+	sawStaying            bool // an endpoint is not leaving
 	allowSuspected        bool
 	// sawFullEngine is set when an engine that takes work has no room. Requests then wait for it,
 	// and suspected engines are not tried.
@@ -290,6 +297,7 @@
 
 // eligible filters by state, suspicion, earlier failures, model, build, data centre and room.
 func (p *picker) eligible(n *node) bool {
+	p.sawStaying = p.sawStaying || !n.leaving()
 	takesWork := n.takesWork(p.now) && !p.v.presumedDown(p.now, n) || p.allowSuspected && n.inService()
 	if !takesWork || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) || !p.r.Builds.Allows(&n.Endpoint) {
 		return false
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
 )
 
@@ -111,20 +112,23 @@
 	Prefilled []PrefilledPrompt
 	// Limits are the statements of limits that it received.
 	Limits map[string]admission.Statement
+	// Departures are the endpoints that said to it that they leave.
+	Departures map[string]departure.Statement
 }
 
-// empty reports whether nothing of the report has to be kept. Ended, Prefilled and Limits are
-// applied when the report arrives.
+// empty reports whether nothing of the report has to be kept. Ended, Prefilled, Limits and Departures
+// are applied when the report arrives.
 func (t *PeerReport) empty() bool {
 	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces) == 0
 }
 
-// Filter returns the part of the report that is about some endpoints. It keeps all limits.
+// Filter returns the part of the report that is about some endpoints. It keeps all limits and
+// departures.
 func (t *PeerReport) Filter(keep func(id string) bool) PeerReport {
 	dropped := func(id string) bool { return !keep(id) }
 	out := PeerReport{
 		Suspects: slices.DeleteFunc(slices.Clone(t.Suspects), dropped), Ended: slices.DeleteFunc(slices.Clone(t.Ended), dropped),
-		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Limits: t.Limits,
+		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Limits: t.Limits, Departures: t.Departures,
 	}
 	maps.DeleteFunc(out.Placed, func(id string, _ Placed) bool { return dropped(id) })
 	maps.DeleteFunc(out.Outcomes, func(id string, _ health.Counts) bool { return dropped(id) })
@@ -141,7 +145,7 @@
 func (t *PeerReport) Endpoints() map[string]bool {
 	out := map[string]bool{}
 	for _, ids := range []iter.Seq[string]{
-		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces),
+		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Departures),
 	} {
 		for id := range ids {
 			out[id] = true
@@ -157,7 +161,7 @@
 // there. An endpoint that failed several of them is listed among the suspects twice, since more
 // reports make no difference.
 func Combine(all []PeerReport) PeerReport {
-	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}}
+	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}, Departures: map[string]departure.Statement{}}
 	suspectedBy, ended := map[string]int{}, map[string]bool{}
 	for i := range all {
 		for _, id := range all[i].Suspects {
@@ -177,6 +181,11 @@
 				out.Limits[id] = st
 			}
 		}
+		for id, st := range all[i].Departures {
+			if st.At.After(out.Departures[id].At) {
+				out.Departures[id] = st
+			}
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(suspectedBy)) {
 		for range min(suspectedBy[id], maxSuspectingPeers+1) {
@@ -207,6 +216,7 @@
 		}
 	}
 	v.ReportLimits(t.Limits)
+	v.ReportDepartures(now, t.Departures)
 	v.pruneClaims(now, peer)
 	old := v.peerReports[peer]
 	delete(v.peerReports, peer)
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -189,7 +189,10 @@
 func (n *node) trialInProgress() bool { return n.trust.OnTrial() && n.open > n.openAtFailure }
 
 // inService reports whether an endpoint is live and neither leaving nor ended. It may be suspected.
-func (n *node) inService() bool { return n.State == Live && !n.reportsLeaving && !n.ended }
+func (n *node) inService() bool { return !n.leaving() && !n.ended }
+
+// leaving reports whether the list, the endpoint itself or a peer says that it is leaving.
+func (n *node) leaving() bool { return n.State != Live || n.reportsLeaving || n.saysLeaving }
 
 // groupKey identifies the endpoints of a service in one data centre; an empty data centre stands
 // for all of them.
@@ -346,7 +349,7 @@
 // snapshot returns the endpoint with the state that this instance believes it to be in.
 func (n *node) snapshot() Endpoint {
 	e := n.Endpoint
-	if n.reportsLeaving || n.ended {
+	if !n.inService() {
 		e.State = Leaving
 	}
 	return e
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -11,6 +11,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
@@ -26,17 +27,23 @@
 	maxOutcomes  = 16
 	maxPaces     = 16
 	maxLimits    = 6
+	// maxDepartures is small since each instance learns from its own answers too. Each departure takes
+	// the space of suspectsPerDeparture suspects.
+	maxDepartures        = 8
+	suspectsPerDeparture = 2
 )
 
 // encodeAnnouncement returns an announcement of a report and of the counts by service, as of now. Of
 // too many placements, outcomes and paces it keeps the largest, of limits those that changed last,
 // of other lists the first entries.
 func encodeAnnouncement(own routing.PeerReport, counts map[string]limits.RetryCounts, now time.Time) *peerv1.Announcement {
+	suspects := maxSuspects - suspectsPerDeparture*min(len(own.Departures), maxDepartures)
 	a := &peerv1.Announcement{
-		Suspects: own.Suspects[:min(len(own.Suspects), maxSuspects)],
-		Ended:    own.Ended[:min(len(own.Ended), maxEnded)],
-		Uses:     encodeCounts(counts),
-		Limits:   encodeLimits(own.Limits, maxLimits, now),
+		Suspects:   own.Suspects[:min(len(own.Suspects), suspects)],
+		Ended:      own.Ended[:min(len(own.Ended), maxEnded)],
+		Uses:       encodeCounts(counts),
+		Limits:     encodeLimits(own.Limits, maxLimits, now),
+		Departures: encodeDepartures(own.Departures, maxDepartures, now),
 	}
 	for _, r := range own.Prefilled[:min(len(own.Prefilled), maxPrefilled)] {
 		a.Read = append(a.Read, &peerv1.ReadAt{Endpoint: r.Endpoint, Prompt: r.Prompt})
@@ -147,7 +154,7 @@
 	if l == nil {
 		return "", admission.Statement{}
 	}
-	st.At = now.Add(-time.Duration(min(l.Age, maxStatementAge)) * time.Millisecond)
+	st.At = timeOfAge(l.Age, now)
 	if l.Rate != nil {
 		st.Rate, st.HasRate = float64(*l.Rate)/milliPerUnit, true
 	}
@@ -160,6 +167,31 @@
 // maxStatementAge is the largest age of a statement that is told apart, in milliseconds.
 const maxStatementAge = 1 << 32
 
+// encodeDepartures returns the n endpoints that said last that they leave.
+func encodeDepartures(all map[string]departure.Statement, n int, now time.Time) []*peerv1.Departure {
+	var out []*peerv1.Departure
+	for _, id := range largestKeys(all, n, func(st departure.Statement) float64 { return -now.Sub(st.At).Seconds() }) {
+		st := all[id]
+		out = append(out, &peerv1.Departure{Endpoint: id, Age: uint64(max(now.Sub(st.At), 0).Milliseconds()), Sequence: st.Sequence})
+	}
+	return out
+}
+
+func decodeDepartures(all []*peerv1.Departure, now time.Time) map[string]departure.Statement {
+	out := make(map[string]departure.Statement, len(all))
+	for _, d := range all {
+		if d.Endpoint != "" {
+			out[d.Endpoint] = departure.Statement{At: timeOfAge(d.Age, now), Sequence: d.Sequence}
+		}
+	}
+	return out
+}
+
+// timeOfAge returns the time that was an age in milliseconds ago.
+func timeOfAge(age uint64, now time.Time) time.Time {
+	return now.Add(-time.Duration(min(age, maxStatementAge)) * time.Millisecond)
+}
+
 // tenthsPerUnit: outcomes and paces are sent as whole tenths.
 const tenthsPerUnit = 10
 
@@ -180,6 +212,7 @@
 	report := routing.PeerReport{
 		Suspects: a.Suspects, Ended: a.Ended, Placed: make(map[string]routing.Placed, len(a.Placed)),
 		Outcomes: decodeOutcomes(a.Outcomes), Paces: decodePaces(a.Paces), Limits: decodeLimits(a.Limits, now),
+		Departures: decodeDepartures(a.Departures, now),
 	}
 	for _, p := range a.Placed {
 		report.Placed[p.Endpoint] = decodePlaced(p)
@@ -197,9 +230,13 @@
 	d.Ended = report.Ended[:min(len(report.Ended), maxEnded)]
 	d.Outcomes, d.Paces, d.Uses = encodeOutcomes(report.Outcomes), encodePaces(report.Paces), encodeCounts(counts)
 	d.Limits = encodeLimits(report.Limits, 2*maxLimits, now)
+	d.Departures = encodeDepartures(report.Departures, 2*maxDepartures, now)
 	return d
 }
 
 func decodeDigest(d *peerv1.Digest, now time.Time) (routing.PeerReport, map[string]limits.RetryCounts) {
-	return routing.PeerReport{Suspects: d.Suspects, Ended: d.Ended, Outcomes: decodeOutcomes(d.Outcomes), Paces: decodePaces(d.Paces), Limits: decodeLimits(d.Limits, now)}, decodeCounts(d.Uses)
+	return routing.PeerReport{
+		Suspects: d.Suspects, Ended: d.Ended, Outcomes: decodeOutcomes(d.Outcomes), Paces: decodePaces(d.Paces), Limits: decodeLimits(d.Limits, now),
+		Departures: decodeDepartures(d.Departures, now),
+	}, decodeCounts(d.Uses)
 }
--- a/gateway/exchange/exchange_test.go
+++ b/gateway/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
@@ -47,6 +48,7 @@
 			"p3": {Limits: admission.Limits{MaxRefusals: 3, Fragile: true}, At: now},
 			"p4": {At: now.Add(-time.Second)}, // it withdrew its limits
 		},
+		Departures: map[string]departure.Statement{"p5": {At: now.Add(-700 * time.Millisecond), Sequence: 41}, "p6": {At: now}},
 	}
 	counts := map[string]limits.RetryCounts{"plain": {Requests: 100, Retries: 3}}
 	raw, err := proto.Marshal(encodeAnnouncement(report, counts, now))
@@ -61,7 +63,7 @@
 // TestAnnouncementFitsADatagram: a report with too many entries is cut to the size of a datagram,
 // and its largest outcomes are kept.
 func TestAnnouncementFitsADatagram(t *testing.T) {
-	report := routing.PeerReport{Placed: map[string]routing.Placed{}, Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}}
+	report := routing.PeerReport{Placed: map[string]routing.Placed{}, Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}, Departures: map[string]departure.Statement{}}
 	for i := range 300 {
 		id := fmt.Sprintf("i-7f3a91c%03d", i)
 		report.Placed[id] = routing.Placed{Open: 9, Tokens: 88000, PendingPrefill: 88000}
@@ -69,6 +71,7 @@
 		report.Outcomes[id], report.Paces[id] = health.Counts{Good: 900, Bad: float64(i)}, 8
 		report.Prefilled = append(report.Prefilled, routing.PrefilledPrompt{Endpoint: id, Prompt: 1 << 60})
 		report.Limits[id] = admission.Statement{Limits: admission.Limits{Rate: 8888.888, HasRate: true, MaxRefusals: 99, Fragile: true}, At: now.Add(-time.Hour), ChangedAt: now.Add(time.Duration(i) * time.Second)}
+		report.Departures[id] = departure.Statement{At: now.Add(-time.Hour), Sequence: 1 << 20}
 	}
 	counts := map[string]limits.RetryCounts{"plain": {Requests: 1 << 40, Retries: 1 << 30}, "engines": {Requests: 1 << 40, Retries: 1 << 30}}
 	a := encodeAnnouncement(report, counts, now)
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -95,6 +95,8 @@
 	// including the tokens queued ahead of this prompt; 0 when unknown.
 	prefillTokens int
 	sentAt        time.Time
+	// unaskedProbes counts the probes that were withheld from the engine.
+	unaskedProbes atomic.Int32
 	// gaveUpOnSilence is set when the session gave up the attempt because the engine went silent.
 	gaveUpOnSilence atomic.Bool
 	// rolloutTrial counts the attempt when its service moves to another build; nil otherwise.
@@ -214,7 +216,9 @@
 	conn, err := s.f.connect(ctx, s.req, &a.endpoint)
 	if err != nil {
 		a.roomOutcome = connectOutcome(err)
-		go s.f.checkReach(s.f.shutdownCtx) // the next attempt is to know the result
+		if !errorx.IsOfType(err, ErrWithheld) {
+			go s.f.checkReach(s.f.shutdownCtx) // the next attempt is to know the result
+		}
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
 	if a.isRetry && !s.f.takeRetry(s.req.service, a.resumesFromCopy()) {
--- a/gateway/forward/claim.go
+++ b/gateway/forward/claim.go
@@ -87,7 +87,7 @@
 
 // connectOutcome returns what a failed connection says about an endpoint.
 func connectOutcome(err error) admission.Outcome {
-	if errorx.IsOfType(err, upstream.ErrBusy) {
+	if errorx.IsOfType(err, upstream.ErrBusy) || errorx.IsOfType(err, ErrWithheld) {
 		return admission.Withdrawn
 	}
 	return admission.Unreachable
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -27,13 +27,19 @@
 	// ErrLimited means that a request was not sent, as the endpoint would get more than it states
 	// that it takes.
 	ErrLimited = namespace.NewType("limited", errorx.Temporary())
+	// ErrWithheld means that a request was not sent, as the endpoint is leaving.
+	ErrWithheld = namespace.NewType("withheld", errorx.Temporary())
 	// ErrEvents means that an answer is not a valid stream of events.
 	ErrEvents = namespace.NewType("malformed_events")
 )
 
 // connect takes a connection to an endpoint. An endpoint that can't be connected to is avoided for
-// a while.
+// a while. Every request passes here after its endpoint was chosen, also one that waited or resumes
+// from a copy, so this is where requests are withheld from endpoints that are leaving.
 func (f *Forwarder) connect(ctx context.Context, req *request, e *routing.Endpoint) (*upstream.Conn, error) {
+	if err := f.mayUse(e.ID); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.Settings.ConnectTimeout)
 	defer cancel()
 	conn, err := f.Pool.Get(ctx, f.target(req, e))
@@ -44,6 +50,15 @@
 	return conn, err
 }
 
+// mayUse returns [ErrWithheld] if nothing new may be sent to an endpoint.
+func (f *Forwarder) mayUse(endpoint string) error {
+	if f.Settings.Disabled.Departures || f.Placement.MayUse(endpoint) {
+		return nil
+	}
+	f.metrics.withheld.Inc(1)
+	return ErrWithheld.New("endpoint %s is leaving", endpoint)
+}
+
 // exchange sends a request on a connection to an endpoint and reads the head of its answer.
 func (f *Forwarder) exchange(ctx context.Context, conn *upstream.Conn, endpoint string, r *upstream.Request, owns func(int, http.Header) bool) (*upstream.Exchange, error) {
 	x, err := conn.Do(ctx, r, owns)
@@ -66,7 +81,7 @@
 		return
 	}
 	f.recordLimits(id, a.Limits)
-	if a.Leaving {
+	if a.Leaving && !f.Settings.Disabled.Departures {
 		f.Placement.RecordLeaving(id)
 	}
 }
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -207,7 +207,7 @@
 }
 
 // pick chooses an endpoint, and waits briefly when all are full. A request is refused at once if no
-// endpoint takes it in time at the rates that all of them state.
+// endpoint takes it in time at the rates that all of them state, or if all are leaving.
 func (p *plain) pick(ctx context.Context) (*routing.Endpoint, *refusal) {
 	for until := p.waitUntil(); ; {
 		d, err := p.f.claimEndpoint(ctx, p.routingRequest())
@@ -216,7 +216,7 @@
 			return &d.Endpoint, nil
 		}
 		next := time.Now().Add(roomWaitInterval)
-		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNoEndpoint) || !next.Before(until) {
+		if len(p.avoid) > 0 && errors.Is(err, routing.ErrNoEndpoint) || errors.Is(err, routing.ErrAllLeaving) || !next.Before(until) {
 			return nil, p.f.refuseFull(p.req, err.Error())
 		}
 		if at, limited := p.f.nextAtLimit(p.req.service); limited && !at.Before(until) {
@@ -248,7 +248,9 @@
 	conn, err := f.connect(ctx, req, e)
 	if err != nil {
 		p.roomOutcome = connectOutcome(err)
-		p.connectsFailed++
+		if !errorx.IsOfType(err, ErrWithheld) {
+			p.connectsFailed++
+		}
 		return nil, outcomeNotRun, err
 	}
 	p.sends++
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -39,6 +39,8 @@
 			m.alive, m.events = s.f.mayStillHave(&a.endpoint, &report, s.req.ID, countEvents)
 		case errorx.IsOfType(err, ErrLimited):
 			m.alive = true // it was not asked
+		case errorx.IsOfType(err, ErrWithheld):
+			m.alive = a.presumedAlive()
 		}
 		placed := s.f.Placement.PlacedAt(a.endpoint.ID)
 		s.f.Log.Decision(s.req.ID, "engine probed", logrus.Fields{
@@ -50,6 +52,16 @@
 	}()
 }
 
+// maxUnaskedProbes is how many probes in a row of an engine that may not be asked count as answered.
+const maxUnaskedProbes = 2
+
+// presumedAlive reports whether an engine that may not be asked counts as alive. One that falls silent
+// in a stream does not, since the stream can go on elsewhere. One that has not begun may still be
+// prefilling the prompt, which would be lost.
+func (a *attempt) presumedAlive() bool {
+	return a.session.relayedEvents == 0 && a.unaskedProbes.Add(1) <= maxUnaskedProbes
+}
+
 // mayStillHave reports whether an engine may still have a request, and how many events it has made
 // for it. An engine that restarted since it was listed has lost the request, and what was known
 // about the engine is dropped.
@@ -87,9 +99,15 @@
 }
 
 // callEngine sends a management call to an engine on a new connection, and returns the body of the
-// answer. It returns [ErrRefused] for a status of 300 or above, and [ErrLimited] if nothing was sent
-// since the engine is at the rate that it states.
+// answer. It returns [ErrRefused] for a status of 300 or above, [ErrLimited] if nothing was sent
+// since the engine is at the rate that it states, and [ErrWithheld] if nothing was sent since it is
+// leaving. An engine that is leaving is still told to copy the memory of its runs elsewhere.
 func (f *Forwarder) callEngine(ctx context.Context, e *routing.Endpoint, method, path string, body []byte) ([]byte, error) {
+	if method == http.MethodGet {
+		if err := f.mayUse(e.ID); err != nil {
+			return nil, err
+		}
+	}
 	if err := f.claimCall(ctx, e.ID, path == platform.EngineReportPath); err != nil {
 		return nil, err
 	}
@@ -107,6 +125,8 @@
 		return nil, err
 	}
 	defer x.Abort()
+	signals := platform.ReadAnswer(x.Status(), x.Header())
+	f.recordStatus(e.ID, x.Status(), &signals)
 	raw, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
 	if err != nil {
 		return nil, err
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -66,7 +66,10 @@
 	for {
 		if f.isFirstInQueue(req, id) {
 			f.queryOwners(ctx, req)
-			if f.claimForFirst(ctx, req) {
+			switch err := f.claimForFirst(ctx, req); {
+			case errors.Is(err, routing.ErrAllLeaving) && req.LastEventID == "":
+				return f.refuseNoRoom(req, err.Error(), 0)
+			case !errors.Is(err, routing.ErrFull):
 				return nil
 			}
 		}
@@ -147,24 +150,23 @@
 	return f.waitQueues.get(req.service).IsFirst(id)
 }
 
-// claimForFirst claims an engine for the first request of a queue. It returns false when all
-// engines are full, and true when an engine was claimed or when the choice failed for another
-// reason.
-func (f *Forwarder) claimForFirst(ctx context.Context, req *request) bool {
+// claimForFirst claims an engine for the first request of a queue. It returns [routing.ErrFull] when
+// all engines are full, and another error when the choice failed for another reason.
+func (f *Forwarder) claimForFirst(ctx context.Context, req *request) error {
 	d, err := f.claimEndpoint(ctx, f.engineRequest(req))
 	f.waitQueues.mu.Lock()
 	defer f.waitQueues.mu.Unlock()
 	queue := f.waitQueues.get(req.service)
 	if errors.Is(err, routing.ErrFull) {
 		queue.RecordFull(time.Now())
-		return false
+		return err
 	}
 	if err == nil {
 		req.ownerQueries = 0
 		req.claimed = d
 	}
 	queue.RecordAdmission(time.Now())
-	return true
+	return err
 }
 
 // waitEndReason returns why a request stops waiting after its context ended.
--- a/gateway/front/departure.go
+++ b/gateway/front/departure.go
@@ -14,6 +14,9 @@
 	if !e.Leaving {
 		message = "endpoint is not leaving any more"
 	}
+	if e.Leaving && e.Source == routing.FromAnswer {
+		f.exchange.Changed(e.Endpoint)
+	}
 	f.decisions.Decision("", message, logrus.Fields{
 		"endpoint": e.Endpoint, "source": e.Source, "age_ms": e.Age.Milliseconds(), "sequence": e.Sequence, "open": e.Open,
 	})
--- a/gateway/front/leaving_test.go
+++ b/gateway/front/leaving_test.go
@@ -147,3 +147,98 @@
 func (w *world) putEntry(e *standin.Worker, state string) {
 	w.store.Put(platform.KindEndpoint, e.Config().ID, e.Registration(state))
 }
+
+// TestLeavingIsToldOn: one instance learns from an answer that an endpoint is leaving while the store is
+// away. The others are told, and send nothing there that the endpoint would have to refuse or that
+// would end with it. An instance that starts is told too.
+func TestLeavingIsToldOn(t *testing.T) {
+	run(t, 6, 1, 3, func(w *world) {
+		w.store.SetFault(standin.Fault{Outage: standin.Silent})
+		w.plains[0].SetLeaving(true)
+		id := w.plains[0].Config().ID
+		for w.leavingAt(id) == "" {
+			_, err := w.send(0, openRequest())
+			assert.NilError(t, err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, w.leavingAt(id), "012345")
+		began := time.Now()
+		o := w.load(60, 3*time.Second, openRequest, func(i int) int { return i % 6 })
+		assert.Equal(t, len(arrivalsByInstance(w.plains[0], began)), 0)
+		assert.Equal(t, o.served.Load(), o.sent.Load())
+		w.store.SetFault(standin.Fault{})
+		w.killFront(3)
+		w.startFront(3)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.leavingAt(id), "012345")
+	})
+}
+
+// TestLeavingIsTakenBack: the entry of an endpoint that said in answers that it leaves says that it is
+// ready again, after it said that it leaves or without that. Another endpoint that starts at its
+// address, or under its name, is not leaving.
+func TestLeavingIsTakenBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(w *world, e *standin.Worker) *standin.Worker
+		within time.Duration
+	}{
+		"after an entry that leaves": {func(w *world, e *standin.Worker) *standin.Worker {
+			w.putEntry(e, "draining")
+			time.Sleep(time.Second)
+			e.SetLeaving(false)
+			w.putEntry(e, "ready")
+			return e
+		}, time.Second},
+		"long after": {func(w *world, e *standin.Worker) *standin.Worker {
+			e.SetLeaving(false)
+			time.Sleep(10 * time.Second)
+			e.Registration("draining") // an entry that no instance sees
+			entry := e.Registration("ready").(map[string]any)
+			entry["coldRemainingMs"] = 1
+			w.store.Put(platform.KindEndpoint, e.Config().ID, entry)
+			return e
+		}, time.Second},
+		"address used again": {func(w *world, e *standin.Worker) *standin.Worker {
+			w.net.Crash("p0")
+			w.store.Remove(platform.KindEndpoint, e.Config().ID)
+			return w.newPlain(0, "-next")
+		}, time.Second},
+		"name used again": {func(w *world, e *standin.Worker) *standin.Worker {
+			w.net.Crash("p0")
+			cfg := e.Config()
+			cfg.StartedUnixMS = time.Now().UnixMilli()
+			return w.newWorker("p0", "", cfg)
+		}, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 6, 1, 3, func(w *world) {
+				w.plains[0].SetLeaving(true)
+				w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
+				e := c.change(w, w.plains[0])
+				time.Sleep(c.within)
+				assert.Equal(t, w.leavingAt(e.Config().ID), "")
+				before := len(e.Arrivals())
+				o := w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
+				assert.Equal(t, o.served.Load(), o.sent.Load())
+				assert.Check(t, len(e.Arrivals()) > before+10, "%d arrivals", len(e.Arrivals())-before)
+			})
+		})
+	}
+}
+
+// TestOldEntryDoesNotTakeLeavingBack: an entry that an endpoint wrote before it began to leave reaches
+// the instances after its answers.
+func TestOldEntryDoesNotTakeLeavingBack(t *testing.T) {
+	run(t, 6, 1, 3, func(w *world) {
+		e := w.plains[0]
+		w.store.SetFault(standin.Fault{SlowMS: 2000})
+		w.putEntry(e, "draining")
+		w.putEntry(e, "ready") // its last word in the store, before it leaves for good
+		e.SetLeaving(true)
+		w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
+		w.store.SetFault(standin.Fault{})
+		began := time.Now()
+		w.load(60, 8*time.Second, openRequest, func(i int) int { return i % 6 })
+		assert.Equal(t, len(arrivalsByInstance(e, began.Add(time.Second))), 0)
+	})
+}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -90,7 +90,8 @@
 }
 
 // Pick chooses an endpoint. The error is [routing.ErrNoEndpoint] when no endpoint is eligible,
-// and [routing.ErrFull] when eligible endpoints exist but all are full.
+// [routing.ErrAllLeaving] when all of the service are leaving, and [routing.ErrFull] when eligible
+// endpoints exist but all are full.
 func (p *Placement) Pick(r *routing.Request) (routing.Decision, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -190,6 +191,13 @@
 	p.view.RecordLeaving(time.Now(), id)
 }
 
+// MayUse reports whether a request may be sent to an endpoint: it is neither leaving nor replaced.
+func (p *Placement) MayUse(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.MayUse(id)
+}
+
 // Failed records that an endpoint failed a request. The endpoint is avoided for a while.
 func (p *Placement) Failed(id string) {
 	p.mu.Lock()
@@ -313,7 +321,7 @@
 	p.view.Sweep(now)
 	return routing.PeerReport{
 		Placed: p.view.OwnPlacements(), Suspects: p.view.Suspects(now), Ended: p.view.RecentlyEnded(now),
-		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(),
+		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(), Departures: p.view.ObservedDepartures(),
 	}
 }
 
@@ -321,7 +329,7 @@
 // value removes the instance.
 func (p *Placement) SetPeer(peer string, report routing.PeerReport) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
 	p.view.SetPeerReport(time.Now(), peer, report)
 }
 
