platform, gateway/forward: the time for which a refusing endpoint wants to be left alone is read, logged and counted

Retry-After of an endpoint was read on the project's own interface alone, so logs and metrics could not tell how long an endpoint had asked for. Each such refusal is one line now (endpoint asks for a pause: pause_ms, status), counted by endpoint_pauses_total.

--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -18,6 +18,7 @@
 	recovered, brokenOff, callersLeft   tally.Counter
 	stoppedRefused                      tally.Counter
 	claimsRefused                       tally.Counter
+	cooldowns                           tally.Counter // refusals that asked for a pause
 	withheld                            tally.Counter // requests that were not sent to a chosen endpoint
 	limitedEndpoints                    tally.Gauge   // endpoints that state limits
 	forPeers                            tally.Counter // requests that peers passed on
@@ -40,7 +41,7 @@
 		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
-		claimsRefused: s.Counter("claims_refused_total"), withheld: s.Counter("requests_withheld_total"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
+		claimsRefused: s.Counter("claims_refused_total"), withheld: s.Counter("requests_withheld_total"), cooldowns: s.Counter("endpoint_pauses_total"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
 		startToSync: s.Histogram("start_to_known_seconds", latency), startToFirstStream: s.Histogram("start_to_first_stream_seconds", latency),
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -81,6 +81,10 @@
 		return
 	}
 	f.recordLimits(id, a.Limits)
+	if a.RetryAfter > 0 {
+		f.metrics.cooldowns.Inc(1)
+		f.Log.Decision("", "endpoint asks for a pause", logrus.Fields{"endpoint": id, "status": status, "pause_ms": a.RetryAfter.Milliseconds()})
+	}
 	if a.Leaving && !f.Settings.Disabled.Departures {
 		f.Placement.RecordLeaving(id)
 	}
