cli/soak: endpoints that say in their answers that they leave, and ones that ask for a pause

The soak knows which process sent what: proxies connect from the address of the caller. Seeds from 5000 on also draw both.

--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -44,6 +44,9 @@
 	// leavingSince holds, by the id of an incarnation, when the store had accepted that it is
 	// leaving.
 	leavingSince map[string]time.Time
+	// saysLeavingSince holds, by the id of an incarnation, since when its answers say that it is
+	// leaving.
+	saysLeavingSince map[string]time.Time
 }
 
 // environment is the system under test: the store, the endpoints and the processes of the daemon.
@@ -137,7 +140,7 @@
 		return err
 	}
 	cfg.Address = p.address()
-	k := &worker{env: w, name: name, config: cfg, proxy: p, leavingSince: map[string]time.Time{}}
+	k := &worker{env: w, name: name, config: cfg, proxy: p, leavingSince: map[string]time.Time{}, saysLeavingSince: map[string]time.Time{}}
 	w.workers = append(w.workers, k)
 	if err := k.start(); err != nil {
 		return err
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -24,6 +24,7 @@
 	"pause": pause, "kill": kill, "kill-all": killAll, "stop": stop, "stop-in-a-row": stopInARow,
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
+	"leave-in-answers": leaveInAnswers, "asks-for-pause": askForPauses,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -40,11 +41,12 @@
 	}
 	limitFaults = []string{"rate", "rate", "rate", "fragile"}
 	cutFaults   = []string{"cut-off", "cut-off", "crash", "worker-link"}
+	wordFaults  = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
 )
 
-// Seeds from firstLimitSeed to lastSeed also draw limitFaults, and those from firstCutSeed cutFaults.
-// The others keep the faults with which they have found something.
-const firstLimitSeed, firstCutSeed, lastSeed = 3000, 4000, 9999
+// Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults, and
+// those from firstWordSeed wordFaults. The others keep the faults with which they have found something.
+const firstLimitSeed, firstCutSeed, firstWordSeed, lastSeed = 3000, 4000, 5000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -58,6 +60,9 @@
 	if seed >= firstCutSeed && seed <= lastSeed {
 		kinds = append(kinds, cutFaults)
 	}
+	if seed >= firstWordSeed && seed <= lastSeed {
+		kinds = append(kinds, wordFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
--- a/cli/soak/limits.go
+++ b/cli/soak/limits.go
@@ -56,9 +56,7 @@
 func stateRate(w *environment, r *rand.Rand) (string, func()) {
 	k := w.workers[r.IntN(len(w.workers))]
 	if r.IntN(2) == 0 {
-		for k.config.PrefillTokensPerMS > 0 {
-			k = w.workers[r.IntN(len(w.workers))]
-		}
+		k = plainWorker(w, r)
 	}
 	rates := []float64{0, 0.5, 1.5, 4, 8.3}
 	rate, later := rates[r.IntN(len(rates))], rates[r.IntN(len(rates))]
@@ -68,6 +66,15 @@
 	return fmt.Sprintf("%s takes %v requests a second, later %v", k.name, rate, later), nil
 }
 
+// plainWorker returns a random worker that is no engine.
+func plainWorker(w *environment, r *rand.Rand) *worker {
+	for {
+		if k := w.workers[r.IntN(len(w.workers))]; k.config.PrefillTokensPerMS == 0 {
+			return k
+		}
+	}
+}
+
 // stateRate states a rate in all answers of the worker, also after it restarts.
 func (k *worker) stateRate(rate float64) {
 	k.mu.Lock()
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,7 +23,7 @@
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
-	starts  int
+	starts  []time.Time
 	closing bool
 	done    chan struct{}
 }
@@ -142,12 +143,19 @@
 	}
 	p.cmd = exec.Command(p.program, "front", "--config", p.settingsPath)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.starts++
+	p.starts = append(p.starts, time.Now())
 	err = p.cmd.Start()
 	_ = out.Close() // the process has its own descriptor
 	return err == nil
 }
 
+// startedBetween reports whether the process was started between two times.
+func (p *process) startedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.starts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // signal sends a signal to the process that runs now, if any.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/cli/soak/proxy.go
+++ b/cli/soak/proxy.go
@@ -151,7 +151,7 @@
 	}
 	p.track(caller, true)
 	defer p.track(caller, false)
-	backend, err := net.Dial("tcp", server)
+	backend, err := dialAs(caller, server)
 	if err != nil {
 		abort(caller)
 		return
@@ -164,6 +164,15 @@
 	wg.Wait()
 }
 
+// dialAs connects to a server from the address of a caller, so that the server can tell callers apart.
+func dialAs(caller net.Conn, server string) (net.Conn, error) {
+	d := net.Dialer{}
+	if a, ok := caller.RemoteAddr().(*net.TCPAddr); ok {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return d.Dial("tcp", server)
+}
+
 // copy forwards data until either side ends; toCaller is true for data from the server.
 func (p *proxy) copy(to, from net.Conn, toCaller bool) {
 	buf := make([]byte, 16<<10)
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -92,6 +92,7 @@
 	s.checkRuns()
 	s.checkLimits()
 	s.checkCuts()
+	s.checkWords()
 	s.checkRollouts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
