platform, core/revision, gateway/follow: the store's era is read from its answers and logged

A change is one line now (the store's era has changed: kind, revision and era on both sides, direct), each time that a loop gets an answer of another era.

--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -64,6 +64,8 @@
 	// failing is set while calls fail, and changedLast if the last call was a watch of the store
 	// that returned a change.
 	failing, changedLast bool
+	// era and revision are those of the last answer that stated an era.
+	era, revision uint64
 }
 
 const (
@@ -106,6 +108,7 @@
 			continue
 		}
 		backoff = minBackoff
+		l.noteEra(&page, source.Direct)
 		l.deliver(f, listed, began, &page)
 		l.succeeded()
 		storeChanged := source.Direct && len(page.Objects) > 0
@@ -117,6 +120,19 @@
 	}
 }
 
+// noteEra logs that an answer is of another era of the store than the one before.
+func (l *loop) noteEra(page *platform.Page, direct bool) {
+	if page.Era == 0 {
+		return
+	}
+	if l.era != 0 && page.Era != l.era {
+		l.Log.WithFields(logrus.Fields{
+			"kind": l.kind, "era": page.Era, "revision": page.Revision, "era_before": l.era, "revision_before": l.revision, "direct": direct,
+		}).Warn("the store's era has changed")
+	}
+	l.era, l.revision = page.Era, page.Revision
+}
+
 // deliver passes the result of a call to the follower and to the mirror. watched is set for a
 // watch.
 func (l *loop) deliver(f follower, watched bool, began time.Duration, page *platform.Page) {
