gateway/front, platform/standin: failing tests of a store that returns from an older copy

The stand-in store goes away, and comes back from a copy of some seconds before; its revisions go back and are given out again, up to and past those that the instances hold. Up to all instances miss changes after that, an instance that starts serves a key that was taken away, and endpoints that leave or left get requests.

--- /dev/null
+++ b/gateway/front/era_test.go
@@ -0,0 +1,172 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// Times of a drill: how long the store is away, and how long after its return what the operator and the
+// endpoints wrote is written again.
+const (
+	drillAway  = 1500 * time.Millisecond
+	drillLag   = 700 * time.Millisecond
+	applyBound = 2 * time.Second
+)
+
+// drill makes the store go away and return from a copy. Before any instance reaches it, the operator writes
+// a new configuration and others so many objects that the revision rises by advance; 0 for none of both.
+// Later the operator writes its newest configuration again. drill returns the path of the new route.
+func (w *world) drill(from standin.Copy, advance int) (path string) {
+	w.store.SetFault(standin.Fault{Outage: standin.Silent})
+	time.Sleep(drillAway)
+	w.store.Return(from)
+	if advance > 0 {
+		path = w.publish()
+	}
+	for i := range advance {
+		w.store.Put("others", fmt.Sprint("o", i), map[string]int64{"n": time.Now().UnixNano()})
+	}
+	w.store.SetFault(standin.Fault{})
+	time.Sleep(drillLag)
+	if path == "" {
+		w.store.PutConfiguration(&w.config)
+	}
+	return path
+}
+
+// publish puts a configuration with one more route in force, and returns the path of that route.
+func (w *world) publish() string {
+	w.config.Version += 3
+	path := fmt.Sprintf("/v%d/", w.config.Version)
+	w.config.Routes = append(w.config.Routes[:len(w.config.Routes):len(w.config.Routes)], route.Route{
+		Name: path, Host: routeHost, Prefix: path, Targets: []route.Target{{Service: "plain", Weight: 1}}, RetryPolicy: route.Idempotent,
+		Timeout: 1500 * time.Millisecond, MaxAttempts: 2, Public: true,
+	})
+	w.store.PutConfiguration(&w.config)
+	return path
+}
+
+// unserved returns the instances that do not serve a path.
+func (w *world) unserved(path string) (out []int) {
+	for i, f := range w.fronts {
+		if f == nil {
+			continue
+		}
+		a, err := w.send(i, standin.Request{Method: http.MethodGet, Path: path + "1", Timeout: time.Second})
+		if err != nil || a.Status != http.StatusOK {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// TestChangesAfterStoreReturned guards against instances that see no change after the store has come back
+// from an older copy, until its revisions have passed the highest one that they know. The store comes back
+// far below that revision, close to it, or past it; once or twice; with all instances following one another
+// or each the store itself.
+func TestChangesAfterStoreReturned(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost, advance, drills int
+		settings              string
+		fronts                int
+	}{
+		"one change lost":           {1, 0, 1, "", 6},
+		"many changes lost":         {9, 0, 1, "", 6},
+		"revisions given out again": {4, 3, 1, "", 6},
+		"revisions passed":          {4, 9, 1, "", 6},
+		"passed, each by itself":    {4, 9, 1, "\n[mechanisms]\ntree = false\n", 6},
+		"twice in a row":            {3, 1, 2, "", 6},
+		"each asks the store":       {4, 3, 1, "\n[mechanisms]\ntree = false\n", 6},
+		"a larger fleet":            {4, 3, 2, "", 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWith(t, c.fronts, 2, 3, func(w *world) { w.settings = c.settings }, func(w *world) {
+				for range c.drills {
+					from := w.store.Copy()
+					for range c.lost {
+						w.publish()
+						time.Sleep(300 * time.Millisecond)
+					}
+					time.Sleep(applyBound)
+					if path := w.drill(from, c.advance); path != "" {
+						time.Sleep(applyBound)
+						assert.Check(t, len(w.unserved(path)) == 0, "%s is not served by instances %v", path, w.unserved(path))
+					}
+					for range 3 {
+						path := w.publish()
+						time.Sleep(applyBound)
+						assert.Check(t, len(w.unserved(path)) == 0, "%s is not served by instances %v", path, w.unserved(path))
+					}
+					e := w.plains[0]
+					w.putEntry(e, "draining")
+					time.Sleep(applyBound)
+					assert.Check(t, len(w.leavingAt(e.Config().ID)) >= c.fronts, "only %s know that %s leaves", w.leavingAt(e.Config().ID), e.Config().ID)
+					w.putEntry(e, "ready")
+					time.Sleep(applyBound)
+					assert.Check(t, w.leavingAt(e.Config().ID) == "", "%s count %s as leaving", w.leavingAt(e.Config().ID), e.Config().ID)
+				}
+			})
+		})
+	}
+}
+
+// TestNothingIsUndoneByReturn: what was in force before the store came back from a copy of before it stays
+// in force: a configuration, the loss of a key, an endpoint that leaves, one that left, and one that
+// started. An instance that starts before these are written again takes them from the others.
+func TestNothingIsUndoneByReturn(t *testing.T) {
+	run(t, 6, 2, 4, func(w *world) {
+		from := w.store.Copy()
+		path := w.publish()
+		w.config.Version++
+		w.config.Teams = []route.Team{{Name: "desk", Keys: []string{deskKey}}}
+		w.store.PutConfiguration(&w.config)
+		leaving, left := w.plains[0], w.plains[1]
+		w.putEntry(leaving, "draining")
+		w.store.Remove(platform.KindEndpoint, left.Config().ID)
+		started := w.newPlain(4, "")
+		time.Sleep(2500 * time.Millisecond)
+		config := w.config
+		w.store.SetFault(standin.Fault{Outage: standin.Silent})
+		time.Sleep(drillAway)
+		w.store.Return(from)
+		w.store.SetFault(standin.Fault{})
+		began := time.Now()
+		check := func(when string) {
+			t.Helper()
+			assert.Check(t, len(w.unserved(path)) == 0, "%s: not served by instances %v", when, w.unserved(path))
+			for i := range w.fronts {
+				a, err := w.send(i, standin.Request{Method: http.MethodGet, Path: "/ping/1", Key: fieldKey, Timeout: time.Second})
+				assert.Check(t, err == nil && (a.Status == http.StatusUnauthorized || a.Status == http.StatusServiceUnavailable), "%s: instance %d answers %d to a key that was taken away", when, i, a.Status)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		check("before it is written again")
+		w.killFront(2)
+		w.startFront(2)
+		time.Sleep(time.Second)
+		check("at an instance that has started")
+		o := w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
+		assert.Equal(t, o.served.Load(), o.sent.Load())
+		for _, e := range []*standin.Worker{leaving, left} {
+			assert.Check(t, len(arrivalsByInstance(e, began)) == 0, "%s gets requests", e.Config().ID)
+		}
+		assert.Check(t, len(arrivalsByInstance(started, began)) > 0)
+		w.store.PutConfiguration(&config)
+		w.putEntry(leaving, "draining")
+		w.store.Remove(platform.KindEndpoint, left.Config().ID)
+		w.putEntry(started, "ready")
+		time.Sleep(applyBound)
+		check("after it was written again")
+		o = w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
+		assert.Equal(t, o.served.Load(), o.sent.Load())
+		assert.Check(t, len(arrivalsByInstance(leaving, began))+len(arrivalsByInstance(left, began)) == 0)
+	})
+}
