core/revision, gateway/follow, gateway/relay, platform: a position in the store's history names its era

Cause: followers went on from the highest revision that they, or the instance that they follow, had seen; the store gave out lower ones, and some of the same again. The class: numbers taken as if they rose for ever.

Now everything that is ordered by a revision is ordered by era and revision (revision.Position): cursors of loops, logs, removals and lists in parts of mirrors, packed pages, decoded entries. The newer era wins with any revision. A direct watch whose answer is of another era counts as lost history; an answer of an earlier era counts as none, from the store and from instances. A mirror keeps its history over the change: what the new list changes against what it held are changes of the new era, so only the instance that asks the store lists again, and all others get the differences. An equal revision of another era is the same object only if its content is.

An instance of a build without eras is followed until a first change of era is seen, and not after.

--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/listing"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/platform"
 )
@@ -24,9 +25,9 @@
 	mu     sync.Mutex
 	list   *listing.List
 	expiry *time.Timer // calls publish when missing entries expire; nil if not set
-	// decoded holds the revisions of the listed objects, by name. Most objects of a list that is
+	// decoded holds the positions of the listed objects, by name. Most objects of a list that is
 	// read again are known.
-	decoded  map[string]uint64
+	decoded  map[string]revision.Position
 	interner *interner
 }
 
@@ -52,7 +53,7 @@
 func NewEndpoints(o Options, knownService func(service string) bool, inUse func(id string) bool, onChange func(Update)) *Endpoints {
 	return &Endpoints{
 		loop:         loop{Options: o, kind: platform.KindEndpoint, pauseAfterChange: endpointsPauseAfterChange},
-		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()), decoded: map[string]uint64{}, interner: newInterner(),
+		knownService: knownService, inUse: inUse, onChange: onChange, list: listing.New(listing.DefaultSettings()), decoded: map[string]revision.Position{}, interner: newInterner(),
 	}
 }
 
@@ -62,16 +63,16 @@
 func (e *Endpoints) replace(_ time.Duration, objects []platform.Object) {
 	now := e.loop.Now()
 	// If two entries have the same address, the one that was written last is put last and is used.
-	sort.Slice(objects, func(i, j int) bool { return objects[i].Revision < objects[j].Revision })
+	sort.Slice(objects, func(i, j int) bool { return objects[j].Position().After(objects[i].Position()) })
 	e.mu.Lock()
 	e.list.ReadSucceeded(now)
 	var all []routing.Endpoint
 	before := e.decoded
-	e.decoded = make(map[string]uint64, len(objects))
+	e.decoded = make(map[string]revision.Position, len(objects))
 	for i := range objects {
 		o := &objects[i]
-		e.decoded[o.Name] = o.Revision
-		if before[o.Name] == o.Revision {
+		e.decoded[o.Name] = o.Position()
+		if before[o.Name] == o.Position() {
 			if known, ok := e.list.Get(o.Name); ok {
 				all = append(all, known)
 				continue
@@ -106,7 +107,7 @@
 		e.list.Remove(now, o.Name)
 		return
 	}
-	e.decoded[o.Name] = o.Revision
+	e.decoded[o.Name] = o.Position()
 	if d, ok := e.decode(o); ok {
 		e.list.Put(d)
 		return
--- a/gateway/follow/endpoints_test.go
+++ b/gateway/follow/endpoints_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -151,7 +152,7 @@
 	}
 	f.replace(0, all)
 	first := testing.AllocsPerRun(1, func() {
-		f.decoded = map[string]uint64{}
+		f.decoded = map[string]revision.Position{}
 		f.replace(0, all)
 	})
 	again := testing.AllocsPerRun(1, func() { f.replace(0, all) })
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
@@ -19,9 +20,9 @@
 	// List returns all objects of a kind, and the revision to watch from. It may return removed
 	// objects too.
 	List(ctx context.Context, kind string) (platform.Page, error)
-	// Watch returns the objects that changed after a revision. If there are none it waits for a
+	// Watch returns the objects that changed after a position. If there are none it waits for a
 	// change, for wait at the longest.
-	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error)
+	Watch(ctx context.Context, kind string, since revision.Position, wait time.Duration) (platform.Page, error)
 }
 
 // Source is where objects are read from.
@@ -64,8 +65,8 @@
 	// failing is set while calls fail, and changedLast if the last call was a watch of the store
 	// that returned a change.
 	failing, changedLast bool
-	// era and revision are those of the last answer that stated an era.
-	era, revision uint64
+	// at is the position of the last answer.
+	at revision.Position
 }
 
 const (
@@ -86,7 +87,6 @@
 )
 
 func (l *loop) run(ctx context.Context, f follower) {
-	var since uint64
 	listed := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -95,7 +95,7 @@
 		var page platform.Page
 		var err error
 		if listed {
-			page, err = source.Watch(ctx, l.kind, since, l.watchWait())
+			page, err = source.Watch(ctx, l.kind, l.at, l.watchWait())
 		} else {
 			page, err = source.List(ctx, l.kind)
 		}
@@ -112,25 +112,22 @@
 		l.deliver(f, listed, began, &page)
 		l.succeeded()
 		storeChanged := source.Direct && len(page.Objects) > 0
-		l.changedLast = listed && storeChanged
-		since, listed = page.Revision, true
+		l.changedLast, listed = listed && storeChanged, true
 		if storeChanged && len(page.Objects) < fullPage {
 			pause.For(ctx, l.pauseAfterChange)
 		}
 	}
 }
 
-// noteEra logs that an answer is of another era of the store than the one before.
+// noteEra records the position of an answer, and logs that it is of another era of the store than the one
+// before.
 func (l *loop) noteEra(page *platform.Page, direct bool) {
-	if page.Era == 0 {
-		return
-	}
-	if l.era != 0 && page.Era != l.era {
+	if l.at.Revision > 0 && page.Era != l.at.Era {
 		l.Log.WithFields(logrus.Fields{
-			"kind": l.kind, "era": page.Era, "revision": page.Revision, "era_before": l.era, "revision_before": l.revision, "direct": direct,
+			"kind": l.kind, "era": page.Era, "revision": page.Revision, "era_before": l.at.Era, "revision_before": l.at.Revision, "direct": direct,
 		}).Warn("the store's era has changed")
 	}
-	l.era, l.revision = page.Era, page.Revision
+	l.at = page.Position()
 }
 
 // deliver passes the result of a call to the follower and to the mirror. watched is set for a
@@ -146,8 +143,8 @@
 		return
 	}
 	f.replace(currentAt, slices.DeleteFunc(slices.Clone(page.Objects), func(o platform.Object) bool { return o.Deleted }))
-	forgottenUpTo := page.Revision
-	if page.ForgottenUpTo > 0 {
+	forgottenUpTo := page.Position()
+	if page.ForgottenUpTo.Revision > 0 {
 		forgottenUpTo = page.ForgottenUpTo
 	}
 	l.Mirror.replace(l.kind, currentAt, page, forgottenUpTo)
--- a/gateway/follow/loop_test.go
+++ b/gateway/follow/loop_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/listing"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -21,8 +22,9 @@
 	return platform.Page{Revision: s.revision}, nil
 }
 
-func (s *batchStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (platform.Page, error) {
+func (s *batchStore) Watch(_ context.Context, _ string, from revision.Position, wait time.Duration) (platform.Page, error) {
 	const batch = 500
+	since := from.Revision
 	time.Sleep(4 * time.Millisecond)
 	page := platform.Page{Revision: min(since+batch, s.newest)}
 	for r := since + 1; r <= page.Revision; r++ {
@@ -43,7 +45,7 @@
 		log.SetOutput(io.Discard)
 		began := time.Now()
 		now := func() time.Duration { return time.Since(began) + time.Hour }
-		e := &Endpoints{list: listing.New(listing.DefaultSettings()), decoded: map[string]uint64{}, interner: newInterner(), onChange: func(Update) {}}
+		e := &Endpoints{list: listing.New(listing.DefaultSettings()), decoded: map[string]revision.Position{}, interner: newInterner(), onChange: func(Update) {}}
 		e.loop = loop{Options: Options{
 			Source: func() Source { return Source{Store: store, Direct: true} }, Mirror: NewMirror(now, func() time.Duration { return time.Minute }),
 			Wait: time.Second, Now: now, Log: logrus.NewEntry(log),
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -1,7 +1,7 @@
 package follow
 
 import (
-	"cmp"
+	"bytes"
 	"context"
 	"slices"
 	"sync"
@@ -16,7 +16,11 @@
 
 // Mirror keeps copies of the objects of some kinds, from which other instances read in place of the
 // store. Calls to the store are counted and charged, and all instances ask for nearly the same.
-// Revisions are those of the store, so a reader can switch from one source to another at any time.
+// Positions are those of the store, so a reader can switch from one source to another at any time.
+//
+// When the store returns from an older copy of itself, a mirror keeps its history: what the new list
+// changes against what it held are changes of the new era. So a reader that has seen no more of the
+// former era than the mirror is told the differences only.
 // A Mirror is safe for concurrent use.
 type Mirror struct {
 	now clock.Func
@@ -31,21 +35,30 @@
 // mirroredKind holds the objects of one kind.
 type mirroredKind struct {
 	objects map[string]platform.Object // includes the latest removed ones, without their content
-	// log names the object of each change, by rising revision. A later change of the same object
+	// log names the object of each change, by rising position. A later change of the same object
 	// makes an item outdated.
 	log           []change
 	removed       []change // of the removed objects that are kept, oldest removal first
 	removedNow    int      // number of removed objects in objects
-	revision      uint64
-	forgottenUpTo uint64 // changes up to this revision can't be listed any more
-	freshness     revision.Freshness
-	changed       chan struct{} // closed and replaced at every update
+	at            revision.Position
+	forgottenUpTo revision.Position // changes up to this position can't be listed any more
+	// gaps are where a list took the place of the changes, oldest first.
+	gaps      []gap
+	freshness revision.Freshness
+	changed   chan struct{} // closed and replaced at every update
 }
 
-// change is a change of the object name that has the given revision.
+// gap is a part of the history of which this mirror knows only the result: it held the objects as of from,
+// and then those of a list as of to. A reader in between may hold objects of which it knows nothing.
+type gap struct{ from, to revision.Position }
+
+// maxGaps bounds the gaps that are kept.
+const maxGaps = 8
+
+// change is a change of the object name at a position.
 type change struct {
-	revision uint64
-	name     string
+	at   revision.Position
+	name string
 }
 
 const (
@@ -85,28 +98,55 @@
 //
 // A mirror that was filled before knows what the list lacks, so it keeps its history. Otherwise,
 // when the instance that asks the store has to list again, so would all others.
-func (m *Mirror) replace(kind string, currentAt time.Duration, page *platform.Page, forgottenUpTo uint64) {
+func (m *Mirror) replace(kind string, currentAt time.Duration, page *platform.Page, forgottenUpTo revision.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(kind)
-	if k.revision > 0 && k.revision <= page.Revision {
+	if k.extendedBy(page) {
+		k.addGap(page.Position())
 		k.removeMissing(page)
+		page = withoutRemoved(page)
 	} else {
-		k.objects, k.log, k.removed, k.removedNow, k.revision = make(map[string]platform.Object, len(page.Objects)), nil, nil, 0, 0
+		k.objects, k.log, k.removed, k.removedNow, k.at = make(map[string]platform.Object, len(page.Objects)), nil, nil, 0, revision.Position{}
 		k.forgottenUpTo = forgottenUpTo
+		k.gaps = nil
 	}
 	k.put(page, false)
 	k.freshness.Confirm(currentAt)
 	k.wake()
 }
 
-// removeMissing records the removal of the objects that a list does not hold.
+// extendedBy reports whether all that a list changes against the objects known is later than these, so that
+// a reader of before learns of it.
+func (k *mirroredKind) extendedBy(page *platform.Page) bool {
+	if k.at.Revision == 0 || k.at.After(page.Position()) {
+		return false
+	}
+	for i := range page.Objects {
+		o := &page.Objects[i]
+		old, known := k.objects[o.Name]
+		if !o.Deleted && !o.Position().After(k.at) && !(known && sameObject(&old, o)) {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutRemoved returns a list without its removed objects.
+func withoutRemoved(page *platform.Page) *platform.Page {
+	out := *page
+	out.Objects = slices.DeleteFunc(slices.Clone(page.Objects), func(o platform.Object) bool { return o.Deleted })
+	return &out
+}
+
+// removeMissing records the removal of the objects that a list does not hold. Removed ones in the list may
+// have been removed before the objects known were read.
 func (k *mirroredKind) removeMissing(page *platform.Page) {
 	listed := make(map[string]bool, len(page.Objects))
 	for i := range page.Objects {
-		listed[page.Objects[i].Name] = true
+		listed[page.Objects[i].Name] = !page.Objects[i].Deleted
 	}
-	gone := platform.Page{Revision: page.Revision}
+	gone := platform.Page{Revision: page.Revision, Era: page.Era}
 	for name, o := range k.objects {
 		if !listed[name] && !o.Deleted {
 			gone.Objects = append(gone.Objects, platform.Object{Name: name, Deleted: true})
@@ -120,11 +160,34 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(kind)
+	if page.Gap || page.Era != k.at.Era {
+		k.addGap(page.Position())
+	}
 	k.put(page, true)
 	k.freshness.Confirm(currentAt)
 	k.wake()
 }
 
+// addGap records that the changes between the position known and a later one are not known one by one.
+func (k *mirroredKind) addGap(to revision.Position) {
+	if k.at.Revision == 0 || !to.After(k.at) {
+		return
+	}
+	k.gaps = append(k.gaps, gap{k.at, to})
+	if len(k.gaps) > maxGaps {
+		k.forgottenUpTo = revision.Latest(k.forgottenUpTo, k.gaps[0].to)
+		k.gaps = k.gaps[1:]
+	}
+}
+
+// lastGapEnd returns the end of the last gap; zero if there is none.
+func (k *mirroredKind) lastGapEnd() revision.Position {
+	if len(k.gaps) == 0 {
+		return revision.Position{}
+	}
+	return k.gaps[len(k.gaps)-1].to
+}
+
 // Interrupt ends all watches that wait. It is called when the store stops answering this instance,
 // so that the instances that follow it learn of this and choose another source.
 func (m *Mirror) Interrupt() {
@@ -149,14 +212,14 @@
 	for _, o := range page.Objects {
 		if o.Deleted {
 			if watched {
-				o.Revision = page.Revision // the removal's own revision is not known, and is no higher
+				o.Era, o.Revision = page.Era, page.Revision // the removal's own revision is not known, and is no higher
 			}
 			o.Spec, o.Status = nil, nil
-			k.removed = append(k.removed, change{o.Revision, o.Name})
+			k.removed = append(k.removed, change{o.Position(), o.Name})
 		}
 		k.set(o)
 	}
-	k.revision = max(k.revision, page.Revision)
+	k.at = revision.Latest(k.at, page.Position())
 	k.sortLog(len(page.Objects))
 	for len(k.removed) > max(minKeptRemovals, len(k.objects)-k.removedNow) {
 		k.forget(k.removed[0])
@@ -165,10 +228,19 @@
 	k.compactLog()
 }
 
+// sameObject reports whether two objects are the same one. In another era a revision may have been
+// given out again, with other content.
+func sameObject(a, b *platform.Object) bool {
+	if a.Revision != b.Revision || a.Deleted != b.Deleted {
+		return false
+	}
+	return a.Era == b.Era || bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status)
+}
+
 // set stores an object and appends its change to the log, unless it is known.
 func (k *mirroredKind) set(o platform.Object) {
 	old, known := k.objects[o.Name]
-	if known && old.Revision == o.Revision && old.Deleted == o.Deleted {
+	if known && sameObject(&old, &o) {
 		return
 	}
 	if known && old.Deleted {
@@ -178,22 +250,22 @@
 		k.removedNow++
 	}
 	k.objects[o.Name] = o
-	k.log = append(k.log, change{o.Revision, o.Name})
+	k.log = append(k.log, change{o.Position(), o.Name})
 }
 
-// sortLog sorts the log by revision after some items were appended. The objects of a list come in
+// sortLog sorts the log by position after some items were appended. The objects of a list come in
 // the order of their names, those of a watch in that of their changes.
 func (k *mirroredKind) sortLog(appended int) {
-	byRevision := func(a, b change) int { return cmp.Compare(a.revision, b.revision) }
-	if !slices.IsSortedFunc(k.log[max(len(k.log)-appended-1, 0):], byRevision) {
-		slices.SortStableFunc(k.log, byRevision)
+	byPosition := func(a, b change) int { return a.at.Compare(b.at) }
+	if !slices.IsSortedFunc(k.log[max(len(k.log)-appended-1, 0):], byPosition) {
+		slices.SortStableFunc(k.log, byPosition)
 	}
 }
 
 // forget drops a removed object, unless the object has changed since.
 func (k *mirroredKind) forget(removal change) {
-	if o := k.objects[removal.name]; o.Deleted && o.Revision == removal.revision {
-		k.forgottenUpTo = max(k.forgottenUpTo, o.Revision)
+	if o := k.objects[removal.name]; o.Deleted && o.Position() == removal.at {
+		k.forgottenUpTo = revision.Latest(k.forgottenUpTo, removal.at)
 		delete(k.objects, removal.name)
 		k.removedNow--
 	}
@@ -210,7 +282,7 @@
 // isLatest reports whether an item of the log is the latest change of its object.
 func (k *mirroredKind) isLatest(c change) bool {
 	o, known := k.objects[c.name]
-	return known && o.Revision == c.revision
+	return known && o.Position() == c.at
 }
 
 func (k *mirroredKind) wake() {
@@ -223,9 +295,9 @@
 	Kind string
 	// Limit is the most objects to return at once; 0 for no limit.
 	Limit int
-	// After is the revision of the part before, and ListRevision its [ListPart.ListRevision]; 0 for
-	// the first part.
-	After, ListRevision uint64
+	// After is the position of the part before, and ListedAt its [ListPart.ListedAt]; zero for the
+	// first part.
+	After, ListedAt revision.Position
 	// WithRemoved asks for the removed objects that are still known too. A mirror that has them can
 	// serve the same watches as this one.
 	WithRemoved bool
@@ -237,10 +309,8 @@
 	platform.Page
 	// More is set if there are other parts.
 	More bool
-	// ListRevision is the revision that was current at the first part.
-	ListRevision uint64
-	// ForgottenUpTo is the revision up to which removals are not known.
-	ForgottenUpTo uint64
+	// ListedAt is the position that was current at the first part.
+	ListedAt revision.Position
 }
 
 // List returns a part of the objects of a kind. If there are no objects yet or they are too old, it
@@ -275,15 +345,18 @@
 	if err != nil {
 		return ListPart{}, k.changed, err
 	}
-	part := ListPart{ListRevision: r.ListRevision, ForgottenUpTo: k.forgottenUpTo}
-	if r.After == 0 {
-		part.ListRevision = k.revision
+	part := ListPart{ListedAt: r.ListedAt}
+	first := r.After == revision.Position{}
+	if first {
+		part.ListedAt = k.at
+	} else if err := k.canContinue(r.ListedAt); err != nil {
+		return ListPart{}, nil, err
 	}
-	if k.forgottenUpTo > part.ListRevision {
-		return ListPart{}, nil, platform.ErrHistoryGone.New("changes up to revision %d are not kept any more", k.forgottenUpTo)
+	if k.forgottenUpTo.After(part.ListedAt) {
+		return ListPart{}, nil, platform.ErrHistoryGone.New("changes up to %v are not kept any more", k.forgottenUpTo)
 	}
-	part.Page, part.More = k.since(r.After, r.WithRemoved || r.After > 0, r.Limit)
-	part.Age = age
+	part.Page, part.More = k.since(r.After, r.WithRemoved || !first, r.Limit)
+	part.Age, part.ForgottenUpTo = age, revision.Latest(k.forgottenUpTo, k.lastGapEnd())
 	return part, nil, nil
 }
 
@@ -297,21 +370,47 @@
 	return age, nil
 }
 
-// since returns the objects that changed after a revision, in the order of their changes. It leaves
+// canContinue returns [platform.ErrHistoryGone] if the changes after a position are not known: the reader
+// is within a gap, or does not say of which era it is and has a revision that the store does not have. It
+// returns [platform.ErrUnavailable] to a reader that knows a newer era.
+func (k *mirroredKind) canContinue(from revision.Position) error {
+	if from.Era > k.at.Era {
+		return platform.ErrUnavailable.New("no objects of era %d", from.Era)
+	}
+	if from.Era == 0 && k.at.Era > 0 {
+		if from.Revision > k.at.Revision {
+			return platform.ErrHistoryGone.New("no objects of revision %d", from.Revision)
+		}
+		from.Era = k.at.Era
+	}
+	for _, g := range k.gaps {
+		if from.After(g.from) && g.to.After(from) {
+			return platform.ErrHistoryGone.New("the changes after %v are not known", from)
+		}
+	}
+	return nil
+}
+
+// since returns the objects that changed after a position, in the order of their changes. It leaves
 // out removed ones unless withRemoved is set. If there are more than limit, the page ends with the
-// revision of its last object, and more is set; 0 stands for no limit. The work is in proportion to
-// the changes since the revision.
-func (k *mirroredKind) since(revision uint64, withRemoved bool, limit int) (page platform.Page, more bool) {
-	page.Revision = max(revision, k.revision)
-	first, _ := slices.BinarySearchFunc(k.log, revision+1, func(c change, r uint64) int { return cmp.Compare(c.revision, r) })
+// position of its last object, and more is set; 0 stands for no limit. The work is in proportion to
+// the changes since the position.
+func (k *mirroredKind) since(from revision.Position, withRemoved bool, limit int) (page platform.Page, more bool) {
+	if from.Era == 0 && from.Revision > 0 {
+		from.Era = k.at.Era // of a reader that does not say
+	}
+	end := revision.Latest(from, k.at)
+	page.Era, page.Revision = end.Era, end.Revision
+	next := revision.Position{Era: from.Era, Revision: from.Revision + 1}
+	first, _ := slices.BinarySearchFunc(k.log, next, func(c change, p revision.Position) int { return c.at.Compare(p) })
 	for _, c := range k.log[first:] {
 		o, known := k.objects[c.name]
-		if !known || o.Revision != c.revision || o.Deleted && !withRemoved {
+		if !known || o.Position() != c.at || o.Deleted && !withRemoved {
 			continue
 		}
-		// Several objects may share a revision. A page ends between two revisions only.
-		if n := len(page.Objects); limit > 0 && n >= limit && page.Objects[n-1].Revision != o.Revision {
-			page.Revision = page.Objects[n-1].Revision
+		// Several objects may share a position. A page ends between two positions only.
+		if n := len(page.Objects); limit > 0 && n >= limit && page.Objects[n-1].Position() != c.at {
+			page.Era, page.Revision = page.Objects[n-1].Era, page.Objects[n-1].Revision
 			return page, true
 		}
 		page.Objects = append(page.Objects, o)
@@ -321,13 +420,13 @@
 
 // WatchRequest asks for the objects that changed.
 type WatchRequest struct {
-	// Kind is the kind of the objects, and Since the revision after which they changed.
+	// Kind is the kind of the objects, and Since the position after which they changed.
 	Kind  string
-	Since uint64
+	Since revision.Position
 	// Wait is the longest time to wait for a change.
 	Wait time.Duration
 	// Limit is the most objects to return at once; 0 for no limit. The next watch returns the
-	// others.
+	// others. A watch from before a gap returns all.
 	Limit int
 	// KnownAge is the age of the caller's own data. The watch also ends once this instance has data
 	// that is fresher by minFreshnessGain. So all instances of a chain have data that is about as
@@ -337,7 +436,7 @@
 
 // Watch returns the objects that changed, removed ones included, and waits for a change if there
 // are none. The page has no objects if nothing changed. Watch returns [platform.ErrHistoryGone] if
-// the changes since the revision are not kept any more, and [platform.ErrUnavailable] if the data
+// the changes since the position are not kept any more, and [platform.ErrUnavailable] if the data
 // is too old or ctx ends.
 func (m *Mirror) Watch(ctx context.Context, r WatchRequest) (platform.Page, error) {
 	timeout := time.NewTimer(r.Wait)
@@ -367,7 +466,7 @@
 // watch is a watch in progress.
 type watch struct {
 	kind  string
-	since uint64
+	since revision.Position
 	limit int
 	began time.Duration
 	// endCurrentAt ends the watch once the data is known to have been the newest at this time.
@@ -404,11 +503,18 @@
 		return platform.Page{}, w.wasFresh || now >= deadline, recheck{k.changed, max(deadline-now, minRecheck)}, err
 	}
 	w.wasFresh = true
-	if w.since < k.forgottenUpTo {
-		return platform.Page{}, true, recheck{}, platform.ErrHistoryGone.New("changes up to revision %d are not kept any more", k.forgottenUpTo)
+	if err := k.canContinue(w.since); err != nil {
+		return platform.Page{}, true, recheck{}, err
+	}
+	if w.since.Era > 0 && k.forgottenUpTo.After(w.since) || w.since.Revision < k.forgottenUpTo.Revision && w.since.Era == 0 {
+		return platform.Page{}, true, recheck{}, platform.ErrHistoryGone.New("changes up to %v are not kept any more", k.forgottenUpTo)
+	}
+	limit, crossesGap := w.limit, k.lastGapEnd().After(w.since)
+	if crossesGap {
+		limit = 0 // a part of it may be no state that the store was in
 	}
-	page, _ = k.since(w.since, true, w.limit)
-	page.Age = age
+	page, _ = k.since(w.since, true, limit)
+	page.Age, page.Gap = age, crossesGap
 	done = len(page.Objects) > 0 || now-age >= w.endCurrentAt || m.interrupts != w.interrupts
 	return page, done, recheck{k.changed, max(m.maxAge()-age, minRecheck)}, nil
 }
--- a/gateway/follow/mirror_scale_test.go
+++ b/gateway/follow/mirror_scale_test.go
@@ -21,7 +21,7 @@
 	for i := range n {
 		page.Objects = append(page.Objects, object(fmt.Sprint("e", i), uint64(i+1)))
 	}
-	m.replace("k", 0, page, page.Revision)
+	m.replace("k", 0, page, pos(page.Revision))
 	return m
 }
 
@@ -37,7 +37,7 @@
 			gone.Deleted = true
 			m.update("k", 0, &platform.Page{Objects: []platform.Object{object(fmt.Sprint("new", i), revision-1), gone}, Revision: revision})
 		}
-		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: uint64(n)})
+		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(uint64(n))})
 		assert.NilError(t, err, "%d objects", n)
 		assert.Equal(t, len(page.Objects), 2*(n*45/100))
 	}
@@ -76,7 +76,7 @@
 		if !part.More {
 			return found, part.Revision, nil
 		}
-		r.After, r.ListRevision = part.Revision, part.ListRevision
+		r.After, r.ListedAt = part.Position(), part.ListedAt
 		between()
 	}
 }
@@ -98,7 +98,7 @@
 		found, at, err := readAll(m, 20+rnd.IntN(50), mutate)
 		assert.NilError(t, err)
 		mutate()
-		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: at})
+		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(at)})
 		assert.NilError(t, err)
 		for _, o := range page.Objects {
 			found[o.Name] = o.Revision
@@ -142,7 +142,7 @@
 		page.Objects = append(page.Objects, o)
 	}
 	m.update("k", 0, page)
-	got, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: 10, Limit: 2})
+	got, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(10), Limit: 2})
 	assert.NilError(t, err)
 	assert.Equal(t, len(got.Objects), 6)
 }
@@ -156,7 +156,7 @@
 		allocations[n] = testing.AllocsPerRun(50, func() {
 			revision++
 			m.update("k", 0, &platform.Page{Objects: []platform.Object{object("e7", revision)}, Revision: revision})
-			page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: revision - 1})
+			page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(revision - 1)})
 			assert.NilError(t, err)
 			assert.Equal(t, len(page.Objects), 1)
 		})
@@ -171,7 +171,7 @@
 			for b.Loop() {
 				revision++
 				m.update("k", 0, &platform.Page{Objects: []platform.Object{object("e7", revision)}, Revision: revision})
-				_, _ = m.Watch(context.Background(), WatchRequest{Kind: "k", Since: revision - 1})
+				_, _ = m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(revision - 1)})
 			}
 		})
 	}
@@ -182,7 +182,7 @@
 // changed their sources, nearly all of them listed everything two or three times.
 func TestListPassesOnHistory(t *testing.T) {
 	first := NewMirror(func() time.Duration { return 0 }, func() time.Duration { return time.Minute })
-	first.replace("k", 0, &platform.Page{Revision: 1}, 1)
+	first.replace("k", 0, &platform.Page{Revision: 1}, pos(1))
 	revision := uint64(1)
 	for i := range 300 {
 		revision++
@@ -195,9 +195,9 @@
 	second := NewMirror(func() time.Duration { return 0 }, func() time.Duration { return time.Minute })
 	second.replace("k", 0, &part.Page, part.ForgottenUpTo)
 	for _, since := range []uint64{1, 100, 250} {
-		want, err := first.Watch(context.Background(), WatchRequest{Kind: "k", Since: since})
+		want, err := first.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(since)})
 		assert.NilError(t, err)
-		got, err := second.Watch(context.Background(), WatchRequest{Kind: "k", Since: since})
+		got, err := second.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(since)})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, names(got), names(want))
 	}
@@ -219,9 +219,9 @@
 			list.Objects = append(list.Objects, object(fmt.Sprint("e", i), uint64(i+1)))
 		}
 	}
-	m.replace("k", 0, list, list.Revision)
+	m.replace("k", 0, list, pos(list.Revision))
 	for since, want := range map[uint64][]string{100: {"-e3", "new", "-e5"}, 110: {"new", "-e5"}, 160: {}} {
-		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: since})
+		page, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(since)})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, names(page), want)
 	}
--- a/gateway/follow/mirror_test.go
+++ b/gateway/follow/mirror_test.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -17,6 +18,9 @@
 	return platform.Object{Name: name, Revision: revision, Spec: []byte("{}")}
 }
 
+// pos returns a position of a store that states no era.
+func pos(r uint64) revision.Position { return revision.Position{Revision: r} }
+
 func names(p platform.Page) []string {
 	out := []string{}
 	for _, o := range p.Objects {
@@ -34,7 +38,7 @@
 func newTestMirror() (*Mirror, time.Time) {
 	began := time.Now()
 	m := NewMirror(func() time.Duration { return time.Since(began) }, func() time.Duration { return time.Minute })
-	m.replace("k", 0, &platform.Page{Objects: []platform.Object{object("a", 5), object("b", 7)}, Revision: 9}, 9)
+	m.replace("k", 0, &platform.Page{Objects: []platform.Object{object("a", 5), object("b", 7)}, Revision: 9}, pos(9))
 	time.Sleep(100 * time.Millisecond)
 	return m, began
 }
@@ -49,7 +53,7 @@
 		assert.Equal(t, list.Revision, uint64(9))
 		assert.Equal(t, list.Age, 100*time.Millisecond)
 		began := time.Now()
-		page, err := m.Watch(ctx, WatchRequest{Kind: "k", Since: 9, Wait: time.Second})
+		page, err := m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(9), Wait: time.Second})
 		assert.NilError(t, err)
 		assert.Equal(t, len(page.Objects), 0)
 		assert.Equal(t, time.Since(began), time.Second)
@@ -59,11 +63,11 @@
 			gone.Deleted = true
 			m.update("k", time.Second, &platform.Page{Objects: []platform.Object{object("c", 11), gone}, Revision: 12})
 		})
-		page, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: 9, Wait: time.Second})
+		page, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(9), Wait: time.Second})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, names(page), []string{"c", "-a"})
 		assert.Equal(t, page.Revision, uint64(12))
-		page, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: 11, Wait: time.Second}) // as a reader that has c from the store
+		page, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(11), Wait: time.Second}) // as a reader that has c from the store
 		assert.NilError(t, err)
 		assert.DeepEqual(t, names(page), []string{"-a"})
 		list, err = m.List(ctx, ListRequest{Kind: "k"})
@@ -76,7 +80,7 @@
 	m := NewMirror(func() time.Duration { return 0 }, func() time.Duration { return time.Minute })
 	_, err := m.List(context.Background(), ListRequest{Kind: "k"})
 	assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
-	_, err = m.Watch(context.Background(), WatchRequest{Kind: "k", Since: 1, Wait: time.Millisecond})
+	_, err = m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(1), Wait: time.Millisecond})
 	assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
 }
 
@@ -86,16 +90,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := newTestMirror()
 		ctx := context.Background()
-		_, err := m.Watch(ctx, WatchRequest{Kind: "k", Since: 8, Wait: time.Millisecond})
+		_, err := m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(8), Wait: time.Millisecond})
 		assert.Assert(t, errorx.IsOfType(err, platform.ErrHistoryGone))
 		for i := range minKeptRemovals + 1 {
 			o := object(fmt.Sprint("x", i), 10)
 			o.Deleted = true
 			m.update("k", 0, &platform.Page{Objects: []platform.Object{o}, Revision: uint64(10 + i)})
 		}
-		_, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: 9, Wait: time.Millisecond})
+		_, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(9), Wait: time.Millisecond})
 		assert.Assert(t, errorx.IsOfType(err, platform.ErrHistoryGone))
-		_, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: 10, Wait: time.Millisecond})
+		_, err = m.Watch(ctx, WatchRequest{Kind: "k", Since: pos(10), Wait: time.Millisecond})
 		assert.NilError(t, err)
 	})
 }
@@ -107,9 +111,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		m := NewMirror(func() time.Duration { return time.Since(began) }, func() time.Duration { return 1250 * time.Millisecond })
-		m.replace("k", 0, &platform.Page{Revision: 9}, 9)
+		m.replace("k", 0, &platform.Page{Revision: 9}, pos(9))
 		time.Sleep(time.Second)
-		_, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: 9, Wait: time.Second})
+		_, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(9), Wait: time.Second})
 		assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
 		assert.Assert(t, time.Since(began) <= 1350*time.Millisecond)
 		_, err = m.List(context.Background(), ListRequest{Kind: "k"})
--- a/gateway/relay/direct_store.go
+++ b/gateway/relay/direct_store.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/platform"
 )
@@ -32,12 +33,16 @@
 }
 
 // Watch implements [follow.Store].
-func (s *directStore) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error) {
+func (s *directStore) Watch(ctx context.Context, kind string, since revision.Position, wait time.Duration) (platform.Page, error) {
 	if s.choice.Probe {
 		wait = min(wait, probeWait)
 	}
 	return s.call(ctx, wait, s.choice.Timeout, func(ctx context.Context) (platform.Page, error) {
-		return s.relay.Store.Watch(ctx, kind, since, wait)
+		page, err := s.relay.Store.Watch(ctx, kind, since.Revision, wait)
+		if err == nil && page.Era != since.Era { // the store does not know which era since belongs to
+			return page, platform.ErrHistoryGone.New("the store is in era %d, not %d", page.Era, since.Era)
+		}
+		return page, err
 	})
 }
 
@@ -46,6 +51,9 @@
 	defer cancel()
 	began := s.relay.Clock()
 	page, err := read(ctx)
+	if err == nil && !s.relay.acceptsEra(&page) {
+		err = platform.ErrUnavailable.New("the answer is of era %d, which is over", page.Era)
+	}
 	latency := s.relay.Clock() - began
 	if err != nil && !errorx.IsOfType(err, platform.ErrHistoryGone) {
 		s.relay.report(func(c *source.Chooser, now time.Duration) { c.StoreFailed(now) })
--- a/gateway/relay/pack.go
+++ b/gateway/relay/pack.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -36,11 +37,11 @@
 	packed int
 }
 
-// pageKey identifies the content of a page. Objects leave a closed range of revisions when they
+// pageKey identifies the content of a page. Objects leave a closed range of positions when they
 // change, and none join it, so the same number of objects are the same objects.
 type pageKey struct {
 	kind        string
-	first, last uint64 // revisions of the first and the last object
+	first, last revision.Position // of the first and the last object
 	count       int
 	removed     int // how many of them are removed
 }
@@ -60,7 +61,7 @@
 }
 
 func keyOf(kind string, objects []platform.Object) pageKey {
-	key := pageKey{kind: kind, first: objects[0].Revision, last: objects[len(objects)-1].Revision, count: len(objects)}
+	key := pageKey{kind: kind, first: objects[0].Position(), last: objects[len(objects)-1].Position(), count: len(objects)}
 	for i := range objects {
 		if objects[i].Deleted {
 			key.removed++
@@ -144,7 +145,7 @@
 	out := make([]*peerv1.StoreObject, len(objects))
 	for i := range objects {
 		o := &objects[i]
-		out[i] = &peerv1.StoreObject{Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Deleted: o.Deleted}
+		out[i] = &peerv1.StoreObject{Name: o.Name, Revision: o.Revision, Era: o.Era, Created: o.Created, Spec: o.Spec, Status: o.Status, Deleted: o.Deleted}
 	}
 	return out
 }
@@ -152,7 +153,7 @@
 func decodeObjects(objects []*peerv1.StoreObject) []platform.Object {
 	out := make([]platform.Object, 0, len(objects))
 	for _, o := range objects {
-		out = append(out, platform.Object{Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Deleted: o.Deleted})
+		out = append(out, platform.Object{Name: o.Name, Revision: o.Revision, Era: o.Era, Created: o.Created, Spec: o.Spec, Status: o.Status, Deleted: o.Deleted})
 	}
 	return out
 }
--- a/gateway/relay/peer_store.go
+++ b/gateway/relay/peer_store.go
@@ -6,6 +6,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/platform"
@@ -49,14 +50,14 @@
 		if !resp.More {
 			return parts.page(&page), nil
 		}
-		req = &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, Since: resp.Revision, ListRevision: resp.ListRevision}
+		req = &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, Since: resp.Revision, Era: resp.Era, ListRevision: resp.ListRevision, ListEra: resp.ListEra}
 	}
 }
 
 // Watch implements [follow.Store].
-func (r *peerStore) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error) {
+func (r *peerStore) Watch(ctx context.Context, kind string, since revision.Position, wait time.Duration) (platform.Page, error) {
 	wait += wait / extraWaitDivisor
-	req := &peerv1.WatchStoreRequest{Kind: kind, Since: since, WaitMs: uint32(wait.Milliseconds())}
+	req := &peerv1.WatchStoreRequest{Kind: kind, Since: since.Revision, Era: since.Era, WaitMs: uint32(wait.Milliseconds())}
 	if age, known := r.relay.Mirror.Age(kind); known {
 		req.KnownAgeMs = uint32(age.Milliseconds())
 	}
@@ -82,7 +83,11 @@
 	}
 	r.relay.setStoreLatency(time.Duration(resp.StoreTookMs) * time.Millisecond)
 	page, err := decode(resp)
-	return resp, page, err
+	if err != nil || r.relay.acceptsEra(&page) {
+		return resp, page, err
+	}
+	r.relay.report(func(c *source.Chooser, now time.Duration) { c.PeerStale(now, r.id) })
+	return nil, platform.Page{}, platform.ErrUnavailable.New("instance %s has data of an earlier era of the store", r.id)
 }
 
 // decode returns [platform.ErrUnavailable] for objects that can't be unpacked.
@@ -96,7 +101,7 @@
 	}
 	return platform.Page{
 		Objects: decodeObjects(objects), Revision: resp.Revision, Age: time.Duration(resp.AgeMs) * time.Millisecond, MinWait: time.Duration(resp.HeldMs) * time.Millisecond,
-		ForgottenUpTo: resp.ForgottenUpTo,
+		Era: resp.Era, Gap: resp.Gap, ForgottenUpTo: revision.Position{Era: resp.ForgottenEra, Revision: resp.ForgottenUpTo},
 	}, nil
 }
 
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -12,6 +12,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,13 +24,21 @@
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/peers"
+	"github.com/agateway/agateway/platform"
 )
 
+// Store is the platform's store.
+type Store interface {
+	List(ctx context.Context, kind string) (platform.Page, error)
+	// Watch watches from a revision of the store's current era.
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platform.Page, error)
+}
+
 // Options configure a [Relay].
 type Options struct {
 	// Settings name this instance, and say how many instances ask the store.
 	Settings source.Settings
-	Store    follow.Store
+	Store    Store
 	Mirror   *follow.Mirror
 	// Others returns the other instances that are alive.
 	Others func() []exchange.Peer
@@ -50,6 +59,9 @@
 	// storeLatency is how long the store's last answer took, to this instance or to the one at the
 	// root of the chain that it follows.
 	storeLatency time.Duration
+	// era is the newest era of the store that is known, and eraChanged is set once it was another one.
+	era        uint64
+	eraChanged bool
 	// ranked are the other instances in the order of their rank, and rankedFrom is the first element
 	// of the slice that they come from.
 	ranked     []source.Peer
@@ -61,6 +73,31 @@
 	return &Relay{Options: o, chooser: source.New(o.Settings), follows: notChosen}
 }
 
+// acceptsEra takes the era of an answer, and reports whether it is the newest one known. An answer that
+// states none comes from an instance of an earlier build. It is taken for one of the newest era as long
+// as no other one was known: such an instance does not notice that the store has returned from a copy.
+func (r *Relay) acceptsEra(page *platform.Page) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case page.Era > r.era:
+		r.eraChanged = r.eraChanged || r.era > 0
+		r.era = page.Era
+	case page.Era == 0 && !r.eraChanged:
+		page.Era = r.era
+	case page.Era < r.era:
+		return false
+	}
+	return true
+}
+
+// Era returns the newest era of the store that is known; 0 if none is.
+func (r *Relay) Era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
 // notChosen is the value of Relay.follows before the first choice. Operators see it as it is.
 const notChosen = "nobody yet"
 
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/platform"
@@ -42,10 +43,13 @@
 
 func (s *Server) read(ctx context.Context, r *peerv1.WatchStoreRequest) (follow.ListPart, error) {
 	if r.All {
-		return s.Relay.Mirror.List(ctx, follow.ListRequest{Kind: r.Kind, Limit: int(r.Limit), After: r.Since, ListRevision: r.ListRevision, WithRemoved: r.WithRemoved})
+		return s.Relay.Mirror.List(ctx, follow.ListRequest{
+			Kind: r.Kind, Limit: int(r.Limit), WithRemoved: r.WithRemoved,
+			After: revision.Position{Era: r.Era, Revision: r.Since}, ListedAt: revision.Position{Era: r.ListEra, Revision: r.ListRevision},
+		})
 	}
 	page, err := s.Relay.Mirror.Watch(ctx, follow.WatchRequest{
-		Kind: r.Kind, Since: r.Since, Limit: int(r.Limit),
+		Kind: r.Kind, Since: revision.Position{Era: r.Era, Revision: r.Since}, Limit: int(r.Limit),
 		Wait: time.Duration(r.WaitMs) * time.Millisecond, KnownAge: time.Duration(r.KnownAgeMs) * time.Millisecond,
 	})
 	return follow.ListPart{Page: page}, err
@@ -54,7 +58,9 @@
 // encode rounds the age up, so that the data never seems fresher than it is.
 func (s *Server) encode(out *peerv1.WatchStoreResponse, r *peerv1.WatchStoreRequest, part *follow.ListPart) {
 	out.Revision, out.AgeMs = part.Revision, uint32(part.Age.Milliseconds())+1
-	out.More, out.ListRevision, out.ForgottenUpTo = part.More, part.ListRevision, part.ForgottenUpTo
+	out.Era, out.More, out.Gap = part.Era, part.More, part.Gap
+	out.ListEra, out.ListRevision = part.ListedAt.Era, part.ListedAt.Revision
+	out.ForgottenEra, out.ForgottenUpTo = part.ForgottenUpTo.Era, part.ForgottenUpTo.Revision
 	if r.AcceptsPacked && worthPacking(part.Objects) {
 		packed, err := s.packer.pack(r.Kind, part.Objects)
 		if err == nil {
