--- a/gateway/follow/era_test.go
+++ b/gateway/follow/era_test.go
@@ -100,7 +100,7 @@
 
 // Watch implements [Store].
 func (s *mirrorStore) Watch(ctx context.Context, kind string, since revision.Position, _ time.Duration) (platform.Page, error) {
-	return s.m.Watch(ctx, WatchRequest{Kind: kind, Since: since})
+	return s.m.Watch(ctx, WatchRequest{Kind: kind, Since: since, Limit: s.limit})
 }
 
 // reader reads a kind of objects as a loop does, into a mirror of its own.
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -370,6 +370,12 @@
 	return age, nil
 }
 
+// removedAfter reports whether an object was removed after a position. The revision of a removal is not
+// known, only that of the answer that told of it.
+func (k *mirroredKind) removedAfter(from revision.Position) bool {
+	return len(k.removed) > 0 && k.removed[len(k.removed)-1].at.After(from)
+}
+
 // canContinue returns [platform.ErrHistoryGone] if the changes after a position are not known: the reader
 // is within a gap, or does not say of which era it is and has a revision that the store does not have. It
 // returns [platform.ErrUnavailable] to a reader that knows a newer era.
@@ -426,7 +432,7 @@
 	// Wait is the longest time to wait for a change.
 	Wait time.Duration
 	// Limit is the most objects to return at once; 0 for no limit. The next watch returns the
-	// others. A watch from before a gap returns all.
+	// others. A watch from before a gap or a removal returns all.
 	Limit int
 	// KnownAge is the age of the caller's own data. The watch also ends once this instance has data
 	// that is fresher by minFreshnessGain. So all instances of a chain have data that is about as
@@ -510,7 +516,7 @@
 		return platform.Page{}, true, recheck{}, platform.ErrHistoryGone.New("changes up to %v are not kept any more", k.forgottenUpTo)
 	}
 	limit, crossesGap := w.limit, k.lastGapEnd().After(w.since)
-	if crossesGap {
+	if crossesGap || k.removedAfter(w.since) {
 		limit = 0 // a part of it may be no state that the store was in
 	}
 	page, _ = k.since(w.since, true, limit)
