gateway/follow, gateway/relay, platform: what was in force before the store returned from a copy stays in force

Cause: a list of the store counted as the truth, also where it is older than what is known, and a start knows nothing else.

Now the instance that asks the store corrects its answers, and all that follow it get the result. An instance that would start from the store lists from others first, of whatever age and era that is, up to six that serve callers and two that do not; when a fleet starts, nobody knows anything and they say so at once.

Before: TestNothingIsUndoneByReturn: the key is served, routes are missing, endpoints that leave or left get requests.

--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -31,6 +31,8 @@
 	// Direct is set if Store is the platform's store itself, whose calls are counted and charged,
 	// and not another instance.
 	Direct bool
+	// First is set for an instance that [Options.First] returned.
+	First bool
 }
 
 // follower holds the objects of one kind that a loop reads.
@@ -47,6 +49,10 @@
 type Options struct {
 	// Source returns where to read next: from the store, or from another instance that follows it.
 	Source func() Source
+	// First returns another instance to list from in place of the store, before anything was read; what it
+	// knows may be of any age. It returns false once all were tried. Others may know what the store has lost
+	// by returning from an older copy. Nil stands for no other instances.
+	First func(tried int) (Source, bool)
 	// Mirror gets all that is read, for instances that follow this one.
 	Mirror *Mirror
 	// Wait is how long a watch waits for a change.
@@ -67,6 +73,11 @@
 	failing, changedLast bool
 	// at is the position of the last answer.
 	at revision.Position
+	// holdEnds is when objects that the store has lost are not held any more; zero if none are.
+	holdEnds time.Duration
+	// askedFirst is how often First was asked, and allAsked is set once it returned false.
+	askedFirst int
+	allAsked   bool
 }
 
 const (
@@ -91,7 +102,10 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := l.Now()
-		source := l.Source()
+		source := l.source()
+		if source.Direct && l.holdIsOver() {
+			listed = false
+		}
 		var page platform.Page
 		var err error
 		if listed {
@@ -99,6 +113,9 @@
 		} else {
 			page, err = source.List(ctx, l.kind)
 		}
+		if err != nil && source.First {
+			continue
+		}
 		if err != nil {
 			listed = listed && !errorx.IsOfType(err, platform.ErrHistoryGone)
 			if l.failed(ctx, f, began, err) {
@@ -109,6 +126,9 @@
 		}
 		backoff = minBackoff
 		l.noteEra(&page, source.Direct)
+		if source.Direct {
+			l.holdUntilRewritten(listed, &page)
+		}
 		l.deliver(f, listed, began, &page)
 		l.succeeded()
 		storeChanged := source.Direct && len(page.Objects) > 0
@@ -119,6 +139,21 @@
 	}
 }
 
+// source returns where to read next.
+func (l *loop) source() Source {
+	source := l.Source()
+	if !source.Direct || l.at.Revision > 0 || l.allAsked || l.First == nil {
+		return source
+	}
+	first, ok := l.First(l.askedFirst)
+	l.askedFirst++
+	if !ok {
+		l.allAsked = true
+		return source
+	}
+	return first
+}
+
 // noteEra records the position of an answer, and logs that it is of another era of the store than the one
 // before.
 func (l *loop) noteEra(page *platform.Page, direct bool) {
@@ -126,6 +161,7 @@
 		l.Log.WithFields(logrus.Fields{
 			"kind": l.kind, "era": page.Era, "revision": page.Revision, "era_before": l.at.Era, "revision_before": l.at.Revision, "direct": direct,
 		}).Warn("the store's era has changed")
+		l.holdEnds = l.Now() + returnHold
 	}
 	l.at = page.Position()
 }
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -207,6 +208,21 @@
 	return m.kind(kind).freshness.Age(m.now())
 }
 
+// object returns an object of a kind, which may be a removed one; false if it is not known.
+func (m *Mirror) object(kind, name string) (platform.Object, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, known := m.kind(kind).objects[name]
+	return o, known
+}
+
+// objects returns all objects of a kind that are known, removed ones included, by name.
+func (m *Mirror) objects(kind string) map[string]platform.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.kind(kind).objects)
+}
+
 // put stores the objects of a watch or a list.
 func (k *mirroredKind) put(page *platform.Page, watched bool) {
 	for _, o := range page.Objects {
@@ -298,6 +314,9 @@
 	// After is the position of the part before, and ListedAt its [ListPart.ListedAt]; zero for the
 	// first part.
 	After, ListedAt revision.Position
+	// AnyAge asks for the objects however long ago they were last known to be the newest. It does not
+	// wait for newer ones.
+	AnyAge bool
 	// WithRemoved asks for the removed objects that are still known too. A mirror that has them can
 	// serve the same watches as this one.
 	WithRemoved bool
@@ -322,7 +341,7 @@
 	defer timeout.Stop()
 	for {
 		part, changed, err := m.list(&r)
-		if err == nil || errorx.IsOfType(err, platform.ErrHistoryGone) {
+		if err == nil || r.AnyAge || errorx.IsOfType(err, platform.ErrHistoryGone) {
 			return part, err
 		}
 		select {
@@ -342,7 +361,7 @@
 	defer m.mu.Unlock()
 	k := m.kind(r.Kind)
 	age, err := m.freshAge(k, r.Kind)
-	if err != nil {
+	if err != nil && !(r.AnyAge && k.at.Revision > 0) {
 		return ListPart{}, k.changed, err
 	}
 	part := ListPart{ListedAt: r.ListedAt}
@@ -365,7 +384,7 @@
 func (m *Mirror) freshAge(k *mirroredKind, kind string) (time.Duration, error) {
 	age, known := k.freshness.Age(m.now())
 	if !known || age >= m.maxAge() {
-		return 0, platform.ErrUnavailable.New("no fresh objects of kind %s: the age is %v", kind, age)
+		return age, platform.ErrUnavailable.New("no fresh objects of kind %s: the age is %v", kind, age)
 	}
 	return age, nil
 }
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -122,6 +122,12 @@
 // in force: a configuration, the loss of a key, an endpoint that leaves, one that left, and one that
 // started. An instance that starts before these are written again takes them from the others.
 func TestNothingIsUndoneByReturn(t *testing.T) {
+	for name, restarted := range map[string][]int{"first": {0}, "third": {2}, "last": {5}, "half": {0, 2, 4}, "all but one": {0, 1, 2, 3, 4}} {
+		t.Run(name+" starts", func(t *testing.T) { testNothingIsUndone(t, restarted) })
+	}
+}
+
+func testNothingIsUndone(t *testing.T, restarted []int) {
 	run(t, 6, 2, 4, func(w *world) {
 		from := w.store.Copy()
 		path := w.publish()
@@ -149,8 +155,10 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		check("before it is written again")
-		w.killFront(2)
-		w.startFront(2)
+		for _, i := range restarted {
+			w.killFront(i)
+			w.startFront(i)
+		}
 		time.Sleep(time.Second)
 		check("at an instance that has started")
 		o := w.load(60, time.Second, openRequest, func(i int) int { return i % 6 })
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -184,7 +184,7 @@
 	f.pool = upstream.NewPool(dial)
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
-	followOptions := follow.Options{Source: f.source, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
+	followOptions := follow.Options{Source: f.source, First: f.firstSource, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(followOptions, f.onConfigurationChange)
 	f.endpoints = follow.NewEndpoints(followOptions, f.isServiceConfigured, f.placement.InUse, f.onEndpointsChange)
 	f.buildRollouts(followOptions)
@@ -254,6 +254,9 @@
 // source returns the store or the instance that the followers ask next.
 func (f *Front) source() follow.Source { return f.relay.Source() }
 
+// firstSource returns the instance that the followers ask in place of the store at the start.
+func (f *Front) firstSource(tried int) (follow.Source, bool) { return f.relay.First(tried) }
+
 // storeAccess reports whether the store answers this instance.
 func (f *Front) storeAccess() source.Access { return f.relay.Access() }
 
--- a/gateway/relay/peer_store.go
+++ b/gateway/relay/peer_store.go
@@ -16,6 +16,8 @@
 type peerStore struct {
 	relay       *Relay
 	id, address string
+	// anyAge asks for lists of any age, and accepts those of earlier eras.
+	anyAge bool
 }
 
 const (
@@ -39,7 +41,7 @@
 
 // List implements [follow.Store]. It reads the list part by part.
 func (r *peerStore) List(ctx context.Context, kind string) (platform.Page, error) {
-	req := &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true}
+	req := &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, AnyAge: r.anyAge}
 	parts := &partList{}
 	for {
 		resp, page, err := r.call(ctx, req, peerListTimeout)
@@ -50,7 +52,7 @@
 		if !resp.More {
 			return parts.page(&page), nil
 		}
-		req = &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, Since: resp.Revision, Era: resp.Era, ListRevision: resp.ListRevision, ListEra: resp.ListEra}
+		req = &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, AnyAge: r.anyAge, Since: resp.Revision, Era: resp.Era, ListRevision: resp.ListRevision, ListEra: resp.ListEra}
 	}
 }
 
@@ -83,7 +85,7 @@
 	}
 	r.relay.setStoreLatency(time.Duration(resp.StoreTookMs) * time.Millisecond)
 	page, err := decode(resp)
-	if err != nil || r.relay.acceptsEra(&page) {
+	if accepted := err == nil && r.relay.acceptsEra(&page); err != nil || accepted || r.anyAge {
 		return resp, page, err
 	}
 	r.relay.report(func(c *source.Chooser, now time.Duration) { c.PeerStale(now, r.id) })
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -107,12 +107,37 @@
 	choice := r.choose(others)
 	for i := range others {
 		if others[i].ID == choice.Peer {
-			return follow.Source{Store: &peerStore{r, choice.Peer, others[i].Peers}}
+			return follow.Source{Store: &peerStore{relay: r, id: choice.Peer, address: others[i].Peers}}
 		}
 	}
 	return follow.Source{Store: &directStore{r, choice}, Direct: true}
 }
 
+// maxFirstReady and maxFirstOthers are how many instances that serve callers, and how many others, are
+// tried as the source of the first list. When a whole fleet starts, nobody knows anything.
+const maxFirstReady, maxFirstOthers = 6, 2
+
+// First returns another instance of this region to try as the source of the first list; false after the
+// last one.
+func (r *Relay) First(tried int) (follow.Source, bool) {
+	var ready, others []exchange.Peer
+	for _, p := range r.Others() {
+		switch {
+		case p.Region != r.Settings.Region:
+		case p.Ready:
+			ready = append(ready, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	all := append(ready[:min(len(ready), maxFirstReady)], others[:min(len(others), maxFirstOthers)]...)
+	if tried >= len(all) {
+		return follow.Source{}, false
+	}
+	p := &all[tried]
+	return follow.Source{Store: &peerStore{relay: r, id: p.ID, address: p.Peers, anyAge: true}, First: true}, true
+}
+
 func (r *Relay) choose(others []exchange.Peer) source.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -44,7 +44,7 @@
 func (s *Server) read(ctx context.Context, r *peerv1.WatchStoreRequest) (follow.ListPart, error) {
 	if r.All {
 		return s.Relay.Mirror.List(ctx, follow.ListRequest{
-			Kind: r.Kind, Limit: int(r.Limit), WithRemoved: r.WithRemoved,
+			Kind: r.Kind, Limit: int(r.Limit), WithRemoved: r.WithRemoved, AnyAge: r.AnyAge,
 			After: revision.Position{Era: r.Era, Revision: r.Since}, ListedAt: revision.Position{Era: r.ListEra, Revision: r.ListRevision},
 		})
 	}
