platform, gateway/rollouts, gateway/platform: a condition of a write names its era

A write on the condition of a revision could succeed by chance after the store had returned from an older copy, since another state of the object had been given the same revision. Now conditions are positions. A writer that knows of the return writes nothing (conflict). One whose write was on its way learns that it met the condition by chance (uncertain: what is stored now has to be read); the store's protocol has no condition on the era, so it can't be prevented there. A watch of the project's own interface from a revision of another era counts as lost history.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -19,8 +20,8 @@
 type Store interface {
 	List(ctx context.Context, kind string) (platform.Page, error)
 	Create(ctx context.Context, kind, name string, spec json.RawMessage) (platform.Object, error)
-	Replace(ctx context.Context, kind, name string, spec json.RawMessage, revision uint64) (platform.Object, error)
-	Delete(ctx context.Context, kind, name string, revision uint64) error
+	Replace(ctx context.Context, kind, name string, spec json.RawMessage, condition revision.Position) (platform.Object, error)
+	Delete(ctx context.Context, kind, name string, condition revision.Position) error
 }
 
 // Options configure a [Registry].
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -58,7 +59,7 @@
 	return platform.Object{Name: name, Spec: spec}, nil
 }
 
-func (s *store) Replace(_ context.Context, _, name string, spec json.RawMessage, _ uint64) (platform.Object, error) {
+func (s *store) Replace(_ context.Context, _, name string, spec json.RawMessage, _ revision.Position) (platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
@@ -66,7 +67,7 @@
 	return platform.Object{Name: name, Spec: spec}, nil
 }
 
-func (s *store) Delete(_ context.Context, _, name string, _ uint64) error {
+func (s *store) Delete(_ context.Context, _, name string, _ revision.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
@@ -186,7 +187,7 @@
 		_, err = r.Store.Create(ctx, platform.KindStoppedRequest, name, spec)
 		switch {
 		case platform.IsConflict(err) && s.Count > 1:
-			_, err = r.Store.Replace(ctx, platform.KindStoppedRequest, name, spec, 0)
+			_, err = r.Store.Replace(ctx, platform.KindStoppedRequest, name, spec, revision.Position{})
 		case platform.IsConflict(err): // another instance has written it
 			err = nil
 		}
@@ -207,7 +208,7 @@
 func (r *Registry) deleteStop(req crashers.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), backupWriteDelay)
 	defer cancel()
-	if err := r.Store.Delete(ctx, platform.KindStoppedRequest, hex.EncodeToString(req.Content[:]), 0); err != nil {
+	if err := r.Store.Delete(ctx, platform.KindStoppedRequest, hex.EncodeToString(req.Content[:]), revision.Position{}); err != nil {
 		r.log(req, nil).WithError(err).Warn("stop can't be deleted from the store")
 	}
 }
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/reachability"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/clock"
@@ -32,7 +33,7 @@
 	// one.
 	ListStale(ctx context.Context, kind string) (platform.Page, error)
 	Create(ctx context.Context, kind, name string, spec json.RawMessage) (platform.Object, error)
-	Replace(ctx context.Context, kind, name string, spec json.RawMessage, revision uint64) (platform.Object, error)
+	Replace(ctx context.Context, kind, name string, spec json.RawMessage, condition revision.Position) (platform.Object, error)
 }
 
 // Endpoints holds what this instance knows of endpoints.
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/reachability"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/network/memnet"
@@ -52,7 +53,7 @@
 	return platform.Object{Name: name, Spec: spec}, nil
 }
 
-func (l *storeList) Replace(ctx context.Context, kind, name string, spec json.RawMessage, _ uint64) (platform.Object, error) {
+func (l *storeList) Replace(ctx context.Context, kind, name string, spec json.RawMessage, _ revision.Position) (platform.Object, error) {
 	return l.Create(ctx, kind, name, spec)
 }
 
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -8,6 +8,7 @@
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/membership"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
@@ -203,7 +204,7 @@
 	}
 	_, err = x.Store.Create(ctx, platform.KindInstance, x.Self.ID, spec)
 	if platform.IsConflict(err) { // left by an earlier start
-		_, err = x.Store.Replace(ctx, platform.KindInstance, x.Self.ID, spec, 0)
+		_, err = x.Store.Replace(ctx, platform.KindInstance, x.Self.ID, spec, revision.Position{})
 	}
 	if err != nil {
 		x.Log.WithError(err).Warn("cannot write this instance's entry yet; will retry")
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/network"
 	store "github.com/agateway/agateway/platform"
 )
@@ -21,6 +22,8 @@
 type Objects struct {
 	store         *store.Store
 	lastSuccessMS atomic.Int64
+	// listedEra is the era of the store in which the watched kinds were last listed.
+	listedEra atomic.Uint64
 }
 
 // Kinds of the store that hold the objects.
@@ -87,6 +90,7 @@
 	}
 	return Object{
 		Kind: e.Kind, Name: e.Name, Version: e.Version, Revision: raw.Revision, Value: e.Value, Deleted: e.Deleted || raw.Deleted,
+		position: raw.Position(),
 	}, nil
 }
 
@@ -98,6 +102,9 @@
 		return nil, 0, o.convertError(err)
 	}
 	o.recordSuccess()
+	if storeKind == kindConfiguration {
+		o.listedEra.Store(page.Era)
+	}
 	out, err := decodeKinds(page.Objects, []string{kind})
 	return out, page.Revision, err
 }
@@ -146,16 +153,16 @@
 	}
 	e.Version = old.Version + 1
 	if e.Deleted && !slices.Contains(WatchedKinds, e.Kind) {
-		return o.remove(ctx, &e, old.Revision)
+		return o.remove(ctx, &e, old.position)
 	}
-	return o.replace(ctx, &e, old.Revision)
+	return o.replace(ctx, &e, old.position)
 }
 
 // remove removes an object from the store. Nobody watches its kind, so nobody needs to learn of
 // the deletion.
-func (o *Objects) remove(ctx context.Context, e *envelope, revision uint64) (Object, error) {
+func (o *Objects) remove(ctx context.Context, e *envelope, condition revision.Position) (Object, error) {
 	storeKind, storeName := storeKey(e.Kind, e.Name)
-	if err := o.store.Delete(ctx, storeKind, storeName, revision); err != nil {
+	if err := o.store.Delete(ctx, storeKind, storeName, condition); err != nil {
 		return Object{}, o.convertError(err)
 	}
 	o.recordSuccess()
@@ -171,13 +178,13 @@
 	return o.writeResult(o.store.Create(ctx, storeKind, storeName, raw))
 }
 
-func (o *Objects) replace(ctx context.Context, e *envelope, revision uint64) (Object, error) {
+func (o *Objects) replace(ctx context.Context, e *envelope, condition revision.Position) (Object, error) {
 	raw, err := json.Marshal(e)
 	if err != nil {
 		return Object{}, ErrUnavailable.Wrap(err, "can't encode")
 	}
 	storeKind, storeName := storeKey(e.Kind, e.Name)
-	return o.writeResult(o.store.Replace(ctx, storeKind, storeName, raw, revision))
+	return o.writeResult(o.store.Replace(ctx, storeKind, storeName, raw, condition))
 }
 
 func (o *Objects) writeResult(raw store.Object, err error) (Object, error) {
@@ -194,6 +201,9 @@
 	if err != nil {
 		return nil, since, o.convertError(err)
 	}
+	if page.Era != o.listedEra.Load() { // since is a revision of another era
+		return nil, since, o.convertError(store.ErrHistoryGone.New("the store is in era %d", page.Era))
+	}
 	o.recordSuccess()
 	out, err := decodeKinds(page.Objects, kinds)
 	return out, page.Revision, err
@@ -230,7 +240,7 @@
 		if time.Now().Before(until) {
 			out = append(out, l.Listed)
 		} else if time.Since(until) > removeExpiredAfter {
-			_ = o.store.Delete(ctx, kindListed, raw.Name, raw.Revision) // the next reader tries again
+			_ = o.store.Delete(ctx, kindListed, raw.Name, raw.Position()) // the next reader tries again
 		}
 	}
 	return out, nil
@@ -242,7 +252,7 @@
 	if err != nil {
 		return ErrUnavailable.Wrap(err, "can't encode")
 	}
-	_, err = o.writeResult(o.store.Replace(ctx, kindListed, l.ID, raw, 0))
+	_, err = o.writeResult(o.store.Replace(ctx, kindListed, l.ID, raw, revision.Position{}))
 	if errorx.IsOfType(err, ErrNotFound) {
 		_, err = o.writeResult(o.store.Create(ctx, kindListed, l.ID, raw))
 	}
--- a/gateway/platform/platform.go
+++ b/gateway/platform/platform.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/agateway/agateway/core/revision"
 )
 
 // Errors of this package.
@@ -37,6 +39,8 @@
 	Revision uint64          `json:"revision"`
 	Value    json.RawMessage `json:"value,omitempty"`
 	Deleted  bool            `json:"deleted,omitempty"`
+	// position is that of the stored object, for conditional writes.
+	position revision.Position
 }
 
 // Role is the role of a listed instance.
--- a/gateway/rollouts/rollouts.go
+++ b/gateway/rollouts/rollouts.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/rollout"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/platform"
@@ -17,7 +18,7 @@
 
 // Store writes the states of orders.
 type Store interface {
-	ReplaceStatus(ctx context.Context, kind, name string, status json.RawMessage, revision uint64) (platform.Object, error)
+	ReplaceStatus(ctx context.Context, kind, name string, status json.RawMessage, condition revision.Position) (platform.Object, error)
 }
 
 // Options configure a [Controller].
@@ -70,11 +71,11 @@
 	listed map[string]int
 	usable map[string]bool
 	// order is the one in progress or the last one; nil for none. given is when it was given, and
-	// revision that of its object in the store. withdrawn is set if the operator removed it before
+	// position that of its object in the store. withdrawn is set if the operator removed it before
 	// it was completed.
 	order     *rollout.Rollout
 	given     time.Time
-	revision  uint64
+	position  revision.Position
 	withdrawn bool
 	// canary holds the IDs of the target's endpoints that get the requests of a canary.
 	canary map[string]bool
@@ -170,7 +171,7 @@
 // setOrder sets the order of one service, and reports whether the order or its state is new. The
 // caller holds mu.
 func (r *Controller) setOrder(now time.Time, s *service, o *platform.Rollout) bool {
-	s.revision = o.Revision
+	s.position = o.Position
 	if s.order == nil || s.order.Order() != o.Order {
 		age := time.Duration(0)
 		if !o.GivenAt.IsZero() {
@@ -181,7 +182,7 @@
 		s.order.SetState(o.State)
 		r.Log.WithFields(logrus.Fields{
 			"service": s.name, "target": o.Target, "order": o.ID(), "duration_ms": o.Duration.Milliseconds(), "state": o.State.String(),
-			"age_ms": age.Milliseconds(), "revision": o.Revision,
+			"age_ms": age.Milliseconds(), "revision": o.Position.Revision, "era": o.Position.Era,
 		}).Info("rollout ordered")
 		return true
 	}
--- a/gateway/rollouts/run.go
+++ b/gateway/rollouts/run.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/rendezvous"
+	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/rollout"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
@@ -44,14 +45,14 @@
 	}
 }
 
-// stateUpdate is a state of an order that is to be written to the store. given and revision are
+// stateUpdate is a state of an order that is to be written to the store. given and position are
 // those of the order.
 type stateUpdate struct {
 	service  string
 	order    rollout.Order
 	state    rollout.State
 	given    time.Time
-	revision uint64
+	position revision.Position
 }
 
 func (r *Controller) tick() (wait time.Duration, relist, decided bool, updates []stateUpdate) {
@@ -124,7 +125,7 @@
 		return stateUpdate{}, false
 	}
 	s.writeAt = now.Add(writeRetryPause + time.Duration(r.rank(s))*writeStagger)
-	return stateUpdate{s.name, s.order.Order(), state, s.given, s.revision}, true
+	return stateUpdate{s.name, s.order.Order(), state, s.given, s.position}, true
 }
 
 // rank returns how many instances write before this one, at most maxWriteRank. The order is by a
@@ -141,18 +142,18 @@
 	return min(before, maxWriteRank)
 }
 
-// writeState writes a state to the store, unless the order's object has another revision there. If
+// writeState writes a state to the store, unless the order's object has another position there. If
 // another instance wrote the state, this one learns of it when it reads the orders.
 func (r *Controller) writeState(ctx context.Context, u stateUpdate) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	log := r.Log.WithFields(logrus.Fields{"service": u.service, "target": u.order.Target, "state": u.state.String(), "revision": u.revision})
+	log := r.Log.WithFields(logrus.Fields{"service": u.service, "target": u.order.Target, "state": u.state.String(), "revision": u.position.Revision, "era": u.position.Era})
 	status, err := platform.EncodeRolloutStatus(&u.order, u.state, u.given)
 	if err != nil {
 		log.WithError(err).Error("can't encode the state of a rollout")
 		return
 	}
-	o, err := r.Store.ReplaceStatus(ctx, platform.KindRollout, u.service, status, u.revision)
+	o, err := r.Store.ReplaceStatus(ctx, platform.KindRollout, u.service, status, u.position)
 	if err != nil {
 		log.WithError(err).Warn("can't write the state of a rollout yet")
 		return
@@ -165,8 +166,8 @@
 	}
 	r.mu.Lock()
 	s := r.services[u.service]
-	if s != nil && s.order != nil && o.Revision >= s.revision && s.order.Order() == written.Order {
-		s.revision = o.Revision
+	if s != nil && s.order != nil && !s.position.After(o.Position()) && s.order.Order() == written.Order {
+		s.position = o.Position()
 		s.order.SetState(written.State)
 	}
 	r.mu.Unlock()
