gateway/rollouts: the outcome of an order that the store has lost is written again

After the store had returned from a copy of before the outcome, its status said running for ever: instances keep a final state and had nothing pending.

--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -178,3 +178,32 @@
 		assert.Check(t, len(arrivalsByInstance(leaving, began))+len(arrivalsByInstance(left, began)) == 0)
 	})
 }
+
+// TestOutcomeOfRolloutIsWrittenAgain: a bad build was rolled back, and the store comes back from a copy of
+// before that. The build gets no more requests, and the store is told the outcome again, in a few calls.
+func TestOutcomeOfRolloutIsWrittenAgain(t *testing.T) {
+	run(t, 6, 1, 3, func(w *world) {
+		m := w.newBuild("plain", standin.WorkerFault{AffectedFraction: 0.5, FailAffected: true})
+		m.startRollout()
+		time.Sleep(500 * time.Millisecond)
+		from := w.store.Copy()
+		m.sendLoadUntilRolledBack(100, rolloutDuration+time.Second, pings)
+		assert.Equal(t, w.store.RolloutState("plain"), "rolled_back")
+		w.drill(from, 0)
+		assert.Equal(t, w.store.RolloutState("plain"), "running", "the store has lost the outcome")
+		for _, e := range append(m.baseline, m.target...) { // as endpoints do
+			w.putEntry(e, "ready")
+		}
+		arrived := 0
+		for _, e := range m.target {
+			arrived += len(e.Arrivals())
+		}
+		o := w.load(60, 8*time.Second, pingRequest, func(i int) int { return i % 6 })
+		assert.Equal(t, o.served.Load(), o.sent.Load())
+		for _, e := range m.target {
+			arrived -= len(e.Arrivals())
+		}
+		assert.Equal(t, arrived, 0, "the bad build gets requests again")
+		assert.Equal(t, w.store.RolloutState("plain"), "rolled_back")
+	})
+}
--- a/gateway/rollouts/rollouts.go
+++ b/gateway/rollouts/rollouts.go
@@ -76,6 +76,7 @@
 	order     *rollout.Rollout
 	given     time.Time
 	position  revision.Position
+	stored    rollout.State // the state in the store
 	withdrawn bool
 	// canary holds the IDs of the target's endpoints that get the requests of a canary.
 	canary map[string]bool
@@ -124,6 +125,11 @@
 // running reports whether there is an order that is neither withdrawn nor in a final state.
 func (s *service) running() bool { return s.order != nil && !s.withdrawn && !s.order.State().Final() }
 
+// lostByStore reports whether the store holds an earlier state of the order than it held before.
+func (s *service) lostByStore() bool {
+	return s.order != nil && !s.withdrawn && s.stored < s.order.State()
+}
+
 // inactive reports whether the service's order does not restrict requests any more. There has to be
 // an order.
 func (s *service) inactive(now time.Time) bool {
@@ -171,7 +177,7 @@
 // setOrder sets the order of one service, and reports whether the order or its state is new. The
 // caller holds mu.
 func (r *Controller) setOrder(now time.Time, s *service, o *platform.Rollout) bool {
-	s.position = o.Position
+	s.position, s.stored = o.Position, o.State
 	if s.order == nil || s.order.Order() != o.Order {
 		age := time.Duration(0)
 		if !o.GivenAt.IsZero() {
--- a/gateway/rollouts/run.go
+++ b/gateway/rollouts/run.go
@@ -62,6 +62,12 @@
 	wait, relist = idleInterval, r.buildsChangeWithTime()
 	for _, s := range r.services {
 		if !s.running() {
+			if s.lostByStore() {
+				wait = tickInterval
+				if u, ok := r.dueUpdate(s, now); ok {
+					updates = append(updates, u)
+				}
+			}
 			continue
 		}
 		wait = tickInterval
@@ -114,6 +120,9 @@
 // pending, or if it is not yet this instance's turn; see rank.
 func (r *Controller) dueUpdate(s *service, now time.Time) (stateUpdate, bool) {
 	state, pending := s.order.PendingState(now)
+	if !pending && s.lostByStore() {
+		state, pending = s.order.State(), true
+	}
 	if !pending {
 		s.writeAt = time.Time{}
 		return stateUpdate{}, false
@@ -167,7 +176,7 @@
 	r.mu.Lock()
 	s := r.services[u.service]
 	if s != nil && s.order != nil && !s.position.After(o.Position()) && s.order.Order() == written.Order {
-		s.position = o.Position()
+		s.position, s.stored = o.Position(), written.State
 		s.order.SetState(written.State)
 	}
 	r.mu.Unlock()
