gateway/front, gateway/exchange, gateway/crashes, gateway/relay: what instances wrote and the store has lost is written again

After the store had returned from a copy, entries of instances that had started since were gone, so that instances that start did not find them, and requests that had been stopped since were stopped only as long as an instance that knew of them lived. Now the instance that asks the store, one a region, compares both with what it knows once the hold of 5 s is over: one list each, stops first, then missing entries, ten writes a second at the most. The state of an instance has the store's era; metrics store_returns_total and store_era.

Before: TestInstancesWriteAgain: 6 of 7 entries and no stop, for ever. After: both, as before the return. TestEntriesAreRestored: 20 lost entries of 30 take 20 calls over 2 s.

--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/pause"
@@ -143,6 +145,30 @@
 	return a
 }
 
+// RestoreStops writes the stops again that the store has lost by returning from an older copy. One instance
+// does that, with one list and one call for each missing stop.
+func (r *Registry) RestoreStops(ctx context.Context) {
+	page, err := r.Store.List(ctx, platform.KindStoppedRequest)
+	if err != nil {
+		r.Log.WithError(err).Warn("stopped requests can't be read from the store to restore them")
+		return
+	}
+	listed := make(map[string]bool, len(page.Objects))
+	for i := range page.Objects {
+		listed[page.Objects[i].Name] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, restored := time.Now(), 0
+	for _, req := range r.core.StoppedRequests() {
+		if !listed[hex.EncodeToString(req.Content[:])] && now.Before(r.core.Stop(req).Until) {
+			r.scheduleWrite(req, now)
+			restored++
+		}
+	}
+	r.Log.WithFields(logrus.Fields{"listed": len(listed), "restored": restored}).Info("stopped requests compared after the store returned")
+}
+
 // scheduleBackupWrite schedules the write of a stop that another instance decided, in case that
 // instance does not write it. It cancels the write of a stop that is stored or over. The caller
 // holds mu.
--- /dev/null
+++ b/gateway/exchange/restore.go
@@ -0,0 +1,50 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/platform"
+)
+
+// restoreInterval is the time between two entries that are written again.
+const restoreInterval = 100 * time.Millisecond
+
+// RestoreEntries writes the entries of instances again that the store has lost by returning from an older
+// copy: instances that start find the others by them. One instance does that for all that it knows to be
+// alive, with one list and one call for each missing entry.
+func (x *Exchange) RestoreEntries(ctx context.Context) {
+	page, err := x.Store.ListStale(ctx, platform.KindInstance)
+	if err != nil {
+		x.Log.WithError(err).Warn("cannot list instances to restore their entries")
+		return
+	}
+	listed := make(map[string]bool, len(page.Objects))
+	for i := range page.Objects {
+		listed[page.Objects[i].Name] = true
+	}
+	restored := 0
+	for _, p := range append(x.Others(), x.Self) {
+		if listed[p.ID] || ctx.Err() != nil {
+			continue
+		}
+		if x.restoreEntry(ctx, &p) {
+			restored++
+		}
+		pause.For(ctx, restoreInterval)
+	}
+	x.Log.WithField("listed", len(listed)).WithField("restored", restored).Info("entries of instances compared after the store returned")
+}
+
+func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) bool {
+	spec, err := json.Marshal(instanceEntry{Callers: p.Callers, Peers: p.Peers, DataCentre: p.DataCentre, Region: p.Region, Link: p.Link, Spreads: p.Spreads || p.ID == x.Self.ID})
+	if err == nil {
+		_, err = x.Store.Create(ctx, platform.KindInstance, p.ID, spec)
+	}
+	if err != nil && !platform.IsConflict(err) {
+		x.Log.WithError(err).WithField("peer", p.ID).Warn("cannot restore the entry of an instance")
+	}
+	return err == nil
+}
--- /dev/null
+++ b/gateway/exchange/restore_test.go
@@ -0,0 +1,25 @@
+package exchange
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEntriesAreRestored: the store returns from a copy of before most instances had started. One instance
+// writes their entries again, one call each and no faster than ten a second.
+func TestEntriesAreRestored(t *testing.T) {
+	const size, lost = 30, 20
+	runFleet(t, size, true, func(w *fleet) {
+		for _, n := range w.nodes[:lost] {
+			delete(w.store.objects, n.Self.ID)
+		}
+		left, calls, began := len(w.store.objects), w.store.calls, time.Now()
+		w.nodes[size-1].RestoreEntries(context.Background())
+		assert.Equal(t, len(w.store.objects), left+lost)
+		assert.Equal(t, w.store.calls-calls, lost)
+		assert.Check(t, time.Since(began) >= (lost-1)*restoreInterval)
+	})
+}
--- a/gateway/follow/guard.go
+++ b/gateway/follow/guard.go
@@ -12,12 +12,12 @@
 // endpoints write it again within some seconds. Until then, the instance that asks the store passes on what
 // it held before where that is later, and so do all that follow it: what was in force stays in force.
 
-// returnHold is how long after the store's return an older state of an object is not taken for its newest
+// ReturnHold is how long after the store's return an older state of an object is not taken for its newest
 // one. Endpoints write to the store about every second.
-const returnHold = 5 * time.Second
+const ReturnHold = 5 * time.Second
 
 // holdUntilRewritten corrects an answer of the store itself. Of two states of an object, that with the higher
-// count of its own writer is the later one. In a list within returnHold, objects that are not there again yet
+// count of its own writer is the later one. In a list within ReturnHold, objects that are not there again yet
 // are kept, and those that were removed before are left out.
 func (l *loop) holdUntilRewritten(watched bool, page *platform.Page) {
 	holding := l.Now() < l.holdEnds
@@ -75,7 +75,7 @@
 	return known && x.Writer == y.Writer && x.Count > y.Count
 }
 
-// holdIsOver reports whether the store's objects have to be listed again, since returnHold has passed. It
+// holdIsOver reports whether the store's objects have to be listed again, since ReturnHold has passed. It
 // reports that once.
 func (l *loop) holdIsOver() bool {
 	if l.holdEnds == 0 || l.Now() < l.holdEnds {
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -161,7 +161,7 @@
 		l.Log.WithFields(logrus.Fields{
 			"kind": l.kind, "era": page.Era, "revision": page.Revision, "era_before": l.at.Era, "revision_before": l.at.Revision, "direct": direct,
 		}).Warn("the store's era has changed")
-		l.holdEnds = l.Now() + returnHold
+		l.holdEnds = l.Now() + ReturnHold
 	}
 	l.at = page.Position()
 }
--- /dev/null
+++ b/gateway/front/era.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"context"
+
+	"github.com/agateway/agateway/gateway/follow"
+	"github.com/agateway/agateway/gateway/pause"
+)
+
+// onEraChange is called when the store has returned from an older copy.
+func (f *Front) onEraChange(era uint64) {
+	f.telemetry.Scope.Counter("store_returns_total").Inc(1)
+	f.telemetry.Scope.Gauge("store_era").Update(float64(era))
+	f.telemetry.Log.WithField("era", era).Warn("the store has returned from an older copy")
+	select {
+	case f.storeReturned <- struct{}{}:
+	default: // it is waited for already
+	}
+}
+
+// restoreObjects writes again what instances had written and the store has lost. The instance that asks the
+// store does that, once the operator and the endpoints had the time to write theirs.
+func (f *Front) restoreObjects(ctx context.Context) {
+	for {
+		select {
+		case <-f.storeReturned:
+		case <-ctx.Done():
+			return
+		}
+		if !pause.For(ctx, follow.ReturnHold) {
+			return
+		}
+		if f.relay.Follows() == "" {
+			f.crashes.RestoreStops(ctx)
+			f.exchange.RestoreEntries(ctx)
+		}
+	}
+}
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -207,3 +207,27 @@
 		assert.Equal(t, w.store.RolloutState("plain"), "rolled_back")
 	})
 }
+
+// TestInstancesWriteAgain: an instance that has started and a request that was stopped are unknown to the copy
+// from which the store returns. One instance writes both again, in a few calls.
+func TestInstancesWriteAgain(t *testing.T) {
+	run(t, 6, 12, 1, func(w *world) {
+		w.withFatalRequests(standin.FatalRequest{}, func(o *crashWorld) {
+			from := w.store.Copy()
+			w.fronts = append(w.fronts, w.newFront(6))
+			o.sendRepeatedly(fatalBrief(), 8, 700*time.Millisecond)
+			time.Sleep(4 * time.Second)
+			stops := w.store.Names(platform.KindStoppedRequest)
+			assert.Equal(t, len(stops), 1)
+			w.drill(from, 0)
+			assert.Equal(t, len(w.store.Names(platform.KindInstance)), 6)
+			assert.Equal(t, len(w.store.Names(platform.KindStoppedRequest)), 0)
+			for _, e := range o.workers {
+				w.putEntry(e, "ready")
+			}
+			time.Sleep(8 * time.Second)
+			assert.Equal(t, len(w.store.Names(platform.KindInstance)), 7)
+			assert.DeepEqual(t, w.store.Names(platform.KindStoppedRequest), stops)
+		})
+	})
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -78,11 +78,13 @@
 	syncedOnce      sync.Once
 	memoryLimitOnce sync.Once
 
-	callers    *callerServers
-	servers    []*http.Server
-	draining   atomic.Bool
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
+	callers  *callerServers
+	servers  []*http.Server
+	draining atomic.Bool
+	// storeReturned signals that the store has returned from an older copy.
+	storeReturned chan struct{}
+	cancel        context.CancelFunc
+	goroutines    sync.WaitGroup
 }
 
 // Environment holds what an instance takes from the operating system, so that tests can replace it.
@@ -97,7 +99,7 @@
 // Start listens on all addresses of the settings and runs an instance. It returns [ErrListen] if an
 // address can't be listened on. The caller ends the instance with Drain or Close.
 func Start(s *settings.Front, env Environment) (*Front, error) {
-	f := &Front{settings: s, env: env, logWriter: decisions.NewWriter(env.Out), synced: make(chan struct{})}
+	f := &Front{settings: s, env: env, logWriter: decisions.NewWriter(env.Out), synced: make(chan struct{}), storeReturned: make(chan struct{}, 1)}
 	t, err := telemetry.NewFront(s, f.logWriter)
 	if err != nil {
 		return nil, err
@@ -112,7 +114,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory, f.restoreObjects}
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
@@ -205,7 +207,7 @@
 	})
 	f.relay = relay.New(relay.Options{
 		Settings: f.sourceSettings(), Store: f.store, Mirror: f.mirror, Others: f.exchange.Others,
-		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network, peers.WithoutCompression()), AccessChanged: func() { f.exchange.Changed() }, Clock: f.env.Clock, Log: t.Log,
+		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network, peers.WithoutCompression()), AccessChanged: func() { f.exchange.Changed() }, EraChanged: f.onEraChange, Clock: f.env.Clock, Log: t.Log,
 	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
--- a/gateway/front/state.go
+++ b/gateway/front/state.go
@@ -35,6 +35,8 @@
 	// CutOff says that the store does not answer this instance.
 	Follows string `json:"follows"`
 	CutOff  bool   `json:"cut_off"`
+	// StoreEra is the newest era of the store that is known; 0 if it states none.
+	StoreEra uint64 `json:"store_era"`
 	// NoEndpoints says that the instance reaches no endpoint, and passes requests on to others.
 	NoEndpoints bool            `json:"no_endpoints"`
 	Peers       []exchange.Peer `json:"peers"`
@@ -72,7 +74,7 @@
 	s := State{
 		Instance: f.settings.Instance.ID, Ready: f.ready(), Stopping: f.draining.Load(),
 		Open: f.forwarder.OpenRequests(), StoreCalls: f.store.Calls(), Peers: f.exchange.Others(),
-		Follows: f.relay.Follows(), CutOff: f.storeAccess() == source.StoreUnreachable, NoEndpoints: f.reach.CutOff(), Stopped: f.crashes.State(),
+		Follows: f.relay.Follows(), CutOff: f.storeAccess() == source.StoreUnreachable, StoreEra: f.relay.Era(), NoEndpoints: f.reach.CutOff(), Stopped: f.crashes.State(),
 	}
 	if table, age := f.configuration.Table(); table != nil {
 		s.Configuration, s.AgeMS = table.Version(), age.Milliseconds()
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -45,8 +45,10 @@
 	Pool   *peers.Pool
 	// AccessChanged is called when the outcome of a call changes [Relay.Access].
 	AccessChanged func()
-	Clock         clock.Func
-	Log           *logrus.Entry
+	// EraChanged is called when the store is found to have returned from an older copy.
+	EraChanged func(era uint64)
+	Clock      clock.Func
+	Log        *logrus.Entry
 }
 
 // Relay reads from the store or from another instance. It is safe for concurrent use.
@@ -77,18 +79,27 @@
 // states none comes from an instance of an earlier build. It is taken for one of the newest era as long
 // as no other one was known: such an instance does not notice that the store has returned from a copy.
 func (r *Relay) acceptsEra(page *platform.Page) bool {
+	accepted, changed := r.takeEra(page)
+	if changed {
+		r.EraChanged(page.Era)
+	}
+	return accepted
+}
+
+func (r *Relay) takeEra(page *platform.Page) (accepted, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case page.Era > r.era:
-		r.eraChanged = r.eraChanged || r.era > 0
+		changed = r.era > 0
+		r.eraChanged = r.eraChanged || changed
 		r.era = page.Era
 	case page.Era == 0 && !r.eraChanged:
 		page.Era = r.era
 	case page.Era < r.era:
-		return false
+		return false, false
 	}
-	return true
+	return true, changed
 }
 
 // Era returns the newest era of the store that is known; 0 if none is.
