core/rollout, gateway/rollouts: an order that is written again after the store has lost it is the same order

Now an order of a newer era that asks for the same move takes the place of the one before, with all that was counted and decided. Before: TestOutcomeOfRolloutIsWrittenAgain/order_lost sends the bad build requests again. After: none, and the outcome is written again.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -34,6 +34,11 @@
 	Duration time.Duration
 }
 
+// AsksForSame reports whether another order asks for the same move.
+func (o Order) AsksForSame(other *Order) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+}
+
 // maxDuration is the longest duration that [Order.Validate] accepts.
 const maxDuration = 7 * 24 * time.Hour
 
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -69,6 +69,10 @@
 	}
 }
 
+// Reissue replaces the order by one that asks for the same, since the operator has written it again after the
+// store had lost it. What was counted and decided stays.
+func (r *Rollout) Reissue(o Order) { r.order = o }
+
 // Order returns the order that the rollout follows.
 func (r *Rollout) Order() Order { return r.order }
 
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -180,17 +180,27 @@
 }
 
 // TestOutcomeOfRolloutIsWrittenAgain: a bad build was rolled back, and the store comes back from a copy of
-// before that. The build gets no more requests, and the store is told the outcome again, in a few calls.
+// before that, or of before the order, which the operator gives again then. The build gets no more requests,
+// and the store is told the outcome again, in a few calls.
 func TestOutcomeOfRolloutIsWrittenAgain(t *testing.T) {
+	t.Run("outcome lost", func(t *testing.T) { testOutcomeLost(t, false) })
+	t.Run("order lost", func(t *testing.T) { testOutcomeLost(t, true) })
+}
+
+func testOutcomeLost(t *testing.T, orderToo bool) {
 	run(t, 6, 1, 3, func(w *world) {
 		m := w.newBuild("plain", standin.WorkerFault{AffectedFraction: 0.5, FailAffected: true})
+		from := w.store.Copy()
 		m.startRollout()
 		time.Sleep(500 * time.Millisecond)
-		from := w.store.Copy()
+		if !orderToo {
+			from = w.store.Copy()
+		}
 		m.sendLoadUntilRolledBack(100, rolloutDuration+time.Second, pings)
 		assert.Equal(t, w.store.RolloutState("plain"), "rolled_back")
 		w.drill(from, 0)
-		assert.Equal(t, w.store.RolloutState("plain"), "running", "the store has lost the outcome")
+		assert.Assert(t, w.store.RolloutState("plain") != "rolled_back", "the store has lost the outcome")
+		w.store.PutRollout("plain", "v2", rolloutDuration)
 		for _, e := range append(m.baseline, m.target...) { // as endpoints do
 			w.putEntry(e, "ready")
 		}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -175,6 +175,9 @@
 	f.decisions = decisions.New(t.Log)
 	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.DialerWithTimeout(f.env.Network, s.Store.Timeout))
 	f.store.Observe(f.countStoreCall)
+	if !s.Mechanisms.Eras {
+		f.store.IgnoreEras()
+	}
 	routingSettings := routing.DefaultSettings()
 	routingSettings.Choices = routingChoices
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
--- a/gateway/rollouts/rollouts.go
+++ b/gateway/rollouts/rollouts.go
@@ -177,7 +177,11 @@
 // setOrder sets the order of one service, and reports whether the order or its state is new. The
 // caller holds mu.
 func (r *Controller) setOrder(now time.Time, s *service, o *platform.Rollout) bool {
+	reissued := s.order != nil && o.Position.Era > s.position.Era && s.order.Order().AsksForSame(&o.Order)
 	s.position, s.stored = o.Position, o.State
+	if reissued {
+		s.order.Reissue(o.Order)
+	}
 	if s.order == nil || s.order.Order() != o.Order {
 		age := time.Duration(0)
 		if !o.GivenAt.IsZero() {
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -114,6 +114,7 @@
 	ViaPeers      bool `ini:"via_peers" default:"true" doc:"an instance that reaches no endpoint passes requests on to instances that do"`
 	Departures    bool `ini:"departures" default:"true" doc:"endpoints that say in their answers that they leave get nothing new"`
 	Pauses        bool `ini:"pauses" default:"true" doc:"endpoints that refuse a request and ask for a pause get nothing until it is over"`
+	Eras          bool `ini:"eras" default:"true" doc:"revisions of a store that has returned from an older copy are told apart from those before, and what it has lost stays in force"`
 	Tree          bool `ini:"tree" default:"true" doc:"instances follow each other; else each asks the store"`
 	FirstLook     bool `ini:"first_look" default:"true" doc:"callers wait while an instance that has started reads routes and endpoints"`
 	Rollouts      bool `ini:"rollouts" default:"true" doc:"services move to other builds under the bounds of [rollouts]"`
