cli/soak: a store that returns from a copy, and changes that take effect at the end

Seeds from 6000 on also draw returns of the store: what was written in the seconds before is lost, the operator writes its newest configuration and orders again a little later, workers their entries. At the end of each soak every instance has to serve a new route in time; in those seeds the store returns unnoticed before that, past the revisions that the instances know.

--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agateway/agateway/core/admission"
@@ -67,6 +68,8 @@
 	limits        limits
 	cuts          cuts
 	workerProxies []*proxy // guarded by mu
+	// returning is set while the store is about to return from a copy.
+	returning atomic.Bool
 	// burst runs additional callers until ctx ends.
 	burst          func(ctx context.Context, callers int)
 	foreignWorkers []*standin.Worker // of another service, at reused addresses
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -25,6 +25,7 @@
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
 	"leave-in-answers": leaveInAnswers, "asks-for-pause": askForPauses,
+	"store-returns": storeReturns,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -39,14 +40,16 @@
 	storeFaults   = []string{
 		"store-link", "store-outage", "store-slow", "store-forgets", "store-loses", "key-goes-unheard", "key-goes-unheard",
 	}
-	limitFaults = []string{"rate", "rate", "rate", "fragile"}
-	cutFaults   = []string{"cut-off", "cut-off", "crash", "worker-link"}
-	wordFaults  = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
+	limitFaults  = []string{"rate", "rate", "rate", "fragile"}
+	cutFaults    = []string{"cut-off", "cut-off", "crash", "worker-link"}
+	wordFaults   = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
+	returnFaults = []string{"store-returns", "store-returns", "leave", "kill"}
 )
 
-// Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults, and
-// those from firstWordSeed wordFaults. The others keep the faults with which they have found something.
-const firstLimitSeed, firstCutSeed, firstWordSeed, lastSeed = 3000, 4000, 5000, 9999
+// Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
+// those from firstWordSeed wordFaults, and those from firstReturnSeed returnFaults. The others keep the faults
+// with which they have found something.
+const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, lastSeed = 3000, 4000, 5000, 6000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -63,6 +66,9 @@
 	if seed >= firstWordSeed && seed <= lastSeed {
 		kinds = append(kinds, wordFaults)
 	}
+	if seed >= firstReturnSeed && seed <= lastSeed {
+		kinds = append(kinds, returnFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
--- /dev/null
+++ b/cli/soak/returns.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// Times of a store that returns from a copy: how old the copy is at the most, how long the store is away,
+// and how long after its return the operator writes its configuration again.
+const (
+	maxCopyAge    = 3 * time.Second
+	maxReturnAway = 1200 * time.Millisecond
+	maxRewriteLag = 1500 * time.Millisecond
+	// lostWrites is how many other writes are lost with the copy.
+	lostWrites = 30
+)
+
+// storeReturns makes the store go away and return from a copy that is some seconds old. Sometimes others
+// write so much before the processes reach it that its revision passes the one that they know. Workers write
+// their entries again with their heartbeats.
+func storeReturns(w *environment, r *rand.Rand) (string, func()) {
+	if !w.returning.CompareAndSwap(false, true) {
+		return "the store is about to return from a copy", nil
+	}
+	from := w.store.Copy()
+	age := time.Second + time.Duration(r.Int64N(int64(maxCopyAge-time.Second)))
+	away := 200*time.Millisecond + time.Duration(r.Int64N(int64(maxReturnAway)))
+	lag, writes := time.Duration(r.Int64N(int64(maxRewriteLag))), r.IntN(3)*lostWrites
+	// What changes while the copy grows old is lost.
+	w.replaceRoute()
+	w.replaceKey()
+	w.writeOthers(lostWrites)
+	done := make(chan struct{})
+	time.AfterFunc(age, func() {
+		defer close(done)
+		end := w.disruptStore(standin.Fault{Outage: standin.Silent})
+		time.Sleep(away)
+		w.store.Return(from)
+		w.writeOthers(writes)
+		end()
+		time.Sleep(lag)
+		w.rewrite()
+		w.returning.Store(false)
+	})
+	return fmt.Sprintf("the store returns from a copy of now, in %v, after %v away, with %d other writes", age, away, writes), func() { <-done }
+}
+
+// returnUnnoticed makes the store return from a copy and count on, past the revision that the processes know,
+// before they reach it. It returns the version of a configuration that is written in between.
+func (w *environment) returnUnnoticed() (version uint64) {
+	from := w.store.Copy()
+	w.writeOthers(lostWrites)
+	w.replaceKey()
+	time.Sleep(applyWithin)
+	end := w.disruptStore(standin.Fault{Outage: standin.Silent})
+	time.Sleep(maxReturnAway / 2)
+	w.store.Return(from)
+	version = w.replaceRoute()
+	w.writeOthers(2 * lostWrites)
+	end()
+	w.rewrite()
+	time.Sleep(settleTime)
+	return version
+}
+
+// writeOthers writes objects that no process reads.
+func (w *environment) writeOthers(n int) {
+	for i := range n {
+		w.store.Put("others", fmt.Sprint("o", i), time.Now().UnixNano())
+	}
+}
+
+// rewrite writes the newest configuration and the orders again, as an operator does that finds older ones.
+func (w *environment) rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.PutConfiguration(&w.config)
+	for _, o := range w.rollouts.orders {
+		if o.ended.Load() {
+			w.store.Remove(platform.KindRollout, rolloutService)
+		} else {
+			w.store.PutRollout(rolloutService, badBuildName, rolloutDuration)
+		}
+	}
+}
--- a/cli/soak/rollouts.go
+++ b/cli/soak/rollouts.go
@@ -34,6 +34,7 @@
 	// counterparts are the workers of the current build from which the workers of the bad build
 	// were copied, in the same order.
 	counterparts []*worker
+	ended        atomic.Bool
 }
 
 // runs returns what the endpoints of the bad build ran.
@@ -65,6 +66,7 @@
 	o := &rolloutOrder{givenAt: time.Now()}
 	var stops []func()
 	end := func() {
+		o.ended.Store(true)
 		w.store.Remove(platform.KindRollout, rolloutService)
 		for i, worker := range o.workers {
 			w.store.Remove(platform.KindEndpoint, worker.Config().ID)
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -153,6 +153,7 @@
 	}
 	time.Sleep(quietPeriod / 2)
 	s.checkServed(ctx)
+	s.checkChangesTakeEffect(ctx)
 	stop()
 	wg.Wait()
 }
@@ -266,6 +267,25 @@
 	}
 }
 
+// checkChangesTakeEffect publishes a route after the faults are over, and checks that each instance serves it
+// in time. Where the seed draws returns of the store, that happens in one of these.
+func (s *soak) checkChangesTakeEffect(ctx context.Context) {
+	version := uint64(0)
+	if s.Seed >= firstReturnSeed && s.Seed <= lastSeed {
+		version = s.env.returnUnnoticed()
+	} else {
+		version = s.env.replaceRoute()
+	}
+	time.Sleep(applyWithin)
+	for i, p := range s.env.processes {
+		r := standin.Request{Method: http.MethodPost, Host: host, Key: permanentKey, Path: versionPath(version) + "1", Timeout: plainWait, ID: fmt.Sprint("change-", i)}
+		a, err := s.retryWhenAllRunning(ctx, p, r)
+		if err != nil || a.Status != http.StatusOK || !a.Complete {
+			s.addFinding("%s does not serve the route of version %d, %v after it: status %d, %v", p.name, version, applyWithin, a.Status, err)
+		}
+	}
+}
+
 // retryWhenAllRunning sends a request, and once more if it failed while endpoints were down.
 // Callers still send fatal requests at this time, and each may crash a few endpoints.
 func (s *soak) retryWhenAllRunning(ctx context.Context, p *process, r standin.Request) (standin.Answer, error) {
