gateway/atmostonce, gateway/platform: a call whose claim the store has lost does not run again

A call that may run once at most ran again when its caller asked again with the same key after the store had returned from a copy of before its claim. Each instance now keeps its own claims of the last minute and writes them again, 50 a second at the most. Until all had the time to (10 s), a key without a claim is refused as one of which can't be known whether it ran; one that this instance knows gets its result, and one that was in the copy as before. A claim whose own write told of the return is taken back.

--- a/gateway/atmostonce/claims.go
+++ b/gateway/atmostonce/claims.go
@@ -47,6 +47,8 @@
 	// with a longer body is kept without the body.
 	MaxKeptBodyBytes int
 	Scope            tally.Scope
+
+	own ownClaims
 }
 
 // claimRetryDelay is the time between attempts to make a claim, and the first delay of writes in
@@ -99,6 +101,9 @@
 // acquire makes the claim and returns its version. After a lost answer it writes again and, on a
 // conflict, reads the object: the nonce in the object shows whose claim succeeded.
 func (c *Claims) acquire(ctx context.Context, name string, own *claim) (uint64, error) {
+	if c.own.settling() {
+		return 0, c.acquireAfterReturn(ctx, name, own)
+	}
 	var expected uint64
 	uncertain := false
 	defer func() {
@@ -114,6 +119,10 @@
 		switch {
 		case err == nil:
 			uncertain = false
+			if c.own.settling() {
+				return 0, c.undoAfterReturn(ctx, name, o.Version, own)
+			}
+			c.own.keep(name, *own)
 			return o.Version, nil
 		case errorx.IsOfType(err, platform.ErrUncertain):
 			c.Scope.Counter("claims_uncertain").Inc(1)
@@ -190,11 +199,13 @@
 		return // the claim stays held, since the call may have run
 	case NotRun:
 		own.State = claimNotRun
+		c.own.keep(name, own)
 	case Ran:
 		own.State, own.Status, own.ContentType = claimRan, r.Outcome.Status, r.Outcome.ContentType
 		if len(r.Outcome.Body) <= c.MaxKeptBodyBytes {
 			own.Body = r.Outcome.Body
 		}
+		c.own.keep(name, own)
 	}
 	ctx = context.WithoutCancel(ctx)
 	if r.State == NotRun {
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -143,9 +143,14 @@
 		Broadcast:  func(facts []crashers.Fact, complete bool) { d.peering.BroadcastCrashes(facts, complete) },
 		OnStopped:  func(crashers.Request) {}, Log: t.Log, Scope: t.Scope,
 	})
+	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope}
+	d.platform.OnReturn(func() {
+		t.Log.Warn("the platform's store has returned from an older copy")
+		claims.StoreReturned(context.Background())
+	})
 	d.Pipeline = pipeline.New(&pipeline.Deps{
 		Settings: s, Config: d.Config, Backends: d.Backends, Client: client, Crashes: d.crashes, Fleet: d.Fleet, Running: d.running,
-		Tickets: d.Tickets, Claims: &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope},
+		Tickets: d.Tickets, Claims: claims,
 		Tracer: t.Tracer, Scope: t.Scope, Log: t.Log,
 	})
 	d.peering = &peering.Service{
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -22,6 +22,10 @@
 type Objects struct {
 	store         *store.Store
 	lastSuccessMS atomic.Int64
+	// era is the last one that a call was answered in, and onReturn is called when it rises; nil for
+	// nothing.
+	era      atomic.Uint64
+	onReturn func()
 	// listedEra is the era of the store in which the watched kinds were last listed.
 	listedEra atomic.Uint64
 }
@@ -259,10 +263,26 @@
 	return err
 }
 
-func (o *Objects) recordSuccess() { o.lastSuccessMS.Store(time.Now().UnixMilli()) }
+func (o *Objects) recordSuccess() {
+	o.lastSuccessMS.Store(time.Now().UnixMilli())
+	o.noteEra()
+}
+
+// noteEra tells if the store's era has risen.
+func (o *Objects) noteEra() {
+	era := o.store.Era()
+	if before := o.era.Swap(era); before > 0 && era > before && o.onReturn != nil {
+		o.onReturn()
+	}
+}
+
+// OnReturn sets a function that is called when the store has returned from an older copy, before the call that
+// found that out returns. It must be set before the first call.
+func (o *Objects) OnReturn(call func()) { o.onReturn = call }
 
 // convertError converts the errors of the store's client into those of this package.
 func (o *Objects) convertError(err error) error {
+	o.noteEra()
 	switch {
 	case errorx.IsOfType(err, store.ErrNotFound):
 		return ErrNotFound.Wrap(err, "no such object")
