core/lease, gateway/orders, gateway/platform: a lease across a return of the store

After the store had returned from a copy of before a lease, or with one that had been released, another instance acquired it at once, beside the holder, and with a fencing number that had been given out before, so that an engine that checks these took orders of both. Now a fencing number has the era above the version, and an instance that saw the era before acquires nothing for a whole time to live. One that has just started can't know; its numbers are higher all the same.

Before: TestLeaseAcrossReturn acquires at once, with fence 1 after 9. After: not within 10 s, and higher than all of before.

--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -11,8 +11,9 @@
 //     unchanged for its whole time to live. So no two holders ever consider themselves valid at the
 //     same time, whatever their clocks show, as long as the clocks run at the same rate within the
 //     margin.
-//   - The fencing number is the version of the lease's object. It rises with every acquisition and
-//     renewal.
+//   - The fencing number is the version of the lease's object below the era of the platform's store. It
+//     rises with every acquisition and renewal, also when the store returns from an older copy. A holder
+//     that saw the era before acquires nothing for a whole time to live then.
 //   - The holder calls [Holder.Valid] right before each order. An engine that checks fencing numbers
 //     refuses late orders of a holder that was paused. For an engine that does not check them, orders
 //     are declarative: the next holder reads the state back and corrects it.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -22,6 +22,9 @@
 
 // Object is the lease as stored by the platform. Version 0 means that there is none.
 type Object struct {
+	// Era is that of the platform's store in which the object was read; see package revision. It rises
+	// when the store returns from an older copy, and a version may then be given out again.
+	Era     uint64
 	Version uint64
 	Holder  string
 	// Nonce is random for each write, so that a writer recognizes its own write after a lost
@@ -70,6 +73,7 @@
 
 	seen       Object
 	seenAt     time.Time // when the version of seen was first seen
+	notBefore  time.Time // when the lease may be acquired after the store has returned from a copy
 	validUntil time.Time // when this holder's lease ends; zero when it does not hold it
 	nextTick   time.Time // when to act next
 	pending    *Write    // a write whose outcome is not known yet
@@ -82,9 +86,13 @@
 	return &Holder{settings: set, name: name, nonce: nonce}
 }
 
-// Valid reports whether this instance may give an order now, and with which fencing number.
+// versionBits is how many bits of a fencing number hold the version; those above hold the era.
+const versionBits = 40
+
+// Valid reports whether this instance may give an order now, and with which fencing number. The number is
+// higher than any of an earlier era.
 func (h *Holder) Valid(now time.Time) (fence uint64, ok bool) {
-	return h.seen.Version, !h.validUntil.IsZero() && now.Before(h.validUntil)
+	return h.seen.Era<<versionBits | h.seen.Version, !h.validUntil.IsZero() && now.Before(h.validUntil)
 }
 
 // NextTick returns when [Holder.Tick] has to be called next.
@@ -116,9 +124,19 @@
 // available reports whether the lease may be acquired: there is none, it was released, or it was
 // seen unchanged for its whole time to live.
 func (h *Holder) available(now time.Time) bool {
+	if now.Before(h.notBefore) {
+		return false
+	}
 	return h.seen.Version == 0 || h.seen.Released || !now.Before(h.seenAt.Add(h.settings.TTL))
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Release returns the action that gives the lease up when the instance leaves; nil when it is not
 // held or an action is unanswered.
 func (h *Holder) Release(now time.Time) Action {
@@ -158,7 +176,10 @@
 
 // observe records a version that this holder did not write, and schedules the next action.
 func (h *Holder) observe(now time.Time, o Object) {
-	if o.Version != h.seen.Version || h.seenAt.IsZero() {
+	if o.Era > h.seen.Era && !h.seenAt.IsZero() {
+		h.notBefore = now.Add(h.settings.TTL) // the holder of the era before may be valid as long
+	}
+	if o.Version != h.seen.Version || o.Era != h.seen.Era || h.seenAt.IsZero() {
 		h.seen, h.seenAt = o, now
 		h.validUntil = time.Time{}
 	}
@@ -166,7 +187,7 @@
 	h.nextTick = now.Add(h.settings.CheckInterval)
 	if h.available(now) {
 		h.nextTick = now
-	} else if end := h.seenAt.Add(h.settings.TTL); end.Before(h.nextTick) {
+	} else if end := laterOf(h.seenAt.Add(h.settings.TTL), h.notBefore); end.Before(h.nextTick) {
 		h.nextTick = end
 	}
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -347,3 +347,33 @@
 	assert.DeepEqual(t, roles, map[string]int{"prefill": 2, "decode": 3, "": 1})
 	assert.Equal(t, orders, 5)
 }
+
+// TestLeaseAcrossReturn: the store returns from a copy of before a lease, or with the lease in an earlier state
+// that was released. Another instance waits until the holder is certainly not valid any more, and its fencing
+// numbers are higher than all of before.
+func TestLeaseAcrossReturn(t *testing.T) {
+	for name, stored := range map[string]Object{"no lease": {Era: 2}, "released": {Era: 2, Version: 3, Holder: "a", Released: true}, "of the holder": {Era: 2, Version: 2, Holder: "a"}} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1_000_000, 0)
+			set := DefaultSettings()
+			h := New(set, "b", func() uint64 { return 7 })
+			h.ReportRead(start, Done, Object{Era: 1, Version: 9, Holder: "a", Nonce: 1})
+			returned := start.Add(time.Second)
+			h.ReportRead(returned, Done, stored)
+			for now := returned; now.Before(returned.Add(set.TTL)); now = now.Add(200 * time.Millisecond) {
+				if w, ok := h.Tick(now).(Write); ok {
+					t.Fatalf("acquires the lease %v after the return: %+v", now.Sub(returned), w)
+				}
+				h.ReportRead(now, Done, stored)
+			}
+			now := returned.Add(set.TTL)
+			h.ReportRead(now, Done, stored)
+			w, ok := h.Tick(now.Add(set.CheckInterval)).(Write)
+			assert.Assert(t, ok, "does not acquire the lease after its time")
+			w.Object.Era, w.Object.Version = 2, w.IfVersion+1
+			h.ReportWrite(now.Add(set.CheckInterval), Done, w.Object)
+			fence, valid := h.Valid(now.Add(set.CheckInterval))
+			assert.Assert(t, valid && fence > 1<<versionBits|9, "fence %d", fence)
+		})
+	}
+}
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -110,10 +110,10 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if errorx.IsOfType(err, platform.ErrNotFound) {
-			o.holder.ReportRead(time.Now(), lease.Done, lease.Object{})
+			o.holder.ReportRead(time.Now(), lease.Done, lease.Object{Era: o.opt.Platform.Era()})
 			return
 		}
-		o.holder.ReportRead(time.Now(), resultOf(err), decodeLease(obj))
+		o.holder.ReportRead(time.Now(), resultOf(err), decodeLease(obj, o.opt.Platform.Era()))
 	case lease.Write:
 		raw, err := json.Marshal(leaseObject{a.Object.Holder, a.Object.Nonce, a.Object.Released})
 		if err != nil { // strings and numbers always encode
@@ -122,7 +122,7 @@
 		obj, err := o.opt.Platform.Put(ctx, KindLease, leaseName, raw, a.IfVersion)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		o.holder.ReportWrite(time.Now(), resultOf(err), decodeLease(obj))
+		o.holder.ReportWrite(time.Now(), resultOf(err), decodeLease(obj, o.opt.Platform.Era()))
 	}
 }
 
@@ -133,10 +133,10 @@
 	Released bool   `json:"released,omitempty"`
 }
 
-func decodeLease(obj platform.Object) lease.Object {
+func decodeLease(obj platform.Object, era uint64) lease.Object {
 	var s leaseObject
 	_ = json.Unmarshal(obj.Value, &s) // an unreadable lease counts as another holder's until it expires
-	return lease.Object{Version: obj.Version, Holder: s.Holder, Nonce: s.Nonce, Released: s.Released}
+	return lease.Object{Era: era, Version: obj.Version, Holder: s.Holder, Nonce: s.Nonce, Released: s.Released}
 }
 
 // resultOf returns the result of a call to the platform. Errors other than a conflict or a lost
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -53,6 +53,9 @@
 // Store returns the client of the store itself, for objects that are stored without an envelope.
 func (o *Objects) Store() *store.Store { return o.store }
 
+// Era implements [Client].
+func (o *Objects) Era() uint64 { return o.store.Era() }
+
 // Reachable reports whether a call succeeded within the last d.
 func (o *Objects) Reachable(d time.Duration) bool {
 	return time.Since(time.UnixMilli(o.lastSuccessMS.Load())) < d
--- a/gateway/platform/platform.go
+++ b/gateway/platform/platform.go
@@ -71,6 +71,9 @@
 
 // Client is the platform's object API. Implementations are safe for concurrent use.
 type Client interface {
+	// Era returns the newest era of the store that an answer has stated; 0 if none has. It rises when the
+	// store returns from an older copy.
+	Era() uint64
 	// Get returns an object, even if it is marked deleted.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns the objects of a kind, including those marked deleted, and the revision to
