--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -241,3 +241,35 @@
 		})
 	})
 }
+
+// TestCallsAfterReturn: what a fleet asks the store after its return does not grow with the fleet. The instance
+// that asks it lists again, once more when the hold is over, and looks for what instances had written.
+func TestCallsAfterReturn(t *testing.T) {
+	for _, fronts := range []int{6, 30, 120} {
+		if raceEnabled && fronts > 30 {
+			continue
+		}
+		t.Run(fmt.Sprint(fronts), func(t *testing.T) {
+			run(t, fronts, 2, 3, func(w *world) {
+				const calm = 10 * time.Second
+				before := w.store.Counts()
+				time.Sleep(calm)
+				usual := callsBetween(before, w.store.Counts())
+				from := w.store.Copy()
+				w.publish()
+				time.Sleep(applyBound)
+				w.store.Return(from) // without an outage, so that only the return itself is counted
+				before = w.store.Counts()
+				w.store.PutConfiguration(&w.config)
+				time.Sleep(calm)
+				after := callsBetween(before, w.store.Counts())
+				t.Logf("%d instances: %d calls in %v, %d after a return", fronts, usual, calm, after)
+				assert.Check(t, after <= usual+25, "%d calls after a return, %d usually", after, usual)
+			})
+		})
+	}
+}
+
+func callsBetween(before, after standin.Counts) int {
+	return after.Reads + after.Writes - before.Reads - before.Writes
+}
--- /dev/null
+++ b/gateway/front/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package front_test
+
+const raceEnabled = false
