--- a/cli/soak/words.go
+++ b/cli/soak/words.go
@@ -104,7 +104,7 @@
 	told := map[string]time.Time{} // by process: when it got the first answer that says so
 	for _, a := range e.Arrivals() {
 		p := s.processOf(a)
-		if p == nil || a.At.Before(since) || a.Target[0] == '/' && isManagementCall(a.Target) {
+		if p == nil || a.At.Before(since) || a.ConcernsMemory() {
 			continue
 		}
 		first, known := told[p.name]
@@ -119,11 +119,6 @@
 	}
 }
 
-// isManagementCall reports whether a call concerns a stream that a worker has already.
-func isManagementCall(target string) bool {
-	return len(target) >= 4 && target[:4] == "/kv-"
-}
-
 func (s *soak) checkPauses(e *standin.Worker) {
 	arrivals := e.Arrivals()
 	for _, refusal := range e.PauseRequests() {
--- a/gateway/front/leaving_test.go
+++ b/gateway/front/leaving_test.go
@@ -97,7 +97,7 @@
 		o := w.load(4, 14*time.Second, func() standin.Request { return briefRequest(w.newRequestID()) }, func(i int) int { return i % 6 })
 		for _, e := range leaving {
 			for _, a := range lateArrivals(e, began, 4*time.Second) {
-				assert.Check(t, a.Target == "/kv-move" || len(a.Target) > 10 && a.Target[:10] == "/kv-handle", "%s got %s %v after", e.Config().ID, a.Target, a.At.Sub(began))
+				assert.Check(t, a.ConcernsMemory(), "%s got %s %v after", e.Config().ID, a.Target, a.At.Sub(began))
 			}
 			for _, other := range w.engines {
 				for _, r := range other.Runs() {
@@ -193,9 +193,7 @@
 			e.SetLeaving(false)
 			time.Sleep(10 * time.Second)
 			e.Registration("draining") // an entry that no instance sees
-			entry := e.Registration("ready").(map[string]any)
-			entry["coldRemainingMs"] = 1
-			w.store.Put(platform.KindEndpoint, e.Config().ID, entry)
+			w.store.Put(platform.KindEndpoint, e.Config().ID, e.RegistrationAfterStart("ready", time.Millisecond))
 			return e
 		}, time.Second},
 		"address used again": {func(w *world, e *standin.Worker) *standin.Worker {
