core/routing, gateway/forward: streams at an engine that leaves are still probed for a while

Found in the review of the change: probes were withheld from every engine that leaves, also by its entry alone, so that each pause of a stream there would have moved it.

--- a/core/routing/departure.go
+++ b/core/routing/departure.go
@@ -54,7 +54,7 @@
 	if n == nil {
 		return
 	}
-	n.saysLeaving = v.departures.Leaving(id)
+	n.setSaysLeaving(now, v.departures.Leaving(id))
 	if first {
 		v.addDepartureEvent(now, n, source, st)
 	}
@@ -71,7 +71,14 @@
 	if v.departures.Listed(now, id, n.State == Leaving, n.Sequence) {
 		v.addDepartureEvent(now, n, FromEntry, st)
 	}
-	n.saysLeaving = v.departures.Leaving(id)
+	n.setSaysLeaving(now, v.departures.Leaving(id))
+}
+
+func (n *node) setSaysLeaving(now time.Time, leaving bool) {
+	if leaving && !n.saysLeaving {
+		n.saidLeavingAt = now
+	}
+	n.saysLeaving = leaving
 }
 
 // ObservedDepartures returns the endpoints that said in answers to this instance that they leave, as
@@ -115,3 +122,22 @@
 	}
 	return NotWithheld
 }
+
+// probedWhileLeaving is how long an endpoint that said that it leaves is still asked about what runs there.
+// Most streams end within that time.
+const probedWhileLeaving = 1500 * time.Millisecond
+
+// WithholdsProbe reports whether probes are withheld from an endpoint. One that leaves by its entry alone is
+// asked as long as it is listed.
+func (v *View) WithholdsProbe(now time.Time, id string) Withholding {
+	n := v.nodes[id]
+	switch {
+	case n == nil:
+		return NotWithheld
+	case n.saysLeaving && now.Sub(n.saidLeavingAt) >= probedWhileLeaving:
+		return WhileLeaving
+	case n.cooldown.Active(now):
+		return WhilePaused
+	}
+	return NotWithheld
+}
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -100,8 +100,10 @@
 	Endpoint
 	view     *View
 	inSubset bool // it is in this instance's own subset
-	// saysLeaving is set while it counts as leaving because of its answers.
-	saysLeaving bool
+	// saysLeaving is set while it counts as leaving because of its answers, and saidLeavingAt is when that
+	// was learned.
+	saysLeaving   bool
+	saidLeavingAt time.Time
 	// owned is the result of [View.Owned] at ownedVersion of the view.
 	owned        bool
 	ownedVersion uint64
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -53,21 +53,26 @@
 
 // mayUse returns [ErrWithheld] if nothing new may be sent to an endpoint.
 func (f *Forwarder) mayUse(endpoint string) error {
-	why := f.Placement.Withholds(endpoint)
-	if why == routing.NotWithheld || why == routing.WhileLeaving && f.Settings.Disabled.Departures {
-		return nil
-	}
-	f.metrics.countWithheld(why)
-	return ErrWithheld.New("endpoint %s is %s", endpoint, why)
+	return f.withheld(endpoint, f.Placement.Withholds(endpoint))
 }
 
 // mayCall is the same for a management call of an engine. An engine that is leaving is still told to
 // copy the memory of its runs elsewhere, and to free copies.
 func (f *Forwarder) mayCall(endpoint, method string) error {
-	if method != http.MethodGet && f.Placement.Withholds(endpoint) == routing.WhileLeaving {
+	why := f.Placement.WithholdsProbe(endpoint)
+	if method != http.MethodGet && why == routing.WhileLeaving {
+		return nil
+	}
+	return f.withheld(endpoint, why)
+}
+
+// withheld returns and counts the error for a request that is withheld for a reason; nil for none.
+func (f *Forwarder) withheld(endpoint string, why routing.Withholding) error {
+	if why == routing.NotWithheld || why == routing.WhileLeaving && f.Settings.Disabled.Departures {
 		return nil
 	}
-	return f.mayUse(endpoint)
+	f.metrics.countWithheld(why)
+	return ErrWithheld.New("endpoint %s is %s", endpoint, why)
 }
 
 // exchange sends a request on a connection to an endpoint and reads the head of its answer.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -198,6 +198,13 @@
 	return p.view.Withholds(time.Now(), id)
 }
 
+// WithholdsProbe reports whether probes are withheld from an endpoint, and why.
+func (p *Placement) WithholdsProbe(id string) routing.Withholding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.WithholdsProbe(time.Now(), id)
+}
+
 // RefusedFor records that an endpoint refused a request and wants no other one of this instance for a
 // time. It returns how many endpoints pause now.
 func (p *Placement) RefusedFor(id string, pause time.Duration) (paused int) {
