gateway/forward: answers to management calls do not withdraw limits

Cause: the limits of an answer replace those before, none included, and reports and other management calls are read alike. Found in review: a report without limits lifted the rate that answers to requests state. The test fails before (the rate is gone after the first probe) and passes now.

--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -97,6 +97,20 @@
 		return
 	}
 	f.recordLimits(id, a.Limits)
+	f.recordWords(id, status, a)
+}
+
+// recordCallStatus records what the answer to a management call says about its engine. Such an answer
+// need not state the engine's limits, so it does not withdraw them.
+func (f *Forwarder) recordCallStatus(id string, status int, a *platform.Answer) {
+	if a.Limits.Stated() {
+		f.recordLimits(id, a.Limits)
+	}
+	f.recordWords(id, status, a)
+}
+
+// recordWords records that an answer asks for a pause, or says that its endpoint is leaving.
+func (f *Forwarder) recordWords(id string, status int, a *platform.Answer) {
 	if a.RetryAfter > 0 && !f.Settings.Disabled.Pauses {
 		f.recordPause(id, status, a.RetryAfter)
 	}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -123,7 +123,7 @@
 	}
 	defer x.Abort()
 	signals := platform.ReadAnswer(x.Status(), x.Header())
-	f.recordStatus(e.ID, x.Status(), &signals)
+	f.recordCallStatus(e.ID, x.Status(), &signals)
 	raw, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
 	if err != nil {
 		return nil, err
--- a/gateway/front/limits_test.go
+++ b/gateway/front/limits_test.go
@@ -173,3 +173,25 @@
 		assert.Equal(t, o.served.Load(), o.sent.Load())
 	})
 }
+
+// TestReportsDoNotWithdrawLimits: the reports of an engine that is asked whether it is alive need not state its
+// limits. They must not lift the rate that its answers to requests state.
+func TestReportsDoNotWithdrawLimits(t *testing.T) {
+	run(t, 1, 1, 1, func(w *world) {
+		e := w.engines[0]
+		e.SetLimits(rateLimit(5), nil)
+		a, err := w.send(0, briefRequest("a1"))
+		assert.NilError(t, err)
+		assert.Assert(t, a.Complete)
+		assert.Assert(t, w.fronts[0].State().Endpoints[0].Rate != nil)
+		e.SetSilentReports(true)
+		arrived := len(e.Arrivals())
+		long := briefRequest("a2")
+		long.PromptTokens = 24_000 // prefilled in 3 s
+		done := w.startStream(0, long)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, len(e.Arrivals()) > arrived+1, "the engine was not asked while it prefilled")
+		assert.Assert(t, w.fronts[0].State().Endpoints[0].Rate != nil, "a report has lifted the rate")
+		<-done
+	})
+}
