--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -114,6 +114,7 @@
 			page, err = source.List(ctx, l.kind)
 		}
 		if err != nil && source.First {
+			l.Log.WithField("kind", l.kind).WithError(err).Info("no first list from another instance")
 			continue
 		}
 		if err != nil {
