--- a/cli/explain/explain_test.go
+++ b/cli/explain/explain_test.go
@@ -46,3 +46,26 @@
 	_, ok = l.TimelineOf("r3")
 	assert.Assert(t, !ok)
 }
+
+// TestTimelineNamesWords checks that what an instance learned from the answers of an endpoint that a request
+// used, and that the store has returned, is in the timeline of the request, with its source and age.
+func TestTimelineNamesWords(t *testing.T) {
+	const logs = `
+{"instance":"a","kind":"endpoints","era":2,"era_before":1,"level":"warning","msg":"the store's era has changed","revision":40,"revision_before":44,"time":"2026-01-01T00:00:01Z"}
+{"endpoint":"e1","instance":"a","level":"info","msg":"endpoint is leaving","source":"peer","age_ms":12,"sequence":3,"time":"2026-01-01T00:00:02Z"}
+{"endpoint":"e2","instance":"a","level":"info","msg":"endpoint asks for a pause","status":429,"pause_ms":2000,"time":"2026-01-01T00:00:02.5Z"}
+{"attempt":1,"endpoint":"e1","instance":"a","level":"info","msg":"placed","request":"r1","time":"2026-01-01T00:00:03Z"}
+{"attempt":2,"endpoint":"e2","instance":"a","level":"info","msg":"placed","request":"r1","time":"2026-01-01T00:00:03.1Z"}
+`
+	var l Log
+	assert.NilError(t, l.Read(strings.NewReader(logs)))
+	timeline, ok := l.TimelineOf("r1")
+	assert.Assert(t, ok)
+	var out bytes.Buffer
+	assert.NilError(t, timeline.Print(&out))
+	for _, want := range []string{
+		"the store's era has changed era=2 era_before=1", "endpoint is leaving age_ms=12 endpoint=e1 sequence=3 source=peer", "endpoint asks for a pause endpoint=e2 pause_ms=2000 status=429",
+	} {
+		assert.Check(t, strings.Contains(out.String(), want), "%q is missing in\n%s", want, out.String())
+	}
+}
