gateway/config, gateway/platform: history that is gone is listed again on our own interface

Cause: the client of objects turned "the history is gone" into "no answer", so an instance that watches asked from the same revision for ever, after a return of the store and after a long time away alike. Since the answers of another era were refused, nothing was taken any more. A position now names its era here too, and an instance lists again. TestTeamsAfterStoreReturned: before, the change is not known; after, it is.

--- a/gateway/config/sync.go
+++ b/gateway/config/sync.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/platform"
@@ -24,16 +26,20 @@
 // Follow keeps the configuration up to date from the platform until ctx ends.
 func (c *Config) Follow(ctx context.Context, s FollowOptions) {
 	backoff := s.RetryPause
-	var since uint64
+	var since revision.Position
 	for ctx.Err() == nil {
 		if !s.Watches() {
 			pause.For(ctx, s.RetryPause)
-			since = 0 // list everything again when this instance resumes watching
+			since = revision.Position{} // list everything again when this instance resumes watching
 			continue
 		}
 		next, err := c.pull(ctx, since, s.WatchTimeout)
 		if err != nil {
 			c.scope.Counter("platform_watch_failures").Inc(1)
+			if errorx.IsOfType(err, platform.ErrHistoryGone) {
+				c.log.WithError(err).Warn("configuration is listed again")
+				since = revision.Position{}
+			}
 			pause.For(ctx, backoff)
 			backoff = min(2*backoff, s.WatchTimeout)
 			continue
@@ -44,15 +50,15 @@
 
 // Load reads all objects from the platform once.
 func (c *Config) Load(ctx context.Context) error {
-	_, err := c.pull(ctx, 0, 0)
+	_, err := c.pull(ctx, revision.Position{}, 0)
 	return err
 }
 
-// pull lists all objects if since is 0, and otherwise watches for changes after that revision. It
-// returns the revision to watch from next. After listing, that is the lowest revision of the
+// pull lists all objects if since is zero, and otherwise watches for changes after that position. It
+// returns the position to watch from next. After listing, that is the earliest position of the
 // lists, so that no change between them is missed.
-func (c *Config) pull(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
-	if since > 0 {
+func (c *Config) pull(ctx context.Context, since revision.Position, wait time.Duration) (revision.Position, error) {
+	if since.Revision > 0 {
 		objects, next, err := c.platform.Watch(ctx, platform.WatchedKinds, since, wait)
 		if err != nil {
 			return since, err
@@ -62,22 +68,23 @@
 			records[i] = recordOf(o)
 		}
 		c.Apply(records)
-		return max(next, since), nil
+		return revision.Latest(next, since), nil
 	}
-	var lowest uint64
+	var earliest revision.Position
 	for _, kind := range platform.WatchedKinds {
-		objects, revisionNow, err := c.platform.List(ctx, kind)
+		objects, listedAt, err := c.platform.List(ctx, kind)
 		if err != nil {
-			return 0, err
+			return revision.Position{}, err
 		}
 		records := make([]revision.Record, len(objects))
 		for i, o := range objects {
 			records[i] = recordOf(o)
 		}
 		c.Apply(records)
-		if lowest == 0 || revisionNow < lowest {
-			lowest = revisionNow
+		if earliest.Revision == 0 || earliest.After(listedAt) {
+			earliest = listedAt
 		}
 	}
-	return max(lowest, 1), nil
+	earliest.Revision = max(earliest.Revision, 1)
+	return earliest, nil
 }
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -26,8 +26,6 @@
 	// nothing.
 	era      atomic.Uint64
 	onReturn func()
-	// listedEra is the era of the store in which the watched kinds were last listed.
-	listedEra atomic.Uint64
 }
 
 // Kinds of the store that hold the objects.
@@ -102,18 +100,15 @@
 }
 
 // List implements [Client].
-func (o *Objects) List(ctx context.Context, kind string) ([]Object, uint64, error) {
+func (o *Objects) List(ctx context.Context, kind string) ([]Object, revision.Position, error) {
 	storeKind, _ := storeKey(kind, "")
 	page, err := o.store.List(ctx, storeKind)
 	if err != nil {
-		return nil, 0, o.convertError(err)
+		return nil, revision.Position{}, o.convertError(err)
 	}
 	o.recordSuccess()
-	if storeKind == kindConfiguration {
-		o.listedEra.Store(page.Era)
-	}
 	out, err := decodeKinds(page.Objects, []string{kind})
-	return out, page.Revision, err
+	return out, page.Position(), err
 }
 
 // decodeKinds decodes envelopes and returns the objects of the given kinds.
@@ -203,17 +198,17 @@
 }
 
 // Watch implements [Client].
-func (o *Objects) Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) ([]Object, uint64, error) {
-	page, err := o.store.Watch(ctx, kindConfiguration, since, wait)
+func (o *Objects) Watch(ctx context.Context, kinds []string, since revision.Position, wait time.Duration) ([]Object, revision.Position, error) {
+	page, err := o.store.Watch(ctx, kindConfiguration, since.Revision, wait)
 	if err != nil {
 		return nil, since, o.convertError(err)
 	}
-	if page.Era != o.listedEra.Load() { // since is a revision of another era
-		return nil, since, o.convertError(store.ErrHistoryGone.New("the store is in era %d", page.Era))
+	if page.Era != since.Era { // the store takes the revision for one of its own era
+		return nil, since, o.convertError(store.ErrHistoryGone.New("the store is in era %d, not %d", page.Era, since.Era))
 	}
 	o.recordSuccess()
 	out, err := decodeKinds(page.Objects, kinds)
-	return out, page.Revision, err
+	return out, page.Position(), err
 }
 
 // listEntry is the stored form of an entry of the list. The store doesn't expire objects, so the
@@ -293,6 +288,8 @@
 		return ErrConflict.Wrap(err, "the object has another version")
 	case errorx.IsOfType(err, store.ErrUncertain):
 		return ErrUncertain.Wrap(err, "the answer to a write was lost")
+	case errorx.IsOfType(err, store.ErrHistoryGone):
+		return ErrHistoryGone.Wrap(err, "the changes asked for are gone")
 	}
 	return ErrUnavailable.Wrap(err, "no answer")
 }
--- a/gateway/platform/platform.go
+++ b/gateway/platform/platform.go
@@ -27,6 +27,9 @@
 	ErrConflict = namespace.NewType("conflict")
 	// ErrNotFound means that there is no such object.
 	ErrNotFound = namespace.NewType("not_found", errorx.NotFound())
+	// ErrHistoryGone means that the store does not have all changes since a position. The caller has to list
+	// again.
+	ErrHistoryGone = namespace.NewType("history_gone")
 )
 
 // Object is a versioned object.
@@ -76,18 +79,18 @@
 	Era() uint64
 	// Get returns an object, even if it is marked deleted.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// List returns the objects of a kind, including those marked deleted, and the revision to
+	// List returns the objects of a kind, including those marked deleted, and the position to
 	// watch from.
-	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	List(ctx context.Context, kind string) ([]Object, revision.Position, error)
 	// Put writes an object if its version is ifVersion; 0 creates it.
 	Put(ctx context.Context, kind, name string, value json.RawMessage, ifVersion uint64) (Object, error)
 	// Delete deletes an object if its version is ifVersion. It marks objects of [WatchedKinds] as
 	// deleted, and removes others.
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (Object, error)
-	// Watch returns the objects of the kinds that changed after a revision, and the revision to
+	// Watch returns the objects of the kinds that changed after a position, and the position to
 	// watch from next. It waits up to wait for a change. The kinds have to be among
-	// [WatchedKinds].
-	Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) ([]Object, uint64, error)
+	// [WatchedKinds]. It returns [ErrHistoryGone] if the store does not have the changes since then.
+	Watch(ctx context.Context, kinds []string, since revision.Position, wait time.Duration) ([]Object, revision.Position, error)
 	// Instances returns the list of instances.
 	Instances(ctx context.Context) ([]Listed, error)
 	// Register adds an instance to the list, or renews its entry. The entry expires after ttl.
