--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -57,6 +57,20 @@
 	return l.Create(ctx, kind, name, spec)
 }
 
+// lose drops an entry, as a store does that returns from an older copy.
+func (l *storeList) lose(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.objects, name)
+}
+
+// count returns the numbers of entries and of writes so far.
+func (l *storeList) count() (entries, writes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.objects), l.calls
+}
+
 // node is one instance of a test fleet: its exchange, and what it knows of endpoints and requests.
 type node struct {
 	*Exchange
@@ -248,6 +262,8 @@
 	s := w.peer(i)
 	raw, err := json.Marshal(instanceEntry{s.Callers, s.Peers, s.DataCentre, s.Region, s.Link, true})
 	assert.NilError(w, err)
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
 	w.store.objects[s.ID] = raw
 }
 
--- a/gateway/exchange/restore_test.go
+++ b/gateway/exchange/restore_test.go
@@ -14,12 +14,14 @@
 	const size, lost = 30, 20
 	runFleet(t, size, true, func(w *fleet) {
 		for _, n := range w.nodes[:lost] {
-			delete(w.store.objects, n.Self.ID)
+			w.store.lose(n.Self.ID)
 		}
-		left, calls, began := len(w.store.objects), w.store.calls, time.Now()
+		left, before := w.store.count()
+		began := time.Now()
 		w.nodes[size-1].RestoreEntries(context.Background())
-		assert.Equal(t, len(w.store.objects), left+lost)
-		assert.Equal(t, w.store.calls-calls, lost)
+		entries, writes := w.store.count()
+		assert.Equal(t, entries, left+lost)
+		assert.Equal(t, writes-before, lost)
 		assert.Check(t, time.Since(began) >= (lost-1)*restoreInterval)
 	})
 }
