gateway/config, gateway/platform: deployments and teams that the store has lost are written again

Cause: an instance kept the highest version, the store had a lower one after its return from a copy, and nobody wrote the object again. So an operator's change by the version in force conflicted, and an instance that started later took the older object, or none. Instances that watch now write what a list of a later era lacks, with its version, unless the store has one that is not lower; until then a change is refused as not made, and a change from a version that is not in force conflicts before the store can give its number out again. TestTeamsKeptAcrossReturn fails before (conflict with version 1) and passes now.

--- a/core/revision/store.go
+++ b/core/revision/store.go
@@ -65,6 +65,12 @@
 // Version returns the version held of an object, also if it is deleted; 0 if the object is unknown.
 func (s *Store) Version(id ID) uint64 { return s.records[id].Version }
 
+// Held returns the record of an object, also if it is deleted.
+func (s *Store) Held(id ID) (r Record, known bool) {
+	r, known = s.records[id]
+	return r, known
+}
+
 // List returns the records of a kind, sorted by name, without deleted ones.
 func (s *Store) List(kind string) []Record {
 	var out []Record
@@ -77,6 +83,19 @@
 	return out
 }
 
+// Newer returns the records of a kind, deleted ones included, whose version is higher than the given one of
+// their name. They are sorted by name.
+func (s *Store) Newer(kind string, versions map[string]uint64) []Record {
+	var out []Record
+	for id, r := range s.records {
+		if id.Kind == kind && r.Version > versions[id.Name] {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
 // Len returns the number of records, deleted ones included.
 func (s *Store) Len() int { return len(s.records) }
 
--- a/core/revision/store_test.go
+++ b/core/revision/store_test.go
@@ -77,3 +77,22 @@
 	assert.Equal(t, len(a.Differing(nil)), objects)
 	assert.Equal(t, NewStore().Digest(), uint64(0))
 }
+
+// TestNewerNamesWhatAListLacks compares a store with the versions of a list: higher versions, deleted objects and
+// those that the list lacks are newer.
+func TestNewerNamesWhatAListLacks(t *testing.T) {
+	s := NewStore()
+	for name, version := range map[string]uint64{"same": 2, "higher": 3, "lower": 1, "missing": 1} {
+		s.Apply(record(name, version))
+	}
+	deleted := record("deleted", 5)
+	deleted.Deleted = true
+	s.Apply(deleted)
+	var names []string
+	for _, r := range s.Newer(deleted.Kind, map[string]uint64{"same": 2, "higher": 2, "lower": 4, "deleted": 4}) {
+		names = append(names, r.Name)
+	}
+	assert.DeepEqual(t, names, []string{"deleted", "higher", "missing"})
+	held, known := s.Held(deleted.ID)
+	assert.Assert(t, known && held.Deleted)
+}
--- a/gateway/config/change.go
+++ b/gateway/config/change.go
@@ -102,6 +102,9 @@
 		return 0, err
 	}
 	w := write{kind: kind, name: name, raw: raw, expected: expected, operation: operation}
+	if err := c.checkInForce(&w); err != nil {
+		return 0, err
+	}
 	o, err := c.platform.Put(ctx, kind, name, raw, expected)
 	version, err := c.finishWrite(ctx, &w, o, err)
 	if expected == 0 && w.deletedVersion > 0 {
@@ -148,8 +151,10 @@
 func (c *Config) resolveWrite(ctx context.Context, w *write, uncertain bool) (uint64, error) {
 	o, err := c.readAgain(ctx, w)
 	switch {
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, platform.ErrNotFound) && !c.lostByStore(w, 0):
 		return w.notApplied(0, uncertain)
+	case errorx.IsOfType(err, platform.ErrNotFound), err == nil && c.lostByStore(w, o.Version):
+		return 0, ErrUnavailable.New("the platform has lost the object's version in force, which is written again")
 	case err != nil:
 		return 0, ErrUncertain.Wrap(err, "not known whether the change was made; send it again with the same operation id")
 	}
--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -19,6 +19,7 @@
 
 	mu          sync.RWMutex
 	store       *revision.Store
+	listedEra   uint64 // the newest era of the platform's store in which it was listed
 	digest      uint64
 	deployments map[string]*Deployment
 	teams       map[string]*Team
--- a/gateway/config/returned_test.go
+++ b/gateway/config/returned_test.go
@@ -97,5 +97,25 @@
 		assert.Assert(t, known, "a team that was created is lost")
 		_, known = late.Team("gone")
 		assert.Assert(t, !known, "a team that was deleted is back")
+		_, err := w.instances[0].PutTeam(w.ctx, &operatorv1.Team{Name: "a", Rate: 10, Burst: 10, Concurrent: 10}, 1, "")
+		assert.Equal(t, config.CurrentVersion(err), uint64(3))
+	})
+}
+
+// TestChangeSentAgainKeepsItsVersion: a change or a deletion that is sent again with its operation id is the one in
+// force.
+func TestChangeSentAgainKeepsItsVersion(t *testing.T) {
+	withReturnedStore(t, func(w *returnWorld) {
+		team := &operatorv1.Team{Name: "d", Rate: 10, Burst: 10, Concurrent: 10}
+		for range 2 {
+			version, err := w.instances[0].PutTeam(w.ctx, team, 0, "create")
+			assert.NilError(t, err)
+			assert.Equal(t, version, uint64(1))
+		}
+		for range 2 {
+			version, err := w.instances[0].Delete(w.ctx, config.KindTeam, "d", 1, "delete")
+			assert.NilError(t, err)
+			assert.Equal(t, version, uint64(2))
+		}
 	})
 }
--- a/gateway/config/sync.go
+++ b/gateway/config/sync.go
@@ -81,10 +81,16 @@
 			records[i] = recordOf(o)
 		}
 		c.Apply(records)
+		if c.returned(listedAt) {
+			if err := c.restoreLost(ctx, kind, objects); err != nil {
+				return revision.Position{}, err
+			}
+		}
 		if earliest.Revision == 0 || earliest.After(listedAt) {
 			earliest = listedAt
 		}
 	}
+	c.noteListed(earliest)
 	earliest.Revision = max(earliest.Revision, 1)
 	return earliest, nil
 }
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -160,6 +160,19 @@
 	return o.replace(ctx, &e, old.position)
 }
 
+// Restore implements [Client].
+func (o *Objects) Restore(ctx context.Context, object Object) error {
+	e := envelope{Kind: object.Kind, Name: object.Name, Version: object.Version, Value: object.Value, Deleted: object.Deleted}
+	old, err := o.Get(ctx, e.Kind, e.Name)
+	switch {
+	case errorx.IsOfType(err, ErrNotFound):
+		_, err = o.create(ctx, &e)
+	case err == nil && old.Version < e.Version:
+		_, err = o.replace(ctx, &e, old.position)
+	}
+	return err
+}
+
 // remove removes an object from the store. Nobody watches its kind, so nobody needs to learn of
 // the deletion.
 func (o *Objects) remove(ctx context.Context, e *envelope, condition revision.Position) (Object, error) {
--- a/gateway/platform/platform.go
+++ b/gateway/platform/platform.go
@@ -87,6 +87,9 @@
 	// Delete deletes an object if its version is ifVersion. It marks objects of [WatchedKinds] as
 	// deleted, and removes others.
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (Object, error)
+	// Restore writes an object with the version that it has, unless the store has one that is not lower. It is for
+	// objects that the store has lost by returning from an older copy.
+	Restore(ctx context.Context, object Object) error
 	// Watch returns the objects of the kinds that changed after a position, and the position to
 	// watch from next. It waits up to wait for a change. The kinds have to be among
 	// [WatchedKinds]. It returns [ErrHistoryGone] if the store does not have the changes since then.
