gateway/follow: no flag for first lists that are over

A loop that has asked all instances for a first list forgets the function that names them; the flag beside it said the same. No change of behaviour.

--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -75,9 +75,8 @@
 	at revision.Position
 	// holdEnds is when objects that the store has lost are not held any more; zero if none are.
 	holdEnds time.Duration
-	// askedFirst is how often First was asked, and allAsked is set once it returned false.
+	// askedFirst is how often First was asked. First is nil once it returned false.
 	askedFirst int
-	allAsked   bool
 }
 
 const (
@@ -143,13 +142,13 @@
 // source returns where to read next.
 func (l *loop) source() Source {
 	source := l.Source()
-	if !source.Direct || l.at.Revision > 0 || l.allAsked || l.First == nil {
+	if !source.Direct || l.at.Revision > 0 || l.First == nil {
 		return source
 	}
 	first, ok := l.First(l.askedFirst)
 	l.askedFirst++
 	if !ok {
-		l.allAsked = true
+		l.First = nil
 		return source
 	}
 	return first
