gateway/exchange: the shared list of instances is not appended to

Others returns a list that all callers share, and append may write into its spare room. Readers do not see that part, so nothing was wrong yet; the rest of the package copies it first too.

--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/agateway/agateway/gateway/pause"
@@ -26,7 +27,7 @@
 		listed[page.Objects[i].Name] = true
 	}
 	restored := 0
-	for _, p := range append(x.Others(), x.Self) {
+	for _, p := range slices.Concat(x.Others(), []Peer{x.Self}) {
 		if listed[p.ID] || ctx.Err() != nil {
 			continue
 		}
