--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -153,10 +153,7 @@
 		r.Log.WithError(err).Warn("stopped requests can't be read from the store to restore them")
 		return
 	}
-	listed := make(map[string]bool, len(page.Objects))
-	for i := range page.Objects {
-		listed[page.Objects[i].Name] = true
-	}
+	listed := page.Names()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, restored := time.Now(), 0
--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -22,10 +22,7 @@
 		x.Log.WithError(err).Warn("cannot list instances to restore their entries")
 		return
 	}
-	listed := make(map[string]bool, len(page.Objects))
-	for i := range page.Objects {
-		listed[page.Objects[i].Name] = true
-	}
+	listed := page.Names()
 	restored := 0
 	for _, p := range slices.Concat(x.Others(), []Peer{x.Self}) {
 		if listed[p.ID] || ctx.Err() != nil {
