--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -8,9 +8,9 @@
 )
 
 // Claim asks the owner of an endpoint for room, right before a request is sent there. It is made for
-// engines, and for endpoints that state limits. What instances report to each other of their placements is some tens of milliseconds old. When engines return or
-// a data centre is lost, many requests are placed within that time, and without claims they end up
-// at the same engines.
+// engines, and for endpoints that state limits. What instances report to each other of their
+// placements is some tens of milliseconds old. When engines return or a data centre is lost, many
+// requests are placed within that time, and without claims they end up at the same engines.
 type Claim struct {
 	// Tokens is the memory that the request needs at its largest, PendingPrefill the part of it
 	// that has to be prefilled first.
