gateway/crashes: a stored stop is announced without delay

After the instance that decided a stop has died, the others write it at random times within 2 s or more. The one that writes first told the others up to 20 ms later (broadcastGap), and whoever was due in that time wrote it too: about 8 % of fleets of 9 made one call too many, 1 of 300 two. Store calls are billed.

Change: the instance that has written a stop tells it at once, and again as before since datagrams get lost. The test asks for exactly two calls, for fleets of 9 and 90, ten times each.

Before: 5 of 5 runs of the stricter test fail. After: 0 of 230 runs, 10 of them with the race detector.

--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -75,6 +75,12 @@
 	return nil
 }
 
+func (s *store) setUnavailable(unavailable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unavailable = unavailable
+}
+
 func (s *store) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,29 +195,32 @@
 }
 
 // TestStopIsWrittenAfterWriterDies guards against a stop that is lost because the instance that
-// decided it dies before it has written it. Another instance writes it.
+// decided it dies before it has written it. Another instance writes it, and the others don't: of the
+// two calls one is that of the instance that died.
 func TestStopIsWrittenAfterWriterDies(t *testing.T) {
-	runFleet(t, 9, func(w *fleet) {
-		w.store.mu.Lock()
-		w.store.unavailable = true
-		w.store.mu.Unlock()
-		w.crashEndpoints(1, 2, 3)
-		time.Sleep(3 * broadcastGap)
-		w.cancels[3]()
-		w.store.mu.Lock()
-		w.store.unavailable = false
-		w.store.mu.Unlock()
-		time.Sleep(2*backupWriteDelay + time.Second)
-		_, writes := w.store.calls()
-		assert.Assert(w, writes >= 1 && writes <= 3, "%d", writes)
-		assert.Equal(w, w.store.count(), 1)
-		for i := range w.registries {
-			w.cancels[i]()
-			w.start(i, len(w.registries))
+	for _, size := range []int{9, 90} {
+		for range 10 {
+			runFleet(t, size, testWriterDies)
 		}
-		time.Sleep(readJitter + 100*time.Millisecond)
-		w.assertVerdicts(crashers.Stopped)
-	})
+	}
+}
+
+func testWriterDies(w *fleet) {
+	w.store.setUnavailable(true)
+	w.crashEndpoints(1, 2, 3)
+	time.Sleep(3 * broadcastGap)
+	w.cancels[3]()
+	w.store.setUnavailable(false)
+	time.Sleep(backupWriteDelay + max(backupWriteDelay, backupWriteSpread*time.Duration(len(w.registries))) + time.Second)
+	_, writes := w.store.calls()
+	assert.Equal(w, writes, 2)
+	assert.Equal(w, w.store.count(), 1)
+	for i := range w.registries {
+		w.cancels[i]()
+		w.start(i, len(w.registries))
+	}
+	time.Sleep(readJitter + 100*time.Millisecond)
+	w.assertVerdicts(crashers.Stopped)
 }
 
 // TestIsolatedInstanceReadsStopFromStore covers an instance that reaches the store and no other
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -215,16 +215,29 @@
 			err = nil
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if err != nil {
-		r.writes[req] = time.Now().Add(retryDelay/2 + rand.N(3*retryDelay))
 		r.log(req, nil).WithError(err).Warn("stop can't be written to the store, retrying")
+		r.mu.Lock()
+		r.writes[req] = time.Now().Add(retryDelay/2 + rand.N(3*retryDelay))
+		r.mu.Unlock()
 		return
 	}
+	r.announceStored(req)
+}
+
+// announceStored records that a stop is stored and tells the others without the delay of
+// [broadcastGap], since each of them may be about to write it.
+func (r *Registry) announceStored(req crashers.Request) {
+	r.mu.Lock()
 	delete(r.writes, req)
 	r.core.MarkStored(req)
-	r.scheduleBroadcast(req)
+	f, known := r.core.Fact(time.Now(), req, r.Self)
+	complete := r.complete
+	r.scheduleBroadcast(req) // again, since datagrams get lost
+	r.mu.Unlock()
+	if known {
+		r.Broadcast([]crashers.Fact{f}, complete)
+	}
 }
 
 // deleteStop deletes a stop from the store. One that can't be deleted expires there.
