cli/soak, platform/standin: a revocation that nobody could read counts from when it is written again

Change: the stand-in knows the highest version of a configuration that an answer has held. A revocation above it that the store loses counts from its next write. One that any answer held, to whomever, counts from the first write, as before.

Test: TestRevocationCountsFromReadableWrite, both cases.

--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -76,7 +76,7 @@
 
 	mu        sync.Mutex
 	config    route.Configuration
-	revoked   map[string]time.Time // by key: when the store had accepted its revocation
+	revoked   map[string]revocation // by key
 	keyNumber int
 	// routeAcceptedAt holds, by configuration version, when the store had accepted a version with a
 	// route of its own.
@@ -84,7 +84,7 @@
 }
 
 func newEnvironment(dir, program string, o Options) (*environment, error) {
-	w := &environment{store: standin.NewStore(entryTTL), fleet: standin.NewFleet(), closed: make(chan struct{}), revoked: map[string]time.Time{}, routeAcceptedAt: map[uint64]time.Time{}}
+	w := &environment{store: standin.NewStore(entryTTL), fleet: standin.NewFleet(), closed: make(chan struct{}), revoked: map[string]revocation{}, routeAcceptedAt: map[uint64]time.Time{}}
 	w.config = configuration()
 	w.store.PutConfiguration(&w.config)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -338,7 +338,7 @@
 	own := routes[len(routes)-1]
 	own.Name, own.Prefix = fmt.Sprint("version-", w.config.Version), versionPath(w.config.Version)
 	w.config.Routes = append(routes, own)
-	w.store.PutConfiguration(&w.config)
+	w.putConfiguration()
 	w.routeAcceptedAt[w.config.Version] = time.Now()
 	return w.config.Version
 }
@@ -376,8 +376,8 @@
 	old := fmt.Sprint("key-", w.keyNumber-1)
 	w.config.Version++ // the route that an earlier version added stays
 	w.config.Teams = []route.Team{{Name: "desk", Keys: []string{permanentKey, fmt.Sprint("key-", w.keyNumber)}}}
-	w.store.PutConfiguration(&w.config)
-	w.revoked[old] = time.Now()
+	w.putConfiguration()
+	w.revoked[old] = revocation{at: time.Now(), version: w.config.Version}
 }
 
 // latestKeys returns the key in force and the one before it.
@@ -391,8 +391,8 @@
 func (w *environment) revokedAt(key string) (time.Time, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at, ok := w.revoked[key]
-	return at, ok
+	r, ok := w.revoked[key]
+	return r.at, ok
 }
 
 func (w *environment) close() {
--- a/cli/soak/returns.go
+++ b/cli/soak/returns.go
@@ -39,7 +39,7 @@
 		defer close(done)
 		end := w.disruptStore(standin.Fault{Outage: standin.Silent})
 		time.Sleep(away)
-		w.store.Return(from)
+		w.returnStore(from)
 		w.writeOthers(writes)
 		end()
 		time.Sleep(lag)
@@ -58,7 +58,7 @@
 	time.Sleep(applyWithin)
 	end := w.disruptStore(standin.Fault{Outage: standin.Silent})
 	time.Sleep(maxReturnAway / 2)
-	w.store.Return(from)
+	w.returnStore(from)
 	version = w.replaceRoute()
 	w.writeOthers(2 * lostWrites)
 	end()
@@ -67,6 +67,39 @@
 	return version
 }
 
+// revocation is the write that revoked a key.
+type revocation struct {
+	// at is when the store had accepted it, and version the configuration that it wrote.
+	at      time.Time
+	version uint64
+	// lost is set while the store does not hold it and no answer of the store ever has.
+	lost bool
+}
+
+// returnStore makes the store return from a copy. A revocation that is lost before any process could read it
+// counts from when it is written again.
+func (w *environment) returnStore(from standin.Copy) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Return(from)
+	served := w.store.ServedConfiguration()
+	for key, r := range w.revoked {
+		r.lost = r.lost || r.version > served
+		w.revoked[key] = r
+	}
+}
+
+// putConfiguration writes the configuration. The caller holds mu.
+func (w *environment) putConfiguration() {
+	w.store.PutConfiguration(&w.config)
+	now := time.Now()
+	for key, r := range w.revoked {
+		if r.lost {
+			w.revoked[key] = revocation{at: now, version: r.version}
+		}
+	}
+}
+
 // writeOthers writes objects that no process reads.
 func (w *environment) writeOthers(n int) {
 	for i := range n {
@@ -78,7 +111,7 @@
 func (w *environment) rewrite() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.PutConfiguration(&w.config)
+	w.putConfiguration()
 	for _, o := range w.rollouts.orders {
 		if o.ended.Load() {
 			w.store.Remove(platform.KindRollout, rolloutService)
