gateway/front: calls after a return count watches too

callsBetween left out the watches, so a fleet that watches in a tight loop would not have been seen.

--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -271,5 +271,5 @@
 }
 
 func callsBetween(before, after standin.Counts) int {
-	return after.Reads + after.Writes - before.Reads - before.Writes
+	return after.Reads + after.Watches + after.Writes - before.Reads - before.Watches - before.Writes
 }
