core/source, gateway/follow, gateway/relay: the end of an outage of the store is noticed at once

Timeline (a log line a call, in virtual time): the store answers again at 10.06 s. The instance that asks it hangs in a call until 10.53, pauses to 11.07; those that follow it are told after 12 ms that it has nothing new and pause for 0.2 to 0.6 s: 11.37 to 11.50. With a return one more: an instance that begins to ask the store lists first (what was held is over), with twice the timeout, 2 s.

Hypotheses: (1) the change of era makes all list one after the other: no, the same without a return; (2) wrong sources are tried in turn: not after the outage, all wait for the right one; (3) pauses and hanging calls add up: yes.

Change: a call that was not answered counts as part of the pause; followers that know no instance with fresh data wait at the one that they follow (await_fresh; an instance of an earlier build answers as before); the first answer of a source after failures ends pauses, watches of the store and such waits of the other loops; a list after a hold waits until the store has answered a watch.

Failed on the way: a loop whose call was ended counted itself as failing, regained, and ended the calls of the others in turn: 100 calls a second for ever; a loop that was told once never paused again.

--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -17,6 +17,9 @@
 	// Probe is set when the call only finds out whether the store answers; it should not wait for
 	// changes.
 	Probe bool
+	// AwaitFresh is set when no instance is known that has fresh data. The call waits at Peer until
+	// it has, since Peer gets it no later than any other instance that could be asked.
+	AwaitFresh bool
 }
 
 // Chooser holds what one instance knows of the store and its peers.
@@ -106,7 +109,7 @@
 	if c.isRoot(wholeRegion) || random < c.settings.StoreProbability {
 		return Choice{Timeout: c.storeTimeout()}
 	}
-	return Choice{Peer: c.parent(wholeRegion)}
+	return Choice{Peer: c.parent(wholeRegion), AwaitFresh: true}
 }
 
 // chooseAsRoot returns the source of an instance that reads the store for its followers. If the
--- a/core/source/chooser_test.go
+++ b/core/source/chooser_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// While no instance has fresh data, those that do not ask the store wait at the one that they follow. They
+// do not once one instance has fresh data.
+func TestFollowersAwaitFreshData(t *testing.T) {
+	const instances = 9
+	f := newFleet(instances, 1)
+	for _, id := range f.ids {
+		f.unreachable[id] = true
+	}
+	for range 5 {
+		f.step()
+	}
+	waiting := 0
+	for _, id := range f.ids {
+		choice := f.choosers[id].Choose(f.now, f.others(id), 1)
+		assert.Equal(t, choice.AwaitFresh, choice.Peer != "", id)
+		if choice.AwaitFresh {
+			waiting++
+		}
+	}
+	assert.Assert(t, waiting >= instances-2, "%d", waiting)
+	f.peers["i0"].StoreAccess = StoreReachable
+	f.now += DefaultSettings().ExclusionPeriod
+	for _, id := range f.ids[1:] {
+		assert.Assert(t, !f.choosers[id].Choose(f.now, f.others(id), 1).AwaitFresh, id)
+	}
+}
+
 // An instance whose region has none to follow follows one of another region, and returns once its
 // own region has one.
 func TestOwnRegionIsPreferred(t *testing.T) {
--- a/gateway/follow/guard.go
+++ b/gateway/follow/guard.go
@@ -25,6 +25,9 @@
 		page.Objects = l.withoutOlder(page.Objects)
 		return
 	}
+	if l.holdIsOver() {
+		l.holdEnds = 0
+	}
 	held := l.Mirror.objects(l.kind)
 	kept, undone, left := 0, 0, 0
 	objects := page.Objects[:0:0]
@@ -75,12 +78,5 @@
 	return known && x.Writer == y.Writer && x.Count > y.Count
 }
 
-// holdIsOver reports whether the store's objects have to be listed again, since ReturnHold has passed. It
-// reports that once.
-func (l *loop) holdIsOver() bool {
-	if l.holdEnds == 0 || l.Now() < l.holdEnds {
-		return false
-	}
-	l.holdEnds = 0
-	return true
-}
+// holdIsOver reports whether the store's objects have to be listed again, since ReturnHold has passed.
+func (l *loop) holdIsOver() bool { return l.holdEnds > 0 && l.Now() >= l.holdEnds }
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -53,6 +53,9 @@
 	// knows may be of any age. It returns false once all were tried. Others may know what the store has lost
 	// by returning from an older copy. Nil stands for no other instances.
 	First func(tried int) (Source, bool)
+	// Regained tells the loops of all kinds that a source answers again after calls have failed. It ends their
+	// pauses. Nil if each loop finds out for itself.
+	Regained *pause.Signal
 	// Mirror gets all that is read, for instances that follow this one.
 	Mirror *Mirror
 	// Wait is how long a watch waits for a change.
@@ -71,6 +74,12 @@
 	// failing is set while calls fail, and changedLast if the last call was a watch of the store
 	// that returned a change.
 	failing, changedLast bool
+	// storeAnswered is set if the last call went to the store and was answered.
+	storeAnswered bool
+	// backoff is the mean time from a failed call to the next one.
+	backoff time.Duration
+	// told is set while calls fail once another loop has told that a source answers again.
+	told bool
 	// at is the position of the last answer.
 	at revision.Position
 	// holdEnds is when objects that the store has lost are not held any more; zero if none are.
@@ -98,16 +107,14 @@
 
 func (l *loop) run(ctx context.Context, f follower) {
 	listed := false
-	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := l.Now()
+		regained := l.Regained.Next()
 		source := l.source()
-		if source.Direct && l.holdIsOver() {
-			listed = false
-		}
+		watch := listed && !l.relistDue(&source)
 		var page platform.Page
 		var err error
-		if listed {
+		if watch {
 			page, err = source.Watch(ctx, l.kind, l.at, l.watchWait())
 		} else {
 			page, err = source.List(ctx, l.kind)
@@ -116,29 +123,32 @@
 			l.Log.WithField("kind", l.kind).WithError(err).Info("no first list from another instance")
 			continue
 		}
+		l.storeAnswered = err == nil && source.Direct
 		if err != nil {
 			listed = listed && !errorx.IsOfType(err, platform.ErrHistoryGone)
-			if l.failed(ctx, f, began, err) {
-				pause.For(ctx, backoff/2+rand.N(backoff))
-				backoff = min(2*backoff, maxBackoff)
+			if l.failing || !pause.Notified(regained) {
+				l.failed(ctx, f, &failure{began, err, regained})
 			}
 			continue
 		}
-		backoff = minBackoff
 		l.noteEra(&page, source.Direct)
 		if source.Direct {
-			l.holdUntilRewritten(listed, &page)
+			l.holdUntilRewritten(watch, &page)
 		}
-		l.deliver(f, listed, began, &page)
+		l.deliver(f, watch, began, &page)
 		l.succeeded()
 		storeChanged := source.Direct && len(page.Objects) > 0
-		l.changedLast, listed = listed && storeChanged, true
+		l.changedLast, listed = watch && storeChanged, true
 		if storeChanged && len(page.Objects) < fullPage {
 			pause.For(ctx, l.pauseAfterChange)
 		}
 	}
 }
 
+// relistDue reports whether a list takes the place of a watch, since the hold is over. It waits until the
+// store has answered a watch, which finds out sooner than a list whether the store answers.
+func (l *loop) relistDue(s *Source) bool { return s.Direct && l.storeAnswered && l.holdIsOver() }
+
 // source returns where to read next.
 func (l *loop) source() Source {
 	source := l.Source()
@@ -209,26 +219,41 @@
 	return l.Wait
 }
 
-// failed handles a failed call, and reports whether to pause before the next one.
-func (l *loop) failed(ctx context.Context, f follower, began time.Duration, err error) bool {
+// failure is a call that has failed.
+type failure struct {
+	began time.Duration
+	err   error
+	// regained tells of a source that has answered since the call began.
+	regained <-chan struct{}
+}
+
+// failed handles a failed call. It returns when the next one is due.
+func (l *loop) failed(ctx context.Context, f follower, failed *failure) {
 	if ctx.Err() != nil {
-		return false
+		return
 	}
-	if errorx.IsOfType(err, platform.ErrHistoryGone) {
+	if errorx.IsOfType(failed.err, platform.ErrHistoryGone) {
 		l.Log.WithField("kind", l.kind).Info("the store's history is gone; listing again")
-		return false
+		return
 	}
-	f.readFailed(began)
+	f.readFailed(failed.began)
 	if !l.failing {
-		l.failing = true
-		l.Log.WithError(err).WithField("kind", l.kind).Warn("source lost")
+		l.failing, l.backoff = true, minBackoff
+		l.Log.WithError(failed.err).WithField("kind", l.kind).Warn("source lost")
 	}
-	return true
+	elapsed := l.Now() - failed.began // a call without an answer was a pause itself
+	if pause.UntilNotified(ctx, l.backoff/2+rand.N(l.backoff)-elapsed, failed.regained) {
+		l.told = true
+	}
+	l.backoff = min(2*l.backoff, maxBackoff)
 }
 
 func (l *loop) succeeded() {
 	if l.failing {
-		l.failing = false
 		l.Log.WithField("kind", l.kind).Info("source regained")
+		if !l.told {
+			l.Regained.Notify()
+		}
+		l.failing, l.told = false, false
 	}
 }
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -143,6 +143,8 @@
 	// WithRemoved asks for the removed objects that are still known too. A mirror that has them can
 	// serve the same watches as this one.
 	WithRemoved bool
+	// Wait is how long to wait for newer objects if they are too old; staleWait if that is longer.
+	Wait time.Duration
 }
 
 // ListPart is a part of a list. Parts after the first may hold removed objects: those were removed
@@ -156,11 +158,11 @@
 }
 
 // List returns a part of the objects of a kind. If there are no objects yet or they are too old, it
-// waits up to staleWait for new data: when a fleet starts, the instance that asks the store and
+// waits for new data: when a fleet starts, the instance that asks the store and
 // those that follow it start at the same time. After that it returns [platform.ErrUnavailable]. It
 // returns [platform.ErrHistoryGone] if removals since the first part are not kept any more.
 func (m *Mirror) List(ctx context.Context, r ListRequest) (ListPart, error) {
-	timeout := time.NewTimer(staleWait)
+	timeout := time.NewTimer(max(staleWait, r.Wait))
 	defer timeout.Stop()
 	for {
 		part, changed, err := m.list(&r)
@@ -226,6 +228,8 @@
 	// that is fresher by minFreshnessGain. So all instances of a chain have data that is about as
 	// fresh as that of the one that asks the store.
 	KnownAge time.Duration
+	// AwaitFresh asks to wait for newer data for as long as for a change if the data is too old.
+	AwaitFresh bool
 }
 
 // Watch returns the objects that changed, removed ones included, and waits for a change if there
@@ -262,10 +266,11 @@
 	kind  string
 	since revision.Position
 	limit int
-	began time.Duration
 	// endCurrentAt ends the watch once the data is known to have been the newest at this time.
 	endCurrentAt time.Duration
 	interrupts   int
+	// staleDeadline is until when the watch waits for newer data if the data is too old.
+	staleDeadline time.Duration
 	// wasFresh is set once the data was fresh enough to be served at a check. From then on the
 	// watch fails at once when the data gets too old.
 	wasFresh bool
@@ -275,7 +280,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	return watch{kind: r.Kind, since: r.Since, limit: r.Limit, began: now, endCurrentAt: now - r.KnownAge + minFreshnessGain, interrupts: m.interrupts}
+	wait := staleWait
+	if r.AwaitFresh {
+		wait = max(wait, r.Wait)
+	}
+	return watch{kind: r.Kind, since: r.Since, limit: r.Limit, staleDeadline: now + wait, endCurrentAt: now - r.KnownAge + minFreshnessGain, interrupts: m.interrupts}
 }
 
 // recheck says when a waiting watch checks again: when changed is closed, or after a time.
@@ -293,8 +302,7 @@
 	k, now := m.kind(w.kind), m.now()
 	age, err := m.freshAge(k, w.kind)
 	if err != nil {
-		deadline := w.began + staleWait
-		return platform.Page{}, w.wasFresh || now >= deadline, recheck{k.changed, max(deadline-now, minRecheck)}, err
+		return platform.Page{}, w.wasFresh || now >= w.staleDeadline, recheck{k.changed, max(w.staleDeadline-now, minRecheck)}, err
 	}
 	w.wasFresh = true
 	if err := k.canContinue(w.since); err != nil {
--- a/gateway/follow/mirror_test.go
+++ b/gateway/follow/mirror_test.go
@@ -120,3 +120,35 @@
 		assert.Assert(t, errorx.IsOfType(err, platform.ErrUnavailable))
 	})
 }
+
+// TestAwaitFresh: a reader that knows no instance with fresh data gets newer data as soon as there is some, by
+// a watch and by a list. Without such data it learns of that when its wait is over.
+func TestAwaitFresh(t *testing.T) {
+	const wait, maxAge = 400 * time.Millisecond, time.Minute
+	for name, read := range map[string]func(m *Mirror) error{
+		"watch": func(m *Mirror) error {
+			_, err := m.Watch(context.Background(), WatchRequest{Kind: "k", Since: pos(9), Wait: wait, AwaitFresh: true})
+			return err
+		},
+		"list": func(m *Mirror) error {
+			_, err := m.List(context.Background(), ListRequest{Kind: "k", Wait: wait})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, start := newTestMirror()
+				time.Sleep(2 * maxAge)
+				began := time.Now()
+				assert.Assert(t, errorx.IsOfType(read(m), platform.ErrUnavailable))
+				assert.Equal(t, time.Since(began), wait)
+				time.AfterFunc(wait-time.Millisecond, func() {
+					m.update("k", time.Since(start), &platform.Page{Objects: []platform.Object{object("c", 11)}, Revision: 11})
+				})
+				began = time.Now()
+				assert.NilError(t, read(m))
+				assert.Equal(t, time.Since(began), wait-time.Millisecond)
+			})
+		})
+	}
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -71,6 +71,8 @@
 	rolloutOrders *follow.Rollouts
 	mirror        *follow.Mirror
 	relay         *relay.Relay
+	// sourceRegained tells that the store, or an instance that is followed, answers again.
+	sourceRegained pause.Signal
 
 	// synced is closed once the configuration, the rollouts and a list of endpoints that is not
 	// empty have been read.
@@ -189,7 +191,7 @@
 	f.pool = upstream.NewPool(dial)
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
-	followOptions := follow.Options{Source: f.source, First: f.firstSource, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
+	followOptions := follow.Options{Source: f.source, First: f.firstSource, Regained: &f.sourceRegained, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
 	f.configuration = follow.NewConfiguration(followOptions, f.onConfigurationChange)
 	f.endpoints = follow.NewEndpoints(followOptions, f.isServiceConfigured, f.placement.InUse, f.onEndpointsChange)
 	f.buildRollouts(followOptions)
@@ -210,7 +212,7 @@
 	})
 	f.relay = relay.New(relay.Options{
 		Settings: f.sourceSettings(), Store: f.store, Mirror: f.mirror, Others: f.exchange.Others,
-		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network, peers.WithoutCompression()), AccessChanged: func() { f.exchange.Changed() }, EraChanged: f.onEraChange, Clock: f.env.Clock, Log: t.Log,
+		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network, peers.WithoutCompression()), AccessChanged: func() { f.exchange.Changed() }, Regained: &f.sourceRegained, EraChanged: f.onEraChange, Clock: f.env.Clock, Log: t.Log,
 	})
 	f.forwarder = forward.New(forward.Options{
 		Settings: forward.Settings{
--- a/gateway/relay/direct_store.go
+++ b/gateway/relay/direct_store.go
@@ -37,6 +37,8 @@
 	if s.choice.Probe {
 		wait = min(wait, probeWait)
 	}
+	ctx, cancel := s.relay.untilRegained(ctx)
+	defer cancel()
 	return s.call(ctx, wait, s.choice.Timeout, func(ctx context.Context) (platform.Page, error) {
 		page, err := s.relay.Store.Watch(ctx, kind, since.Revision, wait)
 		if err == nil && page.Era != since.Era { // the store does not know which era since belongs to
@@ -51,6 +53,9 @@
 	defer cancel()
 	began := s.relay.Clock()
 	page, err := read(ctx)
+	if err != nil && isEndedByRegained(ctx) {
+		return page, err
+	}
 	if err == nil && !s.relay.acceptsEra(&page) {
 		err = platform.ErrUnavailable.New("the answer is of era %d, which is over", page.Era)
 	}
--- a/gateway/relay/peer_store.go
+++ b/gateway/relay/peer_store.go
@@ -18,6 +18,8 @@
 	id, address string
 	// anyAge asks for lists of any age, and accepts those of earlier eras.
 	anyAge bool
+	// awaitFresh makes watches wait for fresh data, for freshWait at least.
+	awaitFresh bool
 }
 
 const (
@@ -25,6 +27,8 @@
 	// wait divided by it. The other instance answers when its own watch has ended, which takes a
 	// little longer than the wait.
 	extraWaitDivisor = 4
+	// freshWait is about as long as the pauses between failed calls.
+	freshWait = 500 * time.Millisecond
 	// peerWatchTimeout is the time that an instance has to answer a watch, in addition to the wait.
 	// An answer takes 3 ms, and a change of 200 kB on a link of 10 Mbit/s takes 160 ms.
 	peerWatchTimeout = 400 * time.Millisecond
@@ -42,6 +46,9 @@
 // List implements [follow.Store]. It reads the list part by part.
 func (r *peerStore) List(ctx context.Context, kind string) (platform.Page, error) {
 	req := &peerv1.WatchStoreRequest{Kind: kind, All: true, WithRemoved: true, AnyAge: r.anyAge}
+	if r.awaitFresh {
+		req.WaitMs = uint32(freshWait.Milliseconds())
+	}
 	parts := &partList{}
 	for {
 		resp, page, err := r.call(ctx, req, peerListTimeout)
@@ -59,7 +66,13 @@
 // Watch implements [follow.Store].
 func (r *peerStore) Watch(ctx context.Context, kind string, since revision.Position, wait time.Duration) (platform.Page, error) {
 	wait += wait / extraWaitDivisor
-	req := &peerv1.WatchStoreRequest{Kind: kind, Since: since.Revision, Era: since.Era, WaitMs: uint32(wait.Milliseconds())}
+	if r.awaitFresh {
+		wait = max(wait, freshWait)
+		waiting, cancel := r.relay.untilRegained(ctx)
+		defer cancel()
+		ctx = waiting
+	}
+	req := &peerv1.WatchStoreRequest{Kind: kind, Since: since.Revision, Era: since.Era, WaitMs: uint32(wait.Milliseconds()), AwaitFresh: r.awaitFresh}
 	if age, known := r.relay.Mirror.Age(kind); known {
 		req.KnownAgeMs = uint32(age.Milliseconds())
 	}
@@ -70,6 +83,9 @@
 func (r *peerStore) call(ctx context.Context, req *peerv1.WatchStoreRequest, timeout time.Duration) (*peerv1.WatchStoreResponse, platform.Page, error) {
 	req.Limit, req.AcceptsPacked = maxPartObjects, true
 	resp, err := peers.Call(ctx, r.relay.Pool, r.address, timeout, watchStore, req)
+	if err != nil && isEndedByRegained(ctx) {
+		return nil, platform.Page{}, platform.ErrUnavailable.Wrap(err, "instance %s is not waited for", r.id)
+	}
 	if err != nil {
 		r.relay.report(func(c *source.Chooser, now time.Duration) { c.PeerFailed(now, r.id) })
 		return nil, platform.Page{}, platform.ErrUnavailable.Wrap(err, "no answer from instance %s", r.id)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -8,7 +8,9 @@
 //
 // Failure modes: when the store stops answering an instance, the instance ends the watches of its
 // followers at once, so that they choose another source before their own data is too old. An
-// instance whose data is too old answers that it is stale.
+// instance whose data is too old answers that it is stale. While no instance has fresh data, followers
+// wait at the one that they follow, and get the data as soon as it has it. The first answer of a source
+// after failures ends the calls and pauses of the loops for other kinds.
 package relay
 
 import (
@@ -23,6 +25,7 @@
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/follow"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/platform"
 )
@@ -45,6 +48,8 @@
 	Pool   *peers.Pool
 	// AccessChanged is called when the outcome of a call changes [Relay.Access].
 	AccessChanged func()
+	// Regained tells that a source answers again after calls have failed.
+	Regained *pause.Signal
 	// EraChanged is called when the store is found to have returned from an older copy.
 	EraChanged func(era uint64)
 	Clock      clock.Func
@@ -118,7 +123,7 @@
 	choice := r.choose(others)
 	for i := range others {
 		if others[i].ID == choice.Peer {
-			return follow.Source{Store: &peerStore{relay: r, id: choice.Peer, address: others[i].Peers}}
+			return follow.Source{Store: &peerStore{relay: r, id: choice.Peer, address: others[i].Peers, awaitFresh: choice.AwaitFresh}}
 		}
 	}
 	return follow.Source{Store: &directStore{r, choice}, Direct: true}
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -44,13 +44,13 @@
 func (s *Server) read(ctx context.Context, r *peerv1.WatchStoreRequest) (follow.ListPart, error) {
 	if r.All {
 		return s.Relay.Mirror.List(ctx, follow.ListRequest{
-			Kind: r.Kind, Limit: int(r.Limit), WithRemoved: r.WithRemoved, AnyAge: r.AnyAge,
+			Kind: r.Kind, Limit: int(r.Limit), WithRemoved: r.WithRemoved, AnyAge: r.AnyAge, Wait: time.Duration(r.WaitMs) * time.Millisecond,
 			After: revision.Position{Era: r.Era, Revision: r.Since}, ListedAt: revision.Position{Era: r.ListEra, Revision: r.ListRevision},
 		})
 	}
 	page, err := s.Relay.Mirror.Watch(ctx, follow.WatchRequest{
 		Kind: r.Kind, Since: revision.Position{Era: r.Era, Revision: r.Since}, Limit: int(r.Limit),
-		Wait: time.Duration(r.WaitMs) * time.Millisecond, KnownAge: time.Duration(r.KnownAgeMs) * time.Millisecond,
+		Wait: time.Duration(r.WaitMs) * time.Millisecond, KnownAge: time.Duration(r.KnownAgeMs) * time.Millisecond, AwaitFresh: r.AwaitFresh,
 	})
 	return follow.ListPart{Page: page}, err
 }
