gateway/atmostonce: claims are restored when the store fails again

Cause, by reading (a point left open in the postmortem): a claim that could not be written again at the first try after a return was given up without a word, so a call that may run once ran again 12 s later at another instance.

Change: each is tried until the store answers or the claim is no longer kept; what is given up is an error in the log, and one line says how many were restored.

--- a/gateway/atmostonce/claims.go
+++ b/gateway/atmostonce/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/agateway/agateway/core/ticket"
@@ -47,6 +48,7 @@
 	// with a longer body is kept without the body.
 	MaxKeptBodyBytes int
 	Scope            tally.Scope
+	Log              *logrus.Entry
 
 	own ownClaims
 }
--- a/gateway/atmostonce/returned.go
+++ b/gateway/atmostonce/returned.go
@@ -5,8 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateway/agateway/core/ticket"
 	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/platform"
 )
 
 // When the platform's store returns from an older copy, it has lost the claims of the last seconds. Each
@@ -19,8 +23,10 @@
 	maxKept = 10000
 	// settleAfterReturn is how long after the store's return new claims are refused.
 	settleAfterReturn = 10 * time.Second
-	// restoreInterval is the time between two claims that are written again.
-	restoreInterval = 20 * time.Millisecond
+	// restoreInterval is the time between two claims that are written again, and restoreRetryDelay the
+	// time after which a write that failed is tried again.
+	restoreInterval   = 20 * time.Millisecond
+	restoreRetryDelay = 500 * time.Millisecond
 )
 
 // ownClaims holds the claims that an instance has made a short time ago. The zero value is empty. It is safe
@@ -77,16 +83,39 @@
 	go c.restore(ctx, names)
 }
 
+// restore writes claims again. Those that the store has not lost stay as they are.
 func (c *Claims) restore(ctx context.Context, names []string) {
+	restored, dropped := 0, 0
 	for _, name := range names {
-		if own, ok := c.own.get(name); ok {
-			// One that the store has not lost is left as it is.
-			if _, err := c.Platform.Put(ctx, KindClaim, name, encodeClaim(&own), 0); err == nil {
-				c.Scope.Counter("claims_restored").Inc(1)
-			}
-			if !pause.For(ctx, restoreInterval) {
-				return
-			}
+		switch err := c.restoreOne(ctx, name); {
+		case err == nil:
+			restored++
+		case !errorx.IsOfType(err, platform.ErrConflict):
+			dropped++
+			c.Log.WithError(err).WithField("claim", name).Error("a claim that the store may have lost can't be written again")
+		}
+		if !pause.For(ctx, restoreInterval) {
+			return
+		}
+	}
+	c.Scope.Counter("claims_restored").Inc(int64(restored))
+	c.Log.WithFields(logrus.Fields{"claims": len(names), "restored": restored, "dropped": dropped}).Info("claims compared after the store returned")
+}
+
+// restoreOne writes a claim again. It tries until the store answers or the claim is not kept any more. It
+// returns [platform.ErrConflict] if the store has a claim of that name.
+func (c *Claims) restoreOne(ctx context.Context, name string) error {
+	for {
+		own, kept := c.own.get(name)
+		if !kept {
+			return platform.ErrConflict.New("the claim is not kept any more")
+		}
+		_, err := c.Platform.Put(ctx, KindClaim, name, encodeClaim(&own), 0)
+		if err == nil || errorx.IsOfType(err, platform.ErrConflict) {
+			return err
+		}
+		if time.Since(own.ClaimedAt) > keptFor || !pause.For(ctx, restoreRetryDelay) {
+			return err
 		}
 	}
 }
--- a/gateway/atmostonce/sweep_test.go
+++ b/gateway/atmostonce/sweep_test.go
@@ -29,7 +29,7 @@
 		stop := standin.Serve(l, standin.NewStore(0))
 		p := platform.NewObjects("http://10.0.9.1:80", 2*time.Second, net.Node("instance"))
 		runs := 0
-		claims := &atmostonce.Claims{Platform: p, MaxKeptBodyBytes: 100, Scope: tally.NoopScope, Run: func(context.Context, *atmostonce.Call) atmostonce.Result {
+		claims := &atmostonce.Claims{Platform: p, MaxKeptBodyBytes: 100, Scope: tally.NoopScope, Log: discardLog(), Run: func(context.Context, *atmostonce.Call) atmostonce.Result {
 			runs++
 			return atmostonce.Result{Outcome: ticket.Outcome{Status: 200}}
 		}}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -143,7 +143,7 @@
 		Broadcast:  func(facts []crashers.Fact, complete bool) { d.peering.BroadcastCrashes(facts, complete) },
 		OnStopped:  func(crashers.Request) {}, Log: t.Log, Scope: t.Scope,
 	})
-	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope}
+	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope, Log: t.Log}
 	d.platform.OnReturn(func() {
 		t.Log.Warn("the platform's store has returned from an older copy")
 		claims.StoreReturned(context.Background())
