gateway/front, gateway/exchange, gateway/crashes: what the store has lost is written again after an outage too

Cause, looked for after claims: entries of instances and stopped requests were written again once, 5 s after a return. Where the store was away or refused then, they stayed lost, and an instance that starts later does not find the others by them, or sends a request that was stopped.

Change: the instance that writes them tries again every 5 s until the lists and the entries are through. Writes of stops were tried again before.

--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -146,12 +146,13 @@
 }
 
 // RestoreStops writes the stops again that the store has lost by returning from an older copy. One instance
-// does that, with one list and one call for each missing stop.
-func (r *Registry) RestoreStops(ctx context.Context) {
+// does that, with one list and one call for each missing stop. The error says that the list failed; writes that
+// fail are tried again.
+func (r *Registry) RestoreStops(ctx context.Context) error {
 	page, err := r.Store.List(ctx, platform.KindStoppedRequest)
 	if err != nil {
 		r.Log.WithError(err).Warn("stopped requests can't be read from the store to restore them")
-		return
+		return err
 	}
 	listed := page.Names()
 	r.mu.Lock()
@@ -164,6 +165,7 @@
 		}
 	}
 	r.Log.WithFields(logrus.Fields{"listed": len(listed), "restored": restored}).Info("stopped requests compared after the store returned")
+	return nil
 }
 
 // scheduleBackupWrite schedules the write of a stop that another instance decided, in case that
--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -15,12 +15,12 @@
 
 // RestoreEntries writes the entries of instances again that the store has lost by returning from an older
 // copy: instances that start find the others by them. One instance does that for all that it knows to be
-// alive, with one list and one call for each missing entry.
-func (x *Exchange) RestoreEntries(ctx context.Context) {
+// alive, with one list and one call for each missing entry. The error says that some are not written.
+func (x *Exchange) RestoreEntries(ctx context.Context) error {
 	page, err := x.Store.ListStale(ctx, platform.KindInstance)
 	if err != nil {
 		x.Log.WithError(err).Warn("cannot list instances to restore their entries")
-		return
+		return err
 	}
 	listed := page.Names()
 	restored := 0
@@ -28,21 +28,31 @@
 		if listed[p.ID] || ctx.Err() != nil {
 			continue
 		}
-		if x.restoreEntry(ctx, &p) {
+		created, err := x.restoreEntry(ctx, &p)
+		if err != nil {
+			return err
+		}
+		if created {
 			restored++
 		}
 		pause.For(ctx, restoreInterval)
 	}
 	x.Log.WithField("listed", len(listed)).WithField("restored", restored).Info("entries of instances compared after the store returned")
+	return nil
 }
 
-func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) bool {
+// restoreEntry reports whether it wrote the entry of an instance, which may be there again already.
+func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) (created bool, err error) {
 	spec, err := json.Marshal(instanceEntry{Callers: p.Callers, Peers: p.Peers, DataCentre: p.DataCentre, Region: p.Region, Link: p.Link, Spreads: p.Spreads || p.ID == x.Self.ID})
-	if err == nil {
-		_, err = x.Store.Create(ctx, platform.KindInstance, p.ID, spec)
+	if err != nil {
+		return false, err
 	}
-	if err != nil && !platform.IsConflict(err) {
+	_, err = x.Store.Create(ctx, platform.KindInstance, p.ID, spec)
+	if platform.IsConflict(err) {
+		return false, nil
+	}
+	if err != nil {
 		x.Log.WithError(err).WithField("peer", p.ID).Warn("cannot restore the entry of an instance")
 	}
-	return err == nil
+	return err == nil, err
 }
--- a/gateway/front/era.go
+++ b/gateway/front/era.go
@@ -19,7 +19,7 @@
 }
 
 // restoreObjects writes again what instances had written and the store has lost. The instance that asks the
-// store does that, once the operator and the endpoints had the time to write theirs.
+// store does that, once the operator and the endpoints had the time to write theirs, until all is written.
 func (f *Front) restoreObjects(ctx context.Context) {
 	for {
 		select {
@@ -30,9 +30,17 @@
 		if !pause.For(ctx, follow.ReturnHold) {
 			return
 		}
-		if f.relay.Follows() == "" {
-			f.crashes.RestoreStops(ctx)
-			f.exchange.RestoreEntries(ctx)
+		if f.relay.Follows() != "" {
+			continue
+		}
+		for !f.restoreOnce(ctx) && pause.For(ctx, follow.ReturnHold) {
 		}
 	}
 }
+
+// restoreOnce reports whether all was written again.
+func (f *Front) restoreOnce(ctx context.Context) bool {
+	stopsErr := f.crashes.RestoreStops(ctx)
+	entriesErr := f.exchange.RestoreEntries(ctx)
+	return stopsErr == nil && entriesErr == nil
+}
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -219,8 +219,15 @@
 }
 
 // TestInstancesWriteAgain: an instance that has started and a request that was stopped are unknown to the copy
-// from which the store returns. One instance writes both again, in a few calls.
+// from which the store returns. One instance writes both again, in a few calls, also if the store fails when it
+// is about to.
 func TestInstancesWriteAgain(t *testing.T) {
+	t.Run("at once", func(t *testing.T) { testInstancesWriteAgain(t, standin.NoOutage) })
+	t.Run("after a silent outage", func(t *testing.T) { testInstancesWriteAgain(t, standin.Silent) })
+	t.Run("after refusals", func(t *testing.T) { testInstancesWriteAgain(t, standin.Busy) })
+}
+
+func testInstancesWriteAgain(t *testing.T, outage standin.Outage) {
 	run(t, 6, 12, 1, func(w *world) {
 		w.withFatalRequests(standin.FatalRequest{}, func(o *crashWorld) {
 			from := w.store.Copy()
@@ -235,7 +242,11 @@
 			for _, e := range o.workers {
 				w.putEntry(e, "ready")
 			}
-			time.Sleep(8 * time.Second)
+			time.Sleep(3 * time.Second)
+			w.store.SetFault(standin.Fault{Outage: outage})
+			time.Sleep(3 * time.Second)
+			w.store.SetFault(standin.Fault{})
+			time.Sleep(7 * time.Second)
 			assert.Equal(t, len(w.store.Names(platform.KindInstance)), 7)
 			assert.DeepEqual(t, w.store.Names(platform.KindStoppedRequest), stops)
 		})
