core/source: an instance that the store resets follows one that the store answers, though it excluded it

Change: where no instance may be followed, one that the store does not answer follows one of its region that says that the store answers it, excluded as stale or not, and waits there for fresh data.

--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -105,6 +105,11 @@
 	if elsewhere := c.otherRegions(peers); len(elsewhere) > 0 {
 		return c.pickByHash(elsewhere)
 	}
+	if reachable := c.treeOf(peers, c.isReachableInRegion, false); c.unreachable && len(reachable) > 0 {
+		choice := c.pickByHash(reachable)
+		choice.AwaitFresh = true
+		return choice
+	}
 	wholeRegion := c.treeOf(peers, c.sameRegion, true)
 	if c.isRoot(wholeRegion) || random < c.settings.StoreProbability {
 		return Choice{Timeout: c.storeTimeout()}
@@ -167,6 +172,12 @@
 // sameRegion reports whether an instance is in this instance's region.
 func (c *Chooser) sameRegion(p *Peer) bool { return p.Region == c.settings.Region }
 
+// isReachableInRegion reports whether the store answers an instance of this region, which may have had no fresh
+// data when it was asked last.
+func (c *Chooser) isReachableInRegion(p *Peer) bool {
+	return c.sameRegion(p) && p.StoreAccess == StoreReachable
+}
+
 // expireExclusions lets instances be asked again whose exclusion has ended.
 func (c *Chooser) expireExclusions(now time.Duration) {
 	for _, excluded := range []map[string]time.Duration{c.failedPeers, c.stalePeers} {
--- a/core/source/chooser_test.go
+++ b/core/source/chooser_test.go
@@ -248,6 +248,29 @@
 	}
 }
 
+// When the root of a region loses the store, no instance has fresh data for a moment, and one that asks all
+// others in turn excludes them all. It must not wait for the end of these exclusions once another instance
+// says that the store answers it. That holds for the first in rank too, which asks the store otherwise.
+func TestReachablePeerIsFollowedThoughExcluded(t *testing.T) {
+	f := newFleet(9, 1)
+	f.step()
+	for _, id := range f.ids {
+		c := f.choosers[id]
+		c.StoreFailed(f.now)
+		others := f.others(id)
+		for i := range others {
+			c.PeerStale(f.now, others[i].ID)
+			others[i].StoreAccess = StoreUnreachable
+		}
+		others[4].StoreAccess = StoreReachable
+		choice := c.Choose(f.now+time.Second, others, 1)
+		assert.Equal(t, choice.Peer, others[4].ID, id)
+		assert.Assert(t, choice.AwaitFresh)
+		c.PeerFailed(f.now, others[4].ID)
+		assert.Assert(t, c.Choose(f.now+time.Second, others, 1).Peer != others[4].ID, "one that does not answer is not asked")
+	}
+}
+
 // An instance whose region has none to follow follows one of another region, and returns once its
 // own region has one.
 func TestOwnRegionIsPreferred(t *testing.T) {
