gateway/front: an instance that the store does not answer does not try to write what was lost

An instance that lost the store alone after it had begun would have called it every 5 s for ever; it waits until the store answers it. Found by reading; TestInstancesWriteAgain as before.

--- a/gateway/front/era.go
+++ b/gateway/front/era.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/pause"
 )
@@ -38,8 +39,11 @@
 	}
 }
 
-// restoreOnce reports whether all was written again.
+// restoreOnce reports whether all was written again. While the store does not answer, it makes no call.
 func (f *Front) restoreOnce(ctx context.Context) bool {
+	if f.storeAccess() == source.StoreUnreachable {
+		return false
+	}
 	stopsErr := f.crashes.RestoreStops(ctx)
 	entriesErr := f.exchange.RestoreEntries(ctx)
 	return stopsErr == nil && entriesErr == nil
