gateway/follow, gateway/relay: only watches that find out whether a source answers are ended

Found by reading: the first answer after failures ended the watches of all loops, also those that wait for a change at a store that answers. With a store that refuses half of the calls each failure would have brought two more calls.

Change: it ends only watches with the very short wait, and the first watch at the store itself, after another source, has that wait; so one that hangs is never longer than the timeout.

--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -98,7 +98,7 @@
 	// pause. There are more to come, and a pause would only delay them: 9,999 endpoints that start
 	// come in twenty answers.
 	fullPage = 100
-	// waitWhileFailing is how long a watch waits after a failed call.
+	// waitWhileFailing is how long a watch waits that finds out whether the source answers.
 	waitWhileFailing = 10 * time.Millisecond
 	// waitAfterChange bounds the wait of a watch that comes after one of the store that returned a
 	// change.
@@ -115,7 +115,7 @@
 		var page platform.Page
 		var err error
 		if watch {
-			page, err = source.Watch(ctx, l.kind, l.at, l.watchWait())
+			page, err = source.Watch(ctx, l.kind, l.at, l.watchWait(&source))
 		} else {
 			page, err = source.List(ctx, l.kind)
 		}
@@ -203,15 +203,15 @@
 	return began + page.MinWait - page.Age
 }
 
-// watchWait returns how long the next watch waits. After a failed call the wait is very short, so
-// that the end of an outage is noticed soon.
+// watchWait returns how long the next watch waits. After a failed call, and at the first one to the
+// store itself, the wait is very short, so that it is noticed soon whether the source answers.
 //
 // After a change a watch waits less too. A watch that returned a change only shows that the data
 // was the newest when the watch began. The next watch has to confirm it at a later time before the
 // data is too old for the instances that follow this one.
-func (l *loop) watchWait() time.Duration {
+func (l *loop) watchWait(s *Source) time.Duration {
 	switch {
-	case l.failing:
+	case l.failing || s.Direct && !l.storeAnswered:
 		return waitWhileFailing
 	case l.changedLast:
 		return min(waitAfterChange, l.Wait)
--- a/gateway/relay/direct_store.go
+++ b/gateway/relay/direct_store.go
@@ -37,8 +37,11 @@
 	if s.choice.Probe {
 		wait = min(wait, probeWait)
 	}
-	ctx, cancel := s.relay.untilRegained(ctx)
-	defer cancel()
+	if wait <= probeWait { // a longer one may still be answered
+		unlessRegained, cancel := s.relay.untilRegained(ctx)
+		defer cancel()
+		ctx = unlessRegained
+	}
 	return s.call(ctx, wait, s.choice.Timeout, func(ctx context.Context) (platform.Page, error) {
 		page, err := s.relay.Store.Watch(ctx, kind, since.Revision, wait)
 		if err == nil && page.Era != since.Era { // the store does not know which era since belongs to
