core/rollout, gateway/rollouts: a target needs more answers if the canary's counts are lost

One that then knew 9 answers of the target, 4 of them bad, and 27 of the baseline, 6 of them bad, moved to it with evidence -0.24 of -0.2 allowed. 5 good answers are enough for a service with little traffic; here the others were lost, not missing.

Change: reports say for how long the instance with the longest count has counted (2 B), also in summaries and across restarts of their sender. If the first half of the canary is lost, 20 good answers are needed.

Weighed: a stricter limit of the evidence for few answers: rolls back good builds of quiet services.

--- a/core/rollout/reports.go
+++ b/core/rollout/reports.go
@@ -15,7 +15,10 @@
 	MovingFor time.Duration
 	// Undrained is how many requests are at the baseline and can't go on at the target.
 	Undrained int
-	Tally     Tally
+	// CountingFor is the longest time for which one of the instances in Tally has counted; 0 if that is
+	// not known.
+	CountingFor time.Duration
+	Tally       Tally
 }
 
 // Source identifies the sender of a report.
@@ -36,22 +39,49 @@
 	earlier   Tally
 	undrained int
 	tally     Tally
+	// countingSince is since when earlier and tally count.
+	countingSince time.Time
 }
 
 // Report returns the report of this instance alone.
 func (r *Rollout) Report(now time.Time) Report {
-	return r.report(now, r.local.Clone(), r.undrained)
+	out := r.report(now, r.local.Clone(), r.undrained)
+	out.CountingFor = now.Sub(r.countingSince)
+	return out
 }
 
 // Summary returns the report of this instance and all instances that report to it.
 func (r *Rollout) Summary(now time.Time) Report {
-	t, undrained := r.local.Clone(), r.undrained
+	t, undrained, since := r.local.Clone(), r.undrained, r.countingSince
 	for _, in := range r.instances {
 		t.Add(in.earlier)
 		t.Add(in.tally)
 		undrained += in.undrainedAt(now)
+		since = earlier(since, in.countingSince)
+	}
+	out := r.report(now, t, undrained)
+	out.CountingFor = now.Sub(since)
+	return out
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// knownSince returns since when the known counts are complete: the instance that has counted for longest began
+// then.
+func (r *Rollout) knownSince() time.Time {
+	since := r.countingSince
+	for _, in := range r.instances {
+		since = earlier(since, in.countingSince)
 	}
-	return r.report(now, t, undrained)
+	for _, in := range r.summaries {
+		since = earlier(since, in.countingSince)
+	}
+	return since
 }
 
 func (r *Rollout) report(now time.Time, t Tally, undrained int) Report {
@@ -82,7 +112,10 @@
 		return
 	}
 	old := r.instances[from.Name]
-	latest := &received{Source: from, receivedAt: now, earlier: Tally{}, tally: in.Tally, undrained: in.Undrained}
+	latest := &received{Source: from, receivedAt: now, earlier: Tally{}, tally: in.Tally, undrained: in.Undrained, countingSince: now.Add(-in.CountingFor)}
+	if old != nil {
+		latest.countingSince = earlier(latest.countingSince, old.countingSince)
+	}
 	switch {
 	case old == nil:
 	case old.Process != from.Process:
@@ -107,7 +140,11 @@
 		tally = tally.Clone()
 		tally.Max(old.tally)
 	}
-	r.summaries[from.DataCentre] = &received{Source: from, receivedAt: now, tally: tally, undrained: in.Undrained}
+	latest := &received{Source: from, receivedAt: now, tally: tally, undrained: in.Undrained, countingSince: now.Add(-in.CountingFor)}
+	if old != nil {
+		latest.countingSince = earlier(latest.countingSince, old.countingSince)
+	}
+	r.summaries[from.DataCentre] = latest
 	if from.DataCentre == r.dataCentre {
 		return
 	}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -252,7 +252,7 @@
 	if r.endpoints.Target == 0 || r.counterEvidence(j) {
 		return false
 	}
-	if j.Answered >= r.settings.MinAnswers {
+	if j.Answered >= r.answersNeeded() {
 		return true
 	}
 	// With little traffic a few answers are enough. Counts may also be low because all instances
@@ -260,6 +260,16 @@
 	return r.sent.total() <= r.settings.MinAnswers && now.Sub(r.countingSince) >= r.schedule.earliestMove/quietDivisor
 }
 
+// answersNeeded returns how many good answers the target needs before requests move to it. It needs more if
+// those of the first part of the canary are lost: then the few that are left may not show that it is bad, and
+// the others are not missing because there is little traffic.
+func (r *Rollout) answersNeeded() uint64 {
+	if r.knownSince().Sub(r.orderedAt) > r.schedule.earliestMove/quietDivisor {
+		return r.settings.MinAnswersAfterLoss
+	}
+	return r.settings.MinAnswers
+}
+
 // quietDivisor: an instance takes a service for one with little traffic only after it has counted
 // for 1/quietDivisor of the canary phase.
 const quietDivisor = 2
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -47,8 +47,9 @@
 	// that is rolled back can be ordered again.
 	MaxMoveEvidence float64
 	// MinAnswers is how many good answers a target needs before requests move to it.
-	MinAnswers uint64
-	Judge      JudgeSettings
+	// MinAnswersAfterLoss replaces it if all instances have lost what they had counted.
+	MinAnswers, MinAnswersAfterLoss uint64
+	Judge                           JudgeSettings
 	// judge computes the judgement. canaryShare computes the share of a canary; nil means
 	// [Rollout.canaryShare]. Tests replace both to compare variants.
 	judge       func(t Tally, s JudgeSettings) Judgement
@@ -62,7 +63,7 @@
 		BadAnswerLimit: 50, PauseAfterShare: 0.5,
 		LoadTest: 350 * time.Millisecond, LoadTestLead: 1500 * time.Millisecond, LoadTestMaxDrain: 500 * time.Millisecond,
 		Ramp: 200 * time.Millisecond, RampSteps: 2, MinDrain: 200 * time.Millisecond,
-		WriteMarginShare: 0.05, MinWriteMargin: 500 * time.Millisecond, MaxWriteMargin: 30 * time.Second, MaxMoveEvidence: -0.2, MinAnswers: 5,
+		WriteMarginShare: 0.05, MinWriteMargin: 500 * time.Millisecond, MaxWriteMargin: 30 * time.Second, MaxMoveEvidence: -0.2, MinAnswers: 5, MinAnswersAfterLoss: 20,
 		Judge: DefaultJudgeSettings(),
 		judge: Judge,
 	}
--- a/gateway/rollouts/codec.go
+++ b/gateway/rollouts/codec.go
@@ -13,7 +13,7 @@
 		r := &reports[i]
 		out[i] = &peerv1.RolloutReport{
 			Service: r.Service, Order: r.OrderID, Age: clock.EncodeAge(r.Age), Decision: peerv1.RolloutDecision(r.Decision), Why: r.Reason,
-			Moving: clock.EncodeAge(r.MovingFor), Left: uint32(max(r.Undrained, 0)),
+			Moving: clock.EncodeAge(r.MovingFor), Left: uint32(max(r.Undrained, 0)), Counting: clock.EncodeAge(r.CountingFor),
 		}
 		for cell, c := range r.Tally {
 			out[i].Cells = append(out[i].Cells, encodeCell(cell, c))
@@ -57,7 +57,7 @@
 		}
 		in := rollout.Report{
 			Service: r.Service, OrderID: r.Order, Age: clock.DecodeAge(r.Age), Decision: rollout.Decision(r.Decision), Reason: r.Why,
-			MovingFor: clock.DecodeAge(r.Moving), Undrained: int(r.Left), Tally: rollout.Tally{},
+			MovingFor: clock.DecodeAge(r.Moving), Undrained: int(r.Left), CountingFor: clock.DecodeAge(r.Counting), Tally: rollout.Tally{},
 		}
 		for _, c := range r.Cells {
 			if c != nil {
--- a/gateway/rollouts/codec_test.go
+++ b/gateway/rollouts/codec_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	in := []rollout.Report{{
-		Service: "s", OrderID: "7/v2/12000", Age: 3 * time.Second, Decision: rollout.RollBack, Reason: "failures", Undrained: 3, Tally: tally,
+		Service: "s", OrderID: "7/v2/12000", Age: 3 * time.Second, Decision: rollout.RollBack, Reason: "failures", Undrained: 3, CountingFor: 2 * time.Second, Tally: tally,
 	}}
 	encoded := EncodeReports(in)
 	assert.DeepEqual(t, DecodeReports(encoded), in)
