--- a/core/admission/rategate.go
+++ b/core/admission/rategate.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 const (
 	// burst is how far ahead of an even distribution requests may be admitted, and recoveryBurst
@@ -43,7 +47,7 @@
 	if later := g.told.Add(interval); later.After(free) {
 		free = later
 	}
-	g.told = minTime(free, now.Add(maxRetryIn))
+	g.told = times.Earlier(free, now.Add(maxRetryIn))
 	return false, g.told.Sub(now)
 }
 
@@ -63,13 +67,6 @@
 	return ahead
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // OwnerShare returns the share of a stated rate that an owner admits. rank is 0 for the first owner
 // of an endpoint. The others admit something only while an instance gets no answer from the first.
 func OwnerShare(rank int) float64 {
--- a/core/admission/returns.go
+++ b/core/admission/returns.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 // maxReturnIn bounds the time after which a caller is told to come back.
 const maxReturnIn = 10 * time.Second
@@ -21,6 +25,6 @@
 			at = later
 		}
 	}
-	s.last = minTime(at, now.Add(max(maxReturnIn, earliest)))
+	s.last = times.Earlier(at, now.Add(max(maxReturnIn, earliest)))
 	return s.last.Sub(now)
 }
--- a/core/admission/roomgate.go
+++ b/core/admission/roomgate.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 // Lease identifies a request that was admitted: the instance that sends it, and its number there.
 type Lease struct {
@@ -144,7 +148,7 @@
 	if later := g.told.Add(interval); later.After(at) {
 		at = later
 	}
-	g.told = minTime(at, now.Add(maxRoomRetry))
+	g.told = times.Earlier(at, now.Add(maxRoomRetry))
 	return g.told.Sub(now)
 }
 
--- a/core/crashers/crashes.go
+++ b/core/crashers/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/agateway/agateway/core/times"
 )
 
 // RecordCrash records that an endpoint crashed while it had a request. It returns true if that
@@ -100,7 +102,7 @@
 func (r *Registry) evaluate(now time.Time, req Request, e *entry) (missing, begun int) {
 	threshold, lateThreshold, since := r.set.CrashThreshold, r.set.LateCrashThreshold, e.clearedAt
 	if e.stop.Count > 0 { // it was stopped and may be tried again
-		threshold, lateThreshold, since = 1, 1, laterOf(e.stop.Until, e.clearedAt)
+		threshold, lateThreshold, since = 1, 1, times.Later(e.stop.Until, e.clearedAt)
 	}
 	n := r.countIncidents(now, req, e, since)
 	if n.begun > 0 && r.isHarmfulTeam(now, req.Team, e.service) {
--- a/core/crashers/eviction.go
+++ b/core/crashers/eviction.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/agateway/agateway/core/times"
 )
 
 // getOrCreate returns the entry of a request, creating it if needed. It evicts others to make room,
@@ -37,9 +39,9 @@
 // lastActivity returns the time of the last crash, the last clearing or the expiry of the stop,
 // whichever is latest.
 func (e *entry) lastActivity() time.Time {
-	at := laterOf(e.clearedAt, e.stop.Until)
+	at := times.Later(e.clearedAt, e.stop.Until)
 	for i := range e.crashes {
-		at = laterOf(at, e.crashes[i].At)
+		at = times.Later(at, e.crashes[i].At)
 	}
 	return at
 }
@@ -110,13 +112,6 @@
 	return 0
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // sortedByTime returns a copy of crashes ordered by time, then by endpoint.
 func sortedByTime(ends []Crash) []Crash {
 	out := slices.Clone(ends)
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/agateway/agateway/core/times"
 )
 
 // Fact is what one instance tells the others about a request. Its times are on the clock of the
@@ -101,7 +103,7 @@
 	case s.Count > e.stop.Count:
 		e.stop = s
 	case s.Count == e.stop.Count:
-		e.stop.Until = laterOf(e.stop.Until, s.Until)
+		e.stop.Until = times.Later(e.stop.Until, s.Until)
 		e.stop.Stored = e.stop.Stored || s.Stored
 	}
 }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 // Settings of a lease.
 type Settings struct {
@@ -130,13 +134,6 @@
 	return h.seen.Version == 0 || h.seen.Released || !now.Before(h.seenAt.Add(h.settings.TTL))
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Release returns the action that gives the lease up when the instance leaves; nil when it is not
 // held or an action is unanswered.
 func (h *Holder) Release(now time.Time) Action {
@@ -187,7 +184,7 @@
 	h.nextTick = now.Add(h.settings.CheckInterval)
 	if h.available(now) {
 		h.nextTick = now
-	} else if end := laterOf(h.seenAt.Add(h.settings.TTL), h.notBefore); end.Before(h.nextTick) {
+	} else if end := times.Later(h.seenAt.Add(h.settings.TTL), h.notBefore); end.Before(h.nextTick) {
 		h.nextTick = end
 	}
 }
--- a/core/rollout/reports.go
+++ b/core/rollout/reports.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 // Report is what an instance tells its peers about an order. A summary covers all instances of a
 // data centre.
@@ -57,29 +61,22 @@
 		t.Add(in.earlier)
 		t.Add(in.tally)
 		undrained += in.undrainedAt(now)
-		since = earlier(since, in.countingSince)
+		since = times.Earlier(since, in.countingSince)
 	}
 	out := r.report(now, t, undrained)
 	out.CountingFor = now.Sub(since)
 	return out
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // knownSince returns since when the known counts are complete: the instance that has counted for longest began
 // then.
 func (r *Rollout) knownSince() time.Time {
 	since := r.countingSince
 	for _, in := range r.instances {
-		since = earlier(since, in.countingSince)
+		since = times.Earlier(since, in.countingSince)
 	}
 	for _, in := range r.summaries {
-		since = earlier(since, in.countingSince)
+		since = times.Earlier(since, in.countingSince)
 	}
 	return since
 }
@@ -114,7 +111,7 @@
 	old := r.instances[from.Name]
 	latest := &received{Source: from, receivedAt: now, earlier: Tally{}, tally: in.Tally, undrained: in.Undrained, countingSince: now.Add(-in.CountingFor)}
 	if old != nil {
-		latest.countingSince = earlier(latest.countingSince, old.countingSince)
+		latest.countingSince = times.Earlier(latest.countingSince, old.countingSince)
 	}
 	switch {
 	case old == nil:
@@ -142,7 +139,7 @@
 	}
 	latest := &received{Source: from, receivedAt: now, tally: tally, undrained: in.Undrained, countingSince: now.Add(-in.CountingFor)}
 	if old != nil {
-		latest.countingSince = earlier(latest.countingSince, old.countingSince)
+		latest.countingSince = times.Earlier(latest.countingSince, old.countingSince)
 	}
 	r.summaries[from.DataCentre] = latest
 	if from.DataCentre == r.dataCentre {
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -11,6 +11,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/core/times"
 	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
@@ -132,19 +133,12 @@
 		// Times in the store come from another machine's clock, which may be some seconds off.
 		out = append(out, crashers.Fact{
 			Request: crashers.Request{Team: e.Team, Content: crashers.ContentHash(content)}, Service: e.Service,
-			Stop: crashers.Stop{Count: e.Times, At: earlier(e.At, time.Now()), Until: e.Until, Stored: true},
+			Stop: crashers.Stop{Count: e.Times, At: times.Earlier(e.At, time.Now()), Until: e.Until, Stored: true},
 		})
 	}
 	return out
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // RestoreStops writes the stops again that the store has lost by returning from an older copy. One instance
 // does that, with one list and one call for each missing stop. The error says that the list failed; writes that
 // fail are tried again.
