--- a/core/rollout/reports.go
+++ b/core/rollout/reports.go
@@ -49,40 +49,44 @@
 
 // Report returns the report of this instance alone.
 func (r *Rollout) Report(now time.Time) Report {
-	out := r.report(now, r.local.Clone(), r.undrained)
-	out.CountingFor = now.Sub(r.countingSince)
-	return out
+	return r.report(now, r.local.Clone(), r.undrained, r.countingSince)
 }
 
 // Summary returns the report of this instance and all instances that report to it.
 func (r *Rollout) Summary(now time.Time) Report {
-	t, undrained, since := r.local.Clone(), r.undrained, r.countingSince
+	t, undrained := r.local.Clone(), r.undrained
 	for _, in := range r.instances {
 		t.Add(in.earlier)
 		t.Add(in.tally)
 		undrained += in.undrainedAt(now)
-		since = times.Earlier(since, in.countingSince)
 	}
-	out := r.report(now, t, undrained)
-	out.CountingFor = now.Sub(since)
-	return out
+	return r.report(now, t, undrained, r.instancesCountSince())
 }
 
-// knownSince returns since when the known counts are complete: the instance that has counted for longest began
-// then.
-func (r *Rollout) knownSince() time.Time {
+// instancesCountSince returns since when this instance, or one that reports to it, has counted.
+func (r *Rollout) instancesCountSince() time.Time {
 	since := r.countingSince
 	for _, in := range r.instances {
 		since = times.Earlier(since, in.countingSince)
 	}
+	return since
+}
+
+// knownSince returns since when the known counts are complete: the instance that has counted for longest began
+// then.
+func (r *Rollout) knownSince() time.Time {
+	since := r.instancesCountSince()
 	for _, in := range r.summaries {
 		since = times.Earlier(since, in.countingSince)
 	}
 	return since
 }
 
-func (r *Rollout) report(now time.Time, t Tally, undrained int) Report {
-	out := Report{Service: r.order.Service, OrderID: r.order.ID(), Age: r.Age(now), Decision: r.decision, Reason: r.reason, Undrained: undrained, Tally: t}
+func (r *Rollout) report(now time.Time, t Tally, undrained int, countingSince time.Time) Report {
+	out := Report{
+		Service: r.order.Service, OrderID: r.order.ID(), Age: r.Age(now), Decision: r.decision, Reason: r.reason, Undrained: undrained,
+		CountingFor: now.Sub(countingSince), Tally: t,
+	}
 	if r.decision == Move {
 		out.MovingFor = now.Sub(r.movingAt)
 	}
