--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -197,7 +197,7 @@
 // registerSelf writes this instance's entry to the store. It returns false where it should be tried
 // again.
 func (x *Exchange) registerSelf(ctx context.Context) bool {
-	spec, err := json.Marshal(x.ownInstanceEntry())
+	spec, err := json.Marshal(x.instanceEntryOf(&x.Self))
 	if err != nil {
 		x.Log.WithError(err).Error("cannot encode this instance's entry")
 		return true
@@ -212,9 +212,9 @@
 	return err == nil
 }
 
-func (x *Exchange) ownInstanceEntry() instanceEntry {
-	s := &x.Self
-	return instanceEntry{Callers: s.Callers, Peers: s.Peers, DataCentre: s.DataCentre, Region: s.Region, Link: s.Link, Spreads: true}
+// instanceEntryOf returns the entry of an instance. This instance spreads the entries of others.
+func (x *Exchange) instanceEntryOf(p *Peer) instanceEntry {
+	return instanceEntry{Callers: p.Callers, Peers: p.Peers, DataCentre: p.DataCentre, Region: p.Region, Link: p.Link, Spreads: p.Spreads || p.ID == x.Self.ID}
 }
 
 // seedMembers adds the listed instances to the members. It returns whether this instance's own
@@ -229,7 +229,7 @@
 			continue
 		}
 		if o.Name == x.Self.ID {
-			registered = e == x.ownInstanceEntry()
+			registered = e == x.instanceEntryOf(&x.Self)
 			continue
 		}
 		if e.Peers == "" {
--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -43,7 +43,7 @@
 
 // restoreEntry reports whether it wrote the entry of an instance, which may be there again already.
 func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) (created bool, err error) {
-	spec, err := json.Marshal(instanceEntry{Callers: p.Callers, Peers: p.Peers, DataCentre: p.DataCentre, Region: p.Region, Link: p.Link, Spreads: p.Spreads || p.ID == x.Self.ID})
+	spec, err := json.Marshal(x.instanceEntryOf(p))
 	if err != nil {
 		return false, err
 	}
