--- a/cli/soak/words.go
+++ b/cli/soak/words.go
@@ -50,7 +50,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.state == "ready" && !k.saysLeavingSince[k.current.Config().ID].IsZero() {
-		k.state = "draining" // the next heartbeat tells the store
+		k.state = "draining" // the next heartbeat writes it to the store
 	}
 }
 
@@ -80,8 +80,8 @@
 	return fmt.Sprintf("%s refuses all and asks for a pause of %s", k.name, value), nil
 }
 
-// checkWords checks that no process sent requests to an incarnation that had told it that it leaves, or
-// that it wants a pause. What a process was told before it was restarted or paused does not count.
+// checkWords checks that no process sent requests to an incarnation after an answer that said that it
+// leaves or asked for a pause. Answers from before a restart or pause of the process do not count.
 func (s *soak) checkWords() {
 	for _, k := range s.env.workers {
 		k.mu.Lock()
@@ -101,7 +101,7 @@
 	if since.IsZero() {
 		return
 	}
-	told := map[string]time.Time{} // by process: when it got the first answer that says so
+	told := map[string]time.Time{} // by process: when it got the first such answer
 	for _, a := range e.Arrivals() {
 		p := s.processOf(a)
 		if p == nil || a.At.Before(since) || a.ConcernsMemory() {
--- a/core/departure/register.go
+++ b/core/departure/register.go
@@ -120,7 +120,7 @@
 	return out
 }
 
-// Expire forgets the endpoints of which nothing was heard for [retention], unless keep reports that
+// Expire drops the endpoints without an answer or an entry for [retention], unless keep reports that
 // they are still listed.
 func (r *Register) Expire(now time.Time, keep func(id string) bool) {
 	for id, known := range r.byEndpoint {
--- a/gateway/atmostonce/returned.go
+++ b/gateway/atmostonce/returned.go
@@ -147,7 +147,7 @@
 	return ErrUnknown.New("a call with this key was begun at %s; it may have run", earlier.ClaimedAt.Format(time.RFC3339))
 }
 
-// undoAfterReturn takes back a claim whose write told that the store has returned. An earlier claim of this
+// undoAfterReturn releases a claim whose write showed that the store has returned. An earlier claim of this
 // instance takes its place.
 func (c *Claims) undoAfterReturn(ctx context.Context, name string, version uint64, own *claim) error {
 	earlier, known := c.own.get(name)
