core/restoration, gateway/front, gateway/exchange: three instances write again what the store has lost, each in its turn

Callers saw nothing at once; an instance that starts later does not find the others by their entries, or sends a request that was stopped.

Cause: the instance that asked the store at the end of the hold of 5 s wrote both again, and all others gave up at that moment. In a silent outage the instances look for a source several times a second ('source changed' in the log), so that often each of them followed another one just then; and an instance that started after the return, and ranks first, does not know of the return at all. The second failure (no stop, 3 of 14): the list of stops ended unanswered as the outage ended, and the next try came 5 s later, at an instance that still counted the store as away. Class: who acts is decided once, by a state that changes, and nobody acts in place of one that did not.

Change: core/restoration gives the three instances that have run longest a turn each, 2 s apart, whatever the others did; turns are taken while the store answers the instance or the one that it follows, and begin anew after an outage. A failed turn is tried again after 2 s, doubling up to 32 s. An instance that finds an entry written meanwhile leaves the others to the one that wrote it.

Evidence, with the race detector: the test as it was 14 of 60 runs failed; extended by outages from 2 to 5 s, two in a row, and an asking instance that starts again or ends, 8 of 8 on the code before, 0 of 40 on this one.

--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -13,9 +14,31 @@
 // restoreInterval is the time between two entries that are written again.
 const restoreInterval = 100 * time.Millisecond
 
+// LongerRunning returns how many other instances that are alive have run longer than this one.
+func (x *Exchange) LongerRunning() int {
+	x.mu.Lock()
+	member := x.members.node.Self()
+	x.mu.Unlock()
+	self := Peer{ID: x.Self.ID, started: startOf(&member)}
+	longer := 0
+	for _, p := range x.Others() {
+		if hasRunLonger(&p, &self) {
+			longer++
+		}
+	}
+	return longer
+}
+
+// hasRunLonger orders instances by the time of their start. Those that started within the same second are
+// ordered by name.
+func hasRunLonger(a, b *Peer) bool {
+	return cmp.Or(cmp.Compare(a.started, b.started), cmp.Compare(a.ID, b.ID)) < 0
+}
+
 // RestoreEntries writes the entries of instances again that the store has lost by returning from an older
-// copy: instances that start find the others by them. One instance does that for all that it knows to be
-// alive, with one list and one call for each missing entry. The error says that some are not written.
+// copy: instances that start find the others by them. This instance does that for all that it knows to be
+// alive, with one list and one call for each missing entry. It leaves the others to an instance that has
+// written one meanwhile. The error says that some may be missing.
 func (x *Exchange) RestoreEntries(ctx context.Context) error {
 	page, err := x.Store.ListStale(ctx, platform.KindInstance)
 	if err != nil {
@@ -28,31 +51,29 @@
 		if listed[p.ID] || ctx.Err() != nil {
 			continue
 		}
-		created, err := x.restoreEntry(ctx, &p)
-		if err != nil {
+		if err := x.restoreEntry(ctx, &p); err != nil {
 			return err
 		}
-		if created {
-			restored++
-		}
+		restored++
 		pause.For(ctx, restoreInterval)
 	}
 	x.Log.WithField("listed", len(listed)).WithField("restored", restored).Info("entries of instances compared after the store returned")
 	return nil
 }
 
-// restoreEntry reports whether it wrote the entry of an instance, which may be there again already.
-func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) (created bool, err error) {
+// restoreEntry writes the entry of an instance. The error is a conflict if it is there again already.
+func (x *Exchange) restoreEntry(ctx context.Context, p *Peer) error {
 	spec, err := json.Marshal(x.instanceEntryOf(p))
 	if err != nil {
-		return false, err
+		return err
 	}
 	_, err = x.Store.Create(ctx, platform.KindInstance, p.ID, spec)
-	if platform.IsConflict(err) {
-		return false, nil
-	}
-	if err != nil {
-		x.Log.WithError(err).WithField("peer", p.ID).Warn("cannot restore the entry of an instance")
+	log := x.Log.WithError(err).WithField("peer", p.ID)
+	switch {
+	case platform.IsConflict(err):
+		log.Info("the entry of an instance is restored already")
+	case err != nil:
+		log.Warn("cannot restore the entry of an instance")
 	}
-	return err == nil, err
+	return err
 }
--- a/gateway/front/era.go
+++ b/gateway/front/era.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/agateway/agateway/core/source"
+	"github.com/agateway/agateway/core/restoration"
 	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/pause"
 )
@@ -19,8 +20,12 @@
 	}
 }
 
-// restoreObjects writes again what instances had written and the store has lost. The instance that asks the
-// store does that, once the operator and the endpoints had the time to write theirs, until all is written.
+// restoreCheckInterval is the time between two checks whether this instance is to write again what the
+// store has lost.
+const restoreCheckInterval = 500 * time.Millisecond
+
+// restoreObjects writes again what instances had written and the store has lost; package restoration says
+// when.
 func (f *Front) restoreObjects(ctx context.Context) {
 	for {
 		select {
@@ -28,22 +33,33 @@
 		case <-ctx.Done():
 			return
 		}
-		if !pause.For(ctx, follow.ReturnHold) {
+		f.restoreAfterReturn(ctx)
+	}
+}
+
+func (f *Front) restoreAfterReturn(ctx context.Context) {
+	duty := restoration.New(time.Now().Add(follow.ReturnHold))
+	for pause.For(ctx, restoreCheckInterval) {
+		switch duty.Next(time.Now(), f.exchange.LongerRunning(), f.storeAnswersFleet()) {
+		case restoration.Done:
 			return
-		}
-		if f.relay.Follows() != "" {
-			continue
-		}
-		for !f.restoreOnce(ctx) && pause.For(ctx, follow.ReturnHold) {
+		case restoration.Write:
+			if f.restoreOnce(ctx) {
+				return
+			}
+			duty.Failed(time.Now())
 		}
 	}
 }
 
-// restoreOnce reports whether all was written again. While the store does not answer, it makes no call.
+// storeAnswersFleet reports whether the store answers this instance, or the one that it follows.
+func (f *Front) storeAnswersFleet() bool {
+	table, age := f.configuration.Table()
+	return table != nil && age < f.keyBound()
+}
+
+// restoreOnce reports whether all was written again.
 func (f *Front) restoreOnce(ctx context.Context) bool {
-	if f.storeAccess() == source.StoreUnreachable {
-		return false
-	}
 	stopsErr := f.crashes.RestoreStops(ctx)
 	entriesErr := f.exchange.RestoreEntries(ctx)
 	return stopsErr == nil && entriesErr == nil
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/front"
 	"github.com/agateway/agateway/platform"
 	"github.com/agateway/agateway/platform/standin"
 )
@@ -218,16 +220,58 @@
 	})
 }
 
-// TestInstancesWriteAgain: an instance that has started and a request that was stopped are unknown to the copy
-// from which the store returns. One instance writes both again, in a few calls, also if the store fails when it
-// is about to.
+// TestInstancesWriteAgain guards against objects of instances that nobody writes again: an instance that has
+// started and a request that was stopped are unknown to the copy from which the store returns. They are
+// written again also if the store fails when they are due, at whatever moment, and if the instance that asks
+// the store ends or starts again.
 func TestInstancesWriteAgain(t *testing.T) {
-	t.Run("at once", func(t *testing.T) { testInstancesWriteAgain(t, standin.NoOutage) })
-	t.Run("after a silent outage", func(t *testing.T) { testInstancesWriteAgain(t, standin.Silent) })
-	t.Run("after refusals", func(t *testing.T) { testInstancesWriteAgain(t, standin.Busy) })
+	silentFor := func(begin, length time.Duration) func(w *world) {
+		return func(w *world) {
+			time.Sleep(begin)
+			w.store.SetFault(standin.Fault{Outage: standin.Silent})
+			time.Sleep(length)
+			w.store.SetFault(standin.Fault{})
+		}
+	}
+	cases := map[string]func(w *world){
+		"at once": func(*world) {},
+		"after refusals": func(w *world) {
+			time.Sleep(3 * time.Second)
+			w.store.SetFault(standin.Fault{Outage: standin.Busy})
+			time.Sleep(3 * time.Second)
+			w.store.SetFault(standin.Fault{})
+		},
+		"after two silent outages": func(w *world) {
+			silentFor(3*time.Second, 2*time.Second)(w)
+			silentFor(500*time.Millisecond, 2*time.Second)(w)
+		},
+		"the instance that asks the store starts again": func(w *world) {
+			time.Sleep(time.Second)
+			asking := w.askingStore()
+			w.killFront(asking)
+			w.startFront(asking)
+		},
+		"instances that ask the store end": func(w *world) {
+			for range 3 {
+				time.Sleep(1300 * time.Millisecond)
+				w.killFront(w.askingStore())
+			}
+		},
+	}
+	for begin := 2 * time.Second; begin <= 5*time.Second; begin += 500 * time.Millisecond {
+		cases[fmt.Sprint("after a silent outage from ", begin)] = silentFor(begin, 3*time.Second)
+	}
+	for name, disrupt := range cases {
+		t.Run(name, func(t *testing.T) { testInstancesWriteAgain(t, disrupt) })
+	}
+}
+
+// askingStore returns an instance that asks the store and not another instance.
+func (w *world) askingStore() int {
+	return slices.IndexFunc(w.fronts, func(f *front.Front) bool { return f != nil && f.State().Follows == "" })
 }
 
-func testInstancesWriteAgain(t *testing.T, outage standin.Outage) {
+func testInstancesWriteAgain(t *testing.T, disrupt func(w *world)) {
 	run(t, 6, 12, 1, func(w *world) {
 		w.withFatalRequests(standin.FatalRequest{}, func(o *crashWorld) {
 			from := w.store.Copy()
@@ -242,12 +286,13 @@
 			for _, e := range o.workers {
 				w.putEntry(e, "ready")
 			}
-			time.Sleep(3 * time.Second)
-			w.store.SetFault(standin.Fault{Outage: outage})
-			time.Sleep(3 * time.Second)
-			w.store.SetFault(standin.Fault{})
+			disrupt(w)
 			time.Sleep(7 * time.Second)
-			assert.Equal(t, len(w.store.Names(platform.KindInstance)), 7)
+			entries := w.store.Names(platform.KindInstance)
+			for i := range w.fronts {
+				assert.Check(t, !w.isRunning(i) || slices.Contains(entries, fmt.Sprint("f", i)), "no entry of instance %d", i)
+			}
+			assert.Check(t, len(entries) <= len(w.fronts))
 			assert.DeepEqual(t, w.store.Names(platform.KindStoppedRequest), stops)
 		})
 	})
