core/routing: the pause that an endpoint asked for outlives its entry in the list

When its entry expired in an outage of the store and came back, or an order stopped using its build for a moment, the pause was forgotten; a refusal that arrived while it was not listed was not recorded at all. Requests then reached it within the time that it had asked for.

TestPauseOutlivesListing: both cases fail before (the requests are not withheld), pass after. TestUnlistedEndpointsAreForgotten: at most 100 of 1,000 endpoints that come and go are kept.

--- a/core/routing/cooldown.go
+++ b/core/routing/cooldown.go
@@ -1,21 +1,24 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/times"
+)
 
 // RefusedFor records that an endpoint refused a request of this instance and wants no other one for a
 // time. spread, from 0 to 1, is where this instance comes among those that return then.
 func (v *View) RefusedFor(now time.Time, id string, pause time.Duration, spread float64) {
 	n := v.observe(id)
 	if n == nil {
+		v.unlistedEndpoint(id).cooldown.Refused(now, pause, spread)
 		return
 	}
 	if !n.cooldown.OnTrial() {
 		n.openAtFailure = n.open
 	}
 	n.cooldown.Refused(now, pause, spread)
-	if n.cooldown.Until().After(v.lastCooldownEnd) {
-		v.lastCooldownEnd = n.cooldown.Until()
-	}
+	v.lastCooldownEnd = times.Later(v.lastCooldownEnd, n.cooldown.Until())
 }
 
 // Served records that an endpoint served a request, which ends its trial after a pause.
--- a/core/routing/cooldown_test.go
+++ b/core/routing/cooldown_test.go
@@ -135,3 +135,51 @@
 	_, all = v.CooldownEnd(epoch.Add(2*time.Second), "s")
 	assert.Assert(t, !all)
 }
+
+// TestPauseOutlivesListing guards against requests within a pause after the endpoint was not listed for a moment:
+// its entry expired, or an order does not use its build. The answer that asks for the pause may arrive before
+// the endpoint is removed or after it.
+func TestPauseOutlivesListing(t *testing.T) {
+	const pause = 3 * time.Second
+	for _, refusedWhileListed := range []bool{true, false} {
+		t.Run(fmt.Sprint("refused while listed: ", refusedWhileListed), func(t *testing.T) {
+			v := NewView(DefaultSettings())
+			e := Endpoint{ID: "e", Service: "s", Slots: 6}
+			v.Upsert(e)
+			v.Sent(epoch, e.ID)
+			if refusedWhileListed {
+				v.RefusedFor(epoch, e.ID, pause, 0)
+			}
+			v.Remove(e.ID)
+			if !refusedWhileListed {
+				v.RefusedFor(epoch, e.ID, pause, 0)
+			}
+			assert.Equal(t, v.Withholds(epoch.Add(time.Second), e.ID), WhilePaused)
+			v.Upsert(e)
+			assert.Equal(t, v.Withholds(epoch.Add(pause-1), e.ID), WhilePaused)
+			_, all := v.CooldownEnd(epoch.Add(pause-1), e.Service)
+			assert.Assert(t, all)
+			assert.Equal(t, v.Withholds(epoch.Add(pause), e.ID), NotWithheld)
+			assert.Equal(t, len(v.unlisted), 0)
+		})
+	}
+}
+
+// TestUnlistedEndpointsAreForgotten: what is kept of removed endpoints does not grow with those that come and go.
+func TestUnlistedEndpointsAreForgotten(t *testing.T) {
+	const pause = 10 * time.Minute
+	v, now := NewView(DefaultSettings()), epoch
+	for i := range 1000 {
+		e := Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 6}
+		v.Upsert(e)
+		v.Sent(now, e.ID)
+		if i == 0 {
+			v.RefusedFor(now, e.ID, pause, 0)
+		}
+		v.Remove(e.ID)
+		now = now.Add(time.Second)
+		v.Sweep(now)
+		assert.Check(t, len(v.unlisted) <= 100, "%d are kept", len(v.unlisted))
+	}
+	assert.Equal(t, v.Withholds(now, "e0"), NotWithheld)
+}
--- a/core/routing/departure.go
+++ b/core/routing/departure.go
@@ -114,7 +114,7 @@
 	n := v.nodes[id]
 	switch {
 	case n == nil:
-		return NotWithheld
+		return v.withholdsUnlisted(now, id)
 	case !n.inService():
 		return WhileLeaving
 	case n.cooldown.Active(now):
@@ -123,6 +123,13 @@
 	return NotWithheld
 }
 
+func (v *View) withholdsUnlisted(now time.Time, id string) Withholding {
+	if u := v.unlisted[id]; u != nil && u.cooldown.Active(now) {
+		return WhilePaused
+	}
+	return NotWithheld
+}
+
 // probedWhileLeaving is how long an endpoint that said that it leaves is still asked about what runs there.
 // Most streams end within that time.
 const probedWhileLeaving = 1500 * time.Millisecond
@@ -133,7 +140,7 @@
 	n := v.nodes[id]
 	switch {
 	case n == nil:
-		return NotWithheld
+		return v.withholdsUnlisted(now, id)
 	case n.saysLeaving && now.Sub(n.saidLeavingAt) >= probedWhileLeaving:
 		return WhileLeaving
 	case n.cooldown.Active(now):
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -174,6 +174,7 @@
 	v.sweptAt = now
 	v.sweeps++
 	v.sweepGates(now)
+	v.expireUnlisted(now)
 	v.departures.Expire(now, func(id string) bool { return v.nodes[id] != nil })
 	for id, n := range v.observed {
 		if n.touched+1 < v.sweeps && n.idle(now) {
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -80,6 +80,7 @@
 	settings         Settings
 	nodes            map[string]*node
 	observed         map[string]*node // the nodes with observations of their own
+	unlisted         map[string]*unlisted
 	groups           map[groupKey][]*node
 	dataCentreSizes  map[string]int        // number of nodes by data centre
 	subsets          map[string][]*node    // this instance's own subset, by service
@@ -112,7 +113,7 @@
 // NewView returns an empty view.
 func NewView(s Settings) *View {
 	return &View{
-		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{}, rateGates: map[string]*admission.RateGate{}, roomGates: map[string]*admission.RoomGate{}, fragility: map[string]*admission.Fragility{},
+		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, unlisted: map[string]*unlisted{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{}, rateGates: map[string]*admission.RateGate{}, roomGates: map[string]*admission.RoomGate{}, fragility: map[string]*admission.Fragility{},
 		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
@@ -125,6 +126,8 @@
 	case n == nil:
 		n = &node{Endpoint: Endpoint{Slots: 1}, view: v, observations: noObservations}
 		v.nodes[e.ID] = n
+		n.ID = e.ID
+		v.relist(n)
 		n.Service, n.DataCentre, n.hash = e.Service, e.DataCentre, xxhash.Sum64String(e.ID)
 		v.applyPeerReports(e.ID)
 		v.addToGroups(n)
@@ -251,6 +254,7 @@
 		return
 	}
 	v.removeFromGroups(n)
+	v.unlist(n)
 	v.statements.Remove(id)
 	delete(v.roomGates, id)
 	delete(v.nodes, id)
