core/routing: an endpoint that is not listed when its answer says that it leaves counts as leaving

Requests to it may be answered for seconds after that. Where the store then returns from a copy that has the endpoint as ready, or its entry only had expired, the endpoint was chosen again, by an instance that had been told that it leaves.

TestLeavingAnswerOfUnlistedEndpoint fails before (not withheld), passes after.

--- a/core/routing/departure.go
+++ b/core/routing/departure.go
@@ -32,12 +32,16 @@
 	Count int
 }
 
-// RecordLeaving records that an answer of an endpoint says that it is leaving. An endpoint that is
-// not listed is ignored.
+// RecordLeaving records that an answer of an endpoint says that it is leaving. The endpoint need not be
+// listed any more.
 func (v *View) RecordLeaving(now time.Time, id string) {
+	st := departure.Statement{At: now}
 	if n := v.nodes[id]; n != nil {
-		v.noteDeparture(now, id, departure.Statement{At: now, Sequence: n.Sequence}, FromAnswer)
+		st.Sequence = n.Sequence
+	} else {
+		st.Sequence = v.unlistedEndpoint(id).sequence
 	}
+	v.noteDeparture(now, id, st, FromAnswer)
 }
 
 // ReportDepartures records the endpoints of which a peer reports that they said that they leave. They
@@ -51,12 +55,11 @@
 func (v *View) noteDeparture(now time.Time, id string, st departure.Statement, source DepartureSource) {
 	first := v.departures.Said(now, id, st, source == FromAnswer)
 	n := v.nodes[id]
-	if n == nil {
-		return
+	if n != nil {
+		n.setSaysLeaving(now, v.departures.Leaving(id))
 	}
-	n.setSaysLeaving(now, v.departures.Leaving(id))
-	if first {
-		v.addDepartureEvent(now, n, source, st)
+	if first && (n != nil || source == FromAnswer) {
+		v.addDepartureEvent(now, id, source, st)
 	}
 }
 
@@ -69,7 +72,7 @@
 	}
 	st, _ := v.departures.Of(id)
 	if v.departures.Listed(now, id, n.State == Leaving, n.Sequence) {
-		v.addDepartureEvent(now, n, FromEntry, st)
+		v.addDepartureEvent(now, id, FromEntry, st)
 	}
 	n.setSaysLeaving(now, v.departures.Leaving(id))
 }
@@ -85,10 +88,12 @@
 // far as the list does not say it too.
 func (v *View) ObservedDepartures() map[string]departure.Statement { return v.departures.Observed() }
 
-func (v *View) addDepartureEvent(now time.Time, n *node, source DepartureSource, st departure.Statement) {
-	v.departureEvents = append(v.departureEvents, DepartureEvent{
-		Endpoint: n.ID, Leaving: v.departures.Leaving(n.ID), Source: source, Age: now.Sub(st.At), Sequence: n.Sequence, Open: n.open, Count: v.departures.Count(),
-	})
+func (v *View) addDepartureEvent(now time.Time, id string, source DepartureSource, st departure.Statement) {
+	event := DepartureEvent{Endpoint: id, Leaving: v.departures.Leaving(id), Source: source, Age: now.Sub(st.At), Sequence: st.Sequence, Count: v.departures.Count()}
+	if n := v.nodes[id]; n != nil {
+		event.Sequence, event.Open = n.Sequence, n.open
+	}
+	v.departureEvents = append(v.departureEvents, event)
 }
 
 // TakeDepartureEvents returns the events since the last call.
@@ -114,7 +119,7 @@
 	n := v.nodes[id]
 	switch {
 	case n == nil:
-		return v.withholdsUnlisted(now, id)
+		return v.withholdsUnlisted(now, id, 0)
 	case !n.inService():
 		return WhileLeaving
 	case n.cooldown.Active(now):
@@ -123,8 +128,14 @@
 	return NotWithheld
 }
 
-func (v *View) withholdsUnlisted(now time.Time, id string) Withholding {
-	if u := v.unlisted[id]; u != nil && u.cooldown.Active(now) {
+// withholdsUnlisted is the same for an endpoint that is not listed. Requests are withheld from one that has
+// said for a time that it leaves.
+func (v *View) withholdsUnlisted(now time.Time, id string, leavingFor time.Duration) Withholding {
+	st, leaving := v.departures.Of(id)
+	switch u := v.unlisted[id]; {
+	case leaving && now.Sub(st.At) >= leavingFor:
+		return WhileLeaving
+	case u != nil && u.cooldown.Active(now):
 		return WhilePaused
 	}
 	return NotWithheld
@@ -140,7 +151,7 @@
 	n := v.nodes[id]
 	switch {
 	case n == nil:
-		return v.withholdsUnlisted(now, id)
+		return v.withholdsUnlisted(now, id, probedWhileLeaving)
 	case n.saysLeaving && now.Sub(n.saidLeavingAt) >= probedWhileLeaving:
 		return WhileLeaving
 	case n.cooldown.Active(now):
--- a/core/routing/unlisted.go
+++ b/core/routing/unlisted.go
@@ -11,6 +11,8 @@
 // still be answered, and the endpoint may be listed again under the same ID.
 type unlisted struct {
 	cooldown cooldown.Cooldown
+	// sequence is the highest sequence number of its entries; 0 if unknown.
+	sequence uint64
 	// touched is the number of sweeps at the removal, or at the last answer.
 	touched uint64
 }
@@ -18,7 +20,7 @@
 // unlist keeps what is known of an endpoint that is removed, if this instance has observed it.
 func (v *View) unlist(n *node) {
 	if v.observed[n.ID] != nil {
-		v.unlisted[n.ID] = &unlisted{cooldown: n.cooldown, touched: v.sweeps}
+		v.unlisted[n.ID] = &unlisted{cooldown: n.cooldown, sequence: n.Sequence, touched: v.sweeps}
 	}
 }
 
