gateway/restore, core/membership: the loop that writes again what the store has lost is a package of its own

Moved out of gateway/front, so that the daemon of the project's own interface can use it; who started before whom is decided in core/membership. No change of behaviour: TestInstancesWriteAgain and TestCallsAfterReturn as before.

--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // State is the believed state of a member.
 type State int
@@ -51,6 +54,22 @@
 // list.
 func (m *Member) HasReported() bool { return m.Incarnation > 0 }
 
+// Start is when a member's process started. Members that started within the same second are ordered by
+// their ID.
+type Start struct {
+	second uint64
+	id     string
+}
+
+// Start returns when the member's process started, by its own clock, if its first incarnation was the time
+// in nanoseconds. Few enough incarnations follow on that to keep the second.
+func (m *Member) Start() Start { return Start{m.Incarnation / uint64(time.Second), m.ID} }
+
+// Before reports whether a member started before another one.
+func (s Start) Before(o Start) bool {
+	return cmp.Or(cmp.Compare(s.second, o.second), cmp.Compare(s.id, o.id)) < 0
+}
+
 // supersedes reports whether an update a about a member replaces the known entry b.
 func (a *Member) supersedes(b *Member) bool {
 	if a.Incarnation != b.Incarnation {
--- a/gateway/exchange/restore.go
+++ b/gateway/exchange/restore.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -17,24 +16,17 @@
 // LongerRunning returns how many other instances that are alive have run longer than this one.
 func (x *Exchange) LongerRunning() int {
 	x.mu.Lock()
-	member := x.members.node.Self()
+	self := x.members.node.Self()
 	x.mu.Unlock()
-	self := Peer{ID: x.Self.ID, started: startOf(&member)}
 	longer := 0
 	for _, p := range x.Others() {
-		if hasRunLonger(&p, &self) {
+		if p.start.Before(self.Start()) {
 			longer++
 		}
 	}
 	return longer
 }
 
-// hasRunLonger orders instances by the time of their start. Those that started within the same second are
-// ordered by name.
-func hasRunLonger(a, b *Peer) bool {
-	return cmp.Or(cmp.Compare(a.started, b.started), cmp.Compare(a.ID, b.ID)) < 0
-}
-
 // RestoreEntries writes the entries of instances again that the store has lost by returning from an older
 // copy: instances that start find the others by them. This instance does that for all that it knows to be
 // alive, with one list and one call for each missing entry. It leaves the others to an instance that has
--- a/gateway/exchange/roster.go
+++ b/gateway/exchange/roster.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,8 +30,8 @@
 	Store source.Access
 	// Endpoints says whether it reaches the endpoints.
 	Endpoints reachability.Access
-	// started is the second in which its process started, by its own clock.
-	started uint64
+	// start is when its process started.
+	start membership.Start
 }
 
 // Limits that depend on the size of a fleet.
@@ -133,14 +132,10 @@
 func peerOf(m *membership.Member) Peer {
 	return Peer{
 		ID: m.ID, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre, Region: m.Region, Link: m.LinkMbps, Spreads: m.Spreads, Ready: m.Ready, Store: source.Access(m.Store), Endpoints: reachability.Access(m.Endpoints),
-		started: startOf(m),
+		start: m.Start(),
 	}
 }
 
-// startOf returns the second in which a member's process started. Its incarnation counts on from the
-// nanosecond of its start.
-func startOf(m *membership.Member) uint64 { return m.Incarnation / uint64(time.Second) }
-
 // ranked is an instance in a ranking: those with faster links come first, and among equal links the
 // order is by a hash.
 type ranked struct {
--- a/gateway/front/era.go
+++ b/gateway/front/era.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"time"
+	"errors"
 
-	"github.com/agateway/agateway/core/restoration"
 	"github.com/agateway/agateway/gateway/follow"
-	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/restore"
 )
 
 // onEraChange is called when the store has returned from an older copy.
@@ -14,42 +13,17 @@
 	f.telemetry.Scope.Counter("store_returns_total").Inc(1)
 	f.telemetry.Scope.Gauge("store_era").Update(float64(era))
 	f.telemetry.Log.WithField("era", era).Warn("the store has returned from an older copy")
-	select {
-	case f.storeReturned <- struct{}{}:
-	default: // it is waited for already
-	}
+	f.restore.StoreReturned()
 }
 
-// restoreCheckInterval is the time between two checks whether this instance is to write again what the
-// store has lost.
-const restoreCheckInterval = 500 * time.Millisecond
-
-// restoreObjects writes again what instances had written and the store has lost; package restoration says
-// when.
-func (f *Front) restoreObjects(ctx context.Context) {
-	for {
-		select {
-		case <-f.storeReturned:
-		case <-ctx.Done():
-			return
-		}
-		f.restoreAfterReturn(ctx)
-	}
-}
-
-func (f *Front) restoreAfterReturn(ctx context.Context) {
-	duty := restoration.New(time.Now().Add(follow.ReturnHold))
-	for pause.For(ctx, restoreCheckInterval) {
-		switch duty.Next(time.Now(), f.exchange.LongerRunning(), f.storeAnswersFleet()) {
-		case restoration.Done:
-			return
-		case restoration.Write:
-			if f.restoreOnce(ctx) {
-				return
-			}
-			duty.Failed(time.Now())
-		}
-	}
+// newRestore returns the loop that writes again what instances had written and the store has lost.
+func (f *Front) newRestore() *restore.Loop {
+	return restore.New(restore.Options{
+		Hold: follow.ReturnHold, LongerRunning: f.exchange.LongerRunning, StoreAnswers: f.storeAnswersFleet,
+		Write: func(ctx context.Context) error {
+			return errors.Join(f.crashes.RestoreStops(ctx), f.exchange.RestoreEntries(ctx))
+		},
+	})
 }
 
 // storeAnswersFleet reports whether the store answers this instance, or the one that it follows.
@@ -57,10 +31,3 @@
 	table, age := f.configuration.Table()
 	return table != nil && age < f.keyBound()
 }
-
-// restoreOnce reports whether all was written again.
-func (f *Front) restoreOnce(ctx context.Context) bool {
-	stopsErr := f.crashes.RestoreStops(ctx)
-	entriesErr := f.exchange.RestoreEntries(ctx)
-	return stopsErr == nil && entriesErr == nil
-}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -34,6 +34,7 @@
 	"github.com/agateway/agateway/gateway/placement"
 	"github.com/agateway/agateway/gateway/reach"
 	"github.com/agateway/agateway/gateway/relay"
+	"github.com/agateway/agateway/gateway/restore"
 	"github.com/agateway/agateway/gateway/rollouts"
 	"github.com/agateway/agateway/gateway/settings"
 	"github.com/agateway/agateway/gateway/telemetry"
@@ -71,6 +72,8 @@
 	rolloutOrders *follow.Rollouts
 	mirror        *follow.Mirror
 	relay         *relay.Relay
+	// restore writes again what instances had written and the store has lost.
+	restore *restore.Loop
 	// sourceRegained tells that the store, or an instance that is followed, answers again.
 	sourceRegained pause.Signal
 
@@ -80,13 +83,11 @@
 	syncedOnce      sync.Once
 	memoryLimitOnce sync.Once
 
-	callers  *callerServers
-	servers  []*http.Server
-	draining atomic.Bool
-	// storeReturned signals that the store has returned from an older copy.
-	storeReturned chan struct{}
-	cancel        context.CancelFunc
-	goroutines    sync.WaitGroup
+	callers    *callerServers
+	servers    []*http.Server
+	draining   atomic.Bool
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 }
 
 // Environment holds what an instance takes from the operating system, so that tests can replace it.
@@ -101,7 +102,7 @@
 // Start listens on all addresses of the settings and runs an instance. It returns [ErrListen] if an
 // address can't be listened on. The caller ends the instance with Drain or Close.
 func Start(s *settings.Front, env Environment) (*Front, error) {
-	f := &Front{settings: s, env: env, logWriter: decisions.NewWriter(env.Out), synced: make(chan struct{}), storeReturned: make(chan struct{}, 1)}
+	f := &Front{settings: s, env: env, logWriter: decisions.NewWriter(env.Out), synced: make(chan struct{})}
 	t, err := telemetry.NewFront(s, f.logWriter)
 	if err != nil {
 		return nil, err
@@ -116,7 +117,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory, f.restoreObjects}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory, f.restore.Run}
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
@@ -210,6 +211,7 @@
 		},
 		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), ServiceCounts: f.retryCounts, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
+	f.restore = f.newRestore()
 	f.relay = relay.New(relay.Options{
 		Settings: f.sourceSettings(), Store: f.store, Mirror: f.mirror, Others: f.exchange.Others,
 		Pool: peers.NewPool("", s.Streams.Connect, f.env.Network, peers.WithoutCompression()), AccessChanged: func() { f.exchange.Changed() }, Regained: &f.sourceRegained, EraChanged: f.onEraChange, Clock: f.env.Clock, Log: t.Log,
