gateway/daemon: stopped requests that the store has lost are written again on the project's own interface

An instance that starts later reads the stops from the store, or from others as long as one lives that knows them.

Change: the same loop as on the platform, with the three instances that have run longest.

--- a/cli/e2e/crashes_test.go
+++ b/cli/e2e/crashes_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/agateway/agateway/cli/caller"
 	"github.com/agateway/agateway/cli/standin/engine"
+	store "github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
 )
 
 // TestPromptThatCrashesEngines sends a prompt that ends each engine that has read it. Engines restart
@@ -76,3 +78,38 @@
 		w.checkAnswer(r, a, err)
 	})
 }
+
+// TestStopsLostByStore guards against stopped requests that are gone from the store after it has returned from an
+// older copy: an instance that starts later would let them end engines again.
+func TestStopsLostByStore(t *testing.T) {
+	const fatal = "ends whoever reads it"
+	for name, outage := range map[string]standin.Outage{"at once": standin.NoOutage, "after an outage": standin.Busy} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, clusterConfig{gateways: 4, engines: 12, policy: "frugal"}, func(w *cluster) {
+				from := w.platform.Store.Copy()
+				for i := range w.engines {
+					w.engines[i].SetFault(engine.Fault{DieAtPrompt: fatal})
+				}
+				for i := range 4 {
+					r := w.request(20)
+					r.Prompt, r.Timeout = fatal, 5*time.Second
+					ctx, cancel := context.WithTimeout(w.ctx(), 5*time.Second)
+					_, err := w.callerOfAll(i).Generate(ctx, r)
+					cancel()
+					assert.Check(w.t, err != nil)
+				}
+				time.Sleep(5 * time.Second)
+				stops := w.platform.Store.Names(store.KindStoppedRequest)
+				assert.Equal(w.t, len(stops), 1)
+				w.platform.Store.Return(from)
+				assert.Equal(w.t, len(w.platform.Store.Names(store.KindStoppedRequest)), 0)
+				time.Sleep(4 * time.Second)
+				w.platform.Store.SetFault(standin.Fault{Outage: outage})
+				time.Sleep(3 * time.Second)
+				w.platform.Store.SetFault(standin.Fault{})
+				time.Sleep(10 * time.Second)
+				assert.DeepEqual(w.t, w.platform.Store.Names(store.KindStoppedRequest), stops)
+			})
+		})
+	}
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/fleet"
+	"github.com/agateway/agateway/gateway/follow"
 	"github.com/agateway/agateway/gateway/generations"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/operator"
@@ -39,6 +40,7 @@
 	"github.com/agateway/agateway/gateway/peers"
 	"github.com/agateway/agateway/gateway/pipeline"
 	"github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/gateway/restore"
 	"github.com/agateway/agateway/gateway/settings"
 	"github.com/agateway/agateway/gateway/telemetry"
 )
@@ -62,6 +64,7 @@
 	platform   *platform.Objects
 	running    *generations.Directory
 	crashes    *crashes.Registry
+	restore    *restore.Loop
 	peering    *peering.Service
 	servers    []*http.Server
 	cancel     context.CancelFunc
@@ -144,9 +147,13 @@
 		OnStopped:  func(crashers.Request) {}, Log: t.Log, Scope: t.Scope,
 	})
 	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope, Log: t.Log}
+	d.restore = restore.New(restore.Options{
+		Hold: follow.ReturnHold, LongerRunning: d.longerRunning, StoreAnswers: func() bool { return true }, Write: d.crashes.RestoreStops,
+	})
 	d.platform.OnReturn(func() {
 		t.Log.Warn("the platform's store has returned from an older copy")
 		claims.StoreReturned(context.Background())
+		d.restore.StoreReturned()
 	})
 	d.Pipeline = pipeline.New(&pipeline.Deps{
 		Settings: s, Config: d.Config, Backends: d.Backends, Client: client, Crashes: d.crashes, Fleet: d.Fleet, Running: d.running,
@@ -159,6 +166,18 @@
 	}
 }
 
+// longerRunning returns how many other instances that are alive have run longer than this one.
+func (d *Daemon) longerRunning() int {
+	self := d.Fleet.Self()
+	longer := 0
+	for _, m := range d.Fleet.Others() {
+		if m.Start().Before(self.Start()) {
+			longer++
+		}
+	}
+	return longer
+}
+
 func (d *Daemon) buildFleet() {
 	s, t := d.settings, d.telemetry
 	membershipSettings := membership.DefaultSettings()
@@ -274,7 +293,7 @@
 	sweeper := &atmostonce.Sweeper{
 		Platform: d.platform, Enabled: d.Orders.HoldsLease, TTL: d.settings.Tickets.ClaimTTL, Interval: sweepInterval, DeletesPerSecond: sweptPerSecond, Scope: d.telemetry.Scope,
 	}
-	loops := []func(context.Context){d.updateSubsets, sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Instances.Run, d.followConfig, d.crashes.Run, d.peering.PollCrashes}
+	loops := []func(context.Context){d.updateSubsets, sweeper.Run, d.Orders.Run, d.Fleet.Run, d.running.Run, d.peering.Instances.Run, d.followConfig, d.crashes.Run, d.restore.Run, d.peering.PollCrashes}
 	if d.settings.Instance.Register {
 		loops = append(loops, d.register)
 	}
