cli/soak, gateway/settings: the soak checks that what instances wrote is in the store again after its return

The soak's returns lost configurations, orders and keys, but nothing that the processes had written, so that TestInstancesWriteAgain alone would have shown an instance that writes nothing again. The copy of the return at the end of a run lacks the entries of every other process now, and these have to be there again within 12 s (the hold of 5 s, turns of 4 s, and a failed try). The mechanism has a switch, restore.

--- a/cli/soak/returns.go
+++ b/cli/soak/returns.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/agateway/agateway/platform"
@@ -50,9 +51,14 @@
 }
 
 // returnUnnoticed makes the store return from a copy and count on, past the revision that the processes know,
-// before they reach it. It returns the version of a configuration that is written in between.
+// before they reach it. It returns the version of a configuration that is written in between. The copy is of
+// before half of the processes had written their entries.
 func (w *environment) returnUnnoticed() (version uint64) {
-	from := w.store.Copy()
+	var lost []string
+	for i := 0; i < len(w.processes); i += 2 {
+		lost = append(lost, w.processes[i].name)
+	}
+	from := w.store.Copy().Without(platform.KindInstance, lost...)
 	w.writeOthers(lostWrites)
 	w.replaceKey()
 	time.Sleep(applyWithin)
@@ -67,6 +73,26 @@
 	return version
 }
 
+// restoreWithin is how long after its return the store lacks what processes had written.
+const restoreWithin = 12 * time.Second
+
+// missingEntries returns the processes whose entries the store lacks. It waits until there are none, but at
+// most for restoreWithin.
+func (w *environment) missingEntries() []string {
+	for until := time.Now().Add(restoreWithin); ; time.Sleep(readyPollInterval) {
+		entries := w.store.Names(platform.KindInstance)
+		var missing []string
+		for _, p := range w.processes {
+			if !slices.Contains(entries, p.name) {
+				missing = append(missing, p.name)
+			}
+		}
+		if len(missing) == 0 || time.Now().After(until) {
+			return missing
+		}
+	}
+}
+
 // revocation is the write that revoked a key.
 type revocation struct {
 	// at is when the store had accepted it, and version the configuration that it wrote.
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -270,8 +270,8 @@
 // checkChangesTakeEffect publishes a route after the faults are over, and checks that each instance serves it
 // in time. Where the seed draws returns of the store, that happens in one of these.
 func (s *soak) checkChangesTakeEffect(ctx context.Context) {
-	version := uint64(0)
-	if s.Seed >= firstReturnSeed && s.Seed <= lastSeed {
+	version, returns := uint64(0), s.Seed >= firstReturnSeed && s.Seed <= lastSeed
+	if returns {
 		version = s.env.returnUnnoticed()
 	} else {
 		version = s.env.replaceRoute()
@@ -284,6 +284,17 @@
 			s.addFinding("%s does not serve the route of version %d, %v after it: status %d, %v", p.name, version, applyWithin, a.Status, err)
 		}
 	}
+	if returns {
+		s.checkRestored()
+	}
+}
+
+// checkRestored checks that what processes had written is in the store again, after that has returned from a
+// copy without it.
+func (s *soak) checkRestored() {
+	if missing := s.env.missingEntries(); len(missing) > 0 {
+		s.addFinding("%v after its return, the store lacks the entries of %v", restoreWithin, missing)
+	}
 }
 
 // retryWhenAllRunning sends a request, and once more if it failed while endpoints were down.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -117,7 +117,10 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory, f.restore.Run}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory}
+	if s.Mechanisms.Restore {
+		loops = append(loops, f.restore.Run)
+	}
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -115,6 +115,7 @@
 	Departures    bool `ini:"departures" default:"true" doc:"endpoints that say in their answers that they leave get nothing new"`
 	Pauses        bool `ini:"pauses" default:"true" doc:"endpoints that refuse a request and ask for a pause get nothing until it is over"`
 	Eras          bool `ini:"eras" default:"true" doc:"revisions of a store that has returned from an older copy are told apart from those before, and what it has lost stays in force"`
+	Restore       bool `ini:"restore" default:"true" doc:"what instances wrote and the store has lost by returning from an older copy is written again"`
 	Tree          bool `ini:"tree" default:"true" doc:"instances follow each other; else each asks the store"`
 	FirstLook     bool `ini:"first_look" default:"true" doc:"callers wait while an instance that has started reads routes and endpoints"`
 	Rollouts      bool `ini:"rollouts" default:"true" doc:"services move to other builds under the bounds of [rollouts]"`
