--- a/cli/soak/regressions.go
+++ b/cli/soak/regressions.go
@@ -38,6 +38,8 @@
 		{Seed: 1, FaultDuration: 10 * time.Second, FaultNames: shutdownFaults, WorkTime: slowWorkTime, Callers: 60, Cause: "calls taken early in a drain outlasted the instance"},
 		{Seed: 908, FaultDuration: 10 * time.Second, FaultNames: shutdownFaults, WorkTime: slowWorkTime, Callers: 60, Cause: "as seed 908, provoked"},
 		{Seed: 957620553, FaultDuration: 10 * time.Second, Cause: "a bad build was completed: no endpoint of the baseline was up when requests were to move"},
+		{Seed: 6046, FaultDuration: 8 * time.Second, Cause: "an order that was given again after a return of the store counted as a new one, and its bad build got requests"},
+		{Seed: 6137, FaultDuration: 10 * time.Second, Cause: "the check of keys counted from a write that was lost before anyone could read it"},
 	}
 }
 
