core/departure: an entry that the store takes at the end of an outage does not take back that an endpoint leaves

Found by reading: an answer that says that its endpoint leaves was taken back by an entry that says ready, with a higher sequence number, once 10 s had passed. In the outage of the incident, 13 s long, such an entry may be one that the endpoint wrote before it began to leave: a write without an answer may take effect when the store returns. Until the entry that says leaving arrived, an instance that had been told sent it requests.

Change: without an entry that says leaving in between, a minute has to pass; an endpoint that leaves has ended by then. The price: one that says so in its answers alone and then stays gets nothing for a minute.

TestOnlyLaterEntryTakesLeavingBack, 'an entry of before, after an outage' (25 s), fails before, passes after. Its cases at 11 s and the one of TestLeavingIsTakenBack at 10 s are now at 61 and 60 s: they asked for what the rule forbids, since an answer of another instance's outage can't be told from one of before.

--- a/core/departure/register.go
+++ b/core/departure/register.go
@@ -12,8 +12,9 @@
 
 const (
 	// entryLag is the age from which the last answer is older than any entry that arrives, also one
-	// that the store took late or that came through several instances.
-	entryLag = 10 * time.Second
+	// that the store took at the end of an outage or that came through several instances. An endpoint
+	// that leaves has ended by then.
+	entryLag = time.Minute
 	// retention is how long an endpoint is remembered after the last answer or entry. An endpoint
 	// that leaves ends within that time.
 	retention = 2 * time.Minute
--- a/core/departure/register_test.go
+++ b/core/departure/register_test.go
@@ -14,7 +14,8 @@
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
 // TestOnlyLaterEntryTakesLeavingBack: an entry that was written before an endpoint began to leave
-// may arrive long after the answer that said so.
+// may arrive long after the answer that said so: the store may take a write that it did not answer when an
+// outage ends.
 func TestOnlyLaterEntryTakesLeavingBack(t *testing.T) {
 	type entry struct {
 		at       float64
@@ -28,13 +29,14 @@
 		"no entry":                             {nil, true},
 		"the same entry, read again":           {[]entry{{1, false, 7}}, true},
 		"an entry of before, on its way":       {[]entry{{1, false, 9}}, true},
-		"a late entry of before":               {[]entry{{11, false, 6}}, true},
+		"a late entry of before":               {[]entry{{61, false, 6}}, true},
+		"an entry of before, after an outage":  {[]entry{{25, false, 9}}, true},
 		"leaving":                              {[]entry{{1, true, 8}}, true},
 		"leaving, then ready":                  {[]entry{{1, true, 8}, {2, false, 9}}, false},
 		"leaving, then an older one":           {[]entry{{1, true, 8}, {2, false, 7}}, true},
 		"leaving, then one without a number":   {[]entry{{1, true, 8}, {2, false, 0}}, true},
-		"ready long after, without leaving":    {[]entry{{11, false, 9}}, false},
-		"the same entry long after":            {[]entry{{11, false, 7}}, true},
+		"ready long after, without leaving":    {[]entry{{61, false, 9}}, false},
+		"the same entry long after":            {[]entry{{61, false, 7}}, true},
 		"ready, then an older one that leaves": {[]entry{{1, true, 8}, {2, false, 9}, {3, true, 8}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/front/leaving_test.go
+++ b/gateway/front/leaving_test.go
@@ -191,7 +191,7 @@
 		}, time.Second},
 		"long after": {func(w *world, e *standin.Worker) *standin.Worker {
 			e.SetLeaving(false)
-			time.Sleep(10 * time.Second)
+			time.Sleep(time.Minute)
 			e.Registration("draining") // an entry that no instance sees
 			w.store.Put(platform.KindEndpoint, e.Config().ID, e.RegistrationAfterStart("ready", time.Millisecond))
 			return e
