gateway/follow: what the store has lost is held until it could be written again, also over another outage

The instance that asked the store first took the entry of the copy, in which the endpoint is ready, and sent it a request until the entry was written again. Class: a time for others to act that goes on while they can't.

Change: if a source is lost within a hold, the hold begins anew with the first answer.

The calls after a return are the same (TestCallsAfterReturn).

--- a/gateway/follow/guard.go
+++ b/gateway/follow/guard.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// extendHold lets a hold begin anew when calls succeed again: what the store has lost could not be written
+// meanwhile.
+func (l *loop) extendHold() {
+	if l.failing && l.heldAtFailure {
+		l.holdEnds = l.Now() + ReturnHold
+	}
+}
+
 // withoutOlder drops objects that are older states of what is held.
 func (l *loop) withoutOlder(objects []platform.Object) []platform.Object {
 	out := objects[:0:0]
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -84,6 +84,8 @@
 	at revision.Position
 	// holdEnds is when objects that the store has lost are not held any more; zero if none are.
 	holdEnds time.Duration
+	// heldAtFailure is set if objects were held when calls began to fail.
+	heldAtFailure bool
 	// askedFirst is how often First was asked. First is nil once it returned false.
 	askedFirst int
 }
@@ -132,6 +134,7 @@
 			continue
 		}
 		l.noteEra(&page, source.Direct)
+		l.extendHold()
 		if source.Direct {
 			l.holdUntilRewritten(watch, &page)
 		}
@@ -238,7 +241,7 @@
 	}
 	f.readFailed(failed.began)
 	if !l.failing {
-		l.failing, l.backoff = true, minBackoff
+		l.failing, l.backoff, l.heldAtFailure = true, minBackoff, failed.began < l.holdEnds
 		l.Log.WithError(failed.err).WithField("kind", l.kind).Warn("source lost")
 	}
 	elapsed := l.Now() - failed.began // a call without an answer was a pause itself
--- a/gateway/front/era_test.go
+++ b/gateway/front/era_test.go
@@ -181,6 +181,31 @@
 	})
 }
 
+// TestHoldOutlastsOutage guards against endpoints that leave and get requests after the store has returned from a copy
+// in which they are ready, and has been away once more before they could write their entries again.
+func TestHoldOutlastsOutage(t *testing.T) {
+	for name, outage := range map[string]standin.Outage{"silent": standin.Silent, "busy": standin.Busy, "reset": standin.Reset} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 6, 1, 4, func(w *world) {
+				from := w.store.Copy()
+				leaving := w.plains[0]
+				w.putEntry(leaving, "draining")
+				time.Sleep(applyBound)
+				began := time.Now()
+				w.drill(from, 0)
+				time.Sleep(time.Second)
+				w.store.SetFault(standin.Fault{Outage: outage})
+				time.Sleep(6 * time.Second)
+				w.store.SetFault(standin.Fault{})
+				w.load(60, 1500*time.Millisecond, openRequest, func(i int) int { return i % 6 })
+				w.putEntry(leaving, "draining")
+				w.load(60, 8*time.Second, openRequest, func(i int) int { return i % 6 })
+				assert.Equal(t, len(arrivalsByInstance(leaving, began)), 0)
+			})
+		})
+	}
+}
+
 // TestOutcomeOfRolloutIsWrittenAgain: a bad build was rolled back, and the store comes back from a copy of
 // before that, or of before the order, which the operator gives again then. The build gets no more requests,
 // and the store is told the outcome again, in a few calls.
