--- a/gateway/front/random_days_test.go
+++ b/gateway/front/random_days_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/platform"
 	"github.com/agateway/agateway/platform/standin"
 )
 
@@ -19,13 +21,15 @@
 	// bounds of time hold.
 	settleTime = 3 * time.Second
 	randomDay  = 90 * time.Second
+	// revokeBound is how long after the store took a configuration without a key requests with it may run.
+	revokeBound = 5 * time.Second
 	// askedPause is the pause that endpoints ask for, and refusingFor how long they refuse.
 	askedPause, refusingFor = 3 * time.Second, 4 * time.Second
 )
 
 // day is a sequence of disruptions and changes in random order: the store is away, refuses, is slow, or returns
-// from an older copy; instances end and start again; routes are added; endpoints leave, by their entries,
-// their answers or both, come back, or ask for pauses.
+// from an older copy; instances end and start again; routes are added, and a key is taken away; endpoints leave,
+// by their entries, their answers or both, come back, remove their entries, or ask for pauses.
 type day struct {
 	*world
 	rnd   *rand.Rand
@@ -37,6 +41,7 @@
 	disruptedUntil time.Time
 	starts         map[string][]time.Time // of instances, by address
 	routeAt        map[string]time.Time   // when routes were added
+	revokedAt      time.Time              // when a key was taken away; zero before
 	endpoints      map[*standin.Worker]*leavingEndpoint
 }
 
@@ -44,13 +49,16 @@
 type leavingEndpoint struct {
 	since             time.Time
 	byEntry, byAnswer bool
+	// removed is set if it removed its entry. It does not come back.
+	removed bool
 	// settled is set if the store was without a disruption for settleTime when it took the entry.
 	settled bool
 }
 
 // TestRandomDays guards against changes that are not in force in time or are undone, and against requests to
 // endpoints that leave or pause, in orders of events that no other test plays. RANDOM_DAYS is the number of
-// days, and RANDOM_DAYS_FROM the seed of the first one.
+// days, RANDOM_DAYS_FROM the seed of the first one, and RANDOM_DAYS_WITHOUT a mechanism that is switched off, to
+// see whether the checks notice.
 func TestRandomDays(t *testing.T) {
 	days, first := 4, 0
 	if n, err := strconv.Atoi(os.Getenv("RANDOM_DAYS")); err == nil {
@@ -61,7 +69,12 @@
 	}
 	for seed := first; seed < first+days; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			run(t, 6, 1, 5, func(w *world) { playDay(w, uint64(seed)) })
+			prepare := func(w *world) {
+				if off := os.Getenv("RANDOM_DAYS_WITHOUT"); off != "" {
+					w.settings = "\n[mechanisms]\n" + off + " = false\n"
+				}
+			}
+			runWith(t, 6, 1, 6, prepare, func(w *world) { playDay(w, uint64(seed)) })
 		})
 	}
 }
@@ -80,6 +93,7 @@
 		time.Sleep(time.Duration(200+d.rnd.IntN(1200)) * time.Millisecond)
 		d.act()
 		d.checkRoutes()
+		d.checkKey()
 		d.checkLeaving()
 	}
 	load.Wait()
@@ -143,16 +157,19 @@
 	d.mu.Lock()
 	l := d.endpoints[e]
 	d.mu.Unlock()
-	if l != nil && l.byEntry {
+	switch {
+	case l != nil && l.removed:
+		d.store.Remove(platform.KindEndpoint, e.Config().ID)
+	case l != nil && l.byEntry:
 		d.putEntry(e, "draining")
-	} else {
+	default:
 		d.putEntry(e, "ready")
 	}
 }
 
 // act lets one thing happen.
 func (d *day) act() {
-	actions := []func(){d.addRoute, d.addRoute, d.changeLeaving, d.changeLeaving, d.pause, d.restart, d.outage, d.returnFromCopy, d.returnFromCopy}
+	actions := []func(){d.addRoute, d.addRoute, d.changeLeaving, d.changeLeaving, d.remove, d.revoke, d.pause, d.restart, d.outage, d.returnFromCopy, d.returnFromCopy}
 	actions[d.rnd.IntN(len(actions))]()
 }
 
@@ -175,7 +192,7 @@
 	d.mu.Unlock()
 	stable := d.storeStableFor()
 	switch {
-	case l != nil && l.byEntry && stable >= settleTime && time.Since(l.since) >= 2*settleTime:
+	case l != nil && l.byEntry && !l.removed && stable >= settleTime && time.Since(l.since) >= 2*settleTime:
 		d.mu.Lock()
 		delete(d.endpoints, e)
 		d.mu.Unlock()
@@ -187,6 +204,46 @@
 	}
 }
 
+// remove lets an endpoint remove its entry, and go on for the rest of the day.
+func (d *day) remove() {
+	e, stable := d.plains[0], d.storeStableFor()
+	if stable < 0 || d.rnd.IntN(4) > 0 {
+		return
+	}
+	d.mu.Lock()
+	if l := d.endpoints[e]; l == nil || !l.removed {
+		d.endpoints[e] = &leavingEndpoint{since: time.Now(), byEntry: true, removed: true, settled: stable >= settleTime}
+	}
+	d.mu.Unlock()
+	d.writeEntry(e)
+	d.tell("%s removes its entry", e.Config().ID)
+}
+
+// revoke takes a key away.
+func (d *day) revoke() {
+	if d.storeStableFor() < 0 || !d.revokedAt.IsZero() {
+		return
+	}
+	d.config.Version++
+	d.config.Teams = []route.Team{{Name: "desk", Keys: []string{deskKey}}}
+	d.store.PutConfiguration(&d.config)
+	d.revokedAt = time.Now()
+	d.tell("a key is taken away")
+}
+
+// checkKey checks that the key that was taken away is not served.
+func (d *day) checkKey() {
+	if d.revokedAt.IsZero() || time.Since(d.revokedAt) < revokeBound {
+		return
+	}
+	for i := range d.fronts {
+		a, err := d.send(i, standin.Request{Method: http.MethodGet, Path: "/ping/1", Key: fieldKey, Timeout: time.Second})
+		if err == nil && a.Status == http.StatusOK {
+			d.fail("f%d serves a key, %v after it was taken away", i, time.Since(d.revokedAt))
+		}
+	}
+}
+
 func (d *day) leave(e *standin.Worker, stable time.Duration) {
 	l := &leavingEndpoint{since: time.Now(), byAnswer: d.rnd.IntN(2) == 0, settled: stable >= settleTime}
 	l.byEntry = stable >= 0 && (!l.byAnswer || d.rnd.IntN(2) == 0)
