--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -79,8 +79,8 @@
 type View struct {
 	settings         Settings
 	nodes            map[string]*node
-	observed         map[string]*node // the nodes with observations of their own
-	unlisted         map[string]*unlisted
+	observed         map[string]*node     // the nodes with observations of their own
+	unlisted         map[string]*unlisted // by endpoint
 	groups           map[groupKey][]*node
 	dataCentreSizes  map[string]int        // number of nodes by data centre
 	subsets          map[string][]*node    // this instance's own subset, by service
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -139,8 +139,8 @@
 	return out
 }
 
-// RestoreStops writes the stops again that the store has lost by returning from an older copy, with one list and one call for each missing stop. The error says that the list failed; writes that
-// fail are tried again.
+// RestoreStops writes the stops again that the store has lost by returning from an older copy, with one list
+// and one call for each missing stop. The error says that the list failed; writes that fail are tried again.
 func (r *Registry) RestoreStops(ctx context.Context) error {
 	page, err := r.Store.List(ctx, platform.KindStoppedRequest)
 	if err != nil {
