--- a/gateway/restore/restore_test.go
+++ b/gateway/restore/restore_test.go
@@ -33,6 +33,7 @@
 		go l.Run(ctx)
 		l.StoreReturned()
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		assert.DeepEqual(t, writes, []time.Duration{hold, 7 * time.Second, 12 * time.Second})
 		cancel()
 		synctest.Wait()
