--- a/gateway/front/silence_test.go
+++ b/gateway/front/silence_test.go
@@ -1,6 +1,8 @@
 package front_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -55,3 +57,38 @@
 		})
 	}
 }
+
+// TestRepeatedPausesBreakNoStream guards against the loss of streams whose engines are paused together:
+// they were moved from one paused engine to the next until their attempts were used up.
+func TestRepeatedPausesBreakNoStream(t *testing.T) {
+	const (
+		pauseLength = 1200 * time.Millisecond
+		streams     = 6
+	)
+	for _, share := range []float64{0.6, 1} {
+		t.Run(fmt.Sprint("share ", share), func(t *testing.T) {
+			run(t, 2, 6, 1, func(w *world) {
+				var answers []chan standin.Answer
+				for i := range streams {
+					answers = append(answers, w.startStream(i%2, briefRequest(string(rune('a'+i))+"0")))
+				}
+				time.Sleep(1500 * time.Millisecond)
+				for range 4 {
+					w.pauseEngines(share, pauseLength)
+					time.Sleep(pauseLength + 400*time.Millisecond)
+				}
+				for i, c := range answers {
+					assertWhole(t, <-c, string(rune('a'+i))+"0", 0)
+				}
+			})
+		})
+	}
+}
+
+// pauseEngines pauses the first engines of the world that make up a share of them.
+func (w *world) pauseEngines(share float64, d time.Duration) {
+	n := int(math.Ceil(share * float64(len(w.engines))))
+	for _, e := range w.engines[:n] {
+		e.Pause(d)
+	}
+}
