--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -103,6 +103,8 @@
 	// firstEventAt is the arrival time of its first event.
 	rolloutTrial *rollouts.Trial
 	firstEventAt time.Time
+	// lastEventAt is the arrival time of its last event; zero before the first.
+	lastEventAt time.Time
 	// potentialLoss describes the loss to report if the engine were lost now. After the launch it
 	// belongs to the attempt's goroutine.
 	potentialLoss crashes.Loss
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -72,6 +72,7 @@
 	a := s.attempts[m.attempt]
 	if a != nil {
 		a.eventCount++
+		a.lastEventAt = now
 		a.recordPrefilled()
 		a.recordEventGap(now)
 	}
@@ -175,6 +176,14 @@
 	}
 }
 
+// silence returns how long nothing has come from the engine.
+func (a *attempt) silence() time.Duration {
+	if a.lastEventAt.IsZero() {
+		return time.Since(a.sentAt)
+	}
+	return time.Since(a.lastEventAt)
+}
+
 // cancel ends an attempt that is not needed any more. Its engine sees the connection close.
 func (s *session) cancel(number int) {
 	a := s.attempts[number]
@@ -186,7 +195,9 @@
 		s.f.metrics.silences.Inc(1)
 		a.recordLoss()
 		a.gaveUpOnSilence.Store(true)
-		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayedEvents})
+		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{
+			"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayedEvents, "silent_ms": a.silence().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
+		})
 	}
 	a.cancel()
 }
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -45,6 +45,8 @@
 	// events. firstEventAt and lastEventAt are the arrival times of the first and the last event.
 	firstEventLatency, longestGap time.Duration
 	firstEventAt, lastEventAt     time.Time
+	// timerLate is how late the session's timer last fired: how long this process did not run.
+	timerLate time.Duration
 	// inCrashTrial is set while the session tries a request under which endpoints crashed.
 	// reportedProgress is set once the request was reported as served for long enough to be
 	// cleared.
@@ -138,11 +140,13 @@
 		now := time.Now()
 		s.maintainCopy(now)
 		s.recordSlowFirstEvent(now)
-		timer.Reset(s.nextWakeup(now).Sub(now))
+		wakeAt := s.nextWakeup(now)
+		timer.Reset(wakeAt.Sub(now))
 		select {
 		case m := <-s.messages:
 			s.handle(m)
 		case <-timer.C:
+			s.timerLate = time.Since(wakeAt)
 			s.machine.Tick(time.Now())
 		case <-s.ctx.Done():
 			s.handleContextDone()
