core/generation, gateway/forward: silence alone ends no stream

Cause: after 0.4 s of silence a stream was given up before a better place was known. Its connection was closed, and it went to the holder of its copy or any engine with room, silent as well; each try used an attempt, a copy and room, until one of them ran out. Ruled out: the change of the configuration (none lost without pauses), silence of the instance's own making.

Change: under the policy Move a silent attempt is kept and its silence assessed: on new connections the engine itself, the holder of the copy and, if that does not answer, some others are asked. The stream is moved only to an engine that has answered just now and has room, as a contender: the old run is kept until the new one sends an event, or has not refused for 250 ms. Without a copy it is moved only if the silence is not shared by others (core/liveness), or lasts 2 s. What runs out (attempts, room, time to wait) leaves the stream where it is. Refused and unplaced tries are not counted as attempts. A tick that comes 150 ms late excuses the engines.

Weighed: staying 1.6 s whatever others do (slow where one engine dies); moving as before but never breaking off (the herd remains).

--- a/core/generation/action.go
+++ b/core/generation/action.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Action is something that the caller of the machine has to carry out: one of [Start], [Resume],
-// [Probe], [Cancel], [Finish] and [Fail].
+// [Probe], [Assess], [Cancel], [Finish] and [Fail].
 type Action interface{ action() }
 
 // Start requests a new stream on an engine chosen by routing.
@@ -17,6 +17,8 @@
 	// Recovery tells that an engine may already have worked on the request, which gives it
 	// precedence over new requests.
 	Recovery bool
+	// Contender tells that the current attempt is kept until this one is granted.
+	Contender bool
 }
 
 // Resume requests a running stream again, on a new connection.
@@ -32,6 +34,15 @@
 	Stream  Stream
 }
 
+// Assess asks whether the engine of a silent attempt is alive, whether another engine is better, and
+// whether others are silent too. The result is reported with [Machine.Assessed].
+type Assess struct {
+	Attempt int
+	Stream  Stream
+	// SilentSince is when the engine was last active.
+	SilentSince time.Time
+}
+
 // Cancel tells an engine to drop a stream that is not needed any more. Attempt is the fencing
 // token: the engine ignores the Cancel if a higher attempt has taken over the stream.
 type Cancel struct {
@@ -58,6 +69,7 @@
 func (Start) action()  {}
 func (Resume) action() {}
 func (Probe) action()  {}
+func (Assess) action() {}
 func (Cancel) action() {}
 func (Finish) action() {}
 func (Fail) action()   {}
@@ -114,6 +126,9 @@
 	Silences, Probes, ProbesAlive, ProbesDead          int
 	ResumesSameStream, ResumesElsewhere, Restarts      int
 	StaleTokens, RepeatedTokens, Gaps, FalseSuspicions int
+	// Leaves counts the silent attempts that another engine was to replace, Keeps how often one was
+	// kept, and OwnDelays how often this process was paused.
+	Leaves, Keeps, OwnDelays int
 	// PrefilledAgain counts prompt and prefix tokens that had to be prefilled again.
 	PrefilledAgain int
 	// DiscardedTokens counts accepted tokens that a restart from index 0 discarded.
--- a/core/generation/config.go
+++ b/core/generation/config.go
@@ -14,9 +14,10 @@
 	// Restart generates again from index 0, does not relay the tokens that the caller already has,
 	// and never probes.
 	Restart Policy = "restart"
-	// Move replaces a silent attempt without a probe once it has delivered a token. It is meant for
-	// engines whose streams can't be reattached but have a copy on another engine, so that moving
-	// costs next to nothing. An attempt without a token is probed.
+	// Move continues a silent attempt on another engine. It is meant for engines whose streams can't
+	// be reattached but have a copy on another engine, so that moving costs next to nothing. With
+	// KeepSilent the attempt is kept until another engine is known to be better; without it, an
+	// attempt that has delivered a token is replaced at once, and one without a token is probed.
 	Move Policy = "move"
 	// NoProbe replaces an attempt without a probe after a silence of SilenceCeiling.
 	NoProbe Policy = "no-probe"
@@ -40,9 +41,15 @@
 	AckTimeout time.Duration
 	// WaitForEndpoint bounds how long a generation waits while no endpoint is eligible.
 	WaitForEndpoint time.Duration
-	// MaxAttempts bounds the attempts of one generation. A refusal of the current attempt is not
-	// counted, since nothing ran; an attempt for which routing found no endpoint is counted.
+	// MaxAttempts bounds the attempts of one generation that may have run. Refused attempts and those
+	// for which routing found no endpoint are not counted.
 	MaxAttempts int
+	// KeepSilent tells, under the policy Move, that silence alone never ends an attempt. A generation
+	// whose tokens reach the caller then also waits for an endpoint until its deadline.
+	KeepSilent bool
+	// OwnDelay is the delay of [Machine.Tick] from which this process counts as having been paused,
+	// so that its engines are not taken to be silent. 0 to ignore delays.
+	OwnDelay time.Duration
 	// Unverified tells that engines number their events without a hash of the preceding ones, and
 	// continue after a given number. Their acknowledgements can't be checked, and a stream can't be
 	// reattached on another connection.
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -27,6 +27,11 @@
 	resumed       bool      // reattaches to a stream that was already running
 	cancelled     bool      // a Cancel was queued
 	hasToken      bool      // a token from it was accepted
+	sentAt        time.Time // an unverified attempt was sent; zero before
+	silentSince   time.Time // start of the silence that is under suspicion, or zero
+	reassessAt    time.Time // when the silence is assessed again, or zero
+	reassessDelay time.Duration
+	excusedUntil  time.Time // not suspected before, since this process was paused
 }
 
 // Machine is the state of one generation. The zero value is not usable; see [New].
@@ -51,6 +56,8 @@
 	avoid               []string
 	mismatches          int       // engines that could not continue the journal
 	refusedAttempts     int       // attempts that certainly did not run
+	unplacedAttempts    int       // attempts for which no endpoint was found
+	dueAt               time.Time // the last result of Deadline
 	consecutiveRefusals int       // refusals since an engine last took the request
 	waitingSince        time.Time // when the wait for an endpoint began; zero when not waiting
 	retryAt             time.Time // when to ask routing again; zero for never
@@ -138,10 +145,13 @@
 		return
 	}
 	a.state = live
+	if m.cfg.Unverified {
+		a.sentAt = now
+	}
 	if !a.resumed && number > m.baseAttempt+1 {
 		m.stats.PrefilledAgain += max(0, m.promptTokens+a.from-cached)
 	}
-	if a == m.contender {
+	if a == m.contender && !m.cfg.Unverified {
 		m.promoteContender(now)
 	}
 	if !m.cfg.Unverified { // an unverified ack only says that the request was sent: it may be refused
@@ -176,6 +186,13 @@
 	m.current.lastActivity = now
 }
 
+// promoteIfContender promotes the contender if it has the given number and its engine has taken it.
+func (m *Machine) promoteIfContender(now time.Time, number int) {
+	if c := m.contender; !m.ended && c != nil && c.number == number && c.state == live {
+		m.promoteContender(now)
+	}
+}
+
 // resetJournalIfFromZero clears the journal when the attempt starts at index 0. Tokens that the
 // caller already has are generated again, checked and not relayed.
 func (m *Machine) resetJournalIfFromZero(a *attempt) {
@@ -204,6 +221,7 @@
 // Token reports a token. It returns true if the token is accepted and has to be relayed to the
 // caller, and false if it is dropped or the caller already has it.
 func (m *Machine) Token(now time.Time, number, index int, text []byte) bool {
+	m.promoteIfContender(now, number)
 	a := m.current
 	if m.ended || a == nil || a.number != number || a.state == starting {
 		m.stats.StaleTokens++
@@ -254,7 +272,7 @@
 
 // recordActivity clears a suspicion: the attempt is alive, so no contender is needed.
 func (m *Machine) recordActivity(now time.Time, a *attempt) {
-	a.lastActivity, a.liveProbes = now, 0
+	a.lastActivity, a.liveProbes, a.silentSince = now, 0, time.Time{}
 	if a.state != suspect {
 		return
 	}
@@ -263,7 +281,7 @@
 }
 
 func (m *Machine) clearSuspicion(a *attempt) {
-	a.state = live
+	a.state, a.reassessAt, a.reassessDelay = live, time.Time{}, 0
 	m.probe.pending = false
 	m.cancelContender()
 }
@@ -311,6 +329,7 @@
 
 // Done reports that the engine ended its stream after total tokens with the given rolling hash.
 func (m *Machine) Done(now time.Time, number, total int, hash uint64, reason string) {
+	m.promoteIfContender(now, number)
 	a := m.current
 	if m.ended || a == nil || a.number != number || a.state == starting {
 		return
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -35,11 +35,26 @@
 // its probe is answered.
 func (m *Machine) loseContender(now time.Time, a *attempt, failure Failure, retryAfter time.Duration) {
 	m.contender = nil
+	m.countUnrun(failure)
 	if failure != NoEndpoint {
 		m.avoidEndpoint(a.stream.Endpoint)
 	}
 	if m.current == nil {
 		m.startNextOrWait(now, failure, retryAfter)
+		return
+	}
+	if m.keepsSilent() && m.current.state == suspect && !m.probe.pending {
+		m.keepSilent(now, m.current)
+	}
+}
+
+// countUnrun counts a failed attempt that has not run.
+func (m *Machine) countUnrun(failure Failure) {
+	switch failure {
+	case Refused:
+		m.refusedAttempts++
+	case NoEndpoint:
+		m.unplacedAttempts++
 	}
 }
 
@@ -57,9 +72,9 @@
 	if failure != NoEndpoint {
 		m.avoidEndpoint(a.stream.Endpoint)
 	}
+	m.countUnrun(failure)
 	switch failure {
 	case Refused:
-		m.refusedAttempts++
 		m.consecutiveRefusals++
 	case NoEndpoint:
 	default:
@@ -70,7 +85,8 @@
 		m.cancelAttempt(a) // the engine may be paused and resume later
 	}
 	if m.contender != nil {
-		return // it becomes current when its engine acknowledges it
+		m.promoteIfContender(now, m.contender.number) // else when its engine acknowledges it
+		return
 	}
 	if failure == Mismatch && !a.resumed && a.from > 0 {
 		m.mismatches++
@@ -99,7 +115,7 @@
 // startNextOrWait starts another attempt, waits for an endpoint, or fails when the attempts are
 // used up.
 func (m *Machine) startNextOrWait(now time.Time, failure Failure, retryAfter time.Duration) {
-	if m.lastAttempt-m.baseAttempt-m.refusedAttempts >= m.cfg.MaxAttempts && failure != NoEndpoint && failure != Refused {
+	if m.attemptsUsed() >= m.cfg.MaxAttempts && failure != NoEndpoint && failure != Refused {
 		m.fail(now, CodeAttemptsExhausted, time.Second, "too many engines failed during this answer")
 		return
 	}
@@ -123,7 +139,7 @@
 	}
 	m.avoid = m.avoid[:0] // an endpoint that failed may have recovered
 	giveUp := m.waitingSince.Add(m.cfg.WaitForEndpoint)
-	if m.deadline.Before(giveUp) {
+	if m.deadline.Before(giveUp) || m.keepsSilent() && m.streamed && m.relayed > 0 {
 		giveUp = m.deadline
 	}
 	wait := max(m.retryDelay, min(retryAfter, maxRetryDelay))
@@ -157,7 +173,7 @@
 		m.resetJournalIfFromZero(a)
 	}
 	avoid := append([]string(nil), m.avoid...)
-	m.emit(Start{Attempt: m.lastAttempt, Avoid: avoid, From: from, Recovery: m.mayHaveRun})
+	m.emit(Start{Attempt: m.lastAttempt, Avoid: avoid, From: from, Recovery: m.mayHaveRun, Contender: m.current != nil})
 	return a
 }
 
@@ -261,6 +277,7 @@
 	if m.ended {
 		return
 	}
+	m.noteOwnDelay(now)
 	if !now.Before(m.deadline) {
 		m.fail(now, CodeDeadline, 0, "the deadline of the request has passed")
 		return
@@ -269,15 +286,44 @@
 		m.startCurrent(now)
 	}
 	if m.probe.pending && !now.Before(m.probe.deadline) {
-		m.Probed(now, m.probe.attempt, false, 0)
+		m.probeTimedOut(now)
 	}
-	if c := m.contender; c != nil && !now.Before(c.startedAt.Add(m.cfg.AckTimeout)) {
-		m.cancelAttempt(c)
-		m.handleFailure(now, c, Gone, 0)
+	if c := m.contender; c != nil && !now.Before(m.contenderDue(c)) {
+		m.tickContender(now, c)
 	}
 	m.tickCurrent(now)
 }
 
+func (m *Machine) probeTimedOut(now time.Time) {
+	if m.keepsSilent() {
+		m.Assessed(now, m.probe.attempt, Assessment{Inconclusive: true})
+		return
+	}
+	m.Probed(now, m.probe.attempt, false, 0)
+}
+
+// contenderDue returns when a contender becomes current, or is given up because its engine has not
+// taken it.
+func (m *Machine) contenderDue(c *attempt) time.Time {
+	if !c.sentAt.IsZero() {
+		return c.sentAt.Add(grantTimeout)
+	}
+	return c.startedAt.Add(m.cfg.AckTimeout)
+}
+
+// grantTimeout is how long the two runs of a stream that is moved may go on side by side. A contender
+// that was not refused by then has been granted.
+const grantTimeout = 250 * time.Millisecond
+
+func (m *Machine) tickContender(now time.Time, c *attempt) {
+	if !c.sentAt.IsZero() {
+		m.promoteContender(now)
+		return
+	}
+	m.cancelAttempt(c)
+	m.handleFailure(now, c, Gone, 0)
+}
+
 func (m *Machine) tickCurrent(now time.Time) {
 	a := m.current
 	if a == nil || m.ended {
@@ -293,12 +339,18 @@
 		if !now.Before(m.suspectAt(a)) {
 			m.handleSilence(now, a)
 		}
+	case suspect:
+		if !a.reassessAt.IsZero() && !now.Before(a.reassessAt) {
+			m.assess(now, a)
+		}
 	}
 }
 
 func (m *Machine) handleSilence(now time.Time, a *attempt) {
 	m.stats.Silences++
 	switch {
+	case m.keepsSilent():
+		m.assess(now, a)
 	case m.cfg.Policy == Restart, m.cfg.Policy == NoProbe, m.cfg.Policy == Move && a.hasToken:
 		m.cancelAttempt(a)
 		m.loseCurrent(now, a, Gone, 0)
@@ -307,13 +359,19 @@
 	}
 }
 
+// keepsSilent tells whether silence alone never ends an attempt.
+func (m *Machine) keepsSilent() bool { return m.cfg.Policy == Move && m.cfg.KeepSilent }
+
 const maxBackoffDoublings = 4
 
 // suspectAt returns when the attempt becomes suspect if it reports nothing more.
 func (m *Machine) suspectAt(a *attempt) time.Time {
 	at := a.lastActivity.Add(m.silenceThreshold(a))
 	if !a.hasToken && a.firstTokenDue.After(at) {
-		return a.firstTokenDue
+		at = a.firstTokenDue
+	}
+	if a.excusedUntil.After(at) {
+		return a.excusedUntil
 	}
 	return at
 }
@@ -344,6 +402,11 @@
 	if m.ended {
 		return now.Add(farFuture)
 	}
+	m.dueAt = m.nextDue()
+	return m.dueAt
+}
+
+func (m *Machine) nextDue() time.Time {
 	next := m.deadline
 	earlier := func(t time.Time) {
 		if !t.IsZero() && t.Before(next) {
@@ -355,12 +418,14 @@
 		earlier(m.probe.deadline)
 	}
 	if m.contender != nil {
-		earlier(m.contender.startedAt.Add(m.cfg.AckTimeout))
+		earlier(m.contenderDue(m.contender))
 	}
 	if a := m.current; a != nil && a.state == starting {
 		earlier(a.startedAt.Add(m.cfg.AckTimeout))
 	} else if a != nil && a.state == live {
 		earlier(m.suspectAt(a))
+	} else if a != nil && a.state == suspect {
+		earlier(a.reassessAt)
 	}
 	return next
 }
--- a/core/generation/script_test.go
+++ b/core/generation/script_test.go
@@ -37,11 +37,17 @@
 	for _, a := range s.m.Ready() {
 		switch a := a.(type) {
 		case Start:
+			if a.Contender && s.m.cfg.KeepSilent {
+				s.actions = append(s.actions, fmt.Sprintf("contender %d from %d", a.Attempt, a.From))
+				continue
+			}
 			s.actions = append(s.actions, fmt.Sprintf("start %d from %d avoid [%s]", a.Attempt, a.From, strings.Join(a.Avoid, " ")))
 		case Resume:
 			s.actions = append(s.actions, fmt.Sprintf("resume %d %s from %d", a.Attempt, a.Stream.ID, a.From))
 		case Probe:
 			s.actions = append(s.actions, fmt.Sprintf("probe %d %s", a.Attempt, a.Stream.ID))
+		case Assess:
+			s.actions = append(s.actions, fmt.Sprintf("assess %d", a.Attempt))
 		case Cancel:
 			s.actions = append(s.actions, fmt.Sprintf("cancel %d %s", a.Attempt, a.Stream.ID))
 		case Finish:
--- /dev/null
+++ b/core/liveness/liveness.go
@@ -0,0 +1,148 @@
+// Package liveness keeps when endpoints last answered and when they last failed to answer in time, and
+// tells whether the silence of one is shared by others.
+//
+// An endpoint that is silent alone has probably failed. When a large part of a service is silent at
+// the same moment, the cause is more likely a short pause of all of them, or this instance's own
+// network: moving their work would only load the rest. This is the idea of the panic threshold of
+// load balancers, and of the maximum share of endpoints that outlier detection may eject.
+//
+// A record that is older than [MaxAge] says nothing. [Tracker] does no I/O and reads no clock. It is
+// not safe for concurrent use.
+package liveness
+
+import "time"
+
+const (
+	// MaxAge is how long a record is evidence.
+	MaxAge = 500 * time.Millisecond
+	// SharedShare is the share of the endpoints with evidence that have to be silent for a silence to
+	// be shared, and MinSilent the number of them.
+	SharedShare = 0.25
+	MinSilent   = 2
+	// recordTTL is how long the records of an endpoint are kept for reports.
+	recordTTL = time.Minute
+)
+
+// Evidence is what is known about the other endpoints of a service.
+type Evidence struct {
+	// Answering and Silent are the numbers of endpoints that answered, and that did not answer in
+	// time, within MaxAge.
+	Answering, Silent int
+	// Age is the age of the oldest record counted.
+	Age time.Duration
+}
+
+// Known returns the number of endpoints with evidence.
+func (e Evidence) Known() int { return e.Answering + e.Silent }
+
+// SilentShare returns the share of the endpoints with evidence that are silent; 0 without evidence.
+func (e Evidence) SilentShare() float64 {
+	if e.Known() == 0 {
+		return 0
+	}
+	return float64(e.Silent) / float64(e.Known())
+}
+
+// Shared reports whether many endpoints are silent at once.
+func (e Evidence) Shared() bool { return e.Silent >= MinSilent && e.SilentShare() >= SharedShare }
+
+type record struct {
+	service              string
+	answeredAt, silentAt time.Time
+}
+
+// latest returns when the endpoint was last observed.
+func (r *record) latest() time.Time {
+	if r.silentAt.After(r.answeredAt) {
+		return r.silentAt
+	}
+	return r.answeredAt
+}
+
+// Tracker holds the records of endpoints by ID. The zero value is empty.
+type Tracker struct {
+	records map[string]*record
+	sweptAt time.Time
+}
+
+func (t *Tracker) get(now time.Time, service, id string) *record {
+	if t.records == nil {
+		t.records = map[string]*record{}
+	}
+	if now.Sub(t.sweptAt) >= recordTTL {
+		t.sweep(now)
+	}
+	r := t.records[id]
+	if r == nil {
+		r = &record{}
+		t.records[id] = r
+	}
+	r.service = service
+	return r
+}
+
+func (t *Tracker) sweep(now time.Time) {
+	t.sweptAt = now
+	for id, r := range t.records {
+		if now.Sub(r.latest()) >= recordTTL {
+			delete(t.records, id)
+		}
+	}
+}
+
+// Answered records a sign of life of an endpoint.
+func (t *Tracker) Answered(now time.Time, service, id string) {
+	t.get(now, service, id).answeredAt = now
+}
+
+// Unanswered records that an endpoint did not answer in time. An answer since askedAt overrides it.
+func (t *Tracker) Unanswered(now, askedAt time.Time, service, id string) {
+	if r := t.get(now, service, id); !r.answeredAt.After(askedAt) {
+		r.silentAt = now
+	}
+}
+
+// AnsweredSince reports whether an endpoint has shown a sign of life after a time, and none of it
+// was followed by an unanswered question.
+func (t *Tracker) AnsweredSince(id string, since time.Time) bool {
+	r := t.records[id]
+	return r != nil && r.answeredAt.After(since) && !t.Silent(id)
+}
+
+// Silent reports whether the last thing known about an endpoint is that it did not answer.
+func (t *Tracker) Silent(id string) bool {
+	r := t.records[id]
+	return r != nil && r.silentAt.After(r.answeredAt)
+}
+
+// LastAnswer returns when an endpoint last showed a sign of life; zero if it is not known.
+func (t *Tracker) LastAnswer(id string) time.Time {
+	if r := t.records[id]; r != nil {
+		return r.answeredAt
+	}
+	return time.Time{}
+}
+
+// HasEvidence reports whether there is a record of an endpoint that is not older than MaxAge.
+func (t *Tracker) HasEvidence(now time.Time, id string) bool {
+	r := t.records[id]
+	return r != nil && now.Sub(r.latest()) <= MaxAge
+}
+
+// Evidence returns what is known about the endpoints of a service other than except.
+func (t *Tracker) Evidence(now time.Time, service, except string) Evidence {
+	var e Evidence
+	for id, r := range t.records {
+		age := now.Sub(r.latest())
+		if id == except || r.service != service || age > MaxAge {
+			continue
+		}
+		if t.Silent(id) {
+			e.Silent++
+		} else {
+			e.Answering++
+		}
+		e.Age = max(e.Age, age)
+	}
+	return e
+}
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -31,13 +31,14 @@
 type messageKind int
 
 const (
-	attemptSent    messageKind = iota // connected, and the request is being sent
-	attemptEvent                      // an event arrived
-	attemptDone                       // the answer ended properly
-	attemptFailed                     // the attempt ended in any other way
-	attemptProbed                     // a probe of the engine ended
-	attemptCopied                     // a copy requested from the engine ended
-	requestStopped                    // the request was stopped because it crashes engines
+	attemptSent     messageKind = iota // connected, and the request is being sent
+	attemptEvent                       // an event arrived
+	attemptDone                        // the answer ended properly
+	attemptFailed                      // the attempt ended in any other way
+	attemptProbed                      // a probe of the engine ended
+	attemptAssessed                    // an assessment of the engine's silence ended
+	attemptCopied                      // a copy requested from the engine ended
+	requestStopped                     // the request was stopped because it crashes engines
 )
 
 // message is a report from an attempt to its session.
@@ -57,6 +58,8 @@
 	// alive and events are the result of a probe.
 	alive  bool
 	events int
+	// assessment is the result of an attemptAssessed.
+	assessment *assessment
 	// holder is the copy that was made; zero when the copy failed.
 	holder copies.Holder
 	// headAt is when the answer of a failed attempt began; zero when it did not begin.
@@ -97,6 +100,12 @@
 	sentAt        time.Time
 	// unaskedProbes counts the probes that were withheld from the engine.
 	unaskedProbes atomic.Int32
+	// contender is set until the attempt becomes the current one of its session. left is set when
+	// another attempt has replaced it. copies and copyEngineID are those of a contender; see
+	// [session].
+	contender, left bool
+	copies          *copies.Tracker
+	copyEngineID    string
 	// gaveUpOnSilence is set when the session gave up the attempt because the engine went silent.
 	gaveUpOnSilence atomic.Bool
 	// rolloutTrial counts the attempt when its service moves to another build; nil otherwise.
@@ -116,6 +125,7 @@
 	e, resumeFrom := choice.endpoint, choice.resumeFrom
 	a := &attempt{
 		session: s, number: number, endpoint: *e, helper: choice.helper, lease: choice.lease, cancel: cancel, isRetry: s.wasSent(), resumeFrom: resumeFrom, placed: routing.Placed{Tokens: s.peakTokens()},
+		contender: choice.contender,
 	}
 	if choice.helper != nil {
 		s.launchAtPeer(ctx, a)
@@ -132,13 +142,13 @@
 	a.potentialLoss.ServedBefore, a.potentialLoss.Async = s.reportedProgress, s.relayedEvents > 0
 	a.send = platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: s.req.timeLeft(time.Now()), Team: s.req.teamName(), Priority: s.req.priority,
-		LastEventID: s.lastEventID, CopyFrom: resumeFrom.Address, CopyHandle: resumeFrom.Handle, CopyTo: s.placeCopy(e),
+		LastEventID: s.lastEventID, CopyFrom: resumeFrom.Address, CopyHandle: resumeFrom.Handle, CopyTo: s.placeCopy(a),
 	}
 	a.rolloutTrial = s.f.Rollouts.Begin(s.req.route.Name, e)
 	s.attempts[number] = a
 	s.f.Placement.Sent(e.ID, a.placed)
 	s.f.firstStreamOnce.Do(func() { s.f.metrics.startToFirstStream.RecordDuration(time.Since(s.f.startedAt)) })
-	s.f.Peers.Changed(e.ID, s.copyEngineID)
+	s.f.Peers.Changed(e.ID, s.copyEngineOf(a))
 	s.logPlaced(a)
 	go a.run(ctx)
 }
@@ -149,7 +159,12 @@
 	a.placed = routing.Placed{}
 	a.sentAt = time.Now()
 	a.send = platform.EndpointRequest{LastEventID: s.lastEventID}
-	s.copies.RunStarted(a.sentAt, copies.Holder{})
+	tracker := s.copies
+	if a.contender {
+		a.copies = copies.New(s.copySettings())
+		tracker = a.copies
+	}
+	tracker.RunStarted(a.sentAt, copies.Holder{})
 	s.attempts[a.number] = a
 	s.f.Log.Decision(s.req.ID, "passed on to a peer", logrus.Fields{"attempt": a.number, "peer": a.helper.ID, "data_centre": a.helper.DataCentre, "events": s.relayedEvents})
 	s.f.metrics.countPassedOn("stream")
@@ -330,6 +345,7 @@
 		if a.potentialLoss.FirstEventAt.IsZero() {
 			a.potentialLoss.FirstEventAt = time.Now()
 		}
+		a.session.f.liveness.recordAnswer(a.endpoint.Service, a.endpoint.ID)
 		a.report(ctx, message{kind: attemptEvent, raw: e.raw, id: e.id, hasID: e.hasID})
 	}
 }
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -49,26 +49,67 @@
 	return settings
 }
 
-// placeCopy picks the engine that keeps a copy of a run that is about to start at e, and returns
-// its address. It returns an empty string when the engines do not support continuous copies or none
-// has room.
-func (s *session) placeCopy(e *routing.Endpoint) string {
-	now := time.Now()
-	engine := s.engineSpec()
-	if engine == nil || !engine.ContinuousCopies || s.f.Settings.Disabled.Copies {
-		s.copies.RunStarted(now, copies.Holder{})
-		return ""
+// placeCopy picks the engine that keeps a copy of a run that is about to start, and returns its
+// address. It returns an empty string when the engines do not support continuous copies or none has
+// room.
+func (s *session) placeCopy(a *attempt) string {
+	tracker := s.copies
+	if a.contender {
+		a.copies = copies.New(s.copySettings())
+		tracker = a.copies
 	}
-	target := s.pickCopyEngine(e)
+	target := s.continuousCopyEngine(&a.endpoint)
 	if target == nil {
-		s.copies.RunStarted(now, copies.Holder{})
+		tracker.RunStarted(time.Now(), copies.Holder{})
 		return ""
 	}
-	s.copies.RunStarted(now, copies.Holder{Endpoint: target.ID, Address: target.Address})
-	s.accountCopy(target.ID)
+	tracker.RunStarted(time.Now(), copies.Holder{Endpoint: target.ID, Address: target.Address})
+	if a.contender {
+		a.copyEngineID = target.ID
+		s.f.Placement.Place(target.ID, s.copyPlaced())
+	} else {
+		s.accountCopy(target.ID)
+	}
 	return target.Address
 }
 
+// continuousCopyEngine returns the engine that keeps a copy of a run at e while it grows; nil for none.
+func (s *session) continuousCopyEngine(e *routing.Endpoint) *routing.Endpoint {
+	engine := s.engineSpec()
+	if engine == nil || !engine.ContinuousCopies || s.f.Settings.Disabled.Copies {
+		return nil
+	}
+	return s.pickCopyEngine(e)
+}
+
+// copyEngineOf returns the engine at which the copy of an attempt's run is accounted; empty for none.
+func (s *session) copyEngineOf(a *attempt) string {
+	if a.contender {
+		return a.copyEngineID
+	}
+	return s.copyEngineID
+}
+
+// adoptCopy makes the copy of an attempt that was a contender the session's.
+func (s *session) adoptCopy(a *attempt) {
+	s.accountCopy("")
+	s.copies, s.copyEngineID = a.copies, a.copyEngineID
+}
+
+// dropContenderCopy releases what the copy of a contender that did not become current occupies. If the
+// contender was sent, it has used up the copy that it was to resume from.
+func (s *session) dropContenderCopy(a *attempt) {
+	if a.copyEngineID != "" {
+		s.f.Placement.Release(a.copyEngineID, s.copyPlaced())
+		s.f.Peers.Freed(a.copyEngineID)
+		a.copyEngineID = ""
+	}
+	if a.sent && a.resumesFromCopy() {
+		s.copies.EngineLost(time.Now(), a.resumeFrom.Endpoint)
+		s.accountCopy("")
+	}
+}
+
 // pickCopyEngine chooses an engine for a copy of a run at e: in another data centre, or in the same
 // one when no other has room. It returns nil when no engine has room.
 func (s *session) pickCopyEngine(e *routing.Endpoint) *routing.Endpoint {
@@ -170,7 +211,7 @@
 // first event on.
 func (s *session) canCopy() bool {
 	a := s.currentAttempt()
-	return a != nil && a.helper == nil && a.hasEvent && !a.ended
+	return a != nil && a.helper == nil && a.hasEvent && !a.ended && !s.machine.Suspects()
 }
 
 // requestCopy asks the engine of an attempt to copy the run's memory.
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -66,7 +66,7 @@
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
-	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses, Stay, SharedSilence, OwnPauses bool
 }
 
 // Peers is the set of other instances, which share the endpoints with this one.
@@ -161,6 +161,7 @@
 	retryBudgets    *retryBudgets
 	attributor      crashes.Attributor
 	promptLocations promptLocations
+	liveness        livenessRecords
 	locator         promptLocator
 	waitQueues      waitQueues
 	returns         returnSchedules
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -16,6 +16,7 @@
 	accepted, answered, retries         tally.Counter
 	retriesDenied                       tally.Counter
 	silences, moved, movedByCopy        tally.Counter
+	keptSilent, leftSilent              tally.Counter // streams kept at a silent engine at an assessment, and moved away from one
 	recovered, brokenOff, callersLeft   tally.Counter
 	stoppedRefused                      tally.Counter
 	claimsRefused                       tally.Counter
@@ -39,7 +40,7 @@
 	return metrics{
 		scope: s, accepted: s.Counter("requests_accepted_total"), answered: s.Counter("requests_answered_total"),
 		retries: s.Counter("requests_sent_again_total"), retriesDenied: s.Counter("requests_not_sent_again_total"), silences: s.Counter("streams_silent_total"),
-		moved: s.Counter("streams_moved_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
+		moved: s.Counter("streams_moved_total"), keptSilent: s.Counter("streams_kept_silent_total"), leftSilent: s.Counter("streams_left_silent_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
 		claimsRefused: s.Counter("claims_refused_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -32,7 +32,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, s.f.Settings.ProbeTimeout)
 		defer cancel()
-		report, err := s.f.fetchReport(ctx, a)
+		report, err := s.f.fetchReport(ctx, &a.endpoint)
 		m := message{kind: attemptProbed}
 		switch {
 		case err == nil:
@@ -90,8 +90,8 @@
 }
 
 // fetchReport fetches an engine's status report.
-func (f *Forwarder) fetchReport(ctx context.Context, a *attempt) (platform.EngineReport, error) {
-	raw, err := f.callEngine(ctx, &a.endpoint, http.MethodGet, platform.EngineReportPath, nil)
+func (f *Forwarder) fetchReport(ctx context.Context, e *routing.Endpoint) (platform.EngineReport, error) {
+	raw, err := f.callEngine(ctx, e, http.MethodGet, platform.EngineReportPath, nil)
 	if err != nil {
 		return platform.EngineReport{}, err
 	}
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -30,6 +30,8 @@
 	case attemptProbed:
 		s.recordPrefillProgress(m)
 		s.machine.Probed(now, m.attempt, m.alive, m.events)
+	case attemptAssessed:
+		s.handleAssessment(now, m)
 	case attemptCopied:
 		s.handleCopyResult(now, m)
 	case requestStopped:
@@ -76,14 +78,16 @@
 		a.recordPrefilled()
 		a.recordEventGap(now)
 	}
-	if !s.firstIDKnown && a == s.currentAttempt() { // the first event of an attempt that was given up may be lost
+	if !s.firstIDKnown && a != nil && !s.machine.Abandoned(m.attempt) { // the first event of an attempt that was given up may be lost
 		s.firstID, s.firstIDKnown = m.id, true
 	}
 	if !s.firstIDKnown {
 		return
 	}
 	index := int(int64(m.id - s.firstID))
-	if !s.machine.Token(now, m.attempt, index, nil) {
+	relay := s.machine.Token(now, m.attempt, index, nil)
+	s.adoptContender()
+	if !relay {
 		return
 	}
 	if s.relayedEvents == 0 {
@@ -149,6 +153,10 @@
 	if a != nil {
 		a.ended, a.refused = true, m.failure == generation.Refused
 	}
+	if a != nil && a.contender {
+		s.handleContenderFailure(now, a, m)
+		return
+	}
 	switch {
 	case m.failure == generation.Refused:
 		s.dropCopy() // the run did not start, so there is nothing to copy
@@ -186,11 +194,16 @@
 
 // cancel ends an attempt that is not needed any more. Its engine sees the connection close.
 func (s *session) cancel(number int) {
+	s.adoptContender()
 	a := s.attempts[number]
 	if a == nil {
 		return
 	}
-	if !s.machine.Ended() && !a.ended {
+	if a.contender {
+		s.cancelContender(a)
+		return
+	}
+	if !s.machine.Ended() && !a.ended && !a.left {
 		s.markLost(time.Now())
 		s.f.metrics.silences.Inc(1)
 		a.recordLoss()
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -39,6 +39,10 @@
 	copyCheckedAt time.Time
 	// lastFailure is an engine's own error answer, delivered when no other engine does better.
 	lastFailure *answer
+	// target is the engine that the last assessment of a silence found, and silenceShared tells that
+	// many other engines were silent too.
+	target        *moveTarget
+	silenceShared bool
 	// lostAt is when a stream with relayed events lost its engine; zero while an engine serves it.
 	lostAt time.Time
 	// firstEventLatency is the time to the first event, and longestGap the longest gap between
@@ -119,6 +123,8 @@
 	c.AckTimeout = settings.ConnectTimeout + ackMargin
 	c.WaitForEndpoint = resumeEngineWait
 	c.MaxAttempts = s.req.maxRuns()
+	c.KeepSilent = !settings.Disabled.Stay
+	c.OwnDelay = s.f.ownDelay()
 	return c
 }
 
@@ -130,6 +136,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		s.adoptContender()
 		for actions := s.machine.Ready(); len(actions) > 0; actions = s.machine.Ready() {
 			for _, a := range actions {
 				if s.perform(a) {
@@ -181,6 +188,8 @@
 		s.start(a)
 	case generation.Probe:
 		s.probe(a)
+	case generation.Assess:
+		s.assess(a)
 	case generation.Cancel:
 		s.cancel(a.Attempt)
 	case generation.Finish:
@@ -195,6 +204,10 @@
 
 // start chooses an engine for an attempt and sends the request there.
 func (s *session) start(a generation.Start) {
+	if a.Contender {
+		s.startContender(a)
+		return
+	}
 	now := time.Now()
 	if refused := s.f.revalidate(s.req); refused != nil && !s.mayHaveRun() {
 		s.machine.Failed(now, a.Attempt, generation.NoEndpoint, refused.retryAfter)
@@ -229,6 +242,8 @@
 	mayBeCached bool
 	// helper is the instance that the request is passed on to, in place of an engine; nil for none.
 	helper *Helper
+	// contender is set while the current attempt is kept.
+	contender bool
 }
 
 // chooseEngine returns the engine that holds a copy of the run's memory, with that copy, or else
@@ -401,6 +416,9 @@
 	s.endCrashTrial()
 	for _, a := range s.attempts {
 		a.rolloutTrial.SetUndrained(false)
+		if a.contender && !a.ended {
+			s.dropContenderCopy(a)
+		}
 		a.cancel()
 	}
 	s.releaseCopyLater()
@@ -420,8 +438,11 @@
 	if a.send.CopyFrom != "" {
 		inputs["from_copy"] = a.send.CopyFrom
 	}
-	if s.copyEngineID != "" {
-		inputs["copy_at"] = s.copyEngineID
+	if copyAt := s.copyEngineOf(a); copyAt != "" {
+		inputs["copy_at"] = copyAt
+	}
+	if a.contender {
+		inputs["contender"] = true
 	}
 	s.f.Log.Decision(s.req.ID, "placed", inputs)
 }
--- /dev/null
+++ b/gateway/forward/silence.go
@@ -0,0 +1,285 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/copies"
+	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/liveness"
+	"github.com/agateway/agateway/core/routing"
+)
+
+// A silent engine is not left before another one is known to be better. An assessment asks, on new
+// connections and all at once, the engine itself and the one that holds the copy of the run's memory. If
+// the latter does not answer, it asks some other engines as well: they tell whether the silence is
+// shared, and one of them may have room.
+
+const (
+	// sampleSize is how many other engines are asked, together with those of which the last answers
+	// or silences are known.
+	sampleSize = 6
+	// maxTargetQuestions is how many engines are asked in turn whether they take a stream over.
+	maxTargetQuestions = 3
+)
+
+// silence is the situation that an assessment starts from.
+type silence struct {
+	attempt *attempt
+	since   time.Time
+	// copyAt is the engine with the copy of the run's memory, and copied identifies the copy there;
+	// nil and zero for none.
+	copyAt *routing.Endpoint
+	copied copies.Holder
+	// request describes the stream for the choice of another engine.
+	request *routing.Request
+	// countEvents is set if the engine counts the events of the run as this session does, and relayed
+	// is their number.
+	countEvents bool
+	relayed     int
+}
+
+// assessment is the result of assessing a silence.
+type assessment struct {
+	generation.Assessment
+	silence *silence
+	// target is the engine to move to; nil for none.
+	target *moveTarget
+	// evidence is what is known about the other engines of the service.
+	evidence liveness.Evidence
+	// answer is what the silent engine itself answered.
+	answer engineAnswer
+}
+
+// moveTarget is an engine that has answered and may take a stream over, or an instance that passes the
+// stream on.
+type moveTarget struct {
+	// helper is that instance; nil for an engine.
+	helper   *Helper
+	decision routing.Decision
+	// resumeFrom is the copy of the run's memory there; zero if the prompt has to be prefilled.
+	resumeFrom copies.Holder
+}
+
+// assess starts an assessment of the current attempt's silence.
+func (s *session) assess(p generation.Assess) {
+	a := s.attempts[p.Attempt]
+	if a == nil {
+		s.machine.Assessed(time.Now(), p.Attempt, generation.Assessment{Engine: generation.Ended})
+		return
+	}
+	if a.helper != nil {
+		s.machine.Assessed(time.Now(), p.Attempt, s.assessHelper(a))
+		return
+	}
+	situation := s.describeSilence(a, p.SilentSince)
+	go func() {
+		r := s.f.assessSilence(s.ctx, situation)
+		a.report(s.ctx, message{kind: attemptAssessed, assessment: r})
+	}()
+}
+
+// assessHelper assesses the silence of an instance that the request was passed on to. That instance
+// itself looks after the engine, so its silence is taken for the engine's.
+func (s *session) assessHelper(a *attempt) generation.Assessment {
+	s.target = nil
+	if !s.f.helperAlive(a.helper.ID) {
+		return generation.Assessment{Engine: generation.Ended}
+	}
+	if h := s.f.pickHelper([]string{a.endpoint.ID}); h != nil {
+		s.target = &moveTarget{helper: h}
+	}
+	return generation.Assessment{Engine: generation.Silent, Shared: true, Target: s.target != nil}
+}
+
+func (s *session) describeSilence(a *attempt, since time.Time) *silence {
+	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents}
+	out.request.Recovery = s.mayHaveRun()
+	if holder, ok := s.copies.Holder(); ok && s.relayedEvents > 0 {
+		if e, known := s.f.Placement.Get(holder.Endpoint); known && e.State == routing.Live && !s.f.Rollouts.RolledBack(&e) {
+			out.copyAt, out.copied = &e, holder
+		}
+	}
+	return out
+}
+
+// assessSilence asks the silent engine and others, and returns what that shows.
+func (f *Forwarder) assessSilence(ctx context.Context, s *silence) *assessment {
+	startedAt := time.Now()
+	r := &assessment{silence: s}
+	own := f.ask(&s.attempt.endpoint)
+	if s.copyAt != nil {
+		r.target = f.askCopyHolder(ctx, s, own)
+	}
+	if r.target == nil {
+		f.askOthers(ctx, s)
+	}
+	f.awaitEngineAnswer(ctx, s, own, r)
+	r.evidence = f.liveness.evidence(s.attempt.endpoint.Service, s.attempt.endpoint.ID)
+	r.Shared = r.evidence.Shared() && !f.Settings.Disabled.SharedSilence
+	if r.target == nil && f.seeksTarget(s, r) {
+		r.target = f.findTarget(ctx, s)
+	}
+	if r.target == nil && r.Engine == generation.Unreachable {
+		r.target = f.findHelper(ctx, s.attempt)
+	}
+	r.Target, r.Copy = r.target != nil, r.target != nil && r.target.resumeFrom != copies.Holder{}
+	limit := time.Duration(2+maxTargetQuestions)*f.Settings.ProbeTimeout + f.ownDelay()
+	r.Inconclusive = r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
+	return r
+}
+
+// askCopyHolder asks the engine with the copy. It returns that engine if it answers before the silent
+// one does, or shortly after.
+func (f *Forwarder) askCopyHolder(ctx context.Context, s *silence, own *question) *moveTarget {
+	answer, ok := f.ask(s.copyAt).await(ctx, time.After(f.Settings.ProbeTimeout))
+	if !ok || !answer.asked || answer.state != generation.Working {
+		return nil
+	}
+	return &moveTarget{decision: routing.Decision{Endpoint: *s.copyAt}, resumeFrom: s.copied}
+}
+
+// askOthers asks other engines of the service that may take the stream over, unless enough is known
+// of others already.
+func (f *Forwarder) askOthers(ctx context.Context, s *silence) {
+	own := &s.attempt.endpoint
+	missing := sampleSize - f.liveness.evidence(own.Service, own.ID).Known()
+	var questions []*question
+	for _, e := range f.Placement.Likely(s.request, 2*sampleSize) {
+		if missing <= 0 {
+			break
+		}
+		if e.ID == own.ID || e.State != routing.Live || f.liveness.hasEvidence(e.ID) {
+			continue
+		}
+		questions = append(questions, f.ask(&e))
+		missing--
+	}
+	due := time.After(f.Settings.ProbeTimeout)
+	for _, q := range questions {
+		q.await(ctx, due)
+	}
+}
+
+// awaitEngineAnswer waits for the answer of the silent engine.
+func (f *Forwarder) awaitEngineAnswer(ctx context.Context, s *silence, own *question, r *assessment) {
+	wait := f.Settings.ProbeTimeout
+	if r.target != nil {
+		wait = 0
+	}
+	answer, ok := own.await(ctx, time.After(wait))
+	r.answer, r.Engine = answer, generation.Silent
+	if !ok {
+		return
+	}
+	r.Engine = answer.state
+	switch {
+	case !answer.asked && s.attempt.presumedAlive():
+		r.Engine = generation.Working
+	case answer.err == nil:
+		f.judgeReport(s, r)
+	}
+}
+
+// judgeReport judges the silent engine by its own status.
+func (f *Forwarder) judgeReport(s *silence, r *assessment) {
+	alive, events := f.mayStillHave(&s.attempt.endpoint, &r.answer.report, s.attempt.session.req.ID, s.countEvents)
+	if !alive {
+		r.Engine = generation.Ended
+	}
+	r.Undelivered = events > s.relayed
+}
+
+// seeksTarget reports whether another engine is needed, to prefill the prompt there.
+func (f *Forwarder) seeksTarget(s *silence, r *assessment) bool {
+	switch r.Engine {
+	case generation.Unreachable:
+		return true
+	case generation.Silent:
+		return !r.Shared || time.Since(s.since) >= generation.MaxSharedSilence
+	case generation.Working:
+		return r.Undelivered || time.Since(s.since) >= generation.MaxSharedSilence
+	}
+	return false
+}
+
+// findTarget returns an engine that has room and has answered since the silence began.
+func (f *Forwarder) findTarget(ctx context.Context, s *silence) *moveTarget {
+	r := *s.request
+	r.Avoid = []string{s.attempt.endpoint.ID}
+	for range maxTargetQuestions {
+		d, err := f.Placement.Pick(&r)
+		if err != nil {
+			return nil
+		}
+		if f.answers(ctx, &d.Endpoint) {
+			return &moveTarget{decision: d}
+		}
+		r.Avoid = append(slices.Clone(r.Avoid), d.Endpoint.ID)
+	}
+	return nil
+}
+
+// findHelper returns an instance to pass the stream on to, if this one is cut off from the engines.
+func (f *Forwarder) findHelper(ctx context.Context, a *attempt) *moveTarget {
+	f.checkReach(ctx)
+	if !f.usesHelpers(a.session.req) {
+		return nil
+	}
+	if h := f.pickHelper([]string{a.endpoint.ID}); h != nil {
+		return &moveTarget{helper: h}
+	}
+	return nil
+}
+
+// answers reports whether an engine has answered just now, or does so when asked.
+func (f *Forwarder) answers(ctx context.Context, e *routing.Endpoint) bool {
+	if f.liveness.answeredSince(e.ID, time.Now().Add(-f.Settings.ProbeTimeout)) {
+		return true
+	}
+	answer, ok := f.ask(e).await(ctx, time.After(f.Settings.ProbeTimeout))
+	return ok && answer.asked && answer.state == generation.Working
+}
+
+// handleAssessment passes an assessment on to the state machine, and logs what it decided.
+func (s *session) handleAssessment(now time.Time, m message) {
+	r := m.assessment
+	if a := s.attempts[m.attempt]; a != nil && r.answer.err == nil && !a.hasEvent && a.prefillTokens > 0 && r.Engine == generation.Working {
+		s.f.Placement.RecordPrefillProgress(a.endpoint.ID, a.prefillTokens, time.Since(a.sentAt))
+	}
+	s.target, s.silenceShared = r.target, r.Shared
+	before := s.machine.Stats()
+	s.machine.Assessed(now, m.attempt, r.Assessment)
+	after := s.machine.Stats()
+	s.logAssessment(now, m, r, after.Leaves > before.Leaves)
+	if after.Keeps > before.Keeps {
+		s.f.metrics.keptSilent.Inc(1)
+	}
+}
+
+// logAssessment logs whether a stream is kept at a silent engine, and why.
+func (s *session) logAssessment(now time.Time, m message, r *assessment, leaves bool) {
+	inputs := logrus.Fields{
+		"attempt": m.attempt, "endpoint": m.endpoint, "events": s.relayedEvents, "leaves": leaves, "engine": engineStateNames[r.Engine], "silent_ms": now.Sub(r.silence.since).Milliseconds(),
+		"shared": r.Shared, "silent_share": r.evidence.SilentShare(), "others": r.evidence.Known(), "evidence_ms": r.evidence.Age.Milliseconds(), "error": errorText(r.answer.err),
+		"inconclusive": r.Inconclusive, "own_delays": s.machine.Stats().OwnDelays, "copy": r.Copy,
+	}
+	if last := s.f.liveness.lastAnswer(m.endpoint); !last.IsZero() {
+		inputs["last_sign_ms"] = now.Sub(last).Milliseconds()
+	}
+	switch {
+	case r.target == nil:
+	case r.target.helper != nil:
+		inputs["to"] = r.target.helper.ID
+	default:
+		inputs["to"] = r.target.decision.Endpoint.ID
+	}
+	s.f.Log.Decision(s.req.ID, "engine silent", inputs)
+}
+
+var engineStateNames = map[generation.EngineState]string{
+	generation.Silent: "silent", generation.Unreachable: "unreachable", generation.Working: "working", generation.Returned: "returned", generation.Ended: "ended",
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -236,6 +236,7 @@
 	return forward.DisabledMechanisms{
 		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
 		SharedRetries: !m.SharedRetries, WaitQueue: !m.Line, FirstLook: !m.FirstLook, Claims: !m.Claims, Limits: !m.Limits, Room: !m.Room, ViaPeers: !m.ViaPeers, Departures: !m.Departures, Pauses: !m.Pauses,
+		Stay: !m.Stay, SharedSilence: !m.SharedSilence, OwnPauses: !m.OwnPauses,
 	}
 }
 
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -114,6 +114,9 @@
 	ViaPeers      bool `ini:"via_peers" default:"true" doc:"an instance that reaches no endpoint passes requests on to instances that do"`
 	Departures    bool `ini:"departures" default:"true" doc:"endpoints that say in their answers that they leave get nothing new"`
 	Pauses        bool `ini:"pauses" default:"true" doc:"endpoints that refuse a request and ask for a pause get nothing until it is over"`
+	Stay          bool `ini:"stay" default:"true" doc:"streams stay at a silent engine until another one is known to be better"`
+	SharedSilence bool `ini:"shared_silence" default:"true" doc:"a silence that many engines share suspects none of them, and moves only streams with a copy elsewhere"`
+	OwnPauses     bool `ini:"own_pauses" default:"true" doc:"while this process was paused, its engines do not count as silent"`
 	Eras          bool `ini:"eras" default:"true" doc:"revisions of a store that has returned from an older copy are told apart from those before, and what it has lost stays in force"`
 	Restore       bool `ini:"restore" default:"true" doc:"what instances wrote and the store has lost by returning from an older copy is written again"`
 	Tree          bool `ini:"tree" default:"true" doc:"instances follow each other; else each asks the store"`
