--- a/gateway/front/paused_world_test.go
+++ b/gateway/front/paused_world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -35,7 +36,9 @@
 type pausedWorld struct {
 	*world
 	events  int
+	begun   int // number of streams that were begun
 	streams []*callerStream
+	drains  sync.WaitGroup
 }
 
 // callerStream is a stream as its caller sees it.
@@ -51,6 +54,8 @@
 // pausedCase describes a world of paused engines.
 type pausedCase struct {
 	instances, engines, events int
+	// interval is the time between two events; 0 for longInterval.
+	interval time.Duration
 	// noCopies is set when engines neither keep copies up to date nor copy on request.
 	noCopies bool
 	prepare  func(*world)
@@ -68,9 +73,12 @@
 			c.prepare(w)
 		}
 	}, func(w *world) {
+		if c.interval == 0 {
+			c.interval = longInterval
+		}
 		for i := range c.engines {
 			w.engines = append(w.engines, w.newWorker(fmt.Sprint("e", i), "", standin.WorkerConfig{
-				Service: "engines", Address: fmt.Sprintf("10.1.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, PrefillTokensPerMS: 8, EventInterval: longInterval, Events: c.events,
+				Service: "engines", Address: fmt.Sprintf("10.1.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, PrefillTokensPerMS: 8, EventInterval: c.interval, Events: c.events,
 			}))
 		}
 		time.Sleep(3 * time.Second)
@@ -79,24 +87,30 @@
 }
 
 // start begins n streams, evenly at the first instances of the world, and returns when they have
-// events. Their callers come back when they are refused. Streams that no engine takes in time are left
-// out; there may be some where the others fill the engines.
+// events. Streams that no engine takes in time are left out; there may be some where the others fill
+// the engines.
 func (w *pausedWorld) start(n, instances int) {
-	var started []*callerStream
-	for i := range n {
-		s := &callerStream{prompt: fmt.Sprintf("%x", 0x100+len(w.streams)+i), instance: i % instances, done: make(chan struct{})}
-		started = append(started, s)
-		go w.call(s)
-		time.Sleep(startTime / 3 / time.Duration(n))
-	}
+	w.begin(n, instances, startTime/3)
 	time.Sleep(startTime * 2 / 3)
+	w.keepRunning(n * 3 / 4)
+}
+
+// keepRunning leaves out the streams that no engine has taken. At least the given number must be left.
+func (w *pausedWorld) keepRunning(atLeast int) {
 	runs := w.runsByID()
-	for _, s := range started {
-		if len(runs[s.id]) > 0 {
-			w.streams = append(w.streams, s)
-		}
+	w.streams = slices.DeleteFunc(w.streams, func(s *callerStream) bool { return len(runs[s.id]) == 0 })
+	assert.Assert(w.t, len(w.streams) >= atLeast, "%d streams of at least %d run", len(w.streams), atLeast)
+}
+
+// begin begins n streams within a time. Their callers come back when they are refused.
+func (w *pausedWorld) begin(n, instances int, within time.Duration) {
+	for i := range n {
+		s := &callerStream{prompt: fmt.Sprintf("%x", 0x100+w.begun), instance: i % instances, done: make(chan struct{})}
+		w.begun++
+		w.streams = append(w.streams, s)
+		go w.call(s)
+		time.Sleep(within / time.Duration(n))
 	}
-	assert.Assert(w.t, len(w.streams) >= n*3/4, "%d of %d streams run", len(w.streams), n)
 }
 
 // call sends the request of a stream until it is taken, and waits for the answer.
@@ -130,6 +144,28 @@
 	return out
 }
 
+// busiest returns the engine that runs the most streams.
+func (w *pausedWorld) busiest() *standin.Worker {
+	return slices.MaxFunc(w.engines, func(a, b *standin.Worker) int { return len(w.streamsAt(a)) - len(w.streamsAt(b)) })
+}
+
+// streamsAt returns the streams that an engine runs now.
+func (w *pausedWorld) streamsAt(e *standin.Worker) []*callerStream {
+	open := map[string]bool{}
+	for _, r := range e.Runs() {
+		if r.EndedAt.IsZero() {
+			open[r.ID] = true
+		}
+	}
+	var out []*callerStream
+	for _, s := range w.streams {
+		if open[s.id] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // pause pauses a share of the engines, drawn with the seed.
 func (w *pausedWorld) pause(share float64, d time.Duration, seed uint64) {
 	order := rand.New(rand.NewPCG(seed, 0)).Perm(len(w.engines))
@@ -197,3 +233,28 @@
 	}
 	return ""
 }
+
+// withCopies returns the IDs of the streams at an engine that have named the place of a copy.
+func (w *pausedWorld) withCopies(e *standin.Worker) map[string]bool {
+	out := map[string]bool{}
+	for _, r := range e.Runs() {
+		if r.EndedAt.IsZero() && r.CopyTo != "" {
+			out[r.ID] = true
+		}
+	}
+	return out
+}
+
+// prefills returns how many runs of the callers' streams have prefilled a prompt.
+func (w *pausedWorld) prefills() int {
+	n := 0
+	runs := w.runsByID()
+	for _, s := range w.streams {
+		for _, r := range runs[s.id] {
+			if r.Read > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
