core/routing: a silence that many endpoints share suspects none of them

What callers saw: nothing while the endpoints of a plain service paused beyond the route's timeout but an honest 504; but afterwards the endpoints were suspected, one second and longer, and taken back with one request at a time, though none was unsound. Peers were told of them as well.

Cause: Placement.Lost counts a request that reached its deadline like a broken connection, and the second one in a row ejects the endpoint, whatever the other endpoints do at that moment.

Fix: core/routing keeps for each endpoint its last sign of life, since when requests wait, and the last timeout. A timeout is no failure if at least two endpoints of the service are silent and they are a third or more of those of which something is known: silent, or answered since this one fell silent. A lost connection counts as before, and so does a timeout at an endpoint that is silent by itself. A third leaves margin for what one instance can't know: endpoints to which it sent nothing during the silence.

--- a/core/routing/cooldown.go
+++ b/core/routing/cooldown.go
@@ -21,9 +21,14 @@
 	v.lastCooldownEnd = times.Later(v.lastCooldownEnd, n.cooldown.Until())
 }
 
-// Served records that an endpoint served a request, which ends its trial after a pause.
+// Served records that an endpoint served a request, which ends its silence and its trial after a pause.
 func (v *View) Served(now time.Time, id string) {
-	if n := v.nodes[id]; n != nil && n.cooldown.OnTrial() {
+	n := v.observe(id)
+	if n == nil {
+		return
+	}
+	n.silence.answered(now)
+	if n.cooldown.OnTrial() {
 		n.cooldown.Succeeded(now)
 	}
 }
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -126,7 +126,8 @@
 	pace           health.Pace     // as observed by this instance
 	lastAnswerLost bool            // the last answer did not arrive
 	failedAt       time.Time       // when it last failed this instance, or a peer first reported a failure
-	fullUntil      time.Time       // end of the backoff after a refusal
+	silence        silence
+	fullUntil      time.Time // end of the backoff after a refusal
 	cooldown       cooldown.Cooldown
 	claimableAt    time.Time      // when room may be claimed there again; recoveries may claim it at any time
 	reportsLeaving bool           // the endpoint itself reports that it is leaving
--- /dev/null
+++ b/core/routing/silence_test.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSharedSilence guards against endpoints that are suspected since many fell silent together, and
+// against one that is silent by itself and is not suspected.
+func TestSharedSilence(t *testing.T) {
+	const (
+		endpoints = 12
+		timeout   = 400 * time.Millisecond
+		pace      = 100 * time.Millisecond
+		work      = 20 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		silent    int
+		suspected bool
+	}{
+		"one": {1, true}, "two": {2, true}, "a third": {4, false}, "half": {6, false}, "all": {12, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newTestView(endpoints)
+			suspected := map[string]bool{}
+			for at := time.Duration(0); at < 5*time.Second; at += work {
+				now := epoch.Add(at)
+				for i := range endpoints {
+					id := fmt.Sprintf("e%03d", i)
+					sentAt := at - timeout
+					if i >= c.silent || at < time.Second {
+						sentAt = at - work
+					}
+					if sentAt >= 0 && sentAt%pace == 0 {
+						if i >= c.silent || at < time.Second {
+							v.Served(now, id)
+							v.Succeeded(id)
+						} else {
+							v.AnswerTimedOut(now, id, epoch.Add(sentAt))
+						}
+						v.Finished(now, id)
+					}
+					if at%pace == 0 {
+						v.Sent(now, id)
+					}
+					if v.Suspected(now, id) {
+						suspected[id] = true
+					}
+				}
+			}
+			want := 0
+			if c.suspected {
+				want = c.silent
+			}
+			assert.Equal(t, len(suspected), want, "%v", suspected)
+		})
+	}
+}
+
+// TestSilenceEnds checks that an old timeout does not make a later silence a shared one.
+func TestSilenceEnds(t *testing.T) {
+	v := newTestView(3)
+	for _, id := range []string{"e000", "e001"} {
+		v.TimedOut(epoch, id, epoch.Add(-time.Second))
+	}
+	later := epoch.Add(silenceTTL + time.Second)
+	v.Served(later, "e001")
+	assert.Assert(t, !v.TimedOut(later.Add(time.Second), "e002", later))
+	assert.Assert(t, v.TimedOut(later.Add(time.Second), "e000", later))
+	v.Served(later.Add(time.Second), "e002")
+	assert.Assert(t, !v.AnswerTimedOut(later.Add(2*time.Second), "e000", later.Add(time.Second)))
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -43,6 +43,8 @@
 	// FallBackToSuspected allows a suspected endpoint when no other is left. Where all endpoints
 	// fail now and then, most requests are still served.
 	FallBackToSuspected bool
+	// SharedSilence makes [View.TimedOut] report a silence that an endpoint shares with others.
+	SharedSilence bool
 	// UnknownLoadPenalty is added to the score of an engine for which the placements of other
 	// instances are not known.
 	UnknownLoadPenalty float64
@@ -71,7 +73,7 @@
 		BaseSuspicion: time.Second, MaxSuspicion: 15 * time.Second,
 		ReportTTL: reportTTL, CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
 		Choices: 5, SubsetChoices: 3, SubsetBonus: 0.25, QueueFactor: 1.25, RecoveryFactor: 2, MemoryFactor: 1, CopyFactor: 0.5, CopyFactorWhileWaiting: 0.4,
-		UnknownLoadPenalty: 1, SuspicionPenalty: 1, DegradedShare: 0.25,
+		SharedSilence: true, UnknownLoadPenalty: 1, SuspicionPenalty: 1, DegradedShare: 0.25,
 	}
 }
 
@@ -275,6 +277,7 @@
 func (v *View) Report(now time.Time, id string, l Load) {
 	if n := v.observe(id); n != nil {
 		n.report(now, l)
+		n.silence.answered(now)
 	}
 }
 
@@ -282,6 +285,7 @@
 func (v *View) Sent(now time.Time, id string) {
 	if n := v.observe(id); n != nil {
 		n.recordChange(now, 1)
+		n.silence.sent(now)
 	}
 }
 
@@ -289,6 +293,7 @@
 func (v *View) Finished(now time.Time, id string) {
 	if n := v.nodes[id]; n != nil && n.open > 0 {
 		n.recordChange(now, -1)
+		n.silence.finished(n.open)
 		n.openAtFailure = max(n.openAtFailure-1, 0) // requests that were open at the failure are assumed to end first
 	}
 }
@@ -317,19 +322,6 @@
 	}
 }
 
-// AnswerLost records that an answer of an endpoint did not arrive. The next success clears a single
-// lost answer; a second one in a row counts as a failure.
-func (v *View) AnswerLost(now time.Time, id string) {
-	n := v.observe(id)
-	if n == nil {
-		return
-	}
-	if n.lastAnswerLost {
-		v.Failed(now, id)
-	}
-	n.lastAnswerLost = true
-}
-
 // Succeeded clears the suspicion of an endpoint.
 func (v *View) Succeeded(id string) {
 	if n := v.observe(id); n != nil {
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -314,8 +314,12 @@
 		return outcomeNotRun
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) { // the endpoint is at fault, not the caller
-		p.f.Placement.Lost(loss.Endpoint)
-		p.f.Placement.RecordOutcome(loss.Endpoint, false)
+		if p.timeIsUp(ctx) {
+			p.f.Placement.TimedOut(loss.Endpoint, loss.SentAt)
+		} else {
+			p.f.Placement.Lost(loss.Endpoint)
+			p.f.Placement.RecordOutcome(loss.Endpoint, false)
+		}
 		trial.Lost()
 		trial.Late(time.Since(loss.SentAt))
 	}
--- a/gateway/front/drain_test.go
+++ b/gateway/front/drain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -160,9 +161,16 @@
 // sendPartialRequest sends a part of a request. It returns a channel for the status of the answer,
 // which is closed without a value if there is no answer.
 func (w *world) sendPartialRequest(i int, text string) chan int {
-	conn, err := w.net.Node("caller").Dial(context.Background(), "tcp", frontAddress(i))
+	conn, status := w.openRequest(i)
+	_, err := io.WriteString(conn, text)
 	assert.NilError(w.t, err)
-	_, err = io.WriteString(conn, text)
+	return status
+}
+
+// openRequest opens a connection to an instance. It returns a channel for the status of the first answer,
+// which is closed without a value if there is none.
+func (w *world) openRequest(i int) (net.Conn, chan int) {
+	conn, err := w.net.Node("caller").Dial(context.Background(), "tcp", frontAddress(i))
 	assert.NilError(w.t, err)
 	status := make(chan int, 1)
 	go func() {
@@ -171,5 +179,5 @@
 			status <- resp.StatusCode
 		}
 	}()
-	return status
+	return conn, status
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -251,6 +251,18 @@
 	p.view.AnswerLost(time.Now(), id)
 }
 
+// TimedOut records that an endpoint had not answered a request by its deadline. It is no failure if the
+// endpoint shares the silence with others; shared reports that.
+func (p *Placement) TimedOut(id string, sentAt time.Time) (shared bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if shared = p.view.AnswerTimedOut(now, id, sentAt); !shared {
+		p.view.CountFailure(now, id)
+	}
+	return shared
+}
+
 // Succeeded clears the suspicion of an endpoint.
 func (p *Placement) Succeeded(id string) {
 	p.mu.Lock()
