gateway/forward: a request that reaches its deadline is no failed connection

What callers saw: nothing directly. Beside endpoints that were paused, the instance counted them as unreachable, opened connections to probe other endpoints, and dialled each silent one to see whether it had crashed. With two of them in three seconds it checked whether it was cut off itself.

Cause: a connection gets the deadline of its request's context, and its timer often fires first. The code took a context that had not ended yet to mean that the endpoint had ended the connection.

Fix: the time is up when the context has ended or its deadline has passed, as plain.run already held.

--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -133,6 +133,11 @@
 	}
 }
 
+// pastDeadline reports whether the deadline of the request has passed.
+func (req *request) pastDeadline(now time.Time) bool {
+	return !req.deadline.IsZero() && !now.Before(req.deadline)
+}
+
 // maxRuns returns on how many endpoints the request may run.
 func (req *request) maxRuns() int {
 	if req.runsLeft > 0 {
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -81,7 +81,7 @@
 	switch {
 	case err == nil && !conn.Reused():
 		f.Reach.Connected()
-	case errorx.IsOfType(err, upstream.ErrLost) && ctx.Err() == nil: // an idle connection may have been closed
+	case errorx.IsOfType(err, upstream.ErrLost) && !timeIsUp(ctx): // an idle connection may have been closed
 		f.Reach.Failed(endpoint)
 	}
 	return x, err
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -71,7 +71,7 @@
 // run sends the request until it is answered or must not be sent again.
 func (p *plain) run(ctx context.Context) *refusal {
 	for {
-		if p.timeIsUp(ctx) {
+		if timeIsUp(ctx) {
 			return p.refuseExpired(ctx, outcomeNotRun)
 		}
 		if refused := p.f.revalidate(p.req); refused != nil {
@@ -106,7 +106,7 @@
 			p.deliver(reply)
 			return nil
 		}
-		if p.timeIsUp(ctx) {
+		if timeIsUp(ctx) {
 			return p.refuseExpired(ctx, result)
 		}
 		if result == outcomeAnswered {
@@ -130,10 +130,11 @@
 	return p.f.usesHelpers(p.req)
 }
 
-// timeIsUp reports whether the deadline has passed or the caller has left. Connections end at the
+// timeIsUp reports whether a context has ended or its deadline has passed. Connections end at the
 // deadline, sometimes slightly before the context does.
-func (p *plain) timeIsUp(ctx context.Context) bool {
-	return ctx.Err() != nil || !p.req.deadline.IsZero() && !time.Now().Before(p.req.deadline)
+func timeIsUp(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
 }
 
 // retryMayHelp reports whether another endpoint may give a better answer: the route is idempotent
@@ -314,7 +315,7 @@
 		return outcomeNotRun
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) { // the endpoint is at fault, not the caller
-		if p.timeIsUp(ctx) {
+		if timeIsUp(ctx) {
 			p.f.Placement.TimedOut(loss.Endpoint, loss.SentAt)
 		} else {
 			p.f.Placement.Lost(loss.Endpoint)
@@ -323,7 +324,7 @@
 		trial.Lost()
 		trial.Late(time.Since(loss.SentAt))
 	}
-	if ctx.Err() == nil {
+	if !timeIsUp(ctx) {
 		p.f.attributor.Attribute(ctx, &p.req.losses, loss)
 	}
 	return outcomeUnknown
@@ -373,7 +374,7 @@
 		if n > 0 {
 			a.potentialLoss.FirstEventAt = a.potentialLoss.HeadAt
 		}
-		if ctx := p.req.httpRequest.Context(); ctx.Err() == nil {
+		if ctx := p.req.httpRequest.Context(); ctx.Err() == nil && !p.req.pastDeadline(time.Now()) {
 			p.f.attributor.Attribute(ctx, &p.req.losses, a.potentialLoss)
 		}
 		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -174,7 +174,7 @@
 			p.deliver(reply)
 			return nil
 		}
-		if p.timeIsUp(ctx) {
+		if timeIsUp(ctx) {
 			return p.refuseExpired(ctx, result)
 		}
 		if !p.mayPassOn(result) {
--- a/gateway/front/paused_plain_test.go
+++ b/gateway/front/paused_plain_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -322,3 +323,35 @@
 	}()
 	return status
 }
+
+// metric returns the value of a counter or gauge of an instance; 0 if it has not been set.
+func (w *world) metric(i int, name string) float64 {
+	a, err := standin.Do(w.t.Context(), w.net.Node("operator").Dial, metricsAddress(i), standin.Request{Method: http.MethodGet, Path: "/metrics", Host: "x"})
+	assert.NilError(w.t, err)
+	assert.Equal(w.t, a.Status, http.StatusOK)
+	for line := range strings.Lines(a.Body) {
+		if fields := strings.Fields(line); len(fields) == 2 && fields[0] == name {
+			value, err := strconv.ParseFloat(fields[1], 64)
+			assert.NilError(w.t, err)
+			return value
+		}
+	}
+	return 0
+}
+
+// TestTimeoutIsNoFailedConnection guards against endpoints that count as unreachable, and are probed, since
+// requests reached their deadline while they were paused. The connection's deadline may pass before that
+// of the request's context.
+func TestTimeoutIsNoFailedConnection(t *testing.T) {
+	runWith(t, 2, 1, 3, func(w *world) {
+		w.config.Routes[logRouteIndex].Timeout = 400 * time.Millisecond
+	}, func(w *world) {
+		pauseWorkers(w.plains, 2*time.Second)
+		all := w.callDuring(24, 1500*time.Millisecond, logRequest, func(i int) int { return i % 2 })
+		w.checkHonest(all, 400*time.Millisecond, 1)
+		for i := range w.fronts {
+			assert.Check(t, is.Equal(w.metric(i, "agateway_endpoint_connects_failed_total"), 0.0))
+			assert.Check(t, is.Equal(w.metric(i, "agateway_reach_probes_total"), 0.0))
+		}
+	})
+}
