gateway/forward: a peer's refusal does not hide that a request may have run

What callers saw: status 503 with Retry-After, which says that a request has not run and will not, though it ran. An instance had sent an idempotent request to an endpoint, was cut off before the answer came, and passed the request on to a peer, which refused it for lack of room. The refusal was delivered as it came.

Cause: plain requests took a peer's refusal as an answer; only streams looked at whether an attempt before may have run.

Fix: after a possible run, a peer's 503 counts as a send that did not run: another peer is asked, and where none serves the request the caller gets 502.

--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -215,10 +215,10 @@
 	if err != nil {
 		return nil, outcomeUnknown, err
 	}
-	if x.Header().Get(headerPeerRefusal) == peerUnable {
+	if p.peerHasNotRun(x, runsLeft) {
 		p.possibleRuns -= runsLeft
 		x.Abort()
-		return nil, outcomeNotRun, ErrRefused.New("instance %s can't serve the request", h.ID)
+		return nil, outcomeNotRun, ErrRefused.New("instance %s did not serve the request", h.ID)
 	}
 	a, err := p.receive(x)
 	if err != nil {
@@ -227,6 +227,18 @@
 	return a, outcomeAnswered, nil
 }
 
+// peerHasNotRun reports whether an answer is a helper's own refusal that is not delivered: another helper
+// may serve the request, or it may have run elsewhere before, so that the refusal would be wrong.
+func (p *plain) peerHasNotRun(x *upstream.Exchange, runsLeft int) bool {
+	switch x.Header().Get(headerPeerRefusal) {
+	case "":
+		return false
+	case peerUnable:
+		return true
+	}
+	return x.Status() == http.StatusServiceUnavailable && p.possibleRuns > runsLeft
+}
+
 // logPassedOn logs and counts the result of passing a request on.
 func (f *Forwarder) logPassedOn(req *request, h *Helper, result outcome, a *answer, err error) {
 	inputs := logrus.Fields{"peer": h.ID, "data_centre": h.DataCentre, "route": req.route.Name}
--- a/gateway/front/paused_plain_test.go
+++ b/gateway/front/paused_plain_test.go
@@ -355,3 +355,35 @@
 		}
 	})
 }
+
+// TestRefusalAfterRunAtEndpoint guards against a refusal that says that a request has not run, of a request
+// that ran at an endpoint before its instance was cut off. The instance passed it on, and the other instance
+// refused it.
+func TestRefusalAfterRunAtEndpoint(t *testing.T) {
+	runWith(t, 2, 1, 3, func(w *world) {
+		w.plainWork = 4 * time.Second
+		for i := range w.config.Routes {
+			w.config.Routes[i].Timeout = 5 * time.Second
+		}
+	}, func(w *world) {
+		request := func() standin.Request {
+			r := pingRequest()
+			r.Timeout = 5 * time.Second
+			return r
+		}
+		time.AfterFunc(500*time.Millisecond, func() {
+			w.setPlainFaults(standin.WorkerFault{RefuseAll: true}, 0)
+			w.cutFromEndpoints(1, hang)
+		})
+		all := w.callDuring(10, time.Second, request, func(int) int { return 0 })
+		ran := 0
+		for _, c := range all {
+			runs := w.plainRunCount(c.request.ID)
+			ran += runs
+			assert.Check(t, c.answer.Status != http.StatusOK && (c.answer.Status != http.StatusServiceUnavailable || runs == 0),
+				"after %v: %d in %v, %d runs: %s", c.sentAfter, c.answer.Status, c.took, runs, c.answer.Body)
+		}
+		assert.Check(t, ran > 0)
+		assert.Check(t, strings.Contains(w.logs.String(), "passed on to a peer"))
+	})
+}
