--- a/cli/soak/cut.go
+++ b/cli/soak/cut.go
@@ -58,6 +58,15 @@
 	return m, ok
 }
 
+// affected reports whether a process was cut off between two times, or regained the workers.
+func (c *cuts) affected(process string, from, to time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.all, func(one cut) bool {
+		return one.processes[process] && one.from.Before(to) && one.to.Add(timingMargin).After(from)
+	})
+}
+
 func (c *cuts) active() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cli/soak/disruptions.go
+++ b/cli/soak/disruptions.go
@@ -44,6 +44,15 @@
 // recordInstant records a disruption that ends at once.
 func (h *disruptions) recordInstant(subject string) { h.start(subject)() }
 
+// any reports whether a subject was disrupted between from and to.
+func (h *disruptions) any(from, to time.Time, subject string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.all, func(d disruption) bool {
+		return d.subject == subject && !d.startedAt.After(to) && (d.endedAt.IsZero() || !d.endedAt.Before(from))
+	})
+}
+
 // undisturbed reports whether no subject was disrupted between from and to, or within settleTime
 // before from.
 func (h *disruptions) undisturbed(from, to time.Time, subjects ...string) bool {
--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -48,6 +48,8 @@
 	// saysLeavingSince holds, by the id of an incarnation, since when its answers say that it is
 	// leaving.
 	saysLeavingSince map[string]time.Time
+	// unregisteredUntil is until when the worker does not register itself.
+	unregisteredUntil time.Time
 }
 
 // environment is the system under test: the store, the endpoints and the processes of the daemon.
@@ -67,6 +69,7 @@
 	rollouts      rollouts
 	limits        limits
 	cuts          cuts
+	pauses        pauses
 	workerProxies []*proxy // guarded by mu
 	// returning is set while the store is about to return from a copy.
 	returning atomic.Bool
@@ -275,7 +278,7 @@
 func (k *worker) heartbeat() {
 	for {
 		k.mu.Lock()
-		if k.state != "" {
+		if k.state != "" && !time.Now().Before(k.unregisteredUntil) {
 			k.env.store.Put(platform.KindEndpoint, k.current.Config().ID, k.current.Registration(k.state))
 		}
 		k.mu.Unlock()
@@ -296,7 +299,8 @@
 // workerRun is a request that an incarnation ran.
 type workerRun struct {
 	standin.Run
-	worker *worker
+	worker      *worker
+	incarnation *standin.Worker
 	// leavingSince is when the store had accepted that the incarnation is leaving; zero if it is
 	// not.
 	leavingSince time.Time
@@ -309,7 +313,7 @@
 	var out []workerRun
 	for _, one := range append([]*standin.Worker{k.current}, k.previous...) {
 		for _, r := range one.Runs() {
-			out = append(out, workerRun{r, k, k.leavingSince[one.Config().ID]})
+			out = append(out, workerRun{r, k, one, k.leavingSince[one.Config().ID]})
 		}
 	}
 	return out
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -25,7 +25,7 @@
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
 	"leave-in-answers": leaveInAnswers, "asks-for-pause": askForPauses,
-	"store-returns": storeReturns,
+	"store-returns": storeReturns, "endpoints-pause": pauseEndpoints, "timeout": changeTimeout, "idle-time": changeIdleTime, "weights": changeWeights,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -44,12 +44,13 @@
 	cutFaults    = []string{"cut-off", "cut-off", "crash", "worker-link"}
 	wordFaults   = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
 	returnFaults = []string{"store-returns", "store-returns", "leave", "kill"}
+	pauseFaults  = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "pause", "pause", "timeout", "idle-time", "weights"}
 )
 
 // Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
-// those from firstWordSeed wordFaults, and those from firstReturnSeed returnFaults. The others keep the faults
-// with which they have found something.
-const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, lastSeed = 3000, 4000, 5000, 6000, 9999
+// those from firstWordSeed wordFaults, those from firstReturnSeed returnFaults, and those from firstPauseSeed
+// pauseFaults. The others keep the faults with which they have found something.
+const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -69,6 +70,9 @@
 	if seed >= firstReturnSeed && seed <= lastSeed {
 		kinds = append(kinds, returnFaults)
 	}
+	if seed >= firstPauseSeed && seed <= lastSeed {
+		kinds = append(kinds, pauseFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
@@ -107,9 +111,13 @@
 
 func pause(w *environment, r *rand.Rand) (string, func()) {
 	p := anyProcess(w, r)
-	end := w.disruptions.start(p.name)
+	end, from := w.disruptions.start(p.name), time.Now()
 	p.signal(syscall.SIGSTOP)
-	return p.name + " pauses", func() { p.signal(syscall.SIGCONT); end() }
+	return p.name + " pauses", func() {
+		p.signal(syscall.SIGCONT)
+		end()
+		w.pauses.recordProcess(p.name, from)
+	}
 }
 
 func kill(w *environment, r *rand.Rand) (string, func()) {
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	starts  []time.Time
+	stops   []time.Time // when it got SIGTERM
 	closing bool
 	done    chan struct{}
 }
@@ -173,7 +174,23 @@
 
 // terminate sends SIGTERM. The process is then restarted. This is no disruption: requests in
 // progress have to complete.
-func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+func (p *process) terminate() {
+	p.mu.Lock()
+	p.stops = append(p.stops, time.Now())
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+}
+
+// forcedEndBetween reports whether a drain that lasts for grace may have ended by force between two
+// times.
+func (p *process) forcedEndBetween(from, to time.Time, grace time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.stops, func(at time.Time) bool {
+		end := at.Add(grace)
+		return end.Add(timingMargin).After(from) && end.Add(-timingMargin).Before(to)
+	})
+}
 
 // stop ends the process and doesn't restart it. It returns when the process has ended.
 func (p *process) stop() {
--- a/cli/soak/rollouts.go
+++ b/cli/soak/rollouts.go
@@ -42,7 +42,7 @@
 	var out []workerRun
 	for i, w := range o.workers {
 		for _, r := range w.Runs() {
-			out = append(out, workerRun{Run: r, worker: o.counterparts[i]})
+			out = append(out, workerRun{Run: r, worker: o.counterparts[i], incarnation: w})
 		}
 	}
 	return out
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -186,6 +186,7 @@
 	for _, end := range ends {
 		end()
 	}
+	time.Sleep(time.Until(s.env.pauses.lastEnd()))
 	s.logf("no more faults")
 }
 
