--- a/cli/soak/disruptions.go
+++ b/cli/soak/disruptions.go
@@ -44,13 +44,17 @@
 // recordInstant records a disruption that ends at once.
 func (h *disruptions) recordInstant(subject string) { h.start(subject)() }
 
-// any reports whether a subject was disrupted between from and to.
-func (h *disruptions) any(from, to time.Time, subject string) bool {
+// count returns how many disruptions of a subject there were between from and to.
+func (h *disruptions) count(from, to time.Time, subject string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.all, func(d disruption) bool {
-		return d.subject == subject && !d.startedAt.After(to) && (d.endedAt.IsZero() || !d.endedAt.Before(from))
-	})
+	n := 0
+	for _, d := range h.all {
+		if d.subject == subject && !d.startedAt.After(to) && (d.endedAt.IsZero() || !d.endedAt.Before(from)) {
+			n++
+		}
+	}
+	return n
 }
 
 // undisturbed reports whether no subject was disrupted between from and to, or within settleTime
--- a/cli/soak/guarantees.go
+++ b/cli/soak/guarantees.go
@@ -72,11 +72,11 @@
 	if ms, err := strconv.ParseInt(r.WaitMS, 10, 64); err != nil || time.Duration(ms)*time.Millisecond > a.timeout {
 		s.addFinding("request %s was passed on with %q ms left of %v", a.id, r.WaitMS, a.timeout)
 	}
-	h, name := &s.env.disruptions, r.worker.name
-	if !r.leavingSince.IsZero() && r.At.Sub(r.leavingSince) > drainWithin && a.sent.After(r.leavingSince) && h.undisturbed(r.leavingSince, r.At, storeSubject, a.process) {
+	h, name, p := &s.env.disruptions, r.worker.name, &s.env.pauses
+	if !r.leavingSince.IsZero() && r.At.Sub(r.leavingSince) > drainWithin && a.sent.After(r.leavingSince) && h.undisturbed(r.leavingSince, r.At, storeSubject, a.process) && !p.overlap(r.incarnation, r.leavingSince, r.At) {
 		s.addFinding("request %s began at %s %v after it had said that it leaves", a.id, name, r.At.Sub(r.leavingSince))
 	}
-	if a.abandoned && r.EndedAt.Sub(a.ended) > cancelWithin && h.undisturbed(a.sent, r.EndedAt, storeSubject, a.process, name) {
+	if a.abandoned && r.EndedAt.Sub(a.ended) > cancelWithin && h.undisturbed(a.sent, r.EndedAt, storeSubject, a.process, name) && !p.overlap(r.incarnation, a.ended, r.EndedAt) {
 		s.addFinding("request %s was at work at %s for %v after its caller had left", a.id, name, r.EndedAt.Sub(a.ended))
 	}
 }
--- a/cli/soak/limits.go
+++ b/cli/soak/limits.go
@@ -223,7 +223,7 @@
 		for all[i].At.Sub(all[first].At) >= limitWindow {
 			first++
 		}
-		if got := i - first + 1; got > allowed && s.env.disruptions.undisturbed(all[first].At, all[i].At, processes...) {
+		if got := i - first + 1; got > allowed && s.env.disruptions.undisturbed(all[first].At, all[i].At, processes...) && !s.env.pauses.overlap(r.worker, all[first].At, all[i].At) {
 			s.addFinding("%s got %d requests in %v at a rate of %v, %d may", r.worker.Config().ID, got, limitWindow, r.rate, allowed)
 			return
 		}
--- a/cli/soak/pauses.go
+++ b/cli/soak/pauses.go
@@ -62,6 +62,16 @@
 	return p.plannedUntil
 }
 
+// overlap reports whether an incarnation was paused between two times, or read then what had come in a
+// pause.
+func (p *pauses) overlap(incarnation *standin.Worker, from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.endpoints, func(e enginePause) bool {
+		return e.incarnations[incarnation] && e.from.Before(to) && e.until.Add(timingMargin).After(from)
+	})
+}
+
 // recordProcess records a pause of an instance that ends now.
 func (p *pauses) recordProcess(name string, from time.Time) {
 	p.mu.Lock()
--- a/cli/soak/silence.go
+++ b/cli/soak/silence.go
@@ -21,6 +21,11 @@
 	// prefilledAgainSlack is how many more may be prefilled again in a soak, as shares of few streams
 	// vary.
 	prefilledAgainSlack = 2
+	// leftShare is the share of its streams that an instance may move after it was paused itself, and
+	// leftSlack how many more in a soak. leftWithin is how long after its pause a move may be due to it.
+	leftShare  = 0.1
+	leftSlack  = 2
+	leftWithin = 500 * time.Millisecond
 	// prefilledWithin is how long after a pause a prefill may still be due to it.
 	prefilledWithin = 500 * time.Millisecond
 )
@@ -40,6 +45,7 @@
 		s.checkNotBrokenOff(a, of)
 	}
 	s.checkPrefilledAgain(runs)
+	s.checkOwnPauses(runs)
 }
 
 // isBroken reports whether a call has no whole answer though its caller waited for one.
@@ -55,7 +61,7 @@
 	}
 	for i, r := range of {
 		later := of[i:]
-		if r.worker.config.PrefillTokensPerMS == 0 || r.Ended != "cut" || !s.wasPaused(&r) ||
+		if r.worker.config.PrefillTokensPerMS == 0 || r.Ended != "cut" || !s.wasPausedBetween(&r, r.At, r.EndedAt) ||
 			slices.ContainsFunc(later, func(l workerRun) bool { return !s.endpointStood(&l, a.ended) }) {
 			continue
 		}
@@ -65,17 +71,18 @@
 	}
 }
 
-// wasPaused reports whether a run's incarnation was paused while it ran. The caller holds pauses.mu.
-func (s *soak) wasPaused(r *workerRun) bool {
+// wasPausedBetween reports whether a run's incarnation was paused between two times. The caller holds
+// pauses.mu.
+func (s *soak) wasPausedBetween(r *workerRun, from, to time.Time) bool {
 	return slices.ContainsFunc(s.env.pauses.endpoints, func(p enginePause) bool {
-		return p.incarnations[r.incarnation] && p.from.Before(r.EndedAt) && p.until.After(r.At)
+		return p.incarnations[r.incarnation] && p.from.Before(to) && p.until.After(from)
 	})
 }
 
 // endpointStood reports whether nothing but pauses disrupted a run's endpoint from the start of the run
 // to a time.
 func (s *soak) endpointStood(r *workerRun, until time.Time) bool {
-	return !s.env.disruptions.any(r.At, until, r.worker.name)
+	return s.env.disruptions.count(r.At, until, r.worker.name) == 0
 }
 
 // instanceStood reports whether nothing disrupted the instance of a call or its connections to the
@@ -133,3 +140,29 @@
 	}
 	s.logf("beside shared pauses %d of %d streams were prefilled again", again, running)
 }
+
+// checkOwnPauses checks how many streams instances moved to other endpoints after they had been paused
+// themselves, which is no silence of the endpoints.
+func (s *soak) checkOwnPauses(runs map[string][]workerRun) {
+	running, left := 0, 0
+	for _, p := range s.env.pauses.processes {
+		end := p.until.Add(leftWithin)
+		for id, of := range runs {
+			a := s.calls[id]
+			i := slices.IndexFunc(of, func(r workerRun) bool { return r.At.Before(p.from) && (r.EndedAt.IsZero() || r.EndedAt.After(p.until)) })
+			if a == nil || i < 0 || a.process != p.process || strings.HasPrefix(a.body, fatalBody) || of[i].worker.config.PrefillTokensPerMS == 0 ||
+				s.env.disruptions.count(p.from, end, p.process) > 1 || s.env.cuts.affected(p.process, p.from, end) ||
+				s.env.disruptions.count(p.from, end, of[i].worker.name) > 0 || s.wasPausedBetween(&of[i], p.from, end) {
+				continue
+			}
+			running++
+			if slices.ContainsFunc(of[i+1:], func(r workerRun) bool { return r.At.After(p.until.Add(-leftWithin)) && r.At.Before(end) }) {
+				left++
+			}
+		}
+	}
+	if allowed := leftShare*float64(running) + leftSlack; float64(left) > allowed {
+		s.addFinding("%d of %d streams were moved after pauses of their instances, %.1f may", left, running, allowed)
+	}
+	s.logf("after pauses of their instances %d of %d streams were moved", left, running)
+}
--- a/cli/soak/words.go
+++ b/cli/soak/words.go
@@ -112,7 +112,7 @@
 			told[p.name] = a.At
 			continue
 		}
-		if late := a.At.Sub(first); late > drainWithin+s.WorkTime && s.rememberedSince(p, first, a.At) {
+		if late := a.At.Sub(first); late > drainWithin+s.WorkTime && s.rememberedSince(p, first, a.At) && !s.env.pauses.overlap(e, first, a.At) {
 			s.addFinding("%s got %s from %s, %v after it had said in an answer that it leaves", e.Config().ID, a.Target, p.name, late)
 			return
 		}
@@ -130,7 +130,7 @@
 		end := refusal.At.Add(time.Duration(pause * float64(time.Second)))
 		n := 0
 		for _, a := range arrivals {
-			if a.At.After(refusal.At.Add(pauseNotice)) && a.At.Before(end) && s.processOf(a) == p && s.rememberedSince(p, refusal.At, a.At) {
+			if a.At.After(refusal.At.Add(pauseNotice)) && a.At.Before(end) && s.processOf(a) == p && s.rememberedSince(p, refusal.At, a.At) && !s.env.pauses.overlap(e, refusal.At, a.At) {
 				n++
 			}
 		}
