--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -31,6 +31,7 @@
 	silentSince   time.Time // start of the silence that is under suspicion, or zero
 	reassessAt    time.Time // when the silence is assessed again, or zero
 	reassessDelay time.Duration
+	undelivered   bool      // the last assessment found tokens that had not arrived
 	excusedUntil  time.Time // not suspected before, since this process was paused
 }
 
@@ -272,7 +273,7 @@
 
 // recordActivity clears a suspicion: the attempt is alive, so no contender is needed.
 func (m *Machine) recordActivity(now time.Time, a *attempt) {
-	a.lastActivity, a.liveProbes, a.silentSince = now, 0, time.Time{}
+	a.lastActivity, a.liveProbes, a.silentSince, a.undelivered = now, 0, time.Time{}, false
 	if a.state != suspect {
 		return
 	}
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if m.keepsSilent() && m.current.state == suspect && !m.probe.pending {
-		m.keepSilent(now, m.current)
+		m.current.reassessAt = now.Add(contenderRetryDelay)
 	}
 }
 
--- a/core/generation/silence.go
+++ b/core/generation/silence.go
@@ -43,6 +43,11 @@
 	// maxReassessDelay.
 	initialReassessDelay = 200 * time.Millisecond
 	maxReassessDelay     = time.Second
+	// contenderRetryDelay is the delay before a silence is assessed again after its contender failed,
+	// for instance because others took the room there.
+	contenderRetryDelay = 100 * time.Millisecond
+	// undeliveredDelay is how long tokens that an engine has generated may be on their way.
+	undeliveredDelay = 100 * time.Millisecond
 	// ownDelayGrace is how long messages that arrived while this process was paused may take to be
 	// handled.
 	ownDelayGrace = 100 * time.Millisecond
@@ -67,6 +72,8 @@
 	case m.shouldLeave(now, a, &r):
 		m.stats.Leaves++
 		m.contender = m.startAttempt(now)
+	case r.Engine == Working && r.Undelivered:
+		a.undelivered, a.reassessAt = true, now.Add(undeliveredDelay)
 	case r.Engine == Working || r.Engine == Returned:
 		m.keepWorking(now, a)
 	default:
@@ -84,7 +91,7 @@
 	case Returned:
 		return false
 	case Working:
-		return r.Undelivered || a.hasToken && (r.Copy || silence >= MaxSharedSilence)
+		return r.Undelivered && a.undelivered || a.hasToken && (r.Copy || silence >= MaxSharedSilence)
 	case Unreachable:
 		return true
 	}
@@ -98,6 +105,8 @@
 	a.state, a.lastActivity = live, now
 	if a.hasToken {
 		a.liveProbes++
+	} else {
+		a.silentSince = now
 	}
 }
 
@@ -111,11 +120,18 @@
 	a.reassessDelay = min(2*a.reassessDelay, maxReassessDelay)
 }
 
+// AllowEndpoint removes an endpoint from those that the generation avoids, since it has been found to
+// work.
+func (m *Machine) AllowEndpoint(endpoint string) { m.allowEndpoint(endpoint) }
+
 // assess asks for an assessment of the current attempt's silence.
 func (m *Machine) assess(now time.Time, a *attempt) {
 	a.state, a.reassessAt = suspect, time.Time{}
 	if a.silentSince.IsZero() {
 		a.silentSince = a.lastActivity
+		if !a.hasToken { // until now it was expected to prefill the prompt
+			a.silentSince = now
+		}
 	}
 	m.probe.pending, m.probe.attempt = true, a.number
 	m.probe.deadline = now.Add(maxAssessmentProbes * m.cfg.ProbeTimeout)
--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -6,15 +6,18 @@
 // network: moving their work would only load the rest. This is the idea of the panic threshold of
 // load balancers, and of the maximum share of endpoints that outlier detection may eject.
 //
-// A record that is older than [MaxAge] says nothing. [Tracker] does no I/O and reads no clock. It is
+// An answer is evidence for [AnswerMaxAge], which is less than the silence that makes an instance ask,
+// so that an endpoint that answered before a silence began does not count as answering. An unanswered
+// question is evidence for [SilenceMaxAge]. [Tracker] does no I/O and reads no clock. It is
 // not safe for concurrent use.
 package liveness
 
 import "time"
 
 const (
-	// MaxAge is how long a record is evidence.
-	MaxAge = 500 * time.Millisecond
+	// AnswerMaxAge and SilenceMaxAge are how long an answer and an unanswered question are evidence.
+	AnswerMaxAge  = 200 * time.Millisecond
+	SilenceMaxAge = 500 * time.Millisecond
 	// SharedShare is the share of the endpoints with evidence that have to be silent for a silence to
 	// be shared, and MinSilent the number of them.
 	SharedShare = 0.25
@@ -23,10 +26,10 @@
 	recordTTL = time.Minute
 )
 
-// Evidence is what is known about the other endpoints of a service.
+// Evidence is what is known about a sample of the endpoints of a service.
 type Evidence struct {
 	// Answering and Silent are the numbers of endpoints that answered, and that did not answer in
-	// time, within MaxAge.
+	// time.
 	Answering, Silent int
 	// Age is the age of the oldest record counted.
 	Age time.Duration
@@ -46,10 +49,7 @@
 // Shared reports whether many endpoints are silent at once.
 func (e Evidence) Shared() bool { return e.Silent >= MinSilent && e.SilentShare() >= SharedShare }
 
-type record struct {
-	service              string
-	answeredAt, silentAt time.Time
-}
+type record struct{ answeredAt, silentAt time.Time }
 
 // latest returns when the endpoint was last observed.
 func (r *record) latest() time.Time {
@@ -65,7 +65,7 @@
 	sweptAt time.Time
 }
 
-func (t *Tracker) get(now time.Time, service, id string) *record {
+func (t *Tracker) get(now time.Time, id string) *record {
 	if t.records == nil {
 		t.records = map[string]*record{}
 	}
@@ -77,7 +77,6 @@
 		r = &record{}
 		t.records[id] = r
 	}
-	r.service = service
 	return r
 }
 
@@ -91,13 +90,13 @@
 }
 
 // Answered records a sign of life of an endpoint.
-func (t *Tracker) Answered(now time.Time, service, id string) {
-	t.get(now, service, id).answeredAt = now
+func (t *Tracker) Answered(now time.Time, id string) {
+	t.get(now, id).answeredAt = now
 }
 
 // Unanswered records that an endpoint did not answer in time. An answer since askedAt overrides it.
-func (t *Tracker) Unanswered(now, askedAt time.Time, service, id string) {
-	if r := t.get(now, service, id); !r.answeredAt.After(askedAt) {
+func (t *Tracker) Unanswered(now, askedAt time.Time, id string) {
+	if r := t.get(now, id); !r.answeredAt.After(askedAt) {
 		r.silentAt = now
 	}
 }
@@ -123,18 +122,26 @@
 	return time.Time{}
 }
 
-// HasEvidence reports whether there is a record of an endpoint that is not older than MaxAge.
+// HasEvidence reports whether there is evidence on an endpoint.
 func (t *Tracker) HasEvidence(now time.Time, id string) bool {
 	r := t.records[id]
-	return r != nil && now.Sub(r.latest()) <= MaxAge
+	return r != nil && t.isEvidence(now, id, r)
 }
 
-// Evidence returns what is known about the endpoints of a service other than except.
-func (t *Tracker) Evidence(now time.Time, service, except string) Evidence {
+func (t *Tracker) isEvidence(now time.Time, id string, r *record) bool {
+	if t.Silent(id) {
+		return now.Sub(r.silentAt) <= SilenceMaxAge
+	}
+	return now.Sub(r.answeredAt) <= AnswerMaxAge
+}
+
+// Evidence returns what is known about some endpoints. These have to be drawn whatever is known about
+// them: endpoints that send something are known to answer without a question, silent ones are not.
+func (t *Tracker) Evidence(now time.Time, ids []string) Evidence {
 	var e Evidence
-	for id, r := range t.records {
-		age := now.Sub(r.latest())
-		if id == except || r.service != service || age > MaxAge {
+	for _, id := range ids {
+		r := t.records[id]
+		if r == nil || !t.isEvidence(now, id, r) {
 			continue
 		}
 		if t.Silent(id) {
@@ -142,7 +149,7 @@
 		} else {
 			e.Answering++
 		}
-		e.Age = max(e.Age, age)
+		e.Age = max(e.Age, now.Sub(r.latest()))
 	}
 	return e
 }
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -106,8 +106,9 @@
 	contender, left bool
 	copies          *copies.Tracker
 	copyEngineID    string
-	// gaveUpOnSilence is set when the session gave up the attempt because the engine went silent.
-	gaveUpOnSilence atomic.Bool
+	// ownSilence is set when the session gave up the attempt because the engine went silent. It reports
+	// whether the silence is the engine's own, and takes a moment to find that out.
+	ownSilence atomic.Pointer[func() bool]
 	// rolloutTrial counts the attempt when its service moves to another build; nil otherwise.
 	// firstEventAt is the arrival time of its first event.
 	rolloutTrial *rollouts.Trial
@@ -281,8 +282,8 @@
 	if a.helper != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
-	if a.gaveUpOnSilence.Load() {
-		a.session.f.attributor.AttributeSilence(a.potentialLoss)
+	if own := a.ownSilence.Load(); own != nil {
+		go a.attributeSilence(*own, a.potentialLoss)
 	}
 	if ctx.Err() == nil {
 		a.recordLoss()
@@ -291,6 +292,16 @@
 	return message{kind: attemptFailed, failure: generation.Broken, err: err}
 }
 
+// attributeSilence counts a silence of the engine's own against the engine, and against the request if
+// that may have caused it.
+func (a *attempt) attributeSilence(own func() bool, loss crashes.Loss) {
+	if !own() {
+		return
+	}
+	a.recordLoss()
+	a.session.f.attributor.AttributeSilence(loss)
+}
+
 // recordLoss records that the engine lost an answer.
 func (a *attempt) recordLoss() {
 	if a.helper != nil {
@@ -345,7 +356,7 @@
 		if a.potentialLoss.FirstEventAt.IsZero() {
 			a.potentialLoss.FirstEventAt = time.Now()
 		}
-		a.session.f.liveness.recordAnswer(a.endpoint.Service, a.endpoint.ID)
+		a.session.f.liveness.recordAnswer(a.endpoint.ID)
 		a.report(ctx, message{kind: attemptEvent, raw: e.raw, id: e.id, hasID: e.hasID})
 	}
 }
--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -63,7 +63,7 @@
 }
 
 // adoptContender makes the former contender the session's current attempt, if the state machine has
-// decided so. The attempt that it replaces has lost its engine, unless many are silent with it.
+// decided so.
 func (s *session) adoptContender() {
 	a := s.currentAttempt()
 	if a == nil || !a.contender {
@@ -86,12 +86,10 @@
 	old.left = true
 	s.f.metrics.silences.Inc(1)
 	s.f.metrics.leftSilent.Inc(1)
-	if !s.silenceShared {
-		old.recordLoss()
-		old.gaveUpOnSilence.Store(true)
-	}
+	own := s.f.silenceVerdict(s.silence)
+	old.ownSilence.Store(&own)
 	s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{
-		"attempt": old.number, "endpoint": old.endpoint.ID, "events": s.relayedEvents, "for": by.endpoint.ID, "from_copy": by.resumesFromCopy(), "shared": s.silenceShared,
+		"attempt": old.number, "endpoint": old.endpoint.ID, "events": s.relayedEvents, "for": by.endpoint.ID, "from_copy": by.resumesFromCopy(),
 		"silent_ms": old.silence().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
 	})
 }
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -266,6 +266,7 @@
 	}
 	s.f.Log.Decision(s.req.ID, "copied", logrus.Fields{"from": m.endpoint, "to": m.holder.Endpoint, "events": s.relayedEvents, "error": errorText(m.err)})
 	s.copies.CopyEnded(now, m.holder)
+	s.machine.AllowEndpoint(m.holder.Endpoint)
 	s.accountCopy(m.holder.Endpoint)
 }
 
--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -43,10 +43,10 @@
 // and has just returned.
 const returnedAfter = 100 * time.Millisecond
 
-func (l *livenessRecords) recordAnswer(service, id string) {
+func (l *livenessRecords) recordAnswer(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker.Answered(time.Now(), service, id)
+	l.tracker.Answered(time.Now(), id)
 }
 
 func (l *livenessRecords) lastAnswer(id string) time.Time {
@@ -75,10 +75,10 @@
 	return l.tracker.HasEvidence(time.Now(), id)
 }
 
-func (l *livenessRecords) evidence(service, except string) liveness.Evidence {
+func (l *livenessRecords) evidence(ids []string) liveness.Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.tracker.Evidence(time.Now(), service, except)
+	return l.tracker.Evidence(time.Now(), ids)
 }
 
 // ask returns the question to an engine that is in progress, or starts one.
@@ -143,9 +143,9 @@
 	switch {
 	case !a.asked || a.late && a.err != nil:
 	case a.err == nil || a.state == generation.Working:
-		l.tracker.Answered(now, e.Service, e.ID)
+		l.tracker.Answered(now, e.ID)
 	default:
-		l.tracker.Unanswered(now, askedAt, e.Service, e.ID)
+		l.tracker.Unanswered(now, askedAt, e.ID)
 	}
 }
 
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -206,8 +206,8 @@
 	if !s.machine.Ended() && !a.ended && !a.left {
 		s.markLost(time.Now())
 		s.f.metrics.silences.Inc(1)
-		a.recordLoss()
-		a.gaveUpOnSilence.Store(true)
+		own := func() bool { return true }
+		a.ownSilence.Store(&own)
 		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{
 			"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayedEvents, "silent_ms": a.silence().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
 		})
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -39,10 +39,9 @@
 	copyCheckedAt time.Time
 	// lastFailure is an engine's own error answer, delivered when no other engine does better.
 	lastFailure *answer
-	// target is the engine that the last assessment of a silence found, and silenceShared tells that
-	// many other engines were silent too.
-	target        *moveTarget
-	silenceShared bool
+	// silence is the last silence that was assessed, and target the engine that was found to move to.
+	silence *silence
+	target  *moveTarget
 	// lostAt is when a stream with relayed events lost its engine; zero while an engine serves it.
 	lostAt time.Time
 	// firstEventLatency is the time to the first event, and longestGap the longest gap between
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -19,8 +19,7 @@
 // shared, and one of them may have room.
 
 const (
-	// sampleSize is how many other engines are asked, together with those of which the last answers
-	// or silences are known.
+	// sampleSize is how many other engines tell whether a silence is shared.
 	sampleSize = 6
 	// maxTargetQuestions is how many engines are asked in turn whether they take a stream over.
 	maxTargetQuestions = 3
@@ -36,6 +35,8 @@
 	copied copies.Holder
 	// request describes the stream for the choice of another engine.
 	request *routing.Request
+	// sample are the other engines that tell whether the silence is shared.
+	sample []routing.Endpoint
 	// countEvents is set if the engine counts the events of the run as this session does, and relayed
 	// is their number.
 	countEvents bool
@@ -98,6 +99,7 @@
 func (s *session) describeSilence(a *attempt, since time.Time) *silence {
 	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents}
 	out.request.Recovery = s.mayHaveRun()
+	out.sample = s.f.sampleOthers(out.request, &a.endpoint)
 	if holder, ok := s.copies.Holder(); ok && s.relayedEvents > 0 {
 		if e, known := s.f.Placement.Get(holder.Endpoint); known && e.State == routing.Live && !s.f.Rollouts.RolledBack(&e) {
 			out.copyAt, out.copied = &e, holder
@@ -118,7 +120,7 @@
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
-	r.evidence = f.liveness.evidence(s.attempt.endpoint.Service, s.attempt.endpoint.ID)
+	r.evidence = f.liveness.evidence(s.sampleIDs())
 	r.Shared = r.evidence.Shared() && !f.Settings.Disabled.SharedSilence
 	if r.target == nil && f.seeksTarget(s, r) {
 		r.target = f.findTarget(ctx, s)
@@ -128,7 +130,7 @@
 	}
 	r.Target, r.Copy = r.target != nil, r.target != nil && r.target.resumeFrom != copies.Holder{}
 	limit := time.Duration(2+maxTargetQuestions)*f.Settings.ProbeTimeout + f.ownDelay()
-	r.Inconclusive = r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
+	r.Inconclusive = r.Inconclusive || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
 	return r
 }
 
@@ -142,21 +144,52 @@
 	return &moveTarget{decision: routing.Decision{Endpoint: *s.copyAt}, resumeFrom: s.copied}
 }
 
-// askOthers asks other engines of the service that may take the stream over, unless enough is known
-// of others already.
+// sampleOthers returns some other engines of the service. They are drawn by the prompt, whatever is
+// known about them.
+func (f *Forwarder) sampleOthers(r *routing.Request, own *routing.Endpoint) []routing.Endpoint {
+	var out []routing.Endpoint
+	for _, e := range f.Placement.Likely(r, 2*sampleSize) {
+		if e.ID != own.ID && e.State == routing.Live && len(out) < sampleSize {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (s *silence) sampleIDs() []string {
+	out := make([]string, len(s.sample))
+	for i := range s.sample {
+		out[i] = s.sample[i].ID
+	}
+	return out
+}
+
+// silenceVerdict returns a function that tells whether a silence is the engine's own. The other engines
+// are asked in the background.
+func (f *Forwarder) silenceVerdict(s *silence) func() bool {
+	if s == nil || f.Settings.Disabled.SharedSilence {
+		return func() bool { return true }
+	}
+	own := false
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.askOthers(f.shutdownCtx, s)
+		own = !f.liveness.evidence(s.sampleIDs()).Shared()
+	}()
+	return func() bool {
+		<-done
+		return own
+	}
+}
+
+// askOthers asks the sampled engines of which it is not known whether they answer.
 func (f *Forwarder) askOthers(ctx context.Context, s *silence) {
-	own := &s.attempt.endpoint
-	missing := sampleSize - f.liveness.evidence(own.Service, own.ID).Known()
 	var questions []*question
-	for _, e := range f.Placement.Likely(s.request, 2*sampleSize) {
-		if missing <= 0 {
-			break
-		}
-		if e.ID == own.ID || e.State != routing.Live || f.liveness.hasEvidence(e.ID) {
-			continue
+	for i := range s.sample {
+		if !f.liveness.hasEvidence(s.sample[i].ID) {
+			questions = append(questions, f.ask(&s.sample[i]))
 		}
-		questions = append(questions, f.ask(&e))
-		missing--
 	}
 	due := time.After(f.Settings.ProbeTimeout)
 	for _, q := range questions {
@@ -187,7 +220,11 @@
 // judgeReport judges the silent engine by its own status.
 func (f *Forwarder) judgeReport(s *silence, r *assessment) {
 	alive, events := f.mayStillHave(&s.attempt.endpoint, &r.answer.report, s.attempt.session.req.ID, s.countEvents)
-	if !alive {
+	switch {
+	case alive:
+	case r.Engine == generation.Returned && f.Placement.IsListed(s.attempt.endpoint.ID):
+		r.Inconclusive = true // it may not have read the request yet
+	default:
 		r.Engine = generation.Ended
 	}
 	r.Undelivered = events > s.relayed
@@ -250,7 +287,7 @@
 	if a := s.attempts[m.attempt]; a != nil && r.answer.err == nil && !a.hasEvent && a.prefillTokens > 0 && r.Engine == generation.Working {
 		s.f.Placement.RecordPrefillProgress(a.endpoint.ID, a.prefillTokens, time.Since(a.sentAt))
 	}
-	s.target, s.silenceShared = r.target, r.Shared
+	s.silence, s.target = r.silence, r.target
 	before := s.machine.Stats()
 	s.machine.Assessed(now, m.attempt, r.Assessment)
 	after := s.machine.Stats()
