gateway/front: a test of an engine that does not come back from a pause of all

A stream that stays at a silent engine because others are silent too has to leave it once they are back.

--- a/gateway/front/paused_single_test.go
+++ b/gateway/front/paused_single_test.go
@@ -131,3 +131,33 @@
 	w.t.Logf("first events after up to %v", longest)
 	assert.Check(w.t, late == 0, "%d of %d streams have no event after %v; the last comes after %v", late, len(all), within, longest)
 }
+
+// TestLostEngineBesideSharedPause guards against streams that wait at an engine that does not come back
+// from a pause of all. The bounds count from the return of the others.
+func TestLostEngineBesideSharedPause(t *testing.T) {
+	for _, l := range losses {
+		for _, noCopies := range []bool{false, true} {
+			name := l.name
+			if noCopies {
+				name += "-no-copies"
+			}
+			t.Run(name, func(t *testing.T) {
+				runPaused(t, pausedCase{instances: 2, engines: 12, events: 150, interval: eventInterval, noCopies: noCopies}, func(w *pausedWorld) {
+					w.start(12*endpointSlots/2, 2)
+					lost := w.busiest()
+					copied := w.withCopies(lost)
+					moved := w.streamsAt(lost)
+					assert.Assert(t, noCopies || len(copied) > 0)
+					w.pause(1, enginePause, 1)
+					l.lose(w.world, lost)
+					w.assertAllWhole(enginePause + maxStreamPause + prefillTime + resumeMargin)
+					for _, s := range moved {
+						gap := s.answer.LongestGap()
+						t.Logf("copy: %v, longest gap: %v", copied[s.id], gap)
+						assert.Check(t, !copied[s.id] || gap <= enginePause+maxStreamPause, "the stream with a copy pauses for %v", gap)
+					}
+				})
+			})
+		}
+	}
+}
