gateway/pipeline: a call that may have run is not reported as not run

What callers saw: "unavailable", status 503, "not_run" for an idempotent call that an endpoint had received, and in most cases run. An attempt was lost, and then no other endpoint was eligible or the next one refused.

Cause: callWithRetries returned the error of the last attempt only, and the choice of an endpoint that fails says nothing of the attempts before.

Fix: the error of the last attempt that may have run is kept and returned when no later one is answered. A quarantine of the request after such an attempt is reported with an unknown outcome too.

--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -111,13 +112,17 @@
 	t := newCallTrial(d.Deps, c, dep.Service)
 	defer t.release()
 	until := time.Now().Add(min(dep.QueueWait, time.Until(c.Deadline)))
+	var lost error // of the last attempt that may have run the call
 	for attempt := 1; ; attempt++ {
 		if err := t.admit(); err != nil {
+			if lost != nil {
+				err = apierr.From(err).WithRan(apierr.Unknown)
+			}
 			return nil, nil, err
 		}
 		e, err := d.pick(ctx, &req, until)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, cmp.Or(lost, err)
 		}
 		sentAt := time.Now()
 		resp, done, err := d.callEndpoint(ctx, &e, c, idempotent && attempt < maxPlainAttempts)
@@ -127,8 +132,11 @@
 		}
 		t.recordLoss(ctx, &e, sentAt, err)
 		callErr, mayRetry := classifyPlainError(err, idempotent)
+		if apierr.From(callErr).Ran != apierr.NotRun {
+			lost = callErr
+		}
 		if !mayRetry || attempt == maxPlainAttempts || ctx.Err() != nil || !d.retries.tryRetry() {
-			return nil, nil, callErr
+			return nil, nil, cmp.Or(lost, callErr)
 		}
 		req.Avoid = append(req.Avoid, e.ID)
 	}
