core/routing: open streams are no sign of silence

An engine that runs streams counted as silent, since the view is told of a stream's start and end but not of its events. With such engines beside it, one that is silent by itself would not have been suspected.

Fix: the time that requests wait is kept for those only that are answered as a whole (AwaitAnswer, AnswerEnded). Plain requests report it; streams do not.

Evidence: TestOpenStreamsAreNoSilence fails on the parent commit and passes now.

--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -190,7 +190,7 @@
 
 // idle reports whether the observations of an endpoint differ from none in nothing that matters.
 func (n *node) idle(now time.Time) bool {
-	placed := n.open > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0
+	placed := n.open > 0 || n.silence.awaited > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0
 	health := n.ended || n.reportsLeaving || n.lastAnswerLost || n.suspectedBy > 0 || n.trust.Suspected(now) || n.trust.OnTrial() || n.cooldown.OnTrial()
 	counts := n.outcomes.Counts(now).Add(n.peerOutcomes)
 	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor
--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -6,8 +6,10 @@
 type silence struct {
 	// answeredAt is when the endpoint last answered.
 	answeredAt time.Time
-	// waitingSince is from when on the requests in progress wait: since the last answer, or since the
-	// first of them was sent; zero if none is in progress.
+	// awaited is how many answers this instance waits for, and waitingSince from when on: since the last
+	// sign of life, or since the first of the requests was sent. Streams are not counted, as their events
+	// are not recorded here.
+	awaited      int
 	waitingSince time.Time
 	// since is when the first request was sent that timed out after the last answer, and timedOutAt when
 	// the last one timed out; zero if there is none.
@@ -26,26 +28,10 @@
 	silentShareDivisor = 3
 )
 
-// sent records that a request was sent.
-func (s *silence) sent(now time.Time) {
-	if s.waitingSince.IsZero() {
-		s.waitingSince = now
-	}
-}
-
-// finished records that a request ended. open is how many others are in progress.
-func (s *silence) finished(open int) {
-	if open == 0 {
-		s.waitingSince = time.Time{}
-	}
-}
-
 // answered records a sign of life.
 func (s *silence) answered(now time.Time) {
 	s.answeredAt, s.since, s.timedOutAt = now, time.Time{}, time.Time{}
-	if !s.waitingSince.IsZero() {
-		s.waitingSince = now
-	}
+	s.waitingSince = now
 }
 
 // timedOut records that a request was not answered in time.
@@ -62,7 +48,27 @@
 	if !s.timedOutAt.IsZero() && now.Sub(s.timedOutAt) <= silenceTTL {
 		return true
 	}
-	return !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= wait
+	return s.awaited > 0 && now.Sub(s.waitingSince) >= wait
+}
+
+// AwaitAnswer records that a request was sent to an endpoint that is answered as a whole. Its end is
+// recorded with [View.AnswerEnded], whether an answer came or not.
+func (v *View) AwaitAnswer(now time.Time, id string) {
+	n := v.observe(id)
+	if n == nil {
+		return
+	}
+	if n.silence.awaited == 0 {
+		n.silence.waitingSince = now
+	}
+	n.silence.awaited++
+}
+
+// AnswerEnded records the end of what [View.AwaitAnswer] recorded.
+func (v *View) AnswerEnded(id string) {
+	if n := v.nodes[id]; n != nil && n.silence.awaited > 0 {
+		n.silence.awaited--
+	}
 }
 
 // TimedOut records that an endpoint had not answered in time what was sent to it at sentAt. It reports
--- a/core/routing/silence_test.go
+++ b/core/routing/silence_test.go
@@ -41,10 +41,10 @@
 						} else {
 							v.AnswerTimedOut(now, id, epoch.Add(sentAt))
 						}
-						v.Finished(now, id)
+						v.AnswerEnded(id)
 					}
 					if at%pace == 0 {
-						v.Sent(now, id)
+						v.AwaitAnswer(now, id)
 					}
 					if v.Suspected(now, id) {
 						suspected[id] = true
@@ -73,3 +73,15 @@
 	v.Served(later.Add(time.Second), "e002")
 	assert.Assert(t, !v.AnswerTimedOut(later.Add(2*time.Second), "e000", later.Add(time.Second)))
 }
+
+// TestOpenStreamsAreNoSilence guards against engines that seem silent since they run streams, whose events
+// the view is not told of. One that is silent by itself was not suspected then.
+func TestOpenStreamsAreNoSilence(t *testing.T) {
+	v := newTestView(4)
+	for _, id := range []string{"e000", "e001", "e002", "e003"} {
+		v.Sent(epoch, id)
+	}
+	asked := epoch.Add(time.Second)
+	v.Served(asked, "e001")
+	assert.Assert(t, !v.TimedOut(asked.Add(200*time.Millisecond), "e000", asked))
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -285,7 +285,6 @@
 func (v *View) Sent(now time.Time, id string) {
 	if n := v.observe(id); n != nil {
 		n.recordChange(now, 1)
-		n.silence.sent(now)
 	}
 }
 
@@ -293,7 +292,6 @@
 func (v *View) Finished(now time.Time, id string) {
 	if n := v.nodes[id]; n != nil && n.open > 0 {
 		n.recordChange(now, -1)
-		n.silence.finished(n.open)
 		n.openAtFailure = max(n.openAtFailure-1, 0) // requests that were open at the failure are assumed to end first
 	}
 }
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -267,6 +267,7 @@
 	defer trial.SetUndrained(false)
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
+	defer f.Placement.AwaitAnswer(e.ID)()
 	x, err := f.exchange(ctx, conn, e.ID, req.upstreamRequest(&platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: req.timeLeft(time.Now()), Team: req.teamName(), Priority: -1,
 	}), req.ownsAnswer)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -251,6 +251,19 @@
 	p.view.AnswerLost(time.Now(), id)
 }
 
+// AwaitAnswer records that a request was sent to an endpoint that is answered as a whole, until ended is
+// called.
+func (p *Placement) AwaitAnswer(id string) (ended func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.AwaitAnswer(time.Now(), id)
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.view.AnswerEnded(id)
+	}
+}
+
 // TimedOut records that an endpoint had not answered a request by its deadline. It is no failure if the
 // endpoint shares the silence with others; shared reports that.
 func (p *Placement) TimedOut(id string, sentAt time.Time) (shared bool) {
