gateway/backends: endpoints that are silent together are not suspected

What callers of the project's own interface saw beside a pause of all endpoints of a service: after 1 to 2 s each instance suspected them all. The capacity of the service was then zero, and calls were refused with "overloaded" at once or "unavailable" after the queue time, some of them after the pause had ended.

Cause: a status read, a probe (200 ms), an acknowledgement (400 ms) or a call (1 s) that was not answered in time counted like a refused or broken connection. A caller that left suspected its endpoint too.

Fix: these go to Backends.TimedOut, which suspects an endpoint only if its silence is its own. Where what is known of the others does not show that the silence is shared, up to three of them are asked for their status first (100 ms): at the first timeouts of a pause, what is known of them is older than the pause.

--- a/cli/e2e/paused_test.go
+++ b/cli/e2e/paused_test.go
@@ -4,15 +4,114 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/cli/caller"
+	"github.com/agateway/agateway/cli/standin/engine"
 	"github.com/agateway/agateway/cli/standin/plain"
 )
 
+// listedFor is how long a paused service certainly stays in the platform's list, where it renews its entry
+// each second. One that is left there alone is silent by itself.
+const listedFor = 2 * time.Second
+
+// pauseServices freezes the first n services for some time.
+func (w *cluster) pauseServices(n int, d time.Duration) {
+	for _, s := range w.services[:n] {
+		s.SetFault(plain.Fault{Freeze: true})
+	}
+	time.AfterFunc(d, func() {
+		for _, s := range w.services[:n] {
+			s.SetFault(plain.Fault{})
+		}
+	})
+}
+
+// pauseEngines freezes the first n engines for some time.
+func (w *cluster) pauseEngines(n int, d time.Duration) {
+	for _, e := range w.engines[:n] {
+		e.SetFault(engine.Fault{Freeze: true})
+	}
+	time.AfterFunc(d, func() {
+		for _, e := range w.engines[:n] {
+			e.SetFault(engine.Fault{})
+		}
+	})
+}
+
+// suspicions returns how often an endpoint became suspected.
+func (w *cluster) suspicions() int {
+	w.logs.mu.Lock()
+	defer w.logs.mu.Unlock()
+	return strings.Count(w.logs.buf.String(), "endpoint became suspected")
+}
+
+// plainCall is a call to a service that may have been paused.
+type plainCall struct {
+	request caller.PlainRequest
+	name    string // under which the services count it
+	took    time.Duration
+	err     error
+}
+
+// callDuring makes calls at a rate for some time, one after the other at each instance, and returns them
+// with their results.
+func (w *cluster) callDuring(gap, d time.Duration, request func(i int) caller.PlainRequest) []*plainCall {
+	var open sync.WaitGroup
+	var all []*plainCall
+	for began := time.Now(); time.Since(began) < d; time.Sleep(gap) {
+		r := request(len(all))
+		c := &plainCall{request: r, name: fmt.Sprint(r.Method, " ", r.Path, " ", string(r.Body))}
+		i := len(all) % len(w.gateways)
+		all = append(all, c)
+		open.Go(func() {
+			sentAt := time.Now()
+			_, c.err = w.callerOf(i).CallPlain(w.ctx(), c.request)
+			c.took = time.Since(sentAt)
+		})
+	}
+	open.Wait()
+	return all
+}
+
+// TestSharedPauseSuspectsNone guards against endpoints that are suspected since all of their service were
+// paused together. One that is paused by itself is suspected.
+func TestSharedPauseSuspectsNone(t *testing.T) {
+	for _, c := range []struct {
+		pause             time.Duration
+		services, engines int
+		suspected         bool
+	}{
+		{1200 * time.Millisecond, 3, 4, false},
+		{listedFor, 3, 4, false},
+		{listedFor, 1, 0, true},
+		{listedFor, 0, 1, true},
+	} {
+		t.Run(fmt.Sprintf("%d services and %d engines for %v", c.services, c.engines, c.pause), func(t *testing.T) {
+			runCluster(t, clusterConfig{gateways: 2, engines: 4, services: 3}, func(w *cluster) {
+				var streams sync.WaitGroup
+				for i := range 8 {
+					streams.Go(func() {
+						_, _ = w.callerOf(i%2).Generate(w.ctx(), w.request(100))
+					})
+				}
+				time.Sleep(time.Second)
+				w.pauseServices(c.services, c.pause)
+				w.pauseEngines(c.engines, c.pause)
+				w.callDuring(50*time.Millisecond, c.pause, func(i int) caller.PlainRequest {
+					return caller.PlainRequest{Service: "queue-app", Method: http.MethodGet, Path: fmt.Sprint("/status/", i), Timeout: 5 * time.Second}
+				})
+				streams.Wait()
+				assert.Check(w.t, (w.suspicions() > 0) == c.suspected, "%d suspicions", w.suspicions())
+			})
+		})
+	}
+}
+
 // TestCallThatMayHaveRunIsNotRefused guards against a call that is reported as not run after an endpoint may
 // have run it. The service got it and was not heard of again, and no other endpoint takes it.
 func TestCallThatMayHaveRunIsNotRefused(t *testing.T) {
--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // silence is what an instance knows of an endpoint that does not answer.
 type silence struct {
@@ -95,6 +98,29 @@
 	return silent >= minSilent && silent*silentShareDivisor >= silent+alive
 }
 
+// AnsweredSince reports whether an endpoint has answered after a time.
+func (v *View) AnsweredSince(id string, since time.Time) bool {
+	n := v.nodes[id]
+	return n != nil && n.silence.answeredAt.After(since)
+}
+
+// SampleOthers returns up to n random endpoints that take work of the service of an endpoint, without it.
+func (v *View) SampleOthers(n int, id string, rnd *rand.Rand) []Endpoint {
+	target := v.nodes[id]
+	if target == nil {
+		return nil
+	}
+	group := v.groups[groupKey{target.Service, ""}]
+	var out []Endpoint
+	start := rnd.IntN(len(group))
+	for i := range group {
+		if other := group[(start+i)%len(group)]; other != target && other.inService() && len(out) < n {
+			out = append(out, other.Endpoint)
+		}
+	}
+	return out
+}
+
 // AnswerTimedOut is [View.AnswerLost] for an answer that did not arrive in time. It is no failure if the
 // silence is shared.
 func (v *View) AnswerTimedOut(now time.Time, id string, sentAt time.Time) (shared bool) {
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -49,14 +49,16 @@
 	watchers  map[string]*watcher
 	addresses map[string]string // of all entries of the list, by id, including those outside the subset
 	changed   chan struct{}     // closed when an endpoint may have become free
-	pollEpoch time.Time         // status reads happen at multiples of the poll interval from here
+	// confirming holds the ids of silent endpoints while others are asked whether they answer.
+	confirming map[string]bool
+	pollEpoch  time.Time // status reads happen at multiples of the poll interval from here
 }
 
 // New returns Backends without endpoints.
 func New(opt Options) *Backends {
 	return &Backends{
 		pollEpoch: time.Now(), opt: opt, view: routing.NewView(opt.Settings), rnd: rand.New(rand.NewPCG(opt.Seed, 2)),
-		watchers: map[string]*watcher{}, changed: make(chan struct{}),
+		watchers: map[string]*watcher{}, changed: make(chan struct{}), confirming: map[string]bool{},
 	}
 }
 
@@ -157,7 +159,11 @@
 func (b *Backends) Failed(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	b.suspect(time.Now(), id)
+}
+
+// suspect marks an endpoint as failed. The caller holds b.mu.
+func (b *Backends) suspect(now time.Time, id string) {
 	if !b.view.Suspected(now, id) {
 		b.opt.Scope.Counter("endpoints_suspected").Inc(1)
 		b.opt.Log.WithField("endpoint", id).Warn("endpoint became suspected")
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -34,14 +34,16 @@
 
 func (b *Backends) poll(ctx context.Context, id string, w *watcher) {
 	for ctx.Err() == nil {
+		askedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, b.opt.StatusTimeout)
 		st, err := b.opt.Client.Status(callCtx, w.address, w.lastCacheEvent)
+		silent := callCtx.Err() != nil
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			b.countMiss(id, w)
+			b.countMiss(id, w, silent, askedAt)
 		} else {
 			b.applyStatus(id, w, &st)
 		}
@@ -62,14 +64,28 @@
 	}
 }
 
-func (b *Backends) countMiss(id string, w *watcher) {
+// countMiss counts a status read that failed. silent reports whether it was not answered in time, and
+// askedAt is when it began.
+func (b *Backends) countMiss(id string, w *watcher, silent bool, askedAt time.Time) {
 	w.misses++
 	b.opt.Scope.Counter("status_misses").Inc(1)
-	if w.misses >= missesUntilSuspected {
+	switch {
+	case silent && w.misses < missesUntilSuspected:
+		b.noteSilence(id, askedAt)
+	case silent:
+		b.TimedOut(id, askedAt)
+	case w.misses >= missesUntilSuspected:
 		b.Failed(id)
 	}
 }
 
+// noteSilence records a silence that is too short to suspect the endpoint.
+func (b *Backends) noteSilence(id string, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.TimedOut(time.Now(), id, sentAt)
+}
+
 func (b *Backends) applyStatus(id string, w *watcher, st *endpoint.Status) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -148,6 +149,7 @@
 func (d *dispatch) callEndpoint(ctx context.Context, e *routing.Endpoint, c *atmostonce.Call, mayRetry bool) (*http.Response, func(), error) {
 	ctx, span := d.Tracer.Start(ctx, "endpoint")
 	defer span.End()
+	sentAt, parent := time.Now(), ctx
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(plainAttemptTimeout, cancel)
 	if !mayRetry {
@@ -158,9 +160,14 @@
 	})
 	timer.Stop()
 	if err != nil {
+		silent := ctx.Err() != nil
 		cancel()
 		d.Backends.Finished(e.ID)
-		if !errorx.IsOfType(err, endpoint.ErrRefused) || endpoint.RetryAfter(err) == 0 {
+		switch {
+		case errors.Is(parent.Err(), context.Canceled): // the caller left, which says nothing of the endpoint
+		case silent:
+			d.Backends.TimedOut(e.ID, sentAt)
+		case !errorx.IsOfType(err, endpoint.ErrRefused) || endpoint.RetryAfter(err) == 0:
 			d.Backends.Failed(e.ID)
 		}
 		return nil, nil, err
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -46,6 +46,7 @@
 // attempt is the session's state of one attempt.
 type attempt struct {
 	endpoint  string
+	sentAt    time.Time // when the endpoint was chosen
 	cancel    context.CancelFunc
 	acked     bool
 	cancelled bool
@@ -122,7 +123,7 @@
 func (s *session) suspectUnacknowledged() {
 	for n, a := range s.attempts {
 		if !a.acked && !a.cancelled && a.endpoint != "" && s.machine.Abandoned(n) {
-			s.Backends.Failed(a.endpoint)
+			s.Backends.TimedOut(a.endpoint, a.sentAt)
 		}
 	}
 }
--- a/gateway/pipeline/streams.go
+++ b/gateway/pipeline/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"time"
 
@@ -46,7 +47,7 @@
 	id := e.ID
 	defer s.Backends.Finished(id)
 	s.mu.Lock()
-	at.endpoint = id
+	at.endpoint, at.sentAt = id, time.Now()
 	s.machine.Routed(a.Attempt, id)
 	start := s.startRequest(a)
 	s.mu.Unlock()
@@ -98,7 +99,7 @@
 		return
 	}
 	s.mu.Lock()
-	at.endpoint = id
+	at.endpoint, at.sentAt = id, time.Now()
 	s.mu.Unlock()
 	s.Backends.Sent(id)
 	defer s.Backends.Finished(id)
@@ -171,6 +172,7 @@
 // machine.
 func (s *session) probe(a generation.Probe) {
 	address, ok := s.Backends.Address(a.Stream.Endpoint)
+	askedAt := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, s.x.Deployment.RecoveryConfig(s.recovery).ProbeTimeout)
 	defer cancel()
 	var state endpoint.StreamState
@@ -179,9 +181,13 @@
 		state, err = s.Client.Probe(ctx, address, a.Stream.ID)
 	}
 	alive := ok && err == nil
-	if alive {
+	switch {
+	case alive:
 		s.Backends.Succeeded(a.Stream.Endpoint)
-	} else {
+	case errors.Is(ctx.Err(), context.Canceled): // the session has ended
+	case ctx.Err() != nil:
+		s.Backends.TimedOut(a.Stream.Endpoint, askedAt)
+	default:
 		s.Backends.Failed(a.Stream.Endpoint)
 	}
 	s.mu.Lock()
