gateway/pipeline: a call stays at a silent endpoint until another one is known to answer

What callers of the project's own interface saw: an idempotent call to a service whose endpoints were all paused ended with "endpoint_error" after 1 to 3.5 s, though its deadline was 5 s, and was run up to three times.

Cause: after 1 s of silence an attempt was ended, whatever was known of the others, and the call went on to one that was silent too, until no endpoint was left.

Fix: from 1 s on, the instance looks every 100 ms for another endpoint that has room and has answered within the interval of status reads. It takes the retry from the budget and its place there, and only then ends the attempt. Otherwise the call stays until its deadline. A broken connection is retried as before.

--- a/cli/e2e/paused_test.go
+++ b/cli/e2e/paused_test.go
@@ -112,6 +112,54 @@
 	}
 }
 
+// callKinds are the kinds of calls by how often they may run.
+var callKinds = map[string]struct {
+	request func(w *cluster, i int) caller.PlainRequest
+	unknown string // the outcome if the endpoint's answer does not come in time
+	maxRuns int
+}{
+	"read": {func(_ *cluster, i int) caller.PlainRequest {
+		return caller.PlainRequest{Service: "queue-app", Method: http.MethodGet, Path: fmt.Sprint("/status/", i), Timeout: 5 * time.Second}
+	}, "endpoint_error/unknown", 4},
+	"write": {func(_ *cluster, i int) caller.PlainRequest {
+		r := newLiftRequest("", "")
+		r.Body = fmt.Append(nil, "lift ", i)
+		return r
+	}, "outcome_unknown/unknown", 1},
+	"write with a key": {func(_ *cluster, i int) caller.PlainRequest {
+		r := newLiftRequest("", fmt.Sprint("key-", i))
+		r.Body = fmt.Append(nil, "lift ", i)
+		return r
+	}, "outcome_unknown/unknown", 1},
+}
+
+// TestCallsAtPausedServices guards against calls that are given up or refused before their deadline, or run
+// twice, and services that are suspected, because sound services pause. They are answered when the pause
+// ends before their deadline.
+func TestCallsAtPausedServices(t *testing.T) {
+	for kind, k := range callKinds {
+		for _, pause := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, listedFor, 3500 * time.Millisecond, 8 * time.Second} {
+			for _, paused := range []int{1, 3} {
+				t.Run(fmt.Sprintf("%s/%d for %v", kind, paused, pause), func(t *testing.T) {
+					runCluster(t, clusterConfig{gateways: 2, engines: 1, services: 3}, func(w *cluster) {
+						request := func(i int) caller.PlainRequest { return k.request(w, i) }
+						w.pauseServices(paused, pause)
+						all := w.callDuring(100*time.Millisecond, min(pause, 2*time.Second), request)
+						time.Sleep(10 * time.Second)
+						for _, c := range all {
+							runs, got := w.callRuns(c.name), outcome(c.err)
+							what := fmt.Sprintf("%s: %s in %v, %d runs", c.name, got, c.took, runs)
+							assert.Check(w.t, runs <= k.maxRuns, what)
+							assert.Check(w.t, got == "ok" || got == k.unknown && c.took >= 4900*time.Millisecond, what)
+							assert.Check(w.t, got == "ok" || pause > 5*time.Second, what)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestCallThatMayHaveRunIsNotRefused guards against a call that is reported as not run after an endpoint may
 // have run it. The service got it and was not heard of again, and no other endpoint takes it.
 func TestCallThatMayHaveRunIsNotRefused(t *testing.T) {
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -34,6 +34,8 @@
 	Avoid []string
 	// Builds restricts the choice to endpoints of some builds.
 	Builds BuildFilter
+	// AnsweredSince restricts it to endpoints that have answered since then; zero for no restriction.
+	AnsweredSince time.Time
 	// ExcludeDataCentre is a data centre whose endpoints are not eligible; empty for none.
 	ExcludeDataCentre string
 	// Tokens is the memory that the request needs at an engine. PromptTokens is the part of it that
@@ -306,6 +308,9 @@
 	if !takesWork || !n.serves(p.r.Model, p.r.Adapter, p.r.Version) || !p.r.Builds.Allows(&n.Endpoint) {
 		return false
 	}
+	if n.silence.answeredAt.Before(p.r.AnsweredSince) {
+		return false
+	}
 	if p.r.ExcludeDataCentre != "" && n.DataCentre == p.r.ExcludeDataCentre {
 		return false
 	}
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -54,9 +54,6 @@
 const (
 	// maxPlainAttempts bounds the attempts of one call.
 	maxPlainAttempts = 4
-	// plainAttemptTimeout is how long an endpoint may take to begin its answer to an idempotent
-	// call, as long as another attempt is left.
-	plainAttemptTimeout = time.Second
 	// maxOutcomeBytes bounds the part that is read of the answer to a call that runs at most once.
 	// The rest is cut off.
 	maxOutcomeBytes = 1 << 20
@@ -113,55 +110,71 @@
 	t := newCallTrial(d.Deps, c, dep.Service)
 	defer t.release()
 	until := time.Now().Add(min(dep.QueueWait, time.Until(c.Deadline)))
-	var lost error // of the last attempt that may have run the call
+	var lost error             // of the last attempt that may have run the call
+	var next *routing.Endpoint // for which the last attempt was left
 	for attempt := 1; ; attempt++ {
 		if err := t.admit(); err != nil {
+			if next != nil {
+				d.Backends.Finished(next.ID)
+			}
 			if lost != nil {
 				err = apierr.From(err).WithRan(apierr.Unknown)
 			}
 			return nil, nil, err
 		}
-		e, err := d.pick(ctx, &req, until)
-		if err != nil {
-			return nil, nil, cmp.Or(lost, err)
+		if next == nil {
+			e, err := d.pick(ctx, &req, until)
+			if err != nil {
+				return nil, nil, cmp.Or(lost, err)
+			}
+			next = &e
+		}
+		e, sentAt := *next, time.Now()
+		var find func() (routing.Endpoint, bool)
+		if idempotent && attempt < maxPlainAttempts {
+			find = func() (routing.Endpoint, bool) { return d.findAnswering(req, e.ID) }
 		}
-		sentAt := time.Now()
-		resp, done, err := d.callEndpoint(ctx, &e, c, idempotent && attempt < maxPlainAttempts)
+		resp, done, left, err := d.callEndpoint(ctx, &e, c, find)
 		if err == nil {
 			t.clearOnAnswer()
 			return resp, done, nil
 		}
-		t.recordLoss(ctx, &e, sentAt, err)
+		if next = left; left == nil {
+			t.recordLoss(ctx, &e, sentAt, err)
+		}
 		callErr, mayRetry := classifyPlainError(err, idempotent)
 		if apierr.From(callErr).Ran != apierr.NotRun {
 			lost = callErr
 		}
-		if !mayRetry || attempt == maxPlainAttempts || ctx.Err() != nil || !d.retries.tryRetry() {
+		if left == nil && (!mayRetry || attempt == maxPlainAttempts || ctx.Err() != nil || !d.retries.tryRetry()) {
 			return nil, nil, cmp.Or(lost, callErr)
 		}
 		req.Avoid = append(req.Avoid, e.ID)
 	}
 }
 
-// callEndpoint makes a call at one endpoint. If mayRetry is set, the answer has to begin within
-// plainAttemptTimeout, since another endpoint can be tried. The caller calls the returned function
-// when it has read the answer.
-func (d *dispatch) callEndpoint(ctx context.Context, e *routing.Endpoint, c *atmostonce.Call, mayRetry bool) (*http.Response, func(), error) {
+// callEndpoint makes a call at one endpoint. If find is not nil, the endpoint may be left for another one
+// while it is silent; see [silentAttempt]. That endpoint is then returned with an error. The caller calls
+// the returned function when it has read the answer.
+func (d *dispatch) callEndpoint(ctx context.Context, e *routing.Endpoint, c *atmostonce.Call, find func() (routing.Endpoint, bool)) (resp *http.Response, done func(), next *routing.Endpoint, err error) {
 	ctx, span := d.Tracer.Start(ctx, "endpoint")
 	defer span.End()
 	sentAt, parent := time.Now(), ctx
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(plainAttemptTimeout, cancel)
-	if !mayRetry {
-		timer.Stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	var watch *silentAttempt
+	if find != nil {
+		watch = watchSilence(find, cancel)
 	}
-	resp, err := d.Client.Do(ctx, e.Address, &endpoint.Call{
-		ID: uuid.NewString(), Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, Idempotent: mayRetry,
+	resp, err = d.Client.Do(ctx, e.Address, &endpoint.Call{
+		ID: uuid.NewString(), Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, Idempotent: find != nil,
 	})
-	timer.Stop()
+	if next = watch.end(); next != nil && err == nil { // the answer came while the endpoint was left
+		_ = resp.Body.Close()
+		err = errLeft
+	}
 	if err != nil {
 		silent := ctx.Err() != nil
-		cancel()
+		cancel(nil)
 		d.Backends.Finished(e.ID)
 		switch {
 		case errors.Is(parent.Err(), context.Canceled): // the caller left, which says nothing of the endpoint
@@ -170,13 +183,13 @@
 		case !errorx.IsOfType(err, endpoint.ErrRefused) || endpoint.RetryAfter(err) == 0:
 			d.Backends.Failed(e.ID)
 		}
-		return nil, nil, err
+		return nil, nil, next, err
 	}
 	return resp, func() {
 		_ = resp.Body.Close()
-		cancel()
+		cancel(nil)
 		d.Backends.Finished(e.ID)
-	}, nil
+	}, nil, nil
 }
 
 // classifyPlainError converts the error of a failed call to an error for the caller, and tells
