core/routing: requests prefer endpoints that answer to silent ones that are not suspected

Fix: an endpoint at which a request timed out, and that has not answered since, is scored like one that a peer suspects: it is used when the others are full. An answer ends that at once, and 5 s without a further timeout do. An endpoint that answered others in the last half of the request's wait is slow with one request, not silent, so requests that always reach their timeout change nothing.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -254,6 +254,9 @@
 	if n.suspectedByOthers(p.now) > 0 || p.v.inDegradedDataCentre(p.now, n) {
 		score += p.v.settings.SuspicionPenalty
 	}
+	if n.silence.timedOutLately(p.now) {
+		score += p.v.settings.SilencePenalty
+	}
 	if w.Health > 0 {
 		score += w.Health * p.v.excessFailures(p.now, n)
 	}
--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -37,21 +37,28 @@
 	s.waitingSince = now
 }
 
-// timedOut records that a request was not answered in time.
-func (s *silence) timedOut(now, sentAt time.Time) {
+// timedOut records that a request was not answered in time. It returns false if the endpoint is not silent,
+// as it answered others meanwhile.
+func (s *silence) timedOut(now, sentAt time.Time) bool {
+	if now.Sub(s.answeredAt) < now.Sub(sentAt)/silentWaitDivisor {
+		return false
+	}
 	if s.since.IsZero() || now.Sub(s.timedOutAt) > silenceTTL {
 		s.since = sentAt
 	}
 	s.timedOutAt = now
+	return true
+}
+
+// timedOutLately reports whether a request timed out lately without an answer since.
+func (s *silence) timedOutLately(now time.Time) bool {
+	return !s.timedOutAt.IsZero() && now.Sub(s.timedOutAt) <= silenceTTL
 }
 
 // isSilent reports whether requests recently timed out without an answer since, or have waited for some
 // time.
 func (s *silence) isSilent(now time.Time, wait time.Duration) bool {
-	if !s.timedOutAt.IsZero() && now.Sub(s.timedOutAt) <= silenceTTL {
-		return true
-	}
-	return s.awaited > 0 && now.Sub(s.waitingSince) >= wait
+	return s.timedOutLately(now) || s.awaited > 0 && now.Sub(s.waitingSince) >= wait
 }
 
 // AwaitAnswer records that a request was sent to an endpoint that is answered as a whole. Its end is
@@ -82,8 +89,7 @@
 	if n == nil {
 		return false
 	}
-	n.silence.timedOut(now, sentAt)
-	if !v.settings.SharedSilence {
+	if !n.silence.timedOut(now, sentAt) || !v.settings.SharedSilence {
 		return false
 	}
 	silent, alive := 0, 0
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -45,6 +45,9 @@
 	FallBackToSuspected bool
 	// SharedSilence makes [View.TimedOut] report a silence that an endpoint shares with others.
 	SharedSilence bool
+	// SilencePenalty is added to the score of an endpoint at which a request timed out and that has not
+	// answered since.
+	SilencePenalty float64
 	// UnknownLoadPenalty is added to the score of an engine for which the placements of other
 	// instances are not known.
 	UnknownLoadPenalty float64
@@ -73,7 +76,7 @@
 		BaseSuspicion: time.Second, MaxSuspicion: 15 * time.Second,
 		ReportTTL: reportTTL, CacheTTL: 60 * time.Second, CacheEntries: 1 << 16,
 		Choices: 5, SubsetChoices: 3, SubsetBonus: 0.25, QueueFactor: 1.25, RecoveryFactor: 2, MemoryFactor: 1, CopyFactor: 0.5, CopyFactorWhileWaiting: 0.4,
-		SharedSilence: true, UnknownLoadPenalty: 1, SuspicionPenalty: 1, DegradedShare: 0.25,
+		SharedSilence: true, SilencePenalty: 1, UnknownLoadPenalty: 1, SuspicionPenalty: 1, DegradedShare: 0.25,
 	}
 }
 
