--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -1,13 +1,18 @@
 package routing
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // silence is what an instance knows of an endpoint that does not answer.
 type silence struct {
 	// answeredAt is when the endpoint last answered.
 	answeredAt time.Time
-	// waitingSince is from when on the requests in progress wait: since the last answer, or since the
-	// first of them was sent; zero if none is in progress.
+	// awaited is how many answers this instance waits for, and waitingSince from when on: since the last
+	// sign of life, or since the first of the requests was sent. Streams are not counted, as their events
+	// are not recorded here.
+	awaited      int
 	waitingSince time.Time
 	// since is when the first request was sent that timed out after the last answer, and timedOutAt when
 	// the last one timed out; zero if there is none.
@@ -26,43 +31,54 @@
 	silentShareDivisor = 3
 )
 
-// sent records that a request was sent.
-func (s *silence) sent(now time.Time) {
-	if s.waitingSince.IsZero() {
-		s.waitingSince = now
-	}
-}
-
-// finished records that a request ended. open is how many others are in progress.
-func (s *silence) finished(open int) {
-	if open == 0 {
-		s.waitingSince = time.Time{}
-	}
-}
-
 // answered records a sign of life.
 func (s *silence) answered(now time.Time) {
 	s.answeredAt, s.since, s.timedOutAt = now, time.Time{}, time.Time{}
-	if !s.waitingSince.IsZero() {
-		s.waitingSince = now
-	}
+	s.waitingSince = now
 }
 
-// timedOut records that a request was not answered in time.
-func (s *silence) timedOut(now, sentAt time.Time) {
+// timedOut records that a request was not answered in time. It returns false if the endpoint is not silent,
+// as it answered others meanwhile.
+func (s *silence) timedOut(now, sentAt time.Time) bool {
+	if now.Sub(s.answeredAt) < now.Sub(sentAt)/silentWaitDivisor {
+		return false
+	}
 	if s.since.IsZero() || now.Sub(s.timedOutAt) > silenceTTL {
 		s.since = sentAt
 	}
 	s.timedOutAt = now
+	return true
+}
+
+// timedOutLately reports whether a request timed out lately without an answer since.
+func (s *silence) timedOutLately(now time.Time) bool {
+	return !s.timedOutAt.IsZero() && now.Sub(s.timedOutAt) <= silenceTTL
 }
 
 // isSilent reports whether requests recently timed out without an answer since, or have waited for some
 // time.
 func (s *silence) isSilent(now time.Time, wait time.Duration) bool {
-	if !s.timedOutAt.IsZero() && now.Sub(s.timedOutAt) <= silenceTTL {
-		return true
+	return s.timedOutLately(now) || s.awaited > 0 && now.Sub(s.waitingSince) >= wait
+}
+
+// AwaitAnswer records that a request was sent to an endpoint that is answered as a whole. Its end is
+// recorded with [View.AnswerEnded], whether an answer came or not.
+func (v *View) AwaitAnswer(now time.Time, id string) {
+	n := v.observe(id)
+	if n == nil {
+		return
+	}
+	if n.silence.awaited == 0 {
+		n.silence.waitingSince = now
+	}
+	n.silence.awaited++
+}
+
+// AnswerEnded records the end of what [View.AwaitAnswer] recorded.
+func (v *View) AnswerEnded(id string) {
+	if n := v.nodes[id]; n != nil && n.silence.awaited > 0 {
+		n.silence.awaited--
 	}
-	return !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= wait
 }
 
 // TimedOut records that an endpoint had not answered in time what was sent to it at sentAt. It reports
@@ -73,8 +89,7 @@
 	if n == nil {
 		return false
 	}
-	n.silence.timedOut(now, sentAt)
-	if !v.settings.SharedSilence {
+	if !n.silence.timedOut(now, sentAt) || !v.settings.SharedSilence {
 		return false
 	}
 	silent, alive := 0, 0
@@ -89,6 +104,29 @@
 	return silent >= minSilent && silent*silentShareDivisor >= silent+alive
 }
 
+// AnsweredSince reports whether an endpoint has answered after a time.
+func (v *View) AnsweredSince(id string, since time.Time) bool {
+	n := v.nodes[id]
+	return n != nil && n.silence.answeredAt.After(since)
+}
+
+// SampleOthers returns up to n random endpoints that take work of the service of an endpoint, without it.
+func (v *View) SampleOthers(n int, id string, rnd *rand.Rand) []Endpoint {
+	target := v.nodes[id]
+	if target == nil {
+		return nil
+	}
+	group := v.groups[groupKey{target.Service, ""}]
+	var out []Endpoint
+	start := rnd.IntN(len(group))
+	for i := range group {
+		if other := group[(start+i)%len(group)]; other != target && other.inService() && len(out) < n {
+			out = append(out, other.Endpoint)
+		}
+	}
+	return out
+}
+
 // AnswerTimedOut is [View.AnswerLost] for an answer that did not arrive in time. It is no failure if the
 // silence is shared.
 func (v *View) AnswerTimedOut(now time.Time, id string, sentAt time.Time) (shared bool) {
