gateway/crashes: a silence that many share, or that ends soon, stops no request

Callers saw 503 "the request ends the endpoints that run it" for ten minutes, for requests that had done nothing: with a quarter or more of 36 engines unreachable for 1.2 s, each request between the head of its answer and the first event counted as the one that had silenced its engine, and four of a team within 30 s make every further one stop at its first crash.

Cause: one failed connection 0.4 s after the silence was proof, and the only bound on coincidence was half of a data centre, counted over failures that a later failure of the same endpoint moves out of the window.

Three is one less than what makes a team harmful; a request that silences one engine after the other has at most two of them in that time.

TestSharedSilenceStopsNoRequest before: crashes recorded 10 (9 of 36 unreachable) and 7 (18 of 36, at the time of the check); none where the engines were paused, since those accept connections. TestRequestThatSilencesEngines as before: 5 engines fall silent; all other tests of crashes in gateway/front pass unchanged. The stand-in can send the head of an answer early, without which no request is in this state for long.

--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -26,8 +26,8 @@
 //     one endpoint.
 //
 // Callers report a crash only if the endpoint's process is known to be gone, or if it fell silent
-// right after its answer began and can't be connected to any more. They do not report other
-// silence, lost answers, endpoints that were told to leave, or the loss of most of a data centre.
+// right after its answer began, alone or with few others of its service, and can't be connected to for
+// a while. They do not report other silence, lost answers, endpoints that were told to leave, or the loss of most of a data centre.
 //
 // Release. Once its time is over, a stopped request may be tried again, one attempt at a time. The
 // next crash stops it again for twice as long. A complete answer, or an operator, clears it.
--- a/core/routing/suspicion.go
+++ b/core/routing/suspicion.go
@@ -82,15 +82,29 @@
 	if target == nil {
 		return 0, 0
 	}
+	failed = v.countFailures(from, to, func(n *node) bool { return n.DataCentre == target.DataCentre })
+	return failed, v.dataCentreSizes[target.DataCentre]
+}
+
+// FailuresInService returns the same of the endpoints of an endpoint's service in all data centres.
+func (v *View) FailuresInService(id string, from, to time.Time) (failed, all int) {
+	target := v.nodes[id]
+	if target == nil {
+		return 0, 0
+	}
+	failed = v.countFailures(from, to, func(n *node) bool { return n.Service == target.Service })
+	return failed, len(v.groups[groupKey{target.Service, ""}])
+}
+
+// countFailures returns how many endpoints that satisfy the predicate last failed between from and to.
+func (v *View) countFailures(from, to time.Time, fits func(*node) bool) int {
+	failed := 0
 	for _, n := range v.observed {
-		if n.DataCentre != target.DataCentre || n.failedAt.IsZero() {
-			continue
-		}
-		if !n.failedAt.Before(from) && !n.failedAt.After(to) {
+		if !n.failedAt.IsZero() && !n.failedAt.Before(from) && !n.failedAt.After(to) && fits(n) {
 			failed++
 		}
 	}
-	return failed, v.dataCentreSizes[target.DataCentre]
+	return failed
 }
 
 // Suspects returns the IDs of the endpoints that this instance suspects, those with the longest
--- a/gateway/crashes/attributor.go
+++ b/gateway/crashes/attributor.go
@@ -29,6 +29,17 @@
 	// coincidenceLookback is how long before a crash other endpoints of the data centre may have
 	// failed to count as lost together with it.
 	coincidenceLookback = 100 * time.Millisecond
+	// silenceConfirmWait is how long after the first check, and after failureReportWait, a silent endpoint
+	// is checked again. One that was paused or cut off for a moment is reached then.
+	silenceConfirmWait = 500 * time.Millisecond
+	// silenceLookback is how long before a silence was noticed other endpoints may have failed to share it.
+	// Silences that begin together are noticed this far apart at most.
+	silenceLookback = 300 * time.Millisecond
+	// maxSilentTogether is how many endpoints of a service may fail together before their silence is
+	// shared. It is less than what makes a team harmful; see [crashers.Settings]. In a service of many
+	// endpoints it is 1/silentShareDivisor of them.
+	maxSilentTogether  = 3
+	silentShareDivisor = 20
 	// maxPending bounds the crashes that are being attributed in the background.
 	maxPending = 64
 )
@@ -80,6 +91,9 @@
 	// DataCentreFailures returns the number of endpoints in the data centre of an endpoint, and how
 	// many of them failed last between from and to.
 	DataCentreFailures func(endpoint string, from, to time.Time) (failed, all int)
+	// ServiceFailures returns the same of the service of an endpoint; nil if silence is not to be
+	// attributed.
+	ServiceFailures func(endpoint string, from, to time.Time) (failed, all int)
 
 	pending atomic.Int64 // crashes that are being attributed in the background
 }
@@ -123,13 +137,35 @@
 }
 
 // AttributeSilence checks whether an endpoint that fell silent between the head of its answer and
-// the first event can still be reached, and counts it as crashed if not. Silence at any other
-// moment is ignored, since it has too many causes.
+// the first event can still be reached, and counts it as crashed if it can't for a while and did not
+// fall silent together with many others of its service. Silence at any other moment is ignored, since
+// it has too many causes.
 func (a *Attributor) AttributeSilence(l Loss) {
 	if a.Record == nil || l.ServedBefore || l.HeadAt.IsZero() || !l.FirstEventAt.IsZero() {
 		return
 	}
-	a.attributeUnreachable(&l, crashers.Crash{Endpoint: l.Endpoint, Service: l.Service, Phase: crashers.Begun, Sent: l.SentAt, At: time.Now()})
+	if a.Unreachable == nil {
+		return
+	}
+	crash := crashers.Crash{Endpoint: l.Endpoint, Service: l.Service, Phase: crashers.Begun, Sent: l.SentAt, At: time.Now()}
+	a.attributeAsync(&l, crash, a.Unreachable, func(inputs logrus.Fields) {
+		if a.silenceIsOwn(&crash, inputs) {
+			inputs["unreachable"] = true
+			a.Record(l.Request, crash, inputs)
+		}
+	})
+}
+
+// silenceIsOwn reports whether an unreachable endpoint stays unreachable, and few others of its service
+// failed with it. It adds the inputs of that decision, and waits for silenceConfirmWait.
+func (a *Attributor) silenceIsOwn(crash *crashers.Crash, inputs logrus.Fields) bool {
+	failed, all := a.ServiceFailures(crash.Endpoint, crash.At.Add(-silenceLookback), time.Now())
+	inputs["failed_in_service"], inputs["endpoints_in_service"] = failed, all
+	if failed > max(maxSilentTogether, all/silentShareDivisor) {
+		return false
+	}
+	pause.For(context.Background(), silenceConfirmWait)
+	return a.Unreachable(crash.Endpoint)
 }
 
 // attributeUnreachable records a crash in the background, if the endpoint is unreachable.
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -207,7 +207,10 @@
 	}
 	f.shutdownCtx, f.cancelRequests = context.WithCancel(context.Background())
 	if crashRecords != nil {
-		f.attributor = crashes.Attributor{Record: crashRecords.RecordCrash, HasCrashed: f.hasCrashed, Unreachable: f.isUnreachable, DataCentreFailures: o.Placement.DataCentreFailures}
+		f.attributor = crashes.Attributor{
+			Record: crashRecords.RecordCrash, HasCrashed: f.hasCrashed, Unreachable: f.isUnreachable,
+			DataCentreFailures: o.Placement.DataCentreFailures, ServiceFailures: o.Placement.ServiceFailures,
+		}
 	}
 	return f
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -460,6 +460,13 @@
 	return p.view.FailuresInDataCentre(id, from, to)
 }
 
+// ServiceFailures returns the same of the service of an endpoint.
+func (p *Placement) ServiceFailures(id string, from, to time.Time) (failed, all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.FailuresInService(id, from, to)
+}
+
 // List returns all endpoints with what is known about them.
 func (p *Placement) List() []routing.Status {
 	p.mu.Lock()
