core/routing: all requests that notice one silence count as one failure

An engine that pauses for a second gives up all its streams at once, and each counted as one more consecutive failure: in virtual time (2 instances, 6 engines, 24 streams, one engine paused for 1.2 s) the instances suspected it for 7.2 s in all after it had gone on, 14.4 s for two engines. The pause doubles with each call of Failed, to 15 s for five streams and more, and then the engine is on trial, with one request at a time.

View.Silent counts one failure for a silence, and View.Answered takes it back with the first sign of life. Failed connections count as before, also on top of a silence. A silence that lasts is suspected for longer each time, as before.

--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateway/agateway/core/health"
+)
 
 // silence is what an instance knows of an endpoint that does not answer.
 type silence struct {
@@ -12,6 +16,10 @@
 	// since is when the first request was sent that timed out after the last answer, and timedOutAt when
 	// the last one timed out; zero if there is none.
 	since, timedOutAt time.Time
+	// ejected is set while the endpoint is suspected for its silence alone, and before is its breaker from
+	// before that.
+	ejected bool
+	before  health.Breaker
 }
 
 const (
@@ -112,3 +120,33 @@
 	}
 	n.lastAnswerLost = true
 }
+
+// Silent records that an endpoint fell silent by itself though its connections stand. It is suspected like
+// one that failed, but all requests that notice one silence count as one failure. It reports whether this
+// one counts.
+func (v *View) Silent(now time.Time, id string) (counts bool) {
+	n := v.observe(id)
+	if n == nil || n.trust.Suspected(now) {
+		return false
+	}
+	before := n.trust
+	if n.silence.ejected { // it has not answered since the suspicion before
+		before = n.silence.before
+	}
+	v.Failed(now, id)
+	n.silence.ejected, n.silence.before = true, before
+	return true
+}
+
+// Answered records a sign of life of an endpoint on any connection. It ends a suspicion for silence alone.
+func (v *View) Answered(now time.Time, id string) {
+	n := v.observe(id)
+	if n == nil {
+		return
+	}
+	n.silence.answered(now)
+	if n.silence.ejected {
+		n.trust, n.silence.ejected = n.silence.before, false
+		v.degraded.stale = true
+	}
+}
--- a/core/routing/suspicion.go
+++ b/core/routing/suspicion.go
@@ -132,7 +132,7 @@
 	for _, n := range v.observed {
 		if !n.failedAt.Before(since) || n.lastAnswerLost {
 			n.trust.Reset()
-			n.lastAnswerLost, n.fullUntil = false, time.Time{}
+			n.silence.ejected, n.lastAnswerLost, n.fullUntil = false, false, time.Time{}
 		}
 	}
 	v.degraded.stale = true
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -306,6 +306,7 @@
 		return
 	}
 	n.openAtFailure, n.failedAt = n.open, now
+	n.silence.ejected = false
 	n.trust.Failed(now, health.BreakerSettings{MinPause: v.settings.BaseSuspicion, MaxPause: v.settings.MaxSuspicion})
 	v.degraded.stale = true
 }
@@ -326,7 +327,7 @@
 func (v *View) Succeeded(id string) {
 	if n := v.observe(id); n != nil {
 		n.trust.Succeeded()
-		n.lastAnswerLost = false
+		n.silence.ejected, n.lastAnswerLost = false, false
 		v.degraded.stale = true
 	}
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -230,6 +230,24 @@
 	p.view.Failed(time.Now(), id)
 }
 
+// Silent records that an endpoint fell silent by itself though its connections stand. It is avoided for a
+// while, or until it answers.
+func (p *Placement) Silent(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.view.Silent(now, id) {
+		p.view.CountFailure(now, id)
+	}
+}
+
+// Answered records a sign of life of an endpoint that was silent.
+func (p *Placement) Answered(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Answered(time.Now(), id)
+}
+
 // ForgetFailures drops the suspicions of all endpoints that failed this instance since a time.
 func (p *Placement) ForgetFailures(since time.Time) {
 	p.mu.Lock()
