core/admission: room at an endpoint that makes no progress is not given away

Callers lost their requests with endpoints that refuse too much: each fragile endpoint that was paused for 1.2 s fell when it went on.

Cause: a lease expires after four times what requests usually take, in case its release is lost. The endpoint's requests outlasted that in the pause, and their room was granted to others.

A lease now expires early only if the endpoint has ended a request since, and after a time without any release the leases begin anew. Their requests' deadlines bound them as before, and a holder that claims again still drops what it does not hold.

TestSilentEndpointKeepsItsLeases fails without the change.

--- a/core/admission/roomgate.go
+++ b/core/admission/roomgate.go
@@ -49,9 +49,11 @@
 	// averageWeight is the weight of the last value in an average.
 	averageWeight = 0.1
 	// A lease whose release is lost lasts lifetimeFactor times as long as requests usually take, at
-	// least minLifetime.
+	// least minLifetime. A time without any release does not count if it is at least
+	// 1/silenceDivisor of that: the endpoint may be paused, and still has its requests then.
 	lifetimeFactor = 4
 	minLifetime    = 100 * time.Millisecond
+	silenceDivisor = 2
 	// standbySlotsDivisor divides the slots that an owner other than the first uses.
 	standbySlotsDivisor = 4
 )
@@ -72,14 +74,18 @@
 	closed      time.Time   // until when nothing is admitted
 	told        time.Time   // the latest time at which an instance was told to ask again
 	lastFreed   time.Time
+	// lastRelease is when a release showed last that the endpoint makes progress, or when a request was
+	// admitted while there was no other.
+	lastRelease time.Time
 	// usual is how long requests take on average; 0 until one has ended.
 	usual time.Duration
 	// freeInterval is the average time between two ends of requests.
 	freeInterval time.Duration
 }
 
-// term is when a lease began and when it expires.
-type term struct{ from, until time.Time }
+// term is when a lease began, when it expires if the endpoint makes progress, and when it expires in any
+// case.
+type term struct{ from, until, deadline time.Time }
 
 // RoomClaim asks for room at an endpoint.
 type RoomClaim struct {
@@ -118,17 +124,36 @@
 	if g.leases == nil {
 		g.leases = map[Lease]term{}
 	}
-	g.leases[c.Lease] = term{now, now.Add(g.lifetime(c))}
+	if len(g.leases) == 0 {
+		g.lastRelease = now
+	}
+	deadline := now.Add(c.Lifetime)
+	g.leases[c.Lease] = term{now, g.expiry(now, deadline), deadline}
 	return true, 0
 }
 
-// lifetime returns how long a lease lasts without a release, which may be lost: a multiple of what
-// requests usually take, and at most until the deadline of the request.
-func (g *RoomGate) lifetime(c *RoomClaim) time.Duration {
+// expiry returns when a lease expires that begins or is confirmed now, if its release is lost and the
+// endpoint makes progress.
+func (g *RoomGate) expiry(now, deadline time.Time) time.Time {
 	if g.usual == 0 {
-		return c.Lifetime
+		return deadline
 	}
-	return min(c.Lifetime, max(lifetimeFactor*g.usual, minLifetime))
+	return times.Earlier(now.Add(g.lifetime()), deadline)
+}
+
+// lifetime returns a multiple of how long requests usually take.
+func (g *RoomGate) lifetime() time.Duration { return max(lifetimeFactor*g.usual, minLifetime) }
+
+// recordProgress records that the endpoint makes progress. After a time without, the leases of its
+// requests begin anew.
+func (g *RoomGate) recordProgress(now time.Time) {
+	if g.usual > 0 && now.Sub(g.lastRelease) >= g.lifetime()/silenceDivisor {
+		for l, t := range g.leases {
+			t.until = times.Later(t.until, g.expiry(now, t.deadline))
+			g.leases[l] = t
+		}
+	}
+	g.lastRelease = now
 }
 
 // initialWindow returns the window for the first claims at an endpoint. A new owner may not know what
@@ -152,9 +177,11 @@
 	return g.told.Sub(now)
 }
 
+// expire drops the leases whose releases are lost. While the endpoint makes no progress, its requests are
+// still there until their deadlines.
 func (g *RoomGate) expire(now time.Time) {
 	for l, t := range g.leases {
-		if !now.Before(t.until) {
+		if !now.Before(t.deadline) || !now.Before(t.until) && !g.lastRelease.Before(t.until) {
 			delete(g.leases, l)
 		}
 	}
@@ -165,6 +192,9 @@
 func (g *RoomGate) Release(now time.Time, l Lease, o Outcome, slots, maxRefusals int) {
 	open := len(g.leases)
 	t, known := g.leases[l]
+	if known && (o == Begun || o == Served) {
+		g.recordProgress(now)
+	}
 	if o != Begun {
 		delete(g.leases, l)
 	}
--- a/core/admission/roomgate_test.go
+++ b/core/admission/roomgate_test.go
@@ -219,3 +219,39 @@
 		}
 	}
 }
+
+// TestSilentEndpointKeepsItsLeases guards against admitting more than an endpoint runs at once while it is
+// paused, since the leases of the requests that it still has expired after some times what they usually
+// take. Once it goes on, leases whose releases are lost expire as before.
+func TestSilentEndpointKeepsItsLeases(t *testing.T) {
+	const usual = 200 * time.Millisecond
+	for _, silence := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 5 * time.Second} {
+		g, n, now := openGate(at(0)), uint64(100), at(time.Second)
+		for range 20 {
+			g.Admit(now, roomClaim(n))
+			now = now.Add(usual)
+			g.Release(now, Lease{"a", n}, Served, 6, 3)
+			n++
+		}
+		first := n
+		n += uint64(admitAll(g, now, n))
+		assert.Equal(t, n-first, uint64(6))
+		for end := now.Add(silence + usual); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			assert.Equal(t, admitAll(g, now, n), 0, "more was admitted %v after the start of a silence of %v", now.Sub(end)+silence+usual, silence)
+		}
+		for i := range uint64(5) { // the last release is lost
+			g.Release(now.Add(time.Duration(i)*time.Millisecond), Lease{"a", first + i}, Served, 6, 3)
+		}
+		admitted := admitAll(g, now.Add(5*time.Millisecond), n)
+		assert.Equal(t, admitted, 5)
+		now = now.Add(5 * time.Millisecond)
+		for range 30 { // the endpoint is busy
+			now = now.Add(usual)
+			g.Release(now, Lease{"a", n}, Served, 6, 3)
+			n += uint64(max(admitted, 1))
+			admitted = admitAll(g, now, n)
+		}
+		_, kept := g.leases[Lease{"a", first + 5}]
+		assert.Assert(t, !kept, "a lease whose release is lost expires")
+	}
+}
