gateway/backends: engines that were paused are used again when they answer

On the project's own interface requests were refused after engines had been paused for 1.2 s: the probe of each stream counted as one more failure of its engine, up to 15 s of suspicion, and the slots of suspected engines are no room. In virtual time, 4 engines with 8 streams each, all paused for 1.2 s: no slot was left 0.6 s after they had gone on, at four offsets of the pause to the status reads.

A call that times out on a connection that stands is a silence (Backends.CallFailed, Silent): one failure for all that notice it, taken back by the next answer to a status read. Connections that fail, break or refuse count as before. Plain calls that were given up or whose caller has left used to count as failed connections too.

After: all 32 slots are back at the next status read, 0.5 s at most. cli/e2e passes.

--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -152,9 +153,28 @@
 	b.notifyChanged()
 }
 
-// Failed records that an endpoint failed a request or did not answer its status reads. The
-// endpoint becomes suspected.
+// Failed records that an endpoint failed a request or can't be connected to. The endpoint becomes
+// suspected.
 func (b *Backends) Failed(id string) {
+	b.suspect(id, func(now time.Time) { b.view.Failed(now, id) })
+}
+
+// Silent records that an endpoint did not answer in time although its connection stands. It becomes
+// suspected until it answers a request or a status read. All that notice one silence count as one failure.
+func (b *Backends) Silent(id string) {
+	b.suspect(id, func(now time.Time) { b.view.Silent(now, id) })
+}
+
+// CallFailed records a call that an endpoint did not answer before ctx ended, or that failed with err.
+func (b *Backends) CallFailed(ctx context.Context, id string, err error) {
+	if ctx.Err() != nil && !errorx.IsOfType(err, endpoint.ErrRefused) {
+		b.Silent(id)
+		return
+	}
+	b.Failed(id)
+}
+
+func (b *Backends) suspect(id string, record func(now time.Time)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -162,7 +182,7 @@
 		b.opt.Scope.Counter("endpoints_suspected").Inc(1)
 		b.opt.Log.WithField("endpoint", id).Warn("endpoint became suspected")
 	}
-	b.view.Failed(now, id)
+	record(now)
 }
 
 // Succeeded records that an endpoint worked, which ends its suspicion.
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -36,15 +36,16 @@
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, b.opt.StatusTimeout)
 		st, err := b.opt.Client.Status(callCtx, w.address, w.lastCacheEvent)
-		cancel()
 		if ctx.Err() != nil {
+			cancel()
 			return
 		}
 		if err != nil {
-			b.countMiss(id, w)
+			b.countMiss(callCtx, id, w, err)
 		} else {
 			b.applyStatus(id, w, &st)
 		}
+		cancel()
 		b.waitForNextPoll(ctx)
 	}
 }
@@ -62,11 +63,11 @@
 	}
 }
 
-func (b *Backends) countMiss(id string, w *watcher) {
+func (b *Backends) countMiss(ctx context.Context, id string, w *watcher, err error) {
 	w.misses++
 	b.opt.Scope.Counter("status_misses").Inc(1)
 	if w.misses >= missesUntilSuspected {
-		b.Failed(id)
+		b.CallFailed(ctx, id, err)
 	}
 }
 
@@ -78,6 +79,7 @@
 		b.view.Succeeded(id)
 		b.opt.Log.WithField("endpoint", id).Info("endpoint answers again")
 	}
+	b.view.Answered(now, id)
 	w.misses = 0
 	b.updateEndpoint(id, st)
 	b.view.Report(now, id, routing.Load{Running: st.Running, Queued: st.Queued, Age: time.Duration(st.AgeMS) * time.Millisecond})
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -158,11 +158,11 @@
 	})
 	timer.Stop()
 	if err != nil {
-		cancel()
 		d.Backends.Finished(e.ID)
 		if !errorx.IsOfType(err, endpoint.ErrRefused) || endpoint.RetryAfter(err) == 0 {
-			d.Backends.Failed(e.ID)
+			d.Backends.CallFailed(ctx, e.ID, err)
 		}
+		cancel()
 		return nil, nil, err
 	}
 	return resp, func() {
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -116,13 +116,13 @@
 	s.runActions(now)
 }
 
-// suspectUnacknowledged marks engines as failed that did not acknowledge an attempt in time. The
+// suspectUnacknowledged marks engines as silent that did not acknowledge an attempt in time. The
 // machine has queued the cancellation of such an attempt, but runActions has not carried it out
 // yet. The caller holds the lock.
 func (s *session) suspectUnacknowledged() {
 	for n, a := range s.attempts {
 		if !a.acked && !a.cancelled && a.endpoint != "" && s.machine.Abandoned(n) {
-			s.Backends.Failed(a.endpoint)
+			s.Backends.Silent(a.endpoint)
 		}
 	}
 }
--- a/gateway/pipeline/streams.go
+++ b/gateway/pipeline/streams.go
@@ -182,7 +182,7 @@
 	if alive {
 		s.Backends.Succeeded(a.Stream.Endpoint)
 	} else {
-		s.Backends.Failed(a.Stream.Endpoint)
+		s.Backends.CallFailed(ctx, a.Stream.Endpoint, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
