--- a/cli/soak/disruptions.go
+++ b/cli/soak/disruptions.go
@@ -44,6 +44,19 @@
 // recordInstant records a disruption that ends at once.
 func (h *disruptions) recordInstant(subject string) { h.start(subject)() }
 
+// count returns how many disruptions of a subject there were between from and to.
+func (h *disruptions) count(from, to time.Time, subject string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, d := range h.all {
+		if d.subject == subject && !d.startedAt.After(to) && (d.endedAt.IsZero() || !d.endedAt.Before(from)) {
+			n++
+		}
+	}
+	return n
+}
+
 // undisturbed reports whether no subject was disrupted between from and to, or within settleTime
 // before from.
 func (h *disruptions) undisturbed(from, to time.Time, subjects ...string) bool {
--- a/gateway/front/shared_silence_test.go
+++ b/gateway/front/shared_silence_test.go
@@ -27,8 +27,8 @@
 	time.AfterFunc(d, func() { w.net.SetCut(func(a, b string) bool { return false }) })
 }
 
-// pauseEngines pauses the first n engines. Connections to them are accepted.
-func (w *world) pauseEngines(n int, d time.Duration) {
+// pauseFirstEngines pauses the first n engines. Connections to them are accepted.
+func (w *world) pauseFirstEngines(n int, d time.Duration) {
 	for _, e := range w.engines[:n] {
 		e.Pause(d)
 	}
@@ -45,7 +45,7 @@
 		silence func(w *world, n int, d time.Duration)
 		silent  int
 	}{
-		{"unreachable", (*world).cutEngines, 9}, {"unreachable", (*world).cutEngines, 18}, {"paused", (*world).pauseEngines, 12}, {"paused", (*world).pauseEngines, engines},
+		{"unreachable", (*world).cutEngines, 9}, {"unreachable", (*world).cutEngines, 18}, {"paused", (*world).pauseFirstEngines, 12}, {"paused", (*world).pauseFirstEngines, engines},
 	} {
 		t.Run(fmt.Sprint(c.silent, " ", c.name), func(t *testing.T) {
 			run(t, 3, 0, 1, func(w *world) {
