--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -25,7 +25,7 @@
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
 	"leave-in-answers": leaveInAnswers, "asks-for-pause": askForPauses,
-	"store-returns": storeReturns, "endpoints-pause": pauseEndpoints, "timeout": changeTimeout, "idle-time": changeIdleTime, "weights": changeWeights,
+	"store-returns": storeReturns, "endpoints-pause": pauseEndpoints, "instances-pause": pauseInstances, "timeout": changeTimeout, "idle-time": changeIdleTime, "weights": changeWeights,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -44,7 +44,7 @@
 	cutFaults    = []string{"cut-off", "cut-off", "crash", "worker-link"}
 	wordFaults   = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
 	returnFaults = []string{"store-returns", "store-returns", "leave", "kill"}
-	pauseFaults  = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "pause", "pause", "timeout", "idle-time", "weights"}
+	pauseFaults  = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "instances-pause", "pause", "timeout", "idle-time", "weights"}
 )
 
 // Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
@@ -111,13 +111,7 @@
 
 func pause(w *environment, r *rand.Rand) (string, func()) {
 	p := anyProcess(w, r)
-	end, from := w.disruptions.start(p.name), time.Now()
-	p.signal(syscall.SIGSTOP)
-	return p.name + " pauses", func() {
-		p.signal(syscall.SIGCONT)
-		end()
-		w.pauses.recordProcess(p.name, from)
-	}
+	return p.name + " pauses", w.pauseProcess(p)
 }
 
 func kill(w *environment, r *rand.Rand) (string, func()) {
--- a/cli/soak/pauses.go
+++ b/cli/soak/pauses.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/agateway/agateway/core/route"
@@ -26,9 +27,8 @@
 type enginePause struct {
 	incarnations map[*standin.Worker]bool
 	service      string
-	// isolated is set if it was one endpoint, or one in ten of the service or fewer.
-	isolated    bool
-	from, until time.Time
+	share        float64 // of the service's endpoints
+	from, until  time.Time
 }
 
 // processPause is a time in which an instance was paused.
@@ -79,6 +79,43 @@
 	p.processes = append(p.processes, processPause{name, from, time.Now()})
 }
 
+// pauseProcess pauses an instance and returns the function that lets it go on.
+func (w *environment) pauseProcess(p *process) (resume func()) {
+	end, from := w.disruptions.start(p.name), time.Now()
+	p.signal(syscall.SIGSTOP)
+	return func() {
+		p.signal(syscall.SIGCONT)
+		end()
+		w.pauses.recordProcess(p.name, from)
+	}
+}
+
+// pauseInstances pauses a random share of the instances at once.
+func pauseInstances(w *environment, r *rand.Rand) (string, func()) {
+	n, d := 1+r.IntN(len(w.processes)), randomBetween(r, minPause, shortPause)
+	for _, i := range r.Perm(len(w.processes))[:n] {
+		time.AfterFunc(d, w.pauseProcess(w.processes[i]))
+	}
+	return fmt.Sprintf("%d instances pause for %v", n, d), nil
+}
+
+// Pauses of all instances while nothing else is disrupted.
+const (
+	alonePauses   = 2
+	minAlonePause = 500 * time.Millisecond
+)
+
+// pauseInstancesAlone pauses all instances at once, a few times.
+func (w *environment) pauseInstancesAlone(r *rand.Rand) {
+	for range alonePauses {
+		d := randomBetween(r, minAlonePause, shortPause)
+		for _, p := range w.processes {
+			time.AfterFunc(d, w.pauseProcess(p))
+		}
+		time.Sleep(d + minAlonePause)
+	}
+}
+
 // companion is a fault or change that happens while endpoints are paused.
 type companion struct {
 	name  string
@@ -161,7 +198,7 @@
 		}
 		k.mu.Unlock()
 	}
-	p.isolated = len(p.incarnations) <= max(all/isolatedOneIn, 1)
+	p.share = float64(len(p.incarnations)) / float64(all)
 	w.pauses.mu.Lock()
 	defer w.pauses.mu.Unlock()
 	w.pauses.endpoints = append(w.pauses.endpoints, p)
--- a/cli/soak/silence.go
+++ b/cli/soak/silence.go
@@ -13,19 +13,22 @@
 	// sideBySideWithin is how long a request may run at two endpoints at once.
 	sideBySideWithin = 400*time.Millisecond + sideBySideMargin
 	sideBySideMargin = 100 * time.Millisecond
-	// isolatedOneIn: a pause of one endpoint in so many or fewer is isolated. Its streams may all be
-	// prefilled again. Of the streams that run when other pauses begin, prefilledAgainShare may be: those
-	// at a paused engine stay there unless an engine that answers has their copy.
-	isolatedOneIn       = 10
-	prefilledAgainShare = 0.1
+	// Pauses of one endpoint, or of isolatedShare of a service or less, are isolated: their streams may all
+	// be prefilled again. Of the streams that run when other pauses begin, prefilledAgainShare may be, as
+	// those at a paused engine stay there unless an engine that answers has their copy. Beside pauses of
+	// broadShare or more the silence is certainly shared, and prefilledAgainShareBroad may be.
+	isolatedShare, broadShare                     = 0.1, 0.4
+	prefilledAgainShare, prefilledAgainShareBroad = 0.1, 0.05
 	// prefilledAgainSlack is how many more may be prefilled again in a soak, as shares of few streams
 	// vary.
 	prefilledAgainSlack = 2
-	// leftShare is the share of its streams that an instance may move after it was paused itself, and
-	// leftSlack how many more in a soak. leftWithin is how long after its pause a move may be due to it.
-	leftShare  = 0.1
-	leftSlack  = 2
-	leftWithin = 500 * time.Millisecond
+	// ownPauseShare is the share of its streams that an instance may move or doubt within ownPauseEffect
+	// after it was paused itself, and ownPauseSlack how many more in a soak. For each that it doubts it may
+	// ask questionsPerStream endpoints.
+	ownPauseShare      = 0.1
+	ownPauseSlack      = 2
+	ownPauseEffect     = 300 * time.Millisecond
+	questionsPerStream = 7
 	// prefilledWithin is how long after a pause a prefill may still be due to it.
 	prefilledWithin = 500 * time.Millisecond
 )
@@ -88,7 +91,7 @@
 // instanceStood reports whether nothing disrupted the instance of a call or its connections to the
 // endpoints, and no drain of it ended by force.
 func (s *soak) instanceStood(a *call) bool {
-	return s.env.disruptions.undisturbed(a.sent, a.ended, a.process) && !s.env.cuts.affected(a.process, a.sent, a.ended) &&
+	return s.env.disruptions.count(a.sent, a.ended, a.process) == 0 && !s.env.cuts.affected(a.process, a.sent, a.ended) &&
 		!slices.ContainsFunc(s.env.processes, func(p *process) bool {
 			return p.name == a.process && p.forcedEndBetween(a.sent, a.ended, s.ShutdownGrace)
 		})
@@ -115,54 +118,93 @@
 }
 
 // checkPrefilledAgain checks how many of the streams that ran when pauses began were prefilled again
-// because of them.
+// because of them: beside all pauses that are not isolated, and beside broad ones.
 func (s *soak) checkPrefilledAgain(runs map[string][]workerRun) {
-	running, again := 0, 0
-	for _, p := range s.env.pauses.endpoints {
-		if p.isolated || p.service != "engines" {
-			continue
-		}
-		for id, of := range runs {
-			a := s.calls[id]
-			i := slices.IndexFunc(of, func(r workerRun) bool { return r.At.Before(p.from) && (r.EndedAt.IsZero() || r.EndedAt.After(p.from)) })
-			if a == nil || i < 0 || strings.HasPrefix(a.body, fatalBody) {
-				continue
-			}
-			running++
-			if p.incarnations[of[i].incarnation] && s.instanceStood(a) && s.endpointStood(&of[i], cmp.Or(of[i].EndedAt, p.until)) &&
-				slices.ContainsFunc(of[i+1:], func(r workerRun) bool { return r.Read > promptTokens/2 && r.At.Before(p.until.Add(prefilledWithin)) }) {
-				again++
+	check := func(kind string, share float64, counts func(*enginePause) bool) {
+		running, again := 0, 0
+		for i := range s.env.pauses.endpoints {
+			if p := &s.env.pauses.endpoints[i]; counts(p) && p.service == "engines" {
+				r, a := s.countPrefilledAgain(p, runs)
+				running, again = running+r, again+a
 			}
 		}
+		s.logf("beside %s pauses %d of %d streams were prefilled again", kind, again, running)
+		if allowed := share*float64(running) + prefilledAgainSlack; float64(again) > allowed {
+			s.addFinding("%d of %d streams were prefilled again beside %s pauses, %.1f may", again, running, kind, allowed)
+		}
 	}
-	if allowed := prefilledAgainShare*float64(running) + prefilledAgainSlack; float64(again) > allowed {
-		s.addFinding("%d of %d streams were prefilled again beside shared pauses, %.1f may", again, running, allowed)
+	check("shared", prefilledAgainShare, func(p *enginePause) bool { return p.share > isolatedShare && len(p.incarnations) > 1 })
+	check("broad", prefilledAgainShareBroad, func(p *enginePause) bool { return p.share >= broadShare })
+}
+
+func (s *soak) countPrefilledAgain(p *enginePause, runs map[string][]workerRun) (running, again int) {
+	for id, of := range runs {
+		a := s.calls[id]
+		i := slices.IndexFunc(of, func(r workerRun) bool { return r.At.Before(p.from) && (r.EndedAt.IsZero() || r.EndedAt.After(p.from)) })
+		if a == nil || i < 0 || of[i].worker.config.Service != p.service || strings.HasPrefix(a.body, fatalBody) {
+			continue
+		}
+		running++
+		if p.incarnations[of[i].incarnation] && s.instanceStood(a) && s.endpointStood(&of[i], cmp.Or(of[i].EndedAt, p.until)) &&
+			slices.ContainsFunc(of[i+1:], func(r workerRun) bool { return r.Read > promptTokens/2 && r.At.Before(p.until.Add(prefilledWithin)) }) {
+			again++
+		}
 	}
-	s.logf("beside shared pauses %d of %d streams were prefilled again", again, running)
+	return running, again
 }
 
-// checkOwnPauses checks how many streams instances moved to other endpoints after they had been paused
-// themselves, which is no silence of the endpoints.
+// checkOwnPauses checks how many streams instances moved, and how many endpoints they asked for a sign of
+// life, after they had been paused themselves: that is no silence of the endpoints. It counts pauses in
+// which nothing else was disrupted that they depend on.
 func (s *soak) checkOwnPauses(runs map[string][]workerRun) {
-	running, left := 0, 0
+	running, moved, asked := 0, 0, 0
 	for _, p := range s.env.pauses.processes {
-		end := p.until.Add(leftWithin)
+		end := p.until.Add(ownPauseEffect)
+		if !s.isOnlyDisruption(&p, end) {
+			continue
+		}
 		for id, of := range runs {
 			a := s.calls[id]
 			i := slices.IndexFunc(of, func(r workerRun) bool { return r.At.Before(p.from) && (r.EndedAt.IsZero() || r.EndedAt.After(p.until)) })
-			if a == nil || i < 0 || a.process != p.process || strings.HasPrefix(a.body, fatalBody) || of[i].worker.config.PrefillTokensPerMS == 0 ||
-				s.env.disruptions.count(p.from, end, p.process) > 1 || s.env.cuts.affected(p.process, p.from, end) ||
-				s.env.disruptions.count(p.from, end, of[i].worker.name) > 0 || s.wasPausedBetween(&of[i], p.from, end) {
+			if a == nil || i < 0 || a.process != p.process || strings.HasPrefix(a.body, fatalBody) || of[i].worker.config.PrefillTokensPerMS == 0 {
 				continue
 			}
 			running++
-			if slices.ContainsFunc(of[i+1:], func(r workerRun) bool { return r.At.After(p.until.Add(-leftWithin)) && r.At.Before(end) }) {
-				left++
+			if slices.ContainsFunc(of[i+1:], func(r workerRun) bool { return r.At.After(p.until) && r.At.Before(end) }) {
+				moved++
+			}
+		}
+		for _, k := range s.env.workers {
+			if n := k.questions(s, p.process, p.until, end); n > 0 {
+				s.logf("DEBUG %s %d to %s, pause until %v", p.process, n, k.name, p.until.UTC())
 			}
+			asked += k.questions(s, p.process, p.until, end)
 		}
 	}
-	if allowed := leftShare*float64(running) + leftSlack; float64(left) > allowed {
-		s.addFinding("%d of %d streams were moved after pauses of their instances, %.1f may", left, running, allowed)
+	s.logf("after pauses of their instances %d of %d streams were moved, %d endpoints were asked", moved, running, asked)
+	allowed := ownPauseShare * float64(running)
+	if float64(moved) > allowed+ownPauseSlack || float64(asked) > questionsPerStream*allowed+ownPauseSlack {
+		s.addFinding("after pauses of their instances, %d of %d streams were moved and %d endpoints were asked", moved, running, asked)
+	}
+}
+
+// isOnlyDisruption reports whether the pause of an instance was all that was disrupted of it, and of the
+// endpoints, until a time shortly after.
+func (s *soak) isOnlyDisruption(p *processPause, end time.Time) bool {
+	from := p.from.Add(-ownPauseEffect)
+	return s.env.disruptions.count(from, end, p.process) == 1 && !s.env.cuts.affected(p.process, from, end) &&
+		!slices.ContainsFunc(s.env.workers, func(k *worker) bool { return s.env.disruptions.count(from, end, k.name) > 0 }) &&
+		!slices.ContainsFunc(s.env.pauses.endpoints, func(e enginePause) bool { return e.from.Before(end) && e.until.After(from) })
+}
+
+// questions returns how often an instance asked the worker's current incarnation for its status between
+// two times.
+func (k *worker) questions(s *soak, process string, from, to time.Time) int {
+	n := 0
+	for _, a := range k.current.Arrivals() {
+		if p := s.processOf(a); a.Target == "/report" && p != nil && p.name == process && a.At.After(from) && a.At.Before(to) {
+			n++
+		}
 	}
-	s.logf("after pauses of their instances %d of %d streams were moved", left, running)
+	return n
 }
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -151,6 +151,9 @@
 	if !s.waitReady(ctx) {
 		s.addFinding("instances are not ready %v after the last fault", quietPeriod/2+readyTimeout)
 	}
+	if s.Seed >= firstPauseSeed && s.Seed <= lastSeed {
+		s.env.pauseInstancesAlone(rand.New(rand.NewPCG(s.Seed, firstPauseSeed)))
+	}
 	time.Sleep(quietPeriod / 2)
 	s.checkServed(ctx)
 	s.checkChangesTakeEffect(ctx)
