core/liveness, core/generation: engines that are silent for other streams count too; a silence is assessed each 0.4 s at the latest

With 0.6 of 24 engines paused, a sample of six misses the pause by luck in 4 of 100 silences (TestSilenceBreaksNoStream: 1 to 3 of 96 streams moved without a copy). An engine that died beside such a pause was left up to a second after the others had returned (TestLostEngineBesideSharedPause).

--- a/core/generation/silence.go
+++ b/core/generation/silence.go
@@ -42,7 +42,7 @@
 	// initialReassessDelay is the delay before a silence is assessed again. It doubles up to
 	// maxReassessDelay.
 	initialReassessDelay = 200 * time.Millisecond
-	maxReassessDelay     = time.Second
+	maxReassessDelay     = 400 * time.Millisecond
 	// contenderRetryDelay is the delay before a silence is assessed again after its contender failed,
 	// for instance because others took the room there.
 	contenderRetryDelay = 100 * time.Millisecond
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -193,7 +193,7 @@
 	}
 	assert.Assert(t, leftAfter >= MaxSharedSilence, "%v", leftAfter)
 	assert.Assert(t, leftAfter <= MaxSharedSilence+maxReassessDelay, "%v", leftAfter)
-	assert.Assert(t, s.m.Stats().Probes <= 5, "%d assessments", s.m.Stats().Probes)
+	assert.Assert(t, s.m.Stats().Probes <= int(leftAfter/(300*ms)), "%d assessments", s.m.Stats().Probes)
 }
 
 // TestOwnPauseIsNoSilence guards against taking a pause of this process for silence of its engines.
--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -114,6 +114,17 @@
 	return r != nil && r.silentAt.After(r.answeredAt)
 }
 
+// SilentIDs returns the endpoints for which there is evidence that they are silent.
+func (t *Tracker) SilentIDs(now time.Time) []string {
+	var out []string
+	for id, r := range t.records {
+		if t.Silent(id) && t.isEvidence(now, id, r) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // LastAnswer returns when an endpoint last showed a sign of life; zero if it is not known.
 func (t *Tracker) LastAnswer(id string) time.Time {
 	if r := t.records[id]; r != nil {
@@ -135,8 +146,9 @@
 	return now.Sub(r.answeredAt) <= AnswerMaxAge
 }
 
-// Evidence returns what is known about some endpoints. These have to be drawn whatever is known about
-// them: endpoints that send something are known to answer without a question, silent ones are not.
+// Evidence returns what is known about some endpoints. Those that answer have to be drawn whatever is
+// known about them: endpoints that send something are known to answer without a question, silent ones
+// are not.
 func (t *Tracker) Evidence(now time.Time, ids []string) Evidence {
 	var e Evidence
 	for _, id := range ids {
--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -81,6 +81,12 @@
 	return l.tracker.Evidence(time.Now(), ids)
 }
 
+func (l *livenessRecords) silentIDs() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.SilentIDs(time.Now())
+}
+
 // ask returns the question to an engine that is in progress, or starts one.
 func (f *Forwarder) ask(e *routing.Endpoint) *question {
 	l := &f.liveness
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -120,7 +120,7 @@
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
-	r.evidence = f.liveness.evidence(s.sampleIDs())
+	r.evidence = f.evidence(s)
 	r.Shared = r.evidence.Shared() && !f.Settings.Disabled.SharedSilence
 	if r.target == nil && f.seeksTarget(s, r) {
 		r.target = f.findTarget(ctx, s)
@@ -156,12 +156,20 @@
 	return out
 }
 
-func (s *silence) sampleIDs() []string {
-	out := make([]string, len(s.sample))
+// evidence returns what is known about the sampled engines, and about other engines of the service that
+// were asked for other streams and are silent.
+func (f *Forwarder) evidence(s *silence) liveness.Evidence {
+	own := &s.attempt.endpoint
+	var ids []string
 	for i := range s.sample {
-		out[i] = s.sample[i].ID
+		ids = append(ids, s.sample[i].ID)
 	}
-	return out
+	for _, id := range f.liveness.silentIDs() {
+		if e, ok := f.Placement.Get(id); ok && e.Service == own.Service && id != own.ID && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return f.liveness.evidence(ids)
 }
 
 // silenceVerdict returns a function that tells whether a silence is the engine's own. The other engines
@@ -175,7 +183,7 @@
 	go func() {
 		defer close(done)
 		f.askOthers(f.shutdownCtx, s)
-		own = !f.liveness.evidence(s.sampleIDs()).Shared()
+		own = !f.evidence(s).Shared()
 	}()
 	return func() bool {
 		<-done
