gateway/forward: a stream that finds no room at its target takes another engine that answers

A stream whose engine had died beside a shared pause found its target full, waited and assessed again: pause of 3.6 s where 3.2 s are allowed (TestLostEngineBesideSharedPause/cut). Now it claims room at the next engine that has answered, at once.

--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -53,13 +53,31 @@
 		s.f.metrics.movedByCopy.Inc(1)
 		return &engineChoice{endpoint: e, lease: lease, resumeFrom: target.resumeFrom}, ""
 	}
+	if c := s.claimTarget(target); c != nil {
+		return &engineChoice{endpoint: &c.Endpoint, lease: c.lease, mayBeCached: c.Cached > 0}, ""
+	}
+	return nil, "no engine that answers has room"
+}
+
+// claimTarget claims room at a target, or at another engine that has answered lately. It returns nil if
+// there is none.
+func (s *session) claimTarget(target *moveTarget) *claimed {
 	r := s.routingRequest()
 	r.Recovery = s.mayHaveRun()
-	lease, ok := s.f.claim(s.ctx, &target.decision, r)
-	if !ok {
-		return nil, "the engine has no room"
+	r.Avoid = []string{s.silence.attempt.endpoint.ID}
+	for d, tries := target.decision, 0; tries < maxClaimAttempts; tries++ {
+		if tries == 0 || s.f.liveness.hasAnswered(d.Endpoint.ID) {
+			if lease, ok := s.f.claim(s.ctx, &d, r); ok {
+				return &claimed{Decision: d, lease: lease, at: time.Now()}
+			}
+		}
+		r.Avoid = append(r.Avoid, d.Endpoint.ID)
+		var err error
+		if d, err = s.f.Placement.Pick(r); err != nil {
+			return nil
+		}
 	}
-	return &engineChoice{endpoint: e, lease: lease, mayBeCached: target.decision.Cached > 0}, ""
+	return nil
 }
 
 // adoptContender makes the former contender the session's current attempt, if the state machine has
--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -69,6 +69,9 @@
 	return l.tracker.Silent(id)
 }
 
+// hasAnswered reports whether there is evidence that an engine answers.
+func (l *livenessRecords) hasAnswered(id string) bool { return l.hasEvidence(id) && !l.wasSilent(id) }
+
 func (l *livenessRecords) hasEvidence(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
