--- a/gateway/front/review_silence_test.go
+++ b/gateway/front/review_silence_test.go
@@ -92,3 +92,29 @@
 		})
 	}
 }
+
+// TestStreamsOfCutOffInstanceStayInPause guards against streams that a cut-off instance passed on and
+// that are moved to another instance, and so prefilled again, since the engines of all are silent.
+func TestStreamsOfCutOffInstanceStayInPause(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		for _, pause := range []time.Duration{enginePause, 5 * time.Second} {
+			t.Run(fmt.Sprintf("cut-%v-%v", cut, pause), func(t *testing.T) {
+				runPaused(t, pausedCase{instances: 4, engines: 6, events: 60, noCopies: true}, func(w *pausedWorld) {
+					if cut {
+						w.cutFromEndpoints(1, hang)
+						time.Sleep(3 * time.Second)
+					}
+					w.start(8, 1)
+					before := w.runsByID()
+					w.pause(1, pause, 0)
+					w.assertAllWhole(pause + pauseMargin)
+					again := 0
+					for id, runs := range w.runsByID() {
+						again += len(runs) - len(before[id])
+					}
+					assert.Check(t, again == 0, "%d more runs for %d streams", again, len(w.streams))
+				})
+			})
+		}
+	}
+}
