--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -50,14 +49,16 @@
 	watchers  map[string]*watcher
 	addresses map[string]string // of all entries of the list, by id, including those outside the subset
 	changed   chan struct{}     // closed when an endpoint may have become free
-	pollEpoch time.Time         // status reads happen at multiples of the poll interval from here
+	// confirming holds the ids of silent endpoints while others are asked whether they answer.
+	confirming map[string]bool
+	pollEpoch  time.Time // status reads happen at multiples of the poll interval from here
 }
 
 // New returns Backends without endpoints.
 func New(opt Options) *Backends {
 	return &Backends{
 		pollEpoch: time.Now(), opt: opt, view: routing.NewView(opt.Settings), rnd: rand.New(rand.NewPCG(opt.Seed, 2)),
-		watchers: map[string]*watcher{}, changed: make(chan struct{}),
+		watchers: map[string]*watcher{}, changed: make(chan struct{}), confirming: map[string]bool{},
 	}
 }
 
@@ -153,36 +154,22 @@
 	b.notifyChanged()
 }
 
-// Failed records that an endpoint failed a request or can't be connected to. The endpoint becomes
-// suspected.
+// Failed records that an endpoint failed a request or did not answer its status reads. The
+// endpoint becomes suspected.
 func (b *Backends) Failed(id string) {
-	b.suspect(id, func(now time.Time) { b.view.Failed(now, id) })
-}
-
-// Silent records that an endpoint did not answer in time although its connection stands. It becomes
-// suspected until it answers a request or a status read. All that notice one silence count as one failure.
-func (b *Backends) Silent(id string) {
-	b.suspect(id, func(now time.Time) { b.view.Silent(now, id) })
-}
-
-// CallFailed records a call that an endpoint did not answer before ctx ended, or that failed with err.
-func (b *Backends) CallFailed(ctx context.Context, id string, err error) {
-	if ctx.Err() != nil && !errorx.IsOfType(err, endpoint.ErrRefused) {
-		b.Silent(id)
-		return
-	}
-	b.Failed(id)
-}
-
-func (b *Backends) suspect(id string, record func(now time.Time)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	b.noteSuspicion(now, id)
+	b.view.Failed(now, id)
+}
+
+// noteSuspicion counts and logs that an endpoint becomes suspected. The caller holds b.mu.
+func (b *Backends) noteSuspicion(now time.Time, id string) {
 	if !b.view.Suspected(now, id) {
 		b.opt.Scope.Counter("endpoints_suspected").Inc(1)
 		b.opt.Log.WithField("endpoint", id).Warn("endpoint became suspected")
 	}
-	record(now)
 }
 
 // Succeeded records that an endpoint worked, which ends its suspicion.
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -34,18 +34,19 @@
 
 func (b *Backends) poll(ctx context.Context, id string, w *watcher) {
 	for ctx.Err() == nil {
+		askedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, b.opt.StatusTimeout)
 		st, err := b.opt.Client.Status(callCtx, w.address, w.lastCacheEvent)
+		silent := callCtx.Err() != nil
+		cancel()
 		if ctx.Err() != nil {
-			cancel()
 			return
 		}
 		if err != nil {
-			b.countMiss(callCtx, id, w, err)
+			b.countMiss(id, w, silent, askedAt)
 		} else {
 			b.applyStatus(id, w, &st)
 		}
-		cancel()
 		b.waitForNextPoll(ctx)
 	}
 }
@@ -63,14 +64,28 @@
 	}
 }
 
-func (b *Backends) countMiss(ctx context.Context, id string, w *watcher, err error) {
+// countMiss counts a status read that failed. silent reports whether it was not answered in time, and
+// askedAt is when it began.
+func (b *Backends) countMiss(id string, w *watcher, silent bool, askedAt time.Time) {
 	w.misses++
 	b.opt.Scope.Counter("status_misses").Inc(1)
-	if w.misses >= missesUntilSuspected {
-		b.CallFailed(ctx, id, err)
+	switch {
+	case silent && w.misses < missesUntilSuspected:
+		b.noteSilence(id, askedAt)
+	case silent:
+		b.TimedOut(id, askedAt)
+	case w.misses >= missesUntilSuspected:
+		b.Failed(id)
 	}
 }
 
+// noteSilence records a silence that is too short to suspect the endpoint.
+func (b *Backends) noteSilence(id string, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.TimedOut(time.Now(), id, sentAt)
+}
+
 func (b *Backends) applyStatus(id string, w *watcher, st *endpoint.Status) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,9 +94,9 @@
 		b.view.Succeeded(id)
 		b.opt.Log.WithField("endpoint", id).Info("endpoint answers again")
 	}
-	b.view.Answered(now, id)
 	w.misses = 0
 	b.updateEndpoint(id, st)
+	b.view.Answered(now, id)
 	b.view.Report(now, id, routing.Load{Running: st.Running, Queued: st.Queued, Age: time.Duration(st.AgeMS) * time.Millisecond})
 	if w.boot != st.Boot {
 		if w.boot != "" {
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -46,6 +46,7 @@
 // attempt is the session's state of one attempt.
 type attempt struct {
 	endpoint  string
+	sentAt    time.Time // when the endpoint was chosen
 	cancel    context.CancelFunc
 	acked     bool
 	cancelled bool
@@ -116,13 +117,13 @@
 	s.runActions(now)
 }
 
-// suspectUnacknowledged marks engines as silent that did not acknowledge an attempt in time. The
+// suspectUnacknowledged marks engines as failed that did not acknowledge an attempt in time. The
 // machine has queued the cancellation of such an attempt, but runActions has not carried it out
 // yet. The caller holds the lock.
 func (s *session) suspectUnacknowledged() {
 	for n, a := range s.attempts {
 		if !a.acked && !a.cancelled && a.endpoint != "" && s.machine.Abandoned(n) {
-			s.Backends.Silent(a.endpoint)
+			s.Backends.TimedOut(a.endpoint, a.sentAt)
 		}
 	}
 }
