--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -299,45 +299,6 @@
 	}
 }
 
-// Failed records that an endpoint failed a request. The endpoint is suspected, and so excluded, for
-// a while.
-func (v *View) Failed(now time.Time, id string) {
-	n := v.observe(id)
-	if n == nil {
-		return
-	}
-	n.openAtFailure, n.failedAt = n.open, now
-	n.trust.Failed(now, health.BreakerSettings{MinPause: v.settings.BaseSuspicion, MaxPause: v.settings.MaxSuspicion})
-	v.degraded.stale = true
-}
-
-// refusedBackoff is how long an endpoint that refused a request gets no new one. Requests take from
-// 60 ms to some seconds, so a slot is soon free again. Without the backoff, a request with no other
-// choice tries the same full endpoints 150 times a second, and each try counts as one more arrival.
-const refusedBackoff = 200 * time.Millisecond
-
-// Refused records that an endpoint had no room for a request.
-func (v *View) Refused(now time.Time, id string) {
-	if n := v.observe(id); n != nil {
-		n.fullUntil = now.Add(refusedBackoff)
-	}
-}
-
-// Succeeded clears the suspicion of an endpoint.
-func (v *View) Succeeded(id string) {
-	if n := v.observe(id); n != nil {
-		n.trust.Succeeded()
-		n.lastAnswerLost = false
-		v.degraded.stale = true
-	}
-}
-
-// Suspected reports whether an endpoint is excluded because of failures that this instance saw.
-func (v *View) Suspected(now time.Time, id string) bool {
-	n := v.nodes[id]
-	return n != nil && n.trust.Suspected(now)
-}
-
 // Get returns an endpoint; false if it is not listed.
 func (v *View) Get(id string) (Endpoint, bool) {
 	n := v.nodes[id]
