--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -298,7 +298,10 @@
 	if !own() {
 		return
 	}
-	a.recordLoss()
+	if a.helper == nil {
+		a.session.f.Placement.Silent(a.endpoint.ID)
+		a.rolloutTrial.Lost()
+	}
 	a.session.f.attributor.AttributeSilence(loss)
 }
 
--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -139,6 +139,9 @@
 		a.state = generation.Silent
 	}
 	f.recordQuery(e, askedAt, &a)
+	if err == nil {
+		f.Placement.Answered(e.ID)
+	}
 	return a
 }
 
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -85,6 +85,9 @@
 		return
 	}
 	index := int(int64(m.id - s.firstID))
+	if a != nil && a.helper == nil && s.machine.Suspects() {
+		s.f.Placement.Answered(a.endpoint.ID)
+	}
 	relay := s.machine.Token(now, m.attempt, index, nil)
 	s.adoptContender()
 	if !relay {
