core/liveness: engines that return from a silence are no evidence that another one is silent alone

TestPauseDuringPrefill/6-engines-1-paused-after-400ms: one of 24 prompts was prefilled again, as in the millisecond of the return the others had answered and the question to its own engine had just timed out. And a silent engine's stream that finds no room looks again after 0.1 s.

--- a/core/generation/silence.go
+++ b/core/generation/silence.go
@@ -30,7 +30,8 @@
 	Target, Copy bool
 	// Shared tells that many of the other engines are silent too.
 	Shared bool
-	// Inconclusive tells that this process was paused while it waited for answers.
+	// Inconclusive tells that the answers do not fit together: this process was paused while it waited
+	// for them, or other engines have just returned from the same silence.
 	Inconclusive bool
 }
 
@@ -43,8 +44,8 @@
 	// maxReassessDelay.
 	initialReassessDelay = 200 * time.Millisecond
 	maxReassessDelay     = 400 * time.Millisecond
-	// contenderRetryDelay is the delay before a silence is assessed again after its contender failed,
-	// for instance because others took the room there.
+	// contenderRetryDelay is the delay before a silence is assessed again that is the engine's own, when
+	// no other engine has room, or the one that had was taken by others.
 	contenderRetryDelay = 100 * time.Millisecond
 	// undeliveredDelay is how long tokens that an engine has generated may be on their way.
 	undeliveredDelay = 100 * time.Millisecond
@@ -76,6 +77,9 @@
 		a.undelivered, a.reassessAt = true, now.Add(undeliveredDelay)
 	case r.Engine == Working || r.Engine == Returned:
 		m.keepWorking(now, a)
+	case !r.Shared && !r.Target:
+		m.stats.Keeps++
+		a.reassessAt = now.Add(contenderRetryDelay)
 	default:
 		m.keepSilent(now, a)
 	}
--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -18,6 +18,8 @@
 	// AnswerMaxAge and SilenceMaxAge are how long an answer and an unanswered question are evidence.
 	AnswerMaxAge  = 200 * time.Millisecond
 	SilenceMaxAge = 500 * time.Millisecond
+	// ReturnAge is how long after an endpoint answered again others may be about to do so.
+	ReturnAge = 100 * time.Millisecond
 	// SharedShare is the share of the endpoints with evidence that have to be silent for a silence to
 	// be shared, and MinSilent the number of them.
 	SharedShare = 0.25
@@ -31,6 +33,8 @@
 	// Answering and Silent are the numbers of endpoints that answered, and that did not answer in
 	// time.
 	Answering, Silent int
+	// Returned is how many of those that answered had been silent until just before.
+	Returned int
 	// Age is the age of the oldest record counted.
 	Age time.Duration
 }
@@ -49,7 +53,9 @@
 // Shared reports whether many endpoints are silent at once.
 func (e Evidence) Shared() bool { return e.Silent >= MinSilent && e.SilentShare() >= SharedShare }
 
-type record struct{ answeredAt, silentAt time.Time }
+// record holds when an endpoint last answered, when it last did not, and when it last answered after it
+// had not.
+type record struct{ answeredAt, silentAt, returnedAt time.Time }
 
 // latest returns when the endpoint was last observed.
 func (r *record) latest() time.Time {
@@ -91,7 +97,11 @@
 
 // Answered records a sign of life of an endpoint.
 func (t *Tracker) Answered(now time.Time, id string) {
-	t.get(now, id).answeredAt = now
+	r := t.get(now, id)
+	if t.Silent(id) {
+		r.returnedAt = now
+	}
+	r.answeredAt = now
 }
 
 // Unanswered records that an endpoint did not answer in time. An answer since askedAt overrides it.
@@ -161,6 +171,9 @@
 		} else {
 			e.Answering++
 		}
+		if now.Sub(r.returnedAt) <= ReturnAge {
+			e.Returned++
+		}
 		e.Age = max(e.Age, now.Sub(r.latest()))
 	}
 	return e
--- a/core/liveness/liveness_test.go
+++ b/core/liveness/liveness_test.go
@@ -58,6 +58,16 @@
 	assert.Assert(t, tracker.LastAnswer("a").IsZero(), "old records are dropped")
 }
 
+func TestReturned(t *testing.T) {
+	var tracker liveness.Tracker
+	tracker.Unanswered(at(200), at(0), "a")
+	tracker.Answered(at(300), "a")
+	tracker.Answered(at(300), "b")
+	tracker.Answered(at(390), "a")
+	assert.Equal(t, tracker.Evidence(at(400), []string{"a", "b"}).Returned, 1)
+	assert.Equal(t, tracker.Evidence(at(401), []string{"a", "b"}).Returned, 0)
+}
+
 // TestLaterWordWins covers answers and silences of the same endpoint.
 func TestLaterWordWins(t *testing.T) {
 	var tracker liveness.Tracker
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -130,7 +130,7 @@
 	}
 	r.Target, r.Copy = r.target != nil, r.target != nil && r.target.resumeFrom != copies.Holder{}
 	limit := time.Duration(2+maxTargetQuestions)*f.Settings.ProbeTimeout + f.ownDelay()
-	r.Inconclusive = r.Inconclusive || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
+	r.Inconclusive = r.Inconclusive || r.evidence.Returned > 0 && r.Engine == generation.Silent && !r.Copy || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
 	return r
 }
 
