core/generation, gateway/forward: findings of the review

Now the sample is one of its own, twice as large where it is mixed, and the others count against the size of the service. - A contender that had not refused for 250 ms became current though its engine was silent too: it must have answered since it was sent. - An engine that had not read a request yet when it answered was taken to have lost it: its second answer counts. - A contender that was not sent counted as a run. - A pause of this process let contenders and starting attempts time out. - A crash trial was kept for a contender that was not started, and ended with one that failed.

--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -28,6 +28,7 @@
 	cancelled     bool      // a Cancel was queued
 	hasToken      bool      // a token from it was accepted
 	sentAt        time.Time // an unverified attempt was sent; zero before
+	granted       bool      // the engine has answered since the attempt was sent
 	silentSince   time.Time // start of the silence that is under suspicion, or zero
 	reassessAt    time.Time // when the silence is assessed again, or zero
 	reassessDelay time.Duration
@@ -293,6 +294,9 @@
 
 func (m *Machine) cancelContender() {
 	if m.contender != nil {
+		if m.isUnsent(m.contender) {
+			m.unplacedAttempts++
+		}
 		m.cancelAttempt(m.contender)
 		m.contender = nil
 	}
--- a/core/generation/recover.go
+++ b/core/generation/recover.go
@@ -306,22 +306,48 @@
 // taken it.
 func (m *Machine) contenderDue(c *attempt) time.Time {
 	if !c.sentAt.IsZero() {
-		return c.sentAt.Add(grantTimeout)
+		return later(c.sentAt.Add(grantTimeout), c.excusedUntil)
 	}
-	return c.startedAt.Add(m.cfg.AckTimeout)
+	return m.ackDue(c)
 }
 
+// ackDue returns when an engine must have acknowledged an attempt.
+func (m *Machine) ackDue(a *attempt) time.Time {
+	return later(a.startedAt.Add(m.cfg.AckTimeout), a.excusedUntil)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// isUnsent tells whether an attempt was certainly not sent.
+func (m *Machine) isUnsent(a *attempt) bool { return m.cfg.Unverified && a.sentAt.IsZero() }
+
 // grantTimeout is how long the two runs of a stream that is moved may go on side by side. A contender
-// that was not refused by then has been granted.
+// that was not refused by then becomes current if its engine has answered since it was sent.
 const grantTimeout = 250 * time.Millisecond
 
 func (m *Machine) tickContender(now time.Time, c *attempt) {
-	if !c.sentAt.IsZero() {
+	if c.granted {
 		m.promoteContender(now)
 		return
 	}
 	m.cancelAttempt(c)
-	m.handleFailure(now, c, Gone, 0)
+	failure := Gone
+	if m.isUnsent(c) {
+		failure = Refused
+	}
+	m.handleFailure(now, c, failure, 0)
+}
+
+// Granted reports that the engine of an attempt has answered a question since the attempt was sent.
+func (m *Machine) Granted(number int) {
+	if a := m.findAttempt(number); a != nil && !m.ended {
+		a.granted = true
+	}
 }
 
 func (m *Machine) tickCurrent(now time.Time) {
@@ -331,7 +357,7 @@
 	}
 	switch a.state {
 	case starting:
-		if !now.Before(a.startedAt.Add(m.cfg.AckTimeout)) {
+		if !now.Before(m.ackDue(a)) {
 			m.cancelAttempt(a)
 			m.handleFailure(now, a, Gone, 0)
 		}
@@ -370,10 +396,7 @@
 	if !a.hasToken && a.firstTokenDue.After(at) {
 		at = a.firstTokenDue
 	}
-	if a.excusedUntil.After(at) {
-		return a.excusedUntil
-	}
-	return at
+	return later(at, a.excusedUntil)
 }
 
 // silenceThreshold returns how long an attempt may be silent before it is suspected.
@@ -421,7 +444,7 @@
 		earlier(m.contenderDue(m.contender))
 	}
 	if a := m.current; a != nil && a.state == starting {
-		earlier(a.startedAt.Add(m.cfg.AckTimeout))
+		earlier(m.ackDue(a))
 	} else if a != nil && a.state == live {
 		earlier(m.suspectAt(a))
 	} else if a != nil && a.state == suspect {
--- a/core/generation/silence.go
+++ b/core/generation/silence.go
@@ -155,8 +155,10 @@
 		return
 	}
 	m.stats.OwnDelays++
-	if a := m.current; a != nil {
-		a.excusedUntil = now.Add(ownDelayGrace)
+	for _, a := range []*attempt{m.current, m.contender} {
+		if a != nil {
+			a.excusedUntil = now.Add(ownDelayGrace)
+		}
 	}
 }
 
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -142,7 +142,8 @@
 		want []string
 	}{
 		{"the new engine sends a token", func(s *script) { s.token(2, 3) }, []string{"cancel 1 e1"}},
-		{"the new engine has not refused in time", func(s *script) { s.advance(grantTimeout) }, []string{"cancel 1 e1"}},
+		{"the new engine answers, and has not refused in time", func(s *script) { s.m.Granted(2); s.advance(grantTimeout) }, []string{"cancel 1 e1"}},
+		{"the new engine is silent too", func(s *script) { s.advance(grantTimeout) }, []string{"cancel 2 e2"}},
 		{"the new engine refuses", func(s *script) { s.fail(2, Refused) }, nil},
 		{"the old engine goes on", func(s *script) { s.token(1, 3) }, []string{"cancel 2 e2"}},
 		{"the old engine's connection ends", func(s *script) { s.fail(1, Broken) }, []string{"cancel 1 e1"}},
--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -22,7 +22,7 @@
 	ReturnAge = 100 * time.Millisecond
 	// SharedShare is the share of the endpoints with evidence that have to be silent for a silence to
 	// be shared, and MinSilent the number of them.
-	SharedShare = 0.25
+	SharedShare = 0.3
 	MinSilent   = 2
 	// recordTTL is how long the records of an endpoint are kept for reports.
 	recordTTL = time.Minute
@@ -51,7 +51,15 @@
 }
 
 // Shared reports whether many endpoints are silent at once.
-func (e Evidence) Shared() bool { return e.Silent >= MinSilent && e.SilentShare() >= SharedShare }
+func (e Evidence) Shared() bool { return sharedBy(e.Silent, e.Known()) }
+
+func sharedBy(silent, all int) bool {
+	return silent >= MinSilent && float64(silent) >= SharedShare*float64(all)
+}
+
+// SharedInService reports whether so many of all endpoints of a service are known to be silent that
+// their silence is shared.
+func SharedInService(silent, all int) bool { return sharedBy(silent, all) }
 
 // record holds when an endpoint last answered, when it last did not, and when it last answered after it
 // had not.
--- a/core/liveness/liveness_test.go
+++ b/core/liveness/liveness_test.go
@@ -20,7 +20,7 @@
 		silent, answering int
 		want              bool
 	}{
-		{0, 0, false}, {1, 0, false}, {1, 5, false}, {2, 0, true}, {2, 6, true}, {2, 7, false}, {3, 3, true}, {20, 0, true}, {20, 100, false},
+		{0, 0, false}, {1, 0, false}, {1, 5, false}, {2, 0, true}, {2, 4, true}, {2, 5, false}, {3, 7, true}, {3, 8, false}, {3, 3, true}, {20, 0, true}, {20, 100, false},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d silent, %d answering", tt.silent, tt.answering), func(t *testing.T) {
--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -107,6 +107,9 @@
 	return e.Shared()
 }
 
+// ServiceSize returns the number of endpoints of a service.
+func (v *View) ServiceSize(service string) int { return len(v.groups[groupKey{service, ""}]) }
+
 // AnsweredSince reports whether an endpoint has answered after a time.
 func (v *View) AnsweredSince(id string, since time.Time) bool {
 	n := v.nodes[id]
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -37,6 +37,7 @@
 	attemptFailed                      // the attempt ended in any other way
 	attemptProbed                      // a probe of the engine ended
 	attemptAssessed                    // an assessment of the engine's silence ended
+	attemptGranted                     // the engine has answered since the request was sent
 	attemptCopied                      // a copy requested from the engine ended
 	requestStopped                     // the request was stopped because it crashes engines
 )
@@ -91,6 +92,8 @@
 	// session's goroutine.
 	sent, hasEvent, ended, refused bool
 	eventCount                     int // received so far
+	// unlisted is set when the engine's last answer did not list the request.
+	unlisted bool
 
 	placed      routing.Placed
 	prefillOnce sync.Once // runs when the prompt was prefilled, or at the end of the attempt
--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -35,15 +35,28 @@
 	if refused := s.f.revalidate(s.req); refused != nil && !s.mayHaveRun() {
 		return nil, refused.reason
 	}
-	if admitted := s.f.Crashes.Admit(s.req.identity, s.req.service, s); admitted.Busy || admitted.Verdict == crashers.Stopped {
-		return nil, reasonRequestStopped
-	} else if admitted.Verdict == crashers.Careful {
-		s.inCrashTrial = true
-	}
 	if target.helper != nil {
 		e := target.helper.endpoint()
 		return &engineChoice{endpoint: &e, helper: target.helper}, ""
 	}
+	wasInTrial := s.inCrashTrial
+	admitted := s.f.Crashes.Admit(s.req.identity, s.req.service, s)
+	switch {
+	case admitted.Verdict == crashers.Stopped:
+		return nil, reasonRequestStopped
+	case admitted.Busy:
+		return nil, "the request is being tried elsewhere"
+	}
+	s.inCrashTrial = wasInTrial || admitted.Verdict == crashers.Careful
+	choice, why := s.claimContender(target)
+	if choice == nil && !wasInTrial {
+		s.endCrashTrial()
+	}
+	return choice, why
+}
+
+// claimContender claims room at a target, and returns nil and the reason if there is none.
+func (s *session) claimContender(target *moveTarget) (*engineChoice, string) {
 	e := &target.decision.Endpoint
 	if target.resumeFrom != (copies.Holder{}) {
 		lease, err := s.f.claimResumption(s.ctx, e.ID)
@@ -80,6 +93,24 @@
 	return nil
 }
 
+// confirmContender asks the engine of a contender that was sent whether it answers. One that does not may
+// have fallen silent too, and the silent attempt is kept.
+func (s *session) confirmContender(a *attempt) {
+	switch {
+	case !a.contender:
+		return
+	case a.helper != nil:
+		s.machine.Granted(a.number)
+		return
+	}
+	go func() {
+		answer := s.f.query(s.ctx, &a.endpoint)
+		if !answer.asked || answer.err == nil {
+			a.report(s.ctx, message{kind: attemptGranted})
+		}
+	}()
+}
+
 // adoptContender makes the former contender the session's current attempt, if the state machine has
 // decided so.
 func (s *session) adoptContender() {
@@ -127,7 +158,6 @@
 // handleContenderFailure handles the end of a contender: the silent attempt stays the only one.
 func (s *session) handleContenderFailure(now time.Time, a *attempt, m message) {
 	s.dropContenderCopy(a)
-	s.endCrashTrial()
 	s.f.Log.Decision(s.req.ID, "not moved", logrus.Fields{
 		"attempt": a.number, "endpoint": a.endpoint.ID, "why": errorText(m.err), "not_run": a.refused, "events": s.relayedEvents,
 	})
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -18,6 +18,7 @@
 		s.machine.Acked(now, m.attempt, generation.Stream{Endpoint: m.endpoint, ID: m.endpoint}, 0, 0, 0)
 		if a := s.attempts[m.attempt]; a != nil {
 			a.sent = true
+			s.confirmContender(a)
 			s.delayProbe(now, a)
 		}
 	case attemptEvent:
@@ -30,6 +31,8 @@
 	case attemptProbed:
 		s.recordPrefillProgress(m)
 		s.machine.Probed(now, m.attempt, m.alive, m.events)
+	case attemptGranted:
+		s.machine.Granted(m.attempt)
 	case attemptAssessed:
 		s.handleAssessment(now, m)
 	case attemptCopied:
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -19,7 +19,8 @@
 // shared, and one of them may have room.
 
 const (
-	// sampleSize is how many other engines tell whether a silence is shared.
+	// sampleSize is how many other engines tell whether a silence is shared. If some of them are silent
+	// and some are not, as many more are asked.
 	sampleSize = 6
 	// maxTargetQuestions is how many engines are asked in turn whether they take a stream over.
 	maxTargetQuestions = 3
@@ -35,7 +36,7 @@
 	copied copies.Holder
 	// request describes the stream for the choice of another engine.
 	request *routing.Request
-	// sample are the other engines that tell whether the silence is shared.
+	// sample are the other engines that tell whether the silence is shared; see [sampleSize].
 	sample []routing.Endpoint
 	// countEvents is set if the engine counts the events of the run as this session does, and relayed
 	// is their number.
@@ -51,6 +52,8 @@
 	target *moveTarget
 	// evidence is what is known about the other engines of the service.
 	evidence liveness.Evidence
+	// unlisted is set if the engine does not list the request. It may not have read it yet.
+	unlisted bool
 	// answer is what the silent engine itself answered.
 	answer engineAnswer
 }
@@ -120,8 +123,7 @@
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
-	r.evidence = f.evidence(s)
-	r.Shared = r.evidence.Shared() && !f.Settings.Disabled.SharedSilence
+	r.evidence, r.Shared = f.evidence(s.sample), f.isShared(s)
 	if r.target == nil && f.seeksTarget(s, r) {
 		r.target = f.findTarget(ctx, s)
 	}
@@ -148,28 +150,42 @@
 // known about them.
 func (f *Forwarder) sampleOthers(r *routing.Request, own *routing.Endpoint) []routing.Endpoint {
 	var out []routing.Endpoint
-	for _, e := range f.Placement.Likely(r, 2*sampleSize) {
-		if e.ID != own.ID && e.State == routing.Live && len(out) < sampleSize {
+	for _, e := range f.Placement.Likely(r, 2*sampleSize+1) {
+		if e.ID != own.ID && e.State == routing.Live && len(out) < 2*sampleSize {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-// evidence returns what is known about the sampled engines, and about other engines of the service that
-// were asked for other streams and are silent.
-func (f *Forwarder) evidence(s *silence) liveness.Evidence {
-	own := &s.attempt.endpoint
-	var ids []string
-	for i := range s.sample {
-		ids = append(ids, s.sample[i].ID)
+// firstSample returns the engines that are asked first.
+func (s *silence) firstSample() []routing.Endpoint { return s.sample[:min(len(s.sample), sampleSize)] }
+
+// evidence returns what is known about the sampled engines.
+func (f *Forwarder) evidence(sample []routing.Endpoint) liveness.Evidence {
+	ids := make([]string, len(sample))
+	for i := range sample {
+		ids[i] = sample[i].ID
+	}
+	return f.liveness.evidence(ids)
+}
+
+// isShared reports whether a silence is shared: by the sampled engines, or by those of the service that
+// were asked for other streams.
+func (f *Forwarder) isShared(s *silence) bool {
+	if f.Settings.Disabled.SharedSilence {
+		return false
 	}
+	if f.evidence(s.sample).Shared() {
+		return true
+	}
+	own, silent := &s.attempt.endpoint, 0
 	for _, id := range f.liveness.silentIDs() {
-		if e, ok := f.Placement.Get(id); ok && e.Service == own.Service && id != own.ID && !slices.Contains(ids, id) {
-			ids = append(ids, id)
+		if e, ok := f.Placement.Get(id); ok && e.Service == own.Service && id != own.ID {
+			silent++
 		}
 	}
-	return f.liveness.evidence(ids)
+	return liveness.SharedInService(silent, f.Placement.ServiceSize(own.Service))
 }
 
 // silenceVerdict returns a function that tells whether a silence is the engine's own. The other engines
@@ -183,7 +199,7 @@
 	go func() {
 		defer close(done)
 		f.askOthers(f.shutdownCtx, s)
-		own = !f.evidence(s).Shared()
+		own = !f.isShared(s)
 	}()
 	return func() bool {
 		<-done
@@ -193,10 +209,18 @@
 
 // askOthers asks the sampled engines of which it is not known whether they answer.
 func (f *Forwarder) askOthers(ctx context.Context, s *silence) {
+	first := s.firstSample()
+	f.askAll(ctx, first)
+	if e := f.evidence(first); e.Silent > 0 && e.Answering > 0 {
+		f.askAll(ctx, s.sample[len(first):])
+	}
+}
+
+func (f *Forwarder) askAll(ctx context.Context, engines []routing.Endpoint) {
 	var questions []*question
-	for i := range s.sample {
-		if !f.liveness.hasEvidence(s.sample[i].ID) {
-			questions = append(questions, f.ask(&s.sample[i]))
+	for i := range engines {
+		if !f.liveness.hasEvidence(engines[i].ID) {
+			questions = append(questions, f.ask(&engines[i]))
 		}
 	}
 	due := time.After(f.Settings.ProbeTimeout)
@@ -230,8 +254,8 @@
 	alive, events := f.mayStillHave(&s.attempt.endpoint, &r.answer.report, s.attempt.session.req.ID, s.countEvents)
 	switch {
 	case alive:
-	case r.Engine == generation.Returned && f.Placement.IsListed(s.attempt.endpoint.ID):
-		r.Inconclusive = true // it may not have read the request yet
+	case f.Placement.IsListed(s.attempt.endpoint.ID):
+		r.unlisted = true
 	default:
 		r.Engine = generation.Ended
 	}
@@ -292,6 +316,7 @@
 // handleAssessment passes an assessment on to the state machine, and logs what it decided.
 func (s *session) handleAssessment(now time.Time, m message) {
 	r := m.assessment
+	s.judgeUnlisted(r)
 	if a := s.attempts[m.attempt]; a != nil && r.answer.err == nil && !a.hasEvent && a.prefillTokens > 0 && r.Engine == generation.Working {
 		s.f.Placement.RecordPrefillProgress(a.endpoint.ID, a.prefillTokens, time.Since(a.sentAt))
 	}
@@ -305,6 +330,20 @@
 	}
 }
 
+// judgeUnlisted judges an engine that does not list the request. One that has sent events of it has lost
+// it. Another one may not have read it yet when it answered, so that the second answer counts.
+func (s *session) judgeUnlisted(r *assessment) {
+	a := r.silence.attempt
+	switch {
+	case !r.unlisted:
+		a.unlisted = false
+	case a.hasEvent || a.unlisted:
+		r.Engine = generation.Ended
+	default:
+		a.unlisted, r.Inconclusive = true, true
+	}
+}
+
 // logAssessment logs whether a stream is kept at a silent engine, and why.
 func (s *session) logAssessment(now time.Time, m message, r *assessment, leaves bool) {
 	inputs := logrus.Fields{
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -128,6 +128,13 @@
 	return p.view.InUse(id)
 }
 
+// ServiceSize returns the number of endpoints of a service.
+func (p *Placement) ServiceSize(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.ServiceSize(service)
+}
+
 // IsListed reports whether an endpoint is in the list.
 func (p *Placement) IsListed(id string) bool {
 	_, ok := p.Get(id)
