--- a/core/liveness/liveness_test.go
+++ b/core/liveness/liveness_test.go
@@ -20,7 +20,7 @@
 		silent, answering int
 		want              bool
 	}{
-		{0, 0, false}, {1, 0, false}, {1, 5, false}, {2, 0, true}, {2, 6, true}, {2, 7, false}, {3, 3, true}, {20, 0, true}, {20, 100, false},
+		{0, 0, false}, {1, 0, false}, {1, 5, false}, {2, 0, true}, {2, 4, true}, {2, 5, false}, {3, 7, true}, {3, 8, false}, {3, 3, true}, {20, 0, true}, {20, 100, false},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d silent, %d answering", tt.silent, tt.answering), func(t *testing.T) {
@@ -58,6 +58,16 @@
 	assert.Assert(t, tracker.LastAnswer("a").IsZero(), "old records are dropped")
 }
 
+func TestReturned(t *testing.T) {
+	var tracker liveness.Tracker
+	tracker.Unanswered(at(200), at(0), "a")
+	tracker.Answered(at(300), "a")
+	tracker.Answered(at(300), "b")
+	tracker.Answered(at(390), "a")
+	assert.Equal(t, tracker.Evidence(at(400), []string{"a", "b"}).Returned, 1)
+	assert.Equal(t, tracker.Evidence(at(401), []string{"a", "b"}).Returned, 0)
+}
+
 // TestLaterWordWins covers answers and silences of the same endpoint.
 func TestLaterWordWins(t *testing.T) {
 	var tracker liveness.Tracker
