--- a/core/generation/contender_test.go
+++ b/core/generation/contender_test.go
@@ -71,3 +71,37 @@
 	s.collect()
 	s.wantActions()
 }
+
+// TestOnlyContenderNeedsNoGrant guards against a third run, or a broken stream: the silent attempt's
+// connection ended while the contender was being sent, and the contender, which was prefilling, was ended
+// since nobody had reported a grant.
+func TestOnlyContenderNeedsNoGrant(t *testing.T) {
+	s := silentScript(t, 3)
+	s.advance(untilAssessed)
+	s.assessed(1, Assessment{Target: true})
+	s.fail(1, Broken)
+	s.ack(2, Stream{Endpoint: "e2", ID: "e2"}, 0, 0)
+	s.actions = nil
+	s.advance(grantTimeout)
+	s.wantActions()
+}
+
+// TestRunsStayWithinMaxAttempts guards against more runs than allowed: a contender that was cancelled before
+// the machine learnt that it had been sent did not count.
+func TestRunsStayWithinMaxAttempts(t *testing.T) {
+	s := silentScript(t, 3)
+	runs := 1
+	for i := range 10 {
+		s.advance(time.Second)
+		s.actions = nil
+		s.assessed(1, Assessment{Target: true, Copy: true})
+		if len(s.actions) == 0 {
+			break
+		}
+		n := s.m.lastAttempt
+		s.token(1, 3+i)                                  // the engine is back
+		s.ack(n, Stream{Endpoint: "e2", ID: "e2"}, 0, 0) // it was sent just before
+		runs++
+	}
+	assert.Assert(t, runs <= keepSilentConfig().MaxAttempts, "%d runs", runs)
+}
--- a/gateway/front/review_silence_test.go
+++ b/gateway/front/review_silence_test.go
@@ -118,3 +118,19 @@
 		}
 	}
 }
+
+// TestSilentCopyHolderHoldsNothingUp guards against streams that stay at an engine that is gone for good,
+// since questions to the engine with the copy and to two samples take longer than an assessment may.
+func TestSilentCopyHolderHoldsNothingUp(t *testing.T) {
+	for _, engines := range []int{12, 24} {
+		for _, share := range []float64{0.25, 0.4, 0.5} {
+			t.Run(fmt.Sprintf("%d-engines-%v-lost", engines, share), func(t *testing.T) {
+				runPaused(t, pausedCase{instances: 2, engines: engines, events: 120, interval: eventInterval}, func(w *pausedWorld) {
+					w.start(engines*endpointSlots/4, 2)
+					w.pause(share, time.Hour, 1)
+					w.assertAllWhole(4 * time.Second)
+				})
+			})
+		}
+	}
+}
