gateway/forward: a connection that fails because of this process or its request is not held against its endpoint

Each connection that failed suspected its endpoint for a second or more and counted towards a cut, whatever had ended it: also when this process had been paused while it connected, so that the timeout had passed before it could look, and when the request was cancelled, as that of a contender that is not needed any more.

A connection now counts if it was refused, or if its request still runs and it took no longer than the timeout and ownDelay.

--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -41,16 +41,27 @@
 	if err := f.mayUse(e.ID); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Settings.ConnectTimeout)
+	connectCtx, cancel := context.WithTimeout(ctx, f.Settings.ConnectTimeout)
 	defer cancel()
-	conn, err := f.Pool.Get(ctx, f.target(req, e))
-	if err != nil && !errorx.IsOfType(err, upstream.ErrBusy) {
+	began := time.Now()
+	conn, err := f.Pool.Get(connectCtx, f.target(req, e))
+	if err != nil && !errorx.IsOfType(err, upstream.ErrBusy) && f.isEndpointsFailure(ctx, err, time.Since(began)) {
 		f.Placement.Failed(e.ID)
 		f.Reach.Failed(e.ID)
 	}
 	return conn, err
 }
 
+// isEndpointsFailure reports whether a connection failed because of its endpoint: it was refused, or it
+// took too long while its request went on and this process was not paused.
+func (f *Forwarder) isEndpointsFailure(requestCtx context.Context, err error, took time.Duration) bool {
+	if errorx.IsOfType(err, upstream.ErrGone) {
+		return true
+	}
+	late := f.ownDelay() > 0 && took >= f.Settings.ConnectTimeout+f.ownDelay()
+	return requestCtx.Err() == nil && !late
+}
+
 // mayUse returns [ErrWithheld] if nothing new may be sent to an endpoint.
 func (f *Forwarder) mayUse(endpoint string) error {
 	return f.withheld(endpoint, f.Placement.Withholds(endpoint))
