--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -115,7 +115,7 @@
 // decided so.
 func (s *session) adoptContender() {
 	a := s.currentAttempt()
-	if a == nil || !a.contender {
+	if a == nil || !a.contender || a.ended {
 		return
 	}
 	a.contender = false
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -28,7 +28,8 @@
 		s.machine.Probed(time.Now(), p.Attempt, s.f.helperAlive(a.helper.ID), 0)
 		return
 	}
-	countEvents := s.relayedEvents == 0 && s.req.LastEventID == ""
+	beforeFirstEvent := s.relayedEvents == 0
+	countEvents := beforeFirstEvent && s.req.LastEventID == ""
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, s.f.Settings.ProbeTimeout)
 		defer cancel()
@@ -40,7 +41,7 @@
 		case errorx.IsOfType(err, ErrLimited):
 			m.alive = true // it was not asked
 		case errorx.IsOfType(err, ErrWithheld):
-			m.alive = a.presumedAlive()
+			m.alive = beforeFirstEvent && a.presumedAlive()
 		}
 		placed := s.f.Placement.PlacedAt(a.endpoint.ID)
 		s.f.Log.Decision(s.req.ID, "engine probed", logrus.Fields{
@@ -55,11 +56,10 @@
 // maxUnaskedProbes is how many probes in a row of an engine that may not be asked count as answered.
 const maxUnaskedProbes = 2
 
-// presumedAlive reports whether an engine that may not be asked counts as alive. One that falls silent
-// in a stream does not, since the stream can go on elsewhere. One that has not begun may still be
-// prefilling the prompt, which would be lost.
+// presumedAlive reports whether an engine that may not be asked before its first event counts as alive. It
+// may still be prefilling the prompt, which would be lost.
 func (a *attempt) presumedAlive() bool {
-	return a.session.relayedEvents == 0 && a.unaskedProbes.Add(1) <= maxUnaskedProbes
+	return a.unaskedProbes.Add(1) <= maxUnaskedProbes
 }
 
 // mayStillHave reports whether an engine may still have a request, and how many events it has made
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -20,8 +20,9 @@
 
 const (
 	// sampleSize is how many other engines tell whether a silence is shared. If some of them are silent
-	// and some are not, as many more are asked.
-	sampleSize = 6
+	// and some are not, up to maxSampleSize are asked.
+	sampleSize    = 8
+	maxSampleSize = 24
 	// maxTargetQuestions is how many engines are asked in turn whether they take a stream over.
 	maxTargetQuestions = 3
 )
@@ -42,6 +43,8 @@
 	// is their number.
 	countEvents bool
 	relayed     int
+	// beforeFirstEvent is set if the caller has no event yet.
+	beforeFirstEvent bool
 }
 
 // assessment is the result of assessing a silence.
@@ -76,7 +79,7 @@
 		return
 	}
 	if a.helper != nil {
-		s.machine.Assessed(time.Now(), p.Attempt, s.assessHelper(a))
+		s.machine.Assessed(time.Now(), p.Attempt, s.assessHelper(a, p.SilentSince))
 		return
 	}
 	situation := s.describeSilence(a, p.SilentSince)
@@ -86,13 +89,20 @@
 	}()
 }
 
+// maxHelperSilence is the silence after which the connection to an instance that passes a request on
+// counts as lost.
+const maxHelperSilence = 6 * time.Second
+
 // assessHelper assesses the silence of an instance that the request was passed on to. That instance
 // itself looks after the engine, so its silence is taken for the engine's.
-func (s *session) assessHelper(a *attempt) generation.Assessment {
+func (s *session) assessHelper(a *attempt, since time.Time) generation.Assessment {
 	s.target = nil
 	if !s.f.helperAlive(a.helper.ID) {
 		return generation.Assessment{Engine: generation.Ended}
 	}
+	if time.Since(since) < maxHelperSilence {
+		return generation.Assessment{Engine: generation.Silent, Shared: true}
+	}
 	if h := s.f.pickHelper([]string{a.endpoint.ID}); h != nil {
 		s.target = &moveTarget{helper: h}
 	}
@@ -100,7 +110,7 @@
 }
 
 func (s *session) describeSilence(a *attempt, since time.Time) *silence {
-	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents}
+	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents, beforeFirstEvent: s.relayedEvents == 0}
 	out.request.Recovery = s.mayHaveRun()
 	out.sample = s.f.sampleOthers(out.request, &a.endpoint)
 	if holder, ok := s.copies.Holder(); ok && s.relayedEvents > 0 {
@@ -150,8 +160,8 @@
 // known about them.
 func (f *Forwarder) sampleOthers(r *routing.Request, own *routing.Endpoint) []routing.Endpoint {
 	var out []routing.Endpoint
-	for _, e := range f.Placement.Likely(r, 2*sampleSize+1) {
-		if e.ID != own.ID && e.State == routing.Live && len(out) < 2*sampleSize {
+	for _, e := range f.Placement.Likely(r, maxSampleSize+1) {
+		if e.ID != own.ID && e.State == routing.Live && len(out) < maxSampleSize {
 			out = append(out, e)
 		}
 	}
@@ -242,7 +252,7 @@
 	}
 	r.Engine = answer.state
 	switch {
-	case !answer.asked && s.attempt.presumedAlive():
+	case !answer.asked && (!s.beforeFirstEvent || s.attempt.presumedAlive()):
 		r.Engine = generation.Working
 	case answer.err == nil:
 		f.judgeReport(s, r)
