--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"slices"
 	"time"
 )
 
@@ -58,7 +59,8 @@
 	avoid               []string
 	mismatches          int       // engines that could not continue the journal
 	refusedAttempts     int       // attempts that certainly did not run
-	unplacedAttempts    int       // attempts for which no endpoint was found
+	unplacedAttempts    int       // attempts that were not sent
+	uncounted           []int     // of these, those that were cancelled and may have been sent
 	dueAt               time.Time // the last result of Deadline
 	consecutiveRefusals int       // refusals since an engine last took the request
 	waitingSince        time.Time // when the wait for an endpoint began; zero when not waiting
@@ -136,6 +138,7 @@
 func (m *Machine) Acked(now time.Time, number int, s Stream, index int, hash uint64, cached int) {
 	a := m.findAttempt(number)
 	if m.ended || a == nil || a.state != starting {
+		m.countSent(number)
 		m.emit(Cancel{Attempt: number, Stream: s})
 		return
 	}
@@ -153,7 +156,7 @@
 	if !a.resumed && number > m.baseAttempt+1 {
 		m.stats.PrefilledAgain += max(0, m.promptTokens+a.from-cached)
 	}
-	if a == m.contender && !m.cfg.Unverified {
+	if a == m.contender && (!m.cfg.Unverified || m.current == nil) {
 		m.promoteContender(now)
 	}
 	if !m.cfg.Unverified { // an unverified ack only says that the request was sent: it may be refused
@@ -161,6 +164,14 @@
 	}
 }
 
+// countSent counts an attempt that was cancelled before it was known that it had been sent.
+func (m *Machine) countSent(number int) {
+	if i := slices.Index(m.uncounted, number); i >= 0 {
+		m.uncounted = slices.Delete(m.uncounted, i, i+1)
+		m.unplacedAttempts--
+	}
+}
+
 // matchesJournal tells whether an acknowledgement continues the journal as it is now, or starts at
 // index 0 as requested.
 func (m *Machine) matchesJournal(a *attempt, index int, hash uint64) bool {
@@ -296,6 +307,7 @@
 	if m.contender != nil {
 		if m.isUnsent(m.contender) {
 			m.unplacedAttempts++
+			m.uncounted = append(m.uncounted, m.contender.number)
 		}
 		m.cancelAttempt(m.contender)
 		m.contender = nil
--- a/core/generation/silence.go
+++ b/core/generation/silence.go
@@ -53,7 +53,7 @@
 	// handled.
 	ownDelayGrace = 100 * time.Millisecond
 	// maxAssessmentProbes is how many probe timeouts an assessment may take.
-	maxAssessmentProbes = 3
+	maxAssessmentProbes = 7
 )
 
 // Assessed reports the result of an [Assess] action. The attempt is left only if it has ended or
@@ -162,5 +162,10 @@
 	}
 }
 
+// Awaits tells whether the assessment of an attempt is awaited.
+func (m *Machine) Awaits(number int) bool {
+	return !m.ended && m.probe.pending && m.probe.attempt == number
+}
+
 // Suspects tells whether the current attempt is silent or disconnected, so that its fate is open.
 func (m *Machine) Suspects() bool { return m.current != nil && m.current.state == suspect }
--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -77,7 +77,7 @@
 func (s *session) claimTarget(target *moveTarget) *claimed {
 	r := s.routingRequest()
 	r.Recovery = s.mayHaveRun()
-	r.Avoid = []string{s.silence.attempt.endpoint.ID}
+	r.Avoid = append([]string{s.silence.attempt.endpoint.ID}, s.f.liveness.silentIDs()...)
 	for d, tries := target.decision, 0; tries < maxClaimAttempts; tries++ {
 		if tries == 0 || s.f.liveness.hasAnswered(d.Endpoint.ID) {
 			if lease, ok := s.f.claim(s.ctx, &d, r); ok {
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -55,6 +55,8 @@
 	target *moveTarget
 	// evidence is what is known about the other engines of the service.
 	evidence liveness.Evidence
+	// unasked is set if the silent engine may not be asked now, so that nothing is known of it.
+	unasked bool
 	// unlisted is set if the engine does not list the request. It may not have read it yet.
 	unlisted bool
 	// answer is what the silent engine itself answered.
@@ -133,9 +135,12 @@
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
-	r.evidence, r.Shared = f.evidence(s.sample), f.isShared(s)
+	r.evidence, r.Shared = f.evidence(s.sample), r.unasked || f.isShared(s)
 	if r.target == nil && f.seeksTarget(s, r) {
 		r.target = f.findTarget(ctx, s)
+		if r.target != nil && f.evidence([]routing.Endpoint{r.target.decision.Endpoint}).Returned > 0 {
+			r.Inconclusive = true // the silent engine may be about to return too
+		}
 	}
 	if r.target == nil && r.Engine == generation.Unreachable {
 		r.target = f.findHelper(ctx, s.attempt)
@@ -252,8 +257,10 @@
 	}
 	r.Engine = answer.state
 	switch {
-	case !answer.asked && (!s.beforeFirstEvent || s.attempt.presumedAlive()):
+	case !answer.asked && s.beforeFirstEvent && s.attempt.presumedAlive():
 		r.Engine = generation.Working
+	case !answer.asked:
+		r.Engine, r.unasked = generation.Silent, true
 	case answer.err == nil:
 		f.judgeReport(s, r)
 	}
@@ -288,7 +295,7 @@
 // findTarget returns an engine that has room and has answered since the silence began.
 func (f *Forwarder) findTarget(ctx context.Context, s *silence) *moveTarget {
 	r := *s.request
-	r.Avoid = []string{s.attempt.endpoint.ID}
+	r.Avoid = append([]string{s.attempt.endpoint.ID}, f.liveness.silentIDs()...)
 	for range maxTargetQuestions {
 		d, err := f.Placement.Pick(&r)
 		if err != nil {
@@ -326,6 +333,9 @@
 // handleAssessment passes an assessment on to the state machine, and logs what it decided.
 func (s *session) handleAssessment(now time.Time, m message) {
 	r := m.assessment
+	if !s.machine.Awaits(m.attempt) {
+		return
+	}
 	s.judgeUnlisted(r)
 	if a := s.attempts[m.attempt]; a != nil && r.answer.err == nil && !a.hasEvent && a.prefillTokens > 0 && r.Engine == generation.Working {
 		s.f.Placement.RecordPrefillProgress(a.endpoint.ID, a.prefillTokens, time.Since(a.sentAt))
