--- a/cli/soak/pauses.go
+++ b/cli/soak/pauses.go
@@ -102,7 +102,7 @@
 // Pauses of all instances while nothing else is disrupted.
 const (
 	alonePauses   = 2
-	minAlonePause = 500 * time.Millisecond
+	minAlonePause = 800 * time.Millisecond
 )
 
 // pauseInstancesAlone pauses all instances at once, a few times.
--- a/cli/soak/silence.go
+++ b/cli/soak/silence.go
@@ -23,10 +23,10 @@
 	// vary.
 	prefilledAgainSlack = 2
 	// ownPauseShare is the share of its streams that an instance may move or doubt within ownPauseEffect
-	// after it was paused itself, and ownPauseSlack how many more in a soak. For each that it doubts it may
-	// ask questionsPerStream endpoints.
+	// after it was paused itself, and ownPauseSlack how many more. For each that it doubts it may ask
+	// questionsPerStream endpoints.
 	ownPauseShare      = 0.1
-	ownPauseSlack      = 2
+	ownPauseSlack      = 1
 	ownPauseEffect     = 300 * time.Millisecond
 	questionsPerStream = 7
 	// prefilledWithin is how long after a pause a prefill may still be due to it.
@@ -182,8 +182,7 @@
 		}
 	}
 	s.logf("after pauses of their instances %d of %d streams were moved, %d endpoints were asked", moved, running, asked)
-	allowed := ownPauseShare * float64(running)
-	if float64(moved) > allowed+ownPauseSlack || float64(asked) > questionsPerStream*allowed+ownPauseSlack {
+	if allowed := ownPauseShare*float64(running) + ownPauseSlack; float64(moved) > allowed || float64(asked) > questionsPerStream*allowed {
 		s.addFinding("after pauses of their instances, %d of %d streams were moved and %d endpoints were asked", moved, running, asked)
 	}
 }
--- a/gateway/front/random_pauses_test.go
+++ b/gateway/front/random_pauses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,6 +21,12 @@
 	sideBySideBound = 400 * time.Millisecond
 	// streamInterval is the mean time between two streams.
 	streamInterval = 120 * time.Millisecond
+	// broadShare is the share of the engines from which a pause is certainly shared. Of the streams running
+	// then, prefilledAgainShare may be prefilled again, and prefilledSoonShare within sharedSilenceBound,
+	// for which streams stay at an engine whose silence is shared.
+	broadShare                              = 0.4
+	prefilledAgainShare, prefilledSoonShare = 0.1, 0.05
+	sharedSilenceBound                      = 2 * time.Second
 )
 
 // stoppedTime is a time in which the process of an endpoint was stopped.
@@ -155,6 +162,7 @@
 			}
 		}
 	}
+	d.checkPrefilledAgain(runs)
 	for i := range d.streams {
 		d.checkStream(&d.streams[i], runs[d.streams[i].id])
 	}
@@ -173,3 +181,49 @@
 		}
 	}
 }
+
+// checkPrefilledAgain checks how many of the streams that ran when many engines were stopped were prefilled
+// again at others.
+func (d *day) checkPrefilledAgain(runs map[string][]dayRun) {
+	running, again, soon := 0, 0, 0
+	for from, stopped := range d.broadPauses() {
+		for _, all := range runs {
+			i := slices.IndexFunc(all, func(r dayRun) bool { return r.At.Before(from) && r.EndedAt.After(from) })
+			if i < 0 {
+				continue
+			}
+			running++
+			until := stopped[all[i].endpoint]
+			next := slices.IndexFunc(all[i+1:], func(r dayRun) bool { return r.Read > promptTokens/2 && r.At.Before(until) })
+			if next < 0 {
+				continue
+			}
+			again++
+			if all[i+1+next].At.Sub(from) < sharedSilenceBound {
+				soon++
+			}
+		}
+	}
+	d.t.Logf("%d of %d streams were prefilled again, %d of them soon", again, running, soon)
+	if float64(again) > prefilledAgainShare*float64(running) || float64(soon) > prefilledSoonShare*float64(running) {
+		d.fail("%d of %d streams were prefilled again beside pauses of many engines, %d of them soon", again, running, soon)
+	}
+}
+
+// broadPauses returns the pauses of many engines, by when they began: the engines that were stopped, and until
+// when.
+func (d *day) broadPauses() map[time.Time]map[*standin.Worker]time.Time {
+	all := map[time.Time]map[*standin.Worker]time.Time{}
+	for _, s := range d.stopped {
+		if s.endpoint.Config().Service == d.engines[0].Config().Service {
+			if all[s.from] == nil {
+				all[s.from] = map[*standin.Worker]time.Time{}
+			}
+			all[s.from][s.endpoint] = s.until
+		}
+	}
+	maps.DeleteFunc(all, func(_ time.Time, stopped map[*standin.Worker]time.Time) bool {
+		return float64(len(stopped)) < broadShare*float64(len(d.engines))
+	})
+	return all
+}
