--- a/cli/soak/pauses.go
+++ b/cli/soak/pauses.go
@@ -28,6 +28,7 @@
 	incarnations map[*standin.Worker]bool
 	service      string
 	share        float64 // of the service's endpoints
+	lone         bool    // nothing else is disrupted meanwhile
 	from, until  time.Time
 }
 
@@ -99,23 +100,37 @@
 	return fmt.Sprintf("%d instances pause for %v", n, d), nil
 }
 
-// Pauses of all instances while nothing else is disrupted.
+// Pauses while nothing else is disrupted: of loneShare of the engines, then of all instances.
 const (
-	alonePauses   = 2
-	minAlonePause = 800 * time.Millisecond
+	loneEnginePauses, loneInstancePauses = 4, 2
+	loneShare                            = 0.7
+	minLonePause                         = 800 * time.Millisecond
 )
 
-// pauseInstancesAlone pauses all instances at once, a few times.
-func (w *environment) pauseInstancesAlone(r *rand.Rand) {
-	for range alonePauses {
-		d := randomBetween(r, minAlonePause, shortPause)
+// pauseAlone pauses many engines at once, and then all instances at once, a few times each.
+func (w *environment) pauseAlone(r *rand.Rand) {
+	for range loneEnginePauses {
+		d := randomBetween(r, minLonePause, shortPause)
+		w.pauseAll(w.drawShare(r, "engines", loneShare), "engines", d, false)
+		w.pauses.markLone()
+		time.Sleep(d + minLonePause)
+	}
+	for range loneInstancePauses {
+		d := randomBetween(r, minLonePause, shortPause)
 		for _, p := range w.processes {
 			time.AfterFunc(d, w.pauseProcess(p))
 		}
-		time.Sleep(d + minAlonePause)
+		time.Sleep(d + minLonePause)
 	}
 }
 
+// markLone records that nothing else is disrupted during the last pause of endpoints.
+func (p *pauses) markLone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endpoints[len(p.endpoints)-1].lone = true
+}
+
 // companion is a fault or change that happens while endpoints are paused.
 type companion struct {
 	name  string
--- a/cli/soak/silence.go
+++ b/cli/soak/silence.go
@@ -118,7 +118,8 @@
 }
 
 // checkPrefilledAgain checks how many of the streams that ran when pauses began were prefilled again
-// because of them: beside all pauses that are not isolated, and beside broad ones.
+// because of them: beside all pauses that are not isolated, beside broad ones, and
+// beside those without another disruption.
 func (s *soak) checkPrefilledAgain(runs map[string][]workerRun) {
 	check := func(kind string, share float64, counts func(*enginePause) bool) {
 		running, again := 0, 0
@@ -134,6 +135,7 @@
 		}
 	}
 	check("shared", prefilledAgainShare, func(p *enginePause) bool { return p.share > isolatedShare && len(p.incarnations) > 1 })
+	check("lone", prefilledAgainShareBroad, func(p *enginePause) bool { return p.lone })
 	check("broad", prefilledAgainShareBroad, func(p *enginePause) bool { return p.share >= broadShare })
 }
 
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -152,7 +152,7 @@
 		s.addFinding("instances are not ready %v after the last fault", quietPeriod/2+readyTimeout)
 	}
 	if s.Seed >= firstPauseSeed && s.Seed <= lastSeed {
-		s.env.pauseInstancesAlone(rand.New(rand.NewPCG(s.Seed, firstPauseSeed)))
+		s.env.pauseAlone(rand.New(rand.NewPCG(s.Seed, firstPauseSeed)))
 	}
 	time.Sleep(quietPeriod / 2)
 	s.checkServed(ctx)
