--- a/gateway/front/random_days_test.go
+++ b/gateway/front/random_days_test.go
@@ -62,14 +62,19 @@
 // days, RANDOM_DAYS_FROM the seed of the first one, and RANDOM_DAYS_WITHOUT a mechanism that is switched off, to
 // see whether the checks notice.
 func TestRandomDays(t *testing.T) {
-	days, first := 4, 0
-	if n, err := strconv.Atoi(os.Getenv("RANDOM_DAYS")); err == nil {
-		days = n
-	}
+	var seeds []int
+	first := 0
 	if n, err := strconv.Atoi(os.Getenv("RANDOM_DAYS_FROM")); err == nil {
 		first = n
 	}
-	for seed := first; seed < first+days; seed++ {
+	if days, err := strconv.Atoi(os.Getenv("RANDOM_DAYS")); err == nil {
+		for seed := first; seed < first+days; seed++ {
+			seeds = append(seeds, seed)
+		}
+	} else {
+		seeds = []int{first, first + 1, first + 2, first + 3, firstPauseDay}
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			prepare := func(w *world) {
 				if off := os.Getenv("RANDOM_DAYS_WITHOUT"); off != "" {
