--- a/core/routing/silence.go
+++ b/core/routing/silence.go
@@ -3,6 +3,9 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/agateway/agateway/core/health"
+	"github.com/agateway/agateway/core/liveness"
 )
 
 // silence is what an instance knows of an endpoint that does not answer.
@@ -17,6 +20,10 @@
 	// since is when the first request was sent that timed out after the last answer, and timedOutAt when
 	// the last one timed out; zero if there is none.
 	since, timedOutAt time.Time
+	// ejected is set while the endpoint is suspected for its silence alone, and before is its breaker from
+	// before that.
+	ejected bool
+	before  health.Breaker
 }
 
 const (
@@ -25,10 +32,6 @@
 	// An endpoint whose requests have waited for 1/silentWaitDivisor of the time after which another one
 	// timed out counts as silent too.
 	silentWaitDivisor = 2
-	// A silence is shared if at least minSilent endpoints of a service are silent, and they are at least
-	// 1/silentShareDivisor of those of which that is known.
-	minSilent          = 2
-	silentShareDivisor = 3
 )
 
 // answered records a sign of life.
@@ -92,18 +95,21 @@
 	if !n.silence.timedOut(now, sentAt) || !v.settings.SharedSilence {
 		return false
 	}
-	silent, alive := 0, 0
+	var e liveness.Evidence
 	for _, other := range v.groups[groupKey{n.Service, ""}] {
 		switch {
 		case other.silence.isSilent(now, now.Sub(sentAt)/silentWaitDivisor):
-			silent++
+			e.Silent++
 		case other.silence.answeredAt.After(n.silence.since):
-			alive++
+			e.Answering++
 		}
 	}
-	return silent >= minSilent && silent*silentShareDivisor >= silent+alive
+	return e.Shared()
 }
 
+// ServiceSize returns the number of endpoints of a service.
+func (v *View) ServiceSize(service string) int { return len(v.groups[groupKey{service, ""}]) }
+
 // AnsweredSince reports whether an endpoint has answered after a time.
 func (v *View) AnsweredSince(id string, since time.Time) bool {
 	n := v.nodes[id]
@@ -150,3 +156,33 @@
 	}
 	n.lastAnswerLost = true
 }
+
+// Silent records that an endpoint fell silent by itself though its connections stand. It is suspected like
+// one that failed, but all requests that notice one silence count as one failure. It reports whether this
+// one counts.
+func (v *View) Silent(now time.Time, id string) (counts bool) {
+	n := v.observe(id)
+	if n == nil || n.trust.Suspected(now) {
+		return false
+	}
+	before := n.trust
+	if n.silence.ejected { // it has not answered since the suspicion before
+		before = n.silence.before
+	}
+	v.Failed(now, id)
+	n.silence.ejected, n.silence.before = true, before
+	return true
+}
+
+// Answered records a sign of life of an endpoint on any connection. It ends a suspicion for silence alone.
+func (v *View) Answered(now time.Time, id string) {
+	n := v.observe(id)
+	if n == nil {
+		return
+	}
+	n.silence.answered(now)
+	if n.silence.ejected {
+		n.trust, n.silence.ejected = n.silence.before, false
+		v.degraded.stale = true
+	}
+}
--- a/gateway/backends/backends.go
+++ b/gateway/backends/backends.go
@@ -159,16 +159,17 @@
 func (b *Backends) Failed(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.suspect(time.Now(), id)
+	now := time.Now()
+	b.noteSuspicion(now, id)
+	b.view.Failed(now, id)
 }
 
-// suspect marks an endpoint as failed. The caller holds b.mu.
-func (b *Backends) suspect(now time.Time, id string) {
+// noteSuspicion counts and logs that an endpoint becomes suspected. The caller holds b.mu.
+func (b *Backends) noteSuspicion(now time.Time, id string) {
 	if !b.view.Suspected(now, id) {
 		b.opt.Scope.Counter("endpoints_suspected").Inc(1)
 		b.opt.Log.WithField("endpoint", id).Warn("endpoint became suspected")
 	}
-	b.view.Failed(now, id)
 }
 
 // Succeeded records that an endpoint worked, which ends its suspicion.
--- a/gateway/backends/silence.go
+++ b/gateway/backends/silence.go
@@ -51,7 +51,8 @@
 	case b.view.TimedOut(now, id, sentAt):
 		b.opt.Scope.Counter("silences_shared").Inc(1)
 	default:
-		b.suspect(now, id)
+		b.noteSuspicion(now, id)
+		b.view.Silent(now, id)
 	}
 }
 
--- a/gateway/backends/watch.go
+++ b/gateway/backends/watch.go
@@ -96,6 +96,7 @@
 	}
 	w.misses = 0
 	b.updateEndpoint(id, st)
+	b.view.Answered(now, id)
 	b.view.Report(now, id, routing.Load{Running: st.Running, Queued: st.Queued, Age: time.Duration(st.AgeMS) * time.Millisecond})
 	if w.boot != st.Boot {
 		if w.boot != "" {
--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -69,6 +69,9 @@
 	return l.tracker.Silent(id)
 }
 
+// hasAnswered reports whether there is evidence that an engine answers.
+func (l *livenessRecords) hasAnswered(id string) bool { return l.hasEvidence(id) && !l.wasSilent(id) }
+
 func (l *livenessRecords) hasEvidence(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,6 +84,12 @@
 	return l.tracker.Evidence(time.Now(), ids)
 }
 
+func (l *livenessRecords) silentIDs() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.SilentIDs(time.Now())
+}
+
 // ask returns the question to an engine that is in progress, or starts one.
 func (f *Forwarder) ask(e *routing.Endpoint) *question {
 	l := &f.liveness
@@ -130,6 +139,9 @@
 		a.state = generation.Silent
 	}
 	f.recordQuery(e, askedAt, &a)
+	if err == nil {
+		f.Placement.Answered(e.ID)
+	}
 	return a
 }
 
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -19,8 +19,10 @@
 // shared, and one of them may have room.
 
 const (
-	// sampleSize is how many other engines tell whether a silence is shared.
-	sampleSize = 6
+	// sampleSize is how many other engines tell whether a silence is shared. If some of them are silent
+	// and some are not, up to maxSampleSize are asked.
+	sampleSize    = 8
+	maxSampleSize = 24
 	// maxTargetQuestions is how many engines are asked in turn whether they take a stream over.
 	maxTargetQuestions = 3
 )
@@ -35,12 +37,14 @@
 	copied copies.Holder
 	// request describes the stream for the choice of another engine.
 	request *routing.Request
-	// sample are the other engines that tell whether the silence is shared.
+	// sample are the other engines that tell whether the silence is shared; see [sampleSize].
 	sample []routing.Endpoint
 	// countEvents is set if the engine counts the events of the run as this session does, and relayed
 	// is their number.
 	countEvents bool
 	relayed     int
+	// beforeFirstEvent is set if the caller has no event yet.
+	beforeFirstEvent bool
 }
 
 // assessment is the result of assessing a silence.
@@ -51,6 +55,8 @@
 	target *moveTarget
 	// evidence is what is known about the other engines of the service.
 	evidence liveness.Evidence
+	// unlisted is set if the engine does not list the request. It may not have read it yet.
+	unlisted bool
 	// answer is what the silent engine itself answered.
 	answer engineAnswer
 }
@@ -73,7 +79,7 @@
 		return
 	}
 	if a.helper != nil {
-		s.machine.Assessed(time.Now(), p.Attempt, s.assessHelper(a))
+		s.machine.Assessed(time.Now(), p.Attempt, s.assessHelper(a, p.SilentSince))
 		return
 	}
 	situation := s.describeSilence(a, p.SilentSince)
@@ -83,13 +89,20 @@
 	}()
 }
 
+// maxHelperSilence is the silence after which the connection to an instance that passes a request on
+// counts as lost.
+const maxHelperSilence = 6 * time.Second
+
 // assessHelper assesses the silence of an instance that the request was passed on to. That instance
 // itself looks after the engine, so its silence is taken for the engine's.
-func (s *session) assessHelper(a *attempt) generation.Assessment {
+func (s *session) assessHelper(a *attempt, since time.Time) generation.Assessment {
 	s.target = nil
 	if !s.f.helperAlive(a.helper.ID) {
 		return generation.Assessment{Engine: generation.Ended}
 	}
+	if time.Since(since) < maxHelperSilence {
+		return generation.Assessment{Engine: generation.Silent, Shared: true}
+	}
 	if h := s.f.pickHelper([]string{a.endpoint.ID}); h != nil {
 		s.target = &moveTarget{helper: h}
 	}
@@ -97,7 +110,7 @@
 }
 
 func (s *session) describeSilence(a *attempt, since time.Time) *silence {
-	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents}
+	out := &silence{attempt: a, since: since, request: s.routingRequest(), countEvents: s.req.LastEventID == "", relayed: s.relayedEvents, beforeFirstEvent: s.relayedEvents == 0}
 	out.request.Recovery = s.mayHaveRun()
 	out.sample = s.f.sampleOthers(out.request, &a.endpoint)
 	if holder, ok := s.copies.Holder(); ok && s.relayedEvents > 0 {
@@ -120,8 +133,7 @@
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
-	r.evidence = f.liveness.evidence(s.sampleIDs())
-	r.Shared = r.evidence.Shared() && !f.Settings.Disabled.SharedSilence
+	r.evidence, r.Shared = f.evidence(s.sample), f.isShared(s)
 	if r.target == nil && f.seeksTarget(s, r) {
 		r.target = f.findTarget(ctx, s)
 	}
@@ -130,7 +142,7 @@
 	}
 	r.Target, r.Copy = r.target != nil, r.target != nil && r.target.resumeFrom != copies.Holder{}
 	limit := time.Duration(2+maxTargetQuestions)*f.Settings.ProbeTimeout + f.ownDelay()
-	r.Inconclusive = r.Inconclusive || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
+	r.Inconclusive = r.Inconclusive || r.evidence.Returned > 0 && r.Engine == generation.Silent && !r.Copy || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
 	return r
 }
 
@@ -148,20 +160,42 @@
 // known about them.
 func (f *Forwarder) sampleOthers(r *routing.Request, own *routing.Endpoint) []routing.Endpoint {
 	var out []routing.Endpoint
-	for _, e := range f.Placement.Likely(r, 2*sampleSize) {
-		if e.ID != own.ID && e.State == routing.Live && len(out) < sampleSize {
+	for _, e := range f.Placement.Likely(r, maxSampleSize+1) {
+		if e.ID != own.ID && e.State == routing.Live && len(out) < maxSampleSize {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-func (s *silence) sampleIDs() []string {
-	out := make([]string, len(s.sample))
-	for i := range s.sample {
-		out[i] = s.sample[i].ID
+// firstSample returns the engines that are asked first.
+func (s *silence) firstSample() []routing.Endpoint { return s.sample[:min(len(s.sample), sampleSize)] }
+
+// evidence returns what is known about the sampled engines.
+func (f *Forwarder) evidence(sample []routing.Endpoint) liveness.Evidence {
+	ids := make([]string, len(sample))
+	for i := range sample {
+		ids[i] = sample[i].ID
 	}
-	return out
+	return f.liveness.evidence(ids)
+}
+
+// isShared reports whether a silence is shared: by the sampled engines, or by those of the service that
+// were asked for other streams.
+func (f *Forwarder) isShared(s *silence) bool {
+	if f.Settings.Disabled.SharedSilence {
+		return false
+	}
+	if f.evidence(s.sample).Shared() {
+		return true
+	}
+	own, silent := &s.attempt.endpoint, 0
+	for _, id := range f.liveness.silentIDs() {
+		if e, ok := f.Placement.Get(id); ok && e.Service == own.Service && id != own.ID {
+			silent++
+		}
+	}
+	return liveness.SharedInService(silent, f.Placement.ServiceSize(own.Service))
 }
 
 // silenceVerdict returns a function that tells whether a silence is the engine's own. The other engines
@@ -175,7 +209,7 @@
 	go func() {
 		defer close(done)
 		f.askOthers(f.shutdownCtx, s)
-		own = !f.liveness.evidence(s.sampleIDs()).Shared()
+		own = !f.isShared(s)
 	}()
 	return func() bool {
 		<-done
@@ -185,10 +219,18 @@
 
 // askOthers asks the sampled engines of which it is not known whether they answer.
 func (f *Forwarder) askOthers(ctx context.Context, s *silence) {
+	first := s.firstSample()
+	f.askAll(ctx, first)
+	if e := f.evidence(first); e.Silent > 0 && e.Answering > 0 {
+		f.askAll(ctx, s.sample[len(first):])
+	}
+}
+
+func (f *Forwarder) askAll(ctx context.Context, engines []routing.Endpoint) {
 	var questions []*question
-	for i := range s.sample {
-		if !f.liveness.hasEvidence(s.sample[i].ID) {
-			questions = append(questions, f.ask(&s.sample[i]))
+	for i := range engines {
+		if !f.liveness.hasEvidence(engines[i].ID) {
+			questions = append(questions, f.ask(&engines[i]))
 		}
 	}
 	due := time.After(f.Settings.ProbeTimeout)
@@ -210,7 +252,7 @@
 	}
 	r.Engine = answer.state
 	switch {
-	case !answer.asked && s.attempt.presumedAlive():
+	case !answer.asked && (!s.beforeFirstEvent || s.attempt.presumedAlive()):
 		r.Engine = generation.Working
 	case answer.err == nil:
 		f.judgeReport(s, r)
@@ -222,8 +264,8 @@
 	alive, events := f.mayStillHave(&s.attempt.endpoint, &r.answer.report, s.attempt.session.req.ID, s.countEvents)
 	switch {
 	case alive:
-	case r.Engine == generation.Returned && f.Placement.IsListed(s.attempt.endpoint.ID):
-		r.Inconclusive = true // it may not have read the request yet
+	case f.Placement.IsListed(s.attempt.endpoint.ID):
+		r.unlisted = true
 	default:
 		r.Engine = generation.Ended
 	}
@@ -284,6 +326,7 @@
 // handleAssessment passes an assessment on to the state machine, and logs what it decided.
 func (s *session) handleAssessment(now time.Time, m message) {
 	r := m.assessment
+	s.judgeUnlisted(r)
 	if a := s.attempts[m.attempt]; a != nil && r.answer.err == nil && !a.hasEvent && a.prefillTokens > 0 && r.Engine == generation.Working {
 		s.f.Placement.RecordPrefillProgress(a.endpoint.ID, a.prefillTokens, time.Since(a.sentAt))
 	}
@@ -297,6 +340,20 @@
 	}
 }
 
+// judgeUnlisted judges an engine that does not list the request. One that has sent events of it has lost
+// it. Another one may not have read it yet when it answered, so that the second answer counts.
+func (s *session) judgeUnlisted(r *assessment) {
+	a := r.silence.attempt
+	switch {
+	case !r.unlisted:
+		a.unlisted = false
+	case a.hasEvent || a.unlisted:
+		r.Engine = generation.Ended
+	default:
+		a.unlisted, r.Inconclusive = true, true
+	}
+}
+
 // logAssessment logs whether a stream is kept at a silent engine, and why.
 func (s *session) logAssessment(now time.Time, m message, r *assessment, leaves bool) {
 	inputs := logrus.Fields{
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -185,6 +185,7 @@
 		f.store.IgnoreEras()
 	}
 	routingSettings := routing.DefaultSettings()
+	routingSettings.SharedSilence = s.Mechanisms.SharedSilence
 	routingSettings.Choices = routingChoices
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
 	if !s.Mechanisms.Doubt {
