gateway/forward: a stream with events finds room also where its prompt can't be prefilled by its first target

What callers saw: a stream whose engine was lost without a copy found no engine with room for up to a second while others had half of their slots free, pause up to 3.6 s. Cause: routing left out each engine that could not prefill the prompt before the target latency of the first event, though the caller has had that event; the bound ended with that target (6.6 + 4.5 s in the trace, resumed at once after it). Now it binds only before the first event.

--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -280,8 +280,15 @@
 	return &engineChoice{endpoint: &c.Endpoint, lease: c.lease, mayBeCached: c.Cached > 0}, nil
 }
 
-// routingRequest describes the stream for the choice of an engine.
-func (s *session) routingRequest() *routing.Request { return s.f.engineRequest(s.req) }
+// routingRequest describes the stream for the choice of an engine. The time to the first event bounds no
+// engine once that event has been relayed.
+func (s *session) routingRequest() *routing.Request {
+	r := s.f.engineRequest(s.req)
+	if s.relayedEvents > 0 {
+		r.PrefillWithin = 0
+	}
+	return r
+}
 
 func (f *Forwarder) engineRequest(req *request) *routing.Request {
 	return &routing.Request{
