--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -1,7 +1,6 @@
 package generation
 
 import (
-	"slices"
 	"time"
 )
 
@@ -164,14 +163,6 @@
 	}
 }
 
-// countSent counts an attempt that was cancelled before it was known that it had been sent.
-func (m *Machine) countSent(number int) {
-	if i := slices.Index(m.uncounted, number); i >= 0 {
-		m.uncounted = slices.Delete(m.uncounted, i, i+1)
-		m.unplacedAttempts--
-	}
-}
-
 // matchesJournal tells whether an acknowledgement continues the journal as it is now, or starts at
 // index 0 as requested.
 func (m *Machine) matchesJournal(a *attempt, index int, hash uint64) bool {
@@ -187,25 +178,6 @@
 	return index == m.journal.Len() && hash == m.journal.Hash()
 }
 
-// promoteContender makes the contender current and fences the previous attempt.
-func (m *Machine) promoteContender(now time.Time) {
-	if m.current != nil {
-		m.cancelAttempt(m.current)
-		m.avoidEndpoint(m.current.stream.Endpoint)
-	}
-	m.probe.pending = false
-	m.current, m.contender = m.contender, nil
-	m.resetJournalIfFromZero(m.current)
-	m.current.lastActivity = now
-}
-
-// promoteIfContender promotes the contender if it has the given number and its engine has taken it.
-func (m *Machine) promoteIfContender(now time.Time, number int) {
-	if c := m.contender; !m.ended && c != nil && c.number == number && c.state == live {
-		m.promoteContender(now)
-	}
-}
-
 // resetJournalIfFromZero clears the journal when the attempt starts at index 0. Tokens that the
 // caller already has are generated again, checked and not relayed.
 func (m *Machine) resetJournalIfFromZero(a *attempt) {
@@ -299,21 +271,6 @@
 	m.cancelContender()
 }
 
-// CancelContender cancels the attempt that competes with the current one. It is meant for a caller
-// that disconnected and may come back for the current attempt.
-func (m *Machine) CancelContender() { m.cancelContender() }
-
-func (m *Machine) cancelContender() {
-	if m.contender != nil {
-		if m.isUnsent(m.contender) {
-			m.unplacedAttempts++
-			m.uncounted = append(m.uncounted, m.contender.number)
-		}
-		m.cancelAttempt(m.contender)
-		m.contender = nil
-	}
-}
-
 // cancelAttempt queues a Cancel for an attempt. The action is queued also while the stream has no
 // ID yet, so that the caller of the machine stops opening it.
 func (m *Machine) cancelAttempt(a *attempt) {
--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -152,7 +152,7 @@
 	a.ended = true
 	s.dropContenderCopy(a)
 	a.cancel()
-	s.f.Log.Decision(s.req.ID, "not moved", logrus.Fields{"attempt": a.number, "endpoint": a.endpoint.ID, "why": "the engine has come back", "sent": a.sent, "events": s.relayedEvents})
+	s.f.Log.Decision(s.req.ID, "not moved", logrus.Fields{"attempt": a.number, "endpoint": a.endpoint.ID, "why": "the silent engine goes on, or this one did not take the stream", "sent": a.sent, "events": s.relayedEvents})
 }
 
 // handleContenderFailure handles the end of a contender: the silent attempt stays the only one.
