--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -164,9 +164,9 @@
 	return now.Sub(r.answeredAt) <= AnswerMaxAge
 }
 
-// Evidence returns what is known about some endpoints. Those that answer have to be drawn whatever is
-// known about them: endpoints that send something are known to answer without a question, silent ones
-// are not.
+// Evidence returns what is known about some endpoints. They have to be drawn before anything is known
+// about them. Of an endpoint that is in use it is known without a question that it answers, but not that
+// it does not, so those in use would seem to answer more often.
 func (t *Tracker) Evidence(now time.Time, ids []string) Evidence {
 	var e Evidence
 	for _, id := range ids {
--- a/gateway/forward/contender.go
+++ b/gateway/forward/contender.go
@@ -139,7 +139,7 @@
 	old.ownSilence.Store(&own)
 	s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{
 		"attempt": old.number, "endpoint": old.endpoint.ID, "events": s.relayedEvents, "for": by.endpoint.ID, "from_copy": by.resumesFromCopy(),
-		"silent_ms": old.silence().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
+		"silent_ms": old.silentFor().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
 	})
 }
 
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -190,8 +190,8 @@
 	}
 }
 
-// silence returns how long nothing has come from the engine.
-func (a *attempt) silence() time.Duration {
+// silentFor returns how long nothing has come from the engine.
+func (a *attempt) silentFor() time.Duration {
 	if a.lastEventAt.IsZero() {
 		return time.Since(a.sentAt)
 	}
@@ -215,7 +215,7 @@
 		own := func() bool { return true }
 		a.ownSilence.Store(&own)
 		s.f.Log.Decision(s.req.ID, "engine given up", logrus.Fields{
-			"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayedEvents, "silent_ms": a.silence().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
+			"attempt": number, "endpoint": a.endpoint.ID, "events": s.relayedEvents, "silent_ms": a.silentFor().Milliseconds(), "timer_late_ms": s.timerLate.Milliseconds(),
 		})
 	}
 	a.cancel()
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -14,9 +14,9 @@
 )
 
 // A silent engine is not left before another one is known to be better. An assessment asks, on new
-// connections and all at once, the engine itself and the one that holds the copy of the run's memory. If
-// the latter does not answer, it asks some other engines as well: they tell whether the silence is
-// shared, and one of them may have room.
+// connections, the engine itself and the one that holds the copy of the run's memory. If the latter does
+// not answer, it asks some other engines as well: they tell whether the silence is shared, and one of them
+// may have room.
 
 const (
 	// sampleSize is how many other engines tell whether a silence is shared. If some of them are silent
@@ -129,7 +129,7 @@
 	r := &assessment{silence: s}
 	own := f.ask(&s.attempt.endpoint)
 	if s.copyAt != nil {
-		r.target = f.askCopyHolder(ctx, s, own)
+		r.target = f.askCopyHolder(ctx, s)
 	}
 	if r.target == nil {
 		f.askOthers(ctx, s)
@@ -146,14 +146,20 @@
 		r.target = f.findHelper(ctx, s.attempt)
 	}
 	r.Target, r.Copy = r.target != nil, r.target != nil && r.target.resumeFrom != copies.Holder{}
-	limit := time.Duration(2+maxTargetQuestions)*f.Settings.ProbeTimeout + f.ownDelay()
-	r.Inconclusive = r.Inconclusive || r.evidence.Returned > 0 && r.Engine == generation.Silent && !r.Copy || r.answer.late || f.ownDelay() > 0 && time.Since(startedAt) > limit
+	othersReturn := r.evidence.Returned > 0 && r.Engine == generation.Silent && !r.Copy
+	r.Inconclusive = r.Inconclusive || othersReturn || r.answer.late || f.tookTooLong(startedAt)
 	return r
 }
 
-// askCopyHolder asks the engine with the copy. It returns that engine if it answers before the silent
-// one does, or shortly after.
-func (f *Forwarder) askCopyHolder(ctx context.Context, s *silence, own *question) *moveTarget {
+// tookTooLong reports whether an assessment took longer than its questions may, as this process was paused.
+func (f *Forwarder) tookTooLong(startedAt time.Time) bool {
+	const questions = 3 + maxTargetQuestions // the engine with the copy, two samples, and the targets in turn
+	delay := f.ownDelay()
+	return delay > 0 && time.Since(startedAt) > questions*f.Settings.ProbeTimeout+delay
+}
+
+// askCopyHolder asks the engine with the copy, and returns that engine if it answers.
+func (f *Forwarder) askCopyHolder(ctx context.Context, s *silence) *moveTarget {
 	answer, ok := f.ask(s.copyAt).await(ctx, time.After(f.Settings.ProbeTimeout))
 	if !ok || !answer.asked || answer.state != generation.Working {
 		return nil
