core/liveness, gateway/forward: one definition of a shared silence, one choice of a contender's copy tracker

Found on reading the whole change: liveness decided sharing in three functions where Evidence.Shared is enough, and the tracker of a contender's copy was made in two places.

--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -51,16 +51,10 @@
 }
 
 // Shared reports whether many endpoints are silent at once.
-func (e Evidence) Shared() bool { return sharedBy(e.Silent, e.Known()) }
-
-func sharedBy(silent, all int) bool {
-	return silent >= MinSilent && float64(silent) >= SharedShare*float64(all)
+func (e Evidence) Shared() bool {
+	return e.Silent >= MinSilent && float64(e.Silent) >= SharedShare*float64(e.Known())
 }
 
-// SharedInService reports whether so many of all endpoints of a service are known to be silent that
-// their silence is shared.
-func SharedInService(silent, all int) bool { return sharedBy(silent, all) }
-
 // record holds when an endpoint last answered, when it last did not, and when it last answered after it
 // had not.
 type record struct{ answeredAt, silentAt, returnedAt time.Time }
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -163,12 +163,7 @@
 	a.placed = routing.Placed{}
 	a.sentAt = time.Now()
 	a.send = platform.EndpointRequest{LastEventID: s.lastEventID}
-	tracker := s.copies
-	if a.contender {
-		a.copies = copies.New(s.copySettings())
-		tracker = a.copies
-	}
-	tracker.RunStarted(a.sentAt, copies.Holder{})
+	s.trackerFor(a).RunStarted(a.sentAt, copies.Holder{})
 	s.attempts[a.number] = a
 	s.f.Log.Decision(s.req.ID, "passed on to a peer", logrus.Fields{"attempt": a.number, "peer": a.helper.ID, "data_centre": a.helper.DataCentre, "events": s.relayedEvents})
 	s.f.metrics.countPassedOn("stream")
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -53,11 +53,7 @@
 // address. It returns an empty string when the engines do not support continuous copies or none has
 // room.
 func (s *session) placeCopy(a *attempt) string {
-	tracker := s.copies
-	if a.contender {
-		a.copies = copies.New(s.copySettings())
-		tracker = a.copies
-	}
+	tracker := s.trackerFor(a)
 	target := s.continuousCopyEngine(&a.endpoint)
 	if target == nil {
 		tracker.RunStarted(time.Now(), copies.Holder{})
@@ -73,6 +69,16 @@
 	return target.Address
 }
 
+// trackerFor returns the tracker of the copy of an attempt's run. A contender has its own until it
+// becomes the current attempt.
+func (s *session) trackerFor(a *attempt) *copies.Tracker {
+	if !a.contender {
+		return s.copies
+	}
+	a.copies = copies.New(s.copySettings())
+	return a.copies
+}
+
 // continuousCopyEngine returns the engine that keeps a copy of a run at e while it grows; nil for none.
 func (s *session) continuousCopyEngine(e *routing.Endpoint) *routing.Endpoint {
 	engine := s.engineSpec()
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -96,7 +96,7 @@
 const maxHelperSilence = 6 * time.Second
 
 // assessHelper assesses the silence of an instance that the request was passed on to. That instance
-// itself looks after the engine, so its silence is taken for the engine's.
+// itself looks after the engine, so its silence counts as the engine's.
 func (s *session) assessHelper(a *attempt, since time.Time) generation.Assessment {
 	s.target = nil
 	if !s.f.helperAlive(a.helper.ID) {
@@ -206,7 +206,8 @@
 			silent++
 		}
 	}
-	return liveness.SharedInService(silent, f.Placement.ServiceSize(own.Service))
+	e := liveness.Evidence{Silent: silent, Answering: f.Placement.ServiceSize(own.Service) - silent}
+	return e.Shared()
 }
 
 // silenceVerdict returns a function that tells whether a silence is the engine's own. The other engines
--- a/gateway/front/review_silence_test.go
+++ b/gateway/front/review_silence_test.go
@@ -38,7 +38,7 @@
 }
 
 // TestNoStreamIsLeftForAnEngineThatFellSilent guards against streams that leave a silent engine for one
-// that fell silent a moment later: no refusal within a quarter of a second was taken for a grant.
+// that fell silent a moment later: no refusal within a quarter of a second counted as a grant.
 func TestNoStreamIsLeftForAnEngineThatFellSilent(t *testing.T) {
 	for _, noCopies := range []bool{true, false} {
 		for _, after := range []time.Duration{350, 400, 450, 500, 550, 600} {
