gateway/forward: log lines of placements and lost attempts name the parts of the prompt

Crashes under requests that share one part look like crashes under unrelated requests (hypotheses 1 and 2 of docs/incidents/crashing-parts.md). A line names 16 parts at most.

--- a/gateway/forward/identity.go
+++ b/gateway/forward/identity.go
@@ -22,5 +22,17 @@
 	)}
 }
 
+// maxLoggedParts bounds how many parts of a prompt a log line names.
+const maxLoggedParts = 16
+
+// partsText returns the ids of the parts of the prompt in order, in hexadecimal, for the log.
+func (req *request) partsText() []string {
+	out := make([]string, min(len(req.PromptParts), maxLoggedParts))
+	for i := range out {
+		out[i] = strconv.FormatUint(req.PromptParts[i].ID, 16)
+	}
+	return out
+}
+
 // contentText returns the content hash in hexadecimal for the log.
 func (req *request) contentText() string { return hex.EncodeToString(req.identity.Content[:]) }
--- a/gateway/forward/identity_test.go
+++ b/gateway/forward/identity_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/platform"
 )
 
 // TestIdentity checks which parts of a request make up its identity. A request sent again with
@@ -64,3 +65,15 @@
 		seen[c] = name
 	}
 }
+
+// TestLogLinesNamePromptParts guards against crashes whose log lines can't be compared by the parts of their
+// prompts, and against long lines for prompts of many parts.
+func TestLogLinesNamePromptParts(t *testing.T) {
+	req := &request{}
+	for i := range 2 * maxLoggedParts {
+		req.PromptParts = append(req.PromptParts, platform.PromptPart{ID: uint64(0xa0 + i)})
+	}
+	parts := req.partsText()
+	assert.Equal(t, len(parts), maxLoggedParts)
+	assert.DeepEqual(t, parts[:2], []string{"a0", "a1"})
+}
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -175,7 +175,8 @@
 		"attempt": m.attempt, "endpoint": m.endpoint, "error": errorText(m.err), "not_run": m.failure == generation.Refused, "events": s.relayedEvents,
 	}
 	if a != nil && m.failure == generation.Broken {
-		inputs["content"], inputs["after_ms"], inputs["its_events"] = s.req.contentText(), now.Sub(a.sentAt).Milliseconds(), a.eventCount
+		inputs["content"], inputs["parts"] = s.req.contentText(), s.req.partsText()
+		inputs["after_ms"], inputs["its_events"] = now.Sub(a.sentAt).Milliseconds(), a.eventCount
 		if !m.headAt.IsZero() {
 			inputs["answering_ms"] = now.Sub(m.headAt).Milliseconds()
 		}
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -328,7 +328,7 @@
 	inputs := logrus.Fields{
 		"attempt": a.number, "endpoint": a.endpoint.ID, "data_centre": a.endpoint.DataCentre,
 		"prompt_tokens": s.req.PromptTokens, "events": s.relayedEvents, "configuration": s.req.table.Version(),
-		"content": s.req.contentText(),
+		"content": s.req.contentText(), "parts": s.req.partsText(),
 	}
 	if a.rolloutTrial != nil {
 		inputs["build"] = a.endpoint.Build
