--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// Request identifies all attempts of one request, whatever their ids.
-type Request struct {
+// Subject identifies all attempts of one request, whatever their ids.
+type Subject struct {
 	// Team is the team that sends it; empty on public routes.
 	Team string
 	// Content is a hash of everything that it asks for.
@@ -109,9 +109,9 @@
 // Registry holds what one instance knows of requests that crash endpoints.
 type Registry struct {
 	set     Settings
-	entries map[Request]*entry
+	entries map[Subject]*entry
 	// byEndpoint maps each crashed endpoint to the requests that it had.
-	byEndpoint map[string]map[Request]bool
+	byEndpoint map[string]map[Subject]bool
 	teamSizes  map[string]int // number of entries by team
 }
 
@@ -138,7 +138,7 @@
 
 // New returns an empty registry.
 func New(s Settings) *Registry {
-	return &Registry{set: s, entries: map[Request]*entry{}, byEndpoint: map[string]map[Request]bool{}, teamSizes: map[string]int{}}
+	return &Registry{set: s, entries: map[Subject]*entry{}, byEndpoint: map[string]map[Subject]bool{}, teamSizes: map[string]int{}}
 }
 
 // Len returns the number of requests in the registry, and how many of them are stopped.
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -12,8 +12,8 @@
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
-func request(team string, n int) Request {
-	return Request{Team: team, Content: ContentHash{byte(n >> 8), byte(n)}}
+func request(team string, n int) Subject {
+	return Subject{Team: team, Content: ContentHash{byte(n >> 8), byte(n)}}
 }
 
 // crash returns a crash of an endpoint that had a request from sent to ended, in ms after the
@@ -27,7 +27,7 @@
 func TestVerdicts(t *testing.T) {
 	mine, other := request("desk", 1), request("desk", 2)
 	type step struct {
-		req   Request
+		req   Subject
 		crash Crash
 		clear bool
 	}
@@ -102,7 +102,7 @@
 }
 
 // crashThree records three crashes of a request, which stop it.
-func crashThree(r *Registry, req Request, from int) {
+func crashThree(r *Registry, req Subject, from int) {
 	for i := range 3 {
 		sent := from + i*1000
 		r.RecordCrash(at(sent+900), req, crash(fmt.Sprint("e", from, i), Begun, sent, sent+900))
@@ -182,11 +182,11 @@
 func TestMergeInAnyOrder(t *testing.T) {
 	req := request("desk", 1)
 	facts := []Fact{
-		{Request: req, Crashes: []Crash{crash("a", Begun, 0, 900)}},
-		{Request: req, Crashes: []Crash{crash("a", Present, 0, 900), crash("b", Begun, 901, 1800)}},
-		{Request: req, ClearedAt: at(950), Crashes: []Crash{crash("b", Begun, 901, 1800)}},
-		{Request: req, Crashes: []Crash{crash("c", Begun, 1801, 2700)}},
-		{Request: req, Crashes: []Crash{crash("d", Begun, 2701, 3600)}, ClearedAt: at(950)},
+		{Subject: req, Crashes: []Crash{crash("a", Begun, 0, 900)}},
+		{Subject: req, Crashes: []Crash{crash("a", Present, 0, 900), crash("b", Begun, 901, 1800)}},
+		{Subject: req, ClearedAt: at(950), Crashes: []Crash{crash("b", Begun, 901, 1800)}},
+		{Subject: req, Crashes: []Crash{crash("c", Begun, 1801, 2700)}},
+		{Subject: req, Crashes: []Crash{crash("d", Begun, 2701, 3600)}, ClearedAt: at(950)},
 	}
 	for _, order := range [][]int{{0, 1, 2, 3, 4}, {4, 3, 2, 1, 0}, {2, 0, 4, 1, 3, 0, 2}, {3, 4, 0, 1, 2}} {
 		r := New(DefaultSettings())
@@ -194,7 +194,7 @@
 			r.Merge(at(4000), "f2", facts[i])
 		}
 		assert.Equal(t, r.Verdict(at(4000), req, "engines"), Stopped, "%v: b, c and d", order)
-		r.Merge(at(4100), "f3", Fact{Request: req, Service: "engines", ClearedAt: at(4050)})
+		r.Merge(at(4100), "f3", Fact{Subject: req, Service: "engines", ClearedAt: at(4050)})
 		assert.Equal(t, r.Verdict(at(4100), req, "engines"), Free, "%v", order)
 		assert.Equal(t, r.Merge(at(4200), "f2", facts[4]), Change{}, "%v: crashes before the clearing", order)
 	}
@@ -266,16 +266,16 @@
 		set.MaxRequests, set.MaxPerTeam = 8, 4
 		r := New(set)
 		now := at(5000)
-		var req Request
+		var req Subject
 		req.Team = team
 		copy(req.Content[:], content)
 		ago := func(n int64) time.Time { return now.Add(-time.Duration(n)) }
 		fact := Fact{
-			Request: req, Crashes: []Crash{{Endpoint: endpoint, Phase: Phase(sign), Sent: ago(sent), At: ago(ended)}}, ClearedAt: ago(cleared), Trying: trying,
+			Subject: req, Crashes: []Crash{{Endpoint: endpoint, Phase: Phase(sign), Sent: ago(sent), At: ago(ended)}}, ClearedAt: ago(cleared), Trying: trying,
 			Stop: Stop{Count: times, At: ago(stopped), Until: ago(-until)},
 		}
 		for i := range 10 {
-			fact.Request.Content[15] = byte(i)
+			fact.Subject.Content[15] = byte(i)
 			r.Merge(now, "f1", fact)
 		}
 		all, _ := r.Len(now)
--- a/core/crashers/crashes.go
+++ b/core/crashers/crashes.go
@@ -9,13 +9,13 @@
 
 // RecordCrash records that an endpoint crashed while it had a request. It returns true if that
 // stops the request, which was not stopped before.
-func (r *Registry) RecordCrash(now time.Time, req Request, crash Crash) bool {
+func (r *Registry) RecordCrash(now time.Time, req Subject, crash Crash) bool {
 	wasStopped := r.isStopped(now, req)
 	r.addCrash(now, req, crash)
 	return r.stopIfNeeded(now, req) && !wasStopped
 }
 
-func (r *Registry) isStopped(now time.Time, req Request) bool {
+func (r *Registry) isStopped(now time.Time, req Subject) bool {
 	e := r.entries[req]
 	return e != nil && e.stopped(now)
 }
@@ -24,7 +24,7 @@
 
 // addCrash adds a crash to a request, once for each endpoint; of repeated ones the strongest phase
 // counts. It ignores crashes that have expired or are not later than the last clearing.
-func (r *Registry) addCrash(now time.Time, req Request, crash Crash) {
+func (r *Registry) addCrash(now time.Time, req Subject, crash Crash) {
 	if now.Sub(crash.At) >= r.set.Retention {
 		return
 	}
@@ -54,15 +54,15 @@
 const historyFactor = 4
 
 // linkEndpoint records in the index of crashed endpoints that this one had the request.
-func (r *Registry) linkEndpoint(req Request, crash *Crash) {
+func (r *Registry) linkEndpoint(req Subject, crash *Crash) {
 	if r.byEndpoint[crash.Endpoint] == nil {
-		r.byEndpoint[crash.Endpoint] = map[Request]bool{}
+		r.byEndpoint[crash.Endpoint] = map[Subject]bool{}
 	}
 	r.byEndpoint[crash.Endpoint][req] = true
 }
 
 // unlinkEndpoint removes the request from the index of crashed endpoints.
-func (r *Registry) unlinkEndpoint(req Request, crash *Crash) {
+func (r *Registry) unlinkEndpoint(req Subject, crash *Crash) {
 	delete(r.byEndpoint[crash.Endpoint], req)
 	if len(r.byEndpoint[crash.Endpoint]) == 0 {
 		delete(r.byEndpoint, crash.Endpoint)
@@ -70,7 +70,7 @@
 }
 
 // stopIfNeeded stops a request that has enough crashes, and reports whether it is stopped now.
-func (r *Registry) stopIfNeeded(now time.Time, req Request) bool {
+func (r *Registry) stopIfNeeded(now time.Time, req Subject) bool {
 	e := r.entries[req]
 	if e == nil {
 		return false
@@ -99,7 +99,7 @@
 
 // evaluate returns how many more incidents stop a request, and how many of its counted crashes are
 // in phase Begun.
-func (r *Registry) evaluate(now time.Time, req Request, e *entry) (missing, begun int) {
+func (r *Registry) evaluate(now time.Time, req Subject, e *entry) (missing, begun int) {
 	threshold, lateThreshold, since := r.set.CrashThreshold, r.set.LateCrashThreshold, e.clearedAt
 	if e.stop.Count > 0 { // it was stopped and may be tried again
 		threshold, lateThreshold, since = 1, 1, times.Later(e.stop.Until, e.clearedAt)
@@ -126,7 +126,7 @@
 }
 
 // countIncidents counts the incidents of a request after a time, within the retention time.
-func (r *Registry) countIncidents(now time.Time, req Request, e *entry, since time.Time) (n incidentCounts) {
+func (r *Registry) countIncidents(now time.Time, req Subject, e *entry, since time.Time) (n incidentCounts) {
 	var last, lastEarly time.Time
 	for _, crash := range sortedByTime(e.crashes) {
 		if !crash.At.After(since) || now.Sub(crash.At) >= r.set.Retention || !r.implicates(req, &crash) {
@@ -153,7 +153,7 @@
 
 // implicates reports whether a crash counts against a request. It does not if another request at
 // the endpoint is a more likely cause.
-func (r *Registry) implicates(req Request, crash *Crash) bool {
+func (r *Registry) implicates(req Subject, crash *Crash) bool {
 	if crash.Phase == Begun {
 		return true
 	}
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -3,7 +3,7 @@
 //
 // Clients retry a request of this kind under a new id, at any instance, and each retry crashes as
 // many endpoints as one request may try. The attempts share their content, so a [Registry] records,
-// for each [Request] (team and content hash), which endpoints crashed while they had it, and in
+// for each [Subject] (team and content hash), which endpoints crashed while they had it, and in
 // which [Phase]. After [Settings.CrashThreshold] crashes the request is stopped for a while.
 //
 // # Contract
--- a/core/crashers/eviction.go
+++ b/core/crashers/eviction.go
@@ -10,7 +10,7 @@
 
 // getOrCreate returns the entry of a request, creating it if needed. It evicts others to make room,
 // and returns nil if that fails.
-func (r *Registry) getOrCreate(now time.Time, req Request) *entry {
+func (r *Registry) getOrCreate(now time.Time, req Subject) *entry {
 	if e := r.entries[req]; e != nil {
 		return e
 	}
@@ -46,7 +46,7 @@
 	return at
 }
 
-func (r *Registry) drop(req Request) {
+func (r *Registry) drop(req Subject) {
 	e := r.entries[req]
 	if e == nil {
 		return
@@ -75,7 +75,7 @@
 // evict drops the least suspicious request of a team: the one with the lowest severity, then with
 // the fewest crashes, then with the oldest activity. It returns false if the team has none.
 func (r *Registry) evict(now time.Time, team string) bool {
-	var all []Request
+	var all []Subject
 	for req := range r.entries {
 		if req.Team == team {
 			all = append(all, req)
@@ -84,11 +84,11 @@
 	if len(all) == 0 {
 		return false
 	}
-	r.drop(slices.MinFunc(all, func(a, b Request) int { return r.compare(now, a, b) }))
+	r.drop(slices.MinFunc(all, func(a, b Subject) int { return r.compare(now, a, b) }))
 	return true
 }
 
-func (r *Registry) compare(now time.Time, a, b Request) int {
+func (r *Registry) compare(now time.Time, a, b Subject) int {
 	x, y := r.entries[a], r.entries[b]
 	return cmp.Or(
 		cmp.Compare(x.severity(now), y.severity(now)),
--- a/core/crashers/fact.go
+++ b/core/crashers/fact.go
@@ -11,7 +11,7 @@
 // Fact is what one instance tells the others about a request. Its times are on the clock of the
 // instance that holds it.
 type Fact struct {
-	Request Request
+	Subject Subject
 	// Service is the service whose endpoints crashed.
 	Service string
 	Crashes []Crash
@@ -24,24 +24,24 @@
 
 // Fact returns what to tell other instances about a request; false if nothing is known of it.
 // instance is the name of this instance.
-func (r *Registry) Fact(now time.Time, req Request, instance string) (Fact, bool) {
+func (r *Registry) Fact(now time.Time, req Subject, instance string) (Fact, bool) {
 	e := r.entries[req]
 	if e == nil {
 		return Fact{}, false
 	}
-	return Fact{Request: req, Service: e.service, Crashes: sortedByTime(e.crashes), ClearedAt: e.clearedAt, Stop: e.stop, Trying: now.Before(e.trials[instance])}, true
+	return Fact{Subject: req, Service: e.service, Crashes: sortedByTime(e.crashes), ClearedAt: e.clearedAt, Stop: e.stop, Trying: now.Before(e.trials[instance])}, true
 }
 
 // StoppedRequests returns the requests that are or were stopped and have not been cleared since,
 // ordered by team and content.
-func (r *Registry) StoppedRequests() []Request {
-	var out []Request
+func (r *Registry) StoppedRequests() []Subject {
+	var out []Subject
 	for req, e := range r.entries {
 		if e.stop.Count > 0 {
 			out = append(out, req)
 		}
 	}
-	slices.SortFunc(out, func(a, b Request) int {
+	slices.SortFunc(out, func(a, b Subject) int {
 		return cmp.Or(cmp.Compare(a.Team, b.Team), slices.Compare(a.Content[:], b.Content[:]))
 	})
 	return out
@@ -51,28 +51,28 @@
 // changed. from is the sender, whose trial the fact reports. It ignores a crash, clearing or stop
 // that is in the future.
 func (r *Registry) Merge(now time.Time, from string, f Fact) Change {
-	wasStopped := r.isStopped(now, f.Request)
-	if r.entries[f.Request] == nil && len(f.Crashes) == 0 && f.Stop.Count == 0 && !f.Trying {
+	wasStopped := r.isStopped(now, f.Subject)
+	if r.entries[f.Subject] == nil && len(f.Crashes) == 0 && f.Stop.Count == 0 && !f.Trying {
 		return Change{} // the fact only reports a clearing, and there is nothing to clear here
 	}
-	e := r.getOrCreate(now, f.Request)
+	e := r.getOrCreate(now, f.Subject)
 	if e == nil {
 		return Change{}
 	}
 	e.service = f.Service
 	cleared := f.ClearedAt.After(e.clearedAt) && !f.ClearedAt.After(now)
 	if cleared {
-		r.clear(f.Request, f.ClearedAt)
+		r.clear(f.Subject, f.ClearedAt)
 	}
 	for _, crash := range f.Crashes[:min(len(f.Crashes), historyFactor*r.set.CrashThreshold)] {
 		if !crash.At.After(now) && crash.Phase.strength() > 0 {
 			crash.Service = f.Service
-			r.addCrash(now, f.Request, crash)
+			r.addCrash(now, f.Subject, crash)
 		}
 	}
 	e.mergeStop(r.clampStop(now, f.Stop))
 	e.mergeTrial(from, f.Trying, now.Add(r.set.TrialTimeout))
-	return Change{Cleared: cleared, Stopped: r.stopIfNeeded(now, f.Request) && !wasStopped}
+	return Change{Cleared: cleared, Stopped: r.stopIfNeeded(now, f.Subject) && !wasStopped}
 }
 
 // Change says what a fact changed: the request was cleared, or it became stopped.
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -6,7 +6,7 @@
 )
 
 // Verdict returns how a request may be sent to a service.
-func (r *Registry) Verdict(now time.Time, req Request, service string) Verdict {
+func (r *Registry) Verdict(now time.Time, req Subject, service string) Verdict {
 	e := r.entries[req]
 	if e == nil {
 		e = &entry{}
@@ -28,7 +28,7 @@
 
 // Stop returns the stop of a request; the zero value if the request is unknown or not stopped since
 // it was cleared.
-func (r *Registry) Stop(req Request) Stop {
+func (r *Registry) Stop(req Subject) Stop {
 	if e := r.entries[req]; e != nil {
 		return e.stop
 	}
@@ -37,7 +37,7 @@
 
 // MarkStored records that the stop of a request is in the platform's store, where it outlives all
 // instances.
-func (r *Registry) MarkStored(req Request) {
+func (r *Registry) MarkStored(req Subject) {
 	if e := r.entries[req]; e != nil {
 		e.stop.Stored = true
 	}
@@ -45,7 +45,7 @@
 
 // Clear drops the crashes and the stop of a request that was served, or that an operator released.
 // It returns true if there were any.
-func (r *Registry) Clear(now time.Time, req Request) bool {
+func (r *Registry) Clear(now time.Time, req Subject) bool {
 	e := r.entries[req]
 	if e == nil || len(e.crashes) == 0 && e.stop.Count == 0 {
 		return false
@@ -57,7 +57,7 @@
 // ClearOnProgress clears a request that has been served for a while but not to its end. It does
 // nothing if a late crash is recorded, since this progress does not disprove it. It returns true if
 // it cleared anything.
-func (r *Registry) ClearOnProgress(now time.Time, req Request) bool {
+func (r *Registry) ClearOnProgress(now time.Time, req Subject) bool {
 	if e := r.entries[req]; e != nil && slices.ContainsFunc(e.crashes, func(crash Crash) bool { return crash.Phase == Late }) {
 		return false
 	}
@@ -65,7 +65,7 @@
 }
 
 // clear drops the stop, the trials, and all crashes up to a time.
-func (r *Registry) clear(req Request, at time.Time) {
+func (r *Registry) clear(req Subject, at time.Time) {
 	e := r.entries[req]
 	e.clearedAt, e.stop, e.trials = at, Stop{}, nil
 	kept := e.crashes[:0]
@@ -84,7 +84,7 @@
 // while any other request of the team to the service is tried, by whatever instance. If the
 // registry has no room, the trial is granted but not recorded. The caller ends it with
 // [Registry.ReleaseTrial].
-func (r *Registry) AcquireTrial(now time.Time, req Request, service, instance string) bool {
+func (r *Registry) AcquireTrial(now time.Time, req Subject, service, instance string) bool {
 	harmful := r.isHarmfulTeam(now, req.Team, service)
 	for other, e := range r.entries {
 		if other == req || harmful && other.Team == req.Team && e.service == service {
@@ -119,7 +119,7 @@
 }
 
 // ReleaseTrial ends the trial of a request by an instance.
-func (r *Registry) ReleaseTrial(req Request, instance string) {
+func (r *Registry) ReleaseTrial(req Subject, instance string) {
 	if e := r.entries[req]; e != nil {
 		delete(e.trials, instance)
 	}
--- a/gateway/crashes/broadcast.go
+++ b/gateway/crashes/broadcast.go
@@ -22,7 +22,7 @@
 )
 
 // scheduleBroadcast schedules the broadcast of what is known of a request. The caller holds mu.
-func (r *Registry) scheduleBroadcast(req crashers.Request) {
+func (r *Registry) scheduleBroadcast(req crashers.Subject) {
 	r.broadcasts[req] = broadcastCount
 	r.updateGauges(time.Now())
 	notify(r.wake)
--- a/gateway/crashes/codec_test.go
+++ b/gateway/crashes/codec_test.go
@@ -17,7 +17,7 @@
 	now := time.Now()
 	end := crashers.Crash{Endpoint: "i-1", Phase: crashers.Begun, Sent: now.Add(-2 * time.Second), At: now.Add(-time.Second)}
 	return crashers.Fact{
-		Request: crashers.Request{Team: team, Content: crashers.ContentHash{1, 2, 3}}, Service: "engines", Crashes: []crashers.Crash{end, end, end},
+		Subject: crashers.Subject{Team: team, Content: crashers.ContentHash{1, 2, 3}}, Service: "engines", Crashes: []crashers.Crash{end, end, end},
 		Stop: crashers.Stop{Count: 1, At: now, Until: now.Add(10 * time.Minute)},
 	}
 }
@@ -31,7 +31,7 @@
 	f.ClearedAt, f.Trying, f.Stop.Stored = now.Add(-time.Minute), true, true
 	got := DecodeFacts(now, EncodeFacts(now, []crashers.Fact{f}))
 	assert.Equal(t, len(got), 1)
-	assert.Equal(t, got[0].Request, f.Request)
+	assert.Equal(t, got[0].Subject, f.Subject)
 	assert.Equal(t, len(got[0].Crashes), len(f.Crashes))
 	near := func(a, b time.Time) {
 		t.Helper()
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -38,7 +38,7 @@
 	// stops in the store.
 	Broadcast func(facts []crashers.Fact, complete bool)
 	// OnStopped is called when a request has been stopped, by this instance or by another one.
-	OnStopped func(crashers.Request)
+	OnStopped func(crashers.Subject)
 	Log       *logrus.Entry
 	Scope     tally.Scope
 }
@@ -56,9 +56,9 @@
 
 	mu         sync.Mutex
 	core       *crashers.Registry
-	trials     map[crashers.Request]any       // owner of each trial of this instance
-	broadcasts map[crashers.Request]int       // how often to send each fact still
-	writes     map[crashers.Request]time.Time // when to write each stop to the store
+	trials     map[crashers.Subject]any       // owner of each trial of this instance
+	broadcasts map[crashers.Subject]int       // how often to send each fact still
+	writes     map[crashers.Subject]time.Time // when to write each stop to the store
 	// complete reports whether all stops in the store are known.
 	complete bool
 }
@@ -68,7 +68,7 @@
 func New(o Options) *Registry {
 	return &Registry{
 		Options: o, metrics: newMetrics(o.Scope), wake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), core: crashers.New(o.Settings),
-		trials: map[crashers.Request]any{}, broadcasts: map[crashers.Request]int{}, writes: map[crashers.Request]time.Time{},
+		trials: map[crashers.Subject]any{}, broadcasts: map[crashers.Subject]int{}, writes: map[crashers.Subject]time.Time{},
 	}
 }
 
@@ -77,7 +77,7 @@
 func (r *Registry) HasRecords() bool { return r.hasRecords.Load() }
 
 // Verdict returns how a request may be sent to a service, and for how long it is still stopped.
-func (r *Registry) Verdict(req crashers.Request, service string) (crashers.Verdict, time.Duration) {
+func (r *Registry) Verdict(req crashers.Subject, service string) (crashers.Verdict, time.Duration) {
 	if !r.HasRecords() {
 		return crashers.Free, 0
 	}
@@ -87,7 +87,7 @@
 }
 
 // verdict is [Registry.Verdict] for a caller that holds mu.
-func (r *Registry) verdict(now time.Time, req crashers.Request, service string) (crashers.Verdict, time.Duration) {
+func (r *Registry) verdict(now time.Time, req crashers.Subject, service string) (crashers.Verdict, time.Duration) {
 	return r.core.Verdict(now, req, service), max(r.core.Stop(req).Until.Sub(now), 0)
 }
 
@@ -105,7 +105,7 @@
 // Admit decides whether a request may be sent to an endpoint of a service. If the request is
 // Careful and not Busy, its trial belongs to owner from then on, and owner ends it with
 // [Registry.ReleaseTrial].
-func (r *Registry) Admit(req crashers.Request, service string, owner any) Admission {
+func (r *Registry) Admit(req crashers.Subject, service string, owner any) Admission {
 	if !r.HasRecords() {
 		return Admission{}
 	}
@@ -118,7 +118,7 @@
 
 // acquireTrial acquires the trial of a request for owner. It returns false while another owner or
 // instance has it. The caller holds mu.
-func (r *Registry) acquireTrial(now time.Time, req crashers.Request, service string, owner any) bool {
+func (r *Registry) acquireTrial(now time.Time, req crashers.Subject, service string, owner any) bool {
 	if other := r.trials[req]; other != nil && other != owner {
 		return false
 	}
@@ -132,7 +132,7 @@
 
 // RecordCrash records that an endpoint crashed while it had a request. inputs are what the attribution
 // was based on, for the log.
-func (r *Registry) RecordCrash(req crashers.Request, crash crashers.Crash, inputs logrus.Fields) {
+func (r *Registry) RecordCrash(req crashers.Subject, crash crashers.Crash, inputs logrus.Fields) {
 	r.mu.Lock()
 	now := time.Now()
 	stopped := r.core.RecordCrash(now, req, crash)
@@ -155,13 +155,13 @@
 }
 
 // log returns a logger with the fields that identify a request.
-func (r *Registry) log(req crashers.Request, inputs logrus.Fields) *logrus.Entry {
+func (r *Registry) log(req crashers.Subject, inputs logrus.Fields) *logrus.Entry {
 	return r.Log.WithFields(inputs).WithFields(logrus.Fields{"team": req.Team, "content": hex.EncodeToString(req.Content[:])})
 }
 
 // reportStopped counts and logs that a request was stopped, and calls OnStopped. how says who
 // decided it.
-func (r *Registry) reportStopped(req crashers.Request, how string) {
+func (r *Registry) reportStopped(req crashers.Subject, how string) {
 	r.mu.Lock()
 	f, _ := r.core.Fact(time.Now(), req, r.Self)
 	r.mu.Unlock()
@@ -174,7 +174,7 @@
 
 // ClearOnAnswer records that a request was answered, and clears it: it does not crash the endpoints
 // that run it.
-func (r *Registry) ClearOnAnswer(req crashers.Request) {
+func (r *Registry) ClearOnAnswer(req crashers.Subject) {
 	if r.HasRecords() {
 		r.clear(req, "served")
 	}
@@ -182,7 +182,7 @@
 
 // ClearOnProgress records that a request has been served for [ProgressAfter]. It clears the request
 // unless a late crash is recorded for it.
-func (r *Registry) ClearOnProgress(req crashers.Request) {
+func (r *Registry) ClearOnProgress(req crashers.Subject) {
 	if r.HasRecords() {
 		r.clearWith(req, "served for a while", r.core.ClearOnProgress)
 	}
@@ -199,15 +199,15 @@
 
 // Release clears a request on behalf of an operator. It returns false if nothing is recorded for
 // it.
-func (r *Registry) Release(req crashers.Request) bool { return r.clear(req, "released") }
+func (r *Registry) Release(req crashers.Subject) bool { return r.clear(req, "released") }
 
-func (r *Registry) clear(req crashers.Request, why string) bool {
+func (r *Registry) clear(req crashers.Subject, why string) bool {
 	return r.clearWith(req, why, r.core.Clear)
 }
 
 // clearWith clears a request by a function of the core registry, tells the others, and deletes a
 // stored stop in the background. It returns false if there was nothing to clear.
-func (r *Registry) clearWith(req crashers.Request, why string, clear func(time.Time, crashers.Request) bool) bool {
+func (r *Registry) clearWith(req crashers.Subject, why string, clear func(time.Time, crashers.Subject) bool) bool {
 	r.mu.Lock()
 	stored := r.core.Stop(req).Stored
 	cleared := clear(time.Now(), req)
@@ -227,7 +227,7 @@
 }
 
 // ReleaseTrial ends the trial of a request. It does nothing if owner does not have that trial.
-func (r *Registry) ReleaseTrial(req crashers.Request, owner any) {
+func (r *Registry) ReleaseTrial(req crashers.Subject, owner any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.trials[req] != owner {
@@ -244,9 +244,9 @@
 	r.mu.Lock()
 	now := time.Now()
 	r.complete = r.complete || complete
-	var stopped []crashers.Request
+	var stopped []crashers.Subject
 	for i := range facts {
-		req := facts[i].Request
+		req := facts[i].Subject
 		if r.core.Merge(now, from, facts[i]).Stopped {
 			stopped = append(stopped, req)
 		}
@@ -302,9 +302,9 @@
 	out := make([]State, len(facts))
 	for i := range facts {
 		f := &facts[i]
-		v, left := r.Verdict(f.Request, f.Service)
+		v, left := r.Verdict(f.Subject, f.Service)
 		out[i] = State{
-			Team: f.Request.Team, Service: f.Service, Content: hex.EncodeToString(f.Request.Content[:]), Verdict: v.String(),
+			Team: f.Subject.Team, Service: f.Service, Content: hex.EncodeToString(f.Subject.Content[:]), Verdict: v.String(),
 			Times: f.Stop.Count, ForMS: left.Milliseconds(), Stored: f.Stop.Stored, Endpoints: crashedEndpoints(f),
 		}
 	}
@@ -317,7 +317,7 @@
 	n := 0
 	facts, _ := r.Facts()
 	for i := range facts {
-		if req := facts[i].Request; hex.EncodeToString(req.Content[:]) == content && r.Release(req) {
+		if req := facts[i].Subject; hex.EncodeToString(req.Content[:]) == content && r.Release(req) {
 			n++
 		}
 	}
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -144,7 +144,7 @@
 				}
 			}
 		},
-		OnStopped: func(crashers.Request) {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope,
+		OnStopped: func(crashers.Subject) {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
@@ -157,7 +157,7 @@
 	go r.Run(ctx)
 }
 
-var harmful = crashers.Request{Team: "desk", Content: crashers.ContentHash{7}}
+var harmful = crashers.Subject{Team: "desk", Content: crashers.ContentHash{7}}
 
 // crashEndpoints records one crash of an endpoint at each of the given instances, in turn, for the
 // same request.
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -70,7 +70,7 @@
 }
 
 // scheduleWrite schedules the write of a stop. The caller holds mu.
-func (r *Registry) scheduleWrite(req crashers.Request, at time.Time) {
+func (r *Registry) scheduleWrite(req crashers.Subject, at time.Time) {
 	r.writes[req] = at
 	notify(r.storeWake)
 }
@@ -97,7 +97,7 @@
 	for i := range facts {
 		if time.Since(facts[i].Stop.Until) >= deleteAfter && deleted < maxDeletes {
 			deleted++
-			r.deleteStop(facts[i].Request)
+			r.deleteStop(facts[i].Subject)
 		}
 	}
 }
@@ -132,7 +132,7 @@
 		}
 		// Times in the store come from another machine's clock, which may be some seconds off.
 		out = append(out, crashers.Fact{
-			Request: crashers.Request{Team: e.Team, Content: crashers.ContentHash(content)}, Service: e.Service,
+			Subject: crashers.Subject{Team: e.Team, Content: crashers.ContentHash(content)}, Service: e.Service,
 			Stop: crashers.Stop{Count: e.Times, At: times.Earlier(e.At, time.Now()), Until: e.Until, Stored: true},
 		})
 	}
@@ -164,7 +164,7 @@
 // scheduleBackupWrite schedules the write of a stop that another instance decided, in case that
 // instance does not write it. It cancels the write of a stop that is stored or over. The caller
 // holds mu.
-func (r *Registry) scheduleBackupWrite(now time.Time, req crashers.Request) {
+func (r *Registry) scheduleBackupWrite(now time.Time, req crashers.Subject) {
 	s := r.core.Stop(req)
 	_, planned := r.writes[req]
 	switch {
@@ -178,7 +178,7 @@
 
 // nextWrite returns the stop to write next and the time until then. It returns maxStoreWait if
 // there is none.
-func (r *Registry) nextWrite() (next crashers.Request, wait time.Duration) {
+func (r *Registry) nextWrite() (next crashers.Subject, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wait = maxStoreWait
@@ -194,7 +194,7 @@
 const maxStoreWait = time.Hour
 
 // writeStop writes a stop to the store. If that fails, it schedules another attempt.
-func (r *Registry) writeStop(ctx context.Context, req crashers.Request) {
+func (r *Registry) writeStop(ctx context.Context, req crashers.Subject) {
 	r.mu.Lock()
 	f, _ := r.core.Fact(time.Now(), req, r.Self)
 	r.mu.Unlock()
@@ -222,7 +222,7 @@
 
 // announceStored records that a stop is stored and tells the others without the delay of
 // [broadcastGap], since each of them may be about to write it.
-func (r *Registry) announceStored(req crashers.Request) {
+func (r *Registry) announceStored(req crashers.Subject) {
 	r.mu.Lock()
 	delete(r.writes, req)
 	r.core.MarkStored(req)
@@ -236,7 +236,7 @@
 }
 
 // deleteStop deletes a stop from the store. One that can't be deleted expires there.
-func (r *Registry) deleteStop(req crashers.Request) {
+func (r *Registry) deleteStop(req crashers.Subject) {
 	ctx, cancel := context.WithTimeout(context.Background(), backupWriteDelay)
 	defer cancel()
 	if err := r.Store.Delete(ctx, platform.KindStoppedRequest, hex.EncodeToString(req.Content[:]), revision.Position{}); err != nil {
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -144,7 +144,7 @@
 		Discovered: func() <-chan struct{} { return discovered },
 		Instances:  func() (int, int) { n := len(d.Fleet.Others()) + 1; return n, n },
 		Broadcast:  func(facts []crashers.Fact, complete bool) { d.peering.BroadcastCrashes(facts, complete) },
-		OnStopped:  func(crashers.Request) {}, Log: t.Log, Scope: t.Scope,
+		OnStopped:  func(crashers.Subject) {}, Log: t.Log, Scope: t.Scope,
 	})
 	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope, Log: t.Log}
 	d.restore = restore.New(restore.Options{
--- a/gateway/exchange/crashes_test.go
+++ b/gateway/exchange/crashes_test.go
@@ -16,7 +16,7 @@
 	now := time.Now()
 	end := crashers.Crash{Endpoint: "i-1", Phase: crashers.Begun, Sent: now.Add(-2 * time.Second), At: now.Add(-time.Second)}
 	return crashers.Fact{
-		Request: crashers.Request{Team: team, Content: crashers.ContentHash{1, 2, 3}}, Crashes: []crashers.Crash{end, end, end},
+		Subject: crashers.Subject{Team: team, Content: crashers.ContentHash{1, 2, 3}}, Crashes: []crashers.Crash{end, end, end},
 		Stop: crashers.Stop{Count: 1, At: now, Until: now.Add(10 * time.Minute)},
 	}
 }
@@ -28,7 +28,7 @@
 		var facts []crashers.Fact
 		for i := range 100 {
 			f := stoppedFact("desk")
-			f.Request.Content[15] = byte(i)
+			f.Subject.Content[15] = byte(i)
 			for len(f.Crashes) < 12 {
 				f.Crashes = append(f.Crashes, f.Crashes[0])
 			}
@@ -41,7 +41,7 @@
 		w.nodes[0].TellCrashes(facts, true)
 		time.Sleep(100 * time.Millisecond)
 		for i := range facts {
-			assert.Assert(w, w.nodes[1].crashes.knows(facts[i].Request), "%d", i)
+			assert.Assert(w, w.nodes[1].crashes.knows(facts[i].Subject), "%d", i)
 		}
 	})
 }
@@ -55,7 +55,7 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			runFleet(t, size, true, func(w *fleet) {
 				fact := stoppedFact("desk")
-				knows := func(n *node) bool { return n.crashes.knows(fact.Request) }
+				knows := func(n *node) bool { return n.crashes.knows(fact.Subject) }
 				inCutDataCentre := func(name string) bool {
 					var i int
 					_, err := fmt.Sscanf(name, "f%d", &i)
@@ -106,7 +106,7 @@
 				informed.crashes.setOwn(fact)
 				asking.askForCrashes(before)
 				asking.askForCrashes([]string{informed.Self.ID})
-				took := w.timeUntil(settle, func(n *node) bool { return n.crashes.knows(fact.Request) }, 1, 2)
+				took := w.timeUntil(settle, func(n *node) bool { return n.crashes.knows(fact.Subject) }, 1, 2)
 				assert.Assert(w, took < settle, "%v", took)
 			})
 		})
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -94,7 +94,7 @@
 type crashRecorder struct {
 	mu       sync.Mutex
 	own      []crashers.Fact
-	heard    map[crashers.Request]time.Time
+	heard    map[crashers.Subject]time.Time
 	complete bool
 }
 
@@ -104,9 +104,9 @@
 	r.complete = r.complete || complete
 	for i := range facts {
 		if r.heard == nil {
-			r.heard = map[crashers.Request]time.Time{}
+			r.heard = map[crashers.Subject]time.Time{}
 		}
-		r.heard[facts[i].Request] = time.Now()
+		r.heard[facts[i].Subject] = time.Now()
 	}
 }
 
@@ -125,7 +125,7 @@
 	r.own = facts
 }
 
-func (r *crashRecorder) knows(req crashers.Request) bool {
+func (r *crashRecorder) knows(req crashers.Subject) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, ok := r.heard[req]
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -20,34 +20,34 @@
 type Crashes interface {
 	// Verdict returns what may be done with a request to a service, and for how much longer it is
 	// stopped.
-	Verdict(req crashers.Request, service string) (crashers.Verdict, time.Duration)
+	Verdict(req crashers.Subject, service string) (crashers.Verdict, time.Duration)
 	// RecordCrash records that an endpoint crashed while it had a request. ClearOnProgress records
 	// that an endpoint has served the request for a while, and ClearOnAnswer that the whole answer
 	// arrived, also an error answer. Both clear the request of the suspicion that it crashes
 	// endpoints; after a late crash only ClearOnAnswer does.
-	RecordCrash(req crashers.Request, crash crashers.Crash, inputs logrus.Fields)
-	ClearOnProgress(crashers.Request)
-	ClearOnAnswer(crashers.Request)
+	RecordCrash(req crashers.Subject, crash crashers.Crash, inputs logrus.Fields)
+	ClearOnProgress(crashers.Subject)
+	ClearOnAnswer(crashers.Subject)
 	// Admit reports whether a request may be sent to an endpoint of a service. A suspected request
 	// is on trial by owner from then on, until owner calls ReleaseTrial. Only one owner tries it
 	// at a time.
-	Admit(req crashers.Request, service string, owner any) crashes.Admission
-	ReleaseTrial(req crashers.Request, owner any)
+	Admit(req crashers.Subject, service string, owner any) crashes.Admission
+	ReleaseTrial(req crashers.Subject, owner any)
 }
 
 // noCrashes suspects no request.
 type noCrashes struct{}
 
-func (noCrashes) Verdict(crashers.Request, string) (crashers.Verdict, time.Duration) {
+func (noCrashes) Verdict(crashers.Subject, string) (crashers.Verdict, time.Duration) {
 	return crashers.Free, 0
 }
-func (noCrashes) RecordCrash(crashers.Request, crashers.Crash, logrus.Fields) {}
-func (noCrashes) ClearOnProgress(crashers.Request)                            {}
-func (noCrashes) ClearOnAnswer(crashers.Request)                              {}
-func (noCrashes) Admit(crashers.Request, string, any) crashes.Admission {
+func (noCrashes) RecordCrash(crashers.Subject, crashers.Crash, logrus.Fields) {}
+func (noCrashes) ClearOnProgress(crashers.Subject)                            {}
+func (noCrashes) ClearOnAnswer(crashers.Subject)                              {}
+func (noCrashes) Admit(crashers.Subject, string, any) crashes.Admission {
 	return crashes.Admission{}
 }
-func (noCrashes) ReleaseTrial(crashers.Request, any) {}
+func (noCrashes) ReleaseTrial(crashers.Subject, any) {}
 
 // refuseIfStopped refuses a request that is stopped.
 func (f *Forwarder) refuseIfStopped(req *request) *refusal {
@@ -161,7 +161,7 @@
 
 // stopStreams ends the streams of a stopped request that have no events yet, at all engines. Another
 // instance may have found that the request crashes them.
-func (f *Forwarder) stopStreams(stopped crashers.Request) {
+func (f *Forwarder) stopStreams(stopped crashers.Subject) {
 	f.sessionsMu.Lock()
 	var affected []*session
 	for s := range f.sessions {
@@ -181,7 +181,7 @@
 
 // StopRequest ends the streams, unless they have events, of a request that was stopped by this
 // instance or by another one. It does not block.
-func (f *Forwarder) StopRequest(req crashers.Request) { go f.stopStreams(req) }
+func (f *Forwarder) StopRequest(req crashers.Subject) { go f.stopStreams(req) }
 
 // awaitAdmission returns nil when a plain request may be sent to an endpoint, or the refusal if
 // not. While the request is on trial elsewhere it waits, for as long as it would wait for an
--- a/gateway/forward/identity.go
+++ b/gateway/forward/identity.go
@@ -16,7 +16,7 @@
 		length = req.contentLength
 	}
 	team := req.teamName()
-	req.identity = crashers.Request{Team: team, Content: crashers.HashContent(
+	req.identity = crashers.Subject{Team: team, Content: crashers.HashContent(
 		[]byte(team), []byte(req.httpRequest.Method), []byte(req.httpRequest.Host), []byte(req.httpRequest.RequestURI),
 		strconv.AppendInt(nil, length, 10), req.body,
 	)}
--- a/gateway/forward/identity_test.go
+++ b/gateway/forward/identity_test.go
@@ -19,7 +19,7 @@
 		team, method, host, target, body, id, prompt string
 		large                                        int64 // stated length of a body that is not all in memory; -1 for chunks, 0 for a buffered body
 	}
-	identityOf := func(p parts) crashers.Request {
+	identityOf := func(p parts) crashers.Subject {
 		r, err := http.NewRequest(p.method, "http://x", nil)
 		assert.NilError(t, err)
 		r.Host, r.RequestURI = p.host, p.target
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -205,7 +205,7 @@
 		Discovered: func() <-chan struct{} { return f.exchange.DiscoveryDone() },
 		Instances:  func() (int, int) { return f.exchange.Instances() },
 		Broadcast:  func(facts []crashers.Fact, complete bool) { f.exchange.TellCrashes(facts, complete) },
-		OnStopped:  func(r crashers.Request) { f.forwarder.StopRequest(r) },
+		OnStopped:  func(r crashers.Subject) { f.forwarder.StopRequest(r) },
 		Log:        t.Log, Scope: t.Scope,
 	})
 	f.exchange = exchange.New(exchange.Options{
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -19,7 +19,7 @@
 type session struct {
 	*Deps
 	x       *Exchange
-	request crashers.Request
+	request crashers.Subject
 	routing routing.Request
 	ctx     context.Context
 	cancel  context.CancelFunc
