--- a/cli/command/stopped.go
+++ b/cli/command/stopped.go
@@ -32,9 +32,9 @@
 
 // printStopped writes the table of stopped requests to w, which aligns the columns.
 func printStopped(w io.Writer, stopped []crashes.State) {
-	_, _ = fmt.Fprintln(w, "CONTENT\tTEAM\tVERDICT\tFOR\tTIMES\tKEPT\tENDPOINTS")
+	_, _ = fmt.Fprintln(w, "CONTENT\tTEAM\tPART\tVERDICT\tFOR\tTIMES\tKEPT\tENDPOINTS")
 	for _, s := range stopped {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%v\t%s\n",
-			s.Content, s.Team, s.Verdict, roundToSeconds(s.ForMS), s.Times, s.Stored, strings.Join(s.Endpoints, " "))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%d\t%v\t%s\n",
+			s.Content, s.Team, s.Part, s.Verdict, roundToSeconds(s.ForMS), s.Times, s.Stored, strings.Join(s.Endpoints, " "))
 	}
 }
--- a/core/crashers/crashers.go
+++ b/core/crashers/crashers.go
@@ -4,12 +4,15 @@
 	"time"
 )
 
-// Subject identifies all attempts of one request, whatever their ids.
+// Subject is what crashes are blamed on: a request with all its attempts, whatever their ids, or a part of
+// prompts that requests of a team share.
 type Subject struct {
 	// Team is the team that sends it; empty on public routes.
 	Team string
-	// Content is a hash of everything that it asks for.
+	// Content is a hash of everything that the request asks for, or of the part's id.
 	Content ContentHash
+	// Part is the id of the part in hexadecimal; empty for a request as a whole.
+	Part string
 }
 
 // Phase says how far an endpoint was with a request when it crashed. Zero is not a phase.
@@ -85,7 +88,7 @@
 	MinStop, MaxStop time.Duration
 	// TrialTimeout is how long a trial blocks others if its end is never reported.
 	TrialTimeout time.Duration
-	// MaxPerTeam and MaxRequests bound the requests in a registry.
+	// MaxPerTeam and MaxRequests bound the requests and parts of prompts in a registry.
 	MaxPerTeam, MaxRequests int
 	// HarmfulThreshold is the number of requests that make a team harmful to a service: requests
 	// that had begun at an endpoint of the service that crashed within HarmfulWindow. Requests of a
@@ -102,7 +105,7 @@
 	return Settings{
 		CrashThreshold: 3, LateCrashThreshold: 5, CoincidenceWindow: 300 * time.Millisecond, Retention: time.Hour,
 		MinStop: 10 * time.Minute, MaxStop: 4 * time.Hour, TrialTimeout: 30 * time.Second,
-		MaxPerTeam: 64, MaxRequests: 1024, HarmfulThreshold: 4, HarmfulWindow: 30 * time.Second,
+		MaxPerTeam: 256, MaxRequests: 2048, HarmfulThreshold: 4, HarmfulWindow: 30 * time.Second,
 	}
 }
 
@@ -113,6 +116,7 @@
 	// byEndpoint maps each crashed endpoint to the requests that it had.
 	byEndpoint map[string]map[Subject]bool
 	teamSizes  map[string]int // number of entries by team
+	answered   answeredParts
 }
 
 // entry is what is known of one request.
--- a/core/crashers/crashers_test.go
+++ b/core/crashers/crashers_test.go
@@ -16,6 +16,19 @@
 	return Subject{Team: team, Content: ContentHash{byte(n >> 8), byte(n)}}
 }
 
+// recordWhole, verdictOf and acquireWhole call the registry for a request without parts.
+func (r *Registry) recordWhole(now time.Time, s Subject, crash Crash) bool {
+	return len(r.RecordCrash(now, Request{Whole: s}, crash)) > 0
+}
+
+func (r *Registry) verdictOf(now time.Time, s Subject, service string) Verdict {
+	return r.Decide(now, &Request{Whole: s}, service).Verdict
+}
+
+func (r *Registry) acquireWhole(now time.Time, s Subject, service, instance string) bool {
+	return r.AcquireTrial(now, &Request{Whole: s}, service, instance)
+}
+
 // crash returns a crash of an endpoint that had a request from sent to ended, in ms after the
 // epoch.
 func crash(endpoint string, sign Phase, sent, ended int) Crash {
@@ -94,9 +107,9 @@
 					r.Clear(s.crash.At, s.req)
 					continue
 				}
-				r.RecordCrash(s.crash.At, s.req, s.crash)
+				r.recordWhole(s.crash.At, s.req, s.crash)
 			}
-			assert.Equal(t, r.Verdict(at(3000), mine, "engines"), c.want)
+			assert.Equal(t, r.verdictOf(at(3000), mine, "engines"), c.want)
 		})
 	}
 }
@@ -105,7 +118,7 @@
 func crashThree(r *Registry, req Subject, from int) {
 	for i := range 3 {
 		sent := from + i*1000
-		r.RecordCrash(at(sent+900), req, crash(fmt.Sprint("e", from, i), Begun, sent, sent+900))
+		r.recordWhole(at(sent+900), req, crash(fmt.Sprint("e", from, i), Begun, sent, sent+900))
 	}
 }
 
@@ -117,32 +130,32 @@
 	crashThree(r, req, 0)
 	until := r.Stop(req).Until
 	assert.Equal(t, until.Sub(at(2900)), set.MinStop)
-	assert.Equal(t, r.Verdict(until.Add(-1), req, "engines"), Stopped)
-	assert.Equal(t, r.RecordCrash(at(3500), req, crash("on its way", Begun, 2000, 3500)), false)
-	assert.Equal(t, r.Verdict(until, req, "engines"), Careful, "a crash before the stop expired does not count against the trial")
-	assert.Assert(t, r.AcquireTrial(until, req, "engines", "f1"))
-	assert.Assert(t, !r.AcquireTrial(until, req, "engines", "f2"), "one at a time")
+	assert.Equal(t, r.verdictOf(until.Add(-1), req, "engines"), Stopped)
+	assert.Equal(t, r.recordWhole(at(3500), req, crash("on its way", Begun, 2000, 3500)), false)
+	assert.Equal(t, r.verdictOf(until, req, "engines"), Careful, "a crash before the stop expired does not count against the trial")
+	assert.Assert(t, r.acquireWhole(until, req, "engines", "f1"))
+	assert.Assert(t, !r.acquireWhole(until, req, "engines", "f2"), "one at a time")
 	next := until.Add(time.Second)
-	assert.Assert(t, r.RecordCrash(next, req, Crash{Endpoint: "z", Phase: Begun, Sent: until, At: next}))
+	assert.Assert(t, r.recordWhole(next, req, Crash{Endpoint: "z", Phase: Begun, Sent: until, At: next}))
 	assert.Equal(t, r.Stop(req).Until.Sub(next), 2*set.MinStop)
 	assert.Equal(t, r.Stop(req).Count, 2)
 	r.Clear(next.Add(time.Second), req)
-	assert.Equal(t, r.Verdict(next.Add(time.Second), req, "engines"), Free)
+	assert.Equal(t, r.verdictOf(next.Add(time.Second), req, "engines"), Free)
 }
 
 // TestTrialsExpire checks that a trial whose end is never reported expires, and that those of an
 // instance that is gone are dropped. Otherwise the request could not be tried again.
 func TestTrialsExpire(t *testing.T) {
 	r, req := New(DefaultSettings()), request("desk", 1)
-	r.RecordCrash(at(900), req, crash("a", Begun, 0, 900))
-	assert.Assert(t, r.AcquireTrial(at(1000), req, "engines", "f1"))
-	assert.Assert(t, !r.AcquireTrial(at(1100), req, "engines", "f2"))
-	assert.Assert(t, r.AcquireTrial(at(1000).Add(DefaultSettings().TrialTimeout), req, "engines", "f2"))
+	r.recordWhole(at(900), req, crash("a", Begun, 0, 900))
+	assert.Assert(t, r.acquireWhole(at(1000), req, "engines", "f1"))
+	assert.Assert(t, !r.acquireWhole(at(1100), req, "engines", "f2"))
+	assert.Assert(t, r.acquireWhole(at(1000).Add(DefaultSettings().TrialTimeout), req, "engines", "f2"))
 	r.ReleaseTrial(req, "f2")
-	r.AcquireTrial(at(1100), req, "engines", "f3")
+	r.acquireWhole(at(1100), req, "engines", "f3")
 	r.DropTrials("f3")
 	r.DropTrials("f1")
-	assert.Assert(t, r.AcquireTrial(at(1200), req, "engines", "f2"))
+	assert.Assert(t, r.acquireWhole(at(1200), req, "engines", "f2"))
 }
 
 // TestHarmfulTeam checks that requests of a team with several harmful requests are tried one at a
@@ -152,30 +165,30 @@
 	set := DefaultSettings()
 	r := New(set)
 	served := request("desk", 100)
-	r.RecordCrash(at(0), served, crash("x", Begun, -900, 0))
+	r.recordWhole(at(0), served, crash("x", Begun, -900, 0))
 	r.Clear(at(10), served)
 	for n := range set.HarmfulThreshold {
-		assert.Equal(t, r.Verdict(at(5000), request("desk", 200), "engines"), Free)
+		assert.Equal(t, r.verdictOf(at(5000), request("desk", 200), "engines"), Free)
 		crashThree(r, request("desk", n), 1000*n)
 	}
 	now := at(10000)
 	a, b := request("desk", 200), request("desk", 201)
-	assert.Equal(t, r.Verdict(now, a, "engines"), Careful)
-	assert.Equal(t, r.Verdict(now, served, "engines"), Free)
-	assert.Equal(t, r.Verdict(now, request("other", 200), "engines"), Free)
-	assert.Assert(t, r.AcquireTrial(now, a, "engines", "f1"))
-	assert.Assert(t, !r.AcquireTrial(now, b, "engines", "f1"))
+	assert.Equal(t, r.verdictOf(now, a, "engines"), Careful)
+	assert.Equal(t, r.verdictOf(now, served, "engines"), Free)
+	assert.Equal(t, r.verdictOf(now, request("other", 200), "engines"), Free)
+	assert.Assert(t, r.acquireWhole(now, a, "engines", "f1"))
+	assert.Assert(t, !r.acquireWhole(now, b, "engines", "f1"))
 	other := New(set)
 	for _, req := range append(r.StoppedRequests(), a) {
 		f, ok := r.Fact(now, req, "f1")
 		assert.Assert(t, ok)
 		other.Merge(now, "f1", f)
 	}
-	assert.Assert(t, !other.AcquireTrial(now, b, "engines", "f2"))
+	assert.Assert(t, !other.acquireWhole(now, b, "engines", "f2"))
 	r.ReleaseTrial(a, "f1")
-	assert.Assert(t, r.AcquireTrial(now, b, "engines", "f1"))
-	assert.Equal(t, r.Verdict(now, a, "another service"), Free)
-	assert.Equal(t, r.Verdict(now.Add(set.HarmfulWindow), a, "engines"), Free, "the window has passed without further crashes")
+	assert.Assert(t, r.acquireWhole(now, b, "engines", "f1"))
+	assert.Equal(t, r.verdictOf(now, a, "another service"), Free)
+	assert.Equal(t, r.verdictOf(now.Add(set.HarmfulWindow), a, "engines"), Free, "the window has passed without further crashes")
 }
 
 // TestMergeInAnyOrder checks that the order and the repetition of facts make no difference.
@@ -193,9 +206,9 @@
 		for _, i := range order {
 			r.Merge(at(4000), "f2", facts[i])
 		}
-		assert.Equal(t, r.Verdict(at(4000), req, "engines"), Stopped, "%v: b, c and d", order)
+		assert.Equal(t, r.verdictOf(at(4000), req, "engines"), Stopped, "%v: b, c and d", order)
 		r.Merge(at(4100), "f3", Fact{Subject: req, Service: "engines", ClearedAt: at(4050)})
-		assert.Equal(t, r.Verdict(at(4100), req, "engines"), Free, "%v", order)
+		assert.Equal(t, r.verdictOf(at(4100), req, "engines"), Free, "%v", order)
 		assert.Equal(t, r.Merge(at(4200), "f2", facts[4]), Change{}, "%v: crashes before the clearing", order)
 	}
 }
@@ -209,7 +222,7 @@
 	assert.Assert(t, ok)
 	f.Crashes = nil
 	assert.Equal(t, b.Merge(at(4000), "f1", f), Change{Stopped: true})
-	assert.Equal(t, b.Verdict(at(4000), req, "engines"), Stopped)
+	assert.Equal(t, b.verdictOf(at(4000), req, "engines"), Stopped)
 	assert.Equal(t, b.Merge(at(4001), "f1", f), Change{})
 	f.Stop.Until = f.Stop.Until.Add(24 * time.Hour)
 	b.Merge(at(4002), "f1", f)
@@ -228,27 +241,27 @@
 	ended := 0
 	for n := range 1000 {
 		req := request("desk", n)
-		for sent := 10 * n; r.Verdict(at(sent), req, "engines") != Stopped && sent < 10*n+9; sent += 3 {
+		for sent := 10 * n; r.verdictOf(at(sent), req, "engines") != Stopped && sent < 10*n+9; sent += 3 {
 			ended++
-			r.RecordCrash(at(sent+1), req, crash(fmt.Sprint(sent), Begun, sent, sent+1))
+			r.recordWhole(at(sent+1), req, crash(fmt.Sprint(sent), Begun, sent, sent+1))
 		}
 	}
 	now := at(10000)
 	all, _ := r.Len(now)
 	assert.Equal(t, all, set.MaxPerTeam+1)
-	assert.Equal(t, r.Verdict(now, theirs, "engines"), Stopped)
+	assert.Equal(t, r.verdictOf(now, theirs, "engines"), Stopped)
 	assert.Assert(t, ended <= 1000+2*set.HarmfulThreshold, "%d", ended)
 	for n := range 40 {
 		crashThree(r, request(fmt.Sprint("team", n), 1), 20000)
 		for m := range set.MaxPerTeam {
-			r.RecordCrash(at(20000), request(fmt.Sprint("team", n), 100+m), crash(fmt.Sprint(n, m), Present, 1, 20000))
+			r.recordWhole(at(20000), request(fmt.Sprint("team", n), 100+m), crash(fmt.Sprint(n, m), Present, 1, 20000))
 		}
 	}
 	all, _ = r.Len(at(23000))
 	assert.Equal(t, all, set.MaxRequests)
-	assert.Equal(t, r.Verdict(at(23000), theirs, "engines"), Stopped)
+	assert.Equal(t, r.verdictOf(at(23000), theirs, "engines"), Stopped)
 	for n := range 40 {
-		assert.Equal(t, r.Verdict(at(23000), request(fmt.Sprint("team", n), 1), "engines"), Stopped, "team %d", n)
+		assert.Equal(t, r.verdictOf(at(23000), request(fmt.Sprint("team", n), 1), "engines"), Stopped, "team %d", n)
 	}
 	r.expire(at(23000).Add(set.Retention + set.MaxStop))
 	all, _ = r.Len(at(23000).Add(set.Retention + set.MaxStop))
@@ -282,7 +295,7 @@
 		assert.Assert(t, all <= set.MaxPerTeam)
 		for _, req := range r.StoppedRequests() {
 			assert.Assert(t, !r.Stop(req).Until.After(now.Add(set.MaxStop)))
-			assert.Assert(t, r.Verdict(now, req, "engines") >= Careful)
+			assert.Assert(t, r.verdictOf(now, req, "engines") >= Careful)
 		}
 	})
 }
--- a/core/crashers/crashes.go
+++ b/core/crashers/crashes.go
@@ -7,12 +7,19 @@
 	"github.com/agateway/agateway/core/times"
 )
 
-// RecordCrash records that an endpoint crashed while it had a request. It returns true if that
-// stops the request, which was not stopped before.
-func (r *Registry) RecordCrash(now time.Time, req Subject, crash Crash) bool {
-	wasStopped := r.isStopped(now, req)
-	r.addCrash(now, req, crash)
-	return r.stopIfNeeded(now, req) && !wasStopped
+// RecordCrash records that an endpoint crashed while it had a request. It returns the subjects that this
+// stops, which were not stopped before: the request, or parts of its prompt.
+func (r *Registry) RecordCrash(now time.Time, req Request, crash Crash) (stopped []Subject) {
+	subjects := req.subjects()
+	for _, s := range subjects {
+		r.addCrash(now, s, crash)
+	}
+	for _, s := range subjects {
+		if !r.isStopped(now, s) && r.stopIfNeeded(now, s) {
+			stopped = append(stopped, s)
+		}
+	}
+	return stopped
 }
 
 func (r *Registry) isStopped(now time.Time, req Subject) bool {
@@ -100,19 +107,33 @@
 // evaluate returns how many more incidents stop a request, and how many of its counted crashes are
 // in phase Begun.
 func (r *Registry) evaluate(now time.Time, req Subject, e *entry) (missing, begun int) {
-	threshold, lateThreshold, since := r.set.CrashThreshold, r.set.LateCrashThreshold, e.clearedAt
-	if e.stop.Count > 0 { // it was stopped and may be tried again
-		threshold, lateThreshold, since = 1, 1, times.Later(e.stop.Until, e.clearedAt)
+	if req.Part != "" {
+		return r.evaluatePart(now, req, e), 0
 	}
-	n := r.countIncidents(now, req, e, since)
+	counted := r.countedCrashes(now, req, e)
+	n := r.countIncidents(counted)
 	if n.begun > 0 && r.isHarmfulTeam(now, req.Team, e.service) {
 		return 0, n.begun
 	}
-	missing = threshold - n.early
+	threshold := r.set.CrashThreshold
+	if e.stop.Count > 0 { // it was stopped and may be tried again
+		threshold = 1
+	}
+	return r.missingIncidents(threshold, e, n), n.begun
+}
+
+// missingIncidents returns how many incidents are missing of a threshold, or of the threshold that counts
+// late crashes too.
+func (r *Registry) missingIncidents(threshold int, e *entry, n incidentCounts) int {
+	missing := threshold - n.early
 	if n.all > n.early {
-		missing = min(missing, lateThreshold-n.all)
+		late := r.set.LateCrashThreshold
+		if e.stop.Count > 0 {
+			late = 1
+		}
+		missing = min(missing, late-n.all)
 	}
-	return max(missing, 0), n.begun
+	return max(missing, 0)
 }
 
 // incidentCounts are the incidents of a request: all of them, those without late crashes, and its
@@ -122,23 +143,48 @@
 // isHarmfulTeam reports whether so many requests of a team crashed endpoints of a service lately
 // that its next one is likely to do the same.
 func (r *Registry) isHarmfulTeam(now time.Time, team, service string) bool {
-	return r.countHarmful(now, team, service) >= r.set.HarmfulThreshold
+	all, _ := r.countHarmful(now, team, service)
+	return all >= r.set.HarmfulThreshold
 }
 
-// countIncidents counts the incidents of a request after a time, within the retention time.
-func (r *Registry) countIncidents(now time.Time, req Subject, e *entry, since time.Time) (n incidentCounts) {
-	var last, lastEarly time.Time
+// isHarmful reports the same of a request. If all shared parts of its prompt are proven, only requests
+// without a suspected part count.
+func (r *Registry) isHarmful(now time.Time, req *Request, service string) bool {
+	all, ofSoundParts := r.countHarmful(now, req.Whole.Team, service)
+	if all >= r.set.HarmfulThreshold && r.areProven(req) {
+		return ofSoundParts >= r.set.HarmfulThreshold
+	}
+	return all >= r.set.HarmfulThreshold
+}
+
+// countedCrashes returns the crashes that count against a subject, ordered by time: those within the
+// retention time and after its last clearing or stop, without a more likely cause.
+func (r *Registry) countedCrashes(now time.Time, s Subject, e *entry) []Crash {
+	since := e.clearedAt
+	if e.stop.Count > 0 {
+		since = times.Later(e.stop.Until, e.clearedAt)
+	}
+	var out []Crash
 	for _, crash := range sortedByTime(e.crashes) {
-		if !crash.At.After(since) || now.Sub(crash.At) >= r.set.Retention || !r.implicates(req, &crash) {
-			continue
+		if crash.At.After(since) && now.Sub(crash.At) < r.set.Retention && r.implicates(s, &crash) {
+			out = append(out, crash)
 		}
+	}
+	return out
+}
+
+// countIncidents counts the incidents of crashes that are ordered by time.
+func (r *Registry) countIncidents(crashes []Crash) (n incidentCounts) {
+	var last, lastEarly time.Time
+	for i := range crashes {
+		crash := &crashes[i]
 		if crash.Phase == Begun {
 			n.begun++
 		}
-		if r.isSeparateIncident(last, &crash) {
+		if r.isSeparateIncident(last, crash) {
 			n.all, last = n.all+1, crash.At
 		}
-		if crash.Phase != Late && r.isSeparateIncident(lastEarly, &crash) {
+		if crash.Phase != Late && r.isSeparateIncident(lastEarly, crash) {
 			n.early, lastEarly = n.early+1, crash.At
 		}
 	}
@@ -151,20 +197,23 @@
 	return last.IsZero() || !crash.Sent.Before(last) || crash.At.Sub(last) > r.set.CoincidenceWindow
 }
 
-// implicates reports whether a crash counts against a request. It does not if another request at
-// the endpoint is a more likely cause.
-func (r *Registry) implicates(req Subject, crash *Crash) bool {
+// implicates reports whether a crash counts against a subject. It does not if another one at the endpoint is
+// a more likely cause.
+func (r *Registry) implicates(s Subject, crash *Crash) bool {
 	if crash.Phase == Begun {
 		return true
 	}
-	ownCrashes := len(r.entries[req].crashes)
+	ownCrashes := len(r.entries[s].crashes)
 	for other := range r.byEndpoint[crash.Endpoint] {
 		e := r.entries[other]
-		if other == req || e == nil {
+		if other == s || e == nil {
 			continue
 		}
 		phase := e.phaseAt(crash.Endpoint)
-		if phase == Begun || phase != 0 && (e.stop.Count > 0 || len(e.crashes) > ownCrashes) {
+		if phase == 0 {
+			continue
+		}
+		if e.stop.Count > 0 || other.Part == "" && (phase == Begun || len(e.crashes) > ownCrashes) {
 			return false
 		}
 	}
@@ -183,15 +232,42 @@
 }
 
 // countHarmful returns how many requests of a team had begun at endpoints of a service that crashed
-// within [Settings.HarmfulWindow], and have not been cleared since.
-func (r *Registry) countHarmful(now time.Time, team, service string) int {
-	n := 0
-	for req, e := range r.entries {
-		if req.Team == team && e.service == service && e.crashedAtBeginSince(now.Add(-r.set.HarmfulWindow)) {
-			n++
+// within [Settings.HarmfulWindow], and have not been cleared since. Those with a stopped part in their
+// prompts don't count. ofSoundParts is how many of them have no suspected part either.
+func (r *Registry) countHarmful(now time.Time, team, service string) (all, ofSoundParts int) {
+	since := now.Add(-r.set.HarmfulWindow)
+	for s, e := range r.entries {
+		if s.Part != "" || s.Team != team || e.service != service || !e.crashedAtBeginSince(since) {
+			continue
+		}
+		suspected, stopped := r.suspectedParts(now, s, e)
+		if stopped {
+			continue
+		}
+		all++
+		if !suspected {
+			ofSoundParts++
 		}
 	}
-	return n
+	return all, ofSoundParts
+}
+
+// suspectedParts reports whether a part of the team's prompts had begun at an endpoint that crashed when a
+// request had begun there, and whether such a part is or was stopped.
+func (r *Registry) suspectedParts(now time.Time, s Subject, e *entry) (suspected, stopped bool) {
+	for i := range e.crashes {
+		if e.crashes[i].Phase != Begun {
+			continue
+		}
+		for other := range r.byEndpoint[e.crashes[i].Endpoint] {
+			p := r.entries[other]
+			if other.Part == "" || other.Team != s.Team || p == nil || p.phaseAt(e.crashes[i].Endpoint) != Begun {
+				continue
+			}
+			suspected, stopped = true, stopped || p.stop.Count > 0
+		}
+	}
+	return suspected, stopped
 }
 
 // crashedAtBeginSince reports whether a crash in phase Begun is later than a time.
--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -1,10 +1,12 @@
 // Package crashers detects requests that crash the endpoints that run them, and decides when such a
-// request is no longer sent to any endpoint.
+// request is no longer sent to any endpoint. The cause may be a request as a whole, or a part of its prompt
+// that requests with other content share.
 //
 // Clients retry a request of this kind under a new id, at any instance, and each retry crashes as
 // many endpoints as one request may try. The attempts share their content, so a [Registry] records,
-// for each [Subject] (team and content hash), which endpoints crashed while they had it, and in
-// which [Phase]. After [Settings.CrashThreshold] crashes the request is stopped for a while.
+// for each [Subject] of a team (a content hash, or a part of prompts), which endpoints crashed while they
+// had it, and in which [Phase]. After [Settings.CrashThreshold] crashes the subject is stopped for a while,
+// and with it all requests that have it.
 //
 // # Contract
 //
@@ -25,6 +27,13 @@
 //     is tried by one instance at a time ([Careful]). The next crash is then conclusive and costs
 //     one endpoint.
 //
+//   - A part is blamed if several requests with it crashed endpoints and no single one of them had all of
+//     these endpoints. Any answer that goes on after the crashes clears the parts of its prompt. Of parts
+//     that crashed the same endpoints each is stopped, and a request with only some of them is tried: its
+//     answer or its crash tells them apart. A part that was answered before takes more crashes.
+//   - A part that is stopped for one team is stopped for another after one crash there. Nothing that a
+//     team sends stops or clears a part for another team.
+//
 // Callers report a crash only if the endpoint's process is known to be gone, or if it fell silent
 // right after its answer began, alone or with few others of its service, and can't be connected to for
 // a while. They do not report other silence, lost answers, endpoints that were told to leave, or the loss of most of a data centre.
@@ -40,7 +49,9 @@
 // [Settings.MaxRequests] in all. The least suspicious are evicted first, from the team that has
 // most of them. A team with [Settings.HarmfulThreshold] requests that crashed endpoints of a
 // service within [Settings.HarmfulWindow] is likely to send more. Its requests that have not been
-// served yet are then tried one at a time, and one [Begun] crash is enough to stop one.
+// served yet are then tried one at a time, and one [Begun] crash is enough to stop one. Requests with a
+// stopped part don't count for that, and a request of which all parts were answered since is held back only
+// if requests without a suspected part crashed endpoints. Of a prompt, the last 32 shared parts are considered.
 //
 // Failure modes: an instance does not count crashes that it has not heard of yet, so more endpoints
 // crash before the request is stopped. Two contents with the same hash are taken for one request;
--- a/core/crashers/eviction.go
+++ b/core/crashers/eviction.go
@@ -21,7 +21,7 @@
 	if len(r.entries) >= r.set.MaxRequests && !r.evict(now, r.largestTeam()) {
 		return nil
 	}
-	e := &entry{}
+	e := &entry{clearedAt: r.answered.last(req)}
 	r.entries[req] = e
 	r.teamSizes[req.Team]++
 	return e
--- a/core/crashers/late_test.go
+++ b/core/crashers/late_test.go
@@ -40,9 +40,9 @@
 		r := New(DefaultSettings())
 		now := at(20_000)
 		for _, e := range c.crashes {
-			r.RecordCrash(now, mine, e)
+			r.recordWhole(now, mine, e)
 		}
-		assert.Check(t, r.Verdict(now, mine, "engines") == c.want, "%s: %v", c.name, r.Verdict(now, mine, "engines"))
+		assert.Check(t, r.verdictOf(now, mine, "engines") == c.want, "%s: %v", c.name, r.verdictOf(now, mine, "engines"))
 	}
 }
 
@@ -51,16 +51,16 @@
 func TestProgressKeepsLateCrashes(t *testing.T) {
 	mine := request("desk", 1)
 	r := New(DefaultSettings())
-	r.RecordCrash(at(1000), mine, crash("x", Begun, 0, 1000))
+	r.recordWhole(at(1000), mine, crash("x", Begun, 0, 1000))
 	assert.Assert(t, r.ClearOnProgress(at(2000), mine))
-	assert.Equal(t, r.Verdict(at(2000), mine, "engines"), Free)
+	assert.Equal(t, r.verdictOf(at(2000), mine, "engines"), Free)
 	for _, e := range lateCrashes(4, 3000) {
-		r.RecordCrash(e.At, mine, e)
+		r.recordWhole(e.At, mine, e)
 		assert.Assert(t, !r.ClearOnProgress(e.At.Add(time.Millisecond), mine))
 	}
-	assert.Equal(t, r.Verdict(at(12_000), mine, "engines"), Careful)
+	assert.Equal(t, r.verdictOf(at(12_000), mine, "engines"), Careful)
 	assert.Assert(t, r.Clear(at(12_000), mine))
-	assert.Equal(t, r.Verdict(at(12_000), mine, "engines"), Free)
+	assert.Equal(t, r.verdictOf(at(12_000), mine, "engines"), Free)
 }
 
 // TestBystandersOfLateCrashes checks that a late crash counts against the request with the most
@@ -69,13 +69,13 @@
 	mine, other := request("desk", 1), request("desk", 2)
 	r := New(DefaultSettings())
 	for i, e := range lateCrashes(5, 0) {
-		r.RecordCrash(e.At, mine, e)
+		r.recordWhole(e.At, mine, e)
 		if i > 0 {
-			r.RecordCrash(e.At, other, e)
+			r.recordWhole(e.At, other, e)
 		}
 	}
-	assert.Equal(t, r.Verdict(at(20_000), mine, "engines"), Stopped)
-	assert.Equal(t, r.Verdict(at(20_000), other, "engines"), Free)
+	assert.Equal(t, r.verdictOf(at(20_000), mine, "engines"), Stopped)
+	assert.Equal(t, r.verdictOf(at(20_000), other, "engines"), Free)
 }
 
 // TestSentWhenPreviousEndpointCrashed checks that a retry which is sent at the very time at which
@@ -85,7 +85,7 @@
 	mine := request("desk", 1)
 	r := New(DefaultSettings())
 	for _, e := range []Crash{crash("a", Present, 0, 900), crash("b", Present, 900, 960), crash("c", Present, 960, 1020)} {
-		r.RecordCrash(e.At, mine, e)
+		r.recordWhole(e.At, mine, e)
 	}
-	assert.Equal(t, r.Verdict(at(1100), mine, "engines"), Stopped)
+	assert.Equal(t, r.verdictOf(at(1100), mine, "engines"), Stopped)
 }
--- /dev/null
+++ b/core/crashers/parts.go
@@ -0,0 +1,150 @@
+package crashers
+
+import (
+	"time"
+)
+
+// evaluatePart returns how many more incidents stop a part of prompts. A part whose crashes are all those of
+// one request is not stopped, since that request may be the cause, unless one crash is enough.
+func (r *Registry) evaluatePart(now time.Time, part Subject, e *entry) (missing int) {
+	counted, threshold := r.countedCrashes(now, part, e), r.partThreshold(now, part, e)
+	missing = r.missingIncidents(threshold, e, r.countIncidents(counted))
+	if missing == 0 && threshold > 1 && r.isCrashOfOneRequest(counted, nil) {
+		return 1
+	}
+	return missing
+}
+
+// partThreshold returns how many incidents stop a part. It takes more of them if the part was answered
+// before, and only one if another team's requests with that part are stopped.
+func (r *Registry) partThreshold(now time.Time, part Subject, e *entry) int {
+	switch {
+	case e.stop.Count > 0:
+		return 1
+	case !e.clearedAt.IsZero():
+		return r.set.LateCrashThreshold
+	case r.isStoppedElsewhere(now, part):
+		return 1
+	}
+	return r.set.CrashThreshold
+}
+
+// isStoppedElsewhere reports whether a part is stopped for another team.
+func (r *Registry) isStoppedElsewhere(now time.Time, part Subject) bool {
+	for s, e := range r.entries {
+		if s.Part == part.Part && s.Team != part.Team && e.stopped(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCrashOfOneRequest reports whether a single request other than except had all of the crashed endpoints,
+// so that it may be the cause of all of these crashes. except may be nil.
+func (r *Registry) isCrashOfOneRequest(crashes []Crash, except *Request) bool {
+	if len(crashes) == 0 {
+		return false
+	}
+	for s := range r.byEndpoint[crashes[0].Endpoint] {
+		if s.Part != "" || except != nil && except.Whole == s {
+			continue
+		}
+		if hasAllCrashes(r.entries[s].crashes, crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasAllCrashes(have, want []Crash) bool {
+	endpoints := map[string]bool{}
+	for i := range have {
+		endpoints[have[i].Endpoint] = true
+	}
+	for i := range want {
+		if !endpoints[want[i].Endpoint] {
+			return false
+		}
+	}
+	return true
+}
+
+// partVerdict returns how a request may be sent as far as one part of its prompt is concerned. A request
+// that lacks another possible cause of the crashes tells the two apart, so it is tried.
+func (r *Registry) partVerdict(now time.Time, part Subject, req *Request) Verdict {
+	e := r.entries[part]
+	if e == nil || len(e.crashes) == 0 && e.stop.Count == 0 {
+		return Free
+	}
+	counted := r.countedCrashes(now, part, e)
+	missing := r.missingIncidents(r.partThreshold(now, part, e), e, r.countIncidents(counted))
+	switch {
+	case e.stopped(now) && !r.mayBeInnocent(part, req):
+		return Stopped
+	case e.stop.Count > 0, missing == 0:
+		return Careful
+	case len(counted) > 0:
+		return Suspect
+	}
+	return Free
+}
+
+// mayBeInnocent reports whether the crashes under a part may have causes that a request does not have: one
+// request that had all of the crashed endpoints, or other parts that are suspected themselves. A few crashes
+// without another cause do not count against a part that was answered before.
+func (r *Registry) mayBeInnocent(part Subject, req *Request) bool {
+	e := r.entries[part]
+	crashes := sortedByTime(e.crashes)
+	if len(crashes) == 0 { // the stop is all that is known
+		return false
+	}
+	if len(crashes) > 1 && r.isCrashOfOneRequest(crashes, req) {
+		return true
+	}
+	allowed := 0
+	if !e.clearedAt.IsZero() {
+		allowed = r.set.CrashThreshold - 1
+	}
+	for i := range crashes {
+		if r.hasOtherCause(&crashes[i], part, req) {
+			continue
+		}
+		if allowed--; allowed < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// hasOtherCause reports whether an endpoint that crashed was at least as far with a part, outside of a
+// request, that was at other crashes as well.
+func (r *Registry) hasOtherCause(crash *Crash, part Subject, req *Request) bool {
+	for s := range r.byEndpoint[crash.Endpoint] {
+		if s.Part == "" || s.Part == part.Part || req.Has(s) {
+			continue
+		}
+		if e := r.entries[s]; e != nil && len(e.crashes) > 1 && e.phaseAt(crash.Endpoint).strength() >= crash.Phase.strength() {
+			return true
+		}
+	}
+	return false
+}
+
+// isProven reports whether a part was answered since the last crash under it.
+func (r *Registry) isProven(part Subject) bool {
+	e := r.entries[part]
+	if e == nil {
+		return !r.answered.last(part).IsZero()
+	}
+	return !e.clearedAt.IsZero() && len(e.crashes) == 0 && e.stop.Count == 0
+}
+
+// areProven reports whether the prompt of a request has shared parts and all of them are proven.
+func (r *Registry) areProven(req *Request) bool {
+	for _, p := range req.Parts {
+		if !r.isProven(p) {
+			return false
+		}
+	}
+	return len(req.Parts) > 0
+}
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -5,18 +5,42 @@
 	"time"
 )
 
-// Verdict returns how a request may be sent to a service.
-func (r *Registry) Verdict(now time.Time, req Subject, service string) Verdict {
-	e := r.entries[req]
+// Decision says how a request may be sent, and what that is for.
+type Decision struct {
+	Verdict Verdict
+	// Subject is the request or the part of its prompt that the verdict is for.
+	Subject Subject
+	// Until is when the stop of a [Stopped] subject expires.
+	Until time.Time
+}
+
+// Decide returns how a request may be sent to a service. Of the request and the parts of its prompt, the one
+// with the strictest verdict decides.
+func (r *Registry) Decide(now time.Time, req *Request, service string) Decision {
+	d := Decision{Verdict: r.wholeVerdict(now, req, service), Subject: req.Whole}
+	for _, p := range req.Parts {
+		if v := r.partVerdict(now, p, req); v > d.Verdict {
+			d = Decision{Verdict: v, Subject: p}
+		}
+	}
+	if d.Verdict == Stopped {
+		d.Until = r.Stop(d.Subject).Until
+	}
+	return d
+}
+
+// wholeVerdict returns how a request may be sent as far as the request as a whole is concerned.
+func (r *Registry) wholeVerdict(now time.Time, req *Request, service string) Verdict {
+	e := r.entries[req.Whole]
 	if e == nil {
 		e = &entry{}
 	}
 	if e.stopped(now) {
 		return Stopped
 	}
-	missing, begun := r.evaluate(now, req, e)
+	missing, begun := r.evaluate(now, req.Whole, e)
 	switch {
-	case e.clearedAt.IsZero() && r.isHarmfulTeam(now, req.Team, service):
+	case e.clearedAt.IsZero() && r.isHarmful(now, req, service):
 		return Careful
 	case begun > 0, missing <= 1:
 		return Careful
@@ -79,27 +103,53 @@
 	e.crashes = kept
 }
 
-// AcquireTrial starts the trial of a [Careful] request at a service, for this instance. It returns
-// false while another instance tries the request. If its team is harmful, it also returns false
-// while any other request of the team to the service is tried, by whatever instance. If the
-// registry has no room, the trial is granted but not recorded. The caller ends it with
-// [Registry.ReleaseTrial].
-func (r *Registry) AcquireTrial(now time.Time, req Subject, service, instance string) bool {
-	harmful := r.isHarmfulTeam(now, req.Team, service)
-	for other, e := range r.entries {
-		if other == req || harmful && other.Team == req.Team && e.service == service {
-			if e.hasActiveTrial(now, instance, other == req) {
-				return false
-			}
+// AcquireTrial starts the trial of a [Careful] request at a service, for this instance. It fails while
+// another instance tries the request, or one that shares a part with it that has to be tried. If the request
+// is harmful, it also fails while any other request of the team to the service is tried, by whatever
+// instance. If the registry has no room, the trial is granted but not recorded. The caller ends the trial of
+// each of [Registry.TrialSubjects] with [Registry.ReleaseTrial], and makes sure that this instance tries one
+// request at a time for each of them.
+func (r *Registry) AcquireTrial(now time.Time, req *Request, service, instance string) bool {
+	tried := r.TrialSubjects(now, req)
+	for _, s := range tried {
+		if e := r.entries[s]; e != nil && e.hasActiveTrial(now, instance, true) {
+			return false
 		}
 	}
-	if e := r.getOrCreate(now, req); e != nil {
-		e.service = service
-		e.startTrial(instance, now.Add(r.set.TrialTimeout))
+	if r.isHarmful(now, req, service) && r.isTeamTried(now, req, service, instance) {
+		return false
+	}
+	for _, s := range tried {
+		if e := r.getOrCreate(now, s); e != nil {
+			e.service = service
+			e.startTrial(instance, now.Add(r.set.TrialTimeout))
+		}
 	}
 	return true
 }
 
+// isTeamTried reports whether another request of a request's team to a service is tried.
+func (r *Registry) isTeamTried(now time.Time, req *Request, service, instance string) bool {
+	for other, e := range r.entries {
+		if other != req.Whole && other.Part == "" && other.Team == req.Whole.Team && e.service == service && e.hasActiveTrial(now, instance, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// TrialSubjects returns what the trial of a request is for: the request, and the parts of its prompt that are
+// tried by one request at a time.
+func (r *Registry) TrialSubjects(now time.Time, req *Request) []Subject {
+	out := []Subject{req.Whole}
+	for _, p := range req.Parts {
+		if r.partVerdict(now, p, req) == Careful {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // hasActiveTrial reports whether a trial of a request is in progress. Trials of the given instance
 // itself don't count if sameRequest is set.
 func (e *entry) hasActiveTrial(now time.Time, instance string, sameRequest bool) bool {
@@ -118,9 +168,33 @@
 	e.trials[instance] = until
 }
 
-// ReleaseTrial ends the trial of a request by an instance.
-func (r *Registry) ReleaseTrial(req Subject, instance string) {
-	if e := r.entries[req]; e != nil {
+// ReleaseTrial ends the trial of a subject by an instance.
+func (r *Registry) ReleaseTrial(s Subject, instance string) {
+	if e := r.entries[s]; e != nil {
 		delete(e.trials, instance)
 	}
 }
+
+// Answered records that a request was answered to its end, and clears it and the parts of its prompt. It
+// returns those of them that had crashes or a stop.
+func (r *Registry) Answered(now time.Time, req *Request) (cleared []Subject) {
+	return r.clearEach(now, req, r.Clear)
+}
+
+// Progressed records that a request has been served for a while but not to its end, and clears it and the
+// parts of its prompt that have no late crash. It returns those of them that had crashes or a stop.
+func (r *Registry) Progressed(now time.Time, req *Request) (cleared []Subject) {
+	return r.clearEach(now, req, r.ClearOnProgress)
+}
+
+func (r *Registry) clearEach(now time.Time, req *Request, clear func(time.Time, Subject) bool) (cleared []Subject) {
+	for _, s := range req.subjects() {
+		if clear(now, s) {
+			cleared = append(cleared, s)
+		}
+		if s.Part != "" {
+			r.answered.add(s, now)
+		}
+	}
+	return cleared
+}
--- a/gateway/crashes/attributor.go
+++ b/gateway/crashes/attributor.go
@@ -46,7 +46,7 @@
 
 // Loss describes a request that was lost with its endpoint, and how far the endpoint was with it.
 type Loss struct {
-	Request crashers.Subject
+	Request crashers.Request
 	// ID is the id of the caller's attempt, for the log.
 	ID                string
 	Endpoint, Service string
@@ -82,7 +82,7 @@
 // use.
 type Attributor struct {
 	// Record receives each crash that is attributed to a request; nil disables attribution.
-	Record func(req crashers.Subject, crash crashers.Crash, inputs logrus.Fields)
+	Record func(req crashers.Request, crash crashers.Crash, inputs logrus.Fields)
 	// HasCrashed reports whether an endpoint's process is gone, although it was not told to leave.
 	HasCrashed func(endpoint string) bool
 	// Unreachable reports whether an endpoint that was not told to leave refuses or ignores
--- a/gateway/crashes/codec.go
+++ b/gateway/crashes/codec.go
@@ -21,7 +21,7 @@
 }
 
 func encodeFact(now time.Time, f *crashers.Fact) *peerv1.CrashFact {
-	out := &peerv1.CrashFact{Team: f.Subject.Team, Content: f.Subject.Content[:], Service: f.Service, Trying: f.Trying}
+	out := &peerv1.CrashFact{Team: f.Subject.Team, Content: f.Subject.Content[:], Part: f.Subject.Part, Service: f.Service, Trying: f.Trying}
 	for _, e := range f.Crashes {
 		out.Ends = append(out.Ends, &peerv1.EndUnder{
 			Endpoint: e.Endpoint, Sign: peerv1.EndSign(e.Phase), SentAge: clock.EncodeAge(now.Sub(e.Sent)), Age: clock.EncodeAge(now.Sub(e.At)),
@@ -51,7 +51,7 @@
 }
 
 func decodeFact(now time.Time, f *peerv1.CrashFact) crashers.Fact {
-	out := crashers.Fact{Subject: crashers.Subject{Team: f.Team, Content: crashers.ContentHash(f.Content)}, Service: f.Service, Trying: f.Trying}
+	out := crashers.Fact{Subject: crashers.Subject{Team: f.Team, Content: crashers.ContentHash(f.Content), Part: f.Part}, Service: f.Service, Trying: f.Trying}
 	ago := func(ms uint64) time.Time { return now.Add(-clock.DecodeAge(ms)) }
 	for _, e := range f.Ends {
 		out.Crashes = append(out.Crashes, crashers.Crash{Endpoint: e.GetEndpoint(), Phase: crashers.Phase(e.GetSign()), Sent: ago(e.GetSentAge()), At: ago(e.GetAge())})
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -1,9 +1,11 @@
 package crashes
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,115 +78,169 @@
 // the identity of a request.
 func (r *Registry) HasRecords() bool { return r.hasRecords.Load() }
 
-// Verdict returns how a request may be sent to a service, and for how long it is still stopped.
-func (r *Registry) Verdict(req crashers.Subject, service string) (crashers.Verdict, time.Duration) {
+// Decide returns how a request may be sent to a service.
+func (r *Registry) Decide(req crashers.Request, service string) Decision {
 	if !r.HasRecords() {
-		return crashers.Free, 0
+		return Decision{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.verdict(time.Now(), req, service)
+	return r.decide(time.Now(), &req, service)
 }
 
-// verdict is [Registry.Verdict] for a caller that holds mu.
-func (r *Registry) verdict(now time.Time, req crashers.Subject, service string) (crashers.Verdict, time.Duration) {
-	return r.core.Verdict(now, req, service), max(r.core.Stop(req).Until.Sub(now), 0)
-}
-
-// Admission says whether a request may be sent to an endpoint. It may not if Verdict is Stopped or
+// Decision says whether a request may be sent to an endpoint. It may not if Verdict is Stopped or
 // Busy is true.
-type Admission struct {
+type Decision struct {
 	Verdict crashers.Verdict
+	// Part is the id of the part of the prompt that the verdict is for; empty if it is for the request
+	// as a whole.
+	Part string
 	// Remaining is how long a stopped request is still stopped.
 	Remaining time.Duration
 	// Busy reports that the request is Careful and is tried by another owner, here or at another
-	// instance.
+	// instance. [Registry.Decide] does not set it.
 	Busy bool
 }
 
+// decide is [Registry.Decide] for a caller that holds mu.
+func (r *Registry) decide(now time.Time, req *crashers.Request, service string) Decision {
+	d := r.core.Decide(now, req, service)
+	return Decision{Verdict: d.Verdict, Part: d.Subject.Part, Remaining: max(d.Until.Sub(now), 0)}
+}
+
 // Admit decides whether a request may be sent to an endpoint of a service. If the request is
 // Careful and not Busy, its trial belongs to owner from then on, and owner ends it with
 // [Registry.ReleaseTrial].
-func (r *Registry) Admit(req crashers.Subject, service string, owner any) Admission {
+func (r *Registry) Admit(req crashers.Request, service string, owner any) Decision {
 	if !r.HasRecords() {
-		return Admission{}
+		return Decision{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	v, left := r.verdict(now, req, service)
-	return Admission{Verdict: v, Remaining: left, Busy: v == crashers.Careful && !r.acquireTrial(now, req, service, owner)}
+	d := r.decide(now, &req, service)
+	d.Busy = d.Verdict == crashers.Careful && !r.acquireTrial(now, &req, service, owner)
+	return d
 }
 
 // acquireTrial acquires the trial of a request for owner. It returns false while another owner or
 // instance has it. The caller holds mu.
-func (r *Registry) acquireTrial(now time.Time, req crashers.Subject, service string, owner any) bool {
-	if other := r.trials[req]; other != nil && other != owner {
-		return false
+func (r *Registry) acquireTrial(now time.Time, req *crashers.Request, service string, owner any) bool {
+	tried := r.core.TrialSubjects(now, req)
+	for _, s := range tried {
+		if other := r.trials[s]; other != nil && other != owner {
+			return false
+		}
 	}
 	if !r.core.AcquireTrial(now, req, service, r.Self) {
 		return false
 	}
-	r.trials[req] = owner
-	r.scheduleBroadcast(req)
+	for _, s := range tried {
+		r.trials[s] = owner
+		r.scheduleBroadcast(s)
+	}
 	return true
 }
 
 // RecordCrash records that an endpoint crashed while it had a request. inputs are what the attribution
 // was based on, for the log.
-func (r *Registry) RecordCrash(req crashers.Subject, crash crashers.Crash, inputs logrus.Fields) {
+func (r *Registry) RecordCrash(req crashers.Request, crash crashers.Crash, inputs logrus.Fields) {
 	r.mu.Lock()
 	now := time.Now()
 	stopped := r.core.RecordCrash(now, req, crash)
-	verdict := r.core.Verdict(now, req, crash.Service)
-	f, _ := r.core.Fact(now, req, r.Self)
-	r.scheduleBroadcast(req)
-	if stopped {
-		r.scheduleWrite(req, now)
+	decision := r.core.Decide(now, &req, crash.Service)
+	f, _ := r.core.Fact(now, req.Whole, r.Self)
+	r.scheduleBroadcast(req.Whole)
+	for _, p := range req.Parts {
+		r.scheduleBroadcast(p)
+	}
+	for _, s := range stopped {
+		r.scheduleWrite(s, now)
 	}
 	r.reloadIfPeersMissing()
 	r.mu.Unlock()
 	r.metrics.countCrash(crash.Phase)
-	r.log(req, inputs).WithFields(logrus.Fields{
+	r.log(req.Whole, inputs).WithFields(logrus.Fields{
 		"endpoint": crash.Endpoint, "begun": crash.Phase == crashers.Begun, "late": crash.Phase == crashers.Late, "had_it_ms": crash.At.Sub(crash.Sent).Milliseconds(),
-		"endpoints": len(f.Crashes), "verdict": verdict.String(),
+		"endpoints": len(f.Crashes), "verdict": decision.Verdict.String(), "parts": partIDs(req.Parts), "decisive_part": decision.Subject.Part,
 	}).Warn("endpoint crashed while it had a request")
-	if stopped {
-		r.reportStopped(req, "decided")
+	for _, s := range stopped {
+		r.reportStopped(s, "decided")
 	}
 }
 
-// log returns a logger with the fields that identify a request.
-func (r *Registry) log(req crashers.Subject, inputs logrus.Fields) *logrus.Entry {
-	return r.Log.WithFields(inputs).WithFields(logrus.Fields{"team": req.Team, "content": hex.EncodeToString(req.Content[:])})
+// partIDs returns the ids of parts of a prompt, for the log.
+func partIDs(parts []crashers.Subject) []string {
+	out := make([]string, len(parts))
+	for i := range parts {
+		out[i] = parts[i].Part
+	}
+	return out
 }
 
-// reportStopped counts and logs that a request was stopped, and calls OnStopped. how says who
-// decided it.
-func (r *Registry) reportStopped(req crashers.Subject, how string) {
+// log returns a logger with the fields that identify a subject; part is empty for a request as a whole.
+func (r *Registry) log(s crashers.Subject, inputs logrus.Fields) *logrus.Entry {
+	return r.Log.WithFields(inputs).WithFields(logrus.Fields{"team": s.Team, "content": hex.EncodeToString(s.Content[:]), "part": s.Part})
+}
+
+// reportStopped counts and logs that a request or a part of prompts was stopped, and calls OnStopped. how
+// says who decided it.
+func (r *Registry) reportStopped(s crashers.Subject, how string) {
 	r.mu.Lock()
-	f, _ := r.core.Fact(time.Now(), req, r.Self)
+	f, _ := r.core.Fact(time.Now(), s, r.Self)
 	r.mu.Unlock()
-	r.metrics.stops.Inc(1)
-	r.log(req, nil).WithFields(logrus.Fields{
+	what := "request stopped"
+	if s.Part != "" {
+		what = "prompt part stopped"
+		r.metrics.partStops.Inc(1)
+	} else {
+		r.metrics.stops.Inc(1)
+	}
+	r.log(s, nil).WithFields(logrus.Fields{
 		"how": how, "endpoints": crashedEndpoints(&f), "times": f.Stop.Count, "for_ms": time.Until(f.Stop.Until).Milliseconds(),
-	}).Warn("request stopped")
-	r.Options.OnStopped(req)
+	}).Warn(what)
+	r.Options.OnStopped(s)
+}
+
+// ClearOnAnswer records that a request was answered, and clears it and the parts of its prompt: they do not
+// crash the endpoints that run them.
+func (r *Registry) ClearOnAnswer(req crashers.Request) {
+	r.clearRequest(&req, "served", r.core.Answered)
 }
 
-// ClearOnAnswer records that a request was answered, and clears it: it does not crash the endpoints
-// that run it.
-func (r *Registry) ClearOnAnswer(req crashers.Subject) {
-	if r.HasRecords() {
-		r.clear(req, "served")
+// ClearOnProgress records that a request has been served for [ProgressAfter]. It clears the request and the
+// parts of its prompt, except those for which a late crash is recorded.
+func (r *Registry) ClearOnProgress(req crashers.Request) {
+	r.clearRequest(&req, "served for a while", r.core.Progressed)
+}
+
+// clearRequest clears a request and the parts of its prompt by a function of the core registry.
+func (r *Registry) clearRequest(req *crashers.Request, why string, clear func(time.Time, *crashers.Request) []crashers.Subject) {
+	if !r.HasRecords() && len(req.Parts) == 0 {
+		return
+	}
+	r.mu.Lock()
+	stored := map[crashers.Subject]bool{}
+	for _, s := range append(req.Parts[:len(req.Parts):len(req.Parts)], req.Whole) {
+		stored[s] = r.core.Stop(s).Stored
+	}
+	cleared := clear(time.Now(), req)
+	for _, s := range cleared {
+		r.scheduleBroadcast(s)
+		delete(r.writes, s)
+	}
+	r.mu.Unlock()
+	for _, s := range cleared {
+		r.reportCleared(s, why, stored[s])
 	}
 }
 
-// ClearOnProgress records that a request has been served for [ProgressAfter]. It clears the request
-// unless a late crash is recorded for it.
-func (r *Registry) ClearOnProgress(req crashers.Subject) {
-	if r.HasRecords() {
-		r.clearWith(req, "served for a while", r.core.ClearOnProgress)
+// reportCleared logs that a subject was cleared, and deletes its stop from the store in the background if it
+// is there.
+func (r *Registry) reportCleared(s crashers.Subject, why string, stored bool) {
+	r.log(s, nil).WithField("why", why).Info("request cleared")
+	if stored {
+		go r.deleteStop(s)
 	}
 }
 
@@ -197,45 +253,35 @@
 	return out
 }
 
-// Release clears a request on behalf of an operator. It returns false if nothing is recorded for
-// it.
-func (r *Registry) Release(req crashers.Subject) bool { return r.clear(req, "released") }
-
-func (r *Registry) clear(req crashers.Subject, why string) bool {
-	return r.clearWith(req, why, r.core.Clear)
-}
-
-// clearWith clears a request by a function of the core registry, tells the others, and deletes a
-// stored stop in the background. It returns false if there was nothing to clear.
-func (r *Registry) clearWith(req crashers.Subject, why string, clear func(time.Time, crashers.Subject) bool) bool {
+// Release clears a request or a part of prompts on behalf of an operator. It returns false if nothing is
+// recorded for it.
+func (r *Registry) Release(s crashers.Subject) bool {
 	r.mu.Lock()
-	stored := r.core.Stop(req).Stored
-	cleared := clear(time.Now(), req)
+	stored := r.core.Stop(s).Stored
+	cleared := r.core.Clear(time.Now(), s)
 	if cleared {
-		r.scheduleBroadcast(req)
-		delete(r.writes, req)
+		r.scheduleBroadcast(s)
+		delete(r.writes, s)
 	}
 	r.mu.Unlock()
-	if !cleared {
-		return false
-	}
-	r.log(req, nil).WithField("why", why).Info("request cleared")
-	if stored {
-		go r.deleteStop(req)
+	if cleared {
+		r.reportCleared(s, "released", stored)
 	}
-	return true
+	return cleared
 }
 
-// ReleaseTrial ends the trial of a request. It does nothing if owner does not have that trial.
-func (r *Registry) ReleaseTrial(req crashers.Subject, owner any) {
+// ReleaseTrial ends the trials that owner has of a request and of the parts of its prompt.
+func (r *Registry) ReleaseTrial(req crashers.Request, owner any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.trials[req] != owner {
-		return
+	for _, s := range append(req.Parts[:len(req.Parts):len(req.Parts)], req.Whole) {
+		if r.trials[s] != owner {
+			continue
+		}
+		delete(r.trials, s)
+		r.core.ReleaseTrial(s, r.Self)
+		r.scheduleBroadcast(s)
 	}
-	delete(r.trials, req)
-	r.core.ReleaseTrial(req, r.Self)
-	r.scheduleBroadcast(req)
 }
 
 // Heard merges facts from another instance or from the store. complete says that the sender knows
@@ -244,6 +290,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	r.complete = r.complete || complete
+	sortWholeFirst(facts)
 	var stopped []crashers.Subject
 	for i := range facts {
 		req := facts[i].Subject
@@ -259,6 +306,14 @@
 	}
 }
 
+// sortWholeFirst orders facts so that those about requests as a whole are merged before those about parts of
+// prompts: a part is not stopped if a single request explains its crashes.
+func sortWholeFirst(facts []crashers.Fact) {
+	slices.SortStableFunc(facts, func(a, b crashers.Fact) int {
+		return cmp.Compare(min(len(a.Subject.Part), 1), min(len(b.Subject.Part), 1))
+	})
+}
+
 // Facts returns the stopped requests, to answer another instance. The second result reports whether
 // these are all stops in the store.
 func (r *Registry) Facts() ([]crashers.Fact, bool) {
@@ -286,6 +341,8 @@
 	Team    string `json:"team"`
 	Service string `json:"service"`
 	Content string `json:"content"`
+	// Part is the id of the stopped part of prompts; empty if a request as a whole is stopped.
+	Part    string `json:"part,omitempty"`
 	Verdict string `json:"verdict"`
 	// Endpoints are the endpoints that crashed while they had the request.
 	Endpoints []string `json:"endpoints"`
@@ -302,10 +359,10 @@
 	out := make([]State, len(facts))
 	for i := range facts {
 		f := &facts[i]
-		v, left := r.Verdict(f.Subject, f.Service)
+		d := r.Decide(crashers.Request{Whole: f.Subject}, f.Service)
 		out[i] = State{
-			Team: f.Subject.Team, Service: f.Service, Content: hex.EncodeToString(f.Subject.Content[:]), Verdict: v.String(),
-			Times: f.Stop.Count, ForMS: left.Milliseconds(), Stored: f.Stop.Stored, Endpoints: crashedEndpoints(f),
+			Team: f.Subject.Team, Service: f.Service, Content: hex.EncodeToString(f.Subject.Content[:]), Part: f.Subject.Part, Verdict: d.Verdict.String(),
+			Times: f.Stop.Count, ForMS: d.Remaining.Milliseconds(), Stored: f.Stop.Stored, Endpoints: crashedEndpoints(f),
 		}
 	}
 	return out
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -165,14 +165,14 @@
 	for n, i := range at {
 		sent := time.Now()
 		time.Sleep(time.Second)
-		w.registries[i].RecordCrash(harmful, crashers.Crash{Endpoint: fmt.Sprint("e", n), Service: "engines", Phase: crashers.Begun, Sent: sent, At: time.Now()}, nil)
+		w.registries[i].RecordCrash(crashers.Request{Whole: harmful}, crashers.Crash{Endpoint: fmt.Sprint("e", n), Service: "engines", Phase: crashers.Begun, Sent: sent, At: time.Now()}, nil)
 	}
 }
 
 func (w *fleet) assertVerdicts(want crashers.Verdict) {
 	w.Helper()
 	for i, r := range w.registries {
-		v, _ := r.Verdict(harmful, "engines")
+		v := r.Decide(crashers.Request{Whole: harmful}, "engines").Verdict
 		assert.Equal(w, v, want, "f%d", i)
 	}
 }
@@ -234,11 +234,11 @@
 		w.crashEndpoints(1, 2, 3)
 		time.Sleep(time.Second)
 		reads, _ := w.store.calls()
-		v, _ := w.registries[4].Verdict(harmful, "engines")
+		v := w.registries[4].Decide(crashers.Request{Whole: harmful}, "engines").Verdict
 		assert.Equal(w, v, crashers.Free)
 		w.crashEndpoints(4)
 		time.Sleep(100 * time.Millisecond)
-		v, _ = w.registries[4].Verdict(harmful, "engines")
+		v = w.registries[4].Decide(crashers.Request{Whole: harmful}, "engines").Verdict
 		assert.Equal(w, v, crashers.Stopped)
 		time.Sleep(time.Minute)
 		after, _ := w.store.calls()
@@ -296,7 +296,7 @@
 		facts := r.decode([]platform.Object{{Name: "no content", Spec: spec}, {Name: name, Spec: []byte("{")}, {Name: name, Spec: spec}})
 		assert.Equal(w, len(facts), 1)
 		r.Heard("the store", facts, true)
-		_, left := r.Verdict(harmful, "engines")
+		left := r.Decide(crashers.Request{Whole: harmful}, "engines").Remaining
 		assert.Assert(w, left <= crashers.DefaultSettings().MinStop, "%v", left)
 	})
 }
--- a/gateway/crashes/metrics.go
+++ b/gateway/crashes/metrics.go
@@ -9,13 +9,13 @@
 // metrics count crashes and stopped requests.
 type metrics struct {
 	scope             tally.Scope
-	stops             tally.Counter
+	stops, partStops  tally.Counter
 	suspects, stopped tally.Gauge
 }
 
 func newMetrics(s tally.Scope) metrics {
 	return metrics{
-		scope: s, stops: s.Counter("requests_stopped_total"),
+		scope: s, stops: s.Counter("requests_stopped_total"), partStops: s.Counter("prompt_parts_stopped_total"),
 		suspects: s.Gauge("requests_suspected"), stopped: s.Gauge("requests_stopped"),
 	}
 }
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -40,7 +40,9 @@
 
 // stopEntry is a stop as the store keeps it. The object's name is the content hash in hexadecimal.
 type stopEntry struct {
-	Team    string    `json:"team"`
+	Team string `json:"team"`
+	// Part is the id of the stopped part of prompts; empty if a request as a whole is stopped.
+	Part    string    `json:"part,omitempty"`
 	Service string    `json:"service"`
 	Times   int       `json:"times"`
 	At      time.Time `json:"at"`
@@ -132,7 +134,7 @@
 		}
 		// Times in the store come from another machine's clock, which may be some seconds off.
 		out = append(out, crashers.Fact{
-			Subject: crashers.Subject{Team: e.Team, Content: crashers.ContentHash(content)}, Service: e.Service,
+			Subject: crashers.Subject{Team: e.Team, Content: crashers.ContentHash(content), Part: e.Part}, Service: e.Service,
 			Stop: crashers.Stop{Count: e.Times, At: times.Earlier(e.At, time.Now()), Until: e.Until, Stored: true},
 		})
 	}
@@ -200,7 +202,7 @@
 	r.mu.Unlock()
 	s := f.Stop
 	name := hex.EncodeToString(req.Content[:])
-	spec, err := json.Marshal(stopEntry{Team: req.Team, Service: f.Service, Times: s.Count, At: s.At.UTC(), Until: s.Until.UTC()})
+	spec, err := json.Marshal(stopEntry{Team: req.Team, Part: req.Part, Service: f.Service, Times: s.Count, At: s.At.UTC(), Until: s.Until.UTC()})
 	if err == nil && s.Count > 0 {
 		_, err = r.Store.Create(ctx, platform.KindStoppedRequest, name, spec)
 		switch {
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -34,7 +34,7 @@
 	claimed         *claimed  // the engine that was claimed while the request waited; nil for none
 	ownerQueries    int       // consecutive owner queries; each covers the next group of engines
 	ownersQueriedAt time.Time // time of the last owner query
-	identity        crashers.Subject
+	identity        crashers.Request
 	losses          crashes.Losses
 
 	body          []byte
--- a/gateway/forward/contender_test.go
+++ b/gateway/forward/contender_test.go
@@ -25,12 +25,12 @@
 	held int
 }
 
-func (c *trialCounter) Admit(crashers.Subject, string, any) crashes.Admission {
+func (c *trialCounter) Admit(crashers.Request, string, any) crashes.Decision {
 	c.held = 1
-	return crashes.Admission{Verdict: crashers.Careful}
+	return crashes.Decision{Verdict: crashers.Careful}
 }
 
-func (c *trialCounter) ReleaseTrial(crashers.Subject, any) { c.held = 0 }
+func (c *trialCounter) ReleaseTrial(crashers.Request, any) { c.held = 0 }
 
 func newContenderSession(c Crashes) *session {
 	f := New(Options{Placement: placement.New(routing.DefaultSettings(), 1), Log: discardLog{}, Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: func() time.Duration { return 0 }})
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -18,49 +18,48 @@
 
 // Crashes tracks the requests that crash the endpoints that run them.
 type Crashes interface {
-	// Verdict returns what may be done with a request to a service, and for how much longer it is
-	// stopped.
-	Verdict(req crashers.Subject, service string) (crashers.Verdict, time.Duration)
+	// Decide returns what may be done with a request to a service.
+	Decide(req crashers.Request, service string) crashes.Decision
 	// RecordCrash records that an endpoint crashed while it had a request. ClearOnProgress records
 	// that an endpoint has served the request for a while, and ClearOnAnswer that the whole answer
 	// arrived, also an error answer. Both clear the request of the suspicion that it crashes
 	// endpoints; after a late crash only ClearOnAnswer does.
-	RecordCrash(req crashers.Subject, crash crashers.Crash, inputs logrus.Fields)
-	ClearOnProgress(crashers.Subject)
-	ClearOnAnswer(crashers.Subject)
+	RecordCrash(req crashers.Request, crash crashers.Crash, inputs logrus.Fields)
+	ClearOnProgress(crashers.Request)
+	ClearOnAnswer(crashers.Request)
 	// Admit reports whether a request may be sent to an endpoint of a service. A suspected request
 	// is on trial by owner from then on, until owner calls ReleaseTrial. Only one owner tries it
 	// at a time.
-	Admit(req crashers.Subject, service string, owner any) crashes.Admission
-	ReleaseTrial(req crashers.Subject, owner any)
+	Admit(req crashers.Request, service string, owner any) crashes.Decision
+	ReleaseTrial(req crashers.Request, owner any)
 }
 
 // noCrashes suspects no request.
 type noCrashes struct{}
 
-func (noCrashes) Verdict(crashers.Subject, string) (crashers.Verdict, time.Duration) {
-	return crashers.Free, 0
+func (noCrashes) Decide(crashers.Request, string) crashes.Decision {
+	return crashes.Decision{}
 }
-func (noCrashes) RecordCrash(crashers.Subject, crashers.Crash, logrus.Fields) {}
-func (noCrashes) ClearOnProgress(crashers.Subject)                            {}
-func (noCrashes) ClearOnAnswer(crashers.Subject)                              {}
-func (noCrashes) Admit(crashers.Subject, string, any) crashes.Admission {
-	return crashes.Admission{}
+func (noCrashes) RecordCrash(crashers.Request, crashers.Crash, logrus.Fields) {}
+func (noCrashes) ClearOnProgress(crashers.Request)                            {}
+func (noCrashes) ClearOnAnswer(crashers.Request)                              {}
+func (noCrashes) Admit(crashers.Request, string, any) crashes.Decision {
+	return crashes.Decision{}
 }
-func (noCrashes) ReleaseTrial(crashers.Subject, any) {}
+func (noCrashes) ReleaseTrial(crashers.Request, any) {}
 
 // refuseIfStopped refuses a request that is stopped.
 func (f *Forwarder) refuseIfStopped(req *request) *refusal {
-	if verdict, stoppedFor := f.Crashes.Verdict(req.identity, req.service); verdict == crashers.Stopped {
-		return f.refuseStopped(req, stoppedFor)
+	if d := f.Crashes.Decide(req.identity, req.service); d.Verdict == crashers.Stopped {
+		return f.refuseStopped(req, d)
 	}
 	return nil
 }
 
 // refuseStopped refuses a request that crashes endpoints, and says when it may be tried again.
-func (f *Forwarder) refuseStopped(req *request, stoppedFor time.Duration) *refusal {
+func (f *Forwarder) refuseStopped(req *request, d crashes.Decision) *refusal {
 	f.metrics.stoppedRefused.Inc(1)
-	return refuse(http.StatusServiceUnavailable, reasonRequestStopped, max(stoppedFor, soonRetryMin)).with(logrus.Fields{"content": req.contentText()})
+	return refuse(http.StatusServiceUnavailable, reasonRequestStopped, max(d.Remaining, soonRetryMin)).with(logrus.Fields{"content": req.contentText(), "part": d.Part})
 }
 
 const reasonRequestStopped = "the request ends the endpoints that run it"
@@ -147,25 +146,31 @@
 }
 
 // recordServingTime ends the crash trial of a request after its stream has run for
-// [crashes.TrialDuration], and clears the request after [crashes.ProgressAfter].
-func (s *session) recordServingTime(now time.Time) {
+// [crashes.TrialDuration], and clears the request after [crashes.ProgressAfter]. It clears the request again
+// each time that an engine has served it for as long, since crashes under parts of its prompt may have been
+// recorded in between.
+func (s *session) recordServingTime(now time.Time, a *attempt) {
 	servingTime := now.Sub(s.firstEventAt)
 	if servingTime >= crashes.TrialDuration {
 		s.endCrashTrial()
 	}
-	if !s.reportedProgress && servingTime >= crashes.ProgressAfter {
+	switch {
+	case !s.reportedProgress && servingTime >= crashes.ProgressAfter:
 		s.reportedProgress = true
-		s.f.Crashes.ClearOnProgress(s.req.identity)
+	case !s.reportedProgress, now.Sub(s.progressAt) < crashes.ProgressAfter, now.Sub(a.firstEventAt) < crashes.ProgressAfter:
+		return
 	}
+	s.progressAt = now
+	s.f.Crashes.ClearOnProgress(s.req.identity)
 }
 
-// stopStreams ends the streams of a stopped request that have no events yet, at all engines. Another
-// instance may have found that the request crashes them.
+// stopStreams ends the streams without events, at all engines, of requests that are stopped with a subject.
+// Another instance may have found that they crash engines.
 func (f *Forwarder) stopStreams(stopped crashers.Subject) {
 	f.sessionsMu.Lock()
 	var affected []*session
 	for s := range f.sessions {
-		if s.req.identity == stopped {
+		if s.req.identity.Has(stopped) {
 			affected = append(affected, s)
 		}
 	}
@@ -179,7 +184,7 @@
 	}
 }
 
-// StopRequest ends the streams, unless they have events, of a request that was stopped by this
+// StopRequest ends the streams, unless they have events, of requests that were stopped with a subject by this
 // instance or by another one. It does not block.
 func (f *Forwarder) StopRequest(req crashers.Subject) { go f.stopStreams(req) }
 
@@ -191,7 +196,7 @@
 		admission := p.f.Crashes.Admit(p.req.identity, p.req.service, p)
 		switch {
 		case admission.Verdict == crashers.Stopped:
-			return p.f.refuseStopped(p.req, admission.Remaining)
+			return p.f.refuseStopped(p.req, admission)
 		case !admission.Busy:
 			return nil
 		}
@@ -201,6 +206,14 @@
 	}
 }
 
+// answeredIdentity returns what an answer clears. An error answer says nothing about the parts of the prompt.
+func (p *plain) answeredIdentity(a *answer) crashers.Request {
+	if a.status >= http.StatusMultipleChoices {
+		return p.req.identity.WithoutParts()
+	}
+	return p.req.identity
+}
+
 // endCrashTrial ends the crash trial of a plain request, if it has one.
 func (p *plain) endCrashTrial() { p.f.Crashes.ReleaseTrial(p.req.identity, p) }
 
--- a/gateway/forward/deliver.go
+++ b/gateway/forward/deliver.go
@@ -34,7 +34,7 @@
 		p.f.Log.Refusal(p.req.ID, "answer broke off", logrus.Fields{"error": err.Error()})
 		panic(http.ErrAbortHandler)
 	}
-	p.f.Crashes.ClearOnAnswer(p.req.identity)
+	p.f.Crashes.ClearOnAnswer(p.answeredIdentity(a))
 	a.unread.Finish()
 }
 
--- a/gateway/forward/identity.go
+++ b/gateway/forward/identity.go
@@ -8,18 +8,29 @@
 )
 
 // identify sets the identity of a request: its team and a hash of its method, host, path with
-// query, and body. The same request sent again, to any instance, gets the same identity. For a body
-// that is not all in memory, the buffered part and the stated length count.
+// query, and body, and the parts of its prompt that others share. The same request sent again, to any
+// instance, gets the same identity. For a body that is not all in memory, the buffered part and the stated
+// length count.
 func (req *request) identify() {
 	length := int64(len(req.body))
 	if !req.replayable {
 		length = req.contentLength
 	}
 	team := req.teamName()
-	req.identity = crashers.Subject{Team: team, Content: crashers.HashContent(
+	whole := crashers.Subject{Team: team, Content: crashers.HashContent(
 		[]byte(team), []byte(req.httpRequest.Method), []byte(req.httpRequest.Host), []byte(req.httpRequest.RequestURI),
 		strconv.AppendInt(nil, length, 10), req.body,
 	)}
+	req.identity = crashers.NewRequest(whole, req.sharedParts())
+}
+
+// sharedParts returns the ids of the parts of the prompt that other requests may share: all but the last.
+func (req *request) sharedParts() []uint64 {
+	var out []uint64
+	for i := range len(req.PromptParts) - 1 {
+		out = append(out, req.PromptParts[i].ID)
+	}
+	return out
 }
 
 // maxLoggedParts bounds how many parts of a prompt a log line names.
@@ -35,4 +46,4 @@
 }
 
 // contentText returns the content hash in hexadecimal for the log.
-func (req *request) contentText() string { return hex.EncodeToString(req.identity.Content[:]) }
+func (req *request) contentText() string { return hex.EncodeToString(req.identity.Whole.Content[:]) }
--- a/gateway/forward/identity_test.go
+++ b/gateway/forward/identity_test.go
@@ -30,7 +30,7 @@
 			req.team = &route.Team{Name: p.team}
 		}
 		req.identify()
-		return req.identity
+		return req.identity.Whole
 	}
 	base := parts{team: "desk", method: http.MethodPost, host: "a.example", target: "/brief/1?x=1", body: "case", id: "1"}
 	change := func(f func(*parts)) parts {
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -98,7 +98,7 @@
 		endHop(span, err)
 		p.f.logAttempt(p.req, e, result, reply, err)
 		if result == outcomeAnswered && reply.unread == nil {
-			p.f.Crashes.ClearOnAnswer(p.req.identity) // also for a 5xx answer: the endpoint has survived the request
+			p.f.Crashes.ClearOnAnswer(p.answeredIdentity(reply)) // also for a 5xx answer: the endpoint has survived the request
 		}
 		p.endCrashTrial()
 		if result == outcomeAnswered && !p.retryMayHelp(reply) {
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/generation"
 )
 
@@ -38,8 +39,9 @@
 	case attemptCopied:
 		s.handleCopyResult(now, m)
 	case requestStopped:
-		if _, stoppedFor := s.f.Crashes.Verdict(s.req.identity, s.req.service); s.relayedEvents == 0 { // a stream with events has not crashed its engine
-			s.machine.Stop(now, stoppedFor)
+		d := s.f.Crashes.Decide(s.req.identity, s.req.service)
+		if d.Verdict == crashers.Stopped && s.relayedEvents == 0 { // a stream with events has not crashed its engine
+			s.machine.Stop(now, d.Remaining)
 		}
 	}
 }
@@ -102,7 +104,7 @@
 	s.recordResume(now, m)
 	s.recordEventTime(now)
 	s.relayedEvents++
-	s.recordServingTime(now)
+	s.recordServingTime(now, a)
 	s.lastEventID = strconv.FormatUint(m.id, 10)
 	if _, err := s.w.Write(m.raw); err != nil {
 		s.machine.Abort(now)
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -53,6 +53,8 @@
 	// reportedProgress is set once the request was reported as served for long enough to be
 	// cleared.
 	inCrashTrial, reportedProgress bool
+	// progressAt is when the request was reported as served for a while last.
+	progressAt time.Time
 	// done is closed when the session has ended.
 	done chan struct{}
 }
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -18,22 +18,24 @@
 
 // identity returns the identity of a generation, by which its retries are recognized. It does not
 // depend on how the answer is delivered.
-func (x *Exchange) identity() crashers.Subject {
+func (x *Exchange) identity() crashers.Request {
 	normalized := *x.Generation
 	normalized.Prefix, normalized.Stream, normalized.IncludeUsage = nil, false, false
-	return crashers.Subject{Team: x.Team.Name, Content: crashers.HashContent(normalized.encoded(x.Form))}
+	return crashers.Request{Whole: crashers.Subject{Team: x.Team.Name, Content: crashers.HashContent(normalized.encoded(x.Form))}}
 }
 
 // callIdentity returns the identity of a plain call, by which its retries are recognized.
-func callIdentity(c *atmostonce.Call) crashers.Subject {
-	return crashers.Subject{Team: c.Team, Content: crashers.HashContent([]byte(c.Deployment), []byte(c.Method), []byte(c.Path), c.Body)}
+func callIdentity(c *atmostonce.Call) crashers.Request {
+	return crashers.Request{Whole: crashers.Subject{
+		Team: c.Team, Content: crashers.HashContent([]byte(c.Deployment), []byte(c.Method), []byte(c.Path), c.Body),
+	}}
 }
 
 // checkStopped returns an error if the request is stopped because it crashes the endpoints that run
 // it.
-func (d *Deps) checkStopped(req crashers.Subject, service string) error {
-	if v, left := d.Crashes.Verdict(req, service); v == crashers.Stopped {
-		return stoppedError(left)
+func (d *Deps) checkStopped(req crashers.Request, service string) error {
+	if d := d.Crashes.Decide(req, service); d.Verdict == crashers.Stopped {
+		return stoppedError(d.Remaining)
 	}
 	return nil
 }
@@ -137,14 +139,14 @@
 	*Deps
 	// request returns the identity of the call. It hashes the whole body, so it is only called if
 	// any request is recorded or the call lost an endpoint.
-	request func() crashers.Subject
+	request func() crashers.Request
 	service string
 	losses  crashes.Losses
 	careful bool // the call holds the trial of its request, since endpoints crashed while they had it
 }
 
 func newCallTrial(d *Deps, c *atmostonce.Call, service string) *callTrial {
-	return &callTrial{Deps: d, service: service, request: sync.OnceValue(func() crashers.Subject { return callIdentity(c) })}
+	return &callTrial{Deps: d, service: service, request: sync.OnceValue(func() crashers.Request { return callIdentity(c) })}
 }
 
 // admit returns an error if the call may not be sent to another endpoint.
--- a/gateway/pipeline/session.go
+++ b/gateway/pipeline/session.go
@@ -19,7 +19,7 @@
 type session struct {
 	*Deps
 	x       *Exchange
-	request crashers.Subject
+	request crashers.Request
 	routing routing.Request
 	ctx     context.Context
 	cancel  context.CancelFunc
