--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -16,13 +16,17 @@
 //     that point at any moment. A crash while the endpoint merely had the request ([Present]) is
 //     weaker. It is ignored if another request at the endpoint had begun, is or was stopped, or has
 //     more crashes recorded.
+//
 //   - A crash after the answer had gone on for a while ([Late]) is the weakest evidence: it takes
 //     [Settings.LateCrashThreshold] of them to stop the request.
+//
 //   - Crashes within [Settings.CoincidenceWindow] count as one incident, unless the request was
 //     sent to the later endpoint after the earlier one had crashed. They may share a cause, such as
 //     the loss of a data centre.
+//
 //   - A request that is answered is cleared: crashes before that no longer count. A request that
 //     has been served for a while is cleared as well, unless a late crash is recorded for it.
+//
 //   - A request that had begun at a crashed endpoint, or that is one crash short of being stopped,
 //     is tried by one instance at a time ([Careful]). The next crash is then conclusive and costs
 //     one endpoint.
@@ -31,6 +35,7 @@
 //     these endpoints. Any answer that goes on after the crashes clears the parts of its prompt. Of parts
 //     that crashed the same endpoints each is stopped, and a request with only some of them is tried: its
 //     answer or its crash tells them apart. A part that was answered before takes more crashes.
+//
 //   - A part that is stopped for one team is stopped for another after one crash there. Nothing that a
 //     team sends stops or clears a part for another team.
 //
