core/limitread, gateway: answers that never end are bounded; one place has the bounds

Cause: libraries read the head of an answer whole, and nothing bounded what they read.

Change: core/limitread has the bounds and a reader that fails in place of ending early. The endpoint is lost as if it had closed the connection: it counts as failing, and the request goes elsewhere.

--- a/gateway/endpoint/engine.go
+++ b/gateway/endpoint/engine.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/gateway/network"
 )
 
@@ -29,8 +30,10 @@
 // NewClient returns a client. A connection attempt fails after connect.
 func NewClient(connect time.Duration, n network.Network) *Client {
 	dial := network.DialerWithTimeout(n, connect)
-	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	pooled := &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 32, IdleConnTimeout: 20 * time.Second}
+	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: limitread.MaxHead}
+	pooled := &http.Transport{
+		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 32, IdleConnTimeout: 20 * time.Second, MaxResponseHeaderBytes: limitread.MaxHead,
+	}
 	return &Client{unpooled: &http.Client{Transport: single}, pooled: &http.Client{Transport: pooled}}
 }
 
@@ -98,7 +101,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := limitread.All(resp.Body, limitread.MaxStatus)
 	if err != nil {
 		return ErrBroken.Wrap(err, "answer broke off")
 	}
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/copies"
 	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/crashes"
@@ -325,7 +326,7 @@
 // readEngineFailure reads an engine's own error answer. A status below 500 is about the request
 // itself, so it is final.
 func (a *attempt) readEngineFailure(x *upstream.Exchange) message {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
+	body, err := limitread.All(x, maxBufferedAnswer)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
--- a/gateway/forward/events.go
+++ b/gateway/forward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
@@ -17,8 +18,9 @@
 // Bounds on the memory of a stream.
 const (
 	eventBufferBytes = 4 << 10
-	// maxEventBytes is the size of the largest event that is relayed.
-	maxEventBytes = 256 << 10
+	// maxEventBytes is the size of the largest event that is relayed. Some hundred streams of a service may
+	// have one in memory.
+	maxEventBytes = 32 << 10
 )
 
 // eventReader splits a stream of server-sent events into whole events. It never returns a partial
@@ -38,18 +40,15 @@
 func (e *eventReader) next() (event, error) {
 	var result event
 	for {
-		line, err := e.r.ReadBytes('\n')
-		result.raw = append(result.raw, line...)
+		begin := len(result.raw)
+		err := e.appendLine(&result)
 		if err == io.EOF && len(result.raw) > 0 {
 			return event{}, ErrEvents.New("the stream ends within an event")
 		}
 		if err != nil {
 			return event{}, err
 		}
-		if len(result.raw) > maxEventBytes {
-			return event{}, ErrEvents.New("an event has over %d bytes", maxEventBytes)
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(result.raw[begin:], "\r\n")
 		if len(text) == 0 {
 			return result, nil
 		}
@@ -59,3 +58,18 @@
 		}
 	}
 }
+
+// appendLine reads a line of an event. It fails when the event becomes too large, also within a line that
+// never ends.
+func (e *eventReader) appendLine(to *event) error {
+	for {
+		piece, err := e.r.ReadSlice('\n')
+		if len(to.raw)+len(piece) > maxEventBytes {
+			return ErrEvents.New("an event has over %d bytes", maxEventBytes)
+		}
+		to.raw = append(to.raw, piece...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
@@ -124,7 +124,7 @@
 	defer x.Abort()
 	signals := platform.ReadAnswer(x.Status(), x.Header())
 	f.recordCallStatus(e.ID, x.Status(), &signals)
-	raw, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
+	raw, err := limitread.All(x, limitread.MaxReport)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/generation"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/upstream"
@@ -296,7 +296,7 @@
 // readPeerAnswer reads an answer that is not a stream. It is final: the helper has done what could
 // be done.
 func (a *attempt) readPeerAnswer(x *upstream.Exchange) message {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
+	body, err := limitread.All(x, maxBufferedAnswer)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/gateway/network"
 )
 
@@ -66,7 +67,7 @@
 	}
 	t := &http.Transport{
 		DialContext:         network.DialerWithTimeout(p.network, p.connectTimeout),
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, Protocols: new(http.Protocols),
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, Protocols: new(http.Protocols), MaxResponseHeaderBytes: limitread.MaxHead,
 	}
 	t.Protocols.SetUnencryptedHTTP2(true) // HTTP/2 compresses headers, which are large next to a heartbeat
 	c := &peerClient{transport: t, client: peerv1connect.NewPeerServiceClient(
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/ticket"
 	"github.com/agateway/agateway/gateway/apierr"
@@ -54,8 +55,7 @@
 const (
 	// maxPlainAttempts bounds the attempts of one call.
 	maxPlainAttempts = 4
-	// maxOutcomeBytes bounds the part that is read of the answer to a call that runs at most once.
-	// The rest is cut off.
+	// maxOutcomeBytes bounds the answer to a call that runs at most once. A longer one is not delivered.
 	maxOutcomeBytes = 1 << 20
 )
 
@@ -84,9 +84,9 @@
 		return failedResult(err)
 	}
 	defer done()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutcomeBytes))
+	body, err := limitread.All(resp.Body, maxOutcomeBytes)
 	if err != nil {
-		return atmostonce.Result{State: atmostonce.Unknown, Detail: "the endpoint's answer broke off"}
+		return atmostonce.Result{State: atmostonce.Unknown, Detail: "the endpoint's answer broke off or is too long"}
 	}
 	return atmostonce.Result{State: atmostonce.Ran, Outcome: ticket.Outcome{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}}
 }
--- a/gateway/upstream/doc.go
+++ b/gateway/upstream/doc.go
@@ -9,6 +9,10 @@
 // connection. A late answer to an earlier request is recognised by a check of the caller and
 // skipped.
 //
+// The head of an answer, the informational answers before it and the answers that are skipped are bounded
+// in bytes; an endpoint that sends more is lost, as if it had closed the connection. Bodies are read by the
+// caller, who bounds what it keeps.
+//
 // Failure modes: an open connection can go silent for good; only the caller's deadline ends the
 // wait then. The connections to an endpoint are bounded ([ErrBusy]), since endpoints reset
 // connections beyond their own bound.
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/agateway/agateway/core/limitread"
 )
 
 // Request is a request to an endpoint. It is sent as it came from the caller.
@@ -37,6 +39,13 @@
 // maxSkippedAnswers bounds the answers to earlier requests that are skipped on a connection.
 const maxSkippedAnswers = 2
 
+// maxSkippedBytes bounds the body of an answer that is skipped. maxInformational bounds the informational
+// answers before the answer itself.
+const (
+	maxSkippedBytes  = 256 << 10
+	maxInformational = 16
+)
+
 // Do sends a request on a connection and reads the head of its answer. matches reports whether an
 // answer belongs to this request; other answers are skipped. The exchange owns the connection, and
 // closes it when ctx ends. The error is [ErrNotSent] or [ErrLost].
@@ -167,24 +176,31 @@
 // readHead reads the head of the answer. It skips informational answers and answers to earlier
 // requests.
 func (x *Exchange) readHead(r *Request, matches func(int, http.Header) bool) error {
-	for skipped := 0; ; {
+	x.conn.limit.Allow(limitread.MaxHead)
+	for skipped, informational := 0, 0; ; {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return errors.New("too many informational answers")
+			}
 			continue
 		}
 		if matches(resp.StatusCode, resp.Header) {
 			x.resp = resp
+			x.conn.limit.Allow(limitread.Unlimited)
 			return nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("the answer is to another request")
 		}
+		x.conn.limit.Allow(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return err
 		}
+		x.conn.limit.Allow(limitread.MaxHead)
 	}
 }
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/agateway/agateway/core/limitread"
 )
 
 // Error types of this package.
@@ -60,6 +62,7 @@
 	net.Conn
 	pool       *Pool
 	target     Target
+	limit      *limitread.Reader // bounds what reader reads
 	reader     *bufio.Reader
 	reuseUntil time.Time // not reused later, as the endpoint may close it; zero before PutBack or Finish
 	reused     bool
@@ -118,7 +121,8 @@
 		}
 		return nil, ErrNotSent.Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
 	}
-	return &Conn{Conn: raw, pool: p, target: t, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	limit := limitread.NewReader(raw)
+	return &Conn{Conn: raw, pool: p, target: t, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}, nil
 }
 
 func (p *Pool) reserve(t Target) bool {
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -246,3 +246,40 @@
 		assert.Equal(t, keepAliveTimeout(http.Header{"Keep-Alive": {text}}), want, text)
 	}
 }
+
+// TestEndlessHead guards against an endpoint that sends a head, informational answers or an earlier answer
+// without end: all of it was read until the caller's deadline, and the head was kept.
+func TestEndlessHead(t *testing.T) {
+	for name, c := range map[string]struct{ begin, repeated string }{
+		"header line":           {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: ", "x"},
+		"header fields":         {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", "X-One: 1\r\n"},
+		"informational answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"an earlier answer":     {"HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			conn, err := newPool().Get(ctx, s.target())
+			assert.NilError(t, err)
+			peer := <-s.conns
+			taken := make(chan int)
+			go func() {
+				n, _ := io.WriteString(peer, c.begin)
+				piece := strings.Repeat(c.repeated, 1000)
+				for {
+					more, err := io.WriteString(peer, piece)
+					if n += more; err != nil {
+						taken <- n
+						return
+					}
+				}
+			}()
+			_, err = conn.Do(ctx, newRequest(), matchesID)
+			assert.Assert(t, errorx.IsOfType(err, ErrLost), "%v", err)
+			assert.Assert(t, ctx.Err() == nil, "the caller's deadline has passed")
+			const socketBuffers = 16 << 20 // the kernel takes bytes that nobody reads
+			assert.Assert(t, <-taken < socketBuffers)
+		})
+	}
+}
