--- a/gateway/front/crashing_parts_test.go
+++ b/gateway/front/crashing_parts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +28,13 @@
 	// teams are the keys of the teams that send fatal requests in turn.
 	teams []string
 	// restartAfter is when all instances are killed, after the first fatal request; 0 for never.
-	restartAfter time.Duration
+	// restartAtCrash is the crash after which they are; 0 for none.
+	restartAfter   time.Duration
+	restartAtCrash int
+	// disturb brings about another fault during the test; nil for none.
+	disturb func(w *world)
+	// duringPrefill makes engines crash before they begin the answer, silent makes them fall silent.
+	duringPrefill, silent bool
 }
 
 func fatalPartTests() []fatalPartTest {
@@ -39,6 +46,14 @@
 		{name: "between shared parts", fronts: 9, engines: 24, fatalParts: []string{"ca", fatalPart, "cb"}, soundParts: []string{"ca", "cb"}, teams: one},
 		{name: "of two teams", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: []string{deskKey, fieldKey}},
 		{name: "restart of all", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAfter: 8 * time.Second},
+		{name: "restart at the third crash", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAtCrash: 3},
+		{name: "restart before the third crash", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAtCrash: 2},
+		{name: "store unavailable", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, disturb: (*world).loseStore},
+		{name: "data centre cut off", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, disturb: (*world).cutOffDataCentre},
+		{name: "drains in series", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, disturb: (*world).drainInSeries},
+		{name: "engines fall silent", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, silent: true},
+		{name: "during prefill", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, duringPrefill: true},
+		{name: "in the first part of a few", fronts: 6, engines: 12, fatalParts: []string{fatalPart, "ca", "cb"}, soundParts: []string{"ca", "cb"}, teams: one},
 		{name: "many instances", fronts: 90, engines: 90, fatalParts: parts, soundParts: sound, teams: one},
 	}
 }
@@ -70,6 +85,13 @@
 					if c.restartAfter > 0 {
 						time.AfterFunc(c.restartAfter, func() { w.restartAll(500 * time.Millisecond) })
 					}
+					o.silent = c.silent
+					if c.restartAtCrash > 0 {
+						go o.restartAllAtCrash(c.restartAtCrash)
+					}
+					if c.disturb != nil {
+						c.disturb(w)
+					}
 					c.sendFatal(o)
 					served := countServed(sound())
 					late := o.fatalPartSends(countedCrashes, detectionTime)
@@ -83,7 +105,7 @@
 }
 
 func (c *fatalPartTest) fatal() standin.FatalRequest {
-	return standin.FatalRequest{AfterEvents: c.afterEvents, Matches: hasFatalPart}
+	return standin.FatalRequest{AfterEvents: c.afterEvents, DuringPrefill: c.duringPrefill, Matches: hasFatalPart}
 }
 
 func hasFatalPart(r *standin.Run) bool { return slices.Contains(r.PromptParts, fatalPart) }
@@ -155,3 +177,118 @@
 	}
 	return n
 }
+
+// loseStore makes the store unavailable for a while.
+func (w *world) loseStore() {
+	w.store.SetFault(standin.Fault{Outage: standin.Silent})
+	time.AfterFunc(6*time.Second, func() { w.store.SetFault(standin.Fault{}) })
+}
+
+// cutOffDataCentre cuts the instances of a data centre off from the other instances for a while.
+func (w *world) cutOffDataCentre() {
+	away := func(node string) bool { return node == "f1" || node == "f4" || node == "f7" }
+	w.net.SetCut(func(a, b string) bool {
+		return away(a) && strings.HasPrefix(b, "f") && !away(b) || away(b) && strings.HasPrefix(a, "f") && !away(a)
+	})
+	time.AfterFunc(5*time.Second, func() { w.net.SetCut(func(string, string) bool { return false }) })
+}
+
+// drainInSeries drains some instances, one after the other, and starts each again.
+func (w *world) drainInSeries() {
+	const drained = 3 // a drain takes as long as callers keep addresses
+	go func() {
+		for i := range drained {
+			w.fronts[i].Drain()
+			w.net.Crash(fmt.Sprint("f", i))
+			w.startFront(i)
+		}
+	}()
+}
+
+// restartAllAtCrash kills all instances right after a crash, counted from 1, and starts them again.
+func (o *crashWorld) restartAllAtCrash(crash int) {
+	for len(o.crashes()) < crash {
+		time.Sleep(10 * time.Millisecond)
+	}
+	o.restartAll(500 * time.Millisecond)
+}
+
+// TestNoPartIsStoppedWithoutCause crashes engines one by one or three at a time, with all streams that run there,
+// and under a fatal request that has parts in common with all others. No part of prompts is stopped, and what
+// the request alone is to blame for is not put on its parts.
+func TestNoPartIsStoppedWithoutCause(t *testing.T) {
+	for _, together := range []int{1, 3} {
+		t.Run(fmt.Sprint(together), func(t *testing.T) {
+			run(t, 9, 24, 1, func(w *world) {
+				w.withFatalRequests(standin.FatalRequest{}, func(o *crashWorld) {
+					c := fatalPartTest{soundParts: []string{"ca", "cb"}}
+					sound := c.sendSound(w, soundDuring, 0)
+					o.crashEngines(&c, together)
+					if served := countServed(sound()); together == 1 {
+						assert.Equal(t, served, soundDuring)
+					}
+					assert.Equal(t, strings.Count(w.logs.String(), `"msg":"prompt part stopped"`), 0)
+				})
+			})
+		})
+	}
+}
+
+// crashEngines crashes engines each second, and sends a fatal request with the parts of the sound ones at times.
+func (o *crashWorld) crashEngines(c *fatalPartTest, together int) {
+	const rounds, stride = 20, 7 // a stride without a common divisor with the number of engines
+	for n := range rounds {
+		time.Sleep(time.Second)
+		for i := range together {
+			o.crashWorker(o.workerAt((n*together + i) * stride % len(o.engines)))
+		}
+		if n%5 == 0 {
+			go func() {
+				r := fatalBrief()
+				r.SharedParts = c.soundParts
+				_, _ = o.send(n%len(o.fronts), r)
+			}()
+		}
+	}
+}
+
+// workerAt returns the incarnation that runs at the address of an engine.
+func (o *crashWorld) workerAt(i int) *standin.Worker {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var last *standin.Worker
+	for _, w := range o.workers {
+		if w.Config().Address == o.engines[i].Config().Address && (last == nil || len(w.Config().ID) > len(last.Config().ID)) {
+			last = w
+		}
+	}
+	return last
+}
+
+// TestManyFatalPartsOfOneTeam lets a team send requests that each have another fatal part, beside sound ones. The
+// sound requests are served, and the team's fatal ones are tried one at a time.
+func TestManyFatalPartsOfOneTeam(t *testing.T) {
+	const different = 100
+	run(t, 9, 24, 1, func(w *world) {
+		c := fatalPartTest{soundParts: []string{"ca"}}
+		assert.Equal(t, countServed(c.sendSound(w, soundBefore, 0)()), soundBefore)
+		fatal := standin.FatalRequest{Matches: func(r *standin.Run) bool { return strings.HasPrefix(r.Body, fatalBody) }}
+		w.withFatalRequests(fatal, func(o *crashWorld) {
+			sound := c.sendSound(w, soundDuring, soundBefore)
+			var work sync.WaitGroup
+			for n := range different {
+				time.Sleep(300 * time.Millisecond)
+				work.Go(func() {
+					r := fatalBrief()
+					r.Body, r.PromptID, r.SharedParts = fmt.Sprint(fatalBody, n), fmt.Sprintf("%x", 0xd0000+n), []string{fmt.Sprintf("%x", 0xe0000+n)}
+					_, _ = o.send(n%len(w.fronts), r)
+				})
+			}
+			work.Wait()
+			served := countServed(sound())
+			t.Logf("%d engines ended, %d of %d sound requests served", len(o.crashes()), served, soundDuring)
+			assert.Assert(t, 2*served >= soundDuring, "%d", served)
+			assert.Assert(t, len(o.crashes()) < different/2, "%d", len(o.crashes()))
+		})
+	})
+}
