gateway/forward: a stream that ends with its connection is whole only if its engine did not crash

An answer may come without a length and without chunks. Such an end is now a loss if there was no event or if the engine's process is gone, so the stream is resumed or broken off visibly. An end within an event was a loss before.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -342,11 +343,25 @@
 	return m
 }
 
+// endedByCrash reports whether an answer that ended with its connection ended because its engine crashed. The
+// end looks the same, so it does if there was no event, or if the engine's process is gone.
+func (a *attempt) endedByCrash(x *upstream.Exchange) bool {
+	if !x.EndsWithConnection() || a.helper != nil {
+		return false
+	}
+	return a.potentialLoss.FirstEventAt.IsZero() || a.session.f.hasCrashed(a.endpoint.ID)
+}
+
+var errEndedByCrash = errors.New("the engine was lost with the connection that ends its answer")
+
 // relayEvents reports events until the answer ends.
 func (a *attempt) relayEvents(ctx context.Context, x *upstream.Exchange) message {
 	events := newEventReader(x)
 	for {
 		e, err := events.next()
+		if err == io.EOF && a.endedByCrash(x) {
+			return a.classifyLoss(ctx, errEndedByCrash)
+		}
 		if err == io.EOF {
 			a.recordComplete()
 			x.Finish()
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -176,31 +176,31 @@
 // readHead reads the head of the answer. It skips informational answers and answers to earlier
 // requests.
 func (x *Exchange) readHead(r *Request, matches func(int, http.Header) bool) error {
-	x.conn.limit.Allow(limitread.MaxHead)
+	x.conn.allow(limitread.MaxHead)
 	for skipped, informational := 0, 0; ; {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
-			if informational++; informational > maxInformational {
+			if informational++; informational > maxInformational && !x.conn.pool.Unbounded {
 				return errors.New("too many informational answers")
 			}
 			continue
 		}
 		if matches(resp.StatusCode, resp.Header) {
 			x.resp = resp
-			x.conn.limit.Allow(limitread.Unlimited)
+			x.conn.allow(limitread.Unlimited)
 			return nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("the answer is to another request")
 		}
-		x.conn.limit.Allow(maxSkippedBytes)
+		x.conn.allow(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return err
 		}
-		x.conn.limit.Allow(limitread.MaxHead)
+		x.conn.allow(limitread.MaxHead)
 	}
 }
 
@@ -224,15 +224,15 @@
 // another request can safely be sent on it, and closes it otherwise.
 func (x *Exchange) Finish() {
 	detached := x.stopAfterFunc()
-	if !detached || !x.requestSent() || x.resp.Close || x.closeDelimited() {
+	if !detached || !x.requestSent() || x.resp.Close || x.EndsWithConnection() {
 		x.conn.Discard()
 		return
 	}
 	x.conn.pool.putIdle(x.conn, keepAliveTimeout(x.resp.Header))
 }
 
-// closeDelimited reports whether the answer ends with its connection.
-func (x *Exchange) closeDelimited() bool {
+// EndsWithConnection reports whether the answer ends with its connection.
+func (x *Exchange) EndsWithConnection() bool {
 	return x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 && x.resp.Body != http.NoBody
 }
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -43,6 +43,9 @@
 // Pool holds idle connections to endpoints, and counts the open ones. It is safe for concurrent
 // use.
 type Pool struct {
+	// Unbounded lifts the bounds on heads of answers. It is set before the first use.
+	Unbounded bool
+
 	dial      DialFunc
 	mu        sync.Mutex
 	endpoints map[string]*endpointConns // by Target.ID
@@ -211,6 +214,13 @@
 	})
 }
 
+// allow lets n more bytes of answers be read, or any number if n is [limitread.Unlimited].
+func (c *Conn) allow(n int64) {
+	if !c.pool.Unbounded {
+		c.limit.Allow(n)
+	}
+}
+
 // PutBack returns a connection to the pool on which nothing was sent.
 func (c *Conn) PutBack() { c.pool.putIdle(c, 0) }
 
