cli/soak, settings: the soak plays parts that crash engines and endpoints that never stop sending

Checked: at most three sends later than the settling time after the fifth crash under a part; at least half of the sound streams begin; an endless answer is given up. Each has a mechanism switch: prompt_parts, answer_bounds.

--- a/cli/soak/callers.go
+++ b/cli/soak/callers.go
@@ -25,6 +25,7 @@
 type call struct {
 	id, key, body string
 	nonIdempotent bool // must not run more than once
+	stream        bool // a sound stream
 	sent          time.Time
 	ended         time.Time
 	answer        standin.Answer
@@ -124,8 +125,8 @@
 	r := standin.Request{Method: http.MethodPost, Host: host, ID: id, Key: key, Body: "the case " + id, Timeout: plainWait}
 	a := &call{id: id, key: key}
 	defer func() { a.timeout, a.body = r.Timeout, r.Body }()
-	if path, body := c.soak.env.fatalRequests.draw(c.rnd); path != "" && c.rnd.IntN(fatalOneIn) == 0 {
-		makeFatal(&r, a, path, body)
+	if kind, n, ok := c.soak.env.fatalRequests.draw(c.rnd); ok && c.rnd.IntN(fatalOneIn) == 0 {
+		makeFatal(&r, a, kind, n)
 		return r, a
 	}
 	r.ForgeHeaders = c.rnd.IntN(4) == 0
@@ -137,6 +138,7 @@
 		r.Path, r.Key, a.key = versionPath(a.routeVersion)+"1", permanentKey, permanentKey
 	case 0:
 		r.Path, r.Timeout, r.PromptID, r.PromptTokens = "/brief/1", streamWait, fmt.Sprintf("%x", id), promptTokens
+		r.SharedParts, a.stream = []string{sharedPart}, true
 	case 1:
 		r.Path = "/ping/1"
 	default:
@@ -146,14 +148,21 @@
 }
 
 // makeFatal turns a request into a fatal one, which crashes every endpoint that runs it.
-func makeFatal(r *standin.Request, a *call, path, body string) {
-	r.Path, r.Body, r.Key, a.key = path, body, permanentKey, permanentKey
-	a.nonIdempotent = path == "/log/1"
-	if path == "/brief/1" {
+func makeFatal(r *standin.Request, a *call, kind fatalKind, n int) {
+	r.Path, r.Body, r.Key, a.key = kind.path, kind.body(n, a.id), permanentKey, permanentKey
+	a.nonIdempotent = kind.path == "/log/1"
+	switch {
+	case kind.isPart:
+		r.Timeout, r.PromptID, r.PromptTokens = streamWait, fmt.Sprintf("%x", a.id), promptTokens
+		r.SharedParts = []string{sharedPart, fatalPartID(n)}
+	case kind.path == "/brief/1":
 		r.Timeout, r.PromptID, r.PromptTokens = streamWait, "fa7a1", promptTokens
 	}
 }
 
+// sharedPart is a part that the prompts of all callers have.
+const sharedPart = "ca"
+
 // connect reuses the open connection, or opens one to a random process. It returns false if that
 // fails.
 func (c *caller) connect(ctx context.Context) bool {
--- a/cli/soak/fatal.go
+++ b/cli/soak/fatal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -20,6 +21,12 @@
 	// maxLateSends is how often it may still be sent after instances had time to learn of the last
 	// crash.
 	maxFatalCrashes, maxLateSends = 3, 3
+	// maxPartCrashes is the same for a part of prompts.
+	maxPartCrashes = 5
+	// harmfulRequests is how many fatal requests of a team make the daemon stop its others sooner.
+	harmfulRequests = 4
+	// minSoundStreams is how many sound streams are needed to judge how many of them begin.
+	minSoundStreams = 20
 	// fatalOneIn means that one request in so many is fatal, once there is a fatal request.
 	fatalOneIn = 12
 	// stoppedAnswerText is part of the answer to a stopped request. The answer has to come within
@@ -28,53 +35,77 @@
 	stoppedAnswerWithin = 200*time.Millisecond + timingMargin
 )
 
-// fatalRequests holds the paths of the fatal requests of a soak, which are identified by their
-// index. The zero value is empty; it is safe for concurrent use.
+// fatalRequests holds the fatal requests of a soak, which are identified by their index. The zero value is
+// empty; it is safe for concurrent use.
 type fatalRequests struct {
-	mu    sync.Mutex
-	paths []string
+	mu  sync.Mutex
+	all []fatalKind
 }
 
-func (f *fatalRequests) add(path string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.paths = append(f.paths, path)
-	return len(f.paths) - 1
+// fatalKind is a request that is sent again and again, or a part that requests with different contents have in
+// their prompts.
+type fatalKind struct {
+	path   string
+	isPart bool
 }
 
-func (f *fatalRequests) count() int {
+func (f *fatalRequests) add(k fatalKind) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.paths)
+	f.all = append(f.all, k)
+	return len(f.all) - 1
 }
 
-// draw returns the path and the body of a random fatal request; both are empty if there is none.
-func (f *fatalRequests) draw(r *rand.Rand) (path, body string) {
+// draw returns a random fatal kind with its index; false if there is none.
+func (f *fatalRequests) draw(r *rand.Rand) (fatalKind, int, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.paths) == 0 {
-		return "", ""
+	if len(f.all) == 0 {
+		return fatalKind{}, 0, false
+	}
+	n := r.IntN(len(f.all))
+	return f.all[n], n, true
+}
+
+// body returns the body of a fatal request. Requests with a fatal part have bodies of their own.
+func (k fatalKind) body(n int, id string) string {
+	if k.isPart {
+		return fmt.Sprint(fatalBody, " part ", n, ofRequest, id)
 	}
-	n := r.IntN(len(f.paths))
-	return f.paths[n], fmt.Sprint(fatalBody, " ", n)
+	return fmt.Sprint(fatalBody, " ", n)
+}
+
+// ofRequest separates what is fatal in a request with a fatal part from the request's own id.
+const ofRequest = " of "
+
+// fatalCause returns what is fatal in a request, by its body: the request or a part.
+func fatalCause(body string) (cause string, isPart bool) {
+	cause, _, isPart = strings.Cut(body, ofRequest)
+	return cause, isPart
 }
 
-// maxFatalRequests bounds the fatal requests of a soak. The daemon holds back a team with more of
-// them, and all callers belong to one team.
-const maxFatalRequests = 3
+// fatalPartID returns the id of a fatal part, by the index of its kind.
+func fatalPartID(n int) string { return fmt.Sprintf("bad%x", n) }
 
 // fatalRequest makes one more request fatal from now on. Callers send it among the others.
 func fatalRequest(w *environment, r *rand.Rand) (string, func()) {
 	path := []string{"/brief/1", "/log/1", "/ping/1"}[r.IntN(3)]
-	if w.fatalRequests.count() >= maxFatalRequests {
-		return "no more fatal requests", nil
-	}
 	inPrefill := r.IntN(4) == 0
+	w.makeFatal(inPrefill)
+	return fmt.Sprintf("request %d to %s ends whoever runs it, in prefill: %v", w.fatalRequests.add(fatalKind{path: path}), path, inPrefill), nil
+}
+
+// fatalPart makes a part of prompts fatal from now on. Callers send requests with it among the others.
+func fatalPart(w *environment, _ *rand.Rand) (string, func()) {
+	w.makeFatal(false)
+	return fmt.Sprintf("part %d of prompts ends whoever answers a request with it", w.fatalRequests.add(fatalKind{path: "/brief/1", isPart: true})), nil
+}
+
+func (w *environment) makeFatal(inPrefill bool) {
 	w.fleet.SetFatalRequest(&standin.FatalRequest{
 		Matches: func(r *standin.Run) bool { return strings.HasPrefix(r.Body, fatalBody) }, DuringPrefill: inPrefill, Delay: fatalDelay,
 		Terminate: w.crashEndpoint,
 	})
-	return fmt.Sprintf("request %d to %s ends whoever runs it, in prefill: %v", w.fatalRequests.add(path), path, inPrefill), nil
 }
 
 // crashEndpoint crashes the worker that has the address of an incarnation which runs a fatal
@@ -87,75 +118,120 @@
 	}
 }
 
-// checkFatalRequests checks that fatal requests were stopped in time and with a true answer, and
-// that no others were stopped.
+// checkFatalRequests checks that fatal requests and parts were stopped in time and with a true answer, that
+// no others were stopped, and that sound requests of the same team were served.
 func (s *soak) checkFatalRequests(runs map[string][]workerRun) {
-	fatalRuns := map[string][]workerRun{}
+	fatalRuns, harmfulAt := map[string][]workerRun{}, map[string]time.Time{}
 	for _, all := range runs {
 		for _, r := range all {
-			if strings.HasPrefix(r.Body, fatalBody) {
-				fatalRuns[r.Body] = append(fatalRuns[r.Body], r)
+			if !strings.HasPrefix(r.Body, fatalBody) {
+				continue
+			}
+			cause, _ := fatalCause(r.Body)
+			fatalRuns[cause] = append(fatalRuns[cause], r)
+			if at := harmfulAt[r.Body]; r.Ended == standin.Crashed && (at.IsZero() || r.EndedAt.Before(at)) {
+				harmfulAt[r.Body] = r.EndedAt
 			}
 		}
 	}
-	thirdCrashes := map[string]time.Time{}
-	for body, all := range fatalRuns {
-		if thirdCrash := thirdCrashTime(all); !thirdCrash.IsZero() {
-			thirdCrashes[body] = thirdCrash
-			s.checkSendsAfterStop(body, thirdCrash, all)
+	thirdCrashes, lastCrashes, teamHarmful := map[string]time.Time{}, map[string]time.Time{}, nthTime(slices.Collect(maps.Values(harmfulAt)), harmfulRequests)
+	for cause, all := range fatalRuns {
+		bounded := maxFatalCrashes
+		if strings.HasPrefix(cause, fatalBody+" part") {
+			bounded = maxPartCrashes
+		}
+		thirdCrashes[cause] = nthCrashTime(all, maxFatalCrashes)
+		if at := nthCrashTime(all, bounded); !at.IsZero() {
+			lastCrashes[cause] = at
+			s.checkSendsAfterStop(cause, at, all)
 		}
 	}
 	for _, a := range s.calls {
-		s.checkStoppedAnswer(a, thirdCrashes)
+		s.checkStoppedAnswer(a, thirdCrashes, lastCrashes, teamHarmful)
 	}
+	s.checkSoundStreams(thirdCrashes)
 }
 
-// thirdCrashTime returns when the request crashed endpoint number maxFatalCrashes; zero if it
-// crashed fewer.
-func thirdCrashTime(all []workerRun) time.Time {
+// nthCrashTime returns when runs crashed endpoint number n, counted from 1; zero if they crashed fewer.
+func nthCrashTime(all []workerRun, n int) time.Time {
 	var crashTimes []time.Time
 	for i := range all {
 		if all[i].Ended == standin.Crashed {
 			crashTimes = append(crashTimes, all[i].EndedAt)
 		}
 	}
-	if len(crashTimes) < maxFatalCrashes {
+	return nthTime(crashTimes, n)
+}
+
+// nthTime returns the n-th of some times, counted from 1; zero if there are fewer.
+func nthTime(times []time.Time, n int) time.Time {
+	if len(times) < n {
 		return time.Time{}
 	}
-	slices.SortFunc(crashTimes, time.Time.Compare)
-	return crashTimes[maxFatalCrashes-1]
+	slices.SortFunc(times, time.Time.Compare)
+	return times[n-1]
 }
 
-// checkSendsAfterStop checks how often a request was still sent by instances that had time to learn
-// that it is stopped.
-func (s *soak) checkSendsAfterStop(body string, thirdCrash time.Time, all []workerRun) {
+// checkSendsAfterStop checks how often a fatal request, or requests with a fatal part, were still sent by
+// instances that had time to learn that they are stopped.
+func (s *soak) checkSendsAfterStop(cause string, lastCrash time.Time, all []workerRun) {
 	lateSends := 0
 	for i := range all {
 		a := s.calls[all[i].ID]
-		if a == nil || all[i].At.Sub(thirdCrash) <= settleTime+timingMargin || !s.env.disruptions.undisturbed(all[i].At, all[i].At, a.process, storeSubject) {
+		if a == nil || all[i].At.Sub(lastCrash) <= settleTime+timingMargin || !s.env.disruptions.undisturbed(all[i].At, all[i].At, a.process, storeSubject) {
 			continue
 		}
 		lateSends++
 	}
 	if lateSends > maxLateSends {
-		s.addFinding("%q was sent to endpoints %d times later than %v after it had ended the third", body, lateSends, settleTime+timingMargin)
+		s.addFinding("%q was sent to endpoints %d times later than %v after it had ended as many as it may", cause, lateSends, settleTime+timingMargin)
+	}
+}
+
+// checkSoundStreams checks that sound streams begin at least half as often as usual once a fatal part had time
+// to be stopped.
+func (s *soak) checkSoundStreams(thirdCrashes map[string]time.Time) {
+	var from time.Time
+	for cause, at := range thirdCrashes {
+		if strings.HasPrefix(cause, fatalBody+" part") && !at.IsZero() && (from.IsZero() || at.Before(from)) {
+			from = at
+		}
+	}
+	if from.IsZero() {
+		return
+	}
+	sent, served := 0, 0
+	for _, a := range s.calls {
+		if !a.stream || a.abandoned || a.key != permanentKey || a.sent.Sub(from) <= 2*settleTime+timingMargin ||
+			!s.env.disruptions.undisturbed(a.sent, a.ended, a.process, storeSubject) {
+			continue
+		}
+		sent++
+		if a.err == nil && a.answer.Status == http.StatusOK {
+			served++
+		}
+	}
+	if sent >= minSoundStreams && 2*served < sent {
+		s.addFinding("%d of %d sound streams began after a part of prompts was stopped", served, sent)
 	}
 }
 
 // checkStoppedAnswer checks the answer that a caller got to a stopped request.
-func (s *soak) checkStoppedAnswer(a *call, thirdCrashes map[string]time.Time) {
+func (s *soak) checkStoppedAnswer(a *call, thirdCrashes, lastCrashes map[string]time.Time, teamHarmful time.Time) {
 	if a.err != nil || !strings.Contains(a.answer.Body, stoppedAnswerText) {
 		return
 	}
 	took := a.ended.Sub(a.sent)
+	cause, _ := fatalCause(a.body)
+	third, last := thirdCrashes[cause], lastCrashes[cause]
 	switch {
 	case !strings.HasPrefix(a.body, fatalBody):
 		s.addFinding("request %s was stopped and ends nothing: %q", a.id, a.answer.Body)
 	case a.answer.Status == http.StatusServiceUnavailable && a.answer.RetryAfter == "":
 		s.addFinding("request %s was stopped and not told until when", a.id)
-	case thirdCrashes[a.body].IsZero():
+	case third.IsZero() && (teamHarmful.IsZero() || a.ended.Before(teamHarmful)):
 		s.addFinding("request %s was stopped before it had ended %d endpoints", a.id, maxFatalCrashes)
-	case took > stoppedAnswerWithin && a.sent.Sub(thirdCrashes[a.body]) > settleTime+timingMargin && s.env.disruptions.undisturbed(a.sent, a.ended, a.process, storeSubject):
+	case !last.IsZero() && took > stoppedAnswerWithin && a.sent.Sub(last) > settleTime+timingMargin && s.env.disruptions.undisturbed(a.sent, a.ended, a.process, storeSubject):
 		s.addFinding("request %s had its answer that it is stopped after %v", a.id, took)
 	}
 }
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -20,7 +20,7 @@
 var faults = map[string]fault{
 	"new-key": newKey, "new-route": newRoute, "routes-in-a-row": routesInARow, "reread": reloadSettings, "bad-build": badBuild,
 	"worker-link": workerLink, "worker-fails": workerFails, "crash": crash, "data-centre": crashDataCentre, "leave": leave,
-	"answers-lost": loseAnswers, "used-again": reuseAddress, "fatal-request": fatalRequest,
+	"answers-lost": loseAnswers, "used-again": reuseAddress, "fatal-request": fatalRequest, "fatal-part": fatalPart, "endless": endless,
 	"pause": pause, "kill": kill, "kill-all": killAll, "stop": stop, "stop-in-a-row": stopInARow,
 	"store-link": storeLink, "store-outage": storeOutage, "store-slow": storeSlow, "store-forgets": storeForgetsHistory,
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
@@ -44,13 +44,14 @@
 	cutFaults    = []string{"cut-off", "cut-off", "crash", "worker-link"}
 	wordFaults   = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
 	returnFaults = []string{"store-returns", "store-returns", "leave", "kill"}
+	partFaults   = []string{"fatal-part", "fatal-part", "endless", "endless", "kill", "stop", "crash"}
 	pauseFaults  = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "instances-pause", "pause", "timeout", "idle-time", "weights"}
 )
 
 // Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
-// those from firstWordSeed wordFaults, those from firstReturnSeed returnFaults, and those from firstPauseSeed
-// pauseFaults. The others keep the faults with which they have found something.
-const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 9999
+// those from firstWordSeed wordFaults, those from firstReturnSeed returnFaults, those from firstPauseSeed
+// pauseFaults, and those from firstPartSeed partFaults. The others keep the faults with which they have found something.
+const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, firstPartSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 8000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -73,6 +74,9 @@
 	if seed >= firstPauseSeed && seed <= lastSeed {
 		kinds = append(kinds, pauseFaults)
 	}
+	if seed >= firstPartSeed && seed <= lastSeed {
+		kinds = append(kinds, partFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
--- a/cli/soak/guarantees.go
+++ b/cli/soak/guarantees.go
@@ -42,6 +42,7 @@
 		s.checkAnswer(a, runs[a.id])
 	}
 	s.checkFatalRequests(runs)
+	s.checkEndless()
 	s.checkEndpointPauses(runs)
 	for _, w := range s.env.foreignWorkers {
 		for _, r := range w.Runs() {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -66,7 +66,7 @@
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
-	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses, Stay, SharedSilence, OwnPauses bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses, Stay, SharedSilence, OwnPauses, PromptParts bool
 }
 
 // Peers is the set of other instances, which share the endpoints with this one.
@@ -258,7 +258,7 @@
 		f.answerRefusal(w, req, refused)
 		return
 	}
-	req.identify()
+	req.identify(!f.Settings.Disabled.PromptParts)
 	if refused := f.refuseIfStopped(req); refused != nil {
 		f.answerRefusal(w, req, refused)
 		return
--- a/gateway/forward/identity.go
+++ b/gateway/forward/identity.go
@@ -11,7 +11,7 @@
 // query, and body, and the parts of its prompt that others share. The same request sent again, to any
 // instance, gets the same identity. For a body that is not all in memory, the buffered part and the stated
 // length count.
-func (req *request) identify() {
+func (req *request) identify(withParts bool) {
 	length := int64(len(req.body))
 	if !req.replayable {
 		length = req.contentLength
@@ -21,7 +21,10 @@
 		[]byte(team), []byte(req.httpRequest.Method), []byte(req.httpRequest.Host), []byte(req.httpRequest.RequestURI),
 		strconv.AppendInt(nil, length, 10), req.body,
 	)}
-	req.identity = crashers.NewRequest(whole, req.sharedParts())
+	req.identity = crashers.Request{Whole: whole}
+	if withParts {
+		req.identity = crashers.NewRequest(whole, req.sharedParts())
+	}
 }
 
 // sharedParts returns the ids of the parts of the prompt that other requests may share: all but the last.
--- a/gateway/forward/identity_test.go
+++ b/gateway/forward/identity_test.go
@@ -29,7 +29,7 @@
 		if p.team != "" {
 			req.team = &route.Team{Name: p.team}
 		}
-		req.identify()
+		req.identify(true)
 		return req.identity.Whole
 	}
 	base := parts{team: "desk", method: http.MethodPost, host: "a.example", target: "/brief/1?x=1", body: "case", id: "1"}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -194,6 +194,7 @@
 	f.placement = placement.New(routingSettings, rand.Uint64())
 	f.placement.OnDeparture(f.onDeparture)
 	f.pool = upstream.NewPool(dial)
+	f.pool.Unbounded = !s.Mechanisms.AnswerBounds
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
 	followOptions := follow.Options{Source: f.source, First: f.firstSource, Regained: &f.sourceRegained, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
@@ -237,7 +238,7 @@
 	return forward.DisabledMechanisms{
 		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
 		SharedRetries: !m.SharedRetries, WaitQueue: !m.Line, FirstLook: !m.FirstLook, Claims: !m.Claims, Limits: !m.Limits, Room: !m.Room, ViaPeers: !m.ViaPeers, Departures: !m.Departures, Pauses: !m.Pauses,
-		Stay: !m.Stay, SharedSilence: !m.SharedSilence, OwnPauses: !m.OwnPauses,
+		Stay: !m.Stay, SharedSilence: !m.SharedSilence, OwnPauses: !m.OwnPauses, PromptParts: !m.PromptParts,
 	}
 }
 
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -123,6 +123,8 @@
 	FirstLook     bool `ini:"first_look" default:"true" doc:"callers wait while an instance that has started reads routes and endpoints"`
 	Rollouts      bool `ini:"rollouts" default:"true" doc:"services move to other builds under the bounds of [rollouts]"`
 	Crashes       bool `ini:"crashes" default:"true" doc:"requests that end the endpoints that run them are stopped"`
+	PromptParts   bool `ini:"prompt_parts" default:"true" doc:"parts of prompts that end the endpoints that run them are stopped"`
+	AnswerBounds  bool `ini:"answer_bounds" default:"true" doc:"heads of answers that endpoints send without end are given up"`
 }
 
 // FrontLogs holds the settings of the log.
