core/crashers, gateway/crashes: sound requests are not refused for parts that crashed beside a fatal one; facts are not sorted in place

A part crashed seven engines within a second, before any sound stream had run for one, so the parts that all prompts have were stopped with it. A request without the fatal part is tried then, unless a crash has no other cause; at one of the seven the head of the fatal answer was lost with the connection, and a sound request had just begun, so the sound part seemed the likelier cause there. A part that had begun at several crashes is now another cause wherever it was present (a case of TestPartVerdicts, which failed before).

--- a/core/crashers/parts.go
+++ b/core/crashers/parts.go
@@ -116,20 +116,32 @@
 	return true
 }
 
-// hasOtherCause reports whether an endpoint that crashed was at least as far with a part, outside of a
-// request, that was at other crashes as well.
+// hasOtherCause reports whether an endpoint that crashed had a part, outside of a request, that was at other
+// crashes as well. It has to be as far with that part as with the first one, or to have begun with it at
+// several crashes: the head of an answer may be lost with its connection, so that a crash looks weaker than it is.
 func (r *Registry) hasOtherCause(crash *Crash, part Subject, req *Request) bool {
 	for s := range r.byEndpoint[crash.Endpoint] {
-		if s.Part == "" || s.Part == part.Part || req.Has(s) {
+		e := r.entries[s]
+		if s.Part == "" || s.Part == part.Part || req.Has(s) || e == nil || len(e.crashes) < 2 {
 			continue
 		}
-		if e := r.entries[s]; e != nil && len(e.crashes) > 1 && e.phaseAt(crash.Endpoint).strength() >= crash.Phase.strength() {
+		if e.phaseAt(crash.Endpoint).strength() >= crash.Phase.strength() || e.begunCrashes() > 1 {
 			return true
 		}
 	}
 	return false
 }
 
+// begunCrashes returns how many crashes are in phase Begun.
+func (e *entry) begunCrashes() (n int) {
+	for i := range e.crashes {
+		if e.crashes[i].Phase == Begun {
+			n++
+		}
+	}
+	return n
+}
+
 // isProven reports whether a part was answered since the last crash under it.
 func (r *Registry) isProven(part Subject) bool {
 	e := r.entries[part]
--- a/core/crashers/parts_test.go
+++ b/core/crashers/parts_test.go
@@ -52,6 +52,9 @@
 		{"three, the other part is answered", of(three, []step{answered(9, base, other)}), Free, Stopped},
 		{"the other part is answered in between", of(three[:2], []step{answered(9, base)}, three[2:]), Suspect, Stopped},
 		{"five, the other part is answered before", of([]step{answered(9, base)}, three, []step{fatalAt(4, Begun), fatalAt(5, Begun)}), Careful, Stopped},
+		{"a bystander had begun where the head of the fatal answer was lost", of(three, []step{
+			fatalAt(4, Present), {n: 5, parts: []uint64{base, other}, endpoint: "e4", phase: Begun},
+		}), Careful, Stopped},
 		{"the fatal part is answered", of(three, []step{answered(9, fatal)}), Stopped, Stopped},
 		{"after some events", []step{fatalAt(1, Present), fatalAt(2, Present), fatalAt(3, Present)}, Careful, Stopped},
 		{"late", []step{fatalAt(1, Late), fatalAt(2, Late), fatalAt(3, Late), fatalAt(4, Late)}, Suspect, Suspect},
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -1,11 +1,9 @@
 package crashes
 
 import (
-	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -290,7 +288,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	r.complete = r.complete || complete
-	sortWholeFirst(facts)
+	facts = sortedWholeFirst(facts)
 	var stopped []crashers.Subject
 	for i := range facts {
 		req := facts[i].Subject
@@ -306,12 +304,18 @@
 	}
 }
 
-// sortWholeFirst orders facts so that those about requests as a whole are merged before those about parts of
-// prompts: a part is not stopped if a single request explains its crashes.
-func sortWholeFirst(facts []crashers.Fact) {
-	slices.SortStableFunc(facts, func(a, b crashers.Fact) int {
-		return cmp.Compare(min(len(a.Subject.Part), 1), min(len(b.Subject.Part), 1))
-	})
+// sortedWholeFirst returns facts in the order in which they are merged: those about requests as a whole come
+// before those about parts of prompts, since a part is not stopped if a single request explains its crashes.
+func sortedWholeFirst(facts []crashers.Fact) []crashers.Fact {
+	var wholes, parts []crashers.Fact
+	for i := range facts {
+		if facts[i].Subject.Part == "" {
+			wholes = append(wholes, facts[i])
+		} else {
+			parts = append(parts, facts[i])
+		}
+	}
+	return append(wholes, parts...)
 }
 
 // Facts returns the stopped requests, to answer another instance. The second result reports whether
--- a/gateway/crashes/parts_test.go
+++ b/gateway/crashes/parts_test.go
@@ -72,6 +72,8 @@
 		assert.Equal(w, w.registries[4].ReleaseContent(state[0].Content), 1)
 		time.Sleep(time.Second)
 		assert.Equal(w, w.registries[7].Decide(partRequest(901, 0xbad), "engines").Verdict, crashers.Free)
+		w.store.mu.Lock()
+		defer w.store.mu.Unlock()
 		assert.Equal(w, len(w.store.objects), 0)
 	})
 }
