--- a/core/limitread/limitread.go
+++ b/core/limitread/limitread.go
@@ -15,7 +15,7 @@
 	// MaxHead bounds the head of an answer, with the informational answers before it.
 	MaxHead = 32 << 10
 	// MaxReport bounds an answer in which an engine describes itself, MaxStatus one with its cache events.
-	MaxReport = 256 << 10
+	MaxReport = 64 << 10
 	MaxStatus = 1 << 20
 	// MaxStoreAnswer bounds an answer of the store. A page has 1 MB and the rest of its last object.
 	MaxStoreAnswer = 8 << 20
