core/crashers, gateway/crashes: clearing has one path, counting one place; state that follows from other state is gone

Behaviour is unchanged. An operator's release and an answer cleared subjects by two copies of the same steps, one with a map of what is stored, made for each stream each second; the core now says of each cleared subject whether its stop was stored. The threshold of a subject that may be tried again was set in two places, the incidents of a part were counted in two. reportedProgress followed from progressAt. An unused parameter is gone, and the list of a request's subjects is made in one place.

--- a/core/crashers/crashes.go
+++ b/core/crashers/crashes.go
@@ -10,7 +10,7 @@
 // RecordCrash records that an endpoint crashed while it had a request. It returns the subjects that this
 // stops, which were not stopped before: the request, or parts of its prompt.
 func (r *Registry) RecordCrash(now time.Time, req Request, crash Crash) (stopped []Subject) {
-	subjects := req.subjects()
+	subjects := req.Subjects()
 	for _, s := range subjects {
 		r.addCrash(now, s, crash)
 	}
@@ -115,23 +115,19 @@
 	if n.begun > 0 && r.isHarmfulTeam(now, req.Team, e.service) {
 		return 0, n.begun
 	}
-	threshold := r.set.CrashThreshold
-	if e.stop.Count > 0 { // it was stopped and may be tried again
-		threshold = 1
-	}
-	return r.missingIncidents(threshold, e, n), n.begun
+	return r.missingIncidents(r.set.CrashThreshold, e, n), n.begun
 }
 
 // missingIncidents returns how many incidents are missing of a threshold, or of the threshold that counts
-// late crashes too.
+// late crashes too. One is enough for a subject that was stopped and may be tried again.
 func (r *Registry) missingIncidents(threshold int, e *entry, n incidentCounts) int {
+	lateThreshold := r.set.LateCrashThreshold
+	if e.stop.Count > 0 {
+		threshold, lateThreshold = 1, 1
+	}
 	missing := threshold - n.early
 	if n.all > n.early {
-		late := r.set.LateCrashThreshold
-		if e.stop.Count > 0 {
-			late = 1
-		}
-		missing = min(missing, late-n.all)
+		missing = min(missing, lateThreshold-n.all)
 	}
 	return max(missing, 0)
 }
@@ -151,7 +147,7 @@
 // without a suspected part count.
 func (r *Registry) isHarmful(now time.Time, req *Request, service string) bool {
 	all, ofSoundParts := r.countHarmful(now, req.Whole.Team, service)
-	if all >= r.set.HarmfulThreshold && r.areProven(req) {
+	if r.areProven(req) {
 		return ofSoundParts >= r.set.HarmfulThreshold
 	}
 	return all >= r.set.HarmfulThreshold
@@ -240,7 +236,7 @@
 		if s.Part != "" || s.Team != team || e.service != service || !e.crashedAtBeginSince(since) {
 			continue
 		}
-		suspected, stopped := r.suspectedParts(now, s, e)
+		suspected, stopped := r.suspectedParts(s, e)
 		if stopped {
 			continue
 		}
@@ -254,7 +250,7 @@
 
 // suspectedParts reports whether a part of the team's prompts had begun at an endpoint that crashed when a
 // request had begun there, and whether such a part is or was stopped.
-func (r *Registry) suspectedParts(now time.Time, s Subject, e *entry) (suspected, stopped bool) {
+func (r *Registry) suspectedParts(s Subject, e *entry) (suspected, stopped bool) {
 	for i := range e.crashes {
 		if e.crashes[i].Phase != Begun {
 			continue
--- a/core/crashers/parts.go
+++ b/core/crashers/parts.go
@@ -6,15 +6,21 @@
 
 // evaluatePart returns how many more incidents stop a part of prompts. A part whose crashes are all those of
 // one request is not stopped, since that request may be the cause, unless one crash is enough.
-func (r *Registry) evaluatePart(now time.Time, part Subject, e *entry) (missing int) {
-	counted, threshold := r.countedCrashes(now, part, e), r.partThreshold(now, part, e)
-	missing = r.missingIncidents(threshold, e, r.countIncidents(counted))
+func (r *Registry) evaluatePart(now time.Time, part Subject, e *entry) int {
+	counted, threshold, missing := r.partIncidents(now, part, e)
 	if missing == 0 && threshold > 1 && r.isCrashOfOneRequest(counted, nil) {
 		return 1
 	}
 	return missing
 }
 
+// partIncidents returns the crashes that count against a part, how many incidents stop it, and how many of them
+// are missing.
+func (r *Registry) partIncidents(now time.Time, part Subject, e *entry) (counted []Crash, threshold, missing int) {
+	counted, threshold = r.countedCrashes(now, part, e), r.partThreshold(now, part, e)
+	return counted, threshold, r.missingIncidents(threshold, e, r.countIncidents(counted))
+}
+
 // partThreshold returns how many incidents stop a part. It takes more of them if the part was answered
 // before, and only one if another team's requests with that part are stopped.
 func (r *Registry) partThreshold(now time.Time, part Subject, e *entry) int {
@@ -76,8 +82,7 @@
 	if e == nil || len(e.crashes) == 0 && e.stop.Count == 0 {
 		return Free
 	}
-	counted := r.countedCrashes(now, part, e)
-	missing := r.missingIncidents(r.partThreshold(now, part, e), e, r.countIncidents(counted))
+	counted, _, missing := r.partIncidents(now, part, e)
 	switch {
 	case e.stopped(now) && !r.mayBeInnocent(part, req):
 		return Stopped
--- a/core/crashers/request.go
+++ b/core/crashers/request.go
@@ -39,8 +39,8 @@
 // Has reports whether a subject is the request or a part of its prompt.
 func (r *Request) Has(s Subject) bool { return r.Whole == s || slices.Contains(r.Parts, s) }
 
-// subjects returns all that crashes under the request may be blamed on.
-func (r *Request) subjects() []Subject { return append([]Subject{r.Whole}, r.Parts...) }
+// Subjects returns all that crashes under the request may be blamed on.
+func (r *Request) Subjects() []Subject { return append([]Subject{r.Whole}, r.Parts...) }
 
 // WithoutParts returns the request without the parts of its prompt.
 func (r *Request) WithoutParts() Request { return Request{Whole: r.Whole} }
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -175,26 +175,44 @@
 	}
 }
 
-// Answered records that a request was answered to its end, and clears it and the parts of its prompt. It
-// returns those of them that had crashes or a stop.
-func (r *Registry) Answered(now time.Time, req *Request) (cleared []Subject) {
-	return r.clearEach(now, req, r.Clear)
+// Cleared is a subject that had crashes or a stop and has been cleared.
+type Cleared struct {
+	Subject Subject
+	// Stored reports whether its stop was known to be in the platform's store.
+	Stored bool
+}
+
+// Answered records that a request was answered to its end, and clears it and the parts of its prompt.
+func (r *Registry) Answered(now time.Time, req *Request) []Cleared {
+	return r.clearServed(now, req, r.Clear)
 }
 
 // Progressed records that a request has been served for a while but not to its end, and clears it and the
-// parts of its prompt that have no late crash. It returns those of them that had crashes or a stop.
-func (r *Registry) Progressed(now time.Time, req *Request) (cleared []Subject) {
-	return r.clearEach(now, req, r.ClearOnProgress)
+// parts of its prompt that have no late crash.
+func (r *Registry) Progressed(now time.Time, req *Request) []Cleared {
+	return r.clearServed(now, req, r.ClearOnProgress)
 }
 
-func (r *Registry) clearEach(now time.Time, req *Request, clear func(time.Time, Subject) bool) (cleared []Subject) {
-	for _, s := range req.subjects() {
+// Release clears a subject on behalf of an operator.
+func (r *Registry) Release(now time.Time, s Subject) []Cleared {
+	return r.clearEach(now, []Subject{s}, r.Clear)
+}
+
+// clearServed clears a request that was served by clear, and remembers that its parts were answered.
+func (r *Registry) clearServed(now time.Time, req *Request, clear func(time.Time, Subject) bool) []Cleared {
+	for _, p := range req.Parts {
+		r.answered.add(p, now)
+	}
+	return r.clearEach(now, req.Subjects(), clear)
+}
+
+func (r *Registry) clearEach(now time.Time, subjects []Subject, clear func(time.Time, Subject) bool) []Cleared {
+	var out []Cleared
+	for _, s := range subjects {
+		stored := r.Stop(s).Stored
 		if clear(now, s) {
-			cleared = append(cleared, s)
-		}
-		if s.Part != "" {
-			r.answered.add(s, now)
+			out = append(out, Cleared{Subject: s, Stored: stored})
 		}
 	}
-	return cleared
+	return out
 }
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -148,9 +148,8 @@
 	stopped := r.core.RecordCrash(now, req, crash)
 	decision := r.core.Decide(now, &req, crash.Service)
 	f, _ := r.core.Fact(now, req.Whole, r.Self)
-	r.scheduleBroadcast(req.Whole)
-	for _, p := range req.Parts {
-		r.scheduleBroadcast(p)
+	for _, s := range req.Subjects() {
+		r.scheduleBroadcast(s)
 	}
 	for _, s := range stopped {
 		r.scheduleWrite(s, now)
@@ -203,43 +202,39 @@
 // ClearOnAnswer records that a request was answered, and clears it and the parts of its prompt: they do not
 // crash the endpoints that run them.
 func (r *Registry) ClearOnAnswer(req crashers.Request) {
-	r.clearRequest(&req, "served", r.core.Answered)
+	r.clearServed(&req, "served", r.core.Answered)
 }
 
 // ClearOnProgress records that a request has been served for [ProgressAfter]. It clears the request and the
 // parts of its prompt, except those for which a late crash is recorded.
 func (r *Registry) ClearOnProgress(req crashers.Request) {
-	r.clearRequest(&req, "served for a while", r.core.Progressed)
+	r.clearServed(&req, "served for a while", r.core.Progressed)
 }
 
-// clearRequest clears a request and the parts of its prompt by a function of the core registry.
-func (r *Registry) clearRequest(req *crashers.Request, why string, clear func(time.Time, *crashers.Request) []crashers.Subject) {
+func (r *Registry) clearServed(req *crashers.Request, why string, clear func(time.Time, *crashers.Request) []crashers.Cleared) {
 	if !r.HasRecords() && len(req.Parts) == 0 {
 		return
 	}
+	r.clear(why, func(now time.Time) []crashers.Cleared { return clear(now, req) })
+}
+
+// clear clears subjects by a function of the core registry, tells the others, and deletes stored stops in the
+// background. It returns how many were cleared.
+func (r *Registry) clear(why string, clear func(now time.Time) []crashers.Cleared) int {
 	r.mu.Lock()
-	stored := map[crashers.Subject]bool{}
-	for _, s := range append(req.Parts[:len(req.Parts):len(req.Parts)], req.Whole) {
-		stored[s] = r.core.Stop(s).Stored
-	}
-	cleared := clear(time.Now(), req)
-	for _, s := range cleared {
-		r.scheduleBroadcast(s)
-		delete(r.writes, s)
+	cleared := clear(time.Now())
+	for _, c := range cleared {
+		r.scheduleBroadcast(c.Subject)
+		delete(r.writes, c.Subject)
 	}
 	r.mu.Unlock()
-	for _, s := range cleared {
-		r.reportCleared(s, why, stored[s])
-	}
-}
-
-// reportCleared logs that a subject was cleared, and deletes its stop from the store in the background if it
-// is there.
-func (r *Registry) reportCleared(s crashers.Subject, why string, stored bool) {
-	r.log(s, nil).WithField("why", why).Info("request cleared")
-	if stored {
-		go r.deleteStop(s)
+	for _, c := range cleared {
+		r.log(c.Subject, nil).WithField("why", why).Info("request cleared")
+		if c.Stored {
+			go r.deleteStop(c.Subject)
+		}
 	}
+	return len(cleared)
 }
 
 // crashedEndpoints returns the endpoints that crashed while they had a request.
@@ -254,25 +249,14 @@
 // Release clears a request or a part of prompts on behalf of an operator. It returns false if nothing is
 // recorded for it.
 func (r *Registry) Release(s crashers.Subject) bool {
-	r.mu.Lock()
-	stored := r.core.Stop(s).Stored
-	cleared := r.core.Clear(time.Now(), s)
-	if cleared {
-		r.scheduleBroadcast(s)
-		delete(r.writes, s)
-	}
-	r.mu.Unlock()
-	if cleared {
-		r.reportCleared(s, "released", stored)
-	}
-	return cleared
+	return r.clear("released", func(now time.Time) []crashers.Cleared { return r.core.Release(now, s) }) > 0
 }
 
 // ReleaseTrial ends the trials that owner has of a request and of the parts of its prompt.
 func (r *Registry) ReleaseTrial(req crashers.Request, owner any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range append(req.Parts[:len(req.Parts):len(req.Parts)], req.Whole) {
+	for _, s := range req.Subjects() {
 		if r.trials[s] != owner {
 			continue
 		}
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -145,7 +145,7 @@
 	}
 	a.sentAt = time.Now()
 	a.potentialLoss = s.req.loss(e)
-	a.potentialLoss.ServedBefore, a.potentialLoss.Async = s.reportedProgress, s.relayedEvents > 0
+	a.potentialLoss.ServedBefore, a.potentialLoss.Async = s.hasProgressed(), s.relayedEvents > 0
 	a.send = platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: s.req.timeLeft(time.Now()), Team: s.req.teamName(), Priority: s.req.priority,
 		LastEventID: s.lastEventID, CopyFrom: resumeFrom.Address, CopyHandle: resumeFrom.Handle, CopyTo: s.placeCopy(a),
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -154,16 +154,16 @@
 	if servingTime >= crashes.TrialDuration {
 		s.endCrashTrial()
 	}
-	switch {
-	case !s.reportedProgress && servingTime >= crashes.ProgressAfter:
-		s.reportedProgress = true
-	case !s.reportedProgress, now.Sub(s.progressAt) < crashes.ProgressAfter, now.Sub(a.firstEventAt) < crashes.ProgressAfter:
+	if servingTime < crashes.ProgressAfter || s.hasProgressed() && min(now.Sub(s.progressAt), now.Sub(a.firstEventAt)) < crashes.ProgressAfter {
 		return
 	}
 	s.progressAt = now
 	s.f.Crashes.ClearOnProgress(s.req.identity)
 }
 
+// hasProgressed reports whether the request was reported as served for long enough to be cleared.
+func (s *session) hasProgressed() bool { return !s.progressAt.IsZero() }
+
 // stopStreams ends the streams without events, at all engines, of requests that are stopped with a subject.
 // Another instance may have found that they crash engines.
 func (f *Forwarder) stopStreams(stopped crashers.Subject) {
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -50,10 +50,8 @@
 	// timerLate is how late the session's timer last fired: how long this process did not run.
 	timerLate time.Duration
 	// inCrashTrial is set while the session tries a request under which endpoints crashed.
-	// reportedProgress is set once the request was reported as served for long enough to be
-	// cleared.
-	inCrashTrial, reportedProgress bool
-	// progressAt is when the request was reported as served for a while last.
+	inCrashTrial bool
+	// progressAt is when the request was reported as served for a while last; zero before.
 	progressAt time.Time
 	// done is closed when the session has ended.
 	done chan struct{}
