--- a/cli/soak/endless.go
+++ b/cli/soak/endless.go
@@ -26,10 +26,7 @@
 // checkEndless checks that endless answers were given up.
 func (s *soak) checkEndless() {
 	for _, k := range s.env.workers {
-		k.mu.Lock()
-		incarnations := append([]*standin.Worker{k.current}, k.previous...)
-		k.mu.Unlock()
-		for _, w := range incarnations {
+		for _, w := range k.incarnations() {
 			if most := w.LongestEndless(); most > maxEndlessTaken {
 				s.addFinding("%d bytes of an endless answer were taken from %s", most, w.Config().ID)
 			}
--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -306,6 +306,13 @@
 	leavingSince time.Time
 }
 
+// incarnations returns the current incarnation and those before it.
+func (k *worker) incarnations() []*standin.Worker {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]*standin.Worker{k.current}, k.previous...)
+}
+
 // runs returns what all incarnations ran.
 func (k *worker) runs() []workerRun {
 	k.mu.Lock()
--- a/cli/soak/fatal.go
+++ b/cli/soak/fatal.go
@@ -70,20 +70,27 @@
 // body returns the body of a fatal request. Requests with a fatal part have bodies of their own.
 func (k fatalKind) body(n int, id string) string {
 	if k.isPart {
-		return fmt.Sprint(fatalBody, " part ", n, ofRequest, id)
+		return fmt.Sprint(fatalPartBody, n, ofRequest, id)
 	}
 	return fmt.Sprint(fatalBody, " ", n)
 }
 
-// ofRequest separates what is fatal in a request with a fatal part from the request's own id.
-const ofRequest = " of "
+// Bodies of requests with a fatal part begin with fatalPartBody and the index of the part. ofRequest separates
+// that from the request's own id.
+const (
+	fatalPartBody = fatalBody + " part "
+	ofRequest     = " of "
+)
 
 // fatalCause returns what is fatal in a request, by its body: the request or a part.
-func fatalCause(body string) (cause string, isPart bool) {
-	cause, _, isPart = strings.Cut(body, ofRequest)
-	return cause, isPart
+func fatalCause(body string) string {
+	cause, _, _ := strings.Cut(body, ofRequest)
+	return cause
 }
 
+// isFatalPart reports whether what is fatal is a part of prompts.
+func isFatalPart(cause string) bool { return strings.HasPrefix(cause, fatalPartBody) }
+
 // fatalPartID returns the id of a fatal part, by the index of its kind.
 func fatalPartID(n int) string { return fmt.Sprintf("bad%x", n) }
 
@@ -127,7 +134,7 @@
 			if !strings.HasPrefix(r.Body, fatalBody) {
 				continue
 			}
-			cause, _ := fatalCause(r.Body)
+			cause := fatalCause(r.Body)
 			fatalRuns[cause] = append(fatalRuns[cause], r)
 			if at := harmfulAt[r.Body]; r.Ended == standin.Crashed && (at.IsZero() || r.EndedAt.Before(at)) {
 				harmfulAt[r.Body] = r.EndedAt
@@ -137,7 +144,7 @@
 	thirdCrashes, lastCrashes, teamHarmful := map[string]time.Time{}, map[string]time.Time{}, nthTime(slices.Collect(maps.Values(harmfulAt)), harmfulRequests)
 	for cause, all := range fatalRuns {
 		bounded := maxFatalCrashes
-		if strings.HasPrefix(cause, fatalBody+" part") {
+		if isFatalPart(cause) {
 			bounded = maxPartCrashes
 		}
 		thirdCrashes[cause] = nthCrashTime(all, maxFatalCrashes)
@@ -193,7 +200,7 @@
 func (s *soak) checkSoundStreams(thirdCrashes map[string]time.Time) {
 	var from time.Time
 	for cause, at := range thirdCrashes {
-		if strings.HasPrefix(cause, fatalBody+" part") && !at.IsZero() && (from.IsZero() || at.Before(from)) {
+		if isFatalPart(cause) && !at.IsZero() && (from.IsZero() || at.Before(from)) {
 			from = at
 		}
 	}
@@ -222,7 +229,7 @@
 		return
 	}
 	took := a.ended.Sub(a.sent)
-	cause, _ := fatalCause(a.body)
+	cause := fatalCause(a.body)
 	third, last := thirdCrashes[cause], lastCrashes[cause]
 	switch {
 	case !strings.HasPrefix(a.body, fatalBody):
--- a/cli/soak/words.go
+++ b/cli/soak/words.go
@@ -84,10 +84,7 @@
 // leaves or asked for a pause. Answers from before a restart or pause of the process do not count.
 func (s *soak) checkWords() {
 	for _, k := range s.env.workers {
-		k.mu.Lock()
-		incarnations := append([]*standin.Worker{k.current}, k.previous...)
-		k.mu.Unlock()
-		for _, e := range incarnations {
+		for _, e := range k.incarnations() {
 			s.checkDeparture(k, e)
 			s.checkPauses(e)
 		}
