--- a/core/limitread/limitread.go
+++ b/core/limitread/limitread.go
@@ -14,6 +14,10 @@
 const (
 	// MaxHead bounds the head of an answer, with the informational answers before it.
 	MaxHead = 32 << 10
+	// MaxSkipped bounds the body of an answer that belongs to another request and is skipped.
+	MaxSkipped = 256 << 10
+	// MaxEvent bounds an event of a stream. Some hundred streams of a service may have one in memory.
+	MaxEvent = 32 << 10
 	// MaxReport bounds an answer in which an engine describes itself, MaxStatus one with its cache events.
 	MaxReport = 64 << 10
 	MaxStatus = 1 << 20
--- a/gateway/forward/events.go
+++ b/gateway/forward/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/agateway/agateway/core/limitread"
 )
 
 // event is one event of a stream, unchanged.
@@ -15,13 +17,7 @@
 	hasID bool
 }
 
-// Bounds on the memory of a stream.
-const (
-	eventBufferBytes = 4 << 10
-	// maxEventBytes is the size of the largest event that is relayed. Some hundred streams of a service may
-	// have one in memory.
-	maxEventBytes = 32 << 10
-)
+const eventBufferBytes = 4 << 10
 
 // eventReader splits a stream of server-sent events into whole events. It never returns a partial
 // event when the stream breaks off.
@@ -64,8 +60,8 @@
 func (e *eventReader) appendLine(to *event) error {
 	for {
 		piece, err := e.r.ReadSlice('\n')
-		if len(to.raw)+len(piece) > maxEventBytes {
-			return ErrEvents.New("an event has over %d bytes", maxEventBytes)
+		if len(to.raw)+len(piece) > limitread.MaxEvent {
+			return ErrEvents.New("an event has over %d bytes", limitread.MaxEvent)
 		}
 		to.raw = append(to.raw, piece...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -39,12 +39,8 @@
 // maxSkippedAnswers bounds the answers to earlier requests that are skipped on a connection.
 const maxSkippedAnswers = 2
 
-// maxSkippedBytes bounds the body of an answer that is skipped. maxInformational bounds the informational
-// answers before the answer itself.
-const (
-	maxSkippedBytes  = 256 << 10
-	maxInformational = 16
-)
+// maxInformational bounds the informational answers before the answer itself.
+const maxInformational = 16
 
 // Do sends a request on a connection and reads the head of its answer. matches reports whether an
 // answer belongs to this request; other answers are skipped. The exchange owns the connection, and
@@ -196,7 +192,7 @@
 		if skipped++; skipped > maxSkippedAnswers || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("the answer is to another request")
 		}
-		x.conn.allow(maxSkippedBytes)
+		x.conn.allow(limitread.MaxSkipped)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return err
 		}
