--- a/gateway/front/crashes_faults_test.go
+++ b/gateway/front/crashes_faults_test.go
@@ -16,6 +16,11 @@
 // countStops returns how many log lines say that a request was stopped.
 func (w *world) countStops() int { return strings.Count(w.logs.String(), `"msg":"request stopped"`) }
 
+// countPartStops returns how many log lines say that a part of prompts was stopped.
+func (w *world) countPartStops() int {
+	return strings.Count(w.logs.String(), `"msg":"prompt part stopped"`)
+}
+
 // sendSteadily sends streams of a team at a fixed interval to all instances in turn, each with
 // different content. The function that it returns ends the sending and returns all answers.
 func (w *world) sendSteadily(team, name string, every time.Duration) (end func() []standin.Answer) {
@@ -33,10 +38,7 @@
 			work.Go(func() {
 				r := briefRequest(fmt.Sprintf("%x", 0xc0000+i))
 				r.Key, r.Body, r.PromptTokens = team, fmt.Sprint(name, " ", i), 2000
-				a, err := w.send(i%len(w.fronts), r)
-				if err != nil {
-					a.Body = err.Error()
-				}
+				a := w.answer(i%len(w.fronts), r)
 				mu.Lock()
 				defer mu.Unlock()
 				all = append(all, a)
@@ -74,6 +76,7 @@
 			assert.Assert(w.t, len(answers) > 400)
 			assert.Equal(w.t, o.sendsAfterThirdCrash(detectionTime), 0)
 			assert.Equal(w.t, w.countStops(), len(w.fronts), "one request, at each instance")
+			assert.Equal(w.t, w.countPartStops(), 0)
 		})
 	})
 }
@@ -164,6 +167,7 @@
 		close(stop)
 		work.Wait()
 		assert.Equal(t, w.countStops(), 0)
+		assert.Equal(t, w.countPartStops(), 0)
 	})
 }
 
--- a/gateway/front/crashes_test.go
+++ b/gateway/front/crashes_test.go
@@ -25,6 +25,7 @@
 	mu         sync.Mutex
 	crashTimes []time.Time
 	workers    map[string]*standin.Worker // all incarnations, by id
+	latest     map[string]*standin.Worker // the incarnation started last, by address
 	crashCount int
 	closed     bool
 	// silent makes workers fall silent instead of closing their connections.
@@ -44,10 +45,10 @@
 
 // withFatalRequests runs f while some requests are fatal.
 func (w *world) withFatalRequests(fatal standin.FatalRequest, f func(*crashWorld)) {
-	o := &crashWorld{world: w, workers: map[string]*standin.Worker{}, down: map[int]bool{}}
+	o := &crashWorld{world: w, workers: map[string]*standin.Worker{}, latest: map[string]*standin.Worker{}, down: map[int]bool{}}
 	for _, list := range [][]*standin.Worker{w.engines, w.plains} {
 		for _, e := range list {
-			o.workers[e.Config().ID] = e
+			o.workers[e.Config().ID], o.latest[e.Config().Address] = e, e
 		}
 	}
 	if fatal.Matches == nil {
@@ -106,7 +107,7 @@
 		o.net.Crash(o.nodeOf(cfg.Address)) // ends its old connections and listener
 	}
 	next := o.newWorker(o.nodeOf(cfg.Address), fmt.Sprint("-", number), cfg)
-	o.workers[next.Config().ID] = next
+	o.workers[next.Config().ID], o.latest[cfg.Address] = next, next
 }
 
 // nodeOf returns the node of the worker with an address.
@@ -184,10 +185,7 @@
 	for i := range times {
 		work.Go(func() {
 			for again := range 2 {
-				a, err := o.send((i*5+again)%len(o.fronts), r)
-				if err != nil {
-					a.Body = err.Error()
-				}
+				a := o.answer((i*5+again)%len(o.fronts), r)
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
--- a/gateway/front/crashing_parts_test.go
+++ b/gateway/front/crashing_parts_test.go
@@ -120,7 +120,7 @@
 			work.Go(func() {
 				r := briefRequest(fmt.Sprintf("%x", 0xc0000+first+i))
 				r.Body, r.PromptTokens, r.SharedParts = fmt.Sprint("sound ", first+i), 2000, c.soundParts
-				answers[i] = w.sendIfRunning(i%len(w.fronts), r)
+				answers[i] = w.answer(i%len(w.fronts), r)
 			})
 			time.Sleep(soundInterval)
 		}
@@ -139,7 +139,7 @@
 			r := briefRequest(fmt.Sprintf("%x", 0xf0000+i))
 			r.Key, r.Body, r.SharedParts = c.teams[i%len(c.teams)], fmt.Sprint("fatal ", i), c.fatalParts
 			for again := range 2 {
-				if a := o.sendIfRunning((i*5+again)%len(o.fronts), r); a.Status == http.StatusOK && a.Complete {
+				if a := o.answer((i*5+again)%len(o.fronts), r); a.Status == http.StatusOK && a.Complete {
 					return
 				}
 			}
@@ -149,15 +149,6 @@
 	work.Wait()
 }
 
-// sendIfRunning sends a request to an instance. The answer has no status if the instance does not run.
-func (w *world) sendIfRunning(i int, r standin.Request) standin.Answer {
-	a, err := w.send(i, r)
-	if err != nil {
-		a.Body = err.Error()
-	}
-	return a
-}
-
 // fatalPartSends returns how many requests with the fatal part reached engines more than delay after a
 // crash, counted from 1.
 func (o *crashWorld) fatalPartSends(crash int, delay time.Duration) int {
@@ -227,7 +218,7 @@
 					if served := countServed(sound()); together == 1 {
 						assert.Equal(t, served, soundDuring)
 					}
-					assert.Equal(t, strings.Count(w.logs.String(), `"msg":"prompt part stopped"`), 0)
+					assert.Equal(t, w.countPartStops(), 0)
 				})
 			})
 		})
@@ -252,17 +243,11 @@
 	}
 }
 
-// workerAt returns the incarnation that runs at the address of an engine.
+// workerAt returns the incarnation that was started last at the address of an engine.
 func (o *crashWorld) workerAt(i int) *standin.Worker {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var last *standin.Worker
-	for _, w := range o.workers {
-		if w.Config().Address == o.engines[i].Config().Address && (last == nil || len(w.Config().ID) > len(last.Config().ID)) {
-			last = w
-		}
-	}
-	return last
+	return o.latest[o.engines[i].Config().Address]
 }
 
 // TestManyFatalPartsOfOneTeam lets a team send requests that each have another fatal part, beside sound ones. The
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -313,16 +313,19 @@
 // startStream sends a request in the background and returns the channel for its answer.
 func (w *world) startStream(i int, r standin.Request) chan standin.Answer {
 	out := make(chan standin.Answer, 1)
-	go func() {
-		a, err := w.send(i, r)
-		if err != nil {
-			a.Body = err.Error()
-		}
-		out <- a
-	}()
+	go func() { out <- w.answer(i, r) }()
 	return out
 }
 
+// answer sends a request and returns the answer. If there was none, it has no status, and its body is the error.
+func (w *world) answer(i int, r standin.Request) standin.Answer {
+	a, err := w.send(i, r)
+	if err != nil {
+		a.Body = err.Error()
+	}
+	return a
+}
+
 // streamEngines returns the engine that runs a stream, and the one that holds its copy.
 func (w *world) streamEngines() (engine, copyAt string) {
 	for _, e := range w.engines {
