Priorities by team and route decide room at engines; messages and settings for load beyond capacity

Cause: a team's priority replaces that of the route, so the streams of a team are equal and the kind that may wait longest wins. Room at an engine is decided without priority, though the engine itself admits the more urgent first. Change: streams whose service has routes of different priority are ordered by team, then by route, also on the wire.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -14,7 +14,8 @@
 	limits       Limits
 	routesByHost map[string][]*Route // longest prefix first
 	services     map[string]*Service
-	teamsByKey   map[string]*Team // by key
+	teamsByKey   map[string]*Team                     // by key
+	levels       map[string]map[priorityPair]Priority // by service
 }
 
 // NewTable returns the table of a configuration. It keeps pointers into c, which must not change
@@ -23,6 +24,7 @@
 	t := &Table{
 		version: c.Version, limits: c.Limits,
 		routesByHost: map[string][]*Route{}, services: map[string]*Service{}, teamsByKey: map[string]*Team{},
+		levels: map[string]map[priorityPair]Priority{},
 	}
 	for i := range c.Routes {
 		host := strings.ToLower(c.Routes[i].Host)
@@ -33,6 +35,7 @@
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
+		t.levels[c.Services[i].Name] = priorityLevels(c.Services[i].Name, c)
 	}
 	for i := range c.Teams {
 		for _, k := range c.Teams[i].Keys {
--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/route"
 )
 
 // Claim asks the owner of an endpoint for room, right before a request is sent there. It is made for
@@ -19,6 +20,8 @@
 	PrefillWithin time.Duration
 	// Recovery marks work that was lost once.
 	Recovery bool
+	// Priority is [Request.Priority].
+	Priority route.Priority
 	// Limits is what the endpoint stated last, as far as the claiming instance knows.
 	Limits admission.Statement
 	// OwnerRank is the rank of this instance among the owners of the endpoint, 0 for the first.
@@ -72,7 +75,7 @@
 	}
 	v.reportLimits(n, c.Limits)
 	g := Grant{Limits: v.limitsOf(now, n)}
-	r := &Request{Tokens: c.Tokens, PromptTokens: c.PendingPrefill, PrefillWithin: c.PrefillWithin, Recovery: c.Recovery}
+	r := &Request{Tokens: c.Tokens, PromptTokens: c.PendingPrefill, PrefillWithin: c.PrefillWithin, Recovery: c.Recovery, Priority: c.Priority}
 	p := picker{v: v, now: now, r: r}
 	if !n.inService() || p.isFull(n) {
 		return g
@@ -84,7 +87,9 @@
 	}
 	if g.Granted && peer != "" && n.Memory > 0 { // this instance places its own claims at once
 		n = v.observe(id)
-		n.claims = append(n.claims, grantedClaim{peer, now, Placed{Open: 1, Tokens: c.Tokens, PendingPrefill: c.PendingPrefill}})
+		placed := Placed{Open: 1, Tokens: c.Tokens}
+		placed.SetPendingPrefill(c.PendingPrefill, c.Priority)
+		n.claims = append(n.claims, grantedClaim{peer, now, placed})
 		v.claimedEndpoints[id] = true
 	}
 	return g
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/route"
 )
 
 // Errors of [View.Pick].
@@ -44,6 +45,9 @@
 	// PrefillWithin is the time within which the prompt has to be prefilled, including those that
 	// are ahead of it; 0 for no limit.
 	PrefillWithin time.Duration
+	// Priority is the order among the requests of the service. Of ranked requests, the more urgent
+	// ones find room where others find none.
+	Priority route.Priority
 	// Copy asks for room for a copy of a request's memory, which takes no slot.
 	Copy bool
 	// RequestsWaiting reports that requests wait for room: copies then leave more of it free.
@@ -274,7 +278,7 @@
 	if w.Pace > 0 {
 		pace = n.effectivePace(p.now)
 	}
-	pendingPrompts := float64(n.pendingPrefill(p.now)) / float64(max(p.r.PromptTokens, minPromptTokens))
+	pendingPrompts := float64(n.prefillAhead(p.now, p.r)) / float64(max(p.r.PromptTokens, minPromptTokens))
 	score := w.PendingPrefill*pendingPrompts*pace + w.Pace*(pace-1)
 	if !n.othersPlacedKnown(p.now) {
 		score += p.v.settings.UnknownLoadPenalty
@@ -293,7 +297,7 @@
 // prefillTime returns how long an engine is expected to take for the prompts that are ahead and the
 // request's own; 0 if unknown.
 func (p *picker) prefillTime(n *node) time.Duration {
-	usual, known := p.v.usualPrefillOf(n.Service).Expected(n.pendingPrefill(p.now) + p.r.PromptTokens)
+	usual, known := p.v.usualPrefillOf(n.Service).Expected(n.prefillAhead(p.now, p.r) + p.r.PromptTokens)
 	if !known {
 		return 0
 	}
@@ -357,6 +361,9 @@
 	default:
 		memory = p.v.settings.CopyFactor
 	}
+	if !p.r.Copy {
+		memory *= p.r.memoryShare()
+	}
 	if n.Memory > 0 && float64(n.usedMemory(p.now)+p.r.Tokens) > memory*float64(n.Memory) {
 		return true
 	}
@@ -370,6 +377,9 @@
 		return true
 	}
 	factor := p.v.settings.QueueFactor
+	if p.r.Priority.Ranked() {
+		factor = p.r.queueFactor()
+	}
 	if p.r.Recovery {
 		factor = p.v.settings.RecoveryFactor
 	}
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -9,6 +9,7 @@
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
+	"github.com/agateway/agateway/core/route"
 )
 
 // Placed is what one instance, or all others together, have placed at an endpoint.
@@ -17,20 +18,50 @@
 	Open int
 	// Tokens is the memory that these requests and copies for others will need at their largest.
 	Tokens int
-	// PendingPrefill is how many of their prompt tokens are still to be prefilled.
+	// PendingPrefill is how many of their prompt tokens are still to be prefilled. PendingByLevel is
+	// the part of it that belongs to ranked requests, by level.
 	PendingPrefill int
+	PendingByLevel [route.MaxLevels]int32
+}
+
+// SetPendingPrefill sets the prompt tokens of one request that are still to be prefilled.
+func (p *Placed) SetPendingPrefill(tokens int, priority route.Priority) {
+	p.PendingPrefill, p.PendingByLevel = tokens, [route.MaxLevels]int32{}
+	if priority.Ranked() {
+		p.PendingByLevel[min(max(priority.Level, 0), route.MaxLevels-1)] = int32(tokens)
+	}
+}
+
+// Prefill returns the part of p that is released once the prompts are prefilled.
+func (p *Placed) Prefill() Placed {
+	return Placed{PendingPrefill: p.PendingPrefill, PendingByLevel: p.PendingByLevel}
+}
+
+// lessUrgent returns the prompt tokens still to be prefilled for requests of lower priority.
+func (p *Placed) lessUrgent(priority route.Priority) int {
+	sum := 0
+	for level := priority.Level + 1; priority.Ranked() && level < route.MaxLevels; level++ {
+		sum += int(p.PendingByLevel[level])
+	}
+	return sum
 }
 
 func (p *Placed) add(o Placed) {
 	p.Open += o.Open
 	p.Tokens += o.Tokens
 	p.PendingPrefill += o.PendingPrefill
+	for i, tokens := range o.PendingByLevel {
+		p.PendingByLevel[i] += tokens
+	}
 }
 
 func (p *Placed) subtract(o Placed) {
 	p.Open = max(p.Open-o.Open, 0)
 	p.Tokens = max(p.Tokens-o.Tokens, 0)
 	p.PendingPrefill = max(p.PendingPrefill-o.PendingPrefill, 0)
+	for i, tokens := range o.PendingByLevel {
+		p.PendingByLevel[i] = max(p.PendingByLevel[i]-tokens, 0)
+	}
 }
 
 // usedMemory returns the memory believed to be allocated, in tokens.
@@ -49,6 +80,14 @@
 	return n.own.PendingPrefill + n.othersPlaced(now).PendingPrefill
 }
 
+// prefillAhead returns how many prompt tokens the engine prefills before those of the request.
+// Prompts of lower priority are behind it, except for one that the engine may have begun.
+func (n *node) prefillAhead(now time.Time, r *Request) int {
+	others := n.othersPlaced(now)
+	behind := n.own.lessUrgent(r.Priority) + others.lessUrgent(r.Priority)
+	return n.own.PendingPrefill + others.PendingPrefill - behind + min(behind, r.PromptTokens)
+}
+
 // PlacedAt returns what all instances together are believed to have placed at an endpoint.
 func (v *View) PlacedAt(now time.Time, id string) Placed {
 	n := v.nodes[id]
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -69,7 +69,9 @@
 	}
 	askingReport := v.peerReports[asking]
 	s := Summary{Endpoint: id, Placed: n.peerPlaced, SuspectedBy: n.suspectedBy, Pace: n.peerPace, Ended: n.ended, Prefilled: prompt != 0 && v.endpointHolds(now, id, prompt)}
-	s.Placed.add(Placed{Open: n.open, Tokens: n.own.Tokens, PendingPrefill: n.own.PendingPrefill})
+	own := n.own
+	own.Open = n.open
+	s.Placed.add(own)
 	s.Placed.subtract(askingReport.Placed[id])
 	s.Placed.add(n.claimedExcept(now, asking))
 	for _, suspect := range askingReport.Suspects {
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -55,6 +55,10 @@
 	// every endpoint in a degraded data centre. DegradedShare is the share of failing endpoints
 	// from which a data centre counts as degraded.
 	SuspicionPenalty, DegradedShare float64
+	// Deadlines refuses prompts for which a stream that runs at the engine would miss its deadline.
+	Deadlines bool
+	// Speeds uses the measured speeds of engines.
+	Speeds bool
 	// MemoryFactor times an engine's memory is the limit for what requests and copies placed there
 	// may need at their largest. Estimates of output are upper bounds, so all of the memory may be
 	// allocated.
--- a/gateway/exchange/claim.go
+++ b/gateway/exchange/claim.go
@@ -7,8 +7,11 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 )
 
@@ -163,11 +166,7 @@
 		x.requestMu.Unlock()
 	}()
 	x.holdRoom(endpoint, number, owner, &c)
-	x.send(&peerv1.Datagram{Body: &peerv1.Datagram_Claim{Claim: &peerv1.Claim{
-		Instance: x.Self.ID, Number: number, Endpoint: endpoint, Tokens: uint32(c.Tokens), Unread: uint32(c.PendingPrefill),
-		Within: uint32(c.PrefillWithin.Milliseconds()), Recovery: c.Recovery, Limits: encodeStatement(endpoint, c.Limits, time.Now()),
-		LifetimeMs: uint32(c.Lifetime.Milliseconds()), Held: c.Held,
-	}}}, r.addressesOf(owner)...)
+	x.send(&peerv1.Datagram{Body: &peerv1.Datagram_Claim{Claim: x.encodeClaim(number, endpoint, &c)}}, r.addressesOf(owner)...)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
@@ -179,6 +178,27 @@
 	return x.keepRoom(endpoint, number, &c, routing.Grant{}), false
 }
 
+func (x *Exchange) encodeClaim(number uint64, endpoint string, c *routing.Claim) *peerv1.Claim {
+	out := &peerv1.Claim{
+		Instance: x.Self.ID, Number: number, Endpoint: endpoint, Tokens: uint32(c.Tokens), Unread: uint32(c.PendingPrefill),
+		Within: uint32(c.PrefillWithin.Milliseconds()), Recovery: c.Recovery, Limits: encodeStatement(endpoint, c.Limits, time.Now()),
+		LifetimeMs: uint32(c.Lifetime.Milliseconds()), Held: c.Held,
+	}
+	if c.Priority.Ranked() {
+		out.Rank, out.Ranks = proto.Uint32(uint32(c.Priority.Level)), uint32(c.Priority.Levels)
+	}
+	return out
+}
+
+// decodePriority returns the zero value for a request without a rank.
+func decodePriority(c *peerv1.Claim) route.Priority {
+	if c.Rank == nil || c.Ranks == 0 {
+		return route.Priority{}
+	}
+	levels := min(c.Ranks, route.MaxLevels)
+	return route.Priority{Level: int(min(c.GetRank(), levels-1)), Levels: int(levels)}
+}
+
 // answerClaim answers a claim of another instance. A refusal carries a summary of the engine.
 func (x *Exchange) answerClaim(c *peerv1.Claim, from net.Addr) {
 	if c.Instance == "" || c.Instance == x.Self.ID {
@@ -188,7 +208,7 @@
 	now := time.Now()
 	_, limits := decodeStatement(c.Limits, now)
 	g := x.Endpoints.Claim(c.Endpoint, c.Instance, routing.Claim{
-		Tokens: int(c.Tokens), PendingPrefill: int(c.Unread), PrefillWithin: time.Duration(c.Within) * time.Millisecond, Recovery: c.Recovery,
+		Tokens: int(c.Tokens), PendingPrefill: int(c.Unread), PrefillWithin: time.Duration(c.Within) * time.Millisecond, Recovery: c.Recovery, Priority: decodePriority(c),
 		Limits: limits, OwnerRank: x.roster().rankOfSelf(c.Endpoint),
 		Lease: admission.Lease{Holder: c.Instance, Number: c.Number}, Lifetime: time.Duration(c.LifetimeMs) * time.Millisecond, Held: c.Held,
 	})
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -14,6 +14,7 @@
 	"github.com/agateway/agateway/core/departure"
 	"github.com/agateway/agateway/core/health"
 	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 )
 
@@ -57,11 +58,33 @@
 }
 
 func encodePlaced(id string, p *routing.Placed) *peerv1.PlacedAt {
-	return &peerv1.PlacedAt{Endpoint: id, Open: uint32(p.Open), Tokens: uint32(p.Tokens), Unread: uint32(p.PendingPrefill)}
+	return &peerv1.PlacedAt{
+		Endpoint: id, Open: uint32(p.Open), Tokens: uint32(p.Tokens), Unread: uint32(p.PendingPrefill), UnreadByRank: encodeLevels(&p.PendingByLevel),
+	}
+}
+
+// encodeLevels leaves out the zeros at the end.
+func encodeLevels(tokens *[route.MaxLevels]int32) []uint32 {
+	var out []uint32
+	for level, n := range tokens {
+		if n > 0 {
+			out = append(out, make([]uint32, level+1-len(out))...)
+			out[level] = uint32(n)
+		}
+	}
+	return out
+}
+
+// decodeLevels ignores levels beyond those known here.
+func decodeLevels(sent []uint32) (tokens [route.MaxLevels]int32) {
+	for level, n := range sent[:min(len(sent), route.MaxLevels)] {
+		tokens[level] = int32(n)
+	}
+	return tokens
 }
 
 func decodePlaced(p *peerv1.PlacedAt) routing.Placed {
-	return routing.Placed{Open: int(p.GetOpen()), Tokens: int(p.GetTokens()), PendingPrefill: int(p.GetUnread())}
+	return routing.Placed{Open: int(p.GetOpen()), Tokens: int(p.GetTokens()), PendingPrefill: int(p.GetUnread()), PendingByLevel: decodeLevels(p.GetUnreadByRank())}
 }
 
 func encodeOutcomes(outcomes map[string]health.Counts) []*peerv1.OutcomesAt {
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -29,7 +29,7 @@
 	route           *route.Route
 	team            *route.Team // nil for public routes
 	service         string
-	priority        int
+	priority        route.Priority
 	rolloutDraw     float64   // compared with the share of requests that goes to a build under rollout
 	claimed         *claimed  // the engine that was claimed while the request waited; nil for none
 	ownerQueries    int       // consecutive owner queries; each covers the next group of engines
@@ -88,21 +88,20 @@
 			return refuse(http.StatusServiceUnavailable, "configuration too old for keys", retryWhenStoreIsBack()).with(inputs).elsewhere()
 		}
 	}
-	if req.route == nil || !hasTarget(matched, req.service) {
+	if req.route == nil || !matched.HasTarget(req.service) {
 		req.service = matched.ChooseService(randomFraction())
 	}
-	req.table, req.route, req.team, req.priority = table, matched, team, matched.PriorityFor(team)
+	req.table, req.route, req.team = table, matched, team
+	req.priority = f.priorityOf(req)
 	return nil
 }
 
-// hasTarget reports whether a route sends requests to a service.
-func hasTarget(r *route.Route, service string) bool {
-	for _, t := range r.Targets {
-		if t.Service == service && t.Weight > 0 {
-			return true
-		}
+// priorityOf returns the order of a request among those of its service.
+func (f *Forwarder) priorityOf(req *request) route.Priority {
+	if f.Settings.Disabled.Ranks {
+		return route.Priority{Level: req.route.PriorityFor(req.team)}
 	}
-	return false
+	return req.table.Priority(req.service, req.route, req.team)
 }
 
 // deny refuses a request permanently, or temporarily when the configuration may be out of date.
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if !a.resumesFromCopy() {
-		a.placed.PendingPrefill = s.req.PromptTokens
+		a.placed.SetPendingPrefill(s.req.PromptTokens, s.req.priority)
 	}
 	if a.placed.PendingPrefill > 0 && !choice.mayBeCached {
 		a.prefillTokens = a.placed.PendingPrefill + s.f.Placement.PendingPrefillTokens(e.ID)
@@ -147,7 +147,7 @@
 	a.potentialLoss = s.req.loss(e)
 	a.potentialLoss.ServedBefore, a.potentialLoss.Async = s.hasProgressed(), s.relayedEvents > 0
 	a.send = platform.EndpointRequest{
-		EndpointName: e.RequestName(), TimeLeft: s.req.timeLeft(time.Now()), Team: s.req.teamName(), Priority: s.req.priority,
+		EndpointName: e.RequestName(), TimeLeft: s.req.timeLeft(time.Now()), Team: s.req.teamName(), Priority: s.req.priority.Level,
 		LastEventID: s.lastEventID, CopyFrom: resumeFrom.Address, CopyHandle: resumeFrom.Handle, CopyTo: s.placeCopy(a),
 	}
 	a.rolloutTrial = s.f.Rollouts.Begin(s.req.route.Name, e)
@@ -184,7 +184,7 @@
 	a.prefillOnce.Do(func() {
 		f, id := a.session.f, a.endpoint.ID
 		a.rolloutTrial.Answered(a.prefillTimePerUnit(time.Now()))
-		f.Placement.Release(id, routing.Placed{PendingPrefill: a.placed.PendingPrefill})
+		f.Placement.Release(id, a.placed.Prefill())
 		f.Placement.RecordCachedPrompt(id, a.session.req.promptKey())
 		f.Placement.Succeeded(id)
 		if a.prefillTokens > 0 {
@@ -202,7 +202,7 @@
 	f := a.session.f
 	defer func() {
 		f.Peers.Release(a.endpoint.ID, a.lease, a.roomOutcome)
-		a.prefillOnce.Do(func() { f.Placement.Release(a.endpoint.ID, routing.Placed{PendingPrefill: a.placed.PendingPrefill}) })
+		a.prefillOnce.Do(func() { f.Placement.Release(a.endpoint.ID, a.placed.Prefill()) })
 		f.Placement.Finished(a.endpoint.ID, routing.Placed{Tokens: a.placed.Tokens})
 		f.Peers.Freed(a.endpoint.ID)
 	}()
--- a/gateway/forward/claim.go
+++ b/gateway/forward/claim.go
@@ -56,7 +56,7 @@
 		return 0, true
 	}
 	g := f.Peers.Claim(ctx, d.Endpoint.ID, routing.Claim{
-		Tokens: r.Tokens, PendingPrefill: r.PromptTokens, PrefillWithin: r.PrefillWithin, Recovery: r.Recovery, Limits: limits, Lifetime: leaseLifetime(ctx),
+		Tokens: r.Tokens, PendingPrefill: r.PromptTokens, PrefillWithin: r.PrefillWithin, Recovery: r.Recovery, Priority: r.Priority, Limits: limits, Lifetime: leaseLifetime(ctx),
 	})
 	f.metrics.countLimitClaim(limits.Limits, g.MayPlace())
 	if g.MayPlace() {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -59,14 +59,26 @@
 	FirstEventTimeout, ProbeTimeout time.Duration
 	// ConnectTimeout bounds the time to connect to an endpoint.
 	ConnectTimeout time.Duration
+	// Overload selects what applies while engines have too little room.
+	Overload Overload
 	// Disabled lists the mechanisms that are switched off.
 	Disabled DisabledMechanisms
 }
 
+// Overload selects mechanisms that a deployment switches on.
+type Overload struct {
+	// Deadlines keeps prompts from engines where a running stream would miss its deadline.
+	Deadlines bool
+	// Speeds ranks engines by their measured speed.
+	Speeds bool
+	// SharedQueue orders the waiting streams of all instances.
+	SharedQueue bool
+}
+
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
-	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses, Stay, SharedSilence, OwnPauses, PromptParts bool
+	Copies, CopyElsewhere, Search, Health, Pace, SharedRetries, WaitQueue, FirstLook, Claims, Limits, Room, ViaPeers, Departures, Pauses, Stay, SharedSilence, OwnPauses, PromptParts, Ranks bool
 }
 
 // Peers is the set of other instances, which share the endpoints with this one.
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -140,7 +140,7 @@
 func (f *Forwarder) joinQueue(req *request, id uint64, latest time.Time) (bool, time.Duration) {
 	f.waitQueues.mu.Lock()
 	defer f.waitQueues.mu.Unlock()
-	return f.waitQueues.get(req.service).Join(time.Now(), id, req.priority, latest)
+	return f.waitQueues.get(req.service).Join(time.Now(), id, req.priority.Level, latest)
 }
 
 func (f *Forwarder) leaveQueue(req *request, id uint64) {
@@ -198,6 +198,6 @@
 
 func (f *Forwarder) refuseNoRoom(req *request, reason string, expected time.Duration) *refusal {
 	return refuse(http.StatusServiceUnavailable, reason, retryWhenRoom(expected)).with(logrus.Fields{
-		"rank": req.priority, "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
+		"rank": req.priority.Level, "ranks": req.priority.Levels, "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
 	})
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -226,6 +226,7 @@
 			Instance: s.Instance.ID, DataCentre: s.Instance.DataCentre, MaxConfigAgeForKeys: f.keyBound(), MaxConfigAgeForDenial: time.Duration(denyBoundShare * float64(s.Bounds.Apply)),
 			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve, RetryWindow: s.Retries.Window,
 			SilenceFloor: s.Streams.Silence, FirstEventTimeout: s.Streams.FirstEvent, ProbeTimeout: s.Streams.Probe, ConnectTimeout: s.Streams.Connect,
+			Overload: forward.Overload{Deadlines: s.Overload.Deadlines, Speeds: s.Overload.Speeds, SharedQueue: s.Overload.SharedQueue},
 			Disabled: disabledMechanisms(&s.Mechanisms),
 		},
 		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Reach: f.reach, Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Clock: f.env.Clock,
@@ -238,7 +239,7 @@
 	return forward.DisabledMechanisms{
 		Copies: !m.Copies, CopyElsewhere: !m.CopyElsewhere, Search: !m.Search, Health: !m.Health, Pace: !m.Pace,
 		SharedRetries: !m.SharedRetries, WaitQueue: !m.Line, FirstLook: !m.FirstLook, Claims: !m.Claims, Limits: !m.Limits, Room: !m.Room, ViaPeers: !m.ViaPeers, Departures: !m.Departures, Pauses: !m.Pauses,
-		Stay: !m.Stay, SharedSilence: !m.SharedSilence, OwnPauses: !m.OwnPauses, PromptParts: !m.PromptParts,
+		Stay: !m.Stay, SharedSilence: !m.SharedSilence, OwnPauses: !m.OwnPauses, PromptParts: !m.PromptParts, Ranks: !m.Ranks,
 	}
 }
 
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -12,6 +12,7 @@
 	Retries    FrontRetries    `ini:"retries"`
 	Rollouts   FrontRollouts   `ini:"rollouts"`
 	Streams    FrontStreams    `ini:"streams"`
+	Overload   FrontOverload   `ini:"overload"`
 	Process    FrontProcess    `ini:"process"`
 	Mechanisms FrontMechanisms `ini:"mechanisms"`
 	Logs       FrontLogs       `ini:"logs"`
@@ -87,6 +88,13 @@
 	Connect    time.Duration `ini:"connect" default:"120ms" min:"5ms" doc:"time a connection to an endpoint may take"`
 }
 
+// FrontOverload says how streams share engines that have too little room for all.
+type FrontOverload struct {
+	Deadlines   bool `ini:"deadlines" default:"false" doc:"an engine takes no prompt for which a stream that runs there would miss its deadline"`
+	Speeds      bool `ini:"speeds" default:"false" doc:"engines are chosen by their measured speed, which instances share"`
+	SharedQueue bool `ini:"shared_queue" default:"false" doc:"streams of all instances wait in one queue a service, in which teams have equal shares"`
+}
+
 // FrontProcess holds the limits of the process and of its network link.
 type FrontProcess struct {
 	Memory int     `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB"`
@@ -124,6 +132,7 @@
 	Rollouts      bool `ini:"rollouts" default:"true" doc:"services move to other builds under the bounds of [rollouts]"`
 	Crashes       bool `ini:"crashes" default:"true" doc:"requests that end the endpoints that run them are stopped"`
 	PromptParts   bool `ini:"prompt_parts" default:"true" doc:"parts of prompts that end the endpoints that run them are stopped"`
+	Ranks         bool `ini:"ranks" default:"true" doc:"where streaming routes of a service have different priorities, these order the streams of a team, at engines too"`
 	AnswerBounds  bool `ini:"answer_bounds" default:"true" doc:"heads of answers that endpoints send without end are given up"`
 }
 
