--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -329,6 +329,7 @@
 		"attempt": a.number, "endpoint": a.endpoint.ID, "data_centre": a.endpoint.DataCentre,
 		"prompt_tokens": s.req.PromptTokens, "events": s.relayedEvents, "configuration": s.req.table.Version(),
 		"content": s.req.contentText(), "parts": s.req.partsText(),
+		"rank": s.req.priority.Level, "ranks": s.req.priority.Levels, "team": s.req.teamName(), "waited_ms": time.Since(s.req.arrivedAt).Milliseconds(),
 	}
 	if a.rolloutTrial != nil {
 		inputs["build"] = a.endpoint.Build
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -198,6 +198,6 @@
 
 func (f *Forwarder) refuseNoRoom(req *request, reason string, expected time.Duration) *refusal {
 	return refuse(http.StatusServiceUnavailable, reason, retryWhenRoom(expected)).with(logrus.Fields{
-		"rank": req.priority.Level, "ranks": req.priority.Levels, "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
+		"rank": req.priority.Level, "ranks": req.priority.Levels, "team": req.teamName(), "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
 	})
 }
