Engines take no prompt for which a running stream would miss its deadline

Cause: streams are accepted beside which prompts are prefilled until their deadlines cut them. Change: instances track the slack of their own streams and announce the shortest one per engine. Owners refuse claims whose prompt takes more than that, or whose output is not expected to end in time. Effect: only with [overload] deadlines; otherwise as before.

--- a/core/limits/streams.go
+++ b/core/limits/streams.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// Output is the output of a stream as it is expected to be at the best speed.
+type Output struct {
+	// Events is how many events the whole stream has, and TimePerEvent how long each takes.
+	Events       int
+	TimePerEvent time.Duration
+}
+
+// ExpectedOutput returns the output of a stream for which some output tokens were requested. It returns
+// false if there are too few samples.
+func (t *StreamTimes) ExpectedOutput(outputTokens int) (Output, bool) {
+	perEvent, known := t.timePerEvent.quantile()
+	eventsPerToken, outputKnown := t.eventsPerOutputToken.quantile()
+	return Output{int(math.Ceil(eventsPerToken * float64(outputTokens))), time.Duration(perEvent)}, known && outputKnown
+}
+
 // MinDuration returns the time that a stream needs if it is served as fast as the fastest recent
 // streams. It returns false if there are too few samples.
 func (t *StreamTimes) MinDuration(w StreamWork) (time.Duration, bool) {
--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -18,6 +18,8 @@
 	Tokens, PendingPrefill int
 	// PrefillWithin is [Request.PrefillWithin].
 	PrefillWithin time.Duration
+	// OutputWithin is [Request.OutputWithin].
+	OutputWithin time.Duration
 	// Recovery marks work that was lost once.
 	Recovery bool
 	// Priority is [Request.Priority].
@@ -56,6 +58,8 @@
 	peer   string
 	at     time.Time
 	placed Placed
+	// slack is that of the request; 0 if unknown.
+	slack time.Duration
 }
 
 const (
@@ -75,7 +79,7 @@
 	}
 	v.reportLimits(n, c.Limits)
 	g := Grant{Limits: v.limitsOf(now, n)}
-	r := &Request{Tokens: c.Tokens, PromptTokens: c.PendingPrefill, PrefillWithin: c.PrefillWithin, Recovery: c.Recovery, Priority: c.Priority}
+	r := &Request{Tokens: c.Tokens, PromptTokens: c.PendingPrefill, PrefillWithin: c.PrefillWithin, OutputWithin: c.OutputWithin, Recovery: c.Recovery, Priority: c.Priority}
 	p := picker{v: v, now: now, r: r}
 	if !n.inService() || p.isFull(n) {
 		return g
@@ -89,7 +93,7 @@
 		n = v.observe(id)
 		placed := Placed{Open: 1, Tokens: c.Tokens}
 		placed.SetPendingPrefill(c.PendingPrefill, c.Priority)
-		n.claims = append(n.claims, grantedClaim{peer, now, placed})
+		n.claims = append(n.claims, grantedClaim{peer, now, placed, p.claimSlack(n)})
 		v.claimedEndpoints[id] = true
 	}
 	return g
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -136,6 +136,12 @@
 	peerPlaced     Placed         // sum of what other instances reported as placed
 	claims         []grantedClaim // granted to other instances that are about to place
 	suspectedBy    int            // number of other instances that reported it as suspect
+	// streams are those of this instance that have a deadline, and peerSlacks the shortest slacks that
+	// other instances announced. prefilled counts the prompt tokens that ended since the endpoint is
+	// known.
+	streams    map[uint64]ownStream
+	peerSlacks map[string]peerSlack
+	prefilled  int64
 	// peerOutcomes is the sum of the outcomes that other instances reported, peerPace the slowest
 	// pace that one of them reported.
 	peerOutcomes health.Counts
@@ -190,7 +196,7 @@
 
 // idle reports whether the observations of an endpoint differ from none in nothing that matters.
 func (n *node) idle(now time.Time) bool {
-	placed := n.open > 0 || n.silence.awaited > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0
+	placed := n.open > 0 || n.silence.awaited > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0 || len(n.streams)+len(n.peerSlacks) > 0
 	health := n.ended || n.reportsLeaving || n.lastAnswerLost || n.suspectedBy > 0 || n.trust.Suspected(now) || n.trust.OnTrial() || n.cooldown.OnTrial()
 	counts := n.outcomes.Counts(now).Add(n.peerOutcomes)
 	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -45,6 +45,9 @@
 	// PrefillWithin is the time within which the prompt has to be prefilled, including those that
 	// are ahead of it; 0 for no limit.
 	PrefillWithin time.Duration
+	// OutputWithin is the time from the end of the prefill until the deadline, if the prompt is the only
+	// one at the engine; 0 if unknown.
+	OutputWithin time.Duration
 	// Priority is the order among the requests of the service. Of ranked requests, the more urgent
 	// ones find room where others find none.
 	Priority route.Priority
@@ -351,7 +354,7 @@
 }
 
 // isFull reports whether an endpoint has no room for the request: too little memory, too many
-// prompts to prefill before its own, or too many requests.
+// prompts to prefill before its own, a stream that would miss its deadline, or too many requests.
 func (p *picker) isFull(n *node) bool {
 	memory := p.v.settings.MemoryFactor
 	switch {
@@ -373,6 +376,9 @@
 	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.PrefillWithin {
 		return true
 	}
+	if p.endangersDeadline(n) {
+		return true
+	}
 	if p.now.Before(n.fullUntil) || n.trialInProgress() && !p.allowSuspected {
 		return true
 	}
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -112,6 +112,7 @@
 func (v *View) Release(id string, w Placed) {
 	if n := v.observe(id); n != nil {
 		n.own.subtract(w)
+		n.prefilled += int64(w.PendingPrefill)
 	}
 }
 
@@ -147,6 +148,9 @@
 	Outcomes map[string]health.Counts
 	// Paces is how many times as long as usual slow engines take.
 	Paces map[string]float64
+	// Slacks are the shortest slacks of its streams, by endpoint. They are minima, so they are not part
+	// of the sums of Placed.
+	Slacks map[string]time.Duration
 	// Prefilled are the prompts of its requests in progress that endpoints have prefilled.
 	Prefilled []PrefilledPrompt
 	// Limits are the statements of limits that it received.
@@ -158,7 +162,7 @@
 // empty reports whether nothing of the report has to be kept. Ended, Prefilled, Limits and Departures
 // are applied when the report arrives.
 func (t *PeerReport) empty() bool {
-	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces) == 0
+	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces)+len(t.Slacks) == 0
 }
 
 // Filter returns the part of the report that is about some endpoints. It keeps all limits and
@@ -167,11 +171,12 @@
 	dropped := func(id string) bool { return !keep(id) }
 	out := PeerReport{
 		Suspects: slices.DeleteFunc(slices.Clone(t.Suspects), dropped), Ended: slices.DeleteFunc(slices.Clone(t.Ended), dropped),
-		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Limits: t.Limits, Departures: t.Departures,
+		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Slacks: maps.Clone(t.Slacks), Limits: t.Limits, Departures: t.Departures,
 	}
 	maps.DeleteFunc(out.Placed, func(id string, _ Placed) bool { return dropped(id) })
 	maps.DeleteFunc(out.Outcomes, func(id string, _ health.Counts) bool { return dropped(id) })
 	maps.DeleteFunc(out.Paces, func(id string, _ float64) bool { return dropped(id) })
+	maps.DeleteFunc(out.Slacks, func(id string, _ time.Duration) bool { return dropped(id) })
 	for _, r := range t.Prefilled {
 		if keep(r.Endpoint) {
 			out.Prefilled = append(out.Prefilled, r)
@@ -184,7 +189,7 @@
 func (t *PeerReport) Endpoints() map[string]bool {
 	out := map[string]bool{}
 	for _, ids := range []iter.Seq[string]{
-		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Departures),
+		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Slacks), maps.Keys(t.Departures),
 	} {
 		for id := range ids {
 			out[id] = true
@@ -256,8 +261,9 @@
 	}
 	v.ReportLimits(t.Limits)
 	v.ReportDepartures(now, t.Departures)
-	v.pruneClaims(now, peer)
 	old := v.peerReports[peer]
+	v.countEndedPrompts(now, peer, &old, &t)
+	v.pruneClaims(now, peer)
 	delete(v.peerReports, peer)
 	v.subtractReport(&old)
 	if !t.empty() {
@@ -266,6 +272,7 @@
 	v.addReport(&t)
 	v.notePeerSuspects(now, &old, &t)
 	v.updatePeerPaces(&old, &t)
+	v.updatePeerSlacks(peer, &old, &t)
 	if len(old.Suspects)+len(t.Suspects) > 0 {
 		v.degraded.stale = true
 	}
@@ -331,18 +338,22 @@
 
 // applyPeerReports applies to a new endpoint what other instances reported before it was listed.
 func (v *View) applyPeerReports(id string) {
-	for _, t := range v.peerReports {
+	for peer, t := range v.peerReports {
 		suspected := slices.Contains(t.Suspects, id)
 		_, placed := t.Placed[id]
 		_, counted := t.Outcomes[id]
 		_, slow := t.Paces[id]
-		if !suspected && !placed && !counted && !slow {
+		slack, hasSlack := t.Slacks[id]
+		if !suspected && !placed && !counted && !slow && !hasSlack {
 			continue
 		}
 		n := v.observe(id)
 		n.peerPlaced.add(t.Placed[id])
 		n.peerOutcomes = n.peerOutcomes.Add(t.Outcomes[id])
 		n.peerPace = max(n.peerPace, t.Paces[id])
+		if v.settings.Deadlines {
+			n.setPeerSlack(peer, slack, hasSlack)
+		}
 		for _, s := range t.Suspects {
 			if s == id {
 				n.suspectedBy++
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -19,6 +19,9 @@
 	Outcomes    health.Counts
 	// Pace is how many times as long as usual it takes; 0 if it is not slow.
 	Pace float64
+	// Slack is the shortest slack of the streams there, if SlackKnown.
+	Slack      time.Duration
+	SlackKnown bool
 	// Ended reports that it was replaced at its address.
 	Ended bool
 	// Prefilled reports that it has prefilled the prompt that was asked for.
@@ -33,6 +36,8 @@
 type receivedSummary struct {
 	Summary
 	receivedAt time.Time
+	// prefilledBefore is the node's count of prefilled tokens at that time.
+	prefilledBefore int64
 }
 
 func (t *receivedSummary) fresh(now time.Time) bool {
@@ -86,6 +91,10 @@
 	if f := n.pace.Factor(now); f >= slowFactor {
 		s.Pace = max(s.Pace, f)
 	}
+	if v.settings.Deadlines {
+		slack := n.slackExcept(now, asking)
+		s.Slack, s.SlackKnown = max(slack.slack, 0), slack.known
+	}
 	return s, true
 }
 
@@ -96,7 +105,7 @@
 	if n == nil {
 		return
 	}
-	n.ownerSummary = receivedSummary{*s, now}
+	n.ownerSummary = receivedSummary{*s, now, n.prefilled}
 	n.ended = n.ended || s.Ended
 	if s.Prefilled {
 		v.CacheStored(now, s.Endpoint, prompt)
--- a/gateway/exchange/ask.go
+++ b/gateway/exchange/ask.go
@@ -144,17 +144,21 @@
 }
 
 func encodeSummary(s *routing.Summary) *peerv1.Summary {
-	return &peerv1.Summary{
+	out := &peerv1.Summary{
 		Placed:   encodePlaced(s.Endpoint, &s.Placed),
 		Suspects: uint32(max(s.SuspectedBy, 0)), Outcomes: &peerv1.OutcomesAt{Good: toTenths(s.Outcomes.Good), Bad: toTenths(s.Outcomes.Bad)},
 		Pace: toTenths(s.Pace), Ended: s.Ended, Read: s.Prefilled,
 	}
+	out.Placed.SlackMs = encodeSlack(s.Slack, s.SlackKnown)
+	return out
 }
 
 func decodeSummary(s *peerv1.Summary) routing.Summary {
-	return routing.Summary{
+	out := routing.Summary{
 		Endpoint: s.GetPlaced().GetEndpoint(), Placed: decodePlaced(s.GetPlaced()), SuspectedBy: int(s.Suspects),
 		Outcomes: health.Counts{Good: fromTenths(s.GetOutcomes().GetGood()), Bad: fromTenths(s.GetOutcomes().GetBad())},
 		Pace:     fromTenths(s.Pace), Ended: s.Ended, Prefilled: s.Read,
 	}
+	out.Slack, out.SlackKnown = decodeSlack(s.GetPlaced().GetSlackMs())
+	return out
 }
--- a/gateway/exchange/claim.go
+++ b/gateway/exchange/claim.go
@@ -182,7 +182,7 @@
 	out := &peerv1.Claim{
 		Instance: x.Self.ID, Number: number, Endpoint: endpoint, Tokens: uint32(c.Tokens), Unread: uint32(c.PendingPrefill),
 		Within: uint32(c.PrefillWithin.Milliseconds()), Recovery: c.Recovery, Limits: encodeStatement(endpoint, c.Limits, time.Now()),
-		LifetimeMs: uint32(c.Lifetime.Milliseconds()), Held: c.Held,
+		LifetimeMs: uint32(c.Lifetime.Milliseconds()), Held: c.Held, OutputWithin: encodeSlack(c.OutputWithin, c.OutputWithin > 0),
 	}
 	if c.Priority.Ranked() {
 		out.Rank, out.Ranks = proto.Uint32(uint32(c.Priority.Level)), uint32(c.Priority.Levels)
@@ -209,7 +209,7 @@
 	_, limits := decodeStatement(c.Limits, now)
 	g := x.Endpoints.Claim(c.Endpoint, c.Instance, routing.Claim{
 		Tokens: int(c.Tokens), PendingPrefill: int(c.Unread), PrefillWithin: time.Duration(c.Within) * time.Millisecond, Recovery: c.Recovery, Priority: decodePriority(c),
-		Limits: limits, OwnerRank: x.roster().rankOfSelf(c.Endpoint),
+		OutputWithin: decodeOutputWithin(c.OutputWithin), Limits: limits, OwnerRank: x.roster().rankOfSelf(c.Endpoint),
 		Lease: admission.Lease{Holder: c.Instance, Number: c.Number}, Lifetime: time.Duration(c.LifetimeMs) * time.Millisecond, Held: c.Held,
 	})
 	out := &peerv1.Grant{
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -51,7 +51,9 @@
 	}
 	for _, id := range largestKeys(own.Placed, maxPlaced, func(p routing.Placed) float64 { return float64(p.Tokens) }) {
 		p := own.Placed[id]
-		a.Placed = append(a.Placed, encodePlaced(id, &p))
+		placed := encodePlaced(id, &p)
+		placed.SlackMs = encodeSlack(slackOf(own.Slacks, id))
+		a.Placed = append(a.Placed, placed)
 	}
 	a.Outcomes, a.Paces = encodeOutcomes(own.Outcomes), encodePaces(own.Paces)
 	return a
@@ -239,6 +241,7 @@
 	}
 	for _, p := range a.Placed {
 		report.Placed[p.Endpoint] = decodePlaced(p)
+		addSlack(&report, p)
 	}
 	for _, r := range a.Read {
 		report.Prefilled = append(report.Prefilled, routing.PrefilledPrompt{Endpoint: r.Endpoint, Prompt: r.Prompt})
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -123,6 +123,8 @@
 	// potentialLoss describes the loss to report if the engine were lost now. After the launch it
 	// belongs to the attempt's goroutine.
 	potentialLoss crashes.Loss
+	// slack reports what is left of the stream.
+	slack slackReport
 }
 
 // launch starts an attempt at an engine.
@@ -153,6 +155,7 @@
 	a.rolloutTrial = s.f.Rollouts.Begin(s.req.route.Name, e)
 	s.attempts[number] = a
 	s.f.Placement.Sent(e.ID, a.placed)
+	s.beginSlackReport(a)
 	s.f.firstStreamOnce.Do(func() { s.f.metrics.startToFirstStream.RecordDuration(time.Since(s.f.startedAt)) })
 	s.f.Peers.Changed(e.ID, s.copyEngineOf(a))
 	s.logPlaced(a)
@@ -202,6 +205,7 @@
 	f := a.session.f
 	defer func() {
 		f.Peers.Release(a.endpoint.ID, a.lease, a.roomOutcome)
+		a.slack.end(f.Placement, a.endpoint.ID)
 		a.prefillOnce.Do(func() { f.Placement.Release(a.endpoint.ID, a.placed.Prefill()) })
 		f.Placement.Finished(a.endpoint.ID, routing.Placed{Tokens: a.placed.Tokens})
 		f.Peers.Freed(a.endpoint.ID)
--- a/gateway/forward/choice.go
+++ b/gateway/forward/choice.go
@@ -72,7 +72,7 @@
 	return &routing.Request{
 		Service: req.service, Model: req.Model, DataCentre: f.Settings.DataCentre, Key: req.ID,
 		Prefixes: []uint64{req.promptKey()}, Tokens: req.PromptTokens + req.MaxOutputTokens, PromptTokens: req.PromptTokens, Weights: f.Settings.engineWeights(),
-		Builds: f.builds(req), PrefillWithin: req.prefillBudget(time.Now()), Priority: req.priority,
+		Builds: f.builds(req), PrefillWithin: req.prefillBudget(time.Now()), OutputWithin: f.outputBudget(req, time.Now()), Priority: req.priority,
 	}
 }
 
--- a/gateway/forward/claim.go
+++ b/gateway/forward/claim.go
@@ -56,13 +56,14 @@
 		return 0, true
 	}
 	g := f.Peers.Claim(ctx, d.Endpoint.ID, routing.Claim{
-		Tokens: r.Tokens, PendingPrefill: r.PromptTokens, PrefillWithin: r.PrefillWithin, Recovery: r.Recovery, Priority: r.Priority, Limits: limits, Lifetime: leaseLifetime(ctx),
+		Tokens: r.Tokens, PendingPrefill: r.PromptTokens, PrefillWithin: r.PrefillWithin, OutputWithin: r.OutputWithin, Recovery: r.Recovery, Priority: r.Priority, Limits: limits, Lifetime: leaseLifetime(ctx),
 	})
 	f.metrics.countLimitClaim(limits.Limits, g.MayPlace())
 	if g.MayPlace() {
 		return g.Lease, true
 	}
 	f.metrics.claimsRefused.Inc(1)
+	f.recordDeadlineRefusal(d.Endpoint.ID, r)
 	if g.RetryIn > 0 {
 		f.Placement.DelayClaims(d.Endpoint.ID, g.RetryIn)
 		f.Log.Decision(r.Key, "endpoint at its limit", logrus.Fields{
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -181,6 +181,8 @@
 	pendingSends    pendingSends
 	// streamTimes holds how long recent streams took.
 	streamTimes  streamTimes
+	lastSlackKey atomic.Uint64
+	deadlineLog  logLimit
 	openRequests atomic.Int64
 	startedAt    time.Time
 	// firstStreamOnce ensures that only the first placed stream is recorded in its histogram.
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -20,6 +20,7 @@
 	recovered, brokenOff, callersLeft   tally.Counter
 	stoppedRefused                      tally.Counter
 	claimsRefused                       tally.Counter
+	deadlineRefusals                    tally.Counter // claims refused since a stream would miss its deadline
 	cooldowns                           tally.Counter // refusals that asked for a pause
 	pausedEndpoints                     tally.Gauge   // endpoints in a pause when the last one asked for one
 	limitedEndpoints                    tally.Gauge   // endpoints that state limits
@@ -43,7 +44,7 @@
 		moved: s.Counter("streams_moved_total"), keptSilent: s.Counter("streams_kept_silent_total"), leftSilent: s.Counter("streams_left_silent_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
-		claimsRefused: s.Counter("claims_refused_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
+		claimsRefused: s.Counter("claims_refused_total"), deadlineRefusals: s.Counter("claims_refused_for_deadline_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
 		startToSync: s.Histogram("start_to_known_seconds", latency), startToFirstStream: s.Histogram("start_to_first_stream_seconds", latency),
--- a/gateway/forward/progress.go
+++ b/gateway/forward/progress.go
@@ -106,6 +106,7 @@
 	s.relayedEvents++
 	s.recordServingTime(now, a)
 	s.lastEventID = strconv.FormatUint(m.id, 10)
+	s.updateSlack(now, a)
 	if _, err := s.w.Write(m.raw); err != nil {
 		s.machine.Abort(now)
 		return
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -186,7 +186,7 @@
 	}
 	routingSettings := routing.DefaultSettings()
 	routingSettings.SharedSilence = s.Mechanisms.SharedSilence
-	routingSettings.Choices = routingChoices
+	routingSettings.Choices, routingSettings.Deadlines = routingChoices, s.Overload.Deadlines
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
 	if !s.Mechanisms.Doubt {
 		routingSettings.SuspicionPenalty = 0
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -397,7 +397,7 @@
 	p.view.Sweep(now)
 	return routing.PeerReport{
 		Placed: p.view.OwnPlacements(), Suspects: p.view.Suspects(now), Ended: p.view.RecentlyEnded(now),
-		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(), Departures: p.view.ObservedDepartures(),
+		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(), Departures: p.view.ObservedDepartures(), Slacks: p.view.OwnSlacks(now),
 	}
 }
 
