--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -13,7 +13,7 @@
 	// slackMargin is the slack that a prompt has to leave to each stream. It covers events that are
 	// reported late, and prompts that several owners admit at once. A stream whose slack is more than
 	// that below zero is taken as lost: keeping prompts away for it would leave slots unused in vain.
-	slackMargin = 500 * time.Millisecond
+	slackMargin = time.Second
 	// maxStreamAge is the age of a stream's last report from which the time without events counts
 	// against its slack. A running stream reports its events every 250 ms.
 	maxStreamAge = 500 * time.Millisecond
