--- a/core/limits/streams_test.go
+++ b/core/limits/streams_test.go
@@ -68,3 +68,15 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, (least-2500*time.Millisecond).Abs() < time.Millisecond, "%v", least)
 }
+
+// TestExpectedOutput: what is left of a running stream is estimated from the same samples as the shortest
+// time of a new one.
+func TestExpectedOutput(t *testing.T) {
+	var none StreamTimes
+	_, known := none.ExpectedOutput(1260)
+	assert.Assert(t, !known)
+	o, known := typicalStreams().ExpectedOutput(630)
+	assert.Assert(t, known)
+	assert.Equal(t, o.Events, 70)
+	assert.Equal(t, o.TimePerEvent, 30*time.Millisecond)
+}
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -101,8 +101,12 @@
 	return max(s.slack, 0), s.known
 }
 
-// OwnSlacks returns the shortest slack of this instance's streams by endpoint.
+// OwnSlacks returns the shortest slack of this instance's streams by endpoint; nil unless
+// [Settings.Deadlines] is set.
 func (v *View) OwnSlacks(now time.Time) map[string]time.Duration {
+	if !v.settings.Deadlines {
+		return nil
+	}
 	out := map[string]time.Duration{}
 	for id, n := range v.observed {
 		if s := n.ownSlack(now); s.known {
@@ -134,6 +138,9 @@
 // pending or, as soon as they have ended, here. A prompt that was partly prefilled at the time of the
 // announcement thus counts somewhat too much, until the next announcement.
 func (n *node) remaining(now time.Time, s peerSlack) time.Duration {
+	if n.prefilled == s.prefilledBefore {
+		return s.slack
+	}
 	ended, _ := n.prefillTime(now, int(n.prefilled-s.prefilledBefore))
 	return max(s.slack-ended, 0)
 }
