--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -2,139 +2,275 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
-// Queue holds the waiting requests of a service.
+const (
+	// maxLevel is the least urgent level.
+	maxLevel = 9
+	// maxEntries bounds the waiting requests; an entry takes about 250 bytes. The last ones in the order are refused
+	// when there are more.
+	maxEntries = 4096
+	// entrySlack is how many more requests are held between two decisions, so that a burst of reports does not order
+	// all requests for each of them.
+	entrySlack = 1024
+	// maxTeams bounds the teams whose counters are kept. It is above maxEntries+entrySlack, since a team that waits is
+	// not forgotten.
+	maxTeams = 8192
+	// forgetAfter is how long teams and instances without use are remembered.
+	forgetAfter = 30 * time.Second
+	// sweepInterval is how often the unused ones are looked for.
+	sweepInterval = time.Second
+	// maxHorizon bounds how far times of a request are from its first report, so that differences do not overflow.
+	maxHorizon = time.Hour
+	// maxTokens bounds the work of a request, so that a wrong value does not exclude a team for good.
+	maxTokens = 10_000_000
+)
+
+// Queue holds the waiting requests of a service. It keeps at most maxEntries requests and maxTeams teams.
 type Queue struct {
 	settings  Settings
 	engines   int
 	weights   map[string]float64
 	instances map[string]*instance
-	entries   []*entry
+	teams     map[string]*team
+	// waiting is the number of entries that are not gone.
+	waiting int
+	// byLatest holds the entries of the last decision in the order of their latest start, and added those reported
+	// since. Both may contain entries that are gone.
+	byLatest, added []*entry
+	rate            rateMeter
+	shares          shares
+	// refusals counts all refusals. It spreads the times at which their callers return.
+	refusals int
+	sweptAt  time.Time
+
+	order   []*entry // scratch space of a decision
+	sorting []sortKey
 }
 
+// instance is what is known of the requests of an instance.
 type instance struct {
-	process, sequence uint64
+	// replaced is the process before the current one; its delayed reports are ignored.
+	process, replaced uint64
+	sequence          uint64
+	reportedAt        time.Time
 	entries           map[uint64]*entry
 	refused           []Refusal
-	told              []uint64
+	// changed says that the instance has not been told the outcome of the last decision.
+	changed bool
 }
 
+// entry is a waiting request.
 type entry struct {
 	Request
-	instance string
-	renewed  time.Time
+	team      *team
+	instance  string
+	owner     *instance
+	renewedAt time.Time
+	// latest and since are the times of the request in nanoseconds since the Unix epoch.
+	latest, since int64
+	// arrivedLate says that the request could no longer be on time when it was reported first.
+	arrivedLate bool
+	// position is the position in the order at the last decision; 0 before the first.
+	position int
 	turn     bool
+	// toldTurn is the turn as the instance knows it.
+	toldTurn bool
+	gone     bool
 }
 
 // New returns an empty queue.
 func New(s Settings) *Queue {
-	return &Queue{settings: s, instances: map[string]*instance{}}
+	return &Queue{
+		settings: s, instances: map[string]*instance{}, teams: map[string]*team{},
+		rate: rateMeter{width: max(s.RateWindow/rateBuckets, 1)},
+	}
 }
 
 // SetEngines sets the number of engines of the service.
 func (q *Queue) SetEngines(n int) { q.engines = n }
 
-// SetWeights sets the weights of teams. It is 1 for those that are not named.
-func (q *Queue) SetWeights(byTeam map[string]float64) { q.weights = byTeam }
+// SetWeights sets the weights of teams. It is 1 for those that are not named. Weights count from the next placement on.
+func (q *Queue) SetWeights(byTeam map[string]float64) {
+	q.weights = byTeam
+	for _, t := range q.teams {
+		t.weight = weightOf(byTeam, t.name)
+	}
+}
 
 // Report takes a report of an instance. It ignores one that is not newer than the last one of the process. A new process
 // replaces the one before with its requests.
 func (q *Queue) Report(now time.Time, r Report) {
-	in := q.instances[r.Instance]
-	if in == nil || in.process != r.Process {
-		q.Drop(r.Instance)
-		in = &instance{process: r.Process, entries: map[uint64]*entry{}}
-		q.instances[r.Instance] = in
-	} else if r.Sequence <= in.sequence {
+	q.rate.advance(now, q.waiting > 0)
+	in := q.accept(r)
+	if in == nil {
 		return
 	}
-	in.sequence = r.Sequence
+	q.rate.reportedAt = now
+	in.sequence, in.reportedAt = r.Sequence, now
 	for _, w := range r.Waiting {
-		e := in.entries[w.ID]
-		if e == nil {
-			e = &entry{Request: w, instance: r.Instance}
-			in.entries[w.ID] = e
-			q.entries = append(q.entries, e)
+		q.renew(now, r.Instance, in, w)
+	}
+	for _, id := range r.Placed {
+		if e := in.entries[id]; e != nil {
+			q.shares.charge(e.team, e.Tokens)
+			q.rate.count()
+			q.remove(e)
 		}
-		e.renewed = now
 	}
-	for _, id := range slices.Concat(r.Placed, r.Left) {
-		q.remove(in, id)
+	for _, id := range r.Left {
+		if e := in.entries[id]; e != nil {
+			q.remove(e)
+		}
+	}
+	if q.waiting >= maxEntries+entrySlack {
+		q.decide(now)
 	}
 }
 
-func (q *Queue) remove(in *instance, id uint64) {
-	e := in.entries[id]
-	delete(in.entries, id)
-	q.entries = slices.DeleteFunc(q.entries, func(other *entry) bool { return other == e })
+// accept returns the instance of a report, or nil if the report is to be ignored.
+func (q *Queue) accept(r Report) *instance {
+	in := q.instances[r.Instance]
+	switch {
+	case in == nil:
+		in = &instance{process: r.Process, entries: map[uint64]*entry{}}
+		q.instances[r.Instance] = in
+	case in.process == r.Process:
+		if r.Sequence <= in.sequence {
+			return nil
+		}
+	case in.replaced == r.Process:
+		return nil
+	default:
+		q.clear(in)
+		in.process, in.replaced = r.Process, in.process
+	}
+	return in
 }
 
-// Decide recomputes order, turns and refusals. It returns the instances whose [State] has changed since their last call of
-// it.
-func (q *Queue) Decide(now time.Time) []string {
-	for _, e := range slices.Clone(q.entries) {
-		if now.Sub(e.renewed) >= q.settings.TTL {
-			q.remove(q.instances[e.instance], e.ID)
+// renew adds a request or renews it. The delay of a report makes its times later than they are, so the earliest ones
+// that were reported count.
+func (q *Queue) renew(now time.Time, name string, in *instance, w Request) {
+	latest, since := clampedNanos(now, w.Latest), clampedNanos(now, w.Since)
+	known := in.entries[w.ID]
+	if known != nil {
+		known.renewedAt = now
+		if latest >= known.latest && since >= known.since {
+			return
 		}
+		// Its place among the others changes: a copy replaces it.
+		e := *known
+		e.latest, e.since = min(latest, e.latest), min(since, e.since)
+		known.gone = true
+		in.entries[w.ID] = &e
+		q.added = append(q.added, &e)
+		return
 	}
-	slices.SortStableFunc(q.entries, func(a, b *entry) int {
-		if a.Level != b.Level {
-			return a.Level - b.Level
-		}
-		return a.Latest.Compare(b.Latest)
-	})
-	turns := max(q.settings.MinTurns, q.engines/q.settings.EnginesPerTurn)
-	for i, e := range q.entries {
-		e.turn = i < turns
-	}
-	var changed []string
-	for name, in := range q.instances {
-		if !slices.Equal(in.told, q.turns(name)) || len(in.refused) > 0 {
-			changed = append(changed, name)
-		}
+	w.Level = min(max(w.Level, 0), maxLevel)
+	w.Tokens = min(max(w.Tokens, 1), maxTokens)
+	e := &entry{
+		Request: w, team: q.teamNamed(now, w.Team), instance: name, owner: in, renewedAt: now,
+		latest: latest, since: since, arrivedLate: latest < now.UnixNano(),
 	}
-	slices.Sort(changed)
-	return changed
+	e.team.waiting++
+	q.shares.ask(e.team)
+	in.entries[w.ID] = e
+	q.added = append(q.added, e)
+	q.waiting++
 }
 
-func (q *Queue) turns(instance string) (ids []uint64) {
-	for _, e := range q.entries {
-		if e.instance == instance && e.turn {
-			ids = append(ids, e.ID)
-		}
+// clampedNanos returns a time in nanoseconds since the Unix epoch, at most maxHorizon away from now.
+func clampedNanos(now, t time.Time) int64 {
+	return now.UnixNano() + int64(min(max(t.Sub(now), -maxHorizon), maxHorizon))
+}
+
+// remove takes an entry out of the queue.
+func (q *Queue) remove(e *entry) {
+	delete(e.owner.entries, e.ID)
+	e.gone = true
+	e.team.waiting--
+	q.waiting--
+}
+
+// clear removes the requests of an instance, and the refusals that it has not been told.
+func (q *Queue) clear(in *instance) {
+	for _, e := range in.entries {
+		q.remove(e)
 	}
-	return ids
+	in.refused, in.changed = nil, false
 }
 
-// State returns what an instance has to know. Each refusal is returned once; the request is gone from the queue.
+// Drop removes the requests of an instance. Reports that it sent before are still ignored when they arrive late.
+func (q *Queue) Drop(instance string) {
+	if in := q.instances[instance]; in != nil {
+		q.clear(in)
+	}
+}
+
+// State returns what an instance has to know, as of the last decision. Each refusal is returned once; the request is gone
+// from the queue.
 func (q *Queue) State(now time.Time, instance string) State {
 	in := q.instances[instance]
 	if in == nil {
 		return State{}
 	}
-	in.told = q.turns(instance)
-	s := State{Turns: slices.Clone(in.told), Refused: in.refused}
-	in.refused = nil
+	rate := q.Rate(now)
+	var turns []*entry
+	last := 0
+	for _, e := range in.entries {
+		e.toldTurn = e.turn
+		if e.turn {
+			turns = append(turns, e)
+		} else {
+			last = max(last, e.position)
+		}
+	}
+	slices.SortFunc(turns, func(a, b *entry) int { return a.position - b.position })
+	s := State{Refused: in.refused, Expected: expectedWait(last, rate)}
+	for _, e := range turns {
+		s.Turns = append(s.Turns, e.ID)
+	}
+	in.refused, in.changed = nil, false
 	return s
 }
 
-// Drop removes the requests of an instance.
-func (q *Queue) Drop(instance string) {
-	if in := q.instances[instance]; in != nil {
-		for id := range in.entries {
-			q.remove(in, id)
+// Uses returns what each team has used and waits for, by team and level.
+func (q *Queue) Uses() []TeamUse {
+	type key struct {
+		team  *team
+		level int
+	}
+	waiting := map[key]int{}
+	for _, in := range q.instances {
+		for _, e := range in.entries {
+			waiting[key{e.team, e.Level}]++
 		}
-		delete(q.instances, instance)
 	}
+	uses := make([]TeamUse, 0, len(q.teams))
+	for k, n := range waiting {
+		uses = append(uses, TeamUse{Team: k.team.name, Level: k.level, Waiting: n, Tokens: k.team.used})
+	}
+	for _, t := range q.teams {
+		if t.waiting == 0 {
+			uses = append(uses, TeamUse{Team: t.name, Level: -1, Tokens: t.used})
+		}
+	}
+	slices.SortFunc(uses, func(a, b TeamUse) int {
+		if c := strings.Compare(a.Team, b.Team); c != 0 {
+			return c
+		}
+		return a.Level - b.Level
+	})
+	return uses
 }
 
-// Uses returns what each team uses and waits for, for operators.
-func (q *Queue) Uses() []TeamUse { return nil }
-
 // Waiting returns the number of waiting requests.
-func (q *Queue) Waiting() int { return len(q.entries) }
+func (q *Queue) Waiting() int { return q.waiting }
 
-// Rate returns the placements per second; 0 if it is not known.
-func (q *Queue) Rate(now time.Time) float64 { return 0 }
+// Rate returns the placements per second while requests wait, over the last RateWindow; 0 if there were too few to tell.
+func (q *Queue) Rate(now time.Time) float64 {
+	q.rate.advance(now, q.waiting > 0)
+	return q.rate.perSecond()
+}
--- a/core/fairqueue/types.go
+++ b/core/fairqueue/types.go
@@ -69,12 +69,12 @@
 	return Settings{TTL: 500 * time.Millisecond, RateWindow: 2 * time.Second, MinTurns: 4, EnginesPerTurn: 6}
 }
 
-// TeamUse is what a team uses and waits for, at the level at which it waits.
+// TeamUse is what a team has used and waits for. A team that waits at several levels has one for each.
 type TeamUse struct {
 	Team string
 	// Level is the level of the Waiting requests; -1 for a team that does not wait.
 	Level   int
 	Waiting int
-	// Tokens is the work of its placed requests, divided by its weight.
+	// Tokens is the work of its requests that were placed since the queue knows the team.
 	Tokens float64
 }
