--- a/core/fairqueue/decide.go
+++ b/core/fairqueue/decide.go
@@ -161,46 +161,54 @@
 	})
 }
 
-// sortKey is what requests are sorted by.
+// sortKey is what the requests of a group are sorted by.
 type sortKey struct {
-	group int     // the level; those of late requests come after all others
 	start float64 // the counter of the team when the request's turn comes
 	index int     // in the order of the latest start
 }
 
+// groups is the number of groups that are ordered one after the other: the levels, and those of late requests.
+const groups = 2 * (maxLevel + 1)
+
+// groupOf returns the group of a request.
+func groupOf(e *entry, now int64) int {
+	if e.latest < now {
+		return e.Level + maxLevel + 1
+	}
+	return e.Level
+}
+
 // sort sets order. The requests of a group are interleaved by what the counter of their team will be when all its
 // requests before them have been placed.
 func (q *Queue) sort(now int64) {
 	q.shares.lift(q.byLatest, now)
-	q.sorting = q.sorting[:0]
-	for i, e := range q.byLatest {
-		group := e.Level
-		if e.latest < now {
-			group += maxLevel + 1
-		}
-		q.sorting = append(q.sorting, sortKey{group: group, index: i})
+	var ends [groups]int
+	for _, e := range q.byLatest {
+		ends[groupOf(e, now)]++
+	}
+	for g := 1; g < groups; g++ {
+		ends[g] += ends[g-1]
+	}
+	q.sorting = slices.Grow(q.sorting[:0], len(q.byLatest))[:len(q.byLatest)]
+	next := ends
+	for i := len(q.byLatest) - 1; i >= 0; i-- {
+		g := groupOf(q.byLatest[i], now)
+		next[g]--
+		q.sorting[next[g]].index = i
 	}
-	slices.SortFunc(q.sorting, func(a, b sortKey) int {
-		if a.group != b.group {
-			return a.group - b.group
-		}
-		return a.index - b.index
-	})
 	for i := range q.sorting {
-		key := &q.sorting[i]
-		e := q.byLatest[key.index]
-		key.start = e.team.counters[e.Level] + e.team.ahead/e.team.weight
+		e := q.byLatest[q.sorting[i].index]
+		q.sorting[i].start = e.team.counters[e.Level] + e.team.ahead/e.team.weight
 		e.team.ahead += float64(e.Tokens)
 	}
-	slices.SortFunc(q.sorting, func(a, b sortKey) int {
-		if a.group != b.group {
-			return a.group - b.group
-		}
-		if a.start != b.start {
-			return cmp.Compare(a.start, b.start)
-		}
-		return a.index - b.index
-	})
+	for g, end := range ends {
+		slices.SortFunc(q.sorting[next[g]:end], func(a, b sortKey) int {
+			if a.start != b.start {
+				return cmp.Compare(a.start, b.start)
+			}
+			return a.index - b.index
+		})
+	}
 	q.order = q.order[:0]
 	for _, key := range q.sorting {
 		q.order = append(q.order, q.byLatest[key.index])
