gateway/sharedqueue: waiting streams of all instances share one queue per service

Cause: each instance has its own queue of waiting streams. The heads of all queues compete by luck, and the expected wait follows from the few admissions of one instance. Change: with [overload] shared_queue, instances register waiting streams with the owner of the service's queue (QueueUpdate), which answers with turns and refusals (QueueState). Off by default.

--- a/cli/command/state.go
+++ b/cli/command/state.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/agateway/agateway/gateway/front"
+	"github.com/agateway/agateway/gateway/sharedqueue"
 )
 
 // instanceCallTimeout bounds a call to an instance, with the reading of the answer.
@@ -99,6 +100,19 @@
 	return fmt.Sprint(*limit)
 }
 
+// printQueues prints what teams use of the shared queues that an instance owns. The level is empty for
+// teams without waiting requests.
+func printQueues(w io.Writer, uses []sharedqueue.Use) {
+	_, _ = fmt.Fprintln(w, "\nQUEUE\tSHARD\tLEVEL\tTEAM\tWAITING\tTOKENS BY WEIGHT")
+	for _, u := range uses {
+		level := ""
+		if u.Level >= 0 {
+			level = fmt.Sprint(u.Level)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%d\t%.0f\n", u.Service, u.Shard, level, u.Team, u.Waiting, u.Tokens)
+	}
+}
+
 func printState(out io.Writer, s *front.State) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "instance\t%s\nready\t%v\nstopping\t%v\nconfiguration\t%d, known to be the newest %d ms ago\nopen requests\t%d\nstore calls\t%d\nreaches endpoints\t%v\n",
@@ -112,6 +126,9 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%d\t%s\t%s\n",
 			e.ID, e.Service, e.DataCentre, e.Leaving, e.Suspected, e.Load, e.Open, stated(e.Rate), stated(e.MaxRefusals))
 	}
+	if len(s.Queues) > 0 {
+		printQueues(w, s.Queues)
+	}
 	if len(s.Stopped) > 0 {
 		_, _ = fmt.Fprintln(w)
 		printStopped(w, s.Stopped)
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -83,6 +83,8 @@
 	Crashes        Crashes
 	// Rollouts is nil where services are not moved to other builds.
 	Rollouts Rollouts
+	// Queues is nil where instances share no queues.
+	Queues Queues
 	// ServiceCounts returns what this instance has counted since its start, by service.
 	ServiceCounts func() map[string]limits.RetryCounts
 	// Clock also runs while the machine is suspended.
@@ -289,6 +291,10 @@
 		x.receiveRelease(body.Release)
 	case *peerv1.Datagram_Rollouts:
 		x.receiveRollouts(body.Rollouts, raw)
+	case *peerv1.Datagram_QueueUpdate:
+		x.receiveQueueUpdate(body.QueueUpdate)
+	case *peerv1.Datagram_QueueState:
+		x.receiveQueueState(body.QueueState)
 	default:
 		x.metrics.malformed.Inc(1)
 	}
--- a/gateway/exchange/metrics.go
+++ b/gateway/exchange/metrics.go
@@ -21,6 +21,9 @@
 	// requests for which none answered.
 	claimDuration    tally.Histogram
 	claimsUnanswered tally.Counter
+	// queueMessagesDropped counts messages about queues that came late, or that name a service or an
+	// owner of which this instance does not know.
+	queueMessagesDropped tally.Counter
 	// digestAge is the age of a data centre's digest when the next one replaced it.
 	digestAge tally.Histogram
 }
@@ -37,7 +40,7 @@
 		claimDuration: s.Histogram("claim_seconds", tally.DurationBuckets{
 			time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond, askTimeout,
 		}),
-		claimsUnanswered: s.Counter("claims_unanswered_total"),
+		claimsUnanswered: s.Counter("claims_unanswered_total"), queueMessagesDropped: s.Counter("queue_messages_dropped_total"),
 		digestAge: s.Histogram("digest_age_seconds", tally.DurationBuckets{
 			250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second,
 		}),
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -156,6 +156,8 @@
 	Crashes Crashes
 	// Rollouts selects builds while services move to another build; nil means no rollouts.
 	Rollouts Rollouts
+	// Queue is the queue that the instances share; nil means that each has its own.
+	Queue SharedQueue
 	// Clock also advances while the machine is suspended.
 	Clock clock.Func
 	// OnEndpointReplaced is called with the id of an endpoint whose address now belongs to another
--- /dev/null
+++ b/gateway/forward/sharedqueue.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateway/agateway/core/fairqueue"
+	"github.com/agateway/agateway/core/routing"
+	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/sharedqueue"
+)
+
+// SharedQueue is the queue of a service that all instances share.
+type SharedQueue interface {
+	// Join registers a waiting request. It returns nil while no owner of the queue answers.
+	Join(service string, r fairqueue.Request) *sharedqueue.Ticket
+}
+
+// awaitShared is awaitEngine where instances share a queue. latest bounds the wait in the instance's
+// own queue, which is used while no owner of the shared one answers. A request looks for room at
+// once, and registers only if its service lacked room lately or has none now.
+func (f *Forwarder) awaitShared(ctx context.Context, req *request, latest time.Time) *refusal {
+	if !f.lackedRoom(req.service) {
+		if done, refused := f.lookForRoom(ctx, req); done {
+			return refused
+		}
+	}
+	r := f.queuedRequest(req)
+	t := f.Queue.Join(req.service, r)
+	if t == nil {
+		return f.awaitOwn(ctx, req, latest)
+	}
+	refused, fellBack := f.awaitTurn(ctx, req, t, r.Latest, latest)
+	t.Leave(refused == nil && req.claimed != nil)
+	if fellBack {
+		return f.awaitOwn(ctx, req, latest)
+	}
+	return refused
+}
+
+// lookForRoom tries to claim an engine. It returns false if all engines are full.
+func (f *Forwarder) lookForRoom(ctx context.Context, req *request) (done bool, refused *refusal) {
+	f.queryOwners(ctx, req)
+	switch err := f.claimForFirst(ctx, req); {
+	case errors.Is(err, routing.ErrAllLeaving) && req.LastEventID == "":
+		return true, f.refuseNoRoom(req, err.Error(), 0)
+	case !errors.Is(err, routing.ErrFull):
+		return true, nil
+	}
+	return false, nil
+}
+
+// awaitTurn waits for a request's turn, and looks for room while it has it. A request that no owner
+// has answered for waits until ownLatest at most; another one until usefulUntil, unless that was
+// over when it came. fellBack is set if the request is in no shared queue any more.
+func (f *Forwarder) awaitTurn(ctx context.Context, req *request, t *sharedqueue.Ticket, usefulUntil, ownLatest time.Time) (refused *refusal, fellBack bool) {
+	if !usefulUntil.After(time.Now()) {
+		usefulUntil = ownLatest
+	}
+	service := req.service
+	for {
+		s := t.Status()
+		until := ownLatest
+		if s.Answered {
+			until = usefulUntil
+		}
+		switch {
+		case s.Refused != nil:
+			f.recordFull(req.service)
+			return f.refuseByQueue(req, s.Refused), false
+		case s.NoOwner, req.service != service: // a change of the configuration may choose another service
+			return nil, true
+		case s.Turn:
+			if done, refused := f.lookForRoom(ctx, req); done {
+				return refused, false
+			}
+		}
+		if !time.Now().Add(engineWaitInterval).Before(until) {
+			return f.refuseNoRoom(req, "no room in time", s.Expected), false
+		}
+		if !pause.UntilWoken(ctx, engineWaitInterval, t.Changed()) {
+			return f.refuseNoRoom(req, waitEndReason(ctx), 0), false
+		}
+		if refused := f.revalidate(req); refused != nil {
+			return refused, false
+		}
+		if refused := f.refuseIfPaused(req, until); refused != nil {
+			return refused, false
+		}
+	}
+}
+
+// queuedRequest describes a request for the shared queue.
+func (f *Forwarder) queuedRequest(req *request) fairqueue.Request {
+	since := req.firstAttempt()
+	return fairqueue.Request{
+		Level: req.priority.Level, Team: req.teamName(), Tokens: req.PromptTokens + req.MaxOutputTokens/2,
+		Since: since, Latest: f.latestUsefulStart(req, since),
+	}
+}
+
+// firstAttempt estimates when the caller first sent the request. One that comes back after a refusal
+// states the time that it has left, which is shorter than the route's timeout.
+func (req *request) firstAttempt() time.Time {
+	if routeTimeout := req.route.Timeout; req.Timeout > 0 && req.Timeout < routeTimeout {
+		return req.arrivedAt.Add(req.Timeout - routeTimeout)
+	}
+	return req.arrivedAt
+}
+
+// The expected prefill time of a prompt is that at an engine with nothing else to do. The prompt
+// shares the engine with streams that run there, so it is given half as much again.
+const prefillMarginNumerator, prefillMarginDenominator = 3, 2
+
+// unknownPrefillDivisor is the part of the target latency that is left for prefill while the usual
+// speed of the engines is not known.
+const unknownPrefillDivisor = 4
+
+// latestUsefulStart returns until when an engine has to take a request so that its first event is on
+// time.
+func (f *Forwarder) latestUsefulStart(req *request, since time.Time) time.Time {
+	target := req.route.TargetLatency
+	if target <= 0 {
+		return since.Add(defaultEngineWait)
+	}
+	prefill := target / unknownPrefillDivisor
+	if expected, known := f.Placement.ExpectedPrefillTime(req.service, req.PromptTokens); known {
+		prefill = expected * prefillMarginNumerator / prefillMarginDenominator
+	}
+	return since.Add(target - prefill)
+}
+
+// recordFull records that streams of a service find no room.
+func (f *Forwarder) recordFull(service string) {
+	f.waitQueues.mu.Lock()
+	defer f.waitQueues.mu.Unlock()
+	f.waitQueues.get(service).RecordFull(time.Now())
+}
+
+// refuseByQueue refuses a request that the shared queue has refused. The queue spreads the times at
+// which callers may come back.
+func (f *Forwarder) refuseByQueue(req *request, r *fairqueue.Refusal) *refusal {
+	retryIn := r.RetryIn
+	if retryIn <= 0 {
+		retryIn = retryWhenRoom(r.Expected)
+	}
+	inputs := logrus.Fields{
+		"level": req.priority.Level, "levels": req.priority.Levels, "team": req.teamName(), "expected_ms": r.Expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
+	}
+	if r.Position > 0 { // known only if this instance owns the queue
+		inputs["position"] = r.Position
+	}
+	return refuse(http.StatusServiceUnavailable, "the queue expects no room in time", retryIn).with(inputs)
+}
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -61,6 +61,14 @@
 	if refused := f.refuseIfPaused(req, latest); refused != nil {
 		return refused
 	}
+	if f.Settings.Overload.SharedQueue && f.Queue != nil {
+		return f.awaitShared(ctx, req, latest)
+	}
+	return f.awaitOwn(ctx, req, latest)
+}
+
+// awaitOwn waits in the queue of this instance.
+func (f *Forwarder) awaitOwn(ctx context.Context, req *request, latest time.Time) *refusal {
 	id := f.waitQueues.lastID.Add(1)
 	if mayWait, expected := f.joinQueue(req, id, latest); !mayWait {
 		return f.refuseNoRoom(req, "no room is expected in time", expected)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -68,6 +68,8 @@
 	crashes       *crashes.Registry
 	// rollouts and rolloutOrders are nil where the settings switch rollouts off or set no bounds
 	// for them.
+	// queues is nil where the settings switch the shared queue off.
+	queues        *sharedQueues
 	rollouts      *rollouts.Controller
 	rolloutOrders *follow.Rollouts
 	mirror        *follow.Mirror
@@ -124,6 +126,9 @@
 	if f.rollouts != nil {
 		loops = append(loops, f.rollouts.Run)
 	}
+	if f.queues != nil {
+		loops = append(loops, f.queues.client.Run, f.queues.owner.Run)
+	}
 	for _, run := range loops {
 		f.goroutines.Go(func() { run(ctx) })
 	}
@@ -209,12 +214,13 @@
 		OnStopped:  func(r crashers.Subject) { f.forwarder.StopRequest(r) },
 		Log:        t.Log, Scope: t.Scope,
 	})
+	f.buildQueues()
 	f.exchange = exchange.New(exchange.Options{
 		Self: exchange.Peer{
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 			Link: int(s.Process.Link),
 		},
-		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), ServiceCounts: f.retryCounts, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
+		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), Queues: f.exchangeQueues(), ServiceCounts: f.retryCounts, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
 	})
 	f.restore = f.newRestore()
 	f.relay = relay.New(relay.Options{
@@ -229,7 +235,7 @@
 			Overload: forward.Overload{Deadlines: s.Overload.Deadlines, Speeds: s.Overload.Speeds, SharedQueue: s.Overload.SharedQueue},
 			Disabled: disabledMechanisms(&s.Mechanisms),
 		},
-		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Reach: f.reach, Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Clock: f.env.Clock,
+		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Reach: f.reach, Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Queue: f.forwardQueue(), Clock: f.env.Clock,
 		OnEndpointReplaced: f.endpoints.MarkEnded, Log: f.decisions, Scope: t.Scope, Tracer: t.Tracer,
 	})
 }
--- a/gateway/front/reload.go
+++ b/gateway/front/reload.go
@@ -42,7 +42,7 @@
 	return fileStamp{info.ModTime(), info.Size()}
 }
 
-// Reload reads the settings file again. The log level takes effect at once. Other changes take
+// Reload reads the settings file again. The log level and the shares of teams take effect at once. Other changes take
 // effect with the next start; the log says whether there are any. A file that can't be read or is
 // invalid changes nothing.
 func (f *Front) Reload(file string) {
@@ -54,5 +54,8 @@
 	if level, err := logrus.ParseLevel(s.Logs.Level); err == nil {
 		f.telemetry.Log.Logger.SetLevel(level)
 	}
-	f.telemetry.Log.WithField("needs_restart", *s != *f.settings).Info("settings reloaded")
+	f.setShares(s.Overload.Shares)
+	others := *s
+	others.Overload.Shares = f.settings.Overload.Shares
+	f.telemetry.Log.WithField("needs_restart", others != *f.settings).Info("settings reloaded")
 }
--- a/gateway/front/state.go
+++ b/gateway/front/state.go
@@ -11,6 +11,7 @@
 	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/rollouts"
+	"github.com/agateway/agateway/gateway/sharedqueue"
 )
 
 // StatePath is the path on the metrics address where an instance shows its [State].
@@ -47,6 +48,8 @@
 	// Rollouts are the orders to move services to other builds; empty where rollouts are switched
 	// off.
 	Rollouts []rollouts.State `json:"rollouts"`
+	// Queues is what teams use of the shared queues that this instance owns.
+	Queues []sharedqueue.Use `json:"queues,omitempty"`
 }
 
 // EndpointState is what an instance knows of an endpoint.
@@ -82,6 +85,9 @@
 	if f.rollouts != nil {
 		s.Rollouts = f.rollouts.State()
 	}
+	if f.queues != nil {
+		s.Queues = f.queues.owner.Uses()
+	}
 	for _, e := range f.placement.List() {
 		s.Endpoints = append(s.Endpoints, endpointState(&e))
 	}
--- a/gateway/settings/check.go
+++ b/gateway/settings/check.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -18,6 +19,7 @@
 	"optional-address": checkOptionalAddress,
 	"optional-ip":      checkOptionalIP,
 	"url":              checkURL,
+	"shares":           checkShares,
 	"secret":           checkSecret,
 	"sha256":           checkSHA256,
 	"policy":           oneOf("latency", "frugal", "restart", "no-probe"),
@@ -91,6 +93,36 @@
 	return nil
 }
 
+func checkShares(text string) error {
+	_, err := ParseShares(text)
+	return err
+}
+
+// Bounds of a team's weight.
+const minShare, maxShare = 0.01, 100
+
+// ParseShares returns the weights of teams in a list such as "desk:2, field:0.5". The name of a team
+// may contain colons.
+func ParseShares(text string) (map[string]float64, error) {
+	weights := map[string]float64{}
+	for _, part := range splitList(text) {
+		colon := strings.LastIndex(part, ":")
+		if colon < 1 {
+			return nil, fmt.Errorf("%q is no team:weight", part)
+		}
+		team := strings.TrimSpace(part[:colon])
+		weight, err := strconv.ParseFloat(strings.TrimSpace(part[colon+1:]), 64)
+		if err != nil || !(weight >= minShare && weight <= maxShare) {
+			return nil, fmt.Errorf("the weight of %q must be between %v and %v", team, minShare, maxShare)
+		}
+		if _, twice := weights[team]; twice || team == "" {
+			return nil, fmt.Errorf("%q names a team twice or not at all", part)
+		}
+		weights[team] = weight
+	}
+	return weights, nil
+}
+
 func oneOf(allowed ...string) func(string) error {
 	return func(text string) error {
 		if !slices.Contains(allowed, text) {
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -90,9 +90,16 @@
 
 // FrontOverload says how streams share engines that have too little room for all.
 type FrontOverload struct {
-	Deadlines   bool `ini:"deadlines" default:"false" doc:"an engine takes no prompt for which a stream that runs there would miss its deadline"`
-	Speeds      bool `ini:"speeds" default:"false" doc:"engines are chosen by their measured speed, which instances share"`
-	SharedQueue bool `ini:"shared_queue" default:"false" doc:"streams of all instances wait in one queue a service, in which teams have equal shares"`
+	Deadlines   bool   `ini:"deadlines" default:"false" doc:"an engine takes no prompt for which a stream that runs there would miss its deadline"`
+	Speeds      bool   `ini:"speeds" default:"false" doc:"engines are chosen by their measured speed, which instances share"`
+	SharedQueue bool   `ini:"shared_queue" default:"false" doc:"streams of all instances wait in one queue a service, in which teams have equal shares"`
+	Shares      string `ini:"shares" check:"shares" doc:"weights of teams in the shared queue, such as desk:2, field:0.5; those that are not named have 1"`
+}
+
+// TeamWeights returns the weights of the teams that Shares names.
+func (s *FrontOverload) TeamWeights() map[string]float64 {
+	weights, _ := ParseShares(s.Shares) // checked when the settings were read
+	return weights
 }
 
 // FrontProcess holds the limits of the process and of its network link.
