--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -271,7 +271,7 @@
 	maxOutcomes = 40
 	// maxWaitingBytes bounds the waiting requests. requestBytes is the largest size of one without
 	// its team: two bytes in front, and five numbers with their tags.
-	maxWaitingBytes = 2000
+	maxWaitingBytes = 2400
 	requestBytes    = 2 + 11 + 2 + 2 + 3*6
 )
 
