--- a/gateway/exchange/queues.go
+++ b/gateway/exchange/queues.go
@@ -113,9 +113,13 @@
 		if r.GetId() == 0 || len(r.GetTeam()) > maxQueueTeam || r.GetTokens() > maxQueueTokens {
 			return u, false
 		}
+		latest := now.Add(decodeMilliseconds(r.LatestMs))
+		if r.LatestMs == 0 { // it is over
+			latest = now.Add(-time.Millisecond)
+		}
 		u.Waiting = append(u.Waiting, fairqueue.Request{
 			ID: r.Id, Level: int(min(r.Rank, route.MaxLevels-1)), Team: r.Team, Tokens: int(r.Tokens),
-			Since: now.Add(-decodeMilliseconds(r.WaitedMs)), Latest: now.Add(decodeMilliseconds(r.LatestMs)),
+			Since: now.Add(-decodeMilliseconds(r.WaitedMs)), Latest: latest,
 		})
 	}
 	return u, true
--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -149,7 +149,7 @@
 		retryIn = retryWhenRoom(r.Expected)
 	}
 	inputs := logrus.Fields{
-		"level": req.priority.Level, "levels": req.priority.Levels, "team": req.teamName(), "expected_ms": r.Expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
+		"rank": req.priority.Level, "ranks": req.priority.Levels, "team": req.teamName(), "expected_ms": r.Expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
 	}
 	if r.Position > 0 { // known only if this instance owns the queue
 		inputs["position"] = r.Position
--- a/gateway/front/queues.go
+++ b/gateway/front/queues.go
@@ -74,4 +74,5 @@
 		return
 	}
 	f.queues.owner.SetWeights(weights)
+	f.telemetry.Log.WithField("shares", text).Info("shares of teams in force")
 }
--- a/gateway/front/reload_test.go
+++ b/gateway/front/reload_test.go
@@ -30,3 +30,22 @@
 		assert.Equal(t, a.Status, 200)
 	})
 }
+
+// TestReloadShares: the weights of teams take effect without a restart, while other changes need one.
+func TestReloadShares(t *testing.T) {
+	runQueue(t, 1, 1, func(w *queueWorld) {
+		file := filepath.Join(t.TempDir(), "front.ini")
+		reload := func(overload string) {
+			assert.NilError(t, os.WriteFile(file, []byte(frontSettings(0)+"[overload]\n"+overload), 0o600))
+			w.fronts[0].Reload(file)
+			time.Sleep(time.Second)
+		}
+		reload("shared_queue = true\nshares = desk:5\n")
+		assert.Equal(t, strings.Count(w.logs.String(), `"needs_restart":false`), 1)
+		assert.Equal(t, strings.Count(w.logs.String(), `"msg":"shares of teams in force"`), 1)
+		reload("shared_queue = true\nshares = desk:0\n")
+		assert.Equal(t, strings.Count(w.logs.String(), `"msg":"shares of teams in force"`), 1)
+		reload("shares = desk:5\n")
+		assert.Equal(t, strings.Count(w.logs.String(), `"needs_restart":true`), 1)
+	})
+}
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -136,3 +136,15 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// TestShares: weights of teams are read from one key. A weight that would exclude a team, or let it
+// take everything, is refused, and so is a list that names a team twice.
+func TestShares(t *testing.T) {
+	s, err := ParseFront([]byte(validFrontSettings + "[overload]\nshares = desk:2, the field: 0.5,a:b:3\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Overload.TeamWeights(), map[string]float64{"desk": 2, "the field": 0.5, "a:b": 3})
+	for _, text := range []string{"desk", "desk:", ":2", "desk:0", "desk:-1", "desk:NaN", "desk:1000", "desk:1,desk:2"} {
+		_, err := ParseFront([]byte(validFrontSettings + "[overload]\nshares = " + text + "\n"))
+		assert.ErrorContains(t, err, "[overload] shares: ", text)
+	}
+}
--- a/gateway/sharedqueue/owner.go
+++ b/gateway/sharedqueue/owner.go
@@ -78,6 +78,8 @@
 // ReceiveUpdate takes an update, and answers it. It returns false for one that does not fit: of a
 // service that has no endpoints here, or older than one received before.
 func (o *Owner) ReceiveUpdate(u *Update) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	states, ok := o.apply(u)
 	o.deliver(states)
 	signal(o.wake)
@@ -91,9 +93,7 @@
 }
 
 func (o *Owner) apply(u *Update) ([]addressedState, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now() // under the lock, since times must not go backwards
+	now := time.Now() // under mu, since times must not go backwards
 	endpoints := o.Endpoints(u.Service)
 	if endpoints == 0 {
 		return nil, false
@@ -148,13 +148,13 @@
 	for i := range refused {
 		r := &refused[i]
 		o.Log.WithFields(logrus.Fields{
-			"service": id.service, "shard": id.shard, "instance": instance, "level": r.Level, "team": r.Team, "position": r.Position,
+			"service": id.service, "shard": id.shard, "for": instance, "rank": r.Level, "team": r.Team, "position": r.Position,
 			"expected_ms": r.Expected.Milliseconds(), "retry_after_ms": r.RetryIn.Milliseconds(),
 		}).Info("refused by the queue")
 	}
 }
 
-// deliver sends states without holding mu, since the client may call the owner.
+// deliver sends states. mu is held from their computation on, so that they leave in their order.
 func (o *Owner) deliver(states []addressedState) {
 	for _, s := range states {
 		if s.instance == o.Self {
@@ -168,9 +168,7 @@
 // Run decides at intervals while requests wait, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		states, waiting := o.decideAll()
-		o.deliver(states)
-		if waiting {
+		if o.decideAll() {
 			pause.For(ctx, minInterval)
 		} else {
 			pause.UntilWoken(ctx, idleInterval, o.wake)
@@ -178,8 +176,9 @@
 	}
 }
 
-// decideAll decides in all queues in which requests wait, and drops those that are not used.
-func (o *Owner) decideAll() (states []addressedState, waiting bool) {
+// decideAll decides in all queues in which requests wait, and drops those that are not used. It
+// reports whether any requests wait.
+func (o *Owner) decideAll() (waiting bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
@@ -193,11 +192,11 @@
 		}
 		waiting = true
 		if now.Sub(q.decidedAt) >= minInterval {
-			states = append(states, o.states(now, id, q, q.decide(now))...)
+			o.deliver(o.states(now, id, q, q.decide(now)))
 		}
 		q.expire(now)
 	}
-	return states, waiting
+	return waiting
 }
 
 // expire forgets instances that have sent nothing for queueIdleTime.
