cli/soak: seeds from 9000 play a service with twice the load that it can serve

Cause: the soak checks nothing of who is served under load beyond capacity. Change: these seeds have a streaming service with two priorities, five teams, one of which sends six times its share, and engines of three speeds, while instances and engines are lost. Checks bound how often the urgent kind and each team are served and how many accepted streams are cut at their deadline. Earlier seeds play as before.

--- a/cli/command/soak.go
+++ b/cli/command/soak.go
@@ -51,6 +51,7 @@
 	f.StringVar(&o.Program, "program", "bin/agatewayd", "the daemon")
 	f.StringVar(&o.OtherProgram, "other-program", "", "another build of the daemon, which every other instance runs")
 	f.StringSliceVar(&o.DisabledMechanisms, "without", nil, "mechanisms of the daemon to switch off, by their names in its settings")
+	f.StringSliceVar(&o.OverloadParts, "overload-parts", soak.OverloadParts(), "parts for load beyond capacity that are on and checked, with seeds from 9000")
 	f.StringSliceVar(&o.FaultNames, "only", nil, "faults to draw, by name, in place of those of the seed")
 	f.DurationVar(&o.ShutdownGrace, "grace", soak.DefaultShutdownGrace, "time that an instance has to end after SIGTERM")
 	f.DurationVar(&o.WorkTime, "work", soak.DefaultWorkTime, "how long plain requests take")
--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -84,11 +84,15 @@
 	// routeAcceptedAt holds, by configuration version, when the store had accepted a version with a
 	// route of its own.
 	routeAcceptedAt map[uint64]time.Time
+	overload        bool // a service has more load than it can serve
 }
 
 func newEnvironment(dir, program string, o Options) (*environment, error) {
 	w := &environment{store: standin.NewStore(entryTTL), fleet: standin.NewFleet(), closed: make(chan struct{}), revoked: map[string]revocation{}, routeAcceptedAt: map[uint64]time.Time{}}
-	w.config = configuration()
+	w.config, w.overload = configuration(), isOverloadSeed(o.Seed)
+	if w.overload {
+		addOverload(&w.config)
+	}
 	w.store.PutConfiguration(&w.config)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -105,6 +109,14 @@
 			return nil, err
 		}
 	}
+	for i := range overloadEngines {
+		if !w.overload {
+			break
+		}
+		if err := w.add(fmt.Sprint("o", i), overloadWorker(i)); err != nil {
+			return nil, err
+		}
+	}
 	for i := range o.Instances {
 		p, err := newProxy(l.Addr().String())
 		if err != nil {
@@ -349,6 +361,9 @@
 	own := routes[len(routes)-1]
 	own.Name, own.Prefix = fmt.Sprint("version-", w.config.Version), versionPath(w.config.Version)
 	w.config.Routes = append(routes, own)
+	if w.overload {
+		w.config.Routes = append(w.config.Routes, overloadRoutes()...)
+	}
 	w.putConfiguration()
 	w.routeAcceptedAt[w.config.Version] = time.Now()
 	return w.config.Version
@@ -387,6 +402,9 @@
 	old := fmt.Sprint("key-", w.keyNumber-1)
 	w.config.Version++ // the route that an earlier version added stays
 	w.config.Teams = []route.Team{{Name: "desk", Keys: []string{permanentKey, fmt.Sprint("key-", w.keyNumber)}}}
+	if w.overload {
+		w.config.Teams = append(w.config.Teams, teamsUnderOverload()...)
+	}
 	w.putConfiguration()
 	w.revoked[old] = revocation{at: time.Now(), version: w.config.Version}
 }
--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -45,19 +45,26 @@
 	wordFaults   = []string{"leave-in-answers", "leave-in-answers", "leave-in-answers", "leave-in-answers", "asks-for-pause", "asks-for-pause", "asks-for-pause", "leave"}
 	returnFaults = []string{"store-returns", "store-returns", "leave", "kill"}
 	partFaults   = []string{"fatal-part", "fatal-part", "endless", "endless", "kill", "stop", "crash"}
-	pauseFaults  = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "instances-pause", "pause", "timeout", "idle-time", "weights"}
+	// overloadFaults lose instances and engines, beside changes of the operator. Other faults would excuse or hide
+	// what overload does.
+	overloadFaults = []string{"kill", "crash", "data-centre", "stop", "reread", "new-key", "new-route", "routes-in-a-row"}
+	pauseFaults    = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "instances-pause", "pause", "timeout", "idle-time", "weights"}
 )
 
 // Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
 // those from firstWordSeed wordFaults, those from firstReturnSeed returnFaults, those from firstPauseSeed
-// pauseFaults, and those from firstPartSeed partFaults. The others keep the faults with which they have found something.
-const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, firstPartSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 8000, 9999
+// pauseFaults, and those from firstPartSeed partFaults. Those from firstOverloadSeed draw overloadFaults only, beside
+// a service that has more load than it can serve. The others keep the faults with which they have found something.
+const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, firstPartSeed, firstOverloadSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 8000, 9000, 9999
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
 // with a time bound isn't checked while another kind of fault excuses its breach: instances learn
 // in time that an endpoint is leaving only if the store answers.
 func faultNamesForSeed(seed uint64) []string {
+	if isOverloadSeed(seed) {
+		return overloadFaults
+	}
 	kinds := [][]string{endpointFaults, processFaults, storeFaults}
 	if seed >= firstLimitSeed && seed <= lastSeed {
 		kinds = append(kinds, limitFaults)
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -116,12 +116,39 @@
 	if source != "" {
 		settings += "[process]\nsource_ip = " + source + "\n"
 	}
-	if len(o.DisabledMechanisms) > 0 {
-		settings += "[mechanisms]\n" + strings.Join(o.DisabledMechanisms, " = false\n") + " = false\n"
-	}
+	settings += switches(o, p.program == program)
 	return p, os.WriteFile(p.settingsPath, []byte(settings), 0o600)
 }
 
+// switches returns the settings that switch mechanisms off and the parts for overload on. An older build does
+// not know those parts.
+func switches(o *Options, knowsParts bool) string {
+	var on, off []string
+	for _, name := range o.DisabledMechanisms {
+		if !slices.Contains(overloadParts, name) || name == "ranks" && knowsParts {
+			off = append(off, name)
+		}
+	}
+	if isOverloadSeed(o.Seed) && knowsParts {
+		for _, part := range overloadParts {
+			enabled := slices.Contains(o.OverloadParts, part) && !slices.Contains(o.DisabledMechanisms, part)
+			switch {
+			case part != "ranks" && enabled:
+				on = append(on, part)
+			case part == "ranks" && !enabled && !slices.Contains(off, part):
+				off = append(off, part)
+			}
+		}
+	}
+	section := func(name, value string, keys []string) string {
+		if len(keys) == 0 {
+			return ""
+		}
+		return "[" + name + "]\n" + strings.Join(keys, value) + value
+	}
+	return section("overload", " = true\n", on) + section("mechanisms", " = false\n", off)
+}
+
 // run restarts the process whenever it ends, until stop is called.
 func (p *process) run() {
 	defer close(p.done)
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -26,6 +26,10 @@
 	// switched off, which shows whether the checks notice.
 	Program            string
 	DisabledMechanisms []string
+	// OverloadParts names the parts of the daemon that the settings switch on and the checks expect in
+	// soaks with overload: of ranks, deadlines, speeds and shared_queue. A part that is in
+	// DisabledMechanisms too is off, and its checks are made.
+	OverloadParts []string
 	// OtherProgram is a second build of the daemon, which every other instance runs; empty for none.
 	OtherProgram string
 	// FaultNames lists the faults that are drawn; empty for those of the seed.
@@ -67,6 +71,8 @@
 	calls        map[string]*call
 	result       Result
 	measurements measurements
+	// overload holds the requests to the overloaded service. It is written by runOverload alone.
+	overload []*overloadRequest
 }
 
 // Run runs a soak and returns its report. Broken guarantees are findings in the report and no
@@ -94,6 +100,7 @@
 	s.checkCuts()
 	s.checkWords()
 	s.checkRollouts()
+	s.checkOverload()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.result.Findings) == 0 {
@@ -146,12 +153,17 @@
 	}
 	addCallers(work, s.Callers)
 	s.env.burst = addCallers
+	var overload sync.WaitGroup
+	if s.env.overload {
+		overload.Go(func() { s.runOverload(ctx) })
+	}
 	s.injectFaults(ctx)
+	overload.Wait()
 	time.Sleep(quietPeriod / 2)
 	if !s.waitReady(ctx) {
 		s.addFinding("instances are not ready %v after the last fault", quietPeriod/2+readyTimeout)
 	}
-	if s.Seed >= firstPauseSeed && s.Seed <= lastSeed {
+	if s.Seed >= firstPauseSeed && s.Seed < firstOverloadSeed {
 		s.env.pauseAlone(rand.New(rand.NewPCG(s.Seed, firstPauseSeed)))
 	}
 	time.Sleep(quietPeriod / 2)
