--- a/cli/soak/shares_test.go
+++ b/cli/soak/shares_test.go
@@ -100,3 +100,25 @@
 	assert.DeepEqual(t, faultNamesForSeed(9000), overloadFaults)
 	assert.DeepEqual(t, faultNamesForSeed(957620553), faultNamesForSeed(1))
 }
+
+// TestOverloadedServiceOutlastsChanges: if a new route or key removed the overloaded service from the
+// configuration, its requests would be refused for that.
+func TestOverloadedServiceOutlastsChanges(t *testing.T) {
+	w := &environment{store: standin.NewStore(0), revoked: map[string]revocation{}, routeAcceptedAt: map[uint64]time.Time{}, overload: true}
+	w.config = configuration()
+	addOverload(&w.config)
+	version := w.replaceRoute()
+	w.replaceKey()
+	count := func(prefix string) (n int) {
+		for _, r := range w.config.Routes {
+			if r.Prefix == prefix {
+				n++
+			}
+		}
+		return n
+	}
+	for _, prefix := range []string{"/urgent/", "/other/", versionPath(version)} {
+		assert.Equal(t, count(prefix), 1, prefix)
+	}
+	assert.Equal(t, len(w.config.Teams), 1+len(overloadTeams))
+}
