cli/soak, platform/standin: load beyond capacity with less code

Cause: state of a batch that follows from its settings, and a table of teams that had to be unfolded to be drawn from. Change: both are gone.

--- a/cli/soak/doc.go
+++ b/cli/soak/doc.go
@@ -12,7 +12,8 @@
 // both. Faults of processes: they are paused, killed, stopped, restarted, or told to reload their settings.
 // Faults of the store: it is down, silent or slow, forgets its history, or loses answers. Faults of endpoints:
 // they refuse, fail, lose answers, break off, crash, leave, or are paused together. Keys, routes and builds change
-// as well. Faults follow each other quickly and overlap.
+// as well. Faults follow each other quickly and overlap. Seeds from 9000 add load beyond the capacity of a service, and
+// check how it is shared.
 //
 // The operating system decides the order of events between processes. A seed therefore repeats the faults and
 // the load, but not each interleaving. The package ends only processes that it started, by their ids.
--- a/cli/soak/environment.go
+++ b/cli/soak/environment.go
@@ -109,10 +109,7 @@
 			return nil, err
 		}
 	}
-	for i := range overloadEngines {
-		if !w.overload {
-			break
-		}
+	for i := 0; w.overload && i < overloadEngines; i++ {
 		if err := w.add(fmt.Sprint("o", i), overloadWorker(i)); err != nil {
 			return nil, err
 		}
--- a/cli/soak/overload.go
+++ b/cli/soak/overload.go
@@ -35,9 +35,11 @@
 // overloadSpeeds are the time factors of the engines, in turn.
 var overloadSpeeds = []float64{0.7, 1.0, 1.7}
 
-// overloadTeams are the parts that teams have in the load. The last one has one part by right, and sends six
-// times that.
-var overloadTeams = []int{3, 2, 2, 2, 6}
+// overloadTeams is the number of teams. overloadLoad has the number of a team once for each part of the load that
+// it sends. The last one has one part by right, and sends six times that.
+const overloadTeams = 5
+
+var overloadLoad = []int{0, 0, 0, 1, 1, 2, 2, 3, 3, 4, 4, 4, 4, 4, 4}
 
 // overloadParts are the parts of the daemon that decide under overload, by the names of their settings.
 var overloadParts = []string{"ranks", "deadlines", "speeds", "shared_queue"}
@@ -128,7 +130,7 @@
 	for until := next.Add(overloadTime); next.Before(until) && ctx.Err() == nil; {
 		next = next.Add(time.Duration(rnd.ExpFloat64() * float64(time.Second) / (overloadFactor * overloadCapacity)))
 		time.Sleep(time.Until(next))
-		r := &overloadRequest{team: drawTeam(rnd), urgent: rnd.IntN(urgentOneIn) == 0}
+		r := &overloadRequest{team: overloadLoad[rnd.IntN(len(overloadLoad))], urgent: rnd.IntN(urgentOneIn) == 0}
 		s.overload = append(s.overload, r)
 		own, n := rand.New(rand.NewPCG(rnd.Uint64(), 0)), len(s.overload)
 		wg.Go(func() { s.sendUnderOverload(ctx, r, own, n) })
@@ -136,15 +138,6 @@
 	wg.Wait()
 }
 
-// drawTeam draws the number of a team by the parts that teams have in the load.
-func drawTeam(rnd *rand.Rand) int {
-	var all []int
-	for team, parts := range overloadTeams {
-		all = append(all, slices.Repeat([]int{team}, parts)...)
-	}
-	return all[rnd.IntN(len(all))]
-}
-
 // sendUnderOverload sends a request, and once more if it was refused. Before that, the caller waits for as
 // long as it was told, but for a third of its remaining time at most.
 func (s *soak) sendUnderOverload(ctx context.Context, r *overloadRequest, rnd *rand.Rand, n int) {
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -116,7 +116,7 @@
 	if source != "" {
 		settings += "[process]\nsource_ip = " + source + "\n"
 	}
-	settings += switches(o, p.program == program)
+	settings += switches(o, source != "")
 	return p, os.WriteFile(p.settingsPath, []byte(settings), 0o600)
 }
 
--- a/cli/soak/shares.go
+++ b/cli/soak/shares.go
@@ -110,7 +110,7 @@
 			at[r.ID] = append(at[r.ID], r)
 		}
 	}
-	t := overloadTally{teams: make([]rate, len(overloadTeams))}
+	t := overloadTally{teams: make([]rate, overloadTeams)}
 	for _, r := range s.overload {
 		t.add(r, func(a *overloadAttempt) bool {
 			return s.env.disruptions.count(a.sent, a.ended, a.process) == 0 &&
--- a/cli/soak/shares_test.go
+++ b/cli/soak/shares_test.go
@@ -120,5 +120,5 @@
 	for _, prefix := range []string{"/urgent/", "/other/", versionPath(version)} {
 		assert.Equal(t, count(prefix), 1, prefix)
 	}
-	assert.Equal(t, len(w.config.Teams), 1+len(overloadTeams))
+	assert.Equal(t, len(w.config.Teams), 1+overloadTeams)
 }
