core/routing: slack is checked last, and with the pace of an engine computed once

Cause: a pick that looks at all engines computed the decay of the pace for each announced slack: 2.7 ms for 600 engines with 8 slacks each. Effect: nothing is added for engines that are full anyway; 1.6 ms if all are closed by slack alone, against 0.7 ms of a pick that finds all full without the check (both on a busy machine).

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -376,9 +376,6 @@
 	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.PrefillWithin {
 		return true
 	}
-	if p.endangersDeadline(n) {
-		return true
-	}
 	if p.now.Before(n.fullUntil) || n.trialInProgress() && !p.allowSuspected {
 		return true
 	}
@@ -389,5 +386,5 @@
 	if p.r.Recovery {
 		factor = p.v.settings.RecoveryFactor
 	}
-	return float64(p.load(n)) >= factor*float64(n.Slots)
+	return float64(p.load(n)) >= factor*float64(n.Slots) || p.endangersDeadline(n)
 }
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -97,7 +97,7 @@
 	if n == nil {
 		return 0, false
 	}
-	s := n.ownSlack(now)
+	s := n.ownSlack(now, n.prefillPace(now))
 	return max(s.slack, 0), s.known
 }
 
@@ -109,7 +109,10 @@
 	}
 	out := map[string]time.Duration{}
 	for id, n := range v.observed {
-		if s := n.ownSlack(now); s.known {
+		if len(n.streams) == 0 {
+			continue
+		}
+		if s := n.ownSlack(now, n.prefillPace(now)); s.known {
 			out[id] = max(s.slack, 0)
 		}
 	}
@@ -118,40 +121,42 @@
 
 // ownSlack leaves out the streams that can't end in time. What is left of a stream's own prompt takes
 // from its slack like all pending prompts, so a stream is also lost if it can't spare that.
-func (n *node) ownSlack(now time.Time) (s shortest) {
+func (n *node) ownSlack(now time.Time, pace prefillPace) (s shortest) {
 	for _, stream := range n.streams {
 		slack := stream.slack(now)
-		if own, _ := n.prefillTime(now, stream.PendingPrefill); slack-own >= -slackMargin {
+		if slack-pace.of(stream.PendingPrefill) >= -slackMargin {
 			s.include(slack)
 		}
 	}
 	return s
 }
 
-// prefillTime returns how long the engine is expected to take to prefill some tokens; false if unknown.
-func (n *node) prefillTime(now time.Time, tokens int) (time.Duration, bool) {
-	usual, known := n.view.usualPrefillOf(n.Service).Expected(tokens)
-	return time.Duration(n.effectivePace(now) * float64(usual)), known
+// prefillPace is how long an engine is expected to take to prefill a token, in nanoseconds; 0 if unknown. It
+// is computed once for all slacks of an engine, since the decay of the observed pace costs more than the rest.
+type prefillPace float64
+
+func (n *node) prefillPace(now time.Time) prefillPace {
+	const sample = 1000 // tokens
+	usual, _ := n.view.usualPrefillOf(n.Service).Expected(sample)
+	return prefillPace(n.effectivePace(now) * float64(usual) / sample)
 }
 
+func (p prefillPace) of(tokens int) time.Duration { return time.Duration(float64(p) * float64(tokens)) }
+
 // remaining returns what is left of an announced slack. Prompts count as a whole, either while they are
 // pending or, as soon as they have ended, here. A prompt that was partly prefilled at the time of the
 // announcement thus counts somewhat too much, until the next announcement.
-func (n *node) remaining(now time.Time, s peerSlack) time.Duration {
-	if n.prefilled == s.prefilledBefore {
-		return s.slack
-	}
-	ended, _ := n.prefillTime(now, int(n.prefilled-s.prefilledBefore))
-	return max(s.slack-ended, 0)
+func (n *node) remaining(s peerSlack, pace prefillPace) time.Duration {
+	return max(s.slack-pace.of(int(n.prefilled-s.prefilledBefore)), 0)
 }
 
 // slackExcept returns the shortest slack at an endpoint that this instance knows of, without the streams
 // of one instance.
-func (n *node) slackExcept(now time.Time, peer string) shortest {
-	s := n.ownSlack(now)
+func (n *node) slackExcept(now time.Time, peer string, pace prefillPace) shortest {
+	s := n.ownSlack(now, pace)
 	for name, announced := range n.peerSlacks {
 		if name != peer {
-			s.include(n.remaining(now, announced))
+			s.include(n.remaining(announced, pace))
 		}
 	}
 	for i := range n.claims {
@@ -163,13 +168,13 @@
 }
 
 // shortestSlack returns the shortest slack of all streams at an endpoint, as far as known.
-func (n *node) shortestSlack(now time.Time) shortest {
+func (n *node) shortestSlack(now time.Time, pace prefillPace) shortest {
 	if n.freshSummary(now) == nil {
-		return n.slackExcept(now, "")
+		return n.slackExcept(now, "", pace)
 	}
-	s := n.ownSlack(now)
+	s := n.ownSlack(now, pace)
 	if t := &n.ownerSummary; t.SlackKnown {
-		s.include(n.remaining(now, peerSlack{t.Slack, t.prefilledBefore}))
+		s.include(n.remaining(peerSlack{t.Slack, t.prefilledBefore}, pace))
 	}
 	return s
 }
@@ -247,21 +252,30 @@
 	}
 	others := n.othersPlaced(p.now)
 	open := n.open + others.Open
-	if open == 0 {
+	if open == 0 || !p.mayEndanger(n) {
 		return false
 	}
 	// All pending prompts count, also those of lower priority: they will be prefilled beside the streams.
-	pending, _ := n.prefillTime(p.now, n.own.PendingPrefill+others.PendingPrefill)
-	own, known := n.prefillTime(p.now, r.PromptTokens)
-	if !known {
+	pace := n.prefillPace(p.now)
+	if pace == 0 {
 		return false
 	}
-	if s := n.shortestSlack(p.now); s.known && pending+own > s.slack-slackMargin {
+	pending, own := pace.of(n.own.PendingPrefill+others.PendingPrefill), pace.of(r.PromptTokens)
+	if s := n.shortestSlack(p.now, pace); s.known && pending+own > s.slack-slackMargin {
 		return true
 	}
 	return p.outputTooLong(n, open, pending, own)
 }
 
+// mayEndanger reports whether any slack is known at an engine, or how long the output of the request takes.
+func (p *picker) mayEndanger(n *node) bool {
+	if len(n.streams)+len(n.peerSlacks)+len(n.claims) > 0 || n.ownerSummary.SlackKnown {
+		return true
+	}
+	_, known := p.outputTime(n)
+	return known
+}
+
 // Load of an engine at which output is expected to take longer than at best.
 const (
 	// fewStreamsDivisor: an engine with up to 1/fewStreamsDivisor of its slots in use is nearly empty.
@@ -299,8 +313,7 @@
 	if !p.v.settings.Deadlines || !known || p.r.OutputWithin < best {
 		return 0
 	}
-	own, _ := n.prefillTime(p.now, p.r.PromptTokens)
-	return p.r.OutputWithin + own - best
+	return p.r.OutputWithin + n.prefillPace(p.now).of(p.r.PromptTokens) - best
 }
 
 // SlackCheck is the result of [View.CheckSlack].
@@ -321,6 +334,6 @@
 		return SlackCheck{}
 	}
 	p := picker{v: v, now: now, r: r}
-	s := n.shortestSlack(now)
+	s := n.shortestSlack(now, n.prefillPace(now))
 	return SlackCheck{p.endangersDeadline(n), s.slack, s.known, n.pendingPrefill(now)}
 }
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -92,7 +92,7 @@
 		s.Pace = max(s.Pace, f)
 	}
 	if v.settings.Deadlines {
-		slack := n.slackExcept(now, asking)
+		slack := n.slackExcept(now, asking, n.prefillPace(now))
 		s.Slack, s.SlackKnown = max(slack.slack, 0), slack.known
 	}
 	return s, true
