Engine speeds are measured, shared and used to choose engines

Cause: an instance uses an engine once in some minutes, so it can't learn its speed. A pace below twice the usual is ignored, and only paces above that are shared. Streams on slow engines get their first event late. Change: instances announce the time per prompt token that they observed, with the weight of the observations. Owners, or all instances in a full mesh, combine them and answer with the result. The time is absolute, since each instance has its own usual time. Effect: with [overload] speeds, the expected prefill time and the ranking of engines use the speed. Without it nothing changes.

--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -124,6 +124,7 @@
 	openAtFailure  int             // requests in progress since before the last failure
 	outcomes       health.Outcomes // of requests of this instance
 	pace           health.Pace     // as observed by this instance
+	speed          health.Speed    // the same for the time per prompt token
 	lastAnswerLost bool            // the last answer did not arrive
 	failedAt       time.Time       // when it last failed this instance, or a peer first reported a failure
 	silence        silence
@@ -140,6 +141,8 @@
 	// pace that one of them reported.
 	peerOutcomes health.Counts
 	peerPace     float64
+	// peerSpeed is the sum of what other instances reported of its speed.
+	peerSpeed speedSum
 	// ownerSummary is the last summary that an owner sent; see [View.Owned].
 	ownerSummary receivedSummary
 	// touched is the number of the sweep before which they were last written; see [View.Sweep].
@@ -193,7 +196,8 @@
 	placed := n.open > 0 || n.silence.awaited > 0 || n.own != Placed{} || n.peerPlaced != Placed{} || len(n.claims) > 0
 	health := n.ended || n.reportsLeaving || n.lastAnswerLost || n.suspectedBy > 0 || n.trust.Suspected(now) || n.trust.OnTrial() || n.cooldown.OnTrial()
 	counts := n.outcomes.Counts(now).Add(n.peerOutcomes)
-	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor
+	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor &&
+		n.peerSpeed == speedSum{} && n.speed.Estimate(now).Weight < negligibleCount
 }
 
 // openChange is a change of the number of this instance's requests in progress.
--- a/core/routing/outcome.go
+++ b/core/routing/outcome.go
@@ -108,17 +108,18 @@
 	return u
 }
 
-// effectivePace returns how many times as long as usual an engine takes; 1 if that is below
-// slowFactor and so may be chance.
+// effectivePace returns how many times as long as usual an engine takes. Its speed is used if that is
+// known; a pace below slowFactor may be chance and is ignored.
 func (n *node) effectivePace(now time.Time) float64 {
 	others := n.peerPace
 	if s := n.freshSummary(now); s != nil {
 		others = max(others, s.Pace)
 	}
+	speed, _ := n.speedFactor(now)
 	if f := max(n.pace.Factor(now), others); f >= slowFactor {
-		return f
+		return max(f, speed)
 	}
-	return 1
+	return speed
 }
 
 // minReportedFailures is the decayed number of failures from which outcomes are reported to other
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -276,7 +276,7 @@
 	w := &p.r.Weights
 	pace := 1.0
 	if w.Pace > 0 {
-		pace = n.effectivePace(p.now)
+		pace = p.scoredPace(n)
 	}
 	pendingPrompts := float64(n.prefillAhead(p.now, p.r)) / float64(max(p.r.PromptTokens, minPromptTokens))
 	score := w.PendingPrefill*pendingPrompts*pace + w.Pace*(pace-1)
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -147,6 +147,8 @@
 	Outcomes map[string]health.Counts
 	// Paces is how many times as long as usual slow engines take.
 	Paces map[string]float64
+	// Speeds is how long a prompt token takes at engines, as the instance observed it.
+	Speeds map[string]health.SpeedEstimate
 	// Prefilled are the prompts of its requests in progress that endpoints have prefilled.
 	Prefilled []PrefilledPrompt
 	// Limits are the statements of limits that it received.
@@ -158,7 +160,7 @@
 // empty reports whether nothing of the report has to be kept. Ended, Prefilled, Limits and Departures
 // are applied when the report arrives.
 func (t *PeerReport) empty() bool {
-	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces) == 0
+	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces)+len(t.Speeds) == 0
 }
 
 // Filter returns the part of the report that is about some endpoints. It keeps all limits and
@@ -167,11 +169,12 @@
 	dropped := func(id string) bool { return !keep(id) }
 	out := PeerReport{
 		Suspects: slices.DeleteFunc(slices.Clone(t.Suspects), dropped), Ended: slices.DeleteFunc(slices.Clone(t.Ended), dropped),
-		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Limits: t.Limits, Departures: t.Departures,
+		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Speeds: maps.Clone(t.Speeds), Limits: t.Limits, Departures: t.Departures,
 	}
 	maps.DeleteFunc(out.Placed, func(id string, _ Placed) bool { return dropped(id) })
 	maps.DeleteFunc(out.Outcomes, func(id string, _ health.Counts) bool { return dropped(id) })
 	maps.DeleteFunc(out.Paces, func(id string, _ float64) bool { return dropped(id) })
+	maps.DeleteFunc(out.Speeds, func(id string, _ health.SpeedEstimate) bool { return dropped(id) })
 	for _, r := range t.Prefilled {
 		if keep(r.Endpoint) {
 			out.Prefilled = append(out.Prefilled, r)
@@ -184,7 +187,7 @@
 func (t *PeerReport) Endpoints() map[string]bool {
 	out := map[string]bool{}
 	for _, ids := range []iter.Seq[string]{
-		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Departures),
+		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Speeds), maps.Keys(t.Departures),
 	} {
 		for id := range ids {
 			out[id] = true
@@ -197,7 +200,7 @@
 }
 
 // Combine merges what several instances found out about endpoints, without what they have placed
-// there. An endpoint that failed several of them is listed among the suspects twice, since more
+// there and the speeds that they observed, which only owners need. An endpoint that failed several of them is listed among the suspects twice, since more
 // reports make no difference.
 func Combine(all []PeerReport) PeerReport {
 	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}, Departures: map[string]departure.Statement{}}
@@ -260,6 +263,7 @@
 	old := v.peerReports[peer]
 	delete(v.peerReports, peer)
 	v.subtractReport(&old)
+	v.updatePeerSpeeds(&old, &t)
 	if !t.empty() {
 		v.peerReports[peer] = t
 	}
@@ -336,13 +340,15 @@
 		_, placed := t.Placed[id]
 		_, counted := t.Outcomes[id]
 		_, slow := t.Paces[id]
-		if !suspected && !placed && !counted && !slow {
+		speed, measured := t.Speeds[id]
+		if !suspected && !placed && !counted && !slow && !measured {
 			continue
 		}
 		n := v.observe(id)
 		n.peerPlaced.add(t.Placed[id])
 		n.peerOutcomes = n.peerOutcomes.Add(t.Outcomes[id])
 		n.peerPace = max(n.peerPace, t.Paces[id])
+		n.peerSpeed.add(speedSumOf(speed))
 		for _, s := range t.Suspects {
 			if s == id {
 				n.suspectedBy++
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -19,6 +19,8 @@
 	Outcomes    health.Counts
 	// Pace is how many times as long as usual it takes; 0 if it is not slow.
 	Pace float64
+	// Speed is the time per prompt token that they observed.
+	Speed health.SpeedEstimate
 	// Ended reports that it was replaced at its address.
 	Ended bool
 	// Prefilled reports that it has prefilled the prompt that was asked for.
@@ -86,6 +88,7 @@
 	if f := n.pace.Factor(now); f >= slowFactor {
 		s.Pace = max(s.Pace, f)
 	}
+	s.Speed = n.speedFor(now, askingReport.Speeds[id])
 	return s, true
 }
 
@@ -97,6 +100,7 @@
 		return
 	}
 	n.ownerSummary = receivedSummary{*s, now}
+	n.ownerSummary.Speed = v.applySpeed(n, s.Speed)
 	n.ended = n.ended || s.Ended
 	if s.Prefilled {
 		v.CacheStored(now, s.Endpoint, prompt)
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -57,7 +57,7 @@
 	SuspicionPenalty, DegradedShare float64
 	// Deadlines refuses prompts for which a stream that runs at the engine would miss its deadline.
 	Deadlines bool
-	// Speeds uses the measured speeds of engines.
+	// Speeds measures the speeds of engines, announces them and uses them.
 	Speeds bool
 	// MemoryFactor times an engine's memory is the limit for what requests and copies placed there
 	// may need at their largest. Estimates of output are upper bounds, so all of the memory may be
@@ -189,7 +189,7 @@
 	if n := v.observe(id); n != nil {
 		n.reportsLeaving, n.lastAnswerLost = false, false
 		n.trust.Reset()
-		n.outcomes, n.pace = health.Outcomes{}, health.Pace{}
+		n.outcomes, n.pace, n.speed = health.Outcomes{}, health.Pace{}, health.Speed{}
 		v.CacheCleared(id)
 	}
 	v.statements.Remove(id)
--- a/gateway/exchange/announce.go
+++ b/gateway/exchange/announce.go
@@ -161,7 +161,7 @@
 		return owned
 	}
 	all := *report
-	all.Placed, all.Prefilled = owned.Placed, owned.Prefilled
+	all.Placed, all.Prefilled, all.Speeds = owned.Placed, owned.Prefilled, owned.Speeds
 	return all
 }
 
--- a/gateway/exchange/ask.go
+++ b/gateway/exchange/ask.go
@@ -148,6 +148,7 @@
 		Placed:   encodePlaced(s.Endpoint, &s.Placed),
 		Suspects: uint32(max(s.SuspectedBy, 0)), Outcomes: &peerv1.OutcomesAt{Good: toTenths(s.Outcomes.Good), Bad: toTenths(s.Outcomes.Bad)},
 		Pace: toTenths(s.Pace), Ended: s.Ended, Read: s.Prefilled,
+		SpeedPercent: encodePerToken(s.Speed), SpeedSamples: toTenths(s.Speed.Weight),
 	}
 }
 
@@ -156,5 +157,6 @@
 		Endpoint: s.GetPlaced().GetEndpoint(), Placed: decodePlaced(s.GetPlaced()), SuspectedBy: int(s.Suspects),
 		Outcomes: health.Counts{Good: fromTenths(s.GetOutcomes().GetGood()), Bad: fromTenths(s.GetOutcomes().GetBad())},
 		Pace:     fromTenths(s.Pace), Ended: s.Ended, Prefilled: s.Read,
+		Speed: decodeSpeed(s.SpeedPercent, s.SpeedSamples),
 	}
 }
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -53,7 +53,7 @@
 		p := own.Placed[id]
 		a.Placed = append(a.Placed, encodePlaced(id, &p))
 	}
-	a.Outcomes, a.Paces = encodeOutcomes(own.Outcomes), encodePaces(own.Paces)
+	a.Outcomes, a.Paces = encodeOutcomes(own.Outcomes), encodeSpeeds(encodePaces(own.Paces), own.Speeds)
 	return a
 }
 
@@ -114,7 +114,9 @@
 func decodePaces(paces []*peerv1.PaceAt) map[string]float64 {
 	out := make(map[string]float64, len(paces))
 	for _, p := range paces {
-		out[p.Endpoint] = fromTenths(p.Factor)
+		if p.Factor > 0 {
+			out[p.Endpoint] = fromTenths(p.Factor)
+		}
 	}
 	return out
 }
@@ -234,7 +236,7 @@
 func decodeAnnouncement(a *peerv1.Announcement, now time.Time) (routing.PeerReport, map[string]limits.RetryCounts) {
 	report := routing.PeerReport{
 		Suspects: a.Suspects, Ended: a.Ended, Placed: make(map[string]routing.Placed, len(a.Placed)),
-		Outcomes: decodeOutcomes(a.Outcomes), Paces: decodePaces(a.Paces), Limits: decodeLimits(a.Limits, now),
+		Outcomes: decodeOutcomes(a.Outcomes), Paces: decodePaces(a.Paces), Speeds: decodeSpeeds(a.Paces), Limits: decodeLimits(a.Limits, now),
 		Departures: decodeDepartures(a.Departures, now),
 	}
 	for _, p := range a.Placed {
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -102,6 +102,8 @@
 	// prefillTokens is how many prompt tokens the engine has to prefill before the first event,
 	// including the tokens queued ahead of this prompt; 0 when unknown.
 	prefillTokens int
+	// prefillWeight is the weight of an observation of the engine's speed.
+	prefillWeight float64
 	sentAt        time.Time
 	// unaskedProbes counts the probes that were withheld from the engine.
 	unaskedProbes atomic.Int32
@@ -141,7 +143,7 @@
 		a.placed.SetPendingPrefill(s.req.PromptTokens, s.req.priority)
 	}
 	if a.placed.PendingPrefill > 0 && !choice.mayBeCached {
-		a.prefillTokens = a.placed.PendingPrefill + s.f.Placement.PendingPrefillTokens(e.ID)
+		a.prefillTokens, a.prefillWeight = s.f.Placement.PrefillTokens(e.ID, a.placed.PendingPrefill, s.req.priority)
 	}
 	a.sentAt = time.Now()
 	a.potentialLoss = s.req.loss(e)
@@ -189,7 +191,7 @@
 		f.Placement.Succeeded(id)
 		if a.prefillTokens > 0 {
 			took := time.Since(a.sentAt)
-			f.Placement.RecordPrefill(id, a.prefillTokens, took)
+			f.Placement.RecordPrefill(id, a.prefillTokens, a.prefillWeight, took)
 			f.streamTimes.update(a.session.req.service, func(t *limits.StreamTimes) { t.ObservePrefill(a.prefillTokens, took) })
 		}
 		f.Peers.Release(id, a.lease, admission.Begun)
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -25,6 +25,10 @@
 	limitedEndpoints                    tally.Gauge   // endpoints that state limits
 	forPeers                            tally.Counter // requests that peers passed on
 	firstEvent, plainAnswer, streamMove tally.Histogram
+	// speeds are those of the engines that streams were placed at. speedsUnknown counts the streams
+	// placed at others.
+	speeds        tally.Histogram
+	speedsUnknown tally.Counter
 	// Parts of the recovery after a restart: from the start of the process to the first read of the
 	// store and to the first placed stream, the search for a prompt, and from the arrival of a
 	// caller that resumes a stream to its next event.
@@ -45,6 +49,7 @@
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
 		claimsRefused: s.Counter("claims_refused_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
+		speeds: s.Histogram("engine_speed", speedBuckets), speedsUnknown: s.Counter("engine_speeds_unknown_total"),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
 		startToSync: s.Histogram("start_to_known_seconds", latency), startToFirstStream: s.Histogram("start_to_first_stream_seconds", latency),
 		promptSearch: s.Histogram("prompt_search_seconds", latency), callerResumed: s.Histogram("caller_went_on_seconds", latency),
--- a/gateway/forward/session.go
+++ b/gateway/forward/session.go
@@ -342,5 +342,6 @@
 	if a.contender {
 		inputs["contender"] = true
 	}
+	s.recordSpeed(inputs, a.endpoint.ID)
 	s.f.Log.Decision(s.req.ID, "placed", inputs)
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -187,6 +187,7 @@
 	routingSettings := routing.DefaultSettings()
 	routingSettings.SharedSilence = s.Mechanisms.SharedSilence
 	routingSettings.Choices = routingChoices
+	routingSettings.Speeds = s.Overload.Speeds
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
 	if !s.Mechanisms.Doubt {
 		routingSettings.SuspicionPenalty = 0
--- a/gateway/front/peer_endpoints.go
+++ b/gateway/front/peer_endpoints.go
@@ -22,7 +22,7 @@
 	t := f.placement.PeerReport()
 	t.Prefilled = f.forwarder.PromptLocations()
 	if f.reach.CutOff() { // the failures that it sees say nothing about the endpoints
-		t.Suspects, t.Outcomes, t.Paces = nil, nil, nil
+		t.Suspects, t.Outcomes, t.Paces, t.Speeds = nil, nil, nil, nil
 	}
 	return t
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 )
 
@@ -321,11 +322,14 @@
 	}
 }
 
-// RecordPrefill records how long an engine took to prefill some tokens.
-func (p *Placement) RecordPrefill(id string, tokens int, took time.Duration) {
+// RecordPrefill records how long an engine took to prefill some tokens, with the weight that
+// [Placement.PrefillTokens] returned.
+func (p *Placement) RecordPrefill(id string, tokens int, weight float64, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view.ObservePrefill(time.Now(), id, tokens, took)
+	now := time.Now()
+	p.view.ObservePrefill(now, id, tokens, took)
+	p.view.ObserveSpeed(now, id, tokens, weight, took)
 }
 
 // RecordPrefillProgress records that an engine has not finished prefilling some tokens after the
@@ -336,12 +340,20 @@
 	p.view.ObserveOngoingPrefill(time.Now(), id, tokens, elapsed)
 }
 
-// PendingPrefillTokens returns the estimated number of prompt tokens that an engine has to prefill
-// before those of a new request.
-func (p *Placement) PendingPrefillTokens(id string) int {
+// PrefillTokens returns the estimated number of prompt tokens that an engine has to prefill until
+// those of a new request are done, and the weight of an observation of how long that takes.
+func (p *Placement) PrefillTokens(id string, prompt int, priority route.Priority) (tokens int, weight float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.PrefillTokens(time.Now(), id, prompt, priority)
+}
+
+// Speed returns how many times the usual time an engine takes to prefill a token; 1 and false if
+// that is not known.
+func (p *Placement) Speed(id string) (float64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.PendingPrefill(time.Now(), id)
+	return p.view.Speed(time.Now(), id)
 }
 
 // PlacedAt returns what all instances together are believed to have placed at an endpoint.
@@ -397,7 +409,7 @@
 	p.view.Sweep(now)
 	return routing.PeerReport{
 		Placed: p.view.OwnPlacements(), Suspects: p.view.Suspects(now), Ended: p.view.RecentlyEnded(now),
-		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Limits: p.view.ObservedLimits(), Departures: p.view.ObservedDepartures(),
+		Outcomes: p.view.Outcomes(now), Paces: p.view.Paces(now), Speeds: p.view.Speeds(now), Limits: p.view.ObservedLimits(), Departures: p.view.ObservedDepartures(),
 	}
 }
 
