core/routing: receivers keep observations of speed that are no longer announced

Cause: an announcement only contains observations of the last seconds, so a slow engine, which gets a prompt in four seconds, mostly counted as unknown. Change: what an instance no longer announces decays at the receiver. A speed counts as known above the weight of two observations.

--- a/core/health/speed.go
+++ b/core/health/speed.go
@@ -9,11 +9,12 @@
 	// speedHalfLife is the time after which an observation counts half as much. An engine gets a
 	// prompt about every two seconds from all instances together, so some five observations count.
 	speedHalfLife = 10 * time.Second
-	// maxSpeedWeight bounds the weight of the earlier observations of an instance. A new observation
+	// maxSpeedWeight bounds the weight of the earlier observations in a [Speed]. A new observation
 	// then moves the mean by at least a seventh, so that a change shows within a few of them.
 	maxSpeedWeight = 6.0
-	// minKnownWeight is the weight from which a speed counts as known.
-	minKnownWeight = 3.0
+	// maxUnknownWeight is the weight up to which a speed counts as unknown. Three observations exceed
+	// it, unless they are old or uncertain; two never do.
+	maxUnknownWeight = 2.0
 	// priorSpeedWeight is the weight of an assumed observation of the usual speed. It moves the speed
 	// back to the usual one as the observations decay.
 	priorSpeedWeight = 0.5
@@ -22,7 +23,7 @@
 	MinSpeedFactor, MaxSpeedFactor = 0.3, 8.0
 )
 
-// Speed is the time that a unit of work takes at one endpoint, as observed by one instance. It is an
+// Speed is the time that a unit of work takes at one endpoint, from observations that decay. It is an
 // absolute time, since each instance has its own estimate of the usual one: factors of instances
 // with different estimates could not be combined. The zero value has no observations.
 type Speed struct {
@@ -44,9 +45,14 @@
 	if perUnit <= 0 || weight <= 0 {
 		return
 	}
+	s.Merge(now, SpeedEstimate{math.Log(perUnit), min(weight, 1)})
+}
+
+// Merge adds the observations of others.
+func (s *Speed) Merge(now time.Time, e SpeedEstimate) {
 	s.decay(now)
 	s.estimate.Weight = min(s.estimate.Weight, maxSpeedWeight)
-	s.estimate = s.estimate.Add(SpeedEstimate{math.Log(perUnit), min(weight, 1)})
+	s.estimate = s.estimate.Add(e)
 }
 
 // Estimate returns the observations, decayed to now.
@@ -80,7 +86,7 @@
 // Factor returns how many times the usual time a unit of work takes, moved towards 1 where there are
 // few observations; 1 and false if there are too few or the usual time is not known.
 func (e SpeedEstimate) Factor(usual *Baseline) (float64, bool) {
-	if e.Weight < minKnownWeight || usual.perUnit <= 0 {
+	if e.Weight <= maxUnknownWeight || usual.perUnit <= 0 {
 		return 1, false
 	}
 	excess := e.LogPerUnit - math.Log(usual.perUnit)
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -141,8 +141,10 @@
 	// pace that one of them reported.
 	peerOutcomes health.Counts
 	peerPace     float64
-	// peerSpeed is the sum of what other instances reported of its speed.
-	peerSpeed speedSum
+	// peerSpeed is the sum of what other instances report of its speed, formerSpeed what they no longer
+	// report.
+	peerSpeed   speedSum
+	formerSpeed health.Speed
 	// ownerSummary is the last summary that an owner sent; see [View.Owned].
 	ownerSummary receivedSummary
 	// touched is the number of the sweep before which they were last written; see [View.Sweep].
@@ -197,7 +199,7 @@
 	health := n.ended || n.reportsLeaving || n.lastAnswerLost || n.suspectedBy > 0 || n.trust.Suspected(now) || n.trust.OnTrial() || n.cooldown.OnTrial()
 	counts := n.outcomes.Counts(now).Add(n.peerOutcomes)
 	return !placed && !health && counts.Good+counts.Bad < negligibleCount && n.peerPace == 0 && n.pace.Factor(now) < slowFactor &&
-		n.peerSpeed == speedSum{} && n.speed.Estimate(now).Weight < negligibleCount
+		n.peerSpeed == speedSum{} && n.speed.Estimate(now).Add(n.formerSpeed.Estimate(now)).Weight < negligibleCount
 }
 
 // openChange is a change of the number of this instance's requests in progress.
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -263,7 +263,7 @@
 	old := v.peerReports[peer]
 	delete(v.peerReports, peer)
 	v.subtractReport(&old)
-	v.updatePeerSpeeds(&old, &t)
+	v.updatePeerSpeeds(now, &old, &t)
 	if !t.empty() {
 		v.peerReports[peer] = t
 	}
--- a/core/routing/speed.go
+++ b/core/routing/speed.go
@@ -13,10 +13,11 @@
 // speed alone. Each instance announces the time per prompt token that it observed at an engine, with
 // the weight of its observations. Those who receive the announcements, which are the owners in a
 // large fleet and all instances in a full mesh, combine them by weight. An announcement replaces the
-// former one of its instance, so that a repeated one is not counted twice.
+// former one of its instance, so that a repeated one is not counted twice. It only contains recent
+// observations; the receiver keeps them while they decay.
 
 // minReportedSpeedWeight is the weight from which an instance announces its observations of an
-// engine: those of one undisturbed prompt for ten seconds.
+// engine: that of one undisturbed prompt for ten seconds.
 const minReportedSpeedWeight = 0.5
 
 // maxReportedSpeedWeight bounds the weight of one instance's observations at the others.
@@ -86,7 +87,7 @@
 	if s := n.freshSummary(now); s != nil {
 		return s.Speed
 	}
-	return n.peerSpeed.estimate()
+	return n.peerSpeed.estimate().Add(n.formerSpeed.Estimate(now))
 }
 
 // scoredPace returns the pace by which an engine is ranked. A fast engine that is filled to its slots
@@ -140,26 +141,31 @@
 }
 
 // updatePeerSpeeds replaces the former observations of an instance by those in its new report, which
-// it bounds. The usual time of the service follows what is new in them, so that all
+// it bounds. Observations that the instance no longer announces decay here. The usual time of the service follows what is new in them, so that all
 // instances have nearly the same one, also those that have placed few prompts.
-func (v *View) updatePeerSpeeds(before, now *PeerReport) {
+func (v *View) updatePeerSpeeds(now time.Time, before, report *PeerReport) {
 	for id, e := range before.Speeds {
-		if n := v.observe(id); n != nil {
-			n.peerSpeed.subtract(speedSumOf(e))
+		n := v.observe(id)
+		if n == nil {
+			continue
+		}
+		n.peerSpeed.subtract(speedSumOf(e))
+		if _, still := report.Speeds[id]; !still {
+			n.formerSpeed.Merge(now, e)
 		}
 	}
 	if !v.settings.Speeds {
-		now.Speeds = nil
+		report.Speeds = nil
 		return
 	}
-	now.Speeds = maps.Clone(now.Speeds)
-	for id, e := range now.Speeds {
+	report.Speeds = maps.Clone(report.Speeds)
+	for id, e := range report.Speeds {
 		n, usual := v.observe(id), &health.Baseline{}
 		if n != nil {
 			usual = v.usualPrefillOf(n.Service)
 		}
 		e = plausibleSpeed(usual, e, maxReportedSpeedWeight)
-		now.Speeds[id] = e
+		report.Speeds[id] = e
 		if n == nil {
 			continue // applied when the engine is listed
 		}
@@ -174,7 +180,7 @@
 func (n *node) speedFor(now time.Time, asking health.SpeedEstimate) health.SpeedEstimate {
 	others := n.peerSpeed
 	others.subtract(speedSumOf(asking))
-	return n.speed.Estimate(now).Add(others.estimate())
+	return n.speed.Estimate(now).Add(others.estimate()).Add(n.formerSpeed.Estimate(now))
 }
 
 // maxSummedSpeedWeight bounds the weight of an owner's summary.
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -189,7 +189,7 @@
 	if n := v.observe(id); n != nil {
 		n.reportsLeaving, n.lastAnswerLost = false, false
 		n.trust.Reset()
-		n.outcomes, n.pace, n.speed = health.Outcomes{}, health.Pace{}, health.Speed{}
+		n.outcomes, n.pace, n.speed, n.formerSpeed = health.Outcomes{}, health.Pace{}, health.Speed{}, health.Speed{}
 		v.CacheCleared(id)
 	}
 	v.statements.Remove(id)
