--- a/gateway/exchange/speeds.go
+++ b/gateway/exchange/speeds.go
@@ -12,9 +12,13 @@
 // differ in what they consider the usual time of a service.
 const perTokenUnit = 100
 
-// maxSpeeds is how many speeds an announcement contains besides the paces of slow engines, within
-// maxPaces together.
-const maxSpeeds = 12
+// maxSpeeds is how many speeds an announcement contains. Paces of slow engines and speeds take at most
+// maxPaces entries together. Where all of these are paces, minSpeeds of them contain a speed too; with
+// more, the largest announcement would exceed its size.
+const (
+	maxSpeeds = 12
+	minSpeeds = 5
+)
 
 // encodeSpeeds adds the speeds with the most recent observations to the paces of an announcement.
 // Builds that know no speeds read an added entry as an engine that is not slow.
@@ -23,7 +27,8 @@
 	for _, p := range paces {
 		byEndpoint[p.Endpoint] = p
 	}
-	for _, id := range largestKeys(speeds, maxSpeeds, func(e health.SpeedEstimate) float64 { return e.Weight }) {
+	n := min(maxSpeeds, maxPaces-len(paces)+minSpeeds)
+	for _, id := range largestKeys(speeds, n, func(e health.SpeedEstimate) float64 { return e.Weight }) {
 		p := byEndpoint[id]
 		if p == nil {
 			if len(paces) == maxPaces {
