core/routing: observations of speed are announced for 6 s

Cause: observations were announced for up to 20 s and did not give way to newer ones, so an engine that was 2.5 times as slow for 5 s reached 1.18 in that time. Change: they are announced for 6 s and then decay at the receivers, with a bounded weight. Documentation.

--- a/core/health/speed.go
+++ b/core/health/speed.go
@@ -61,6 +61,9 @@
 	return s.estimate
 }
 
+// ObservedAt returns when the last observation was made; zero if there was none.
+func (s Speed) ObservedAt() time.Time { return s.decayedAt }
+
 func (s *Speed) decay(now time.Time) {
 	s.estimate.Weight *= decayFactor(now.Sub(s.decayedAt), speedHalfLife)
 	s.decayedAt = now
--- a/core/routing/speed.go
+++ b/core/routing/speed.go
@@ -16,9 +16,11 @@
 // former one of its instance, so that a repeated one is not counted twice. It only contains recent
 // observations; the receiver keeps them while they decay.
 
-// minReportedSpeedWeight is the weight from which an instance announces its observations of an
-// engine: that of one undisturbed prompt for ten seconds.
-const minReportedSpeedWeight = 0.5
+// speedReportedFor is how long after its last observation of an engine an instance announces what it
+// observed. Announcements are repeated every two seconds at least, so that two of them may be lost.
+// Longer times make announcements larger, and a change of speed shows later: what is announced does not
+// give way to newer observations of others.
+const speedReportedFor = 6 * time.Second
 
 // maxReportedSpeedWeight bounds the weight of one instance's observations at the others.
 const maxReportedSpeedWeight = 7.0
@@ -49,6 +51,10 @@
 	if n == nil || !v.settings.Speeds || tokens <= 0 || took <= 0 {
 		return
 	}
+	if now.Sub(n.speed.ObservedAt()) >= speedReportedFor { // those who receive the announcements keep it
+		n.formerSpeed.Merge(now, n.speed.Estimate(now))
+		n.speed = health.Speed{}
+	}
 	n.speed.Observe(now, v.usualPrefillOf(n.Service).ClampPerUnit(float64(took)/float64(tokens)), weight)
 }
 
@@ -59,8 +65,8 @@
 	}
 	out := map[string]health.SpeedEstimate{}
 	for id, n := range v.observed {
-		if e := n.speed.Estimate(now); e.Weight >= minReportedSpeedWeight {
-			out[id] = e
+		if now.Sub(n.speed.ObservedAt()) < speedReportedFor {
+			out[id] = n.speed.Estimate(now)
 		}
 	}
 	return out
@@ -80,14 +86,20 @@
 	if !n.view.settings.Speeds {
 		return 1, false
 	}
-	return n.speed.Estimate(now).Add(n.othersSpeed(now)).Factor(n.view.usualPrefillOf(n.Service))
+	return n.combinedSpeed(now).Factor(n.view.usualPrefillOf(n.Service))
 }
 
-func (n *node) othersSpeed(now time.Time) health.SpeedEstimate {
-	if s := n.freshSummary(now); s != nil {
+// combinedSpeed returns the observations of all instances. An owner's summary contains those of this
+// instance from the time when they are no longer announced.
+func (n *node) combinedSpeed(now time.Time) health.SpeedEstimate {
+	s := n.freshSummary(now)
+	if s == nil {
+		return n.speed.Estimate(now).Add(n.peerSpeed.estimate()).Add(n.formerSpeed.Estimate(now))
+	}
+	if now.Sub(n.speed.ObservedAt()) >= speedReportedFor {
 		return s.Speed
 	}
-	return n.peerSpeed.estimate().Add(n.formerSpeed.Estimate(now))
+	return s.Speed.Add(n.speed.Estimate(now))
 }
 
 // scoredPace returns the paces by which an engine is ranked: for the pending prompts, and for what
--- a/core/routing/speed_sim_test.go
+++ b/core/routing/speed_sim_test.go
@@ -309,7 +309,7 @@
 }
 
 // TestSpeedsKeepFirstEventsOnTime: without measured speeds, the engines that take 2.4 times as long as
-// the others get as many prompts as these above the capacity, and a tenth of the streams there get
+// the others get as many prompts as these above the capacity, and more than a tenth of the streams there get
 // their first event late. Streams completed must not become fewer by more than chance.
 func TestSpeedsKeepFirstEventsOnTime(t *testing.T) {
 	const overload, maxLateAtSlow, chance = 1.5, 0.08, 0.97
--- a/core/routing/speed_test.go
+++ b/core/routing/speed_test.go
@@ -217,3 +217,51 @@
 		})
 	}
 }
+
+// TestSpeedChangeSeenByManyInstances: an engine takes 2.5 times as long for 5 s, and gets two prompts
+// a second, each of another instance. Its speed must follow in that time, and must return.
+func TestSpeedChangeSeenByManyInstances(t *testing.T) {
+	const instances, interval = 62, 500 * time.Millisecond
+	v, rnd := newSpeedView(1), testRand()
+	var peers [instances]health.Speed
+	now := epoch
+	observe := func(n int, factor float64) float64 {
+		for range n {
+			now = now.Add(interval)
+			for range 10 { // other engines
+				v.usualPrefillOf("engines").ObservePerUnit(float64(usualPerToken))
+			}
+			peers[rnd.IntN(instances)].Observe(now, factor*float64(usualPerToken), 1)
+			for i := range peers {
+				report := PeerReport{}
+				if e := peers[i].Estimate(now); now.Sub(peers[i].ObservedAt()) < speedReportedFor {
+					report = speedReport("e000", e)
+				}
+				v.SetPeerReport(now, fmt.Sprint("f", i), report)
+			}
+		}
+		f, _ := v.Speed(now, "e000")
+		return f
+	}
+	observe(100, 1)
+	slow := observe(10, 2.5)
+	back := observe(30, 1)
+	t.Logf("%.2f after 5 s at 2.5, %.2f after 15 s at 1", slow, back)
+	assert.Assert(t, slow > 1.2)
+	assert.Assert(t, back < 1.2)
+}
+
+// TestOwnSpeedCountsOnce: an owner keeps an instance's observation after the instance has ceased to
+// announce it. Together with the instance's own record it must not count as two.
+func TestOwnSpeedCountsOnce(t *testing.T) {
+	owner, v := newSpeedView(1), newSpeedView(1)
+	v.SetOwned(func(string) bool { return false })
+	v.ObserveSpeed(epoch, "e000", 8000, 1, 8000*usualPerToken)
+	for now := epoch; now.Before(epoch.Add(2 * speedReportedFor)); now = now.Add(time.Second) {
+		owner.SetPeerReport(now, "f1", PeerReport{Speeds: v.Speeds(now)})
+		s, _ := owner.Summary(now, "e000", "f1", 0)
+		v.ApplySummary(now, &s, 0)
+		weight := v.nodes["e000"].combinedSpeed(now).Weight
+		assert.Assert(t, weight > 0.5 && weight < 1.01, "%.2f after %v", weight, now.Sub(epoch))
+	}
+}
