--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -151,6 +151,8 @@
 	// Slacks are the shortest slacks of its streams, by endpoint. They are minima, so they are not part
 	// of the sums of Placed.
 	Slacks map[string]time.Duration
+	// Speeds is how long a prompt token takes at engines, as the instance observed it.
+	Speeds map[string]health.SpeedEstimate
 	// Prefilled are the prompts of its requests in progress that endpoints have prefilled.
 	Prefilled []PrefilledPrompt
 	// Limits are the statements of limits that it received.
@@ -162,7 +164,7 @@
 // empty reports whether nothing of the report has to be kept. Ended, Prefilled, Limits and Departures
 // are applied when the report arrives.
 func (t *PeerReport) empty() bool {
-	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces)+len(t.Slacks) == 0
+	return len(t.Placed)+len(t.Suspects)+len(t.Outcomes)+len(t.Paces)+len(t.Slacks)+len(t.Speeds) == 0
 }
 
 // Filter returns the part of the report that is about some endpoints. It keeps all limits and
@@ -171,12 +173,13 @@
 	dropped := func(id string) bool { return !keep(id) }
 	out := PeerReport{
 		Suspects: slices.DeleteFunc(slices.Clone(t.Suspects), dropped), Ended: slices.DeleteFunc(slices.Clone(t.Ended), dropped),
-		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Slacks: maps.Clone(t.Slacks), Limits: t.Limits, Departures: t.Departures,
+		Placed: maps.Clone(t.Placed), Outcomes: maps.Clone(t.Outcomes), Paces: maps.Clone(t.Paces), Slacks: maps.Clone(t.Slacks), Speeds: maps.Clone(t.Speeds), Limits: t.Limits, Departures: t.Departures,
 	}
 	maps.DeleteFunc(out.Placed, func(id string, _ Placed) bool { return dropped(id) })
 	maps.DeleteFunc(out.Outcomes, func(id string, _ health.Counts) bool { return dropped(id) })
 	maps.DeleteFunc(out.Paces, func(id string, _ float64) bool { return dropped(id) })
 	maps.DeleteFunc(out.Slacks, func(id string, _ time.Duration) bool { return dropped(id) })
+	maps.DeleteFunc(out.Speeds, func(id string, _ health.SpeedEstimate) bool { return dropped(id) })
 	for _, r := range t.Prefilled {
 		if keep(r.Endpoint) {
 			out.Prefilled = append(out.Prefilled, r)
@@ -189,7 +192,7 @@
 func (t *PeerReport) Endpoints() map[string]bool {
 	out := map[string]bool{}
 	for _, ids := range []iter.Seq[string]{
-		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Slacks), maps.Keys(t.Departures),
+		slices.Values(t.Suspects), slices.Values(t.Ended), maps.Keys(t.Placed), maps.Keys(t.Outcomes), maps.Keys(t.Paces), maps.Keys(t.Slacks), maps.Keys(t.Speeds), maps.Keys(t.Departures),
 	} {
 		for id := range ids {
 			out[id] = true
@@ -202,7 +205,7 @@
 }
 
 // Combine merges what several instances found out about endpoints, without what they have placed
-// there. An endpoint that failed several of them is listed among the suspects twice, since more
+// there and the speeds that they observed, which only owners need. An endpoint that failed several of them is listed among the suspects twice, since more
 // reports make no difference.
 func Combine(all []PeerReport) PeerReport {
 	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}, Departures: map[string]departure.Statement{}}
@@ -266,6 +269,7 @@
 	v.pruneClaims(now, peer)
 	delete(v.peerReports, peer)
 	v.subtractReport(&old)
+	v.updatePeerSpeeds(now, &old, &t)
 	if !t.empty() {
 		v.peerReports[peer] = t
 	}
@@ -344,7 +348,8 @@
 		_, counted := t.Outcomes[id]
 		_, slow := t.Paces[id]
 		slack, hasSlack := t.Slacks[id]
-		if !suspected && !placed && !counted && !slow && !hasSlack {
+		speed, measured := t.Speeds[id]
+		if !suspected && !placed && !counted && !slow && !hasSlack && !measured {
 			continue
 		}
 		n := v.observe(id)
@@ -354,6 +359,7 @@
 		if v.settings.Deadlines {
 			n.setPeerSlack(peer, slack, hasSlack)
 		}
+		n.peerSpeed.add(speedSumOf(speed))
 		for _, s := range t.Suspects {
 			if s == id {
 				n.suspectedBy++
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -22,6 +22,8 @@
 	// Slack is the shortest slack of the streams there, if SlackKnown.
 	Slack      time.Duration
 	SlackKnown bool
+	// Speed is the time per prompt token that they observed.
+	Speed health.SpeedEstimate
 	// Ended reports that it was replaced at its address.
 	Ended bool
 	// Prefilled reports that it has prefilled the prompt that was asked for.
@@ -95,6 +97,7 @@
 		slack := n.slackExcept(now, asking, n.prefillPace(now))
 		s.Slack, s.SlackKnown = max(slack.slack, 0), slack.known
 	}
+	s.Speed = n.speedFor(now, askingReport.Speeds[id])
 	return s, true
 }
 
@@ -106,6 +109,7 @@
 		return
 	}
 	n.ownerSummary = receivedSummary{*s, now, n.prefilled}
+	n.ownerSummary.Speed = v.applySpeed(n, s.Speed)
 	n.ended = n.ended || s.Ended
 	if s.Prefilled {
 		v.CacheStored(now, s.Endpoint, prompt)
--- a/gateway/forward/slack_test.go
+++ b/gateway/forward/slack_test.go
@@ -153,7 +153,7 @@
 	s, a := slackSession(true)
 	log := &countingLog{}
 	s.f.Log = log
-	s.f.Placement.RecordPrefill("e", 8000, time.Second)
+	s.f.Placement.RecordPrefill("e", 8000, 1, time.Second)
 	r := &routing.Request{Tokens: 9000, PromptTokens: 8000}
 	s.f.recordDeadlineRefusal("e", r) // refused for another reason
 	assert.Equal(t, len(log.lines), 0)
@@ -174,7 +174,7 @@
 	s, _ := slackSession(true)
 	now := s.req.arrivedAt
 	s.req.PromptTokens = 8000
-	s.f.Placement.RecordPrefill("e", 8000, time.Second)
+	s.f.Placement.RecordPrefill("e", 8000, 1, time.Second)
 	assert.Equal(t, s.f.outputBudget(s.req, now), 24*time.Second)
 	assert.Equal(t, s.f.outputBudget(s.req, now.Add(time.Minute)), time.Millisecond)
 	s.req.LastEventID = "7"
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -192,6 +192,7 @@
 	routingSettings := routing.DefaultSettings()
 	routingSettings.SharedSilence = s.Mechanisms.SharedSilence
 	routingSettings.Choices, routingSettings.Deadlines = routingChoices, s.Overload.Deadlines
+	routingSettings.Speeds = s.Overload.Speeds
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
 	if !s.Mechanisms.Doubt {
 		routingSettings.SuspicionPenalty = 0
