--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -42,9 +42,8 @@
 	byLatest, added []*entry
 	rate            rateMeter
 	// usualRate is the highest rate of the last time.
-	usualRate  float64
-	shares     shares
-	placements int // since the start
+	usualRate float64
+	shares    shares
 	// refusals counts all refusals. It spreads the times at which their callers return.
 	refusals int
 	sweptAt  time.Time
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -566,6 +566,13 @@
 		{"nothing placed", func(q *Queue) time.Duration { return 0 }, 0},
 		{"steady", func(q *Queue) time.Duration { return establishRate(q, 50) }, 50},
 		{"too few", func(q *Queue) time.Duration { return establishRate(q, 2) }, 0},
+		{"too short a time", func(q *Queue) time.Duration {
+			r := newReporter(q, "i")
+			for id := range uint64(20) {
+				r.report(time.Duration(id)*10*time.Millisecond, Report{Waiting: []Request{request(id+1, "t", 0, 0)}, Placed: []uint64{id}})
+			}
+			return 200 * time.Millisecond
+		}, 0},
 		{"the window is over", func(q *Queue) time.Duration { return establishRate(q, 50) + 2100*time.Millisecond }, 0},
 		{"idle for a second", func(q *Queue) time.Duration { return establishRate(q, 50) + time.Second }, 50},
 		{"idle for an hour", func(q *Queue) time.Duration { return establishRate(q, 50) + time.Hour }, 0},
--- a/core/fairqueue/shares.go
+++ b/core/fairqueue/shares.go
@@ -48,7 +48,7 @@
 	// empty for a moment gives no credit.
 	floors  [maxLevel + 1]float64
 	waiting []*team // at the last decision
-	// asked and served are the sums over all teams.
+	// asked and served are the sums over all teams, also over those forgotten since.
 	asked, served float64
 }
 
@@ -133,12 +133,11 @@
 // decayServed lets older requests lose influence on the part that is placed.
 func (q *Queue) decayServed(d time.Duration) {
 	factor := math.Exp2(-d.Seconds() / servedHalfLife.Seconds())
-	q.shares.asked, q.shares.served = 0, 0
+	q.shares.asked *= factor
+	q.shares.served *= factor
 	for _, t := range q.teams {
 		t.asked *= factor
 		t.served *= factor
-		q.shares.asked += t.asked
-		q.shares.served += t.served
 	}
 }
 
