--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -590,3 +590,40 @@
 		})
 	}
 }
+
+// Guards against instances that keep all turns though they place nothing, and against a limit that stays when they do.
+func TestInstancesThatPlaceNothingAreLimited(t *testing.T) {
+	q := withTurns(4)
+	names := []string{"a", "b", "c", "healthy"}
+	reporters := map[string]*reporter{}
+	waiting := map[string][]Request{}
+	for i, name := range names {
+		reporters[name] = newReporter(q, name)
+		for id := range uint64(5) {
+			r := request(id, "t", 2, time.Duration(i)*time.Second)
+			r.Latest = at(time.Minute + time.Duration(i)*time.Second)
+			waiting[name] = append(waiting[name], r)
+		}
+	}
+	now := time.Duration(0)
+	// turns returns how many each instance has after all have renewed their requests for a while.
+	turns := func(d time.Duration) (of [4]int) {
+		for end := now + d; now < end; now += 100 * time.Millisecond {
+			for _, name := range names {
+				reporters[name].wait(now, waiting[name]...)
+			}
+			q.Decide(at(now))
+		}
+		for i, name := range names {
+			of[i] = len(q.State(at(now), name).Turns)
+		}
+		return of
+	}
+	assert.Equal(t, turns(time.Second), [4]int{4, 0, 0, 0})
+	assert.Equal(t, turns(maxTurnTime), [4]int{1, 3, 0, 0})
+	assert.Equal(t, turns(maxTurnTime), [4]int{1, 1, 2, 0})
+	assert.Equal(t, turns(maxTurnTime), [4]int{1, 1, 0, 2}, "c is limited too; it waits for one of the two turns of such instances")
+	reporters["a"].place(now, 0)
+	waiting["a"] = waiting["a"][1:]
+	assert.Equal(t, turns(time.Second), [4]int{4, 0, 0, 0}, "it has placed a request")
+}
