--- a/gateway/front/queues.go
+++ b/gateway/front/queues.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateway/agateway/gateway/exchange"
 	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/settings"
@@ -42,7 +44,8 @@
 	self, endpoints := f.settings.Instance.ID, f.placement.ServiceSize
 	q := &sharedQueues{}
 	q.owner = sharedqueue.NewOwner(sharedqueue.OwnerOptions{
-		Self: self, Process: process, Network: queueNetwork{f}, Deliver: func(s *sharedqueue.State) { q.client.ReceiveState(s) }, Endpoints: endpoints, Log: f.telemetry.Log,
+		Self: self, Process: process, Network: queueNetwork{f}, Deliver: func(s *sharedqueue.State) { q.client.ReceiveState(s) }, Endpoints: endpoints,
+		LogRefusal: func(inputs logrus.Fields) { f.decisions.Decision("", "refused by the queue", inputs) },
 	})
 	q.client = sharedqueue.NewClient(sharedqueue.ClientOptions{
 		Self: self, Process: process, Network: queueNetwork{f}, Local: q.owner, Endpoints: endpoints, Log: f.telemetry.Log, Scope: f.telemetry.Scope,
--- a/gateway/sharedqueue/owner.go
+++ b/gateway/sharedqueue/owner.go
@@ -22,7 +22,8 @@
 	Deliver func(*State)
 	// Endpoints returns the number of endpoints of a service.
 	Endpoints func(service string) int
-	Log       *logrus.Entry
+	// LogRefusal logs why a request is refused, within the bounds of the log.
+	LogRefusal func(inputs logrus.Fields)
 }
 
 // Owner holds the queues that instances register with this one. It is safe for concurrent use.
@@ -147,10 +148,10 @@
 func (o *Owner) logRefusals(id queueID, instance string, refused []fairqueue.Refusal) {
 	for i := range refused {
 		r := &refused[i]
-		o.Log.WithFields(logrus.Fields{
+		o.LogRefusal(logrus.Fields{
 			"service": id.service, "shard": id.shard, "for": instance, "rank": r.Level, "team": r.Team, "position": r.Position,
 			"expected_ms": r.Expected.Milliseconds(), "retry_after_ms": r.RetryIn.Milliseconds(),
-		}).Info("refused by the queue")
+		})
 	}
 }
 
--- a/gateway/sharedqueue/sharedqueue_test.go
+++ b/gateway/sharedqueue/sharedqueue_test.go
@@ -81,7 +81,7 @@
 	}
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
-	owner := NewOwner(OwnerOptions{Self: n.name, Process: process, Network: n, Deliver: func(s *State) { n.client.ReceiveState(s) }, Endpoints: endpoints, Log: logrus.NewEntry(log)})
+	owner := NewOwner(OwnerOptions{Self: n.name, Process: process, Network: n, Deliver: func(s *State) { n.client.ReceiveState(s) }, Endpoints: endpoints, LogRefusal: func(logrus.Fields) {}})
 	n.owner = owner
 	n.client = NewClient(ClientOptions{Self: n.name, Process: process, Network: n, Local: owner, Endpoints: endpoints, Log: logrus.NewEntry(log), Scope: tally.NewTestScope("", nil)})
 	ctx, cancel := context.WithCancel(context.Background())
