--- a/core/route/priority.go
+++ b/core/route/priority.go
@@ -38,9 +38,11 @@
 // than MaxLevels.
 func priorityLevels(service string, c *Configuration) map[priorityPair]Priority {
 	routes := map[int]bool{}
+	byRouteAlone := len(c.Teams) == 0 // some requests are ordered by their route alone
 	for i := range c.Routes {
 		if r := &c.Routes[i]; r.Stream && r.HasTarget(service) {
 			routes[r.Priority] = true
+			byRouteAlone = byRouteAlone || r.Public
 		}
 	}
 	if len(routes) < 2 {
@@ -50,11 +52,15 @@
 	for i := range c.Teams {
 		if t := &c.Teams[i]; t.HasPriority {
 			teams[t.Priority] = true
+		} else {
+			byRouteAlone = true
 		}
 	}
 	var pairs []priorityPair
 	for r := range routes {
-		pairs = append(pairs, priorityPair{r, r})
+		if byRouteAlone {
+			pairs = append(pairs, priorityPair{r, r})
+		}
 		for t := range teams {
 			pairs = append(pairs, priorityPair{t, r})
 		}
--- a/core/routing/priority_test.go
+++ b/core/routing/priority_test.go
@@ -83,7 +83,7 @@
 	}
 	const small, large = 1000, 22000 // by slots, by memory
 	assert.Equal(t, count(leastUrgent, small), 8)
-	assert.Equal(t, count(route.Priority{Level: 1, Levels: 3}, small), 10)
+	assert.Equal(t, count(route.Priority{Level: 1, Levels: 3}, small), 11)
 	assert.Equal(t, count(mostUrgent, small), 12)
 	assert.Equal(t, count(route.Priority{}, small), 10, "without ranks as before")
 	assert.Equal(t, count(leastUrgent, large), 4)
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -261,7 +261,7 @@
 		return false
 	}
 	pending, own := pace.of(n.own.PendingPrefill+others.PendingPrefill), pace.of(r.PromptTokens)
-	if s := n.shortestSlack(p.now, pace); s.known && pending+own > s.slack-slackMargin {
+	if s := n.shortestSlack(p.now, pace); s.known && pending+own > s.slack-r.slackMargin() {
 		return true
 	}
 	return p.outputTooLong(n, open, pending, own)
--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -121,7 +121,9 @@
 const unknownPrefillDivisor = 4
 
 // latestUsefulStart returns until when an engine has to take a request so that its first event is on
-// time.
+// time. A single attempt waits for no more than engineWaitNumerator/engineWaitDenominator of the target
+// latency: a longer queue only makes all streams start late, so that engines have to take fewer at once
+// for them to end by their deadlines.
 func (f *Forwarder) latestUsefulStart(req *request, since time.Time) time.Time {
 	target := req.route.TargetLatency
 	if target <= 0 {
@@ -131,7 +133,11 @@
 	if expected, known := f.Placement.ExpectedPrefillTime(req.service, req.PromptTokens); known {
 		prefill = expected * prefillMarginNumerator / prefillMarginDenominator
 	}
-	return since.Add(target - prefill)
+	onTime, longestWait := since.Add(target-prefill), req.arrivedAt.Add(target*engineWaitNumerator/engineWaitDenominator)
+	if longestWait.Before(onTime) {
+		return longestWait
+	}
+	return onTime
 }
 
 // recordFull records that streams of a service find no room.
--- a/gateway/forward/sharedqueue_test.go
+++ b/gateway/forward/sharedqueue_test.go
@@ -20,13 +20,13 @@
 		stated, routeTimeout, target time.Duration
 		since, latest                time.Duration // after the arrival
 	}{
-		"first attempt":         {25 * time.Second, 25 * time.Second, 4 * time.Second, 0, 3 * time.Second},
-		"no deadline":           {0, 25 * time.Second, 4 * time.Second, 0, 3 * time.Second},
+		"first attempt":         {25 * time.Second, 25 * time.Second, 4 * time.Second, 0, 2 * time.Second},
+		"no deadline":           {0, 25 * time.Second, 4 * time.Second, 0, 2 * time.Second},
 		"comes back after 2 s":  {23 * time.Second, 25 * time.Second, 4 * time.Second, -2 * time.Second, time.Second},
-		"states a longer one":   {30 * time.Second, 25 * time.Second, 4 * time.Second, 0, 3 * time.Second},
+		"states a longer one":   {30 * time.Second, 25 * time.Second, 4 * time.Second, 0, 2 * time.Second},
 		"no target":             {25 * time.Second, 25 * time.Second, 0, 0, defaultEngineWait},
 		"no target, comes back": {24 * time.Second, 25 * time.Second, 0, -time.Second, defaultEngineWait - time.Second},
-		"route has no timeout":  {5 * time.Second, 0, 4 * time.Second, 0, 3 * time.Second},
+		"route has no timeout":  {5 * time.Second, 0, 4 * time.Second, 0, 2 * time.Second},
 	} {
 		f := &Forwarder{Options: Options{Placement: placement.New(routing.DefaultSettings(), 1)}}
 		req := &request{
