--- a/gateway/sharedqueue/sharedqueue_test.go
+++ b/gateway/sharedqueue/sharedqueue_test.go
@@ -424,6 +424,44 @@
 	})
 }
 
+// TestInstanceRestarted: an instance that restarts quickly counts its updates from one again. The
+// owner must not take them for old ones, and must not keep the requests of before.
+func TestInstanceRestarted(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		before := []chan result{w.nodes[2].wait(0, "desk"), w.nodes[2].wait(0, "desk")}
+		time.Sleep(2 * time.Second)
+		w.nodes[2].stop()
+		w.nodes[2].start(400)
+		after := []chan result{w.nodes[2].wait(0, "desk")}
+		time.Sleep(minInterval)
+		assert.Equal(t, w.nodes[0].waitingAt(), 1)
+		w.set(func() { w.room = 1 })
+		assert.DeepEqual(t, ends(after), map[string]int{"placed": 1})
+		assert.DeepEqual(t, ends(before), map[string]int{"died": 2})
+	})
+}
+
+// TestRequestIsAnsweredByItsOwnUpdate: a state that follows from an earlier update says nothing about
+// a request that joined since. It would otherwise wait as one that the owner knows.
+func TestRequestIsAnsweredByItsOwnUpdate(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		n := w.nodes[2]
+		join := func() *Ticket {
+			return n.client.Join(testService, fairqueue.Request{Since: time.Now(), Latest: time.Now().Add(time.Second)})
+		}
+		first := join()
+		time.Sleep(minInterval / 2)
+		assert.Assert(t, first.Status().Answered)
+		w.set(func() { w.lost = func(from, _ string) bool { return from == "n2" } })
+		second := join()
+		time.Sleep(resendDelay)
+		assert.Assert(t, n.client.ReceiveState(&State{Owner: "n0", Process: 100, Sequence: 1, Service: testService}))
+		assert.Assert(t, !second.Status().Answered)
+		first.Leave(false)
+		second.Leave(false)
+	})
+}
+
 // TestOlderBuildAsOwner: owners that do not know the messages do not answer. Requests must learn
 // that in 120 ms, and new ones need not wait at all.
 func TestOlderBuildAsOwner(t *testing.T) {
