core/routing: urgent prompts use the slack and memory that less urgent ones leave

An engine that takes a less urgent prompt keeps as much slack as that needed, which is less than an urgent prompt needs while the other is pending. Change: the margin falls with urgency, prompts of lower priority count as in the order of prefill, and the most urgent may use 1.25 of the memory that streams need at their largest, and all of their time for prefill.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -373,7 +373,7 @@
 	if p.r.Copy {
 		return false
 	}
-	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.PrefillWithin {
+	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.prefillLimit() {
 		return true
 	}
 	if p.now.Before(n.fullUntil) || n.trialInProgress() && !p.allowSuspected {
--- a/core/routing/reserve.go
+++ b/core/routing/reserve.go
@@ -13,10 +13,11 @@
 	minQueueFactor, maxQueueFactor = 1.0, 1.5
 	// maxMemoryShare lets the most urgent requests use somewhat more than an engine's memory. Streams
 	// reach their largest size only at their end, so the engine rarely has to preempt for that.
-	maxMemoryShare = 1.1
+	maxMemoryShare = 1.25
 	// slackReserve is the slack of running streams that the least urgent requests leave to more urgent
-	// ones: the prefill time of a long prompt.
-	slackReserve = 1500 * time.Millisecond
+	// ones: the prefill time of a long prompt. Those may use up to minSlackMargin.
+	slackReserve   = 1500 * time.Millisecond
+	minSlackMargin = 250 * time.Millisecond
 )
 
 // urgency returns 1 for the most urgent level of a service and 0 for the least urgent one. The steps
@@ -41,5 +42,11 @@
 	if !r.Priority.Ranked() {
 		return slackMargin
 	}
-	return slackMargin + time.Duration((1-r.urgency())*float64(slackReserve))
+	return max(slackMargin+time.Duration((1-2*r.urgency())*float64(slackReserve)), minSlackMargin)
+}
+
+// prefillLimit is the time within which the prompt has to be prefilled. [Request.PrefillWithin] leaves a
+// quarter of the time for prompts that arrive later; the most urgent prompts are prefilled before those.
+func (r *Request) prefillLimit() time.Duration {
+	return r.PrefillWithin + time.Duration(r.urgency()*float64(r.PrefillWithin)/3)
 }
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -255,12 +255,12 @@
 	if open == 0 || !p.mayEndanger(n) {
 		return false
 	}
-	// All pending prompts count, also those of lower priority: they will be prefilled beside the streams.
 	pace := n.prefillPace(p.now)
 	if pace == 0 {
 		return false
 	}
-	pending, own := pace.of(n.own.PendingPrefill+others.PendingPrefill), pace.of(r.PromptTokens)
+	// Prompts of lower priority have left the slack that the request needs.
+	pending, own := pace.of(n.prefillAhead(p.now, r)), pace.of(r.PromptTokens)
 	if s := n.shortestSlack(p.now, pace); s.known && pending+own > s.slack-r.slackMargin() {
 		return true
 	}
