gateway/forward: a slow usual prefill does not make urgent streams late on arrival

The usual prefill time had risen with the prompts that wait at engines; 1.5 times it exceeded the target latency of 4 s, so the streams were taken as late and queued behind all others. Change: the prefill time that is left counts as half of the target at most.

--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -116,6 +116,10 @@
 // shares the engine with streams that run there, so it is given half as much again.
 const prefillMarginNumerator, prefillMarginDenominator = 3, 2
 
+// maxPrefillNumerator/maxPrefillDenominator of the target latency bounds that time. Under overload the usual
+// prefill time includes waits at engines, and would make requests with a short target late on arrival.
+const maxPrefillNumerator, maxPrefillDenominator = 1, 2
+
 // unknownPrefillDivisor is the part of the target latency that is left for prefill while the usual
 // speed of the engines is not known.
 const unknownPrefillDivisor = 4
@@ -131,7 +135,7 @@
 	}
 	prefill := target / unknownPrefillDivisor
 	if expected, known := f.Placement.ExpectedPrefillTime(req.service, req.PromptTokens); known {
-		prefill = expected * prefillMarginNumerator / prefillMarginDenominator
+		prefill = min(expected*prefillMarginNumerator/prefillMarginDenominator, target*maxPrefillNumerator/maxPrefillDenominator)
 	}
 	onTime, longestWait := since.Add(target-prefill), req.arrivedAt.Add(target*engineWaitNumerator/engineWaitDenominator)
 	if longestWait.Before(onTime) {
--- a/gateway/forward/sharedqueue_test.go
+++ b/gateway/forward/sharedqueue_test.go
@@ -41,3 +41,19 @@
 		assert.Equal(t, r.Level, 1)
 	}
 }
+
+// TestSlowPrefillDoesNotMakeRequestsLate guards against urgent requests that are refused on arrival under
+// overload: prompts then wait at engines, the usual prefill time rises towards their target latency, and
+// they seemed to be late already, behind all requests with a longer target.
+func TestSlowPrefillDoesNotMakeRequestsLate(t *testing.T) {
+	f := &Forwarder{Options: Options{Placement: placement.New(routing.DefaultSettings(), 1)}}
+	f.Placement.Update([]routing.Endpoint{{ID: "e", Service: "s", Slots: 8, Memory: 88000}}, nil)
+	for range 50 {
+		f.Placement.RecordPrefill("e", 8000, 1, 4*time.Second)
+	}
+	expected, known := f.Placement.ExpectedPrefillTime("s", 8000)
+	assert.Assert(t, known && expected > 3*time.Second, "%v", expected)
+	arrivedAt := time.Unix(1000, 0)
+	req := &request{ClientRequest: platform.ClientRequest{PromptTokens: 8000}, service: "s", arrivedAt: arrivedAt, route: &route.Route{TargetLatency: 4 * time.Second}}
+	assert.Equal(t, f.queuedRequest(req).Latest.Sub(arrivedAt), 2*time.Second)
+}
