core/fairqueue: callers who return are known by their prompts, not by their deadlines

Cause: requests with a deadline shorter than the route's timeout were taken for returning ones, some seconds old. Change: the owner of a queue remembers the prompts that it refused for 12 s, and a request with one of them has the place of the first attempt. A wait is half of the target latency from the arrival, as in an instance's own queue.

--- a/core/fairqueue/decide.go
+++ b/core/fairqueue/decide.go
@@ -62,7 +62,7 @@
 			turn = e.owner.turns == 0 && givenToLimited < max(turns/2, 1)
 		}
 		if !mayWait(now, e, kept+1, turn, rate) {
-			q.refuse(e, kept+1, refused, rate)
+			q.refuse(now, e, kept+1, refused, rate)
 			refused++
 			continue
 		}
@@ -129,8 +129,9 @@
 
 // refuse refuses a request. refusedBefore is how many before it in the order were refused at the same time: they come
 // back before it.
-func (q *Queue) refuse(e *entry, position, refusedBefore int, rate float64) {
+func (q *Queue) refuse(now time.Time, e *entry, position, refusedBefore int, rate float64) {
 	q.remove(e)
+	q.rememberRefused(now, e)
 	in := e.owner
 	if len(in.refused) >= maxEntries {
 		in.refused = in.refused[1:]
@@ -174,10 +175,10 @@
 	q.byLatest, q.order, q.added = merged, q.byLatest[:0], q.added[:0]
 }
 
-// compareLatest orders by the latest useful start, and then so that the order is the same at any owner.
+// compareLatest orders by the latest useful start of the first attempt, and then so that the order is the same at any owner.
 func compareLatest(a, b *entry) int {
-	if a.latest != b.latest {
-		return cmp.Compare(a.latest, b.latest)
+	if a.due != b.due {
+		return cmp.Compare(a.due, b.due)
 	}
 	if a.since != b.since {
 		return cmp.Compare(a.since, b.since)
@@ -264,6 +265,7 @@
 	}
 	q.sweptAt = now
 	q.forgetTeams(now)
+	q.forgetRefused(now)
 	for name, in := range q.instances {
 		if len(in.entries) > 0 {
 			continue
--- a/core/fairqueue/doc.go
+++ b/core/fairqueue/doc.go
@@ -4,6 +4,7 @@
 // a turn: they look for room. The others wait, or are refused as soon as they are not expected to start on time.
 //
 // The order is by level, then by team, then by the latest useful start. Requests that can no longer be on time come last.
+// A caller who returns with the prompt of a refused request has the place of that request in its team.
 // Each team has a counter of the tokens of its placed requests, divided by its weight; the team with the smallest one
 // comes first. Requests of several teams are interleaved as if each team were charged for its requests ahead. A placed
 // request is charged at all levels. A team that begins to wait at a level starts there at no less than the smallest counter
--- a/core/fairqueue/model_test.go
+++ b/core/fairqueue/model_test.go
@@ -186,7 +186,7 @@
 	in.sequence++
 	r := Report{Instance: in.name, Process: in.process, Sequence: in.sequence, Placed: in.placed, Left: in.left}
 	for _, c := range in.waiting {
-		r.Waiting = append(r.Waiting, Request{c.id, c.level, c.team, c.tokens, c.first, c.latest})
+		r.Waiting = append(r.Waiting, Request{c.id, c.level, c.team, c.tokens, 0, c.first, c.latest})
 	}
 	in.placed, in.left, in.changed, in.sentAt = nil, nil, false, m.now
 	if m.lost {
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -47,6 +47,8 @@
 	// refusals counts all refusals. It spreads the times at which their callers return.
 	refusals int
 	sweptAt  time.Time
+	// refusedPrompts are the prompts of refused requests whose callers may return.
+	refusedPrompts map[promptKey]refusedPrompt
 
 	order   []*entry // scratch space of a decision
 	sorting []sortKey
@@ -77,8 +79,9 @@
 	instance  string
 	owner     *instance
 	renewedAt time.Time
-	// latest and since are the times of the request in nanoseconds since the Unix epoch.
-	latest, since int64
+	// latest and since are the times of the request in nanoseconds since the Unix epoch. due is what it is ordered by
+	// within its team: latest, or that of the first attempt of a caller who has returned after a refusal.
+	latest, since, due int64
 	// arrivedLate says that the request could no longer be on time when it was reported first.
 	arrivedLate bool
 	// position is the position in the order at the last decision; 0 before the first.
@@ -92,7 +95,7 @@
 // New returns an empty queue.
 func New(s Settings) *Queue {
 	return &Queue{
-		settings: s, instances: map[string]*instance{}, teams: map[string]*team{},
+		settings: s, instances: map[string]*instance{}, teams: map[string]*team{}, refusedPrompts: map[promptKey]refusedPrompt{},
 		rate: rateMeter{width: max(s.RateWindow/rateBuckets, 1)},
 	}
 }
@@ -124,6 +127,7 @@
 	for _, id := range r.Placed {
 		if e := in.entries[id]; e != nil {
 			q.shares.charge(e.team, e.Tokens)
+			delete(q.refusedPrompts, e.promptKey())
 			q.rate.count()
 			in.progressAt = now
 			q.remove(e)
@@ -169,6 +173,7 @@
 		// Its place among the others changes: a copy replaces it.
 		e := *known
 		e.latest, e.since = min(latest, e.latest), min(since, e.since)
+		e.due = min(e.due, e.latest)
 		known.gone = true
 		in.entries[w.ID] = &e
 		q.added = append(q.added, &e)
@@ -178,8 +183,9 @@
 	w.Tokens = min(max(w.Tokens, 1), maxTokens)
 	e := &entry{
 		Request: w, team: q.teamNamed(now, w.Team), instance: name, owner: in, renewedAt: now,
-		latest: latest, since: since, arrivedLate: latest < now.UnixNano(),
+		latest: latest, since: since, due: latest, arrivedLate: latest < now.UnixNano(),
 	}
+	q.recognize(now, e)
 	e.team.waiting++
 	q.shares.ask(e.team)
 	in.entries[w.ID] = e
--- a/core/fairqueue/types.go
+++ b/core/fairqueue/types.go
@@ -11,6 +11,9 @@
 	Team  string
 	// Tokens is the work that it costs an engine.
 	Tokens int
+	// Prompt identifies the prompt. A request with the prompt of a refused one goes before new ones of its team
+	// and level. 0 identifies none.
+	Prompt uint64
 	// Since is when its caller made the first attempt.
 	Since time.Time
 	// Latest is until when a start is on time.
--- a/gateway/exchange/queues.go
+++ b/gateway/exchange/queues.go
@@ -92,7 +92,7 @@
 		r := &u.Waiting[i]
 		out.Waiting[i] = &peerv1.QueuedRequest{
 			Id: r.ID, Rank: uint32(max(r.Level, 0)), Team: r.Team, Tokens: uint32(min(max(r.Tokens, 0), maxQueueTokens)),
-			LatestMs: encodeMilliseconds(r.Latest.Sub(now)), WaitedMs: encodeMilliseconds(now.Sub(r.Since)),
+			LatestMs: encodeMilliseconds(r.Latest.Sub(now)), WaitedMs: encodeMilliseconds(now.Sub(r.Since)), Prompt: r.Prompt,
 		}
 	}
 	return out
@@ -119,7 +119,7 @@
 		}
 		u.Waiting = append(u.Waiting, fairqueue.Request{
 			ID: r.Id, Level: int(min(r.Rank, route.MaxLevels-1)), Team: r.Team, Tokens: int(r.Tokens),
-			Since: now.Add(-decodeMilliseconds(r.WaitedMs)), Latest: latest,
+			Since: now.Add(-decodeMilliseconds(r.WaitedMs)), Latest: latest, Prompt: r.Prompt,
 		})
 	}
 	return u, true
--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -96,52 +96,22 @@
 
 // queuedRequest describes a request for the shared queue.
 func (f *Forwarder) queuedRequest(req *request) fairqueue.Request {
-	since := req.firstAttempt()
 	return fairqueue.Request{
-		Level: req.priority.Level, Team: req.teamName(), Tokens: req.PromptTokens + req.MaxOutputTokens/2,
-		Since: since, Latest: f.latestUsefulStart(req, since),
+		Level: req.priority.Level, Team: req.teamName(), Tokens: req.PromptTokens + req.MaxOutputTokens/2, Prompt: req.promptKey(),
+		Since: req.arrivedAt, Latest: latestUsefulStart(req),
 	}
 }
 
-// firstAttempt estimates when the caller first sent the request. One that comes back after a refusal
-// states the time that it has left, which is shorter than the route's timeout.
-func (req *request) firstAttempt() time.Time {
-	if routeTimeout := req.route.Timeout; req.Timeout > 0 && req.Timeout < routeTimeout {
-		return req.arrivedAt.Add(req.Timeout - routeTimeout)
-	}
-	return req.arrivedAt
-}
-
-// The expected prefill time of a prompt is that at an engine with nothing else to do. The prompt
-// shares the engine with streams that run there, so it is given half as much again.
-const prefillMarginNumerator, prefillMarginDenominator = 3, 2
-
-// maxPrefillNumerator/maxPrefillDenominator of the target latency bounds that time. Under overload the usual
-// prefill time includes waits at engines, and would make requests with a short target late on arrival.
-const maxPrefillNumerator, maxPrefillDenominator = 1, 2
-
-// unknownPrefillDivisor is the part of the target latency that is left for prefill while the usual
-// speed of the engines is not known.
-const unknownPrefillDivisor = 4
-
 // latestUsefulStart returns until when an engine has to take a request so that its first event is on
-// time. A single attempt waits for no more than engineWaitNumerator/engineWaitDenominator of the target
-// latency: a longer queue only makes all streams start late, so that engines have to take fewer at once
-// for them to end by their deadlines.
-func (f *Forwarder) latestUsefulStart(req *request, since time.Time) time.Time {
-	target := req.route.TargetLatency
-	if target <= 0 {
-		return since.Add(defaultEngineWait)
-	}
-	prefill := target / unknownPrefillDivisor
-	if expected, known := f.Placement.ExpectedPrefillTime(req.service, req.PromptTokens); known {
-		prefill = min(expected*prefillMarginNumerator/prefillMarginDenominator, target*maxPrefillNumerator/maxPrefillDenominator)
-	}
-	onTime, longestWait := since.Add(target-prefill), req.arrivedAt.Add(target*engineWaitNumerator/engineWaitDenominator)
-	if longestWait.Before(onTime) {
-		return longestWait
+// time: engineWaitNumerator/engineWaitDenominator of the target latency are left for it to wait. A longer
+// queue makes all streams start late, so that engines have to take fewer at once for them to end by their
+// deadlines. The time of the caller's first attempt is not known: the deadlines that callers state differ
+// from the route's timeout also at first.
+func latestUsefulStart(req *request) time.Time {
+	if target := req.route.TargetLatency; target > 0 {
+		return req.arrivedAt.Add(target * engineWaitNumerator / engineWaitDenominator)
 	}
-	return onTime
+	return req.arrivedAt.Add(defaultEngineWait)
 }
 
 // recordFull records that streams of a service find no room.
--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -270,9 +270,9 @@
 const (
 	maxOutcomes = 40
 	// maxWaitingBytes bounds the waiting requests. requestBytes is the largest size of one without
-	// its team: two bytes in front, and five numbers with their tags.
+	// its team: two bytes in front, and six numbers with their tags.
 	maxWaitingBytes = 2400
-	requestBytes    = 2 + 11 + 2 + 2 + 3*6
+	requestBytes    = 2 + 11 + 2 + 2 + 3*6 + 9
 )
 
 // reportOutcomes returns the oldest outcomes that no state has followed from yet.
