--- a/core/fairqueue/returns.go
+++ b/core/fairqueue/returns.go
@@ -6,6 +6,9 @@
 	// returnWindow is how long a refused prompt is remembered. Callers return within maxRetryIn, and somewhat later if
 	// they can't connect at once.
 	returnWindow = 12 * time.Second
+	// usefulWaits is until when a start is on time, in multiples of the wait of the first attempt. An attempt waits for
+	// half of the target latency; a fifth of the target is left for prefill.
+	usefulWaits = 1.6
 	// maxRefusedPrompts bounds the remembered prompts; an entry takes about 100 bytes.
 	maxRefusedPrompts = 4096
 )
@@ -24,11 +27,16 @@
 	refusedAt  time.Time
 }
 
-// recognize gives a request of a caller who has returned after a refusal the place of the first attempt.
+// recognize gives a request of a caller who has returned after a refusal the place of the first attempt. Its latest
+// useful start follows from the first attempt too.
 func (q *Queue) recognize(now time.Time, e *entry) {
-	if r, ok := q.refusedPrompts[e.promptKey()]; ok && e.Prompt != 0 && now.Sub(r.refusedAt) < returnWindow {
-		e.due, e.since = min(e.due, r.due), min(e.since, r.since)
+	r, ok := q.refusedPrompts[e.promptKey()]
+	if !ok || e.Prompt == 0 || now.Sub(r.refusedAt) >= returnWindow {
+		return
 	}
+	e.due, e.since = min(e.due, r.due), min(e.since, r.since)
+	e.latest = min(e.latest, r.since+int64(usefulWaits*float64(r.due-r.since)))
+	e.arrivedLate = e.latest < now.UnixNano()
 }
 
 // rememberRefused remembers the prompt of a refused request. The first attempt with it counts.
