Findings of the review of the parts for load beyond capacity

The usual prefill time followed repeated summaries of the same observations; a request that was placed in the moment of its refusal was neither charged nor counted; a refused request was registered again by a renewal, and stayed registered after a panic; a team's name of over 256 bytes made owners drop all updates of an instance. Open: a stream with little slack closes a nearly empty engine until it ends; the owner sends under its lock.

--- a/core/fairqueue/decide.go
+++ b/core/fairqueue/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -133,6 +134,9 @@
 	q.remove(e)
 	q.rememberRefused(now, e)
 	in := e.owner
+	if len(in.refusedEntries) < maxRefusedEntries {
+		in.refusedEntries[e.ID] = e
+	}
 	if len(in.refused) >= maxEntries {
 		in.refused = in.refused[1:]
 	}
@@ -267,6 +271,7 @@
 	q.forgetTeams(now)
 	q.forgetRefused(now)
 	for name, in := range q.instances {
+		maps.DeleteFunc(in.refusedEntries, func(_ uint64, e *entry) bool { return now.Sub(e.renewedAt) >= sweepInterval })
 		if len(in.entries) > 0 {
 			continue
 		}
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -18,6 +18,8 @@
 	// maxTeams bounds the teams whose counters are kept. It is above maxEntries+entrySlack, since a team that waits is
 	// not forgotten.
 	maxTeams = 8192
+	// maxRefusedEntries bounds the refused requests that are kept for an instance.
+	maxRefusedEntries = 64
 	// forgetAfter is how long teams and instances without use are remembered.
 	forgetAfter = 30 * time.Second
 	// sweepInterval is how often the unused ones are looked for.
@@ -62,6 +64,8 @@
 	reportedAt        time.Time
 	entries           map[uint64]*entry
 	refused           []Refusal
+	// refusedEntries are refused requests, for up to a second. One of them may have been placed when it was refused.
+	refusedEntries map[uint64]*entry
 	// turns is how many of its requests have got a turn at the last decision.
 	turns int
 	// progressAt is when a request of it was placed last, or when it had no turn. turnAt is when it had one last.
@@ -125,13 +129,17 @@
 		q.renew(now, r.Instance, in, w)
 	}
 	for _, id := range r.Placed {
-		if e := in.entries[id]; e != nil {
-			q.shares.charge(e.team, e.Tokens)
-			delete(q.refusedPrompts, e.promptKey())
-			q.rate.count()
-			in.progressAt = now
+		e := in.entries[id]
+		if e != nil {
 			q.remove(e)
+		} else if e = in.refusedEntries[id]; e == nil {
+			continue
 		}
+		delete(in.refusedEntries, id)
+		delete(q.refusedPrompts, e.promptKey())
+		q.shares.charge(e.team, e.Tokens)
+		q.rate.count()
+		in.progressAt = now
 	}
 	for _, id := range r.Left {
 		if e := in.entries[id]; e != nil {
@@ -145,7 +153,7 @@
 	in := q.instances[r.Instance]
 	switch {
 	case in == nil:
-		in = &instance{process: r.Process, entries: map[uint64]*entry{}}
+		in = &instance{process: r.Process, entries: map[uint64]*entry{}, refusedEntries: map[uint64]*entry{}}
 		q.instances[r.Instance] = in
 	case in.process == r.Process:
 		if r.Sequence <= in.sequence {
@@ -214,6 +222,7 @@
 		q.remove(e)
 	}
 	in.refused, in.changed = nil, false
+	clear(in.refusedEntries)
 	in.turns, in.limited = 0, false
 }
 
--- a/core/fairqueue/returns_test.go
+++ b/core/fairqueue/returns_test.go
@@ -62,3 +62,24 @@
 	q.Decide(at(returnWindow))
 	assert.Equal(t, len(q.refusedPrompts), 0)
 }
+
+// TestPlacedWhileRefused guards against a request that is placed in the moment in which its latest start passes and it
+// is refused: its team was not charged, and the placement did not count in the rate.
+func TestPlacedWhileRefused(t *testing.T) {
+	q := withTurns(1)
+	r := newReporter(q, "i")
+	r.wait(0, request(1, "a", 0, 0))
+	r.wait(5100*time.Millisecond, request(1, "a", 0, 0))
+	assert.Equal(t, len(r.state(5100*time.Millisecond).Refused), 1)
+	for range 2 { // a report may be repeated
+		r.place(5150*time.Millisecond, 1)
+	}
+	uses := q.Uses()
+	assert.Equal(t, len(uses), 1)
+	assert.Equal(t, uses[0].Tokens, 1000.0)
+	placed := 0
+	for _, b := range q.rate.buckets {
+		placed += b.placements
+	}
+	assert.Equal(t, placed, 1)
+}
--- a/core/routing/speed.go
+++ b/core/routing/speed.go
@@ -160,8 +160,9 @@
 }
 
 // updatePeerSpeeds replaces the former observations of an instance by those in its new report, which
-// it bounds. Observations that the instance no longer announces decay here. The usual time of the service follows what is new in them, so that all
-// instances have nearly the same one, also those that have placed few prompts.
+// it bounds. Observations that the instance no longer announces decay here. The usual time of the service
+// follows what is new in them, so that all instances have nearly the same one, also those that have
+// placed few prompts.
 func (v *View) updatePeerSpeeds(now time.Time, before, report *PeerReport) {
 	for id, e := range before.Speeds {
 		n := v.observe(id)
@@ -205,13 +206,15 @@
 // maxSummedSpeedWeight bounds the weight of an owner's summary.
 const maxSummedSpeedWeight = 1000
 
-// applySpeed bounds the speed in an owner's summary, and takes it into the usual time.
-func (v *View) applySpeed(n *node, e health.SpeedEstimate) health.SpeedEstimate {
+// applySpeed bounds the speed in an owner's summary. It takes observations that are new since the last
+// summary into the usual time. Without that condition the usual time follows the engines that are asked
+// about most, which a waiting request does ten times a second.
+func (v *View) applySpeed(n *node, last, e health.SpeedEstimate) health.SpeedEstimate {
 	if !v.settings.Speeds {
 		return health.SpeedEstimate{}
 	}
 	usual := v.usualPrefillOf(n.Service)
-	if e = plausibleSpeed(usual, e, maxSummedSpeedWeight); e.Weight > 0 {
+	if e = plausibleSpeed(usual, e, maxSummedSpeedWeight); e.Weight > last.Weight {
 		usual.ObservePerUnit(e.PerUnit())
 	}
 	return e
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -108,8 +108,9 @@
 	if n == nil {
 		return
 	}
+	last := n.ownerSummary.Speed
 	n.ownerSummary = receivedSummary{*s, now, n.prefilled}
-	n.ownerSummary.Speed = v.applySpeed(n, s.Speed)
+	n.ownerSummary.Speed = v.applySpeed(n, last, s.Speed)
 	n.ended = n.ended || s.Ended
 	if s.Prefilled {
 		v.CacheStored(now, s.Endpoint, prompt)
--- a/gateway/exchange/queues.go
+++ b/gateway/exchange/queues.go
@@ -68,7 +68,6 @@
 const (
 	maxQueuedRequests = 256
 	maxQueueIDs       = 1024
-	maxQueueTeam      = 256 // bytes
 	maxQueueTokens    = 1 << 24
 	maxQueueTime      = time.Hour
 )
@@ -110,7 +109,7 @@
 		return u, false
 	}
 	for _, r := range sent.Waiting {
-		if r.GetId() == 0 || len(r.GetTeam()) > maxQueueTeam || r.GetTokens() > maxQueueTokens {
+		if r.GetId() == 0 || len(r.GetTeam()) > sharedqueue.MaxTeamBytes || r.GetTokens() > maxQueueTokens {
 			return u, false
 		}
 		latest := now.Add(decodeMilliseconds(r.LatestMs))
--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -34,14 +34,23 @@
 	if t == nil {
 		return f.awaitOwn(ctx, req, latest)
 	}
-	refused, fellBack := f.awaitTurn(ctx, req, t, r.Latest, latest)
-	t.Leave(refused == nil && req.claimed != nil)
+	refused, fellBack := f.leaveAfter(t, req, func() (*refusal, bool) { return f.awaitTurn(ctx, req, t, r.Latest, latest) })
 	if fellBack {
 		return f.awaitOwn(ctx, req, latest)
 	}
 	return refused
 }
 
+// leaveAfter calls wait and takes the request out of the queue, also if wait panics: a request that stays
+// registered is renewed and keeps a turn.
+func (f *Forwarder) leaveAfter(t *sharedqueue.Ticket, req *request, wait func() (*refusal, bool)) (refused *refusal, fellBack bool) {
+	placed := false
+	defer func() { t.Leave(placed) }()
+	refused, fellBack = wait()
+	placed = refused == nil && req.claimed != nil
+	return refused, fellBack
+}
+
 // lookForRoom tries to claim an engine. It returns false if all engines are full.
 func (f *Forwarder) lookForRoom(ctx context.Context, req *request) (done bool, refused *refusal) {
 	f.queryOwners(ctx, req)
@@ -97,7 +106,7 @@
 // queuedRequest describes a request for the shared queue.
 func (f *Forwarder) queuedRequest(req *request) fairqueue.Request {
 	return fairqueue.Request{
-		Level: req.priority.Level, Team: req.teamName(), Tokens: req.PromptTokens + req.MaxOutputTokens/2, Prompt: req.promptKey(),
+		Level: req.priority.Level, Team: sharedqueue.TeamName(req.teamName()), Tokens: req.PromptTokens + req.MaxOutputTokens/2, Prompt: req.promptKey(),
 		Since: req.arrivedAt, Latest: latestUsefulStart(req),
 	}
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -66,10 +66,10 @@
 	forwarder     *forward.Forwarder
 	exchange      *exchange.Exchange
 	crashes       *crashes.Registry
+	// queues is nil where the settings switch the shared queue off.
+	queues *sharedQueues
 	// rollouts and rolloutOrders are nil where the settings switch rollouts off or set no bounds
 	// for them.
-	// queues is nil where the settings switch the shared queue off.
-	queues        *sharedQueues
 	rollouts      *rollouts.Controller
 	rolloutOrders *follow.Rollouts
 	mirror        *follow.Mirror
--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -296,7 +296,9 @@
 func (q *clientQueue) reportWaiting(sequence uint64) []fairqueue.Request {
 	tickets := make([]*Ticket, 0, len(q.waiting))
 	for _, t := range q.waiting {
-		tickets = append(tickets, t)
+		if t.status.Refused == nil { // a renewal would register it again
+			tickets = append(tickets, t)
+		}
 	}
 	slices.SortFunc(tickets, func(a, b *Ticket) int {
 		return cmp.Or(cmp.Compare(a.request.Level, b.request.Level), a.request.Latest.Compare(b.request.Latest), cmp.Compare(a.request.ID, b.request.ID))
--- a/gateway/sharedqueue/sharedqueue.go
+++ b/gateway/sharedqueue/sharedqueue.go
@@ -36,6 +36,18 @@
 	SendQueueState(instance string, s *State)
 }
 
+// MaxTeamBytes is the longest name of a team in an update.
+const MaxTeamBytes = 256
+
+// TeamName returns the name of a team as it is used in queues: one that does not fit an update is
+// replaced by its hash.
+func TeamName(team string) string {
+	if len(team) <= MaxTeamBytes {
+		return team
+	}
+	return fmt.Sprintf("team-%x", xxhash.Sum64String(team))
+}
+
 // shardEndpoints is the number of endpoints of a service up to which it has one queue. An owner of
 // 128 engines handles some hundred updates a second while all instances have waiting requests.
 const shardEndpoints = 128
