--- a/core/routing/speed_test.go
+++ b/core/routing/speed_test.go
@@ -265,3 +265,19 @@
 		assert.Assert(t, weight > 0.5 && weight < 1.01, "%.2f after %v", weight, now.Sub(epoch))
 	}
 }
+
+// TestRepeatedSummariesDoNotMoveUsualTime guards against a usual time that follows the engines which are
+// asked about most: a waiting request gets the summaries of the same engines ten times a second.
+func TestRepeatedSummariesDoNotMoveUsualTime(t *testing.T) {
+	v := newSpeedView(1)
+	for range 20 {
+		v.ObservePrefill(epoch, "e000", 8000, time.Second)
+	}
+	fast := health.SpeedEstimate{LogPerUnit: math.Log(float64(60 * time.Microsecond)), Weight: 3}
+	before, _ := v.ExpectedPrefillTime("engines", 8000)
+	for range 40 {
+		v.ApplySummary(epoch, &Summary{Endpoint: "e000", Speed: fast}, 0)
+	}
+	after, known := v.ExpectedPrefillTime("engines", 8000)
+	assert.Assert(t, known && after > before*9/10, "%v before, %v after", before, after)
+}
