--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -250,6 +250,9 @@
 	if !p.v.settings.Deadlines || r.Recovery || r.Copy || r.PromptTokens <= 0 || n.Memory == 0 {
 		return false
 	}
+	if p.v.settings.DeadlinesOnlyRanked && !r.Priority.Ranked() {
+		return false
+	}
 	others := n.othersPlaced(p.now)
 	open := n.open + others.Open
 	if open == 0 || !p.mayEndanger(n) {
--- a/core/routing/slack_test.go
+++ b/core/routing/slack_test.go
@@ -273,3 +273,18 @@
 	}
 	assert.Equal(t, len(v.observed), 0)
 }
+
+// TestDeadlinesOfRankedRequestsOnly checks that services without ranks are served as before where the check is
+// restricted to ranked requests.
+func TestDeadlinesOfRankedRequestsOnly(t *testing.T) {
+	for _, ranked := range []bool{false, true} {
+		v := slackView(true)
+		v.settings.DeadlinesOnlyRanked = true
+		placeStream(v, epoch, 1, 0)
+		c := slackClaim()
+		if ranked {
+			c.Priority = route.Priority{Level: 1, Levels: 2}
+		}
+		assert.Equal(t, v.Claim(epoch, "e", "peer", c).Granted, !ranked, "ranked %v", ranked)
+	}
+}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -57,6 +57,8 @@
 	SuspicionPenalty, DegradedShare float64
 	// Deadlines refuses prompts for which a stream that runs at the engine would miss its deadline.
 	Deadlines bool
+	// DeadlinesOnlyRanked restricts Deadlines to ranked requests.
+	DeadlinesOnlyRanked bool
 	// Speeds measures the speeds of engines, announces them and uses them.
 	Speeds bool
 	// MemoryFactor times an engine's memory is the limit for what requests and copies placed there
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -73,6 +73,8 @@
 	Speeds bool
 	// SharedQueue orders the waiting streams of all instances.
 	SharedQueue bool
+	// OnlyRanked restricts SharedQueue to services whose streaming routes have different priorities.
+	OnlyRanked bool
 }
 
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
--- a/gateway/forward/sharedqueue_test.go
+++ b/gateway/forward/sharedqueue_test.go
@@ -6,9 +6,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/fairqueue"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/gateway/placement"
+	"github.com/agateway/agateway/gateway/sharedqueue"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -45,3 +47,20 @@
 		assert.Equal(t, r.Level, 1)
 	}
 }
+
+// noQueue is a shared queue without owners.
+type noQueue struct{}
+
+func (noQueue) Join(string, fairqueue.Request) *sharedqueue.Ticket { return nil }
+
+// TestSharedQueueOfRankedRequestsOnly checks that services without ranks keep the queues of their instances where
+// the shared queue is restricted to ranked requests.
+func TestSharedQueueOfRankedRequestsOnly(t *testing.T) {
+	ranked, equal := &request{priority: route.Priority{Level: 1, Levels: 2}}, &request{priority: route.Priority{Level: 1}}
+	f := &Forwarder{Options: Options{Queue: noQueue{}, Settings: Settings{Overload: Overload{SharedQueue: true}}}}
+	assert.Assert(t, f.usesSharedQueue(ranked) && f.usesSharedQueue(equal))
+	f.Settings.Overload.OnlyRanked = true
+	assert.Assert(t, f.usesSharedQueue(ranked) && !f.usesSharedQueue(equal))
+	f.Settings.Overload.SharedQueue = false
+	assert.Assert(t, !f.usesSharedQueue(ranked))
+}
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -61,7 +61,7 @@
 	if refused := f.refuseIfPaused(req, latest); refused != nil {
 		return refused
 	}
-	if f.Settings.Overload.SharedQueue && f.Queue != nil {
+	if f.usesSharedQueue(req) {
 		return f.awaitShared(ctx, req, latest)
 	}
 	return f.awaitOwn(ctx, req, latest)
@@ -99,6 +99,12 @@
 	}
 }
 
+// usesSharedQueue reports whether a request waits in the queue that all instances share.
+func (f *Forwarder) usesSharedQueue(req *request) bool {
+	o := &f.Settings.Overload
+	return o.SharedQueue && f.Queue != nil && (req.priority.Ranked() || !o.OnlyRanked)
+}
+
 // refuseIfPaused refuses a request if all endpoints of its service asked for a pause and none of these
 // ends by latest. The caller is told to come back after the first of them.
 func (f *Forwarder) refuseIfPaused(req *request, latest time.Time) *refusal {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -193,6 +193,7 @@
 	routingSettings.SharedSilence = s.Mechanisms.SharedSilence
 	routingSettings.Choices, routingSettings.Deadlines = routingChoices, s.Overload.Deadlines
 	routingSettings.Speeds = s.Overload.Speeds
+	routingSettings.DeadlinesOnlyRanked = s.Overload.OnlyRanked
 	routingSettings.QueueFactor, routingSettings.FallBackToSuspected, routingSettings.ByPrompt = queueFactor, true, s.Mechanisms.ByPrompt
 	if !s.Mechanisms.Doubt {
 		routingSettings.SuspicionPenalty = 0
@@ -233,7 +234,7 @@
 			Instance: s.Instance.ID, DataCentre: s.Instance.DataCentre, MaxConfigAgeForKeys: f.keyBound(), MaxConfigAgeForDenial: time.Duration(denyBoundShare * float64(s.Bounds.Apply)),
 			RetryShare: s.Retries.Share, RetryReserve: s.Retries.Reserve, RetryWindow: s.Retries.Window,
 			SilenceFloor: s.Streams.Silence, FirstEventTimeout: s.Streams.FirstEvent, ProbeTimeout: s.Streams.Probe, ConnectTimeout: s.Streams.Connect,
-			Overload: forward.Overload{Deadlines: s.Overload.Deadlines, Speeds: s.Overload.Speeds, SharedQueue: s.Overload.SharedQueue},
+			Overload: forward.Overload{Deadlines: s.Overload.Deadlines, Speeds: s.Overload.Speeds, SharedQueue: s.Overload.SharedQueue, OnlyRanked: s.Overload.OnlyRanked},
 			Disabled: disabledMechanisms(&s.Mechanisms),
 		},
 		Configuration: f.configuration, Synced: f.synced, Placement: f.placement, Pool: f.pool, Peers: f.forwardOthers(), Reach: f.reach, Crashes: f.forwardCrashes(), Rollouts: f.forwardRollouts(), Queue: f.forwardQueue(), Clock: f.env.Clock,
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -92,6 +92,7 @@
 type FrontOverload struct {
 	Deadlines   bool   `ini:"deadlines" default:"false" doc:"an engine takes no prompt for which a stream that runs there would miss its deadline"`
 	Speeds      bool   `ini:"speeds" default:"false" doc:"engines are chosen by their measured speed, which instances share"`
+	OnlyRanked  bool   `ini:"only_ranked" default:"false" doc:"deadlines and shared_queue apply only to services whose streaming routes have different priorities"`
 	SharedQueue bool   `ini:"shared_queue" default:"false" doc:"streams of all instances wait in one queue a service, in which teams have equal shares"`
 	Shares      string `ini:"shares" check:"shares" doc:"weights of teams in the shared queue, such as desk:2, field:0.5; those that are not named have 1"`
 }
