gateway/forward, core/routing: one way to look for room, one bound of a wait; a function that only tests used is gone

awaitOwn repeated lookForRoom. Since the latest useful start follows from the arrival alone, it is the bound of the instance's own queue, which was computed beside it and passed on under a second name. ShortestSlack is one entry of OwnSlacks; its test has the same figures.

--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -90,19 +90,8 @@
 	}
 }
 
-// ShortestSlack returns the shortest slack of this instance's own streams at an endpoint, at least zero;
-// false if none has a known one. Streams that can't end in time are left out.
-func (v *View) ShortestSlack(now time.Time, id string) (time.Duration, bool) {
-	n := v.nodes[id]
-	if n == nil {
-		return 0, false
-	}
-	s := n.ownSlack(now, n.prefillPace(now))
-	return max(s.slack, 0), s.known
-}
-
-// OwnSlacks returns the shortest slack of this instance's streams by endpoint; nil unless
-// [Settings.Deadlines] is set.
+// OwnSlacks returns the shortest slack of this instance's streams by endpoint, at least zero; nil unless
+// [Settings.Deadlines] is set. Streams that can't end in time are left out.
 func (v *View) OwnSlacks(now time.Time) map[string]time.Duration {
 	if !v.settings.Deadlines {
 		return nil
--- a/core/routing/slack_test.go
+++ b/core/routing/slack_test.go
@@ -57,14 +57,14 @@
 	for range 40 { // one event each 40 ms
 		now, s.RemainingEvents = now.Add(slackEvent), s.RemainingEvents-1
 		v.SetStream(now, "e", 1, s)
-		slack, known := v.ShortestSlack(now, "e")
+		slack, known := v.OwnSlacks(now)["e"]
 		assert.Assert(t, known && slack == 5*time.Second, "%v", slack)
 	}
 	now, s.RemainingEvents = now.Add(slackPrefill), s.RemainingEvents-5 // a prompt is prefilled beside it
 	v.SetStream(now, "e", 1, s)
-	slack, _ := v.ShortestSlack(now, "e")
+	slack := v.OwnSlacks(now)["e"]
 	assert.Equal(t, slack, 5*time.Second-slackPrefill+5*slackEvent)
-	slack, _ = v.ShortestSlack(now.Add(maxStreamAge+time.Second), "e") // its events stop
+	slack = v.OwnSlacks(now.Add(maxStreamAge + time.Second))["e"] // its events stop
 	assert.Equal(t, slack, 4*time.Second-slackPrefill+5*slackEvent)
 }
 
--- a/gateway/forward/sharedqueue.go
+++ b/gateway/forward/sharedqueue.go
@@ -20,21 +20,20 @@
 	Join(service string, r fairqueue.Request) *sharedqueue.Ticket
 }
 
-// awaitShared is awaitEngine where instances share a queue. latest bounds the wait in the instance's
-// own queue, which is used while no owner of the shared one answers. A request looks for room at
-// once, and registers only if its service lacked room lately or has none now.
+// awaitShared is awaitEngine where instances share a queue. The instance's own queue is used while no
+// owner of the shared one answers. A request looks for room at once, and registers only if its service
+// lacked room lately or has none now.
 func (f *Forwarder) awaitShared(ctx context.Context, req *request, latest time.Time) *refusal {
 	if !f.lackedRoom(req.service) {
 		if done, refused := f.lookForRoom(ctx, req); done {
 			return refused
 		}
 	}
-	r := f.queuedRequest(req)
-	t := f.Queue.Join(req.service, r)
+	t := f.Queue.Join(req.service, f.queuedRequest(req))
 	if t == nil {
 		return f.awaitOwn(ctx, req, latest)
 	}
-	refused, fellBack := f.leaveAfter(t, req, func() (*refusal, bool) { return f.awaitTurn(ctx, req, t, r.Latest, latest) })
+	refused, fellBack := f.leaveAfter(t, req, func() (*refusal, bool) { return f.awaitTurn(ctx, req, t, latest) })
 	if fellBack {
 		return f.awaitOwn(ctx, req, latest)
 	}
@@ -63,20 +62,12 @@
 	return false, nil
 }
 
-// awaitTurn waits for a request's turn, and looks for room while it has it. A request that no owner
-// has answered for waits until ownLatest at most; another one until usefulUntil, unless that was
-// over when it came. fellBack is set if the request is in no shared queue any more.
-func (f *Forwarder) awaitTurn(ctx context.Context, req *request, t *sharedqueue.Ticket, usefulUntil, ownLatest time.Time) (refused *refusal, fellBack bool) {
-	if !usefulUntil.After(time.Now()) {
-		usefulUntil = ownLatest
-	}
+// awaitTurn waits until latest for a request's turn, and looks for room while it has it. fellBack is set
+// if the request is in no shared queue any more.
+func (f *Forwarder) awaitTurn(ctx context.Context, req *request, t *sharedqueue.Ticket, latest time.Time) (refused *refusal, fellBack bool) {
 	service := req.service
 	for {
 		s := t.Status()
-		until := ownLatest
-		if s.Answered {
-			until = usefulUntil
-		}
 		switch {
 		case s.Refused != nil:
 			f.recordFull(req.service)
@@ -88,7 +79,7 @@
 				return refused, false
 			}
 		}
-		if !time.Now().Add(engineWaitInterval).Before(until) {
+		if !time.Now().Add(engineWaitInterval).Before(latest) {
 			return f.refuseNoRoom(req, "no room in time", s.Expected), false
 		}
 		if !pause.UntilWoken(ctx, engineWaitInterval, t.Changed()) {
@@ -97,7 +88,7 @@
 		if refused := f.revalidate(req); refused != nil {
 			return refused, false
 		}
-		if refused := f.refuseIfPaused(req, until); refused != nil {
+		if refused := f.refuseIfPaused(req, latest); refused != nil {
 			return refused, false
 		}
 	}
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -54,10 +54,7 @@
 	if f.Settings.Disabled.WaitQueue {
 		return nil
 	}
-	latest := req.arrivedAt.Add(defaultEngineWait)
-	if targetLatency := req.route.TargetLatency; targetLatency > 0 {
-		latest = req.arrivedAt.Add(targetLatency * engineWaitNumerator / engineWaitDenominator)
-	}
+	latest := latestUsefulStart(req)
 	if refused := f.refuseIfPaused(req, latest); refused != nil {
 		return refused
 	}
@@ -76,12 +73,8 @@
 	defer f.leaveQueue(req, id)
 	for {
 		if f.isFirstInQueue(req, id) {
-			f.queryOwners(ctx, req)
-			switch err := f.claimForFirst(ctx, req); {
-			case errors.Is(err, routing.ErrAllLeaving) && req.LastEventID == "":
-				return f.refuseNoRoom(req, err.Error(), 0)
-			case !errors.Is(err, routing.ErrFull):
-				return nil
+			if done, refused := f.lookForRoom(ctx, req); done {
+				return refused
 			}
 		}
 		if !time.Now().Add(engineWaitInterval).Before(latest) {
