core/crashers: a released request takes along the crashes of prompt parts that are its own

An operator's release cleared the request only. Its record was what explained the crashes of its prompt parts (all of one request), so the next trial, which is told with the part's crashes, made other instances stop the part; the stop was then written to the store, and a restart of all instances cut off its deletion.

Change: a release also clears the parts that are not stopped and whose crashes are all those of the request.

TestReleasedRequestStopsNoPart failed before.

--- a/core/crashers/parts.go
+++ b/core/crashers/parts.go
@@ -62,6 +62,23 @@
 	return false
 }
 
+// partsExplainedBy returns the parts of prompts that are not stopped and whose crashes are all those of a
+// request.
+func (r *Registry) partsExplainedBy(req Subject) []Subject {
+	e := r.entries[req]
+	if e == nil || req.Part != "" {
+		return nil
+	}
+	var out []Subject
+	for s, part := range r.entries {
+		if s.Part != "" && s.Team == req.Team && part.stop.Count == 0 && len(part.crashes) > 0 && hasAllCrashes(e.crashes, part.crashes) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// hasAllCrashes reports whether all endpoints of the crashes in want are among those in have.
 func hasAllCrashes(have, want []Crash) bool {
 	endpoints := map[string]bool{}
 	for i := range have {
--- a/core/crashers/parts_test.go
+++ b/core/crashers/parts_test.go
@@ -137,6 +137,36 @@
 	}
 }
 
+// TestReleasedRequestStopsNoPart guards against a request that an operator releases, and that is then tried
+// again, making the parts of its prompt count as stopped at instances that hear of the trial: the record of the
+// request was what explained the crashes. A part with a crash under another request keeps its crashes.
+func TestReleasedRequestStopsNoPart(t *testing.T) {
+	here, there := New(DefaultSettings()), New(DefaultSettings())
+	released, another := promptRequest("desk", 1, base, fatal), promptRequest("desk", 2, fatal)
+	for i := range 3 {
+		crash := Crash{Endpoint: fmt.Sprint("e", i), Service: "llm", Phase: Begun, Sent: at(1000 * i), At: at(1000*i + 500)}
+		for _, r := range []*Registry{here, there} {
+			r.RecordCrash(crash.At, released, crash)
+		}
+	}
+	here.RecordCrash(at(3500), another, Crash{Endpoint: "e9", Service: "llm", Phase: Present, Sent: at(3000), At: at(3500)})
+	assert.Equal(t, here.Decide(at(4000), &released, "llm").Verdict, Stopped)
+	assert.Equal(t, len(here.Release(at(4000), released.Whole)), 2) // the request and the part base
+	assert.Equal(t, here.Decide(at(4000), &another, "llm").Verdict, Stopped)
+	tell := func(now int, s Subject) Change {
+		f, ok := here.Fact(at(now), s, "here")
+		assert.Assert(t, ok)
+		return there.Merge(at(now), "here", f)
+	}
+	tell(4000, released.Whole)
+	onlyBase := promptRequest("desk", 1, base)
+	assert.Assert(t, here.AcquireTrial(at(5000), &released, "llm", "here"))
+	for _, part := range onlyBase.Parts {
+		assert.Assert(t, !tell(5000, part).Stopped)
+	}
+	assert.Equal(t, there.Decide(at(5000), &onlyBase, "llm").Verdict, Free)
+}
+
 // TestPartStopExpires checks that a stopped part is tried by one request at a time once its stop is over, and
 // that the next crash stops it again.
 func TestPartStopExpires(t *testing.T) {
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -193,9 +193,10 @@
 	return r.clearServed(now, req, r.ClearOnProgress)
 }
 
-// Release clears a subject on behalf of an operator.
+// Release clears a subject on behalf of an operator, and with a request the parts of prompts whose crashes
+// are all those of that request. Without its record these crashes would count against the parts.
 func (r *Registry) Release(now time.Time, s Subject) []Cleared {
-	return r.clearEach(now, []Subject{s}, r.Clear)
+	return r.clearEach(now, append([]Subject{s}, r.partsExplainedBy(s)...), r.Clear)
 }
 
 // clearServed clears a request that was served by clear, and remembers that its parts were answered.
