gateway/exchange: announcements leave room on the links of 33 to 65 instances under load

Cause: on lxpn's competing callers, from second 13 on, instances that ran were taken for dead, some 60 times in 34 s, each time by all 61 others (3,864 log lines "instances lost"), and what they had placed was forgotten by the owners. A full mesh of up to 64 others announces the whole report to all after each change: 840 kB a second for each instance, two thirds of its link of 10 Mbit/s.

Change: the full mesh ends at 32 others; above, changes go to the two owners of an endpoint, as in larger fleets. Within it, announcements take 200 kB a second at the most. Entries of members are told directly up to 64 others, as before.

--- a/gateway/exchange/announce.go
+++ b/gateway/exchange/announce.go
@@ -26,6 +26,9 @@
 	smallFleetSize          = 12
 	// minAnnouncementGap is the least time between two announcements.
 	minAnnouncementGap = 60 * time.Millisecond
+	// maxAnnouncementRate is how many bytes an instance of a full mesh announces in a second at the most, a
+	// sixth of a link of 10 Mbit/s. Under overload each instance changes all the time.
+	maxAnnouncementRate = 200_000
 	// digestInterval is the time between two announcements to the aggregators, and between two
 	// digests. What is aggregated is passed on twice, so it is at most three times as old, 1.5 s.
 	digestInterval = 500 * time.Millisecond
@@ -81,7 +84,7 @@
 	timer := time.NewTimer(next)
 	defer timer.Stop()
 	for {
-		if !pause.For(ctx, minAnnouncementGap) {
+		if !pause.For(ctx, x.announcementGap()) {
 			return
 		}
 		select {
@@ -96,6 +99,12 @@
 	}
 }
 
+// announcementGap returns the time until the next announcement of a change, after the last announcement.
+func (x *Exchange) announcementGap() time.Duration {
+	gap := time.Duration(x.lastAnnounced) * time.Second / maxAnnouncementRate
+	return min(max(gap, minAnnouncementGap), maxAnnouncementInterval)
+}
+
 // announceChanges tells the owners of endpoints at which something changed, or all others in a full
 // mesh. The aggregators are told as well when this instance has sent requests again since the last
 // call. An aggregator passes the sums on when they have grown much.
@@ -167,19 +176,25 @@
 
 // announce sends the whole report of this instance to some addresses.
 func (x *Exchange) announce(to []net.Addr) {
+	x.lastAnnounced = 0
 	if len(to) > 0 {
-		x.sendAnnouncement(x.Endpoints.OwnReport(), x.ServiceCounts(), to)
+		x.lastAnnounced = x.sendAnnouncement(x.Endpoints.OwnReport(), x.ServiceCounts(), to)
 	}
 }
 
-func (x *Exchange) sendAnnouncement(report routing.PeerReport, counts map[string]limits.RetryCounts, to []net.Addr) {
+// sendAnnouncement returns the number of bytes sent.
+func (x *Exchange) sendAnnouncement(report routing.PeerReport, counts map[string]limits.RetryCounts, to []net.Addr) int {
 	a := encodeAnnouncement(report, counts, time.Now())
 	a.Instance, a.Process = x.Self.ID, x.process
 	x.sendMu.Lock()
 	x.sequence++
 	a.Sequence = x.sequence
 	x.sendMu.Unlock()
-	x.send(&peerv1.Datagram{Body: &peerv1.Datagram_Announcement{Announcement: a}}, to...)
+	raw := x.marshal(&peerv1.Datagram{Body: &peerv1.Datagram_Announcement{Announcement: a}})
+	if raw != nil {
+		x.sendRaw(raw, to...)
+	}
+	return len(raw) * len(to)
 }
 
 // receiveAnnouncement takes an announcement of another instance.
--- a/gateway/exchange/doc.go
+++ b/gateway/exchange/doc.go
@@ -7,7 +7,7 @@
 // instance that finds another one lost does so too. This costs an instance 1.2 kB a second each
 // way, whatever the size of the fleet.
 //
-// Spreading (spread.go): in a fleet of up to maxFullMeshPeers others, all are told directly. In a
+// Spreading (spread.go): in a fleet of up to maxDirectPeers others, all are told directly. In a
 // larger one, the first instances of each data centre, the spreaders, receive the entries and send
 // them on, fifteen to a datagram. An instance that starts asks two others for the entries of all.
 //
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -113,6 +113,7 @@
 	changedEndpoints map[string]bool // endpoints with changes to announce
 	sequence         uint64
 	announceRounds   int // used by Run only
+	lastAnnounced    int // bytes of the last announcement to all, used by Run only
 	joins            int // calls of join, which only joinFleet makes
 	crashQuestions   crashQuestions
 
--- a/gateway/exchange/roster.go
+++ b/gateway/exchange/roster.go
@@ -37,10 +37,13 @@
 // Limits that depend on the size of a fleet.
 const (
 	// maxFullMeshPeers is the number of other instances up to which every instance announces to
-	// every other. Each then sends and receives 64 datagrams a second of some 300 bytes, 20 kB and
-	// 0.1% of a core. Beyond that, what all receive together would grow with the square of the
-	// fleet's size.
-	maxFullMeshPeers = 64
+	// every other, at most at maxAnnouncementRate. Beyond that, what all receive together would grow
+	// with the square of the fleet's size: with 61 others under overload each instance sent 840 kB a
+	// second, which filled links of 10 Mbit/s. Pings were lost, and instances were taken for dead.
+	maxFullMeshPeers = 32
+	// maxDirectPeers is the number of other instances up to which an instance tells all others of its
+	// own start, end and changes. In a larger fleet a few instances spread these entries.
+	maxDirectPeers = 64
 	// ownersPerEndpoint is how many instances receive all placements at an endpoint, so that one
 	// may be lost.
 	ownersPerEndpoint = 2
@@ -202,7 +205,7 @@
 
 // large reports whether the fleet is so large that entries of members are spread by a few instances
 // instead of being sent to all directly.
-func (r *roster) large() bool { return r.knownCount > maxFullMeshPeers }
+func (r *roster) large() bool { return r.knownCount > maxDirectPeers }
 
 // firstSpreader returns the first instance that spreads entries in this data centre. While this
 // instance knows no other one there, that is this one.
