core/copies: requests for copies that fail are repeated less often

Change: the delay doubles with each failure, up to 2.4 s, and the first of several failures is logged.

--- a/core/copies/tracker.go
+++ b/core/copies/tracker.go
@@ -17,10 +17,14 @@
 	// RefreshInterval is the time between two requested copies. It has to be well below the time
 	// that an engine keeps a copy without a refresh. 0 if engines take no requests for copies.
 	RefreshInterval time.Duration
-	// RetryDelay is the pause after a failed copy, and after the loss of a holder.
+	// RetryDelay is the pause after a failed copy, and after the loss of a holder. It doubles with each
+	// further failure, up to 1<<maxRetryDoublings times as long: while no engine has room, the requests
+	// of all streams would only add to its load.
 	RetryDelay time.Duration
 }
 
+const maxRetryDoublings = 3
+
 // Request asks for a copy of the current memory of the run.
 type Request struct {
 	// Target is the engine to copy to; empty if the caller is to choose one.
@@ -37,6 +41,8 @@
 	requested bool
 	// inProgress is set while a requested copy is being made.
 	inProgress bool
+	// failures is how many requests have failed in a row.
+	failures int
 	// due is when to request the next copy; zero if none is to be requested.
 	due time.Time
 }
@@ -47,7 +53,7 @@
 // RunStarted records the start of a run whose engine keeps a copy at holder current by itself; the
 // zero holder if it keeps none. Copies of earlier runs can't be used any more.
 func (t *Tracker) RunStarted(now time.Time, holder Holder) {
-	t.current, t.requested, t.inProgress, t.due = holder, false, false, time.Time{}
+	t.current, t.requested, t.inProgress, t.due, t.failures = holder, false, false, time.Time{}, 0
 	if holder == (Holder{}) {
 		t.dropHolder(now)
 	}
@@ -95,6 +101,9 @@
 	return Request{Target: t.current.Endpoint}, true
 }
 
+// Failures returns how many requests for a copy have failed since the last one that succeeded.
+func (t *Tracker) Failures() int { return t.failures }
+
 // Deadline returns when [Tracker.Tick] is to be called; false if no copy is to be requested.
 func (t *Tracker) Deadline() (time.Time, bool) {
 	if !t.requested || t.inProgress || t.due.IsZero() {
@@ -113,9 +122,10 @@
 	t.inProgress = false
 	if holder == (Holder{}) {
 		t.current = Holder{}
-		t.due = now.Add(t.set.RetryDelay)
+		t.due = now.Add(t.set.RetryDelay << min(t.failures, maxRetryDoublings))
+		t.failures++
 		return
 	}
-	t.current = holder
+	t.current, t.failures = holder, 0
 	t.due = now.Add(t.set.RefreshInterval)
 }
--- a/core/copies/tracker_test.go
+++ b/core/copies/tracker_test.go
@@ -103,3 +103,25 @@
 	_, due := tracker.Deadline()
 	assert.Assert(t, !due, "nothing may be requested without a refresh interval")
 }
+
+// TestFailedCopiesAreRetriedLessOften guards against streams that request a copy every 0.3 s while no engine has
+// room for one: under overload that was 1,200 requests a second.
+func TestFailedCopiesAreRetriedLessOften(t *testing.T) {
+	tracker := newTracker()
+	tracker.RunStarted(at(0), Holder{})
+	for i, due := range []int{100, 200, 400, 800, 1600, 2400, 3200} {
+		assert.Equal(t, tracker.Failures(), i)
+		_, early := tracker.Tick(at(due - 1))
+		assert.Assert(t, !early, "%d", due)
+		_, now := tracker.Tick(at(due))
+		assert.Assert(t, now, "%d", due)
+		tracker.CopyEnded(at(due), Holder{})
+	}
+	_, now := tracker.Tick(at(4000))
+	assert.Assert(t, now)
+	tracker.CopyEnded(at(4000), second)
+	assert.Equal(t, tracker.Failures(), 0)
+	tracker.EngineLost(at(5000), second.Endpoint)
+	due, _ := tracker.Deadline()
+	assert.Equal(t, due, at(5100))
+}
--- a/gateway/forward/copies.go
+++ b/gateway/forward/copies.go
@@ -224,7 +224,9 @@
 func (s *session) requestCopy(a *attempt, c copies.Request) {
 	to := s.copyTarget(a, c)
 	if to == nil {
-		s.f.Log.Decision(s.req.ID, "no engine for a copy", logrus.Fields{"endpoint": a.endpoint.ID, "events": s.relayedEvents, "to": c.Target})
+		if s.copies.Failures() == 0 {
+			s.f.Log.Decision(s.req.ID, "no engine for a copy", logrus.Fields{"endpoint": a.endpoint.ID, "events": s.relayedEvents, "to": c.Target})
+		}
 		s.copies.CopyEnded(time.Now(), copies.Holder{})
 		return
 	}
