gateway/sharedqueue: an owner sends states after it has released its lock

Cause: states were sent under the lock of the owner, so that they left in the order of their computation. A send that blocks held up all updates, decisions and reads of the owner. Change: states are put into an outbox under the lock, and one goroutine at a time sends them without it. The outbox holds one state for each instance and queue: a later one replaces one that is not sent yet and takes over its refusals, which a queue returns only once. States for a receiver therefore still leave in the order of their computation, and the outbox is bounded by the instances. Datagrams that the network reorders are compared by the sequence of the update, as before.

--- a/gateway/sharedqueue/owner.go
+++ b/gateway/sharedqueue/owner.go
@@ -34,6 +34,10 @@
 	mu      sync.Mutex
 	queues  map[queueID]*ownedQueue
 	weights map[string]float64
+	// outbox holds the states to send, at most one for an instance and a queue. sending is set while a
+	// goroutine sends them, so that states reach the network in the order of their computation.
+	outbox  []*addressedState
+	sending bool
 }
 
 // queueID names a queue.
@@ -79,25 +83,26 @@
 // ReceiveUpdate takes an update, and answers it. It returns false for one that does not fit: of a
 // service that has no endpoints here, or older than one received before.
 func (o *Owner) ReceiveUpdate(u *Update) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	states, ok := o.apply(u)
-	o.deliver(states)
+	ok := o.apply(u)
+	o.flush()
 	signal(o.wake)
 	return ok
 }
 
-// addressedState is a state and the instance that it is for.
+// addressedState is a state of a queue and the instance that it is for.
 type addressedState struct {
 	instance string
+	queue    queueID
 	*State
 }
 
-func (o *Owner) apply(u *Update) ([]addressedState, bool) {
+func (o *Owner) apply(u *Update) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	now := time.Now() // under mu, since times must not go backwards
 	endpoints := o.Endpoints(u.Service)
 	if endpoints == 0 {
-		return nil, false
+		return false
 	}
 	n := shards(endpoints)
 	id := queueID{u.Service, shardOf(u.Instance, n)}
@@ -109,7 +114,7 @@
 	}
 	seen := q.instances[u.Instance]
 	if seen.process == u.Process && seen.sequence >= u.Sequence {
-		return nil, false
+		return false
 	}
 	q.queue.SetEngines((endpoints + n - 1) / n)
 	q.queue.Report(now, u.Report)
@@ -122,7 +127,8 @@
 	if !slices.Contains(changed, u.Instance) {
 		changed = append(changed, u.Instance)
 	}
-	return o.states(now, id, q, changed), true
+	o.post(now, id, q, changed)
+	return true
 }
 
 func (q *ownedQueue) decide(now time.Time) []string {
@@ -130,9 +136,8 @@
 	return q.queue.Decide(now)
 }
 
-// states returns the states of a queue for some instances, and logs new refusals.
-func (o *Owner) states(now time.Time, id queueID, q *ownedQueue, instances []string) []addressedState {
-	var out []addressedState
+// post puts the states of a queue for some instances into the outbox, and logs new refusals.
+func (o *Owner) post(now time.Time, id queueID, q *ownedQueue, instances []string) {
 	for _, instance := range instances {
 		seen, ok := q.instances[instance]
 		if !ok {
@@ -140,9 +145,15 @@
 		}
 		s := &State{Owner: o.Self, Process: o.Process, Sequence: seen.sequence, Service: id.service, State: q.queue.State(now, instance)}
 		o.logRefusals(id, instance, s.Refused)
-		out = append(out, addressedState{instance, s})
+		i := slices.IndexFunc(o.outbox, func(a *addressedState) bool { return a.instance == instance && a.queue == id })
+		if i < 0 {
+			o.outbox = append(o.outbox, &addressedState{instance, id, s})
+			continue
+		}
+		// A queue returns each refusal once, so the state that is replaced hands its refusals on.
+		s.Refused = append(o.outbox[i].Refused, s.Refused...)
+		o.outbox[i].State = s
 	}
-	return out
 }
 
 func (o *Owner) logRefusals(id queueID, instance string, refused []fairqueue.Refusal) {
@@ -155,17 +166,37 @@
 	}
 }
 
-// deliver sends states. mu is held from their computation on, so that they leave in their order.
-func (o *Owner) deliver(states []addressedState) {
-	for _, s := range states {
-		if s.instance == o.Self {
-			o.Deliver(s.State)
-		} else {
-			o.Network.SendQueueState(s.instance, s.State)
+// flush sends what is in the outbox. mu is not held meanwhile, since a send may block. If another goroutine is
+// sending, that one sends the rest.
+func (o *Owner) flush() {
+	for first := true; ; first = false {
+		states := o.takeOutbox(first)
+		if len(states) == 0 {
+			return
+		}
+		for _, s := range states {
+			if s.instance == o.Self {
+				o.Deliver(s.State)
+			} else {
+				o.Network.SendQueueState(s.instance, s.State)
+			}
 		}
 	}
 }
 
+// takeOutbox returns the states to send. first says that the caller is not the one that is sending. The
+// caller is that one until it gets none.
+func (o *Owner) takeOutbox(first bool) []*addressedState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if first && o.sending {
+		return nil
+	}
+	states := o.outbox
+	o.outbox, o.sending = nil, len(states) > 0
+	return states
+}
+
 // Run decides at intervals while requests wait, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -177,9 +208,10 @@
 	}
 }
 
-// decideAll decides in all queues in which requests wait, and drops those that are not used. It
-// reports whether any requests wait.
+// decideAll decides in all queues in which requests wait, drops those that are not used, and sends what has
+// changed. It reports whether any requests wait.
 func (o *Owner) decideAll() (waiting bool) {
+	defer o.flush()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
@@ -193,7 +225,7 @@
 		}
 		waiting = true
 		if now.Sub(q.decidedAt) >= minInterval {
-			o.deliver(o.states(now, id, q, q.decide(now)))
+			o.post(now, id, q, q.decide(now))
 		}
 		q.expire(now)
 	}
