gateway/sharedqueue: an update lists a request until the owner has it, and renewals name it by its id

A caller who left after a refusal caused one too, though the owner had removed the request already. Change: an update lists a request until a state follows from an update with it. Renewals, every 200 ms as before, carry ids as differences, about a byte each, and are repeated until a state follows. The owner names renewed requests that it does not hold, and these, or all requests when another process of the owner answers, are listed again at once. Departures after a refusal wait for the next renewal. Up to 50 waiting requests of an instance were registered before, now all of them. The messages are unchanged: renewed ids follow a 0 in the ids that have left, unknown ones a 0 in the turns, which announces that the owner takes them. Owners of older builds get all requests with each update, and clients of older builds see a turn for an id that no request has.

--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -64,6 +64,8 @@
 	reportedAt        time.Time
 	entries           map[uint64]*entry
 	refused           []Refusal
+	// unknown are renewed requests that are not held.
+	unknown []uint64
 	// refusedEntries are refused requests, for up to a second. One of them may have been placed when it was refused.
 	refusedEntries map[uint64]*entry
 	// turns is how many of its requests have got a turn at the last decision.
@@ -128,6 +130,13 @@
 	for _, w := range r.Waiting {
 		q.renew(now, r.Instance, in, w)
 	}
+	for _, id := range r.Renewed {
+		if e := in.entries[id]; e != nil {
+			e.renewedAt = now
+		} else if len(in.unknown) < maxEntries {
+			in.unknown = append(in.unknown, id)
+		}
+	}
 	for _, id := range r.Placed {
 		e := in.entries[id]
 		if e != nil {
@@ -221,7 +230,7 @@
 	for _, e := range in.entries {
 		q.remove(e)
 	}
-	in.refused, in.changed = nil, false
+	in.refused, in.unknown, in.changed = nil, nil, false
 	clear(in.refusedEntries)
 	in.turns, in.limited = 0, false
 }
@@ -252,11 +261,11 @@
 		}
 	}
 	slices.SortFunc(turns, func(a, b *entry) int { return a.position - b.position })
-	s := State{Refused: in.refused, Expected: expectedWait(last, rate)}
+	s := State{Refused: in.refused, Unknown: in.unknown, Expected: expectedWait(last, rate)}
 	for _, e := range turns {
 		s.Turns = append(s.Turns, e.ID)
 	}
-	in.refused, in.changed = nil, false
+	in.refused, in.unknown, in.changed = nil, nil, false
 	return s
 }
 
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -627,3 +627,24 @@
 	waiting["a"] = waiting["a"][1:]
 	assert.Equal(t, turns(time.Second), [4]int{4, 0, 0, 0}, "it has placed a request")
 }
+
+// Guards against requests renewed by id that expire, and against an instance that is not told which ones the queue does
+// not hold: it would renew them for ever.
+func TestRenewedByID(t *testing.T) {
+	q := withTurns(1)
+	r := newReporter(q, "i")
+	r.wait(0, request(1, "t", 2, 0), request(2, "t", 2, 0))
+	for now := 200 * time.Millisecond; now <= 2*time.Second; now += 200 * time.Millisecond {
+		r.report(now, Report{Renewed: []uint64{1}})
+		q.Decide(at(now))
+	}
+	now := 2 * time.Second
+	assert.Equal(t, q.Waiting(), 1, "2 was not renewed")
+	assert.Equal(t, len(q.State(at(now), "i").Unknown), 0)
+	r.report(now, Report{Renewed: []uint64{1, 2}})
+	assert.DeepEqual(t, q.State(at(now), "i").Unknown, []uint64{2})
+	assert.Equal(t, len(q.State(at(now), "i").Unknown), 0, "each is returned once")
+	r.report(now, Report{Renewed: []uint64{1}, Placed: []uint64{1}})
+	assert.Equal(t, q.Waiting(), 0)
+	assert.Equal(t, len(q.State(at(now), "i").Unknown), 0)
+}
--- a/core/fairqueue/types.go
+++ b/core/fairqueue/types.go
@@ -21,7 +21,7 @@
 }
 
 // Report says which requests of an instance wait, and what became of those that no longer do. It renews the requests in
-// Waiting; others that were reported before stay until they are placed, leave or expire.
+// Waiting and Renewed; others that were reported before stay until they are placed, leave or expire.
 type Report struct {
 	Instance string
 	// Process is drawn when the instance starts.
@@ -29,6 +29,9 @@
 	// Sequence rises with each report of a process.
 	Sequence uint64
 	Waiting  []Request
+	// Renewed are further waiting requests, which were in Waiting before. The queue returns those that it does not hold
+	// in [State.Unknown].
+	Renewed []uint64
 	// Placed and Left are the requests that were placed, and that stopped waiting for another reason. They may be
 	// repeated in later reports.
 	Placed, Left []uint64
@@ -53,6 +56,8 @@
 	Turns []uint64
 	// Refused are the requests refused since the last call.
 	Refused []Refusal
+	// Unknown are the requests that were renewed since the last call and that the queue does not hold.
+	Unknown []uint64
 	// Expected is the longest expected wait of the instance's requests without a turn; 0 if it is not known.
 	Expected time.Duration
 }
--- a/gateway/exchange/queues.go
+++ b/gateway/exchange/queues.go
@@ -24,14 +24,14 @@
 
 // SendQueueUpdate implements [sharedqueue.Network].
 func (x *Exchange) SendQueueUpdate(owner string, u *sharedqueue.Update) {
-	d := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: encodeQueueUpdate(u, time.Now())}}
+	d := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: EncodeQueueUpdate(u, time.Now())}}
 	x.send(d, x.roster().addressesOf(owner)...)
 }
 
 // SendQueueState implements [sharedqueue.Network].
 func (x *Exchange) SendQueueState(instance string, s *sharedqueue.State) {
 	to := x.roster().addressesOf(instance)
-	for _, out := range encodeQueueState(s) {
+	for _, out := range EncodeQueueState(s) {
 		x.send(&peerv1.Datagram{Body: &peerv1.Datagram_QueueState{QueueState: out}}, to...)
 	}
 }
@@ -40,7 +40,7 @@
 	if x.Queues == nil {
 		return
 	}
-	u, ok := decodeQueueUpdate(sent, time.Now())
+	u, ok := DecodeQueueUpdate(sent, time.Now())
 	if _, known := x.roster().located[u.Instance]; !ok || !known {
 		x.metrics.malformed.Inc(1)
 		return
@@ -54,7 +54,7 @@
 	if x.Queues == nil {
 		return
 	}
-	s, ok := decodeQueueState(sent)
+	s, ok := DecodeQueueState(sent)
 	if !ok || s.Owner == x.Self.ID {
 		x.metrics.malformed.Inc(1)
 		return
@@ -82,9 +82,11 @@
 	return min(time.Duration(ms)*time.Millisecond, maxQueueTime)
 }
 
-func encodeQueueUpdate(u *sharedqueue.Update, now time.Time) *peerv1.QueueUpdate {
+// EncodeQueueUpdate returns an update as it is sent. It is exported, like the three functions below, so that the
+// tests of sharedqueue measure and exchange real messages.
+func EncodeQueueUpdate(u *sharedqueue.Update, now time.Time) *peerv1.QueueUpdate {
 	out := &peerv1.QueueUpdate{
-		Instance: u.Instance, Process: u.Process, Sequence: u.Sequence, Service: u.Service, Placed: u.Placed, Left: u.Left,
+		Instance: u.Instance, Process: u.Process, Sequence: u.Sequence, Service: u.Service, Placed: u.Placed, Left: appendRenewed(u.Left, u.Renewed),
 		Waiting: make([]*peerv1.QueuedRequest, len(u.Waiting)),
 	}
 	for i := range u.Waiting {
@@ -97,11 +99,54 @@
 	return out
 }
 
-// decodeQueueUpdate returns false for an update with a value that no instance sends.
-func decodeQueueUpdate(sent *peerv1.QueueUpdate, now time.Time) (*sharedqueue.Update, bool) {
+// No request has the id 0. In the ids that have left, it is followed by the requests renewed by id: the first one,
+// and then the difference of each from the one before, so that most take one byte. An update has them only for an
+// owner that has announced in a state that it takes them. If that was replaced since by an older build with the same
+// name, it takes them for requests that have left, and gets all requests in full once its first state has arrived.
+//
+// In the turns of a state, 0 is the announcement, followed by the renewed requests that the owner does not hold.
+// Older builds look for a request with the id 0, and never get unknown requests, since they renew none by id.
+
+// appendRenewed returns the ids that have left, and the renewed ones in rising order.
+func appendRenewed(left, renewed []uint64) []uint64 {
+	if len(renewed) == 0 {
+		return left
+	}
+	out := append(slices.Clone(left), 0)
+	last := uint64(0)
+	for _, id := range renewed {
+		out = append(out, id-last)
+		last = id
+	}
+	return out
+}
+
+// splitRenewed is the reverse of appendRenewed.
+func splitRenewed(ids []uint64) (left, renewed []uint64) {
+	left, differences, _ := splitAtZero(ids)
+	last := uint64(0)
+	for _, d := range differences {
+		last += d
+		renewed = append(renewed, last)
+	}
+	return left, renewed
+}
+
+// splitAtZero returns the ids before and after the first 0, and whether there is one.
+func splitAtZero(ids []uint64) (before, after []uint64, found bool) {
+	i := slices.Index(ids, 0)
+	if i < 0 {
+		return ids, nil, false
+	}
+	return ids[:i:i], ids[i+1:], true
+}
+
+// DecodeQueueUpdate returns false for an update with a value that no instance sends.
+func DecodeQueueUpdate(sent *peerv1.QueueUpdate, now time.Time) (*sharedqueue.Update, bool) {
 	u := &sharedqueue.Update{Service: sent.Service, Report: fairqueue.Report{
-		Instance: sent.Instance, Process: sent.Process, Sequence: sent.Sequence, Placed: sent.Placed, Left: sent.Left,
+		Instance: sent.Instance, Process: sent.Process, Sequence: sent.Sequence, Placed: sent.Placed,
 	}}
+	u.Left, u.Renewed = splitRenewed(sent.Left)
 	if u.Instance == "" || u.Service == "" || u.Process == 0 || u.Sequence == 0 {
 		return u, false
 	}
@@ -129,19 +174,29 @@
 const (
 	maxTurnsPerState    = 64
 	maxRefusalsPerState = 64
+	maxUnknownPerState  = 64
 )
 
-// encodeQueueState returns a state as one or more messages, each with all turns and a part of the
-// refusals.
-func encodeQueueState(s *sharedqueue.State) []*peerv1.QueueState {
-	chunks := slices.Collect(slices.Chunk(s.Refused, maxRefusalsPerState))
-	if len(chunks) == 0 {
-		chunks = append(chunks, nil)
-	}
-	out := make([]*peerv1.QueueState, len(chunks))
-	for i, refused := range chunks {
+// EncodeQueueState returns a state as one or more messages, each with all turns and a part of the
+// refusals and unknown requests.
+func EncodeQueueState(s *sharedqueue.State) []*peerv1.QueueState {
+	refusals := slices.Collect(slices.Chunk(s.Refused, maxRefusalsPerState))
+	unknown := slices.Collect(slices.Chunk(s.Unknown, maxUnknownPerState))
+	out := make([]*peerv1.QueueState, max(len(refusals), len(unknown), 1))
+	for i := range out {
+		turns := s.Turns[:min(len(s.Turns), maxTurnsPerState)]
+		if s.ShortRenewals {
+			turns = append(slices.Clone(turns), 0)
+			if i < len(unknown) {
+				turns = append(turns, unknown[i]...)
+			}
+		}
+		var refused []fairqueue.Refusal
+		if i < len(refusals) {
+			refused = refusals[i]
+		}
 		out[i] = &peerv1.QueueState{
-			Owner: s.Owner, Process: s.Process, Sequence: s.Sequence, Service: s.Service, Turns: s.Turns[:min(len(s.Turns), maxTurnsPerState)],
+			Owner: s.Owner, Process: s.Process, Sequence: s.Sequence, Service: s.Service, Turns: turns,
 			ExpectedMs: encodeMilliseconds(s.Expected),
 		}
 		for j := range refused {
@@ -153,11 +208,12 @@
 	return out
 }
 
-// decodeQueueState returns false for a state with a value that no instance sends.
-func decodeQueueState(sent *peerv1.QueueState) (*sharedqueue.State, bool) {
+// DecodeQueueState returns false for a state with a value that no instance sends.
+func DecodeQueueState(sent *peerv1.QueueState) (*sharedqueue.State, bool) {
 	s := &sharedqueue.State{Owner: sent.Owner, Process: sent.Process, Sequence: sent.Sequence, Service: sent.Service, State: fairqueue.State{
-		Turns: sent.Turns, Expected: decodeMilliseconds(sent.ExpectedMs),
+		Expected: decodeMilliseconds(sent.ExpectedMs),
 	}}
+	s.Turns, s.Unknown, s.ShortRenewals = splitAtZero(sent.Turns)
 	if s.Owner == "" || s.Service == "" || s.Process == 0 || s.Sequence == 0 || len(sent.Turns) > maxQueueIDs || len(sent.Refused) > maxQueueIDs {
 		return s, false
 	}
--- a/gateway/exchange/queues_test.go
+++ b/gateway/exchange/queues_test.go
@@ -34,16 +34,30 @@
 
 // TestQueueMessagesRoundTrip: updates and states are decoded as they were encoded, to a millisecond.
 func TestQueueMessagesRoundTrip(t *testing.T) {
-	u, ok := decodeQueueUpdate(encodeQueueUpdate(queueUpdate(3, "desk"), now), now)
+	u, ok := DecodeQueueUpdate(EncodeQueueUpdate(queueUpdate(3, "desk"), now), now)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, u, queueUpdate(3, "desk"))
 	late := queueUpdate(1, "desk")
 	late.Waiting[0].Latest = now.Add(-time.Second)
-	u, ok = decodeQueueUpdate(encodeQueueUpdate(late, now), now)
+	u, ok = DecodeQueueUpdate(EncodeQueueUpdate(late, now), now)
 	assert.Assert(t, ok && u.Waiting[0].Latest.Before(now)) // so that the queue knows it to be late
-	s, ok := decodeQueueState(encodeQueueState(queueState(2))[0])
+	renewed := queueUpdate(1, "desk")
+	renewed.Renewed = []uint64{1, 2, 700, 1 << 63}
+	u, ok = DecodeQueueUpdate(EncodeQueueUpdate(renewed, now), now)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, u, renewed)
+	s, ok := DecodeQueueState(EncodeQueueState(queueState(2))[0])
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, s, queueState(2))
+	unknown := queueState(2)
+	unknown.ShortRenewals = true
+	s, ok = DecodeQueueState(EncodeQueueState(unknown)[0])
+	assert.Assert(t, ok)
+	assert.Assert(t, s.ShortRenewals && len(s.Unknown) == 0)
+	unknown.Unknown = []uint64{1, 700}
+	s, ok = DecodeQueueState(EncodeQueueState(unknown)[0])
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, s, unknown)
 }
 
 // TestQueueMessagesFitADatagram: the largest messages of a client and of an owner stay below the
@@ -54,26 +68,32 @@
 		assert.NilError(t, err)
 		return len(raw)
 	}
-	usual := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: encodeQueueUpdate(queueUpdate(5, "team-17"), now)}}
+	usual := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: EncodeQueueUpdate(queueUpdate(5, "team-17"), now)}}
 	assert.Assert(t, size(usual) < 220, "%d bytes", size(usual))
 	t.Logf("an update with 5 requests: %d bytes", size(usual))
 	for _, team := range []string{"", "team-17", strings.Repeat("t", 200)} {
 		u := largestUpdate(team)
-		d := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: encodeQueueUpdate(u, now)}}
+		d := &peerv1.Datagram{Body: &peerv1.Datagram_QueueUpdate{QueueUpdate: EncodeQueueUpdate(u, now)}}
 		assert.Assert(t, size(d) < 2900, "%d bytes", size(d))
 		t.Logf("the largest update with teams of %d bytes: %d requests, %d bytes", len(team), len(u.Waiting), size(d))
 	}
 	s := queueState(200)
-	for i := range 100 {
+	s.ShortRenewals = true
+	for i := range 300 {
 		s.Turns = append(s.Turns, 1<<63+uint64(i))
+		s.Unknown = append(s.Unknown, 1<<63+uint64(i))
 	}
-	refused := 0
-	for _, out := range encodeQueueState(s) {
+	refused, unknown := 0, 0
+	for _, out := range EncodeQueueState(s) {
 		d := &peerv1.Datagram{Body: &peerv1.Datagram_QueueState{QueueState: out}}
 		assert.Assert(t, size(d) < 2900, "%d bytes", size(d))
 		refused += len(out.Refused)
+		got, ok := DecodeQueueState(out)
+		assert.Assert(t, ok)
+		unknown += len(got.Unknown)
 	}
 	assert.Equal(t, refused, 200)
+	assert.Equal(t, unknown, 300)
 }
 
 // largestUpdate returns the update of a client with a thousand requests of a team, with the largest
@@ -114,14 +134,14 @@
 		"nil request":  func(u *peerv1.QueueUpdate) { u.Waiting[0] = nil },
 		"many waiting": func(u *peerv1.QueueUpdate) { u.Waiting = make([]*peerv1.QueuedRequest, 300) },
 	} {
-		u := encodeQueueUpdate(queueUpdate(1, "desk"), now)
+		u := EncodeQueueUpdate(queueUpdate(1, "desk"), now)
 		spoil(u)
-		_, ok := decodeQueueUpdate(u, now)
+		_, ok := DecodeQueueUpdate(u, now)
 		assert.Assert(t, !ok, name)
 	}
-	u := encodeQueueUpdate(queueUpdate(1, "desk"), now)
+	u := EncodeQueueUpdate(queueUpdate(1, "desk"), now)
 	u.Waiting[0].Rank, u.Waiting[0].LatestMs, u.Waiting[0].WaitedMs = 1<<31, 1<<31, 1<<31
-	got, ok := decodeQueueUpdate(u, now)
+	got, ok := DecodeQueueUpdate(u, now)
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Waiting[0].Level, 9)
 	assert.Equal(t, got.Waiting[0].Latest, now.Add(maxQueueTime))
@@ -132,9 +152,9 @@
 		"no service":  func(s *peerv1.QueueState) { s.Service = "" },
 		"nil refusal": func(s *peerv1.QueueState) { s.Refused[0] = nil },
 	} {
-		s := encodeQueueState(queueState(1))[0]
+		s := EncodeQueueState(queueState(1))[0]
 		spoil(s)
-		_, ok := decodeQueueState(s)
+		_, ok := DecodeQueueState(s)
 		assert.Assert(t, !ok, name)
 	}
 }
@@ -142,7 +162,7 @@
 // FuzzQueueMessages: messages that can be unmarshalled are decoded without a panic, to values within
 // their bounds.
 func FuzzQueueMessages(f *testing.F) {
-	for _, m := range []proto.Message{encodeQueueUpdate(queueUpdate(2, "desk"), now), encodeQueueState(queueState(2))[0]} {
+	for _, m := range []proto.Message{EncodeQueueUpdate(queueUpdate(2, "desk"), now), EncodeQueueState(queueState(2))[0]} {
 		raw, err := proto.Marshal(m)
 		assert.NilError(f, err)
 		f.Add(raw)
@@ -150,7 +170,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var u peerv1.QueueUpdate
 		if proto.Unmarshal(raw, &u) == nil {
-			if got, ok := decodeQueueUpdate(&u, now); ok {
+			if got, ok := DecodeQueueUpdate(&u, now); ok {
 				for _, r := range got.Waiting {
 					if r.Level < 0 || r.Level > 9 || r.Tokens < 0 || r.Since.After(now) || r.Latest.Before(now.Add(-time.Millisecond)) {
 						t.Fatalf("%+v", r)
@@ -160,7 +180,7 @@
 		}
 		var s peerv1.QueueState
 		if proto.Unmarshal(raw, &s) == nil {
-			if got, ok := decodeQueueState(&s); ok && got.Expected < 0 {
+			if got, ok := DecodeQueueState(&s); ok && got.Expected < 0 {
 				t.Fatalf("%+v", got)
 			}
 		}
--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 type clientQueue struct {
 	waiting  map[uint64]*Ticket
 	outcomes []outcome
-	// changed is set if the next update differs from the last one.
+	// changed is set if there is something to report before the next renewal.
 	changed bool
 	// owner is the instance that the last update went to; empty for none.
 	owner string
@@ -58,6 +59,15 @@
 	// firstSequence is the first update to the current owner, and answered the newest one that a
 	// state of it follows from.
 	firstSequence, answered uint64
+	// ownerProcess is the process of the owner that has answered; 0 for none.
+	ownerProcess uint64
+	// shortRenewals says that the owner takes renewals by id. An owner that does not, or has not answered
+	// yet, gets all requests with each update.
+	shortRenewals bool
+	// renewedAt is when the last renewal was due, and renewedSince the first update with it. All updates
+	// since repeat it until a state follows from one of them.
+	renewedAt    time.Time
+	renewedSince uint64
 }
 
 // outcome is what became of a request that an owner may still hold.
@@ -117,6 +127,9 @@
 		return
 	}
 	q.outcomes = append(q.outcomes, outcome{id: t.request.ID, placed: placed, at: time.Now()})
+	if t.status.Refused != nil && !placed && q.shortRenewals {
+		return // the owner has removed it already; the next renewal reports it in case it was registered again
+	}
 	q.changed = true
 	signal(c.wake)
 }
@@ -179,9 +192,9 @@
 	if len(q.waiting) == 0 && len(q.outcomes) == 0 {
 		return time.Time{}, false
 	}
-	at := q.lastSentAt.Add(renewalInterval)
-	if q.changed {
-		at = q.lastSentAt.Add(minInterval)
+	at := q.lastSentAt.Add(minInterval)
+	if renewal := q.renewedAt.Add(renewalInterval); !q.changed && renewal.After(at) {
+		at = renewal
 	}
 	if !q.unansweredSince.IsZero() {
 		next := q.unansweredSince.Add(answerTimeout)
@@ -238,21 +251,40 @@
 	}
 	u := &Update{Service: service, Report: fairqueue.Report{Instance: c.Self, Process: c.Process, Sequence: c.sequence}}
 	u.Placed, u.Left = q.reportOutcomes(now, c.sequence)
-	u.Waiting = q.reportWaiting(c.sequence)
+	var more bool
+	u.Waiting, u.Renewed, more = q.reportWaiting(c.sequence, q.beginRenewal(now, c.sequence))
 	q.resent = !q.unansweredSince.IsZero() && !q.changed
 	if q.unansweredSince.IsZero() {
 		q.unansweredSince = now
 	}
-	q.changed, q.lastSentAt = false, now
+	q.changed, q.lastSentAt = more, now
 	return u
 }
 
+// beginRenewal reports whether an update renews all requests. A renewal goes along with other news from half
+// of the interval on, which costs less than a message of its own.
+func (q *clientQueue) beginRenewal(now time.Time, sequence uint64) bool {
+	if !q.shortRenewals || now.Sub(q.renewedAt) >= renewalInterval/2 {
+		q.renewedAt, q.renewedSince = now, sequence
+	}
+	return q.answered < q.renewedSince
+}
+
 func (c *Client) changeOwner(service string, q *clientQueue, owner string) {
 	if q.owner != "" {
 		c.metrics.countOwnerChange(service)
 		c.Log.WithFields(logrus.Fields{"service": service, "owner": owner, "before": q.owner, "waiting": len(q.waiting)}).Info("queue owner changed")
 	}
 	q.owner, q.firstSequence, q.answered, q.unansweredSince = owner, 0, 0, time.Time{}
+	q.ownerProcess, q.shortRenewals = 0, false
+	q.forgetKnown()
+}
+
+// forgetKnown makes the next updates list all requests.
+func (q *clientQueue) forgetKnown() {
+	for _, t := range q.waiting {
+		t.known, t.listedSince = false, 0
+	}
 }
 
 // abandon tells all requests of a queue that no owner answers, and forgets them.
@@ -273,6 +305,10 @@
 	// its team: two bytes in front, and six numbers with their tags.
 	maxWaitingBytes = 2400
 	requestBytes    = 2 + 11 + 2 + 2 + 3*6 + 9
+	// maxRenewed and maxRenewedBytes bound the requests that are renewed by id, each of which takes a
+	// variable-length number for the difference from the id before.
+	maxRenewed      = 800
+	maxRenewedBytes = 1000
 )
 
 // reportOutcomes returns the oldest outcomes that no state has followed from yet.
@@ -292,29 +328,62 @@
 	return placed, left
 }
 
-// reportWaiting returns the first waiting requests, as many as fit.
-func (q *clientQueue) reportWaiting(sequence uint64) []fairqueue.Request {
+// reportWaiting returns the first waiting requests that the owner may not know, as many as fit, and with renew
+// the ids of those that it knows. more says that not all fit.
+func (q *clientQueue) reportWaiting(sequence uint64, renew bool) (waiting []fairqueue.Request, renewed []uint64, more bool) {
+	size := 0
+	if renew && q.shortRenewals {
+		renewed, size = q.renewKnown()
+	}
 	tickets := make([]*Ticket, 0, len(q.waiting))
 	for _, t := range q.waiting {
-		if t.status.Refused == nil { // a renewal would register it again
+		if t.status.Refused == nil && !(t.known && q.shortRenewals) { // listing a refused one would register it again
 			tickets = append(tickets, t)
 		}
 	}
 	slices.SortFunc(tickets, func(a, b *Ticket) int {
 		return cmp.Or(cmp.Compare(a.request.Level, b.request.Level), a.request.Latest.Compare(b.request.Latest), cmp.Compare(a.request.ID, b.request.ID))
 	})
-	var out []fairqueue.Request
-	size := 0
-	for _, t := range tickets {
+	for i, t := range tickets {
 		if size += requestBytes + len(t.request.Team); size > maxWaitingBytes {
-			break
+			for _, t := range tickets[i:] {
+				t.listedSince = 0
+			}
+			return waiting, renewed, q.shortRenewals // an older build would get all of them again
 		}
 		if t.sentIn == 0 {
 			t.sentIn = sequence
 		}
-		out = append(out, t.request)
+		if t.listedSince == 0 {
+			t.listedSince = sequence
+		}
+		waiting = append(waiting, t.request)
 	}
-	return out
+	return waiting, renewed, false
+}
+
+// renewKnown returns the ids of the requests that the owner knows, in their order, and their size in an update.
+// Those that do not fit are listed again.
+func (q *clientQueue) renewKnown() (ids []uint64, size int) {
+	for id, t := range q.waiting {
+		if t.known && t.status.Refused == nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	last := uint64(0)
+	for i, id := range ids {
+		n := (bits.Len64(id-last) + 6) / 7
+		if i == maxRenewed || size+n > maxRenewedBytes {
+			for _, id := range ids[i:] {
+				q.waiting[id].known = false
+			}
+			return ids[:i], size
+		}
+		size += n
+		last = id
+	}
+	return ids, size
 }
 
 // ReceiveState takes a state of an owner. It returns false for one that does not fit: of another
@@ -328,6 +397,11 @@
 		return false
 	}
 	q.unansweredSince, q.resent, q.answered = time.Time{}, false, s.Sequence
+	restarted := q.ownerProcess != 0 && q.ownerProcess != s.Process
+	q.ownerProcess, q.shortRenewals = s.Process, s.ShortRenewals
+	if restarted {
+		q.forgetKnown()
+	}
 	q.outcomes = slices.DeleteFunc(q.outcomes, func(o outcome) bool { return o.sentIn != 0 && o.sentIn <= s.Sequence })
 	turns := make(map[uint64]bool, len(s.Turns))
 	for _, id := range s.Turns {
@@ -337,7 +411,12 @@
 	for i := range s.Refused {
 		refused[s.Refused[i].ID] = &s.Refused[i]
 	}
+	unlisted := false
 	for id, t := range q.waiting {
+		if t.listedSince != 0 && t.listedSince <= s.Sequence {
+			t.known, t.listedSince = true, 0
+		}
+		unlisted = unlisted || !t.known && t.listedSince == 0 && s.ShortRenewals
 		if t.sentIn == 0 || t.sentIn > s.Sequence {
 			continue
 		}
@@ -349,5 +428,24 @@
 		}
 		t.set(Status{Answered: true, Turn: turns[id], Refused: refused[id], Expected: s.Expected})
 	}
+	if unlisted { // they did not fit the updates before
+		q.changed = true
+		signal(c.wake)
+	}
+	if q.forgetUnknown(s.Unknown) || restarted {
+		q.changed, q.lastSentAt = true, time.Time{} // the owner lacks them: it gets them at once
+		signal(c.wake)
+	}
 	return true
 }
+
+// forgetUnknown makes the next update list the requests that an owner does not hold, and reports whether there
+// are any: it has dropped them, or the state that refused them was lost.
+func (q *clientQueue) forgetUnknown(ids []uint64) (any bool) {
+	for _, id := range ids {
+		if t := q.waiting[id]; t != nil && t.known && t.status.Refused == nil {
+			t.known, any = false, true
+		}
+	}
+	return any
+}
--- a/gateway/sharedqueue/client_test.go
+++ b/gateway/sharedqueue/client_test.go
@@ -49,3 +49,55 @@
 	assert.Assert(t, len(long) <= MaxTeamBytes)
 	assert.Assert(t, long != TeamName(fits+"z"))
 }
+
+// TestRequestsThatNoLongerFitAreNotKnown guards against requests whose only update was lost, and which more
+// urgent ones have kept out of the next one: the state of that one says nothing about them.
+func TestRequestsThatNoLongerFitAreNotKnown(t *testing.T) {
+	n := &recordingNetwork{}
+	c := NewClient(ClientOptions{
+		Self: "i", Process: 1, Network: n, Endpoints: func(string) int { return 1 }, Log: logrus.NewEntry(logrus.New()), Scope: tally.NewTestScope("", nil),
+	})
+	now := time.Now()
+	join := func(level, count int) {
+		for range count {
+			c.Join("s", fairqueue.Request{Level: level, Latest: now.Add(10 * time.Second)})
+		}
+	}
+	next := func() *Update {
+		now = now.Add(minInterval)
+		c.step(now)
+		return n.updates[len(n.updates)-1]
+	}
+	answer := func(u *Update) {
+		assert.Assert(t, c.ReceiveState(&State{Owner: "owner", Process: 1, Sequence: u.Sequence, Service: "s", ShortRenewals: true}))
+	}
+	join(0, 1)
+	answer(next())
+	join(2, 40)
+	lost := next()
+	assert.Equal(t, len(lost.Waiting), 40)
+	join(1, 100)
+	for listed := 0; listed < 100; {
+		u := next()
+		for _, r := range u.Waiting {
+			if r.Level == 1 {
+				listed++
+			}
+		}
+		if listed < 100 {
+			assert.Equal(t, u.Waiting[len(u.Waiting)-1].Level, 1)
+		}
+		answer(u)
+	}
+	again := map[uint64]bool{}
+	for range 3 {
+		u := n.updates[len(n.updates)-1]
+		for _, r := range u.Waiting {
+			if r.Level == 2 {
+				again[r.ID] = true
+			}
+		}
+		answer(next())
+	}
+	assert.Equal(t, len(again), 40)
+}
--- a/gateway/sharedqueue/doc.go
+++ b/gateway/sharedqueue/doc.go
@@ -6,10 +6,13 @@
 // instance is asked for; what they decide is in core/fairqueue. A service with more than
 // shardEndpoints endpoints has several queues, and an instance uses the one that its name selects.
 //
-// The messages may be lost, reordered or repeated. An update lists all that waits, and a state all
-// turns and refusals of an instance, so the next one replaces a lost one. A state repeats the
-// sequence of the newest update that it follows from. Requests that were placed or have left are
-// reported again until a state follows from such an update.
+// The messages may be lost, reordered or repeated. A state repeats the sequence of the newest update
+// that it follows from. An update lists each request until a state follows from such an update, and
+// those that were placed or have left likewise. All others are renewed by their ids each 200 ms. A state has
+// all turns of an instance, and the refusals since the last one. It names the renewed requests that the owner
+// does not hold, because it has dropped them or a refusal was lost; these are listed again at once, and so
+// are all requests when another process of the owner answers. An owner of a build that does not take
+// renewals by id gets all requests with each update.
 //
 // A client that gets no answer passes an owner over for a while and registers everything with the
 // second one. While neither answers, no request is in a shared queue. Two owners at once, or a queue
--- a/gateway/sharedqueue/owner.go
+++ b/gateway/sharedqueue/owner.go
@@ -143,15 +143,16 @@
 		if !ok {
 			continue
 		}
-		s := &State{Owner: o.Self, Process: o.Process, Sequence: seen.sequence, Service: id.service, State: q.queue.State(now, instance)}
+		s := &State{Owner: o.Self, Process: o.Process, Sequence: seen.sequence, Service: id.service, ShortRenewals: true, State: q.queue.State(now, instance)}
 		o.logRefusals(id, instance, s.Refused)
 		i := slices.IndexFunc(o.outbox, func(a *addressedState) bool { return a.instance == instance && a.queue == id })
 		if i < 0 {
 			o.outbox = append(o.outbox, &addressedState{instance, id, s})
 			continue
 		}
-		// A queue returns each refusal once, so the state that is replaced hands its refusals on.
+		// A queue returns each refusal and each unknown request once, so the state that is replaced hands them on.
 		s.Refused = append(o.outbox[i].Refused, s.Refused...)
+		s.Unknown = append(o.outbox[i].Unknown, s.Unknown...)
 		o.outbox[i].State = s
 	}
 }
--- a/gateway/sharedqueue/sharedqueue.go
+++ b/gateway/sharedqueue/sharedqueue.go
@@ -23,6 +23,8 @@
 	// Sequence is that of the newest update of the receiver that the state follows from.
 	Sequence uint64
 	Service  string
+	// ShortRenewals says that the owner takes Renewed in reports. Owners of older builds don't.
+	ShortRenewals bool
 	fairqueue.State
 }
 
@@ -68,8 +70,8 @@
 	// minInterval is the shortest time between two updates of an instance, and between two decisions
 	// of an owner.
 	minInterval = 20 * time.Millisecond
-	// renewalInterval is the longest time between two updates while requests wait. Entries expire
-	// after 500 ms, so two renewals in a row may be lost.
+	// renewalInterval is the longest time between two updates that renew all waiting requests. Entries
+	// expire after 500 ms, so two renewals in a row may be lost.
 	renewalInterval = 200 * time.Millisecond
 	// resendDelay is when an update without an answer is sent once more. A round trip takes 3 ms.
 	resendDelay = 25 * time.Millisecond
--- a/gateway/sharedqueue/sharedqueue_test.go
+++ b/gateway/sharedqueue/sharedqueue_test.go
@@ -46,8 +46,13 @@
 	// paused holds back what arrives, in held. deaf drops it, as a build does that does not know the
 	// messages.
 	paused, deaf bool
-	held         []func()
-	updates      int
+	// older makes the node an owner of a build that does not take renewals by id: it takes what they add to a
+	// message for requests that have left.
+	older bool
+	// full and short count the requests that updates to it listed and renewed by id.
+	full, short int
+	held        []func()
+	updates     int
 }
 
 // runFleet starts instances n0 to n(n-1); n0 and n1 own the queue.
@@ -99,12 +104,25 @@
 func (n *testNode) SendQueueUpdate(owner string, u *Update) {
 	n.fleet.send(n.name, owner, func(to *testNode) func() {
 		to.updates++
+		to.full += len(u.Waiting)
+		to.short += len(u.Renewed)
 		o := to.owner
+		if to.older && len(u.Renewed) > 0 {
+			copied := *u
+			copied.Left, copied.Renewed = append(slices.Clone(u.Left), u.Renewed...), nil
+			return func() { o.ReceiveUpdate(&copied) }
+		}
 		return func() { o.ReceiveUpdate(u) }
 	})
 }
 
 func (n *testNode) SendQueueState(instance string, s *State) {
+	n.fleet.mu.Lock()
+	older := n.older
+	n.fleet.mu.Unlock()
+	if older {
+		s.ShortRenewals, s.Unknown = false, nil
+	}
 	n.fleet.send(n.name, instance, func(to *testNode) func() {
 		c := to.client
 		return func() { c.ReceiveState(s) }
@@ -574,6 +592,145 @@
 	})
 }
 
+// joinSome registers requests that wait for ten seconds.
+func (n *testNode) joinSome(count int) (tickets []*Ticket) {
+	for range count {
+		tickets = append(tickets, n.client.Join(testService, fairqueue.Request{Level: 2, Team: "desk", Tokens: 9000, Since: time.Now(), Latest: time.Now().Add(10 * time.Second)}))
+	}
+	return tickets
+}
+
+// counted returns how many requests updates to an instance have listed, and renewed by id.
+func (n *testNode) counted() (full, short int) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.full, n.short
+}
+
+// TestRequestIsListedOnce guards against updates that repeat all that waits, whose bytes grow with the square
+// of the load. Requests that are renewed by id must not expire.
+func TestRequestIsListedOnce(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		tickets := w.nodes[2].joinSome(200) // more than one update takes
+		time.Sleep(10 * minInterval)
+		assert.Equal(t, w.nodes[0].waitingAt(), 200)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.nodes[0].waitingAt(), 200)
+		full, short := w.nodes[0].counted()
+		assert.Equal(t, full, 200)
+		assert.Assert(t, short >= 14*200 && short <= 17*200, "%d", short)
+		for _, ticket := range tickets {
+			ticket.Leave(false)
+		}
+	})
+}
+
+// TestDroppedEntriesAreListedAgain guards against requests that are renewed by id for ever at an owner that
+// has dropped them.
+func TestDroppedEntriesAreListedAgain(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		tickets := w.nodes[2].joinSome(5)
+		time.Sleep(500 * time.Millisecond)
+		o := w.nodes[0].owner
+		o.mu.Lock()
+		for _, q := range o.queues {
+			q.queue.Drop("n2")
+		}
+		o.mu.Unlock()
+		assert.Equal(t, w.nodes[0].waitingAt(), 0)
+		time.Sleep(renewalInterval + 5*time.Millisecond) // and a round trip
+		assert.Equal(t, w.nodes[0].waitingAt(), 5)
+		for _, ticket := range tickets {
+			ticket.Leave(false)
+		}
+	})
+}
+
+// TestLostRefusalIsMadeGood guards against a refusal that is sent once and lost: the request would be in no
+// queue and would never have a turn. It is registered again, as a late one.
+func TestLostRefusalIsMadeGood(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		n := w.nodes[2]
+		others := n.joinSome(4) // keeps the messages going
+		r := n.client.Join(testService, fairqueue.Request{Team: "desk", Since: time.Now(), Latest: time.Now().Add(300 * time.Millisecond)})
+		time.Sleep(290 * time.Millisecond)
+		w.set(func() { w.lost = func(from, _ string) bool { return from == "n0" } })
+		time.Sleep(3 * minInterval / 2)
+		assert.Assert(t, r.Status().Refused == nil)
+		assert.Equal(t, w.nodes[0].waitingAt(), 4)
+		w.set(func() { w.lost = nil })
+		time.Sleep(renewalInterval + 5*time.Millisecond)
+		assert.Equal(t, w.nodes[0].waitingAt(), 5)
+		r.Leave(false)
+		for _, ticket := range others {
+			ticket.Leave(false)
+		}
+	})
+}
+
+// TestRequestIsListedUntilKnown guards against a request whose update is lost, and that the state of a later
+// update shows to be known.
+func TestRequestIsListedUntilKnown(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		tickets := w.nodes[2].joinSome(1)
+		time.Sleep(50 * time.Millisecond)
+		w.set(func() { w.lost = func(from, _ string) bool { return from == "n2" } })
+		tickets = append(tickets, w.nodes[2].joinSome(1)...)
+		time.Sleep(5 * time.Millisecond)
+		w.set(func() { w.lost = nil })
+		tickets = append(tickets, w.nodes[2].joinSome(1)...)
+		time.Sleep(minInterval + 5*time.Millisecond)
+		assert.Equal(t, w.nodes[0].waitingAt(), 3)
+		for _, ticket := range tickets {
+			ticket.Leave(false)
+		}
+	})
+}
+
+// TestRestartedOwnerIsNoticed guards against an owner that answers a new request after its restart and holds
+// only that one until the next renewal.
+func TestRestartedOwnerIsNoticed(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		tickets := w.nodes[2].joinSome(5)
+		time.Sleep(410 * time.Millisecond) // just after a renewal
+		w.nodes[0].stop()
+		w.nodes[0].start(300)
+		time.Sleep(minInterval)
+		tickets = append(tickets, w.nodes[2].joinSome(1)...)
+		time.Sleep(5 * time.Millisecond)
+		assert.Equal(t, w.nodes[0].waitingAt(), 6)
+		for _, ticket := range tickets {
+			ticket.Leave(false)
+		}
+	})
+}
+
+// TestOwnerReplacedByOlderBuild guards against requests that are missing at an owner which was replaced by a
+// build that does not take renewals by id, or by one that does.
+func TestOwnerReplacedByOlderBuild(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		tickets := w.nodes[2].joinSome(5)
+		for i, older := range []bool{true, false, true, false} {
+			time.Sleep(510 * time.Millisecond)
+			w.nodes[0].stop()
+			w.set(func() { w.nodes[0].older = older })
+			w.nodes[0].start(uint64(300 + i))
+			time.Sleep(renewalInterval + 5*time.Millisecond)
+			for range 5 {
+				assert.Equal(t, w.nodes[0].waitingAt(), 5)
+				time.Sleep(renewalInterval / 2)
+			}
+			_, before := w.nodes[0].counted()
+			time.Sleep(time.Second)
+			_, after := w.nodes[0].counted()
+			assert.Equal(t, after == before, older, "%d", after-before)
+		}
+		for _, ticket := range tickets {
+			ticket.Leave(false)
+		}
+	})
+}
+
 // TestShards: a service with more endpoints than one queue serves has several, of which each instance
 // uses one.
 func TestShards(t *testing.T) {
--- a/gateway/sharedqueue/ticket.go
+++ b/gateway/sharedqueue/ticket.go
@@ -31,6 +31,11 @@
 	status Status
 	// sentIn is the sequence of the first update that listed the request; 0 for none.
 	sentIn uint64
+	// known is set once a state shows that the current owner has received the request.
+	known bool
+	// listedSince is the first of the updates that list the request until it is known. All updates since
+	// list it, so a state that follows from any of them shows it to be known; 0 if the last one does not.
+	listedSince uint64
 }
 
 // Changed returns a channel that delivers a value after the status has changed.
