core/fairqueue: the bounds of teams and refused prompts hold twice the design size

Cause: a queue kept the counters of 8,192 teams and 4,096 refused prompts. With 19,000 teams and 900 requests a second in a queue, a tenth of twice the design size, teams lost their counters and callers their places. Change: maxTeams is 24,576 and maxRefusedPrompts 32,768. maxEntries stays at 4,096: more than the engines of a queue can take in 50 s.

--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -10,14 +10,18 @@
 	// maxLevel is the least urgent level.
 	maxLevel = 9
 	// maxEntries bounds the waiting requests; an entry takes about 250 bytes. The last ones in the order are refused
-	// when there are more.
+	// when there are more. The engines of a queue take some 80 requests a second, so that more could not start on
+	// time, and a decision among 4096 takes 1 ms. At twice the design size the bound is reached only if all requests
+	// are streams, 900 a second in a queue, and engines take none for 4.5 s.
 	maxEntries = 4096
 	// entrySlack is how many more requests are held between two decisions, so that a burst of reports does not order
 	// all requests for each of them.
 	entrySlack = 1024
-	// maxTeams bounds the teams whose counters are kept. It is above maxEntries+entrySlack, since a team that waits is
-	// not forgotten.
-	maxTeams = 8192
+	// maxTeams bounds the teams whose counters are kept; a team takes about 250 bytes. Seven eighths of it are above the
+	// 19,000 teams of the design, all of which may use one queue within forgetAfter: a team whose counter is forgotten
+	// earlier starts at the smallest one again. With 8192, that happened after 10 s. It is also above
+	// maxEntries+entrySlack, since a team that waits is not forgotten.
+	maxTeams = 24_576
 	// maxRefusedEntries bounds the refused requests that are kept for an instance.
 	maxRefusedEntries = 64
 	// forgetAfter is how long teams and instances without use are remembered.
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -517,13 +517,13 @@
 	assert.Equal(t, len(newReporter(q, "i").state(time.Second).Turns), 0)
 }
 
-// Load: 20,000 requests of 20,000 teams. Guards against memory that grows without bound, and against urgent requests that
+// Load: 40,000 requests of 40,000 teams. Guards against memory that grows without bound, and against urgent requests that
 // find no place.
 func TestBounds(t *testing.T) {
 	q := New(DefaultSettings())
 	r := newReporter(q, "i")
 	refused := 0
-	const n = 20_000
+	const n = 40_000
 	for id := range uint64(n) {
 		level := 5
 		if id >= n-100 {
--- a/core/fairqueue/returns.go
+++ b/core/fairqueue/returns.go
@@ -9,8 +9,10 @@
 	// usefulWaits is until when a start is on time, in multiples of the wait of the first attempt. An attempt waits for
 	// half of the target latency; a fifth of the target is left for prefill.
 	usefulWaits = 1.6
-	// maxRefusedPrompts bounds the remembered prompts; an entry takes about 100 bytes.
-	maxRefusedPrompts = 4096
+	// maxRefusedPrompts bounds the remembered prompts; an entry takes about 150 bytes. A queue that refuses 830 requests
+	// a second, as at twice the design size if all requests are streams, holds 17,000: callers who return are refused
+	// again, and their prompts are remembered anew. With 4096 and 16,384, some who returned were not known.
+	maxRefusedPrompts = 32_768
 )
 
 // promptKey identifies the request of a caller. Prompts of different teams are never the same request.
