core/routing, core/copies: urgent streams keep copies under load; a lost holder is replaced without delay

Cause: copies may fill engines up to 0.4 of their memory while requests wait, and under load requests alone fill 0.85. The delay after failed copies also applied to a holder that is about to stop. Change: copies for the more urgent half of the levels may take all memory that requests leave; a dropped holder starts the delays anew. Without priorities nothing changes.

--- a/core/copies/tracker.go
+++ b/core/copies/tracker.go
@@ -53,7 +53,8 @@
 // RunStarted records the start of a run whose engine keeps a copy at holder current by itself; the
 // zero holder if it keeps none. Copies of earlier runs can't be used any more.
 func (t *Tracker) RunStarted(now time.Time, holder Holder) {
-	t.current, t.requested, t.inProgress, t.due, t.failures = holder, false, false, time.Time{}, 0
+	t.current, t.requested, t.inProgress, t.due = holder, false, false, time.Time{}
+	t.failures = 0
 	if holder == (Holder{}) {
 		t.dropHolder(now)
 	}
@@ -85,7 +86,7 @@
 // dropHolder drops the current copy, and makes another one due after the retry delay if engines
 // take requests.
 func (t *Tracker) dropHolder(now time.Time) {
-	t.current = Holder{}
+	t.current, t.failures = Holder{}, 0
 	if t.set.RefreshInterval > 0 {
 		t.requested, t.due = true, now.Add(t.set.RetryDelay)
 	}
--- a/core/copies/tracker_test.go
+++ b/core/copies/tracker_test.go
@@ -117,11 +117,17 @@
 		assert.Assert(t, now, "%d", due)
 		tracker.CopyEnded(at(due), Holder{})
 	}
-	_, now := tracker.Tick(at(4000))
+	tracker.HolderStopping(at(3300)) // as in a rollout, which leaves little time
+	_, now := tracker.Tick(at(3300))
+	assert.Assert(t, now)
+	tracker.CopyEnded(at(3300), Holder{})
+	due, _ := tracker.Deadline()
+	assert.Equal(t, due, at(3400))
+	_, now = tracker.Tick(at(4000))
 	assert.Assert(t, now)
 	tracker.CopyEnded(at(4000), second)
 	assert.Equal(t, tracker.Failures(), 0)
 	tracker.EngineLost(at(5000), second.Endpoint)
-	due, _ := tracker.Deadline()
+	due, _ = tracker.Deadline()
 	assert.Equal(t, due, at(5100))
 }
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -356,16 +356,9 @@
 // isFull reports whether an endpoint has no room for the request: too little memory, too many
 // prompts to prefill before its own, a stream that would miss its deadline, or too many requests.
 func (p *picker) isFull(n *node) bool {
-	memory := p.v.settings.MemoryFactor
-	switch {
-	case !p.r.Copy || p.r.WillMoveToCopy:
-	case p.r.RequestsWaiting:
-		memory = p.v.settings.CopyFactorWhileWaiting
-	default:
-		memory = p.v.settings.CopyFactor
-	}
-	if !p.r.Copy {
-		memory *= p.r.memoryShare()
+	memory := p.v.settings.MemoryFactor * p.r.memoryShare()
+	if p.r.Copy {
+		memory = p.copyFactor()
 	}
 	if n.Memory > 0 && float64(n.usedMemory(p.now)+p.r.Tokens) > memory*float64(n.Memory) {
 		return true
--- a/core/routing/priority_test.go
+++ b/core/routing/priority_test.go
@@ -91,6 +91,34 @@
 	assert.Equal(t, count(route.Priority{}, large), 4, "without ranks as before")
 }
 
+// TestUrgentStreamsKeepCopiesUnderLoad guards against urgent streams without a copy while engines are full: when
+// a third of 96 engines crashed under load, one urgent stream in ten paused for the time of its prompt.
+func TestUrgentStreamsKeepCopiesUnderLoad(t *testing.T) {
+	now := time.Unix(0, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	v := rankedView(now)
+	placeRanked(v, now, 8, leastUrgent, false)
+	for _, waiting := range []bool{false, true} {
+		for _, tt := range []struct {
+			priority route.Priority
+			room     bool
+		}{
+			{mostUrgent, true}, {leastUrgent, false}, {route.Priority{Level: 1, Levels: 4}, true}, {route.Priority{Level: 2, Levels: 4}, false},
+			{route.Priority{Level: 1, Levels: 3}, true}, {route.Priority{}, false},
+		} {
+			r := ranked(tt.priority)
+			r.Copy, r.RequestsWaiting = true, waiting
+			_, err := v.Pick(now, r, rnd)
+			assert.Equal(t, err == nil, tt.room, "%+v: %v", tt.priority, err)
+		}
+	}
+	placeRanked(v, now, 1, leastUrgent, false) // no memory is left
+	r := ranked(mostUrgent)
+	r.Copy = true
+	_, err := v.Pick(now, r, rnd)
+	assert.ErrorIs(t, err, ErrFull)
+}
+
 // TestPendingPromptsByLevelAreReleased checks that reports, claims and releases leave nothing behind
 // that would count against later requests.
 func TestPendingPromptsByLevelAreReleased(t *testing.T) {
--- a/core/routing/reserve.go
+++ b/core/routing/reserve.go
@@ -37,6 +37,20 @@
 // memoryShare is the share of [Settings.MemoryFactor] that a request may use.
 func (r *Request) memoryShare() float64 { return 1 + (maxMemoryShare-1)*r.urgency() }
 
+// copyFactor is the share of an engine's memory up to which a copy for the request may fill it. Copies for the
+// more urgent half of the levels may take all that running requests leave: that is about one copy an engine
+// under full load, and without one a stream whose engine crashes pauses for as long as its prompt takes.
+func (p *picker) copyFactor() float64 {
+	s := &p.v.settings
+	switch r := p.r; {
+	case r.WillMoveToCopy, r.Priority.Ranked() && 2*r.Priority.Level < r.Priority.Levels:
+		return s.MemoryFactor
+	case r.RequestsWaiting:
+		return s.CopyFactorWhileWaiting
+	}
+	return s.CopyFactor
+}
+
 // slackMargin is the slack that the prompt of a request has to leave to each running stream.
 func (r *Request) slackMargin() time.Duration {
 	if !r.Priority.Ranked() {
