gateway/forward: streams report slack only where the check of deadlines applies

Cause: with only_ranked the check skips unranked requests, but their streams still reported their slack to the placement every 250 ms, under its lock, and announced it to other instances, and claims stated the time for their output. Change: one rule says where Deadlines and SharedQueue apply, and the reports, claims and the log of refusals follow it. No request is placed or refused differently. TestUnrankedStreamsReportNoSlack fails without it. Passed: lint, gateway/forward (also a part with the race detector), and the tests of gateway/front on slack, deadlines, queues, ranks, silences and pauses.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -73,10 +73,17 @@
 	Speeds bool
 	// SharedQueue orders the waiting streams of all instances.
 	SharedQueue bool
-	// OnlyRanked restricts SharedQueue to services whose streaming routes have different priorities.
+	// OnlyRanked restricts Deadlines and SharedQueue to services whose streaming routes have different
+	// priorities.
 	OnlyRanked bool
 }
 
+// usesDeadlines reports whether prompts are kept from engines for the streams of a request's service.
+func (o *Overload) usesDeadlines(p route.Priority) bool { return o.Deadlines && o.includes(p) }
+
+// includes reports whether Deadlines and SharedQueue apply to a request if they are set.
+func (o *Overload) includes(p route.Priority) bool { return p.Ranked() || !o.OnlyRanked }
+
 // DisabledMechanisms selects mechanisms to switch off, so that the effect of each can be measured.
 // The settings have the same names, except that WaitQueue is called line there.
 type DisabledMechanisms struct {
--- a/gateway/forward/slack.go
+++ b/gateway/forward/slack.go
@@ -45,7 +45,7 @@
 
 // beginSlackReport reports what is left of a stream when it is placed.
 func (s *session) beginSlackReport(a *attempt) {
-	if !s.f.Settings.Overload.Deadlines || s.req.deadline.IsZero() {
+	if !s.f.Settings.Overload.usesDeadlines(s.req.priority) || s.req.deadline.IsZero() {
 		return
 	}
 	a.slack.key = s.f.lastSlackKey.Add(1)
@@ -134,7 +134,7 @@
 // outputBudget returns how much time is left for the output once the prompt has been prefilled, at least
 // a millisecond. It returns 0 if the request has no deadline or the caller resumes a stream.
 func (f *Forwarder) outputBudget(req *request, now time.Time) time.Duration {
-	if !f.Settings.Overload.Deadlines || req.deadline.IsZero() || req.LastEventID != "" {
+	if !f.Settings.Overload.usesDeadlines(req.priority) || req.deadline.IsZero() || req.LastEventID != "" {
 		return 0
 	}
 	prefill, _ := f.Placement.ExpectedPrefillTime(req.service, req.PromptTokens)
@@ -144,7 +144,7 @@
 // recordDeadlineRefusal counts and logs a refused claim if the prompt would make a stream miss its
 // deadline.
 func (f *Forwarder) recordDeadlineRefusal(endpoint string, r *routing.Request) {
-	if !f.Settings.Overload.Deadlines {
+	if !f.Settings.Overload.usesDeadlines(r.Priority) {
 		return
 	}
 	c := f.Placement.CheckSlack(endpoint, r)
--- a/gateway/forward/slack_test.go
+++ b/gateway/forward/slack_test.go
@@ -169,6 +169,22 @@
 	assert.Assert(t, ok && suppressed == 49, "%d", suppressed)
 }
 
+// TestUnrankedStreamsReportNoSlack guards against work and messages for streams of services to which the check of
+// deadlines does not apply.
+func TestUnrankedStreamsReportNoSlack(t *testing.T) {
+	for _, ranked := range []bool{false, true} {
+		s, a := slackSession(true)
+		s.f.Settings.Overload.OnlyRanked = true
+		if ranked {
+			s.req.priority = route.Priority{Level: 1, Levels: 2}
+		}
+		s.beginSlackReport(a)
+		_, known := announcedSlack(s)
+		assert.Equal(t, known, ranked)
+		assert.Equal(t, s.f.outputBudget(s.req, s.req.arrivedAt) > 0, ranked)
+	}
+}
+
 // TestOutputBudget: requests without a deadline, and callers that resume a stream, state none.
 func TestOutputBudget(t *testing.T) {
 	s, _ := slackSession(true)
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -95,7 +95,7 @@
 // usesSharedQueue reports whether a request waits in the queue that all instances share.
 func (f *Forwarder) usesSharedQueue(req *request) bool {
 	o := &f.Settings.Overload
-	return o.SharedQueue && f.Queue != nil && (req.priority.Ranked() || !o.OnlyRanked)
+	return o.SharedQueue && f.Queue != nil && o.includes(req.priority)
 }
 
 // refuseIfPaused refuses a request if all endpoints of its service asked for a pause and none of these
