gateway/forward: one place asks whether an engine works

Three places awaited a question and compared its state, and the count of prefilling requests stood beside EngineReport.Prefilling.

--- a/gateway/forward/liveness.go
+++ b/gateway/forward/liveness.go
@@ -188,3 +188,9 @@
 	}
 	return engineAnswer{}, false
 }
+
+// isWorking reports whether the engine answers within a time that it works.
+func (q *question) isWorking(ctx context.Context, within time.Duration) bool {
+	answer, ok := q.await(ctx, time.After(within))
+	return ok && answer.asked && answer.state == generation.Working
+}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -86,7 +86,7 @@
 		}
 		return true, 0
 	}
-	return r.Queued > 0 || r.Running > len(r.Runs), 0
+	return r.Queued > 0 || r.Prefilling(), 0
 }
 
 // fetchReport fetches an engine's status report.
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -136,7 +136,7 @@
 	if s.copyAt != nil {
 		r.target = f.askCopyHolder(ctx, s)
 	}
-	if r.target == nil && !isWorking(ctx, own) {
+	if r.target == nil && !own.isWorking(ctx, ownAnswerWait) {
 		f.askOthers(ctx, s)
 	}
 	f.awaitEngineAnswer(ctx, s, own, r)
@@ -156,12 +156,6 @@
 	return r
 }
 
-// isWorking reports whether an engine answers at once that it works.
-func isWorking(ctx context.Context, q *question) bool {
-	answer, ok := q.await(ctx, time.After(ownAnswerWait))
-	return ok && answer.asked && answer.state == generation.Working
-}
-
 // tookTooLong reports whether an assessment took longer than its questions may, as this process was paused.
 func (f *Forwarder) tookTooLong(startedAt time.Time) bool {
 	const questions = 3 + maxTargetQuestions // the engine with the copy, two samples, and the targets in turn
@@ -171,8 +165,7 @@
 
 // askCopyHolder asks the engine with the copy, and returns that engine if it answers.
 func (f *Forwarder) askCopyHolder(ctx context.Context, s *silence) *moveTarget {
-	answer, ok := f.ask(s.copyAt).await(ctx, time.After(f.Settings.ProbeTimeout))
-	if !ok || !answer.asked || answer.state != generation.Working {
+	if !f.ask(s.copyAt).isWorking(ctx, f.Settings.ProbeTimeout) {
 		return nil
 	}
 	return &moveTarget{decision: routing.Decision{Endpoint: *s.copyAt}, resumeFrom: s.copied}
@@ -345,8 +338,7 @@
 	if f.liveness.answeredSince(e.ID, time.Now().Add(-f.Settings.ProbeTimeout)) {
 		return true
 	}
-	answer, ok := f.ask(e).await(ctx, time.After(f.Settings.ProbeTimeout))
-	return ok && answer.asked && answer.state == generation.Working
+	return f.ask(e).isWorking(ctx, f.Settings.ProbeTimeout)
 }
 
 // handleAssessment passes an assessment on to the state machine, and logs what it decided.
