--- a/cli/soak/overload.go
+++ b/cli/soak/overload.go
@@ -101,8 +101,8 @@
 	timeout     time.Duration
 	answer      standin.Answer
 	err         error
-	// told is set for a second attempt that came after a Retry-After header.
-	told bool
+	// afterRetryAfter is set for a second attempt that followed a Retry-After header.
+	afterRetryAfter bool
 }
 
 func (a *overloadAttempt) accepted() bool { return a.err == nil && a.answer.Status == http.StatusOK }
@@ -138,18 +138,18 @@
 	wg.Wait()
 }
 
-// sendUnderOverload sends a request, and once more if it was refused. Before that, the caller waits for as
-// long as it was told, but for a third of its remaining time at most.
+// sendUnderOverload sends a request, and once more if it was refused. Before that, the caller waits as
+// Retry-After says, but for a third of its remaining time at most.
 func (s *soak) sendUnderOverload(ctx context.Context, r *overloadRequest, rnd *rand.Rand, n int) {
 	deadline := time.Now().Add(overloadWait)
 	path := "/other/1"
 	if r.urgent {
 		path = "/urgent/1"
 	}
-	tokens, told := overloadPrompt-promptSpread+rnd.IntN(2*promptSpread), false
+	tokens, afterRetryAfter := overloadPrompt-promptSpread+rnd.IntN(2*promptSpread), false
 	for i := range 2 {
 		p := s.env.processes[rnd.IntN(len(s.env.processes))]
-		a := overloadAttempt{id: fmt.Sprintf("over-%d-%d", n, i), process: p.name, sent: time.Now(), timeout: time.Until(deadline), told: told}
+		a := overloadAttempt{id: fmt.Sprintf("over-%d-%d", n, i), process: p.name, sent: time.Now(), timeout: time.Until(deadline), afterRetryAfter: afterRetryAfter}
 		callCtx, cancel := context.WithTimeout(ctx, a.timeout+maxLateness)
 		a.answer, a.err = standin.Do(callCtx, dial, p.callersAddress, standin.Request{
 			Method: http.MethodPost, Host: host, Path: path, ID: a.id, Key: teamName(r.team) + "-key", Timeout: a.timeout,
@@ -165,7 +165,7 @@
 			return
 		}
 		seconds, err := strconv.ParseFloat(a.answer.RetryAfter, 64)
-		told = err == nil
+		afterRetryAfter = err == nil
 		time.Sleep(min(time.Duration(seconds*float64(time.Second)), time.Until(deadline)/3))
 	}
 }
--- a/cli/soak/shares.go
+++ b/cli/soak/shares.go
@@ -60,7 +60,7 @@
 		}
 		if i == 0 {
 			t.firstRefused.add(a.refused())
-		} else if a.told {
+		} else if a.afterRetryAfter {
 			t.secondRefused.add(a.refused())
 		}
 	}
--- a/cli/soak/shares_test.go
+++ b/cli/soak/shares_test.go
@@ -54,7 +54,7 @@
 		return overloadAttempt{sent: now, ended: now.Add(took), timeout: overloadWait, answer: standin.Answer{Status: status, Complete: complete}}
 	}
 	second := attempt(http.StatusOK, true, time.Second)
-	second.told = true
+	second.afterRetryAfter = true
 	lost := overloadAttempt{sent: now, ended: now, err: errors.New("lost")}
 	tally := overloadTally{teams: make([]rate, 2)}
 	for _, r := range []overloadRequest{
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -78,7 +78,7 @@
 	progressAt, turnAt time.Time
 	// limited says that it gets at most one turn, since it has placed nothing with those it had.
 	limited bool
-	// changed says that the instance has not been told the outcome of the last decision.
+	// changed says that the outcome of the last decision has not been sent to the instance.
 	changed bool
 }
 
@@ -229,7 +229,7 @@
 	q.waiting--
 }
 
-// clear removes the requests of an instance, and the refusals that it has not been told.
+// clear removes the requests of an instance, and the refusals that have not been sent to it.
 func (q *Queue) clear(in *instance) {
 	for _, e := range in.entries {
 		q.remove(e)
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -436,7 +436,7 @@
 	assert.DeepEqual(t, q.Uses(), []TeamUse{{"t", -1, 0, 1000}})
 }
 
-// Guards against a message to each instance at each decision, and against turns that an instance is not told.
+// Guards against a message to each instance at each decision, and against turns that are not sent to an instance.
 func TestDecideNamesInstancesThatHaveNews(t *testing.T) {
 	q := withTurns(1)
 	a, b := newReporter(q, "a"), newReporter(q, "b")
@@ -628,7 +628,7 @@
 	assert.Equal(t, turns(time.Second), [4]int{4, 0, 0, 0}, "it has placed a request")
 }
 
-// Guards against requests renewed by id that expire, and against an instance that is not told which ones the queue does
+// Guards against requests renewed by id that expire, and against an instance that does not learn which ones the queue does
 // not hold: it would renew them for ever.
 func TestRenewedByID(t *testing.T) {
 	q := withTurns(1)
--- a/core/routing/placed.go
+++ b/core/routing/placed.go
@@ -205,8 +205,8 @@
 }
 
 // Combine merges what several instances found out about endpoints, without what they have placed
-// there and the speeds that they observed, which only owners need. An endpoint that failed several of them is listed among the suspects twice, since more
-// reports make no difference.
+// there and the speeds that they observed, which only owners need. An endpoint that failed several of
+// them is listed among the suspects twice, since more reports make no difference.
 func Combine(all []PeerReport) PeerReport {
 	out := PeerReport{Outcomes: map[string]health.Counts{}, Paces: map[string]float64{}, Limits: map[string]admission.Statement{}, Departures: map[string]departure.Statement{}}
 	suspectedBy, ended := map[string]int{}, map[string]bool{}
--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -235,7 +235,7 @@
 	return ""
 }
 
-// update returns the update of a queue, or nil if no owner is left, which its requests are told.
+// update returns the update of a queue, or nil if no owner is left, which the status of its requests then says.
 func (c *Client) update(service string, q *clientQueue, now time.Time) *Update {
 	owner := c.chooseOwner(service, q, now)
 	if owner == "" {
