--- a/review/standin/brittle.go
+++ b/review/standin/brittle.go
@@ -43,7 +43,7 @@
 // started in turn.
 func brittle(w *world) (broken []string, err error) {
 	const workers, fronts, slots, rounds = 3, 3, 6, 4
-	const maxRefusals, clients = 8, 56
+	const maxRefusals, clients = 7, 52
 	const settle = 3 * time.Second
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	conf := configuration(1, []string{key}, []map[string]any{route("r-read", "/puxa403/", "safe", "app", false, 2, 1500), route("r-log", "/pule252/", "unsafe", "app", false, 1, 1500)}, []map[string]any{plainService("app")})
