--- a/review/standin/brittle.go
+++ b/review/standin/brittle.go
@@ -42,8 +42,8 @@
 // brittle: the workers of a service say that they are brittle, while all fronts are stopped (SIGTERM) and
 // started in turn.
 func brittle(w *world) (broken []string, err error) {
-	const workers, fronts, slots, rounds = 3, 3, 6, 4
-	const maxRefusals, clients = 7, 52
+	const workers, fronts, slots, rounds = 6, 3, 6, 4
+	const maxRefusals, clients = 12, 104
 	const settle = 3 * time.Second
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	conf := configuration(1, []string{key}, []map[string]any{route("r-read", "/puxa403/", "safe", "app", false, 2, 1500), route("r-log", "/pule252/", "unsafe", "app", false, 1, 1500)}, []map[string]any{plainService("app")})
