gateway/forward: the end of a connection is the end of an answer only if its endpoint still runs

Cause: such an answer ends with its connection, and a crash closes the connection in the same way. relayBody took each end of file for the end of the answer; plain answers did as well. Only streams that may be resumed asked whether the engine was gone. The same end cleared the request, and the parts of its prompt, of the suspicion that they crash engines.

An engine that closes its connection inside an event and lives on brings about the same.

Change: answerBody decides where a body is complete, for all plain answers and streams that may not be resumed. A stream ends with a whole event. A body that ends with its connection is complete if its endpoint still accepts connections, and a stream if there was an event. The answer of another instance always has a length or chunks. The head of a stream goes to the caller with the first event, so that one without events is refused with 502.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -358,8 +357,6 @@
 	return a.potentialLoss.FirstEventAt.IsZero() || a.session.f.hasCrashed(a.endpoint.ID)
 }
 
-var errEndedByCrash = errors.New("the engine was lost with the connection that ends its answer")
-
 // relayEvents reports events until the answer ends.
 func (a *attempt) relayEvents(ctx context.Context, x *upstream.Exchange) message {
 	events := newEventReader(x)
--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -69,8 +69,8 @@
 	return crashes.Loss{Request: req.identity, ID: req.ID, Endpoint: e.ID, Service: e.Service}
 }
 
-// hasCrashed reports whether the process of an endpoint that was not told to leave is gone: its
-// machine refuses connections, and this instance reaches others.
+// hasCrashed reports whether the process of an endpoint that was not told to leave is gone, and this
+// instance reaches others.
 func (f *Forwarder) hasCrashed(id string) bool {
 	e, ok := f.Placement.Get(id)
 	if !ok || e.State == routing.Leaving {
@@ -78,10 +78,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Settings.ProbeTimeout)
 	defer cancel()
+	return f.isProcessGone(ctx, &e) && !f.Reach.Check(ctx)
+}
+
+// isProcessGone reports whether the process of an endpoint is gone: its machine refuses connections.
+func (f *Forwarder) isProcessGone(ctx context.Context, e *routing.Endpoint) bool {
 	for range maxProcessDials {
 		conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
 		if err != nil {
-			return errorx.IsOfType(err, upstream.ErrGone) && !f.Reach.Check(ctx)
+			return errorx.IsOfType(err, upstream.ErrGone)
 		}
 		closed := conn.Closed(processExitWait)
 		conn.Discard()
--- a/gateway/forward/deliver.go
+++ b/gateway/forward/deliver.go
@@ -16,18 +16,15 @@
 	copyHeader(p.w.Header(), platform.HeadersToClient(a.header))
 	p.w.Header().Del(headerPeerRefusal) // only an instance may set it
 	p.w.WriteHeader(a.status)
-	if _, err := p.w.Write(a.body); err != nil && a.unread != nil {
-		a.unread.Abort()
-		panic(http.ErrAbortHandler)
-	}
+	_, err := p.w.Write(a.body) // a failure of the last write leaves nothing to end
 	if a.unread == nil {
 		return
 	}
-	if n, err := relayBody(p.w, a.unread); err != nil {
+	if err == nil {
+		err = relayBody(p.w, a.unread)
+	}
+	if err != nil {
 		a.unread.Abort()
-		if n > 0 {
-			a.potentialLoss.FirstEventAt = a.potentialLoss.HeadAt
-		}
 		if ctx := p.req.httpRequest.Context(); ctx.Err() == nil && !p.req.pastDeadline(time.Now()) {
 			p.f.attributor.Attribute(ctx, &p.req.losses, a.potentialLoss)
 		}
@@ -38,26 +35,25 @@
 	a.unread.Finish()
 }
 
-// relayBody copies a body and flushes after each read. It returns the number of bytes read.
-func relayBody(w http.ResponseWriter, from io.Reader) (int, error) {
+// relayBody flushes what was written, and copies a body with a flush after each read.
+func relayBody(w http.ResponseWriter, from io.Reader) error {
 	control := http.NewResponseController(w)
-	buf := make([]byte, 8<<10)
-	for total := 0; ; {
+	buf := make([]byte, relayBufferBytes)
+	for {
+		if err := control.Flush(); err != nil {
+			return err
+		}
 		n, err := from.Read(buf)
-		total += n
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				return total, err
-			}
-			if err := control.Flush(); err != nil {
-				return total, err
+				return err
 			}
 		}
 		if err == io.EOF {
-			return total, nil
+			return nil
 		}
 		if err != nil {
-			return total, err
+			return err
 		}
 	}
 }
--- a/gateway/forward/events.go
+++ b/gateway/forward/events.go
@@ -29,6 +29,8 @@
 	return &eventReader{bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
+var errInsideEvent = ErrEvents.New("the stream ends within an event")
+
 var idField = []byte("id:")
 
 // next returns the next event, or [io.EOF] at the proper end of the stream. The error is
@@ -39,7 +41,7 @@
 		begin := len(result.raw)
 		err := e.appendLine(&result)
 		if err == io.EOF && len(result.raw) > 0 {
-			return event{}, ErrEvents.New("the stream ends within an event")
+			return event{}, errInsideEvent
 		}
 		if err != nil {
 			return event{}, err
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -43,8 +43,8 @@
 	status        int
 	header        http.Header
 	body          []byte
-	unread        *upstream.Exchange // remainder of the body; nil when the answer is whole
-	potentialLoss crashes.Loss       // the loss to report if the remainder were lost
+	unread        *answerBody  // remainder of the body; nil when the answer is whole
+	potentialLoss crashes.Loss // the loss to report if the remainder were lost
 }
 
 // outcome is the result of sending a request to an endpoint.
@@ -266,10 +266,15 @@
 	defer trial.SetUndrained(false)
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
-	defer f.Placement.AwaitAnswer(e.ID)()
+	awaited := f.Placement.AwaitAnswer(e.ID)
 	x, err := f.exchange(ctx, conn, e.ID, req.upstreamRequest(&platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: req.timeLeft(time.Now()), Team: req.teamName(), Priority: -1,
 	}), req.ownsAnswer)
+	if req.route.Stream { // its engine may prefill the prompt after the head
+		awaited()
+	} else {
+		defer awaited()
+	}
 	if err != nil {
 		return nil, p.classifyLoss(ctx, loss, trial, err), err
 	}
@@ -288,13 +293,12 @@
 		f.Placement.RecordOutcome(e.ID, false)
 		return nil, outcomeUnknown, errUnsigned
 	}
-	a, err := p.receive(x)
-	if a != nil {
-		a.potentialLoss = loss
-	}
+	a, err := p.receive(&answerBody{Exchange: x, f: f, endpoint: e, isStream: req.route.Stream && x.Status() == http.StatusOK})
 	if err != nil {
 		return nil, p.classifyLoss(ctx, loss, trial, err), err
 	}
+	a.potentialLoss = loss
+	a.potentialLoss.FirstEventAt = time.Now()
 	f.Placement.Succeeded(e.ID)
 	good := a.status < http.StatusInternalServerError
 	f.Placement.RecordOutcome(e.ID, good)
@@ -334,24 +338,45 @@
 // breaks off within them can be requested from another endpoint instead.
 const maxBufferedAnswer = 64 << 10
 
-// receive reads up to maxBufferedAnswer bytes of an answer. The answer to a streaming route is not
-// buffered.
-func (p *plain) receive(x *upstream.Exchange) (*answer, error) {
-	a := &answer{status: x.Status(), header: x.Header()}
+// receive reads up to maxBufferedAnswer bytes of an answer. Of an answer to a streaming route it reads only what
+// arrives first.
+func (p *plain) receive(body *answerBody) (*answer, error) {
+	a := &answer{status: body.Status(), header: body.Header()}
+	var whole bool
+	var err error
 	if p.req.route.Stream {
-		a.unread = x
-		return a, nil
+		a.body, whole, err = readFirst(body)
+	} else {
+		a.body, err = io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
+		whole = len(a.body) < maxBufferedAnswer
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedAnswer))
-	if err != nil {
-		x.Abort()
+	switch {
+	case err != nil:
+		body.Abort()
 		return nil, err
+	case whole:
+		body.Finish()
+	default:
+		a.unread = body
 	}
-	a.body = body
-	if len(body) < maxBufferedAnswer {
-		x.Finish()
-		return a, nil
-	}
-	a.unread = x
 	return a, nil
 }
+
+// relayBufferBytes is the size of the pieces in which the body of an answer is relayed.
+const relayBufferBytes = 8 << 10
+
+// readFirst reads what arrives first of a body. whole is set if that is all of it.
+func readFirst(body io.Reader) (first []byte, whole bool, err error) {
+	buf := make([]byte, relayBufferBytes)
+	for n := 0; ; {
+		n, err = body.Read(buf)
+		switch {
+		case err == io.EOF:
+			return buf[:n], true, nil
+		case err != nil:
+			return nil, false, err
+		case n > 0:
+			return buf[:n], false, nil
+		}
+	}
+}
--- a/gateway/front/crashes_test.go
+++ b/gateway/front/crashes_test.go
@@ -31,6 +31,9 @@
 	// silent makes workers fall silent instead of closing their connections.
 	silent bool
 	down   map[int]bool
+	// unframed makes workers that restart answer without a length and without chunks. spared makes fatal
+	// requests close their connection only.
+	unframed, spared bool
 }
 
 // Times of a crashing worker, and the time within which all instances have to detect a fatal
@@ -71,6 +74,10 @@
 func (o *crashWorld) crashWorker(worker *standin.Worker) {
 	cfg := worker.Config()
 	o.mu.Lock()
+	if o.spared {
+		o.mu.Unlock()
+		return
+	}
 	o.crashTimes = append(o.crashTimes, time.Now())
 	o.crashCount++
 	number := o.crashCount
@@ -82,6 +89,13 @@
 	time.AfterFunc(restartDelay, func() { o.restartWorker(cfg, number) })
 }
 
+// spareWorkers lets workers outlive fatal requests, which close their connection.
+func (o *crashWorld) spareWorkers() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.spared = true
+}
+
 // disconnect closes the connections of a worker's node, or makes them silent.
 func (o *crashWorld) disconnect(node string, number int) {
 	if !o.silent {
@@ -107,6 +121,7 @@
 		o.net.Crash(o.nodeOf(cfg.Address)) // ends its old connections and listener
 	}
 	next := o.newWorker(o.nodeOf(cfg.Address), fmt.Sprint("-", number), cfg)
+	next.SetFault(standin.WorkerFault{Unframed: o.unframed})
 	o.workers[next.Config().ID], o.latest[cfg.Address] = next, next
 }
 
--- a/gateway/front/crashing_parts_test.go
+++ b/gateway/front/crashing_parts_test.go
@@ -35,6 +35,8 @@
 	disturb func(w *world)
 	// duringPrefill makes engines crash before they begin the answer, silent makes them fall silent.
 	duringPrefill, silent bool
+	// once sends streams that may not be resumed. unframed makes engines answer without a length and chunks.
+	once, unframed bool
 }
 
 func fatalPartTests() []fatalPartTest {
@@ -77,33 +79,43 @@
 func TestPromptPartThatCrashesEngines(t *testing.T) {
 	for _, c := range fatalPartTests() {
 		t.Run(c.name, func(t *testing.T) {
-			run(t, c.fronts, c.engines, 1, func(w *world) {
-				before := c.sendSound(w, soundBefore, 0)
-				assert.Equal(t, countServed(before()), soundBefore)
-				w.withFatalRequests(c.fatal(), func(o *crashWorld) {
-					sound := c.sendSound(w, soundDuring, soundBefore)
-					if c.restartAfter > 0 {
-						time.AfterFunc(c.restartAfter, func() { w.restartAll(500 * time.Millisecond) })
-					}
-					o.silent = c.silent
-					if c.restartAtCrash > 0 {
-						go o.restartAllAtCrash(c.restartAtCrash)
-					}
-					if c.disturb != nil {
-						c.disturb(w)
-					}
-					c.sendFatal(o)
-					served := countServed(sound())
-					late := o.fatalPartSends(countedCrashes, detectionTime)
-					t.Logf("%d engines ended, %d sends too late, %d of %d sound requests complete at the first attempt", len(o.crashes()), late, served, soundDuring)
-					assert.Check(t, late <= maxLateSends, "%d fatal requests reached engines after the detection time", late)
-					assert.Check(t, 2*served >= soundDuring, "%d of %d sound requests", served, soundDuring)
-				})
-			})
+			run(t, c.fronts, c.engines, 1, c.check)
 		})
 	}
 }
 
+// check sends fatal and sound requests, and checks how many of them reach engines and are served.
+func (c *fatalPartTest) check(w *world) {
+	t := w.t
+	if c.unframed {
+		for _, e := range w.engines {
+			e.SetFault(standin.WorkerFault{Unframed: true})
+		}
+	}
+	before := c.sendSound(w, soundBefore, 0)
+	assert.Equal(t, countServed(before()), soundBefore)
+	w.withFatalRequests(c.fatal(), func(o *crashWorld) {
+		o.unframed = c.unframed
+		sound := c.sendSound(w, soundDuring, soundBefore)
+		if c.restartAfter > 0 {
+			time.AfterFunc(c.restartAfter, func() { w.restartAll(500 * time.Millisecond) })
+		}
+		o.silent = c.silent
+		if c.restartAtCrash > 0 {
+			go o.restartAllAtCrash(c.restartAtCrash)
+		}
+		if c.disturb != nil {
+			c.disturb(w)
+		}
+		c.sendFatal(o)
+		served := countServed(sound())
+		late := o.fatalPartSends(countedCrashes, detectionTime)
+		t.Logf("%d engines ended, %d sends too late, %d of %d sound requests complete at the first attempt", len(o.crashes()), late, served, soundDuring)
+		assert.Check(t, late <= maxLateSends, "%d fatal requests reached engines after the detection time", late)
+		assert.Check(t, 2*served >= soundDuring, "%d of %d sound requests", served, soundDuring)
+	})
+}
+
 func (c *fatalPartTest) fatal() standin.FatalRequest {
 	return standin.FatalRequest{AfterEvents: c.afterEvents, DuringPrefill: c.duringPrefill, Matches: hasFatalPart}
 }
@@ -120,6 +132,9 @@
 			work.Go(func() {
 				r := briefRequest(fmt.Sprintf("%x", 0xc0000+first+i))
 				r.Body, r.PromptTokens, r.SharedParts = fmt.Sprint("sound ", first+i), 2000, c.soundParts
+				if c.once {
+					r = onceOnly(r)
+				}
 				answers[i] = w.answer(i%len(w.fronts), r)
 			})
 			time.Sleep(soundInterval)
@@ -138,6 +153,9 @@
 		work.Go(func() {
 			r := briefRequest(fmt.Sprintf("%x", 0xf0000+i))
 			r.Key, r.Body, r.SharedParts = c.teams[i%len(c.teams)], fmt.Sprint("fatal ", i), c.fatalParts
+			if c.once {
+				r = onceOnly(r)
+			}
 			for again := range 2 {
 				if a := o.answer((i*5+again)%len(o.fronts), r); a.Status == http.StatusOK && a.Complete {
 					return
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -38,9 +38,10 @@
 	stops   []func()
 	logs    *lockedBuffer
 	// settings is appended to the settings of each instance. plainWork is how long a plain request
-	// takes.
-	settings  string
-	plainWork time.Duration
+	// takes, and answerBytes the least length of its answer.
+	settings    string
+	plainWork   time.Duration
+	answerBytes int
 	// frontsMu guards fronts in tests that kill instances while requests are sent.
 	frontsMu sync.Mutex
 
@@ -162,7 +163,7 @@
 }
 
 func (w *world) newPlain(i int, suffix string) *standin.Worker {
-	return w.newWorker(fmt.Sprint("p", i), suffix, standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, WorkTime: w.plainWork})
+	return w.newWorker(fmt.Sprint("p", i), suffix, standin.WorkerConfig{Service: "plain", Address: fmt.Sprintf("10.2.0.%d:80", i+1), DataCentre: dc(i), Slots: endpointSlots, WorkTime: w.plainWork, AnswerBytes: w.answerBytes})
 }
 
 func (w *world) newWorker(node, suffix string, cfg standin.WorkerConfig) *standin.Worker {
