gateway/forward: a stream of a leaving engine that ends with its connection is resumed when the engine exits

Cause: endedByCrash asked hasCrashed, which is false for engines that are leaving or not listed, so that their planned exit is not blamed on a request. Whether an answer is complete is another question.

Change: the body of an attempt is an answerBody too, which asks whether the process is gone, listed or not. endedByCrash is gone. Error answers of engines and answers of instances that a stream was passed on to are read in the same way.

Before: TestUnframedStreamsOfLeavingEngines failed in the two cases that resume.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -329,10 +329,19 @@
 	}
 }
 
+// body returns the body of the attempt's answer.
+func (a *attempt) body(x *upstream.Exchange, isStream bool) *answerBody {
+	b := &answerBody{Exchange: x, f: a.session.f, isStream: isStream}
+	if a.helper == nil {
+		b.endpoint = &a.endpoint
+	}
+	return b
+}
+
 // readEngineFailure reads an engine's own error answer. A status below 500 is about the request
 // itself, so it is final.
 func (a *attempt) readEngineFailure(x *upstream.Exchange) message {
-	body, err := limitread.All(x, maxBufferedAnswer)
+	body, err := limitread.All(a.body(x, false), maxBufferedAnswer)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
@@ -348,23 +357,11 @@
 	return m
 }
 
-// endedByCrash reports whether an answer that ended with its connection ended because its engine crashed. The
-// end looks the same, so it does if there was no event, or if the engine's process is gone.
-func (a *attempt) endedByCrash(x *upstream.Exchange) bool {
-	if !x.EndsWithConnection() || a.helper != nil {
-		return false
-	}
-	return a.potentialLoss.FirstEventAt.IsZero() || a.session.f.hasCrashed(a.endpoint.ID)
-}
-
 // relayEvents reports events until the answer ends.
 func (a *attempt) relayEvents(ctx context.Context, x *upstream.Exchange) message {
-	events := newEventReader(x)
+	events := newEventReader(a.body(x, true))
 	for {
 		e, err := events.next()
-		if err == io.EOF && a.endedByCrash(x) {
-			return a.classifyLoss(ctx, errEndedByCrash)
-		}
 		if err == io.EOF {
 			a.recordComplete()
 			x.Finish()
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -296,7 +296,7 @@
 // readPeerAnswer reads an answer that is not a stream. It is final: the helper has done what could
 // be done.
 func (a *attempt) readPeerAnswer(x *upstream.Exchange) message {
-	body, err := limitread.All(x, maxBufferedAnswer)
+	body, err := limitread.All(a.body(x, false), maxBufferedAnswer)
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Broken, err: err}
 	}
--- a/gateway/front/unframed_test.go
+++ b/gateway/front/unframed_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/platform"
 	"github.com/agateway/agateway/platform/standin"
 )
 
@@ -134,3 +136,44 @@
 		})
 	}
 }
+
+// TestUnframedStreamsOfLeavingEngines guards against a stream without a length and without chunks that ends as a
+// complete answer when its engine leaves as planned and exits, or has been removed from the list. The end counted
+// as that of the answer, since an engine that leaves does not count as crashed.
+func TestUnframedStreamsOfLeavingEngines(t *testing.T) {
+	leave := map[string]func(*world, *standin.Worker){
+		"entry says so":    func(w *world, e *standin.Worker) { w.putEntry(e, "draining") },
+		"entry is removed": func(w *world, e *standin.Worker) { w.store.Remove(platform.KindEndpoint, e.Config().ID) },
+	}
+	for name, how := range leave {
+		for _, resumes := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/%t", name, resumes), func(t *testing.T) {
+				run(t, 3, 6, 1, func(w *world) {
+					for _, e := range w.engines {
+						e.SetFault(standin.WorkerFault{Unframed: true})
+					}
+					runs := 0
+					firstRun := func(*standin.Run) bool { runs++; return runs == 1 }
+					w.withFatalRequests(standin.FatalRequest{AfterEvents: 50, Matches: firstRun, ClosesFirst: true}, func(o *crashWorld) {
+						r := briefRequest("1eaf")
+						if !resumes {
+							r = onceOnly(r)
+						}
+						answer := w.startStream(0, r)
+						time.Sleep(1500 * time.Millisecond)
+						engine, _ := w.streamEngines()
+						how(w, o.workers[engine])
+						a := <-answer
+						if resumes {
+							assertWhole(w.t, a, "1eaf", 0)
+						} else {
+							assert.Assert(w.t, !a.Complete, "%d events are taken for the whole stream", len(a.Events))
+							assert.Equal(w.t, len(a.Events), 50)
+						}
+						assert.Equal(w.t, len(o.crashes()), 1)
+					})
+				})
+			})
+		}
+	}
+}
