gateway/forward, gateway/upstream: an endpoint that resets a connection while it exits is not taken for running

Cause: the check whether the process is gone dials the endpoint. Connections close before the listener does, so the dial may be taken by the listener's queue and reset when that closes. Only a refusal counted as gone; a reset counted as running.

Change: the pool tells a reset apart (ErrReset), and the check dials again, as after a connection that closes at once.

--- a/gateway/forward/crashes.go
+++ b/gateway/forward/crashes.go
@@ -81,10 +81,14 @@
 	return f.isProcessGone(ctx, &e) && !f.Reach.Check(ctx)
 }
 
-// isProcessGone reports whether the process of an endpoint is gone: its machine refuses connections.
+// isProcessGone reports whether the process of an endpoint is gone: its machine refuses connections. While
+// a process exits, connections to it are reset or close.
 func (f *Forwarder) isProcessGone(ctx context.Context, e *routing.Endpoint) bool {
 	for range maxProcessDials {
 		conn, err := f.Pool.Dial(ctx, upstream.Target{ID: e.ID, Address: e.Address})
+		if errorx.IsOfType(err, upstream.ErrReset) {
+			continue
+		}
 		if err != nil {
 			return errorx.IsOfType(err, upstream.ErrGone)
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -22,6 +22,9 @@
 	// ErrGone says that nothing listens at the endpoint's address, although its machine answers. It
 	// is a subtype of ErrNotSent.
 	ErrGone = ErrNotSent.NewSubtype("gone")
+	// ErrReset says that the endpoint reset the connection while it was opened: its process exits, or it
+	// has too many connections. It is a subtype of ErrNotSent.
+	ErrReset = ErrNotSent.NewSubtype("reset")
 	// ErrLost says that the request may have been received, and that there is no complete answer.
 	ErrLost = namespace.NewType("lost")
 	// ErrBusy says that all connections that this instance may have to the endpoint are in use.
@@ -119,15 +122,23 @@
 	raw, err := p.dial(ctx, "tcp", t.Address)
 	if err != nil {
 		p.release(t.ID)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, ErrGone.Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
-		}
-		return nil, ErrNotSent.Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
+		return nil, dialError(err).Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
 	}
 	limit := limitread.NewReader(raw)
 	return &Conn{Conn: raw, pool: p, target: t, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}, nil
 }
 
+// dialError returns the type of the error for a connection that could not be opened.
+func dialError(err error) *errorx.Type {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ErrGone
+	case errors.Is(err, syscall.ECONNRESET):
+		return ErrReset
+	}
+	return ErrNotSent
+}
+
 func (p *Pool) reserve(t Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
