core/route, platform: a configuration without a valid key still requires one

Cause: Table.RequiresKey took "no key is valid" for "there are no teams".

Change: a configuration requires keys if it has a list of teams, also one that is empty or whose teams have none. An empty string is no key: it was that of requests without one.

--- a/core/route/priority.go
+++ b/core/route/priority.go
@@ -38,7 +38,7 @@
 // than MaxLevels.
 func priorityLevels(service string, c *Configuration) map[priorityPair]Priority {
 	routes := map[int]bool{}
-	byRouteAlone := len(c.Teams) == 0 // some requests are ordered by their route alone
+	byRouteAlone := !c.requiresKey() // some requests are ordered by their route alone
 	for i := range c.Routes {
 		if r := &c.Routes[i]; r.Stream && r.HasTarget(service) {
 			routes[r.Priority] = true
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,10 +22,16 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Teams    []Team
-	Limits   Limits
+	// Teams are the teams whose keys are valid. Where there are any, requests of routes that are not public
+	// need a key. KeysRequired says so for a configuration that may have no team left.
+	Teams        []Team
+	KeysRequired bool
+	Limits       Limits
 }
 
+// requiresKey reports whether requests of routes that are not public need a key.
+func (c *Configuration) requiresKey() bool { return c.KeysRequired || len(c.Teams) > 0 }
+
 // Route maps requests of a host and path prefix to services.
 type Route struct {
 	Name, Host string
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -12,6 +12,7 @@
 type Table struct {
 	version      uint64
 	limits       Limits
+	requiresKey  bool
 	routesByHost map[string][]*Route // longest prefix first
 	services     map[string]*Service
 	teamsByKey   map[string]*Team                     // by key
@@ -22,7 +23,7 @@
 // afterwards.
 func NewTable(c *Configuration) *Table {
 	t := &Table{
-		version: c.Version, limits: c.Limits,
+		version: c.Version, limits: c.Limits, requiresKey: c.requiresKey(),
 		routesByHost: map[string][]*Route{}, services: map[string]*Service{}, teamsByKey: map[string]*Team{},
 		levels: map[string]map[priorityPair]Priority{},
 	}
@@ -39,7 +40,9 @@
 	}
 	for i := range c.Teams {
 		for _, k := range c.Teams[i].Keys {
-			t.teamsByKey[k] = &c.Teams[i]
+			if k != "" { // the key of a request without one
+				t.teamsByKey[k] = &c.Teams[i]
+			}
 		}
 	}
 	return t
@@ -51,8 +54,9 @@
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.limits }
 
-// RequiresKey reports whether requests of routes that are not public need a key.
-func (t *Table) RequiresKey() bool { return len(t.teamsByKey) > 0 }
+// RequiresKey reports whether requests of routes that are not public need a key. They do also if no key is
+// valid, because all of them have been revoked.
+func (t *Table) RequiresKey() bool { return t.requiresKey }
 
 // Team returns the team that a key belongs to.
 func (t *Table) Team(key string) (*Team, bool) {
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -56,6 +56,26 @@
 	assert.Equal(t, r.PriorityFor(nil), 4)
 }
 
+// TestRevokedKeys guards against a configuration without a valid key that counts as one without teams, so that every
+// request is served.
+func TestRevokedKeys(t *testing.T) {
+	for name, c := range map[string]struct {
+		configuration Configuration
+		requiresKey   bool
+	}{
+		"no teams":              {Configuration{}, false},
+		"the last team removed": {Configuration{KeysRequired: true}, true},
+		"a team without keys":   {Configuration{Teams: []Team{{Name: "desk"}}}, true},
+		"empty list of keys":    {Configuration{Teams: []Team{{Name: "desk", Keys: []string{}}}}, true},
+		"empty key":             {Configuration{Teams: []Team{{Name: "desk", Keys: []string{""}}}}, true},
+	} {
+		tab := NewTable(&c.configuration)
+		assert.Equal(t, tab.RequiresKey(), c.requiresKey, name)
+		_, ok := tab.Team("")
+		assert.Assert(t, !ok, name)
+	}
+}
+
 func TestChooseServiceFollowsWeights(t *testing.T) {
 	r := &Route{Targets: []Target{{"none", 0}, {"most", 90}, {"few", 10}}}
 	hits := map[string]int{}
--- a/gateway/front/configuration_test.go
+++ b/gateway/front/configuration_test.go
@@ -86,6 +86,55 @@
 	}
 }
 
+// TestRevokedKeysOfAllTeams guards against requests that run once all teams have lost their keys: a configuration without
+// a valid key counted as one without teams, so that every request was served, with revoked keys and with none.
+func TestRevokedKeysOfAllTeams(t *testing.T) {
+	team := func(name string, keys ...string) route.Team { return route.Team{Name: name, Keys: keys} }
+	for name, revoked := range map[string][]route.Team{
+		"no team has a key": {team("desk"), team("field")},
+		"empty keys":        {team("desk", ""), team("field", "")},
+		"one team is left":  {team("field")},
+		"no team is left":   {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, 1, 2, func(w *world) {
+				c := w.config
+				c.KeysRequired = true
+				for i, teams := range [][]route.Team{{team("desk"), team("field", fieldKey)}, revoked} {
+					c.Version, c.Teams = uint64(9+i), teams
+					w.store.PutConfiguration(&c)
+					time.Sleep(2 * time.Second)
+				}
+				w.assertAllKeysDenied()
+				w.killFront(1)
+				w.startFront(1)
+				time.Sleep(2 * time.Second)
+				w.assertAllKeysDenied()
+				w.store.SetFault(standin.Fault{Outage: standin.Silent})
+				time.Sleep(6 * time.Second)
+				assert.Assert(w.t, !w.isReady(0)) // a newer configuration may have keys
+			})
+		})
+	}
+}
+
+// assertAllKeysDenied checks that no key is accepted at any instance, and that public routes are served.
+func (w *world) assertAllKeysDenied() {
+	for i := range w.fronts {
+		for _, key := range []string{deskKey, fieldKey, "another-key", "never-issued", ""} {
+			for _, r := range []standin.Request{pingRequest(), logRequest(), briefRequest("b1")} {
+				r.Key = key
+				a, err := w.send(i, r)
+				assert.NilError(w.t, err)
+				assert.Equal(w.t, a.Status, 401, "%s with the key %q", r.Path, key)
+			}
+		}
+		a, err := w.send(i, openRequest())
+		assert.NilError(w.t, err)
+		assert.Equal(w.t, a.Status, 200)
+	}
+}
+
 // TestConfigurationChangesTakeEffect checks that added and removed routes and keys take effect
 // within the bound, and that a lower version never replaces a higher one.
 func TestConfigurationChangesTakeEffect(t *testing.T) {
