--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -43,7 +43,8 @@
 	State   State
 	// Sequence rises with each entry that this incarnation writes to the list; 0 if unknown.
 	Sequence uint64
-	Models   []Model
+	// Models are the models that are loaded; nil where the list does not say.
+	Models []Model
 	// Role is the role that the engine reports of itself.
 	Role string
 	// Memory is the capacity that running requests and copies share at an engine, in tokens; 0
--- a/gateway/front/endpoints_test.go
+++ b/gateway/front/endpoints_test.go
@@ -154,3 +154,20 @@
 		assert.Assert(w.t, replacement.RefusedRequests() <= 2, "tried %d times", replacement.RefusedRequests())
 	})
 }
+
+// TestEngineWithoutModels guards against requests to an engine whose entry says that it has unloaded all models. An
+// empty list counted as none, so that the engine kept those that it had listed before.
+func TestEngineWithoutModels(t *testing.T) {
+	run(t, 2, 2, 1, func(w *world) {
+		entry := w.engines[0].Registration("ready").(map[string]any)
+		entry["models"], entry["seq"] = []any{}, 99
+		w.store.Put(platform.KindEndpoint, w.engines[0].Config().ID, entry)
+		time.Sleep(2 * time.Second)
+		before := len(w.engines[0].Runs())
+		for i := range 6 {
+			prompt := fmt.Sprintf("e%x", i)
+			assertWhole(w.t, w.answer(i%2, briefRequest(prompt)), prompt, 0)
+		}
+		assert.Equal(w.t, len(w.engines[0].Runs())-before, 0)
+	})
+}
