gateway/pipeline: the end of a connection ends a plain answer only if its endpoint still runs

Seen (test): a plain service that answers without a length and without chunks crashes in the middle of the answer. The caller gets the first half as a complete 200, and a ticket keeps it as the outcome of the call. The head of an answer alone cleared the call of the suspicion that it crashes endpoints.

Cause: as in gateway/forward; net/http takes the end of the connection for the end of such a body.

Change: answerBody of this package asks whether the endpoint's process is gone, and clears the call, or counts the loss, at the end of the body. hasCrashed uses the same check.

Before: TestUnframedAnswer failed in both cases with a crash. After: passes, as do cli/e2e and gateway/crashes.

--- a/cli/e2e/at_most_once_test.go
+++ b/cli/e2e/at_most_once_test.go
@@ -14,6 +14,7 @@
 	"github.com/agateway/agateway/cli/caller"
 	"github.com/agateway/agateway/cli/standin/plain"
 	standin "github.com/agateway/agateway/cli/standin/platform"
+	"github.com/agateway/agateway/gateway/apierr"
 )
 
 // callRuns returns how often all services together ran a call.
@@ -135,6 +136,39 @@
 	})
 }
 
+// TestUnframedAnswer guards against an answer without a length and without chunks that looks complete to the caller when
+// the service crashes in the middle of it: the end of the connection counted as the end of the answer.
+func TestUnframedAnswer(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		for _, withTicket := range []bool{false, true} {
+			t.Run(fmt.Sprintf("dies-%t-ticket-%t", dies, withTicket), func(t *testing.T) {
+				runCluster(t, clusterConfig{gateways: 1, engines: 1, services: 1}, func(w *cluster) {
+					w.services[0].SetFault(plain.Fault{Unframed: true, DieInBody: dies})
+					call := caller.PlainRequest{Service: "queue-app", Method: http.MethodGet, Path: "/status/1", Timeout: 2 * time.Second}
+					if withTicket {
+						ticket, err := w.callerOf(0).Ticket(w.ctx())
+						assert.NilError(t, err)
+						call = newLiftRequest(ticket, "")
+					}
+					a, err := w.callerOf(0).CallPlain(w.ctx(), call)
+					if !dies {
+						assert.NilError(t, err)
+						assert.Equal(t, string(a.Body), plain.UnframedBody)
+						return
+					}
+					assert.Assert(t, err != nil, "%v", a)
+					if withTicket {
+						var refusal *caller.Refusal
+						assert.Assert(t, errors.As(err, &refusal) && refusal.Code == string(apierr.OutcomeUnknown), "%v", err)
+						return
+					}
+					assert.Assert(t, caller.IsLost(err), "%v", err)
+				})
+			})
+		}
+	}
+}
+
 // TestTicket repeats a call under one ticket, at once and at all instances. The call must run once. A
 // different request under the ticket and invalid tickets must be refused.
 func TestTicket(t *testing.T) {
--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -47,6 +47,10 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Truncate closes the connection in the middle of the answer's body.
 	Truncate bool `json:"truncate,omitempty"`
+	// Unframed answers without a length and without chunks, so that an answer ends with its connection.
+	// DieInBody ends the service in the middle of such an answer.
+	Unframed  bool `json:"unframed,omitempty"`
+	DieInBody bool `json:"die_in_body,omitempty"`
 }
 
 // Plain is a running simulated service.
@@ -167,6 +171,27 @@
 	case f.Cross:
 		id = "another-request"
 	}
+	if f.Unframed {
+		p.answerUnframed(w, f, id)
+		return
+	}
 	w.Header().Set(endpoint.HeaderRequestID, id)
 	serve.WriteJSON(w, map[string]string{"method": r.Method, "path": r.URL.Path, "body": string(body), "traceparent": r.Header.Get("traceparent")})
 }
+
+// UnframedBody is the body of answers under [Fault.Unframed].
+const UnframedBody = "an answer that ends with its connection"
+
+func (p *Plain) answerUnframed(w http.ResponseWriter, f Fault, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	text := UnframedBody
+	if f.DieInBody {
+		text = text[:len(text)/2]
+		defer p.SetFault(Fault{Die: true}) // before the connection closes
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n\r\n"+text) // a failure shows as a lost answer
+}
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -106,10 +107,7 @@
 	if !ok || e.State == routing.Leaving {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Endpoints.StatusTimeout)
-	defer cancel()
-	_, err := d.Client.Status(ctx, e.Address, 0)
-	return errorx.IsOfType(err, endpoint.ErrGone)
+	return d.isProcessGone(e.Address)
 }
 
 // dataCentreFailures implements [crashes.Attributor.DataCentreFailures].
@@ -173,6 +171,22 @@
 	return apierr.From(err).WithRan(apierr.Unknown)
 }
 
+// watchBody makes the end of an answer's body end the suspicion of the call, or count as a loss of the endpoint.
+func (t *callTrial) watchBody(ctx context.Context, e *routing.Endpoint, sentAt time.Time, resp *http.Response) {
+	headAt := time.Now()
+	b := &answerBody{ReadCloser: resp.Body, ended: func(err error) {
+		if err == nil {
+			t.clearOnAnswer()
+		} else if ctx.Err() == nil {
+			t.attributor.Attribute(ctx, &t.losses, crashes.Loss{Request: t.request(), Endpoint: incarnation(e), Service: e.Service, SentAt: sentAt, HeadAt: headAt})
+		}
+	}}
+	if endsWithConnection(resp) {
+		b.isProcessGone = func() bool { return t.isProcessGone(e.Address) }
+	}
+	resp.Body = b
+}
+
 // recordLoss reports a failed attempt, so that a crash of the endpoint can be attributed to the
 // call, and ends the trial. It attributes only broken connections, and none if ctx has ended.
 func (t *callTrial) recordLoss(ctx context.Context, e *routing.Endpoint, sentAt time.Time, err error) {
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -136,7 +136,7 @@
 		}
 		resp, done, left, err := d.callEndpoint(ctx, &e, c, find)
 		if err == nil {
-			t.clearOnAnswer()
+			t.watchBody(ctx, &e, sentAt, resp)
 			return resp, done, nil
 		}
 		if next = left; left == nil {
