gateway/relay: a packed page above the bound is an error, not a shorter page

Cause: unpack read up to 64 MB and took the bound for the end. If it falls between two objects, those behind it are missing, and a follower takes them for removed. Pages have some hundred objects, so only a sender at fault gets there.

Change: limitread.All, as for other answers that are read whole.

Before: TestPageBeyondBoundIsError failed (64 of 65 objects and no error). After: passes.

--- a/gateway/relay/pack.go
+++ b/gateway/relay/pack.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 	"sync"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/platform"
 )
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, ErrPack.Wrap(err, "not compressed with gzip")
 	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	raw, err := limitread.All(r, maxUnpackedBytes)
 	if err != nil {
 		return nil, ErrPack.Wrap(err, "can't decompress objects")
 	}
--- a/gateway/relay/pack_test.go
+++ b/gateway/relay/pack_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
 
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
@@ -54,6 +58,32 @@
 	assert.Equal(t, len(p.order), maxPackedPages)
 }
 
+// TestPageBeyondBoundIsError guards against a page that is cut at the bound and taken for whole, so that the objects behind
+// it count as removed. The bound falls between two objects here.
+func TestPageBeyondBoundIsError(t *testing.T) {
+	const objectBytes = 1 << 20
+	o := &peerv1.StoreObject{Name: "e"}
+	for size := objectBytes; proto.Size(&peerv1.StoreObjects{Objects: []*peerv1.StoreObject{o}}) != objectBytes; size-- {
+		o.Spec = make([]byte, size)
+	}
+	one, err := proto.Marshal(&peerv1.StoreObjects{Objects: []*peerv1.StoreObject{o}})
+	assert.NilError(t, err)
+	for _, objects := range []int{maxUnpackedBytes / objectBytes, maxUnpackedBytes/objectBytes + 1} {
+		var packed bytes.Buffer
+		w, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+		assert.NilError(t, err)
+		for range objects {
+			_, err = w.Write(one)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, w.Close())
+		all, err := unpack(packed.Bytes())
+		fits := objects*objectBytes <= maxUnpackedBytes
+		assert.Equal(t, err == nil, fits, "%d of %d objects", len(all), objects)
+		assert.Equal(t, errorx.IsOfType(err, ErrPack), !fits)
+	}
+}
+
 // TestUnusablePagesAreErrors: what another instance sends may be cut or damaged.
 func TestUnusablePagesAreErrors(t *testing.T) {
 	var p packer
