core/crashers: a part of prompts that is stopped for two teams is stopped for all that it never served

Cause: a part is stopped for each team by itself; once it is stopped for one team, each further team costs one crash.

Change: a part that is stopped for two teams is stopped for each team for which it was never answered. It does not count where the request lacks another possible cause of the other team's crashes, as sound requests do that share the first part of their prompts. A single team still stops nothing for another.

--- a/core/crashers/doc.go
+++ b/core/crashers/doc.go
@@ -36,8 +36,9 @@
 //     that crashed the same endpoints each is stopped, and a request with only some of them is tried: its
 //     answer or its crash tells them apart. A part that was answered before takes more crashes.
 //
-//   - A part that is stopped for one team is stopped for another after one crash there. Nothing that a
-//     team sends stops or clears a part for another team.
+//   - A part that is stopped for one team is stopped for another after one crash there. One that is stopped for
+//     two teams is stopped for each team for which it was never answered. Nothing that a single team sends stops
+//     or clears a part for another team.
 //
 // Callers report a crash only if the endpoint's process is known to be gone, or if it fell silent
 // right after its answer began, alone or with few others of its service, and can't be connected to for
--- a/core/crashers/parts.go
+++ b/core/crashers/parts.go
@@ -1,6 +1,7 @@
 package crashers
 
 import (
+	"slices"
 	"time"
 )
 
@@ -45,6 +46,42 @@
 	return false
 }
 
+// teamsOfSharedStop is the number of teams for which a part of prompts has to be stopped for it to be stopped for
+// all teams.
+const teamsOfSharedStop = 2
+
+// stopForAllTeams returns the decision to stop a request for a part of its prompt that is stopped for several other
+// teams, each on its own evidence. A part that was answered for the request's team is not stopped on that of others.
+func (r *Registry) stopForAllTeams(now time.Time, req *Request) (Decision, bool) {
+	stops := map[Subject][]time.Time{} // until when parts of the request are stopped for other teams
+	for s, e := range r.entries {
+		if s.Part == "" || s.Team == req.Whole.Team || !e.stopped(now) {
+			continue
+		}
+		part, ok := req.partWithID(s.Part)
+		if !ok || len(stops[part]) >= teamsOfSharedStop {
+			continue
+		}
+		if as := req.asTeam(s.Team); !r.mayBeInnocent(s, &as) {
+			stops[part] = append(stops[part], e.stop.Until)
+		}
+	}
+	for _, p := range req.Parts {
+		if until := stops[p]; len(until) >= teamsOfSharedStop && !r.wasAnswered(p) {
+			return Decision{Verdict: Stopped, Subject: p, Until: slices.MinFunc(until, time.Time.Compare)}, true
+		}
+	}
+	return Decision{}, false
+}
+
+// wasAnswered reports whether a part was ever answered for its team, as far as is known.
+func (r *Registry) wasAnswered(part Subject) bool {
+	if e := r.entries[part]; e != nil && !e.clearedAt.IsZero() {
+		return true
+	}
+	return !r.answered.last(part).IsZero()
+}
+
 // isCrashOfOneRequest reports whether a single request other than except had all of the crashed endpoints,
 // so that it may be the cause of all of these crashes. except may be nil.
 func (r *Registry) isCrashOfOneRequest(crashes []Crash, except *Request) bool {
--- a/core/crashers/parts_test.go
+++ b/core/crashers/parts_test.go
@@ -41,11 +41,21 @@
 		return all
 	}
 	sound, bad := []uint64{base, other}, []uint64{base, fatal}
+	// stopped are the crashes that stop the fatal part for a team.
+	stopped := func(team string) (all []step) {
+		for n := range 3 {
+			all = append(all, step{n: n, team: team, parts: []uint64{base, fatal}, endpoint: fmt.Sprint(team, n), phase: Begun})
+		}
+		return all
+	}
 	for _, c := range []struct {
 		name       string
 		steps      []step
 		sound, bad Verdict // of a further request with these parts
 	}{
+		{"of two other teams", of(stopped("field"), stopped("night")), Free, Stopped},
+		{"of two other teams, answered for one of them", of(stopped("field"), stopped("night"), []step{{n: 9, team: "night", parts: []uint64{base, fatal}, answered: true}}), Free, Free},
+		{"of two other teams, answered for this one", of([]step{answered(9, base, fatal)}, stopped("field"), stopped("night")), Free, Free},
 		{"one crash", three[:1], Suspect, Suspect},
 		{"two crashes", three[:2], Suspect, Suspect},
 		{"three, another part may be the cause", three, Careful, Stopped},
--- a/core/crashers/request.go
+++ b/core/crashers/request.go
@@ -36,6 +36,26 @@
 	return Subject{Team: team, Content: content, Part: strconv.FormatUint(id, 16)}
 }
 
+// partWithID returns the part of the request's prompt that has an id.
+func (r *Request) partWithID(id string) (Subject, bool) {
+	i := slices.IndexFunc(r.Parts, func(p Subject) bool { return p.Part == id })
+	if i < 0 {
+		return Subject{}, false
+	}
+	return r.Parts[i], true
+}
+
+// asTeam returns the parts of the request's prompt as another team would send them.
+func (r *Request) asTeam(team string) Request {
+	var out Request
+	for _, p := range r.Parts {
+		if id, err := strconv.ParseUint(p.Part, 16, 64); err == nil {
+			out.Parts = append(out.Parts, partSubject(team, id))
+		}
+	}
+	return out
+}
+
 // Has reports whether a subject is the request or a part of its prompt.
 func (r *Request) Has(s Subject) bool { return r.Whole == s || slices.Contains(r.Parts, s) }
 
--- a/core/crashers/verdict.go
+++ b/core/crashers/verdict.go
@@ -25,6 +25,10 @@
 	}
 	if d.Verdict == Stopped {
 		d.Until = r.Stop(d.Subject).Until
+		return d
+	}
+	if stop, stopped := r.stopForAllTeams(now, req); stopped {
+		return stop
 	}
 	return d
 }
--- a/gateway/front/crashing_parts_test.go
+++ b/gateway/front/crashing_parts_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/platform/standin"
 )
 
@@ -47,6 +48,7 @@
 		{name: "after events", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, afterEvents: 5},
 		{name: "between shared parts", fronts: 9, engines: 24, fatalParts: []string{"ca", fatalPart, "cb"}, soundParts: []string{"ca", "cb"}, teams: one},
 		{name: "of two teams", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: []string{deskKey, fieldKey}},
+		{name: "of eight teams", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: eightTeams()},
 		{name: "restart of all", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAfter: 8 * time.Second},
 		{name: "restart at the third crash", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAtCrash: 3},
 		{name: "restart before the third crash", fronts: 9, engines: 24, fatalParts: parts, soundParts: sound, teams: one, restartAtCrash: 2},
@@ -79,11 +81,29 @@
 func TestPromptPartThatCrashesEngines(t *testing.T) {
 	for _, c := range fatalPartTests() {
 		t.Run(c.name, func(t *testing.T) {
-			run(t, c.fronts, c.engines, 1, c.check)
+			runWith(t, c.fronts, c.engines, 1, c.addTeams, c.check)
 		})
 	}
 }
 
+// eightTeams returns the keys of eight teams.
+func eightTeams() []string {
+	keys := []string{deskKey, fieldKey}
+	for len(keys) < 8 {
+		keys = append(keys, fmt.Sprint("key-of-team-", len(keys)))
+	}
+	return keys
+}
+
+// addTeams adds the teams to the configuration that it lacks.
+func (c *fatalPartTest) addTeams(w *world) {
+	for _, key := range c.teams {
+		if !slices.ContainsFunc(w.config.Teams, func(t route.Team) bool { return slices.Contains(t.Keys, key) }) {
+			w.config.Teams = append(w.config.Teams, route.Team{Name: key, Keys: []string{key}})
+		}
+	}
+}
+
 // check sends fatal and sound requests, and checks how many of them reach engines and are served.
 func (c *fatalPartTest) check(w *world) {
 	t := w.t
