--- a/cli/soak/callers.go
+++ b/cli/soak/callers.go
@@ -191,7 +191,7 @@
 			return fmt.Sprintf("event %d is %q, not %q", i+1, e.Data, want)
 		}
 	}
-	if a.Complete && len(a.Events) != eventsPerStream {
+	if (a.Complete || a.EndsInEvent) && len(a.Events) != eventsPerStream {
 		return fmt.Sprintf("a stream that ended as whole has %d events", len(a.Events))
 	}
 	return ""
--- a/core/routing/claim.go
+++ b/core/routing/claim.go
@@ -64,7 +64,6 @@
 
 const (
 	// unlistedRetry is when an instance may claim again at a fragile endpoint that its owner has not listed.
-	// An owner that starts lists the endpoints within 15 to 200 ms.
 	unlistedRetry = 50 * time.Millisecond
 	// claimTTL is how long a claim counts if its instance reports nothing more.
 	claimTTL = time.Second
--- a/gateway/exchange/claim.go
+++ b/gateway/exchange/claim.go
@@ -20,7 +20,8 @@
 
 // Claim asks the owners of an endpoint in turn for room. Where no owner answers, or the one that
 // does has not listed the endpoint, the request goes there on what this instance knows, unless the
-// endpoint states limits. For a fragile endpoint that an owner has not listed, the next owner is asked. Room that is held at a fragile endpoint has to be released.
+// endpoint states limits. If the endpoint is fragile, an owner that has not listed it is passed over.
+// Room that is held at a fragile endpoint has to be released.
 func (x *Exchange) Claim(ctx context.Context, endpoint string, c routing.Claim) routing.Grant {
 	r := x.roster()
 	began := time.Now()
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -266,14 +266,14 @@
 	defer trial.SetUndrained(false)
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
-	awaited := f.Placement.AwaitAnswer(e.ID)
+	answerEnded := f.Placement.AwaitAnswer(e.ID)
 	x, err := f.exchange(ctx, conn, e.ID, req.upstreamRequest(&platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: req.timeLeft(time.Now()), Team: req.teamName(), Priority: -1,
 	}), req.ownsAnswer)
 	if req.route.Stream { // its engine may prefill the prompt after the head
-		awaited()
+		answerEnded()
 	} else {
-		defer awaited()
+		defer answerEnded()
 	}
 	if err != nil {
 		return nil, p.classifyLoss(ctx, loss, trial, err), err
@@ -368,8 +368,8 @@
 // readFirst reads what arrives first of a body. whole is set if that is all of it.
 func readFirst(body io.Reader) (first []byte, whole bool, err error) {
 	buf := make([]byte, relayBufferBytes)
-	for n := 0; ; {
-		n, err = body.Read(buf)
+	for {
+		n, err := body.Read(buf)
 		switch {
 		case err == io.EOF:
 			return buf[:n], true, nil
