gateway/forward: the body of a plain answer is built in one place

The two callers of receive built the same answerBody. Also a comment of gateway/upstream's tests that named a field which does not exist. No change of behaviour: lint, the tests of both packages, and those of gateway/front on unframed answers, cut heads and plain requests pass.

--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -293,7 +293,7 @@
 		f.Placement.RecordOutcome(e.ID, false)
 		return nil, outcomeUnknown, errUnsigned
 	}
-	a, err := p.receive(&answerBody{Exchange: x, f: f, endpoint: e, isStream: req.route.Stream && x.Status() == http.StatusOK})
+	a, err := p.receive(x, e)
 	if err != nil {
 		return nil, p.classifyLoss(ctx, loss, trial, err), err
 	}
@@ -339,9 +339,10 @@
 const maxBufferedAnswer = 64 << 10
 
 // receive reads up to maxBufferedAnswer bytes of an answer. Of an answer to a streaming route it reads only what
-// arrives first.
-func (p *plain) receive(body *answerBody) (*answer, error) {
-	a := &answer{status: body.Status(), header: body.Header()}
+// arrives first. from is nil for the answer of another instance.
+func (p *plain) receive(x *upstream.Exchange, from *routing.Endpoint) (*answer, error) {
+	body := &answerBody{Exchange: x, f: p.f, endpoint: from, isStream: p.req.route.Stream && x.Status() == http.StatusOK}
+	a := &answer{status: x.Status(), header: x.Header()}
 	var whole bool
 	var err error
 	if p.req.route.Stream {
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -220,7 +220,7 @@
 		x.Abort()
 		return nil, outcomeNotRun, ErrRefused.New("instance %s did not serve the request", h.ID)
 	}
-	a, err := p.receive(&answerBody{Exchange: x, f: p.f, isStream: p.req.route.Stream && x.Status() == http.StatusOK})
+	a, err := p.receive(x, nil)
 	if err != nil {
 		return nil, outcomeUnknown, err
 	}
--- a/gateway/upstream/cut_test.go
+++ b/gateway/upstream/cut_test.go
@@ -12,8 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// cutAnswers are answers that say themselves where they end, and the length of the part that has to arrive for the
-// answer to be complete.
+// cutAnswers are answers that say themselves where they end.
 var cutAnswers = map[string]string{
 	"length":               "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\nX-Last: 1\r\n\r\n0123456789",
 	"length at the end":    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n0123456789",
