gateway/forward: the use of the retry budget is visible by service

Logs and metrics could not tell apart why the fleet exceeds the bound on retries: the counters had no service, and nothing showed which sum an instance believed when it allowed or refused a retry.

Counters of retries have the service as a tag, gauges show what the window holds and allows, and each refused retry logs its inputs: what is counted, what is allowed, how many instances report, and how long the process has run.

--- a/core/limits/retrywindow.go
+++ b/core/limits/retrywindow.go
@@ -79,19 +79,34 @@
 	Reporting, Known int
 }
 
-// CanRetry tells whether the bound allows one more retry, and counts nothing. An instance that does
-// not receive the counts of all others may use only a proportional part of the reserve.
-func (w *RetryWindow) CanRetry(now time.Duration, s PeerCoverage, recovery bool) bool {
+// RetryUsage is what a window holds.
+type RetryUsage struct {
+	// Requests and Retries are those of all instances that count, as far as this one knows.
+	Requests, Retries uint64
+	// Allowed is how many retries this instance lets be reached: recoveries up to RecoveryAllowed.
+	Allowed, RecoveryAllowed float64
+}
+
+// Usage returns what the window holds, and up to how many retries the bound allows.
+func (w *RetryWindow) Usage(now time.Duration, s PeerCoverage) RetryUsage {
 	requests, retries := w.sum(now)
 	reservePart := 1.0
 	if s.Known > s.Reporting {
 		reservePart = float64(s.Reporting) / float64(s.Known)
 	}
-	margin := w.settings.Margin
-	if !recovery {
-		margin -= w.settings.RecoveryMargin
+	bound := w.settings.Share*float64(requests) + reservePart*w.settings.Reserve
+	return RetryUsage{Requests: requests, Retries: retries, Allowed: (w.settings.Margin - w.settings.RecoveryMargin) * bound, RecoveryAllowed: w.settings.Margin * bound}
+}
+
+// CanRetry tells whether the bound allows one more retry, and counts nothing. An instance that does
+// not receive the counts of all others may use only a proportional part of the reserve.
+func (w *RetryWindow) CanRetry(now time.Duration, s PeerCoverage, recovery bool) bool {
+	u := w.Usage(now, s)
+	allowed := u.Allowed
+	if recovery {
+		allowed = u.RecoveryAllowed
 	}
-	return float64(retries+1) <= margin*(w.settings.Share*float64(requests)+reservePart*w.settings.Reserve)
+	return float64(u.Retries+1) <= allowed
 }
 
 // TryRetry counts one retry of this instance. It returns false if the bound does not allow it.
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -244,7 +244,7 @@
 		}
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.isRetry && !s.f.takeRetry(s.req.service, a.resumesFromCopy()) {
+	if a.isRetry && !s.f.takeRetry(s.req, a.resumesFromCopy()) {
 		conn.PutBack()
 		a.roomOutcome = admission.Withdrawn
 		return a.failWithoutBudget()
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/gateway/clock"
 )
@@ -62,6 +64,13 @@
 	return b.get(service).TryRetry(b.now(), s, recovery)
 }
 
+// usage returns what the window of a service holds.
+func (b *retryBudgets) usage(service string, s limits.PeerCoverage) limits.RetryUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(service).Usage(b.now(), s)
+}
+
 // RetryCounts returns the requests and retries that this instance has counted, by service.
 func (f *Forwarder) RetryCounts() map[string]limits.RetryCounts {
 	f.retryBudgets.mu.Lock()
@@ -93,12 +102,21 @@
 
 // takeRetry reports whether a request may be retried, and counts the retry. recovery is set when
 // the request resumes from a copy of its memory.
-func (f *Forwarder) takeRetry(service string, recovery bool) bool {
-	if !f.retryBudgets.takeRetry(service, f.sharing(), recovery) {
-		f.metrics.retriesDenied.Inc(1)
+func (f *Forwarder) takeRetry(req *request, recovery bool) bool {
+	coverage := f.sharing()
+	taken := f.retryBudgets.takeRetry(req.service, coverage, recovery)
+	usage := f.retryBudgets.usage(req.service, coverage)
+	f.metrics.updateRetryUsage(req.service, &usage)
+	if !taken {
+		f.metrics.countRetryDenied(req.service)
+		f.Log.Refusal(req.ID, "retry refused", logrus.Fields{
+			"service": req.service, "recovery": recovery, "retries": usage.Retries, "requests": usage.Requests,
+			"allowed": usage.Allowed, "allowed_recovery": usage.RecoveryAllowed, "instances_reporting": coverage.Reporting, "instances_known": coverage.Known,
+			"up_ms": time.Since(f.startedAt).Milliseconds(),
+		})
 		return false
 	}
-	f.metrics.retries.Inc(1)
+	f.metrics.countRetry(req.service)
 	f.Peers.Repeated()
 	return true
 }
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -7,14 +7,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/agateway/agateway/core/admission"
+	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 )
 
 // metrics holds the counters and histograms of forwarding.
 type metrics struct {
 	scope                               tally.Scope
-	accepted, answered, retries         tally.Counter
-	retriesDenied                       tally.Counter
+	accepted, answered                  tally.Counter
 	silences, moved, movedByCopy        tally.Counter
 	keptSilent, leftSilent              tally.Counter // streams kept at a silent engine at an assessment, and moved away from one
 	recovered, brokenOff, callersLeft   tally.Counter
@@ -44,8 +44,8 @@
 	}
 	return metrics{
 		scope: s, accepted: s.Counter("requests_accepted_total"), answered: s.Counter("requests_answered_total"),
-		retries: s.Counter("requests_sent_again_total"), retriesDenied: s.Counter("requests_not_sent_again_total"), silences: s.Counter("streams_silent_total"),
-		moved: s.Counter("streams_moved_total"), keptSilent: s.Counter("streams_kept_silent_total"), leftSilent: s.Counter("streams_left_silent_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
+		silences: s.Counter("streams_silent_total"),
+		moved:    s.Counter("streams_moved_total"), keptSilent: s.Counter("streams_kept_silent_total"), leftSilent: s.Counter("streams_left_silent_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
 		claimsRefused: s.Counter("claims_refused_total"), deadlineRefusals: s.Counter("claims_refused_for_deadline_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
@@ -64,6 +64,28 @@
 	}
 }
 
+// countRetry counts a request that was sent again.
+func (m *metrics) countRetry(service string) {
+	m.forService(service).Counter("requests_sent_again_total").Inc(1)
+}
+
+// countRetryDenied counts a request that was not sent again, since the retry budget has no room.
+func (m *metrics) countRetryDenied(service string) {
+	m.forService(service).Counter("requests_not_sent_again_total").Inc(1)
+}
+
+// updateRetryUsage sets the gauges of a service's retry budget, as of its last retry.
+func (m *metrics) updateRetryUsage(service string, u *limits.RetryUsage) {
+	s := m.forService(service)
+	s.Gauge("retry_window_requests").Update(float64(u.Requests))
+	s.Gauge("retry_window_retries").Update(float64(u.Retries))
+	s.Gauge("retry_window_allowed").Update(u.RecoveryAllowed)
+}
+
+func (m *metrics) forService(service string) tally.Scope {
+	return m.scope.Tagged(map[string]string{"service": service})
+}
+
 // countWithheld counts a request or call that was not sent to the endpoint that was chosen.
 func (m *metrics) countWithheld(why routing.Withholding) {
 	m.scope.Tagged(map[string]string{"why": string(why)}).Counter("requests_withheld_total").Inc(1)
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -151,7 +151,7 @@
 		return false
 	}
 	// A failed connection has delivered nothing, so the next send is no retry.
-	return p.sends == 0 || p.f.takeRetry(p.req.service, false)
+	return p.sends == 0 || p.f.takeRetry(p.req, false)
 }
 
 // finish ends a request that is not sent again. It delivers an endpoint's own error answer if there
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -193,7 +193,7 @@
 	if result == outcomeNotRun {
 		return true
 	}
-	return p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns() && p.f.takeRetry(p.req.service, false)
+	return p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns() && p.f.takeRetry(p.req, false)
 }
 
 // sendToPeer passes the request on to a helper and reads its answer.
@@ -264,7 +264,7 @@
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.isRetry && !s.f.takeRetry(s.req.service, false) {
+	if a.isRetry && !s.f.takeRetry(s.req, false) {
 		conn.PutBack()
 		return a.failWithoutBudget()
 	}
