gateway/front: a failing test of the bound on retries while instances start again

Six instances, twelve engines or six plain endpoints that refuse 95 in 100 requests, in virtual time.

--- /dev/null
+++ b/gateway/front/retry_bound_test.go
@@ -0,0 +1,213 @@
+package front_test
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// retryBound is the bound that all instances together keep: so many requests of a service may arrive at its
+// endpoints again within a window, per request of its callers in that window, in the one before, or in the one
+// half a window earlier, whichever has most.
+const (
+	retryShare   = 0.8
+	retryReserve = 150
+	retryWindow  = 10 * time.Second
+)
+
+// requestTimes records when callers sent requests.
+type requestTimes struct {
+	w    *world
+	sent map[string]time.Time
+}
+
+func newRequestTimes(w *world) *requestTimes {
+	return &requestTimes{w: w, sent: map[string]time.Time{}}
+}
+
+// next returns the request with an id, and records it as sent now. It is called by one goroutine.
+func (t *requestTimes) next(r standin.Request) standin.Request {
+	r.ID = t.w.newRequestID()
+	t.sent[r.ID] = time.Now()
+	return r
+}
+
+// loadRecorded sends requests at a rate to the instances that run, in turn, and returns the times at which they were sent.
+func (w *world) loadRecorded(perSecond float64, d time.Duration, request func() standin.Request) *requestTimes {
+	times := newRequestTimes(w)
+	var open atomic.Int64
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for i := range int(perSecond * d.Seconds()) {
+		r, front := times.next(request()), w.anyRunningFront(i)
+		if front >= 0 {
+			open.Add(1)
+			go func() { defer open.Add(-1); _ = w.answer(front, r) }()
+		}
+		time.Sleep(interval)
+	}
+	for open.Load() > 0 {
+		time.Sleep(interval)
+	}
+	return times
+}
+
+// anyRunningFront returns the i-th instance, or the next one that runs; -1 if none does.
+func (w *world) anyRunningFront(i int) int {
+	for n := range w.fronts {
+		if f := (i + n) % len(w.fronts); w.isRunning(f) {
+			return f
+		}
+	}
+	return -1
+}
+
+// worstWindow returns the largest number of arrivals beyond the first of each request within a window, relative
+// to what is allowed there, and that allowance.
+func (t *requestTimes) worstWindow(workers []*standin.Worker) (repeats int, allowed float64) {
+	var sent, again []time.Time
+	arrivals := map[string][]time.Time{}
+	for _, worker := range workers {
+		for _, a := range worker.Arrivals() {
+			if _, ours := t.sent[a.ID]; ours && !a.ConcernsMemory() {
+				arrivals[a.ID] = append(arrivals[a.ID], a.At)
+			}
+		}
+	}
+	for _, at := range t.sent {
+		sent = append(sent, at)
+	}
+	for _, at := range arrivals {
+		slices.SortFunc(at, time.Time.Compare)
+		again = append(again, at[1:]...)
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	slices.SortFunc(again, time.Time.Compare)
+	worst := -1.0
+	for _, from := range again {
+		n := countWithin(again, from, retryWindow)
+		requests := max(countWithin(sent, from, retryWindow), countWithin(sent, from.Add(-retryWindow/2), retryWindow), countWithin(sent, from.Add(-retryWindow), retryWindow))
+		bound := retryShare*float64(requests) + retryReserve
+		if load := float64(n) / bound; load > worst {
+			worst, repeats, allowed = load, n, bound
+		}
+	}
+	return repeats, allowed
+}
+
+// countWithin returns how many of the sorted times lie within d after from.
+func countWithin(times []time.Time, from time.Time, d time.Duration) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(d), time.Time.Compare)
+	return end - first
+}
+
+// restartSeries is what happens to the instances while endpoints refuse most requests.
+type restartSeries struct {
+	name string
+	// every is the time between two events, each of which calls act with its number.
+	every time.Duration
+	act   func(w *world, n int)
+}
+
+func (w *world) restartFront(i int) {
+	w.killFront(i)
+	w.startFront(i)
+}
+
+// drainFront ends an instance gracefully and starts it again.
+func (w *world) drainFront(i int) {
+	w.frontsMu.Lock()
+	f := w.fronts[i]
+	w.fronts[i] = nil
+	w.frontsMu.Unlock()
+	go func() {
+		f.Drain()
+		w.startFront(i)
+	}()
+}
+
+func (w *world) restartAllFronts(down time.Duration) {
+	for i := range w.fronts {
+		w.killFront(i)
+	}
+	time.Sleep(down)
+	for i := range w.fronts {
+		w.startFront(i)
+	}
+}
+
+var retryBoundSeries = []restartSeries{
+	{"calm", time.Hour, func(*world, int) {}},
+	{"killed in turn each second", time.Second, func(w *world, n int) { w.restartFront(n % len(w.fronts)) }},
+	{"killed in turn each 3 s", 3 * time.Second, func(w *world, n int) { w.restartFront(n % len(w.fronts)) }},
+	{"drained in turn each 3 s", 3 * time.Second, func(w *world, n int) {
+		if i := n % len(w.fronts); w.isRunning(i) {
+			w.drainFront(i)
+		}
+	}},
+	{"two killed each second", time.Second, func(w *world, n int) {
+		w.restartFront(2 * n % len(w.fronts))
+		w.restartFront((2*n + 1) % len(w.fronts))
+	}},
+	{"all killed each 4.5 s", 4500 * time.Millisecond, func(w *world, _ int) { w.restartAllFronts(100 * time.Millisecond) }},
+	{"all killed each 1.5 s", 1500 * time.Millisecond, func(w *world, _ int) { w.restartAllFronts(100 * time.Millisecond) }},
+	{"half cut off for 3 s each 5 s", 5 * time.Second, func(w *world, _ int) {
+		inHalf := func(node string) bool { return node == "f0" || node == "f1" || node == "f2" }
+		isFront := func(node string) bool { return node[0] == 'f' }
+		w.net.SetCut(func(a, b string) bool { return isFront(a) && isFront(b) && inHalf(a) != inHalf(b) })
+		time.AfterFunc(3*time.Second, func() { w.net.SetCut(func(string, string) bool { return false }) })
+	}},
+}
+
+// TestRetriesStayInBoundDuringRestarts guards against more arrivals of requests at endpoints than the bound on
+// retries allows: an instance that started counted from zero, and each one spent the whole reserve anew.
+func TestRetriesStayInBoundDuringRestarts(t *testing.T) {
+	const seconds = 40
+	for _, c := range []struct {
+		service   string
+		perSecond float64
+		request   func() standin.Request
+	}{
+		{"engines", 12, func() standin.Request { return briefRequest(fmt.Sprintf("%08x", time.Now().UnixNano())) }},
+		{"plain", 25, pingRequest},
+	} {
+		for _, s := range retryBoundSeries {
+			t.Run(c.service+"/"+s.name, func(t *testing.T) {
+				run(t, 6, 12, 6, func(w *world) {
+					workers := w.engines
+					if c.service == "plain" {
+						workers = w.plains
+					}
+					for _, worker := range workers {
+						worker.SetFault(standin.WorkerFault{RefusedFraction: 0.95})
+					}
+					stop, stopped := make(chan struct{}), make(chan struct{})
+					go func() {
+						defer close(stopped)
+						for n := 0; ; n++ {
+							select {
+							case <-stop:
+								return
+							case <-time.After(s.every):
+								s.act(w, n)
+							}
+						}
+					}()
+					times := w.loadRecorded(c.perSecond, seconds*time.Second, c.request)
+					close(stop)
+					<-stopped
+					time.Sleep(10 * time.Second) // an instance that drains starts again
+					repeats, allowed := times.worstWindow(workers)
+					t.Logf("%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
+					assert.Check(t, float64(repeats) <= allowed, "%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
+				})
+			})
+		}
+	}
+}
