core/limits, gateway/exchange, gateway/forward: the bound on retries outlives the processes that count

Callers saw services with more repeated arrivals than the bound allows, wherever instances started again.

Cause: what is summed over the fleet and over 10 s lived in one process. An instance that started knew no retry of the last window, took what others had counted so far as its baseline, and so granted the whole reserve anew. What an instance that is killed had sent since its last announcement, up to 0.4 s, nobody counted. A cut or a new aggregator of a data centre dropped the counts of the others in the same way.

Change: - Processes report what they have counted within the window besides their totals. A process that is heard for the first time adds that. Retries of an instance that is gone stay until they leave the window, its requests count only while it reports. - An instance that starts, or was paused or cut off, asks two others for what each instance has sent, by time step. Until it knows the whole window it uses a part of the bound that informed instances leave unused (15%; they use 75%).

The first instance of a fleet, which finds no entry of any other in the store, knows that nothing was sent before.

TestLargeFleetRetriesStayWithinBound and the exchange's fleet of tests report recent counts too, as processes do; their checks are unchanged.

--- a/core/limits/fleet_test.go
+++ b/core/limits/fleet_test.go
@@ -58,9 +58,12 @@
 func (f *fleet) exchangeSums(now time.Duration, dataCentres int) {
 	sums := make([]RetryCounts, dataCentres)
 	for i, w := range f.windows {
-		own := w.LocalCounts()
-		sums[i%dataCentres].Requests += own.Requests
-		sums[i%dataCentres].Retries += own.Retries
+		own, sum := w.LocalCounts(now), &sums[i%dataCentres]
+		sum.Requests += own.Requests
+		sum.Retries += own.Retries
+		sum.RecentRequests += own.RecentRequests
+		sum.RecentRetries += own.RecentRetries
+		sum.Group = true
 	}
 	for _, w := range f.windows {
 		for dc, sum := range sums {
--- a/core/limits/retrywindow.go
+++ b/core/limits/retrywindow.go
@@ -9,13 +9,21 @@
 // the budget is unused: with 87 instances each had room for one retry at a time, and streams were
 // broken off for that.
 //
+// The counts of an instance end with its process, so one that starts takes over those of the others. Until it
+// knows what was sent in the whole window before, it is uninformed and uses only a part of the bound that informed
+// instances leave unused. What it uses grows with its own requests and its own time, so any number of restarts
+// within a window use that part once.
+//
 // The zero value is not usable; see [NewRetryWindow]. It does no I/O and reads no clock, and is not
 // safe for concurrent use. Times are durations since a fixed start.
 type RetryWindow struct {
 	settings RetryWindowSettings
-	buckets  []bucket
-	peers    map[string]RetryCounts
-	local    RetryCounts
+	// own holds what this process has counted, others what other instances and former processes of this one have.
+	own    slidingCounts
+	local  RetryCounts
+	others *RetryLedger
+	// knownSince is since when the retries of all instances are known.
+	knownSince time.Duration
 }
 
 // RetryWindowSettings define the bound on retries.
@@ -29,46 +37,24 @@
 	// RecoveryMargin is the fraction of the bound, within Margin, that only recoveries may use: a
 	// refused recovery loses the most.
 	RecoveryMargin float64
+	// UninformedMargin is the fraction of the bound that uninformed instances together may use besides.
+	UninformedMargin float64
+	// UninformedRounding is a random number in [0, 1), drawn for each process. In a large fleet the part of each
+	// instance is less than one retry: so many of them round it up that the sum is right.
+	UninformedRounding float64
 }
 
-// RetryCounts holds what an instance has counted since it started.
-type RetryCounts struct{ Requests, Retries uint64 }
-
-// TotalRetries returns the sum of the retries to all services.
-func TotalRetries(counts map[string]RetryCounts) uint64 {
-	sum := uint64(0)
-	for _, c := range counts {
-		sum += c.Retries
-	}
-	return sum
-}
-
-// bucket counts one time step of the window.
-type bucket struct {
-	step              int64
-	requests, retries uint64
-}
-
-// stepsPerWindow is the number of time steps in a window.
-const stepsPerWindow = 20
-
-// NewRetryWindow returns a window without requests and retries.
+// NewRetryWindow returns a window without requests and retries, as if the fleet had sent none before.
 func NewRetryWindow(s RetryWindowSettings) *RetryWindow {
-	return &RetryWindow{settings: s, buckets: make([]bucket, stepsPerWindow+1), peers: map[string]RetryCounts{}}
+	return &RetryWindow{settings: s, others: NewRetryLedger(s.Length), knownSince: -s.Length}
 }
 
-func (w *RetryWindow) bucketAt(now time.Duration) *bucket {
-	step := int64(now / (w.settings.Length / stepsPerWindow))
-	b := &w.buckets[step%int64(len(w.buckets))]
-	if b.step != step {
-		*b = bucket{step: step}
-	}
-	return b
-}
+// SetKnownSince sets since when the retries of all instances are known.
+func (w *RetryWindow) SetKnownSince(t time.Duration) { w.knownSince = t }
 
 // RecordRequest counts a request of this instance.
 func (w *RetryWindow) RecordRequest(now time.Duration) {
-	w.bucketAt(now).requests++
+	w.own.at(w.others.stepAt(now)).requests++
 	w.local.Requests++
 }
 
@@ -85,17 +71,36 @@
 	Requests, Retries uint64
 	// Allowed is how many retries this instance lets be reached: recoveries up to RecoveryAllowed.
 	Allowed, RecoveryAllowed float64
+	// Uninformed is set while the retries in a part of the window are not known.
+	Uninformed bool
 }
 
-// Usage returns what the window holds, and up to how many retries the bound allows.
+// Usage returns what the window holds, and up to how many retries this instance lets be reached.
 func (w *RetryWindow) Usage(now time.Duration, s PeerCoverage) RetryUsage {
-	requests, retries := w.sum(now)
+	requests, retries := w.others.Sum(now)
+	ownRequests, ownRetries := w.own.sum(0, w.others.stepAt(now))
+	u := RetryUsage{Requests: requests + ownRequests, Retries: retries + ownRetries, Uninformed: now-w.knownSince < w.settings.Length}
 	reservePart := 1.0
 	if s.Known > s.Reporting {
 		reservePart = float64(s.Reporting) / float64(s.Known)
 	}
-	bound := w.settings.Share*float64(requests) + reservePart*w.settings.Reserve
-	return RetryUsage{Requests: requests, Retries: retries, Allowed: (w.settings.Margin - w.settings.RecoveryMargin) * bound, RecoveryAllowed: w.settings.Margin * bound}
+	u.RecoveryAllowed = w.settings.Margin * (w.settings.Share*float64(u.Requests) + reservePart*w.settings.Reserve)
+	othersPart := 1 - w.settings.RecoveryMargin/w.settings.Margin
+	u.Allowed = othersPart * u.RecoveryAllowed
+	if u.Uninformed {
+		part, used := w.uninformedPart(now, s)
+		u.RecoveryAllowed = min(u.RecoveryAllowed, float64(u.Retries-used)+part)
+		u.Allowed = min(u.Allowed, float64(u.Retries-used)+othersPart*part)
+	}
+	return u
+}
+
+// uninformedPart returns how many retries this process may send while it is uninformed, and how many it has sent.
+func (w *RetryWindow) uninformedPart(now time.Duration, s PeerCoverage) (part float64, used uint64) {
+	requests, retries := w.own.sum(w.others.stepAt(w.knownSince), w.others.stepAt(now))
+	lifetime := float64(now-w.knownSince) / float64(w.settings.Length)
+	part = w.settings.UninformedMargin * (w.settings.Share*float64(requests) + w.settings.Reserve*lifetime/float64(max(s.Known, 1)))
+	return part + w.settings.UninformedRounding, retries
 }
 
 // CanRetry tells whether the bound allows one more retry, and counts nothing. An instance that does
@@ -114,38 +119,53 @@
 	if !w.CanRetry(now, s, recovery) {
 		return false
 	}
-	w.bucketAt(now).retries++
+	w.own.at(w.others.stepAt(now)).retries++
 	w.local.Retries++
 	return true
 }
 
-// LocalCounts returns what this instance has counted, to be reported to the others.
-func (w *RetryWindow) LocalCounts() RetryCounts { return w.local }
+// LocalCounts returns what this process has counted, to be reported to the others.
+func (w *RetryWindow) LocalCounts(now time.Duration) RetryCounts {
+	c := w.local
+	c.RecentRequests, c.RecentRetries = w.own.sum(0, w.others.stepAt(now))
+	return c
+}
 
-// UpdatePeer takes what another instance has counted since it started, and adds the increase to the
-// window.
+// UpdatePeer takes what another instance, or a group, has counted.
 func (w *RetryWindow) UpdatePeer(now time.Duration, peer string, c RetryCounts) {
-	old, known := w.peers[peer]
-	w.peers[peer] = c
-	if !known || c.Requests < old.Requests || c.Retries < old.Retries {
-		return // a new or restarted peer: its previous counts may be older than the window
-	}
-	b := w.bucketAt(now)
-	b.requests += c.Requests - old.Requests
-	b.retries += c.Retries - old.Retries
+	w.others.Update(now, peer, c)
 }
 
-// RemovePeer forgets an instance that does not report any more.
-func (w *RetryWindow) RemovePeer(peer string) { delete(w.peers, peer) }
+// RemovePeer records that an instance does not report any more.
+func (w *RetryWindow) RemovePeer(now time.Duration, peer string) { w.others.Silence(now, peer) }
+
+// Export returns what this instance knows of all, for one that starts. self names this instance, and process its
+// process.
+func (w *RetryWindow) Export(now time.Duration, self string, process uint64) []RetrySource {
+	step := w.others.stepAt(now)
+	own := retrySource{counts: w.own, last: w.local}
+	own.last.Process = process
+	if former := w.others.sources[self]; former != nil {
+		own.counts.add(&former.counts, step)
+	}
+	out := []RetrySource{own.export(self, step)}
+	for _, s := range w.others.Export(now) {
+		if s.Instance != self {
+			out = append(out, s)
+		}
+	}
+	return out
+}
 
-// sum returns the requests and retries within the window.
-func (w *RetryWindow) sum(now time.Duration) (requests, retries uint64) {
-	step := int64(now / (w.settings.Length / stepsPerWindow))
-	for i := range w.buckets {
-		if b := &w.buckets[i]; b.step > step-int64(len(w.buckets)) && b.step <= step {
-			requests += b.requests
-			retries += b.retries
+// Merge takes what another instance has exported. Of what that one knows of this instance, the counts of former
+// processes are new.
+func (w *RetryWindow) Merge(now time.Duration, self string, process uint64, exported *RetrySource) {
+	s := *exported
+	if s.Instance == self {
+		if s.Last.Process == process {
+			s = s.withoutNewest(w.others.stepAt(now))
 		}
+		s.Last, s.Silent = RetryCounts{}, false
 	}
-	return requests, retries
+	w.others.Merge(now, &s)
 }
--- a/core/limits/retrywindow_test.go
+++ b/core/limits/retrywindow_test.go
@@ -55,7 +55,7 @@
 	for i, a := range f.windows {
 		for j, b := range f.windows {
 			if i != j {
-				a.UpdatePeer(now, fmt.Sprint(j), b.LocalCounts())
+				a.UpdatePeer(now, fmt.Sprint(j), b.LocalCounts(now))
 			}
 		}
 	}
--- a/gateway/exchange/announce.go
+++ b/gateway/exchange/announce.go
@@ -229,7 +229,7 @@
 	if old != nil && old.process == h.process && h.sequence <= old.sequence {
 		return false
 	}
-	x.aggregate.addAnnounced(instance, old, h)
+	x.aggregate.add(h.receivedAt, x.RetryWindow, instance, h.counts)
 	x.announcements[instance] = h
 	return true
 }
--- a/gateway/exchange/digest.go
+++ b/gateway/exchange/digest.go
@@ -13,9 +13,11 @@
 type aggregate struct {
 	sequence uint64
 	// totals is what the instances of this data centre have counted since this one began to
-	// aggregate. ownCounts is what this instance itself had counted when it was last added to
-	// totals.
-	totals, ownCounts map[string]limits.RetryCounts
+	// aggregate, and ledgers what they have counted within the last window, both by service. ownRetries
+	// is how many retries this instance itself had counted when it was last added to totals.
+	totals     map[string]limits.RetryCounts
+	ledgers    map[string]*limits.RetryLedger
+	ownRetries uint64
 	// announcedRetries is how many retries of totals the last digest held.
 	announcedRetries uint64
 	digests          map[string]*digest
@@ -29,28 +31,38 @@
 }
 
 func newAggregate() aggregate {
-	return aggregate{totals: map[string]limits.RetryCounts{}, ownCounts: map[string]limits.RetryCounts{}, digests: map[string]*digest{}}
+	return aggregate{totals: map[string]limits.RetryCounts{}, ledgers: map[string]*limits.RetryLedger{}, digests: map[string]*digest{}}
 }
 
-// addAnnounced adds what an instance has counted between two of its announcements. Counts before
-// the first announcement are left out: they may be old.
-func (s *aggregate) addAnnounced(_ string, before, now *receivedAnnouncement) {
-	if before != nil && before.process == now.process {
-		s.addIncrease(before.counts, now.counts)
+// add adds what an instance has counted since it was last added.
+func (s *aggregate) add(now, window time.Duration, instance string, counts map[string]limits.RetryCounts) {
+	for service, c := range counts {
+		l := s.ledgers[service]
+		if l == nil {
+			l = limits.NewRetryLedger(window)
+			s.ledgers[service] = l
+		}
+		requests, retries := l.Update(now, instance, c)
+		t := s.totals[service]
+		s.totals[service] = limits.RetryCounts{Requests: t.Requests + requests, Retries: t.Retries + retries}
 	}
 }
 
-// addIncrease adds the increase of each service's counts to totals. Counts that have decreased are
-// left out.
-func (s *aggregate) addIncrease(before, now map[string]limits.RetryCounts) {
-	for service, c := range now {
-		b := before[service]
-		if c.Requests < b.Requests || c.Retries < b.Retries {
-			continue
-		}
-		u := s.totals[service]
-		s.totals[service] = limits.RetryCounts{Requests: u.Requests + c.Requests - b.Requests, Retries: u.Retries + c.Retries - b.Retries}
+// silence records that an instance does not announce any more.
+func (s *aggregate) silence(now time.Duration, instance string) {
+	for _, l := range s.ledgers {
+		l.Silence(now, instance)
+	}
+}
+
+// counts returns the totals, with what was counted within the last window.
+func (s *aggregate) counts(now time.Duration) map[string]limits.RetryCounts {
+	out := make(map[string]limits.RetryCounts, len(s.totals))
+	for service, t := range s.totals {
+		t.RecentRequests, t.RecentRetries = s.ledgers[service].Sum(now)
+		out[service] = t
 	}
+	return out
 }
 
 // digestPeerName returns the name under which the digest of a data centre is passed to Endpoints,
@@ -80,7 +92,7 @@
 	counts := x.ServiceCounts()
 	x.announcementsMu.Lock()
 	d := x.nextDigest(counts)
-	d.Uses = encodeCounts(x.aggregate.totals)
+	d.Uses = encodeCounts(x.aggregate.counts(x.Clock()))
 	x.announcementsMu.Unlock()
 	x.broadcastDigest(r, d)
 }
@@ -91,7 +103,7 @@
 	own := limits.TotalRetries(x.ServiceCounts())
 	x.announcementsMu.Lock()
 	defer x.announcementsMu.Unlock()
-	return limits.TotalRetries(x.aggregate.totals)+own-limits.TotalRetries(x.aggregate.ownCounts) >= x.aggregate.announcedRetries+urgentRetries
+	return limits.TotalRetries(x.aggregate.totals)+own-x.aggregate.ownRetries >= x.aggregate.announcedRetries+urgentRetries
 }
 
 // broadcastDigest sends a digest to the instances of this data centre and to the aggregators of the
@@ -121,14 +133,14 @@
 	}
 	d := x.nextDigest(counts)
 	d.Instances = uint32(len(reports))
-	return encodeDigest(d, routing.Combine(reports), x.aggregate.totals, time.Now())
+	return encodeDigest(d, routing.Combine(reports), x.aggregate.counts(x.Clock()), time.Now())
 }
 
 // nextDigest adds this instance's own counts to the totals, and returns the next digest without a
 // report or counts. The caller holds announcementsMu.
 func (x *Exchange) nextDigest(counts map[string]limits.RetryCounts) *peerv1.Digest {
-	x.aggregate.addIncrease(x.aggregate.ownCounts, counts)
-	x.aggregate.ownCounts = counts
+	x.aggregate.add(x.Clock(), x.RetryWindow, x.Self.ID, counts)
+	x.aggregate.ownRetries = limits.TotalRetries(counts)
 	x.aggregate.announcedRetries = limits.TotalRetries(x.aggregate.totals)
 	x.aggregate.sequence++
 	return &peerv1.Digest{DataCentre: x.Self.DataCentre, Instance: x.Self.ID, Process: x.process, Sequence: x.aggregate.sequence}
@@ -167,9 +179,6 @@
 	if old != nil {
 		x.metrics.digestAge.RecordDuration(now - old.receivedAt)
 	}
-	if old != nil && !sameSender {
-		x.Endpoints.SetPeerReport(name, routing.PeerReport{}, nil) // the new sender counts from zero
-	}
 	r := x.roster()
 	report, counts := decodeDigest(d, time.Now())
 	if d.Instances == 0 { // a digest of counts only
--- a/gateway/exchange/encoding.go
+++ b/gateway/exchange/encoding.go
@@ -126,15 +126,15 @@
 func encodeCounts(counts map[string]limits.RetryCounts) []*peerv1.ServiceUse {
 	var out []*peerv1.ServiceUse
 	for service, c := range counts {
-		out = append(out, &peerv1.ServiceUse{Service: service, Requests: c.Requests, Repeats: c.Retries})
+		out = append(out, &peerv1.ServiceUse{Service: service, Requests: c.Requests, Repeats: c.Retries, RecentRequests: c.RecentRequests, RecentRepeats: c.RecentRetries})
 	}
 	return out
 }
 
-func decodeCounts(uses []*peerv1.ServiceUse) map[string]limits.RetryCounts {
+func decodeCounts(uses []*peerv1.ServiceUse, process uint64) map[string]limits.RetryCounts {
 	out := make(map[string]limits.RetryCounts, len(uses))
 	for _, u := range uses {
-		out[u.Service] = limits.RetryCounts{Requests: u.Requests, Retries: u.Repeats}
+		out[u.Service] = limits.RetryCounts{Requests: u.Requests, Retries: u.Repeats, RecentRequests: u.RecentRequests, RecentRetries: u.RecentRepeats, Process: process}
 	}
 	return out
 }
@@ -248,7 +248,7 @@
 	for _, r := range a.Read {
 		report.Prefilled = append(report.Prefilled, routing.PrefilledPrompt{Endpoint: r.Endpoint, Prompt: r.Prompt})
 	}
-	return report, decodeCounts(a.Uses)
+	return report, decodeCounts(a.Uses, a.Process)
 }
 
 // encodeDigest adds an aggregated report and the counts to a digest. A data centre that has lost
@@ -263,8 +263,13 @@
 }
 
 func decodeDigest(d *peerv1.Digest, now time.Time) (routing.PeerReport, map[string]limits.RetryCounts) {
+	counts := decodeCounts(d.Uses, d.Process)
+	for service, c := range counts {
+		c.Group = true
+		counts[service] = c
+	}
 	return routing.PeerReport{
 		Suspects: d.Suspects, Ended: d.Ended, Outcomes: decodeOutcomes(d.Outcomes), Paces: decodePaces(d.Paces), Limits: decodeLimits(d.Limits, now),
 		Departures: decodeDepartures(d.Departures, now),
-	}, decodeCounts(d.Uses)
+	}, counts
 }
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -85,6 +85,9 @@
 	Rollouts Rollouts
 	// Queues is nil where instances share no queues.
 	Queues Queues
+	// Retries is nil where instances share no bound on retries. RetryWindow is the length of its window.
+	Retries     Retries
+	RetryWindow time.Duration
 	// ServiceCounts returns what this instance has counted since its start, by service.
 	ServiceCounts func() map[string]limits.RetryCounts
 	// Clock also runs while the machine is suspended.
@@ -116,6 +119,7 @@
 	lastAnnounced    int // bytes of the last announcement to all, used by Run only
 	joins            int // calls of join, which only joinFleet makes
 	crashQuestions   crashQuestions
+	retryQuestions   retryQuestions
 
 	announcedRetries atomic.Uint64 // retries in ServiceCounts at the last announcement of changes
 
@@ -143,10 +147,16 @@
 	rnd := rand.New(rand.NewPCG(x.process, x.process))
 	x.members = members{node: membership.New(memberSettings(), x.initialMember(), rnd), probes: map[uint64]probe{}}
 	x.spreader = newSpreader()
+	if x.RetryWindow <= 0 {
+		x.RetryWindow = defaultRetryWindow
+	}
 	x.currentRoster.Store(newRoster(o.Self, nil, 0, nil))
 	return x
 }
 
+// defaultRetryWindow is used where the options give no window.
+const defaultRetryWindow = 10 * time.Second
+
 // Run exchanges datagrams with the other instances until ctx ends. Then it closes Conn.
 func (x *Exchange) Run(ctx context.Context) {
 	go x.listen(ctx)
@@ -185,9 +195,9 @@
 	}
 }
 
-// Repeated makes the aggregators learn soon that a request was sent again. In a full mesh that
-// waits for the next announcement.
-func (x *Exchange) Repeated() { x.Freed() }
+// Repeated makes the others learn soon that a request was sent again. What they have not learned when this
+// instance is killed, they never count.
+func (x *Exchange) Repeated() { x.signalChange() }
 
 // PublishStatus tells the others at once if this instance's readiness or store access has changed,
 // such as when it leaves.
@@ -294,6 +304,8 @@
 		x.receiveRollouts(body.Rollouts, raw)
 	case *peerv1.Datagram_QueueUpdate:
 		x.receiveQueueUpdate(body.QueueUpdate)
+	case *peerv1.Datagram_RetryHistory:
+		x.receiveRetryHistory(body.RetryHistory, from)
 	case *peerv1.Datagram_QueueState:
 		x.receiveQueueState(body.QueueState)
 	default:
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -141,7 +141,12 @@
 func (n *node) ownCounts() map[string]limits.RetryCounts {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return maps.Clone(n.counts)
+	counts := make(map[string]limits.RetryCounts, len(n.counts))
+	for service, c := range n.counts { // a test takes less time than the window
+		c.RecentRequests, c.RecentRetries = c.Requests, c.Retries
+		counts[service] = c
+	}
+	return counts
 }
 
 func (n *node) SetPeerReport(instance string, report routing.PeerReport, counts map[string]limits.RetryCounts) {
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -110,6 +110,9 @@
 		return false, false
 	}
 	registered, others := x.seedMembers(&page)
+	if !registered && !others && x.Retries != nil {
+		x.Retries.MergeHistory(x.process, nil, x.RetryWindow) // no instance has run before
+	}
 	if others {
 		x.hello()
 		x.awaitReplies(ctx)
--- a/gateway/exchange/members.go
+++ b/gateway/exchange/members.go
@@ -138,6 +138,7 @@
 		x.reconcile()
 		x.roster()
 		x.askWaitingForCrashes()
+		x.askForRetryHistory()
 		x.logMemberChanges()
 	})
 }
@@ -387,6 +388,7 @@
 		x.Crashes.Forget(id)
 	}
 	x.askForCrashes(joined)
+	x.onJoinedForRetries(joined)
 	x.metrics.suspected.Inc(int64(len(lost)))
 }
 
@@ -407,10 +409,8 @@
 // dropAnnouncement drops the last announcement of an instance, and its report.
 func (x *Exchange) dropAnnouncement(id string) {
 	x.announcementsMu.Lock()
-	_, known := x.announcements[id]
 	delete(x.announcements, id)
+	x.aggregate.silence(x.Clock(), id)
 	x.announcementsMu.Unlock()
-	if known {
-		x.Endpoints.SetPeerReport(id, routing.PeerReport{}, nil)
-	}
+	x.Endpoints.SetPeerReport(id, routing.PeerReport{}, nil)
 }
--- /dev/null
+++ b/gateway/exchange/retryhistory.go
@@ -0,0 +1,157 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/limits"
+)
+
+// Retries holds what this instance knows of the requests that all instances have sent again. Sources are by
+// service.
+type Retries interface {
+	// History returns what was sent within the last window, and for how long this instance knows what all have
+	// sent. process is this instance's process.
+	History(process uint64) (sources map[string][]limits.RetrySource, knownFor time.Duration)
+	// MergeHistory takes the history of another instance.
+	MergeHistory(process uint64, sources map[string][]limits.RetrySource, knownFor time.Duration)
+	// NeedsHistory reports whether this instance does not know what was sent in the whole last window.
+	NeedsHistory() bool
+}
+
+const (
+	// maxHistoryBytes bounds the sources in a datagram to what two packets hold.
+	maxHistoryBytes = 2800
+	// maxHistoryParts bounds the parts of an answer that are waited for.
+	maxHistoryParts = 256
+	// minHistoryGap is the least time between two questions for the history.
+	minHistoryGap = 200 * time.Millisecond
+)
+
+// retryQuestions is the state of the questions for the history of retries.
+type retryQuestions struct {
+	// asked is set once askedAt is when this instance last asked.
+	asked   bool
+	askedAt time.Duration
+	// heardAgain is set if instances became alive since.
+	heardAgain bool
+	// answers counts the parts that have come of each answer.
+	answers map[uint64]int
+}
+
+// onJoinedForRetries asks for the history of retries if instances have become alive. This instance has just started, or
+// it was cut off from them: then processes may have come and gone of which it knows nothing.
+func (x *Exchange) onJoinedForRetries(joined []string) {
+	if len(joined) == 0 {
+		return
+	}
+	x.sendMu.Lock()
+	x.retryQuestions.heardAgain = true
+	x.sendMu.Unlock()
+	x.askForRetryHistory()
+}
+
+// askForRetryHistory asks two of the others for the history of retries, if this instance needs it.
+func (x *Exchange) askForRetryHistory() {
+	if x.Retries == nil {
+		return
+	}
+	r := x.refreshRoster()
+	if len(r.alive) == 0 {
+		return
+	}
+	now := x.Clock()
+	x.sendMu.Lock()
+	q := &x.retryQuestions
+	due := (x.Retries.NeedsHistory() || q.heardAgain && r.fullMesh()) && (!q.asked || now-q.askedAt >= minHistoryGap)
+	if due {
+		q.asked, q.askedAt, q.heardAgain, q.answers = true, now, false, map[uint64]int{}
+	}
+	x.sendMu.Unlock()
+	if !due {
+		return
+	}
+	to := make([]string, 0, instancesPerQuestion)
+	for _, i := range rand.Perm(len(r.alive))[:min(len(r.alive), instancesPerQuestion)] {
+		to = append(to, r.alive[i].ID)
+	}
+	x.send(&peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: &peerv1.RetryHistory{Instance: x.Self.ID, Ask: true}}}, r.addressesOf(to...)...)
+}
+
+// receiveRetryHistory takes a part of another instance's history, or answers its question.
+func (x *Exchange) receiveRetryHistory(h *peerv1.RetryHistory, from net.Addr) {
+	if x.Retries == nil || h.Instance == "" || h.Instance == x.Self.ID {
+		x.metrics.malformed.Inc(1)
+		return
+	}
+	if h.Ask {
+		x.sendRetryHistory(from)
+		return
+	}
+	x.Retries.MergeHistory(x.process, decodeRetrySources(h.Sources), 0)
+	if x.isWholeAnswer(h) {
+		x.Retries.MergeHistory(x.process, nil, time.Duration(min(h.KnownMs, uint64(x.RetryWindow.Milliseconds())))*time.Millisecond)
+	}
+}
+
+// isWholeAnswer counts a part of an answer, and reports whether all its parts have come.
+func (x *Exchange) isWholeAnswer(h *peerv1.RetryHistory) bool {
+	x.sendMu.Lock()
+	defer x.sendMu.Unlock()
+	if x.retryQuestions.answers == nil || h.Parts > maxHistoryParts {
+		return false
+	}
+	x.retryQuestions.answers[h.Answer]++
+	return x.retryQuestions.answers[h.Answer] == int(h.Parts)
+}
+
+// sendRetryHistory sends the history of retries in as many parts as it needs.
+func (x *Exchange) sendRetryHistory(to net.Addr) {
+	sources, knownFor := x.Retries.History(x.process)
+	parts := [][]*peerv1.RetrySource{nil}
+	size := 0
+	for _, s := range encodeRetrySources(sources) {
+		n := proto.Size(s)
+		if size += n; size > maxHistoryBytes && size > n {
+			parts, size = append(parts, nil), n
+		}
+		parts[len(parts)-1] = append(parts[len(parts)-1], s)
+	}
+	answer := rand.Uint64()
+	for i, p := range parts {
+		x.send(&peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: &peerv1.RetryHistory{
+			Instance: x.Self.ID, Answer: answer, Part: uint32(i), Parts: uint32(len(parts)), KnownMs: uint64(knownFor.Milliseconds()), Sources: p,
+		}}}, to)
+	}
+}
+
+func encodeRetrySources(byService map[string][]limits.RetrySource) []*peerv1.RetrySource {
+	var out []*peerv1.RetrySource
+	for service, sources := range byService {
+		for i := range sources {
+			s := &sources[i]
+			e := &peerv1.RetrySource{Service: service, Name: s.Instance, Requests: s.Last.Requests, Repeats: s.Last.Retries, Process: s.Last.Process, Silent: s.Silent}
+			for _, st := range s.Steps {
+				e.Steps = append(e.Steps, &peerv1.RetryStep{Age: uint32(st.Age), Requests: st.Requests, Repeats: st.Retries})
+			}
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func decodeRetrySources(sources []*peerv1.RetrySource) map[string][]limits.RetrySource {
+	out := map[string][]limits.RetrySource{}
+	for _, e := range sources {
+		s := limits.RetrySource{Instance: e.Name, Last: limits.RetryCounts{Requests: e.Requests, Retries: e.Repeats, Process: e.Process}, Silent: e.Silent}
+		for _, st := range e.Steps {
+			s.Steps = append(s.Steps, limits.RetryStep{Age: int(st.Age), Requests: st.Requests, Retries: st.Repeats})
+		}
+		out[e.Service] = append(out[e.Service], s)
+	}
+	return out
+}
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	now      clock.Func
 	mu       sync.Mutex
 	windows  map[string]*limits.RetryWindow
+	// knownSince is since when the retries of all instances are known, and usedAt when the counts were last read.
+	knownSince, usedAt time.Duration
 }
 
 const (
@@ -28,17 +31,27 @@
 	// their memory. Those can be on time, whereas a stream that has to prefill its prompt again is
 	// late in any case.
 	recoveryRetryShare = 0.15
+	// uninformedRetryMargin is the part of the bound for instances that have started and do not know yet what was
+	// sent before. With retryBudgetMargin it leaves a tenth for retries that others learn of late, or never.
+	uninformedRetryMargin = 0.15
+	// maxCountGap is the longest time between two reads of the counts. After a longer one, this process did not run, and
+	// does not know what others have sent meanwhile.
+	maxCountGap = 2 * time.Second
 )
 
 func newRetryBudgets(s *Settings, now clock.Func) *retryBudgets {
-	settings := limits.RetryWindowSettings{Share: s.RetryShare, Reserve: s.RetryReserve, Length: s.RetryWindow, Margin: retryBudgetMargin, RecoveryMargin: recoveryRetryShare}
-	return &retryBudgets{settings: settings, now: now, windows: map[string]*limits.RetryWindow{}}
+	settings := limits.RetryWindowSettings{
+		Share: s.RetryShare, Reserve: s.RetryReserve, Length: s.RetryWindow, Margin: retryBudgetMargin, RecoveryMargin: recoveryRetryShare,
+		UninformedMargin: uninformedRetryMargin, UninformedRounding: rand.Float64(),
+	}
+	return &retryBudgets{settings: settings, now: now, windows: map[string]*limits.RetryWindow{}, knownSince: now(), usedAt: now()}
 }
 
 func (b *retryBudgets) get(service string) *limits.RetryWindow {
 	w := b.windows[service]
 	if w == nil {
 		w = limits.NewRetryWindow(b.settings)
+		w.SetKnownSince(b.knownSince)
 		b.windows[service] = w
 	}
 	return w
@@ -71,17 +84,80 @@
 	return b.get(service).Usage(b.now(), s)
 }
 
+// knownFor returns for how long the retries of all instances are known.
+func (b *retryBudgets) knownFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now() - b.knownSince
+}
+
 // RetryCounts returns the requests and retries that this instance has counted, by service.
 func (f *Forwarder) RetryCounts() map[string]limits.RetryCounts {
-	f.retryBudgets.mu.Lock()
-	defer f.retryBudgets.mu.Unlock()
-	counts := make(map[string]limits.RetryCounts, len(f.retryBudgets.windows))
-	for service, w := range f.retryBudgets.windows {
-		counts[service] = w.LocalCounts()
+	return f.retryBudgets.localCounts()
+}
+
+func (b *retryBudgets) localCounts() map[string]limits.RetryCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if now-b.usedAt > maxCountGap {
+		b.setKnownSince(now)
+	}
+	b.usedAt = now
+	counts := make(map[string]limits.RetryCounts, len(b.windows))
+	for service, w := range b.windows {
+		counts[service] = w.LocalCounts(now)
 	}
 	return counts
 }
 
+// setKnownSince sets since when the retries of all instances are known. The caller holds mu.
+func (b *retryBudgets) setKnownSince(t time.Duration) {
+	b.knownSince = t
+	for _, w := range b.windows {
+		w.SetKnownSince(t)
+	}
+}
+
+// RetryHistory returns what all instances have counted within the last window, by service, and for how long this
+// instance knows that.
+func (f *Forwarder) RetryHistory(process uint64) (sources map[string][]limits.RetrySource, knownFor time.Duration) {
+	b := f.retryBudgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	sources = make(map[string][]limits.RetrySource, len(b.windows))
+	for service, w := range b.windows {
+		sources[service] = w.Export(now, f.Settings.Instance, process)
+	}
+	return sources, now - b.knownSince
+}
+
+// MergeRetryHistory takes the history of another instance, which knows it for some time.
+func (f *Forwarder) MergeRetryHistory(process uint64, sources map[string][]limits.RetrySource, knownFor time.Duration) {
+	if f.Settings.Disabled.SharedRetries {
+		return
+	}
+	b := f.retryBudgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for service, all := range sources {
+		for i := range all {
+			b.get(service).Merge(now, f.Settings.Instance, process, &all[i])
+		}
+	}
+	b.setKnownSince(min(b.knownSince, now-knownFor))
+}
+
+// NeedsRetryHistory reports whether this instance does not know what was sent in the whole last window.
+func (f *Forwarder) NeedsRetryHistory() bool {
+	b := f.retryBudgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now()-b.knownSince < b.settings.Length
+}
+
 // SetPeerRetryCounts records what another instance has counted. Nil counts remove an instance that
 // went silent.
 func (f *Forwarder) SetPeerRetryCounts(peer string, counts map[string]limits.RetryCounts) {
@@ -95,7 +171,7 @@
 	}
 	if counts == nil {
 		for _, w := range f.retryBudgets.windows {
-			w.RemovePeer(peer)
+			w.RemovePeer(f.retryBudgets.now(), peer)
 		}
 	}
 }
@@ -112,7 +188,7 @@
 		f.Log.Refusal(req.ID, "retry refused", logrus.Fields{
 			"service": req.service, "recovery": recovery, "retries": usage.Retries, "requests": usage.Requests,
 			"allowed": usage.Allowed, "allowed_recovery": usage.RecoveryAllowed, "instances_reporting": coverage.Reporting, "instances_known": coverage.Known,
-			"up_ms": time.Since(f.startedAt).Milliseconds(),
+			"uninformed": usage.Uninformed, "known_ms": f.retryBudgets.knownFor().Milliseconds(), "up_ms": time.Since(f.startedAt).Milliseconds(),
 		})
 		return false
 	}
--- a/gateway/front/peer_endpoints.go
+++ b/gateway/front/peer_endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
@@ -101,6 +102,19 @@
 // Release implements [forward.Peers].
 func (u *noPeerQueries) Release(string, uint64, admission.Outcome) {}
 
+// retryHistory connects the exchange with what this instance knows of retries. It implements [exchange.Retries].
+type retryHistory struct{ f *Front }
+
+func (h *retryHistory) History(process uint64) (map[string][]limits.RetrySource, time.Duration) {
+	return h.f.forwarder.RetryHistory(process)
+}
+
+func (h *retryHistory) MergeHistory(process uint64, sources map[string][]limits.RetrySource, knownFor time.Duration) {
+	h.f.forwarder.MergeRetryHistory(process, sources, knownFor)
+}
+
+func (h *retryHistory) NeedsHistory() bool { return h.f.forwarder.NeedsRetryHistory() }
+
 // forwardCrashes returns the register of requests that crash endpoints for the forwarder; nil where
 // that mechanism is switched off.
 func (f *Front) forwardCrashes() forward.Crashes {
