--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,8 @@
 	ownersQueriedAt time.Time // time of the last owner query
 	identity        crashers.Request
 	losses          crashes.Losses
+	// reached is set once an endpoint may have received the request. A further send is then a retry.
+	reached atomic.Bool
 
 	body          []byte
 	unbuffered    io.Reader // remainder of the body that is not in memory; nil when all of it is
--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -250,6 +250,7 @@
 		return a.failWithoutBudget()
 	}
 	a.potentialLoss.SentAt, a.potentialLoss.Reused = time.Now(), conn.Reused()
+	s.req.reached.Store(true)
 	a.report(ctx, message{kind: attemptSent})
 	x, err := s.f.exchange(ctx, conn, a.endpoint.ID, s.req.upstreamRequest(&a.send), s.req.ownsAnswer)
 	if err != nil {
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -25,7 +25,6 @@
 	req          *request
 	w            http.ResponseWriter
 	possibleRuns int // endpoints on which it may have run
-	sends        int // endpoints to which it was sent
 	// connectsFailed is how many endpoints could not be connected to.
 	connectsFailed int
 	// avoid holds the ids of endpoints that failed the request.
@@ -150,8 +149,7 @@
 	if result != outcomeNotRun && (p.req.route.RetryPolicy == route.AtMostOnce || p.req.route.Stream || p.possibleRuns >= p.req.maxRuns()) {
 		return false
 	}
-	// A failed connection has delivered nothing, so the next send is no retry.
-	return p.sends == 0 || p.f.takeRetry(p.req, false)
+	return p.f.admitArrival(p.req, false)
 }
 
 // finish ends a request that is not sent again. It delivers an endpoint's own error answer if there
@@ -257,8 +255,8 @@
 		}
 		return nil, outcomeNotRun, err
 	}
-	p.sends++
 	p.possibleRuns++
+	req.reached.Store(true)
 	loss := req.loss(e)
 	loss.SentAt, loss.Reused = time.Now(), conn.Reused()
 	trial := f.Rollouts.Begin(req.route.Name, e)
--- a/gateway/forward/refuse.go
+++ b/gateway/forward/refuse.go
@@ -51,6 +51,9 @@
 	}
 	if req.passedOnBy != "" {
 		h.Set(headerPeerRefusal, r.peerMark(f.Reach.CutOff()))
+		if req.reached.Load() {
+			h.Set(headerPeerReached, "1")
+		}
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(r.status)
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -35,6 +35,8 @@
 	headerPeerRefusal = "Peer-Refusal"
 	peerRefused       = "refused"
 	peerUnable        = "unable"
+	// headerPeerReached is set in a helper's refusal if an endpoint has received the request.
+	headerPeerReached = "Peer-Reached"
 )
 
 // Helper is an instance that serves requests for this one.
@@ -184,16 +186,19 @@
 	return p.finish(refuse(http.StatusServiceUnavailable, "no instance reaches the endpoints", retryWhenRoom(0)))
 }
 
-// mayPassOn reports whether the request may be passed on to another helper, and counts a retry if it
-// may have run.
+// mayPassOn reports whether the request may be passed on to another helper, and counts a retry if an
+// endpoint may have received it.
 func (p *plain) mayPassOn(result outcome) bool {
 	if !p.req.replayable {
 		return false
 	}
-	if result == outcomeNotRun {
-		return true
+	if result != outcomeNotRun {
+		if p.req.route.RetryPolicy != route.Idempotent || p.possibleRuns >= p.req.maxRuns() {
+			return false
+		}
+		p.req.reached.Store(true)
 	}
-	return p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns() && p.f.takeRetry(p.req, false)
+	return p.f.admitArrival(p.req, false)
 }
 
 // sendToPeer passes the request on to a helper and reads its answer.
@@ -203,7 +208,6 @@
 		return nil, outcomeNotRun, err
 	}
 	runsLeft := max(p.req.route.MaxAttempts-p.possibleRuns, 1)
-	p.sends++
 	p.possibleRuns += runsLeft // the helper may use all of them
 	p.f.helperLoads.add(h.ID, 1)
 	defer p.f.helperLoads.add(h.ID, -1)
@@ -216,6 +220,9 @@
 		return nil, outcomeUnknown, err
 	}
 	if p.peerHasNotRun(x, runsLeft) {
+		if x.Header().Get(headerPeerReached) != "" {
+			p.req.reached.Store(true)
+		}
 		p.possibleRuns -= runsLeft
 		x.Abort()
 		return nil, outcomeNotRun, ErrRefused.New("instance %s did not serve the request", h.ID)
--- a/gateway/front/retry_bound_test.go
+++ b/gateway/front/retry_bound_test.go
@@ -157,10 +157,22 @@
 	}},
 	{"all killed each 4.5 s", 4500 * time.Millisecond, func(w *world, _ int) { w.restartAllFronts(100 * time.Millisecond) }},
 	{"all killed each 1.5 s", 1500 * time.Millisecond, func(w *world, _ int) { w.restartAllFronts(100 * time.Millisecond) }},
+	{"two cut off from the endpoints", 3 * time.Second, func(w *world, n int) {
+		if n == 0 {
+			w.cutFromEndpoints(2, resets)
+		}
+		w.restartFront(n % len(w.fronts))
+	}},
+	{"store slow and killed in turn", time.Second, func(w *world, n int) {
+		w.store.SetFault(standin.Fault{SlowMS: 100})
+		w.restartFront(n % len(w.fronts))
+	}},
 	{"half cut off for 3 s each 5 s", 5 * time.Second, func(w *world, _ int) {
 		inHalf := func(node string) bool { return node == "f0" || node == "f1" || node == "f2" }
 		isFront := func(node string) bool { return node[0] == 'f' }
-		w.net.SetCut(func(a, b string) bool { return isFront(a) && isFront(b) && inHalf(a) != inHalf(b) })
+		between := func(a, b string) bool { return isFront(a) && isFront(b) && inHalf(a) != inHalf(b) }
+		w.net.Reset(between) // net/http waits for a blocked HTTP/2 write with a mutex, which stops virtual time
+		w.net.SetCut(between)
 		time.AfterFunc(3*time.Second, func() { w.net.SetCut(func(string, string) bool { return false }) })
 	}},
 }
