--- a/gateway/front/drain_test.go
+++ b/gateway/front/drain_test.go
@@ -181,3 +181,91 @@
 	}()
 	return conn, status
 }
+
+// TestDrainOfHelper guards against calls that ran and got no answer, or one that says that they did not run, when the
+// instance that serves them for one that is cut off from the endpoints drains.
+func TestDrainOfHelper(t *testing.T) {
+	for _, work := range []time.Duration{20 * time.Millisecond, 700 * time.Millisecond, 1400 * time.Millisecond} {
+		t.Run(work.String(), func(t *testing.T) {
+			runWith(t, 3, 1, 40, func(w *world) { w.plainWork = work }, func(w *world) {
+				defer w.cutFromEndpoints(1, refuse)()
+				w.load(20, 3*time.Second, logRequest, func(int) int { return 0 }) // it finds out that it is cut off
+				var callers sync.WaitGroup
+				done := make(chan struct{})
+				go func() { defer close(done); w.fronts[1].Drain() }()
+				served, refused, sent := 0, 0, 0
+				for ended := false; !ended; sent++ {
+					callers.Go(func() { w.sendWhileDraining(logRequest(), &served, &refused) })
+					select {
+					case <-done:
+						ended = true
+					case <-time.After(20 * time.Millisecond):
+					}
+				}
+				callers.Wait()
+				w.fronts[1] = nil
+				assert.Check(t, served*100 >= sent*95, "%d of %d served", served, sent)
+			})
+		})
+	}
+}
+
+// TestDrainWithSlowBodies guards against calls that run and are cut without an answer since the end of their body came
+// late in a drain, on connections that stay open.
+func TestDrainWithSlowBodies(t *testing.T) {
+	runWith(t, 2, 1, 40, func(w *world) { w.plainWork = 600 * time.Millisecond }, func(w *world) {
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		done, statuses := make(chan struct{}), map[string]int{}
+		go func() { defer close(done); w.fronts[0].Drain() }()
+		for ended := false; !ended; {
+			callers.Go(func() {
+				r := logRequest()
+				r.Method, r.Host, r.ID, r.Timeout = http.MethodPost, routeHost, w.newRequestID(), 3*time.Second
+				status := w.sendSlowly(0, r.Encode(), 600*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[r.ID] = status
+			})
+			select {
+			case <-done:
+				ended = true
+			case <-time.After(40 * time.Millisecond):
+			}
+		}
+		callers.Wait()
+		w.fronts[0] = nil
+		ran := 0
+		for _, p := range w.plains {
+			for _, run := range p.Runs() {
+				ran++
+				assert.Check(t, statuses[run.ID] == http.StatusOK, "%s ran and was answered with %d", run.ID, statuses[run.ID])
+			}
+		}
+		assert.Assert(t, ran > 20, "%d", ran)
+	})
+}
+
+// sendSlowly sends a request whose last byte comes after a pause, and returns the status of the answer; 0 for none.
+func (w *world) sendSlowly(i int, text string, pause time.Duration) int {
+	conn, err := w.net.Node("caller").Dial(context.Background(), "tcp", frontAddress(i))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, text[:len(text)-1])
+	go func() {
+		time.Sleep(pause)
+		_, _ = io.WriteString(conn, text[len(text)-1:])
+	}()
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.ReadAll(a.Body)
+	if err != nil {
+		return 0
+	}
+	return a.StatusCode
+}
