gateway/peers: what is read of an answer of another instance is bounded

Another operator reported a process that kept bytes without end until it ran out of memory. Answers of endpoints and of the store are bounded here (core/limitread, TestEndlessAnswers, TestEndlessHead; readers added since use it). Calls between instances were not: a whole message is read, and what answers at an instance's address may be something else.

Clients and servers of these calls read 16 MB at the most, twice what the store may answer.

--- a/core/limitread/limitread.go
+++ b/core/limitread/limitread.go
@@ -23,6 +23,8 @@
 	MaxStatus = 1 << 20
 	// MaxStoreAnswer bounds an answer of the store. A page has 1 MB and the rest of its last object.
 	MaxStoreAnswer = 8 << 20
+	// MaxPeerMessage bounds a message between instances. The largest hold pages of the store.
+	MaxPeerMessage = 2 * MaxStoreAnswer
 )
 
 // ErrTooLong says that a sender sent more than it may.
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -15,11 +15,14 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/agateway/agateway/api/operator/v1/operatorv1connect"
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/directory"
 	"github.com/agateway/agateway/core/lease"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/core/membership"
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/core/routing"
@@ -271,7 +274,7 @@
 }
 
 func (d *Daemon) peersHandler() http.Handler {
-	path, handler := peerv1connect.NewPeerServiceHandler(d.peering)
+	path, handler := peerv1connect.NewPeerServiceHandler(d.peering, connect.WithReadMaxBytes(limitread.MaxPeerMessage))
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
 	return peers.Authorize(d.settings.Keys.Peer, mux)
--- a/gateway/front/serve.go
+++ b/gateway/front/serve.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/agateway/agateway/api/peer/v1/peerv1connect"
+	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/relay"
 	"github.com/agateway/agateway/platform"
@@ -25,7 +26,7 @@
 	f.goroutines.Go(f.callers.run)
 	f.serveRoutes(l.ready, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
 	f.serveRoutes(l.directory, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
-	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Relay: f.relay}, connect.WithCompressMinBytes(compressMinBytes))
+	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Relay: f.relay}, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(limitread.MaxPeerMessage))
 	f.serveRoutes(l.peerCalls, func(r chi.Router) {
 		r.Use(f.servePassedOn)
 		r.Handle(path+"*", handler)
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -72,7 +72,7 @@
 	t.Protocols.SetUnencryptedHTTP2(true) // HTTP/2 compresses headers, which are large next to a heartbeat
 	c := &peerClient{transport: t, client: peerv1connect.NewPeerServiceClient(
 		&http.Client{Transport: t}, "http://"+address,
-		append([]connect.ClientOption{connect.WithInterceptors(bearerInterceptor(p.key))}, p.options...)...)}
+		append([]connect.ClientOption{connect.WithInterceptors(bearerInterceptor(p.key)), connect.WithReadMaxBytes(limitread.MaxPeerMessage)}, p.options...)...)}
 	p.clients[address] = c
 	return c
 }
