--- a/gateway/front/retry_bound_test.go
+++ b/gateway/front/retry_bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -100,6 +101,28 @@
 	return repeats, allowed
 }
 
+// deadlineTolerance is how much later than its caller's deadline the one may end that an endpoint is given.
+const deadlineTolerance = 500 * time.Millisecond
+
+// checkRuns checks that no request ran on more endpoints than its route allows, and that no endpoint was given more time
+// than its caller had left.
+func (t *requestTimes) checkRuns(test *testing.T, workers []*standin.Worker, maxAttempts int, timeout time.Duration) {
+	runs := map[string]int{}
+	for _, worker := range workers {
+		for _, r := range worker.Runs() {
+			sent, ours := t.sent[r.ID]
+			if !ours {
+				continue
+			}
+			runs[r.ID]++
+			assert.Check(test, runs[r.ID] <= maxAttempts, "%s ran %d times", r.ID, runs[r.ID])
+			given, err := strconv.Atoi(r.WaitMS)
+			late := r.At.Add(time.Duration(given) * time.Millisecond).Sub(sent.Add(timeout))
+			assert.Check(test, err == nil && late <= deadlineTolerance, "%s was given %q ms, %v too much", r.ID, r.WaitMS, late)
+		}
+	}
+}
+
 // countWithin returns how many of the sorted times lie within d after from.
 func countWithin(times []time.Time, from time.Time, d time.Duration) int {
 	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
@@ -182,12 +205,13 @@
 func TestRetriesStayInBoundDuringRestarts(t *testing.T) {
 	const seconds = 40
 	for _, c := range []struct {
-		service   string
-		perSecond float64
-		request   func() standin.Request
+		service     string
+		perSecond   float64
+		maxAttempts int
+		request     func() standin.Request
 	}{
-		{"engines", 12, func() standin.Request { return briefRequest(fmt.Sprintf("%08x", time.Now().UnixNano())) }},
-		{"plain", 25, pingRequest},
+		{"engines", 12, 5, func() standin.Request { return briefRequest(fmt.Sprintf("%08x", time.Now().UnixNano())) }},
+		{"plain", 25, 2, pingRequest},
 	} {
 		for _, s := range retryBoundSeries {
 			t.Run(c.service+"/"+s.name, func(t *testing.T) {
@@ -215,6 +239,7 @@
 					close(stop)
 					<-stopped
 					time.Sleep(10 * time.Second) // an instance that drains starts again
+					times.checkRuns(t, workers, c.maxAttempts, c.request().Timeout)
 					repeats, allowed := times.worstWindow(workers)
 					t.Logf("%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
 					assert.Check(t, float64(repeats) <= allowed, "%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
