cli/soak: the sum of retries is checked over sliding windows

The soak could not find the fault of the incident: nothing counted arrivals of a request at its endpoints, and no fault made endpoints refuse most requests while instances restart.

The stand-in endpoints record the id of each arrival, and each soak checks the bound over all windows. The fault refuse-most lets endpoints refuse 95 in 100 requests while processes are killed in turn, one each 0.6 s.

--- /dev/null
+++ b/cli/soak/retries.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// The bound on retries that the settings of the instances give: see newProcess.
+const (
+	retryShare   = 0.8
+	retryReserve = 150
+	retryWindow  = 10 * time.Second
+)
+
+const (
+	// refusedFraction is the fraction of requests that endpoints refuse in the fault refuse-most.
+	refusedFraction = 0.95
+	// refusalTime is how long that fault lasts, and refusalKillInterval the time between two kills meanwhile.
+	refusalTime         = 9 * time.Second
+	refusalKillInterval = 600 * time.Millisecond
+)
+
+// refuseMost lets all workers refuse most requests, while the processes are killed in turn. It lasts for refusalTime.
+func refuseMost(w *environment, _ *rand.Rand) (string, func()) {
+	for _, k := range w.workers {
+		k.setFault(standin.WorkerFault{RefusedFraction: refusedFraction})
+	}
+	until := time.Now().Add(refusalTime)
+	for i := 0; time.Now().Before(until); i++ {
+		time.Sleep(refusalKillInterval)
+		w.processes[i%len(w.processes)].kill()
+	}
+	for _, k := range w.workers {
+		k.setFault(standin.WorkerFault{})
+	}
+	return "most requests were refused while processes were killed in turn", nil
+}
+
+// checkRetries checks that within each window no service got more requests again than the bound on retries allows. Of a
+// request that is not among the calls, its first arrival counts as sent.
+func (s *soak) checkRetries() {
+	for _, service := range []string{"engines", "plain"} {
+		arrivals := map[string][]time.Time{}
+		for _, k := range s.env.workers {
+			if k.config.Service == service {
+				k.addArrivals(arrivals)
+			}
+		}
+		var sent, again []time.Time
+		for id, at := range arrivals {
+			slices.SortFunc(at, time.Time.Compare)
+			again = append(again, at[1:]...)
+			if a := s.calls[id]; a != nil {
+				sent = append(sent, a.sent)
+			} else {
+				sent = append(sent, at[0])
+			}
+		}
+		slices.SortFunc(sent, time.Time.Compare)
+		slices.SortFunc(again, time.Time.Compare)
+		s.checkRetryWindows(service, sent, again)
+	}
+}
+
+// checkRetryWindows reports the window with most retries if the bound does not allow them. Requests that never arrived are
+// not among the sent ones, so the bound is taken somewhat too low.
+func (s *soak) checkRetryWindows(service string, sent, again []time.Time) {
+	worst, worstAllowed, worstAt := 0, 0.0, time.Time{}
+	for _, from := range again {
+		n := countWithin(again, from, retryWindow)
+		requests := max(countWithin(sent, from, retryWindow), countWithin(sent, from.Add(-retryWindow/2), retryWindow), countWithin(sent, from.Add(-retryWindow), retryWindow))
+		allowed := retryShare*float64(requests) + retryReserve
+		if worstAt.IsZero() || float64(n)*worstAllowed > float64(worst)*allowed {
+			worst, worstAllowed, worstAt = n, allowed, from
+		}
+	}
+	s.logf("%s: at most %d requests arrived again within %v, %.0f allowed", service, worst, retryWindow, worstAllowed)
+	if float64(worst) > worstAllowed {
+		s.addFinding("%d requests arrived again at %s within %v from %.3f s, %.0f allowed", worst, service, retryWindow, worstAt.Sub(s.startedAt).Seconds(), worstAllowed)
+	}
+}
+
+// countWithin returns how many of the sorted times lie within d after from.
+func countWithin(times []time.Time, from time.Time, d time.Duration) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(d), time.Time.Compare)
+	return end - first
+}
+
+// addArrivals adds when requests arrived at any incarnation of the worker, by id.
+func (k *worker) addArrivals(arrivals map[string][]time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, one := range append([]*standin.Worker{k.current}, k.previous...) {
+		for _, a := range one.Arrivals() {
+			if a.ID != "" && !a.ConcernsMemory() {
+				arrivals[a.ID] = append(arrivals[a.ID], a.At)
+			}
+		}
+	}
+}
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -96,6 +96,7 @@
 	}
 	s.runLoad(ctx)
 	s.checkRuns()
+	s.checkRetries()
 	s.checkLimits()
 	s.checkCuts()
 	s.checkWords()
