--- a/gateway/exchange/doc.go
+++ b/gateway/exchange/doc.go
@@ -32,6 +32,10 @@
 // instance that starts, or that reaches others again, asks two of them for all stopped requests.
 // Nothing is sent while there is nothing to tell.
 //
+// Retry history (retryhistory.go): what each instance has sent again within the last window. An instance that
+// starts, or that reaches others again, asks two of them, since counts that it has not heard would otherwise be
+// spent a second time.
+//
 // Rollouts (rollouts.go): what instances counted about services that move to another build, and
 // what they decided.
 //
