gateway/exchange: the history of retries is sent in packed steps, without instances that sent none

An answer for 33 instances and 15 services had 211 to 318 kB, in 75 datagrams or more at once, which a slow link loses.

--- a/core/limits/retryledger.go
+++ b/core/limits/retryledger.go
@@ -178,6 +178,13 @@
 	Steps []RetryStep
 }
 
+func (s *RetrySource) retries() (sum uint64) {
+	for _, st := range s.Steps {
+		sum += st.Retries
+	}
+	return sum
+}
+
 // RetryStep is what was counted in a time step.
 type RetryStep struct {
 	// Age is how many steps ago that was; 0 for the current one.
@@ -216,12 +223,15 @@
 	return in.export(s.Instance, step)
 }
 
-// Export returns all sources, in the order of their names.
+// Export returns the sources with retries in the window, in the order of their names. What the others have counted
+// comes with their own reports.
 func (l *RetryLedger) Export(now time.Duration) []RetrySource {
 	l.removeExpired(now)
 	var out []RetrySource
 	for _, name := range slices.Sorted(maps.Keys(l.sources)) {
-		out = append(out, l.sources[name].export(name, l.stepAt(now)))
+		if s := l.sources[name].export(name, l.stepAt(now)); s.retries() > 0 {
+			out = append(out, s)
+		}
 	}
 	return out
 }
--- a/core/limits/retrywindow.go
+++ b/core/limits/retrywindow.go
@@ -139,7 +139,7 @@
 // RemovePeer records that an instance does not report any more.
 func (w *RetryWindow) RemovePeer(now time.Duration, peer string) { w.others.Silence(now, peer) }
 
-// Export returns what this instance knows of all, for one that starts. self names this instance, and process its
+// Export returns what this instance knows of all that have sent retries, for one that starts. self names this instance, and process its
 // process.
 func (w *RetryWindow) Export(now time.Duration, self string, process uint64) []RetrySource {
 	step := w.others.stepAt(now)
@@ -148,7 +148,10 @@
 	if former := w.others.sources[self]; former != nil {
 		own.counts.add(&former.counts, step)
 	}
-	out := []RetrySource{own.export(self, step)}
+	var out []RetrySource
+	if s := own.export(self, step); s.retries() > 0 {
+		out = append(out, s)
+	}
 	for _, s := range w.others.Export(now) {
 		if s.Instance != self {
 			out = append(out, s)
--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -89,7 +90,9 @@
 		return
 	}
 	if h.Ask {
-		x.sendRetryHistory(from)
+		for _, part := range x.encodeRetryHistory() {
+			x.send(part, from)
+		}
 		return
 	}
 	x.Retries.MergeHistory(x.process, decodeRetrySources(h.Sources), 0)
@@ -109,8 +112,8 @@
 	return x.retryQuestions.answers[h.Answer] == int(h.Parts)
 }
 
-// sendRetryHistory sends the history of retries in as many parts as it needs.
-func (x *Exchange) sendRetryHistory(to net.Addr) {
+// encodeRetryHistory returns the history of retries in as many parts as it needs.
+func (x *Exchange) encodeRetryHistory() []*peerv1.Datagram {
 	sources, knownFor := x.Retries.History(x.process)
 	parts := [][]*peerv1.RetrySource{nil}
 	size := 0
@@ -122,11 +125,13 @@
 		parts[len(parts)-1] = append(parts[len(parts)-1], s)
 	}
 	answer := rand.Uint64()
+	out := make([]*peerv1.Datagram, len(parts))
 	for i, p := range parts {
-		x.send(&peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: &peerv1.RetryHistory{
+		out[i] = &peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: &peerv1.RetryHistory{
 			Instance: x.Self.ID, Answer: answer, Part: uint32(i), Parts: uint32(len(parts)), KnownMs: uint64(knownFor.Milliseconds()), Sources: p,
-		}}}, to)
+		}}}
 	}
+	return out
 }
 
 func encodeRetrySources(byService map[string][]limits.RetrySource) []*peerv1.RetrySource {
@@ -136,7 +141,7 @@
 			s := &sources[i]
 			e := &peerv1.RetrySource{Service: service, Name: s.Instance, Requests: s.Last.Requests, Repeats: s.Last.Retries, Process: s.Last.Process, Silent: s.Silent}
 			for _, st := range s.Steps {
-				e.Steps = append(e.Steps, &peerv1.RetryStep{Age: uint32(st.Age), Requests: st.Requests, Repeats: st.Retries})
+				e.StepRequests, e.StepRepeats = setStep(e.StepRequests, st.Age, st.Requests), setStep(e.StepRepeats, st.Age, st.Retries)
 			}
 			out = append(out, e)
 		}
@@ -148,10 +153,30 @@
 	out := map[string][]limits.RetrySource{}
 	for _, e := range sources {
 		s := limits.RetrySource{Instance: e.Name, Last: limits.RetryCounts{Requests: e.Requests, Retries: e.Repeats, Process: e.Process}, Silent: e.Silent}
-		for _, st := range e.Steps {
-			s.Steps = append(s.Steps, limits.RetryStep{Age: int(st.Age), Requests: st.Requests, Retries: st.Repeats})
+		for age := range max(len(e.StepRequests), len(e.StepRepeats)) {
+			st := limits.RetryStep{Age: age, Requests: stepAt(e.StepRequests, age), Retries: stepAt(e.StepRepeats, age)}
+			if st.Requests+st.Retries > 0 {
+				s.Steps = append(s.Steps, st)
+			}
 		}
 		out[e.Service] = append(out[e.Service], s)
 	}
 	return out
 }
+
+// setStep sets the count of a time step. Steps after the last one that is set are left out.
+func setStep(counts []uint32, age int, count uint64) []uint32 {
+	if count == 0 {
+		return counts
+	}
+	counts = append(counts, make([]uint32, max(age+1-len(counts), 0))...)
+	counts[age] = uint32(min(count, math.MaxUint32))
+	return counts
+}
+
+func stepAt(counts []uint32, age int) uint64 {
+	if age >= len(counts) {
+		return 0
+	}
+	return uint64(counts[age])
+}
