gateway/exchange: an instance without others stays informed, and a repeated datagram completes no answer

A pause of the process was found by the time between two announcements of counts. An instance that is alone announces nothing, so at the first other one it took itself for one that had been paused, and could spare retries for 10 s.

An answer was whole once as many parts had come as it has; a part that the network repeats counted twice. Parts are noted by their numbers. TestRetryHistoryReachesInstanceThatStarts sends each part twice, TestRetriesAreUnknownAfterPause covers pauses.

--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -40,8 +40,8 @@
 	askedAt time.Duration
 	// heardAgain is set if instances became alive since.
 	heardAgain bool
-	// answers counts the parts that have come of each answer.
-	answers map[uint64]int
+	// parts holds the parts that have come of each answer.
+	parts map[uint64]map[uint32]bool
 }
 
 // onJoinedForRetries asks for the history of retries if instances have become alive. This instance has just started, or
@@ -61,16 +61,16 @@
 	if x.Retries == nil {
 		return
 	}
-	r := x.refreshRoster()
+	needed, r := x.Retries.NeedsHistory(), x.refreshRoster()
 	if len(r.alive) == 0 {
 		return
 	}
 	now := x.Clock()
 	x.sendMu.Lock()
 	q := &x.retryQuestions
-	due := (x.Retries.NeedsHistory() || q.heardAgain && r.fullMesh()) && (!q.asked || now-q.askedAt >= minHistoryGap)
+	due := (needed || q.heardAgain && r.fullMesh()) && (!q.asked || now-q.askedAt >= minHistoryGap)
 	if due {
-		q.asked, q.askedAt, q.heardAgain, q.answers = true, now, false, map[uint64]int{}
+		*q = retryQuestions{asked: true, askedAt: now, parts: map[uint64]map[uint32]bool{}}
 	}
 	x.sendMu.Unlock()
 	if !due {
@@ -101,15 +101,19 @@
 	}
 }
 
-// isWholeAnswer counts a part of an answer, and reports whether all its parts have come.
+// isWholeAnswer notes a part of an answer, and reports whether all its parts have come.
 func (x *Exchange) isWholeAnswer(h *peerv1.RetryHistory) bool {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
-	if x.retryQuestions.answers == nil || h.Parts > maxHistoryParts {
+	parts := x.retryQuestions.parts
+	if parts == nil || h.Part >= h.Parts || h.Parts > maxHistoryParts {
 		return false
 	}
-	x.retryQuestions.answers[h.Answer]++
-	return x.retryQuestions.answers[h.Answer] == int(h.Parts)
+	if parts[h.Answer] == nil {
+		parts[h.Answer] = map[uint32]bool{}
+	}
+	parts[h.Answer][h.Part] = true
+	return len(parts[h.Answer]) == int(h.Parts)
 }
 
 // encodeRetryHistory returns the history of retries in as many parts as it needs.
--- a/gateway/exchange/retryhistory_test.go
+++ b/gateway/exchange/retryhistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,7 +29,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, all := range sources {
-		r.sources[service] = append(r.sources[service], all...)
+		known := slices.DeleteFunc(r.sources[service], func(s limits.RetrySource) bool {
+			return slices.ContainsFunc(all, func(other limits.RetrySource) bool { return other.Instance == s.Instance })
+		})
+		r.sources[service] = append(known, all...)
 	}
 	r.knownFor = max(r.knownFor, knownFor)
 }
@@ -66,7 +70,7 @@
 					_, before := w.datagrams()
 					w.nodes[1].sendPartsOf(informed, w.nodes[0], started, lost)
 					_, after := w.datagrams()
-					w.Logf("%d instances, %d services: an answer of %d bytes", c.instances, c.services, after-before)
+					w.Logf("%d instances, %d services: an answer of %d bytes", c.instances, c.services, (after-before)/2)
 					assert.Equal(w, started.NeedsHistory(), lost > 0)
 					if lost == 0 {
 						for service, sources := range informed.sources {
@@ -84,11 +88,13 @@
 func (n *node) sendPartsOf(history *historyRecorder, to *node, target *historyRecorder, lost int) {
 	n.Retries, to.Retries = history, target
 	to.sendMu.Lock()
-	to.retryQuestions = retryQuestions{asked: true, askedAt: to.Clock(), answers: map[uint64]int{}} // it asks again later
+	to.retryQuestions = retryQuestions{asked: true, askedAt: to.Clock(), parts: map[uint64]map[uint32]bool{}} // it asks again later
 	to.sendMu.Unlock()
 	parts := n.encodeRetryHistory()
 	for _, p := range parts[:len(parts)-lost] {
-		n.send(p, n.roster().addressesOf(to.Self.ID)...)
+		for range 2 { // the network may repeat a datagram
+			n.send(p, n.roster().addressesOf(to.Self.ID)...)
+		}
 	}
 	time.Sleep(50 * time.Millisecond)
 }
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -18,8 +18,8 @@
 	now      clock.Func
 	mu       sync.Mutex
 	windows  map[string]*limits.RetryWindow
-	// knownSince is since when the retries of all instances are known, and usedAt when the counts were last read.
-	knownSince, usedAt time.Duration
+	// knownSince is since when the retries of all instances are known, and checkedAt when that was last checked.
+	knownSince, checkedAt time.Duration
 }
 
 const (
@@ -34,9 +34,9 @@
 	// uninformedRetryMargin is the part of the bound for instances that have started and do not know yet what was
 	// sent before. With retryBudgetMargin it leaves a tenth for retries that others learn of late, or never.
 	uninformedRetryMargin = 0.15
-	// maxCountGap is the longest time between two reads of the counts. After a longer one, this process did not run, and
-	// does not know what others have sent meanwhile.
-	maxCountGap = 2 * time.Second
+	// maxCheckGap is the longest time between two checks of what is known. After a longer one, this process did not run,
+	// and does not know what others have sent meanwhile.
+	maxCheckGap = 2 * time.Second
 )
 
 func newRetryBudgets(s *Settings, now clock.Func) *retryBudgets {
@@ -44,7 +44,7 @@
 		Share: s.RetryShare, Reserve: s.RetryReserve, Length: s.RetryWindow, Margin: retryBudgetMargin, RecoveryMargin: recoveryRetryShare,
 		UninformedMargin: uninformedRetryMargin, UninformedRounding: rand.Float64(),
 	}
-	return &retryBudgets{settings: settings, now: now, windows: map[string]*limits.RetryWindow{}, knownSince: now(), usedAt: now()}
+	return &retryBudgets{settings: settings, now: now, windows: map[string]*limits.RetryWindow{}, knownSince: now(), checkedAt: now()}
 }
 
 func (b *retryBudgets) get(service string) *limits.RetryWindow {
@@ -100,10 +100,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if now-b.usedAt > maxCountGap {
-		b.setKnownSince(now)
-	}
-	b.usedAt = now
 	counts := make(map[string]limits.RetryCounts, len(b.windows))
 	for service, w := range b.windows {
 		counts[service] = w.LocalCounts(now)
@@ -150,12 +146,18 @@
 	b.setKnownSince(min(b.knownSince, now-knownFor))
 }
 
-// NeedsRetryHistory reports whether this instance does not know what was sent in the whole last window.
+// NeedsRetryHistory reports whether this instance does not know what was sent in the whole last window. It is called
+// several times a second.
 func (f *Forwarder) NeedsRetryHistory() bool {
 	b := f.retryBudgets
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.now()-b.knownSince < b.settings.Length
+	now := b.now()
+	if now-b.checkedAt > maxCheckGap {
+		b.setKnownSince(now)
+	}
+	b.checkedAt = now
+	return now-b.knownSince < b.settings.Length
 }
 
 // SetPeerRetryCounts records what another instance has counted. Nil counts remove an instance that
