--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -35,7 +35,7 @@
 
 // retryQuestions is the state of the questions for the history of retries.
 type retryQuestions struct {
-	// asked is set once askedAt is when this instance last asked.
+	// askedAt is when this instance last asked; it counts only if asked is set.
 	asked   bool
 	askedAt time.Duration
 	// heardAgain is set if instances became alive since.
