--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -232,7 +232,7 @@
 // exchange sends the request and reports the events. It returns how the attempt ended.
 func (a *attempt) exchange(ctx context.Context) message {
 	s := a.session
-	if a.isRetry && !s.f.hasRetryBudget(s.req.service, a.resumesFromCopy()) { // avoid a useless connection
+	if s.req.reached.Load() && !s.f.hasRetryBudget(s.req.service, a.resumesFromCopy()) { // avoid a useless connection
 		a.roomOutcome = admission.Withdrawn
 		return a.failWithoutBudget()
 	}
@@ -244,7 +244,7 @@
 		}
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.isRetry && !s.f.takeRetry(s.req, a.resumesFromCopy()) {
+	if !s.f.admitArrival(s.req, a.resumesFromCopy()) {
 		conn.PutBack()
 		a.roomOutcome = admission.Withdrawn
 		return a.failWithoutBudget()
--- a/gateway/forward/deliver.go
+++ b/gateway/forward/deliver.go
@@ -14,7 +14,8 @@
 // [http.ErrAbortHandler] to close the connection.
 func (p *plain) deliver(a *answer) {
 	copyHeader(p.w.Header(), platform.HeadersToClient(a.header))
-	p.w.Header().Del(headerPeerRefusal) // only an instance may set it
+	p.w.Header().Del(headerPeerRefusal) // only an instance may set these
+	p.w.Header().Del(headerPeerReached)
 	p.w.WriteHeader(a.status)
 	_, err := p.w.Write(a.body) // a failure of the last write leaves nothing to end
 	if a.unread == nil {
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -271,7 +271,7 @@
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if a.isRetry && !s.f.takeRetry(s.req, false) {
+	if !s.f.admitArrival(s.req, false) {
 		conn.PutBack()
 		return a.failWithoutBudget()
 	}
@@ -280,10 +280,14 @@
 	a.report(ctx, message{kind: attemptSent})
 	x, err := conn.Do(ctx, s.f.peerRequest(s.req, a.send.LastEventID, max(s.req.maxRuns()-a.number+1, 1)), anyAnswer)
 	if err != nil {
+		s.req.reached.Store(s.req.reached.Load() || !errorx.IsOfType(err, upstream.ErrNotSent))
 		return a.classifyLoss(ctx, err)
 	}
 	defer x.Abort() // no effect after Finish
 	refusal := x.Header().Get(headerPeerRefusal)
+	if refusal == "" || x.Header().Get(headerPeerReached) != "" {
+		s.req.reached.Store(true)
+	}
 	switch {
 	case refusal == peerUnable:
 		return message{kind: attemptFailed, failure: generation.Refused, err: ErrRefused.New("instance %s can't serve the request", h.ID)}
