--- a/gateway/front/odd_entries_test.go
+++ b/gateway/front/odd_entries_test.go
@@ -12,15 +12,6 @@
 	"github.com/agateway/agateway/platform/standin"
 )
 
-// oddEntry returns an endpoint entry in which one field has an unusual value.
-func oddEntry(field string, value any) map[string]any {
-	entry := map[string]any{
-		"service": "plain", "address": "10.9.0.1:80", "zone": "dc0", "version": 1, "slots": 6, "state": "ready", "coldRemainingMs": 0, "seq": 1, "born": 5,
-	}
-	entry[field] = value
-	return entry
-}
-
 // TestOddEntryHidesNoEndpoints guards against endpoints that no instance uses since another entry of the list can't be
 // decoded: the whole answer of the store was refused, and with it each endpoint that came after the odd entry.
 func TestOddEntryHidesNoEndpoints(t *testing.T) {
@@ -36,7 +27,7 @@
 	} {
 		for _, before := range []bool{true, false} {
 			t.Run(fmt.Sprint(name, "/before start ", before), func(t *testing.T) {
-				put := func(w *world) { w.store.Put(platform.KindEndpoint, "odd", oddEntry(c.field, c.value)) }
+				put := func(w *world) { w.store.Put(platform.KindEndpoint, "odd", standin.RegistrationWith(standin.WorkerConfig{Service: "plain", Address: "10.9.0.1:80", DataCentre: "dc0", Slots: 6}, c.field, c.value)) }
 				prepare := func(w *world) {
 					if before {
 						put(w)
