--- a/gateway/exchange/retryhistory_test.go
+++ b/gateway/exchange/retryhistory_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/core/limits"
@@ -64,37 +67,35 @@
 	for _, c := range []struct{ instances, services int }{{9, 15}, {33, 15}} {
 		for _, lost := range []int{0, 1} {
 			t.Run(fmt.Sprint(c.instances, "/", c.services, "/lost ", lost), func(t *testing.T) {
-				runFleet(t, 3, true, func(w *fleet) {
-					informed := &historyRecorder{sources: sourcesOf(c.instances, c.services), knownFor: time.Minute}
-					started := &historyRecorder{sources: map[string][]limits.RetrySource{}}
-					_, before := w.datagrams()
-					w.nodes[1].sendPartsOf(informed, w.nodes[0], started, lost)
-					_, after := w.datagrams()
-					w.Logf("%d instances, %d services: an answer of %d bytes", c.instances, c.services, (after-before)/2)
-					assert.Equal(w, started.NeedsHistory(), lost > 0)
-					if lost == 0 {
-						for service, sources := range informed.sources {
-							assert.Equal(w, len(started.sources[service]), len(sources))
-							assert.DeepEqual(w, started.sources[service][0], sources[0])
-						}
+				informed := &historyRecorder{sources: sourcesOf(c.instances, c.services), knownFor: time.Minute}
+				started := &historyRecorder{sources: map[string][]limits.RetrySource{}}
+				from, to := newExchangeWith("a", informed), newExchangeWith("b", started)
+				to.retryQuestions.parts = map[uint64]map[uint32]bool{}
+				parts, size := from.encodeRetryHistory(), 0
+				for _, p := range parts[:len(parts)-lost] {
+					size += proto.Size(p)
+					for range 2 { // the network may repeat a datagram
+						to.receiveRetryHistory(p.GetRetryHistory(), nil)
 					}
-				})
+				}
+				t.Logf("%d instances, %d services, %d parts lost: %d bytes", c.instances, c.services, lost, size)
+				assert.Equal(t, started.NeedsHistory(), lost > 0)
+				if lost > 0 {
+					return
+				}
+				for service, sources := range informed.sources {
+					assert.Equal(t, len(started.sources[service]), len(sources))
+					assert.DeepEqual(t, started.sources[service][0], sources[0])
+				}
 			})
 		}
 	}
 }
 
-// sendPartsOf lets an instance answer the question of another one, of which the last parts are lost.
-func (n *node) sendPartsOf(history *historyRecorder, to *node, target *historyRecorder, lost int) {
-	n.Retries, to.Retries = history, target
-	to.sendMu.Lock()
-	to.retryQuestions = retryQuestions{asked: true, askedAt: to.Clock(), parts: map[uint64]map[uint32]bool{}} // it asks again later
-	to.sendMu.Unlock()
-	parts := n.encodeRetryHistory()
-	for _, p := range parts[:len(parts)-lost] {
-		for range 2 { // the network may repeat a datagram
-			n.send(p, n.roster().addressesOf(to.Self.ID)...)
-		}
-	}
-	time.Sleep(50 * time.Millisecond)
+// newExchangeWith returns an exchange that does not run.
+func newExchangeWith(id string, r Retries) *Exchange {
+	return New(Options{
+		Self: Peer{ID: id, DataCentre: "hall"}, Retries: r, Clock: func() time.Duration { return time.Hour }, Scope: tally.NoopScope,
+		Log: logrus.NewEntry(logrus.New()),
+	})
 }
