--- a/gateway/front/odd_entries_test.go
+++ b/gateway/front/odd_entries_test.go
@@ -27,7 +27,9 @@
 	} {
 		for _, before := range []bool{true, false} {
 			t.Run(fmt.Sprint(name, "/before start ", before), func(t *testing.T) {
-				put := func(w *world) { w.store.Put(platform.KindEndpoint, "odd", standin.RegistrationWith(standin.WorkerConfig{Service: "plain", Address: "10.9.0.1:80", DataCentre: "dc0", Slots: 6}, c.field, c.value)) }
+				put := func(w *world) {
+					w.store.Put(platform.KindEndpoint, "odd", standin.RegistrationWith(standin.WorkerConfig{Service: "plain", Address: "10.9.0.1:80", DataCentre: "dc0", Slots: 6}, c.field, c.value))
+				}
 				prepare := func(w *world) {
 					if before {
 						put(w)
