--- a/cli/soak/retries.go
+++ b/cli/soak/retries.go
@@ -8,12 +8,8 @@
 	"github.com/agateway/agateway/platform/standin"
 )
 
-// The bound on retries that the settings of the instances give: see newProcess.
-const (
-	retryShare   = 0.8
-	retryReserve = 150
-	retryWindow  = 10 * time.Second
-)
+// retryBound is the bound on retries that the settings of the instances give: see newProcess.
+var retryBound = standin.RetryBound{Share: 0.8, Reserve: 150, Window: 10 * time.Second}
 
 const (
 	// refusedFraction is the fraction of requests that endpoints refuse in the fault refuse-most.
@@ -59,8 +55,6 @@
 				sent = append(sent, at[0])
 			}
 		}
-		slices.SortFunc(sent, time.Time.Compare)
-		slices.SortFunc(again, time.Time.Compare)
 		s.checkRetryWindows(service, sent, again)
 	}
 }
@@ -68,26 +62,11 @@
 // checkRetryWindows reports the window with most retries if the bound does not allow them. Requests that never arrived are
 // not among the sent ones, so the bound is taken somewhat too low.
 func (s *soak) checkRetryWindows(service string, sent, again []time.Time) {
-	worst, worstAllowed, worstAt := 0, 0.0, time.Time{}
-	for _, from := range again {
-		n := countWithin(again, from, retryWindow)
-		requests := max(countWithin(sent, from, retryWindow), countWithin(sent, from.Add(-retryWindow/2), retryWindow), countWithin(sent, from.Add(-retryWindow), retryWindow))
-		allowed := retryShare*float64(requests) + retryReserve
-		if worstAt.IsZero() || float64(n)*worstAllowed > float64(worst)*allowed {
-			worst, worstAllowed, worstAt = n, allowed, from
-		}
+	worst, allowed, at := retryBound.Worst(sent, again)
+	s.logf("%s: at most %d requests arrived again within %v, %.0f allowed", service, worst, retryBound.Window, allowed)
+	if float64(worst) > allowed {
+		s.addFinding("%d requests arrived again at %s within %v from %.3f s, %.0f allowed", worst, service, retryBound.Window, at.Sub(s.startedAt).Seconds(), allowed)
 	}
-	s.logf("%s: at most %d requests arrived again within %v, %.0f allowed", service, worst, retryWindow, worstAllowed)
-	if float64(worst) > worstAllowed {
-		s.addFinding("%d requests arrived again at %s within %v from %.3f s, %.0f allowed", worst, service, retryWindow, worstAt.Sub(s.startedAt).Seconds(), worstAllowed)
-	}
-}
-
-// countWithin returns how many of the sorted times lie within d after from.
-func countWithin(times []time.Time, from time.Time, d time.Duration) int {
-	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(times, from.Add(d), time.Time.Compare)
-	return end - first
 }
 
 // addArrivals adds when requests arrived at any incarnation of the worker, by id.
--- a/gateway/front/retry_bound_test.go
+++ b/gateway/front/retry_bound_test.go
@@ -13,14 +13,8 @@
 	"github.com/agateway/agateway/platform/standin"
 )
 
-// retryBound is the bound that all instances together keep: so many requests of a service may arrive at its
-// endpoints again within a window, per request of its callers in that window, in the one before, or in the one
-// half a window earlier, whichever has most.
-const (
-	retryShare   = 0.8
-	retryReserve = 150
-	retryWindow  = 10 * time.Second
-)
+// retryBound is the bound that the settings of the instances give, see frontSettings.
+var retryBound = standin.RetryBound{Share: 0.8, Reserve: 150, Window: 10 * time.Second}
 
 // requestTimes records when callers sent requests.
 type requestTimes struct {
@@ -87,17 +81,7 @@
 		slices.SortFunc(at, time.Time.Compare)
 		again = append(again, at[1:]...)
 	}
-	slices.SortFunc(sent, time.Time.Compare)
-	slices.SortFunc(again, time.Time.Compare)
-	worst := -1.0
-	for _, from := range again {
-		n := countWithin(again, from, retryWindow)
-		requests := max(countWithin(sent, from, retryWindow), countWithin(sent, from.Add(-retryWindow/2), retryWindow), countWithin(sent, from.Add(-retryWindow), retryWindow))
-		bound := retryShare*float64(requests) + retryReserve
-		if load := float64(n) / bound; load > worst {
-			worst, repeats, allowed = load, n, bound
-		}
-	}
+	repeats, allowed, _ = retryBound.Worst(sent, again)
 	return repeats, allowed
 }
 
@@ -123,13 +107,6 @@
 	}
 }
 
-// countWithin returns how many of the sorted times lie within d after from.
-func countWithin(times []time.Time, from time.Time, d time.Duration) int {
-	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(times, from.Add(d), time.Time.Compare)
-	return end - first
-}
-
 // restartSeries is what happens to the instances while endpoints refuse most requests.
 type restartSeries struct {
 	name string
@@ -241,8 +218,8 @@
 					time.Sleep(10 * time.Second) // an instance that drains starts again
 					times.checkRuns(t, workers, c.maxAttempts, c.request().Timeout)
 					repeats, allowed := times.worstWindow(workers)
-					t.Logf("%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
-					assert.Check(t, float64(repeats) <= allowed, "%d requests arrived again within %v, %.0f allowed", repeats, retryWindow, allowed)
+					t.Logf("%d requests arrived again within %v, %.0f allowed", repeats, retryBound.Window, allowed)
+					assert.Check(t, float64(repeats) <= allowed, "%d requests arrived again within %v, %.0f allowed", repeats, retryBound.Window, allowed)
 				})
 			})
 		}
