gateway/sharedqueue: an update is sent again until its owner is passed over

Cause: an update without an answer was sent again once. With a tenth of the messages lost, both round trips fail in 1 of 28 cases, and the owner is passed over for 2 s. So half of the instances asked the second owner at most times, and each owner estimated waits from a part of the placements, or from too few to tell: it refused requests at their deadline in place of their arrival. Change: an update is repeated each 25 ms until the owner is passed over after 60 ms, three sends in all.

--- a/gateway/sharedqueue/client.go
+++ b/gateway/sharedqueue/client.go
@@ -54,8 +54,6 @@
 	lastSentAt time.Time
 	// unansweredSince is when the oldest update without an answer was sent; zero if there is none.
 	unansweredSince time.Time
-	// resent is set once an update was sent again for want of an answer.
-	resent bool
 	// firstSequence is the first update to the current owner, and answered the newest one that a
 	// state of it follows from.
 	firstSequence, answered uint64
@@ -198,7 +196,7 @@
 	}
 	if !q.unansweredSince.IsZero() {
 		next := q.unansweredSince.Add(answerTimeout)
-		if again := q.lastSentAt.Add(resendDelay); !q.resent && again.Before(next) {
+		if again := q.lastSentAt.Add(resendDelay); again.Before(next) {
 			next = again
 		}
 		if next.Before(at) {
@@ -253,7 +251,6 @@
 	u.Placed, u.Left = q.reportOutcomes(now, c.sequence)
 	var more bool
 	u.Waiting, u.Renewed, more = q.reportWaiting(c.sequence, q.beginRenewal(now, c.sequence))
-	q.resent = !q.unansweredSince.IsZero() && !q.changed
 	if q.unansweredSince.IsZero() {
 		q.unansweredSince = now
 	}
@@ -396,7 +393,7 @@
 	if q == nil || s.Owner != q.owner || s.Sequence < q.firstSequence || s.Sequence < q.answered || s.Sequence > c.sequence {
 		return false
 	}
-	q.unansweredSince, q.resent, q.answered = time.Time{}, false, s.Sequence
+	q.unansweredSince, q.answered = time.Time{}, s.Sequence
 	restarted := q.ownerProcess != 0 && q.ownerProcess != s.Process
 	q.ownerProcess, q.shortRenewals = s.Process, s.ShortRenewals
 	if restarted {
--- a/gateway/sharedqueue/sharedqueue.go
+++ b/gateway/sharedqueue/sharedqueue.go
@@ -73,7 +73,8 @@
 	// renewalInterval is the longest time between two updates that renew all waiting requests. Entries
 	// expire after 500 ms, so two renewals in a row may be lost.
 	renewalInterval = 200 * time.Millisecond
-	// resendDelay is when an update without an answer is sent once more. A round trip takes 3 ms.
+	// resendDelay is the time after which an update without an answer is sent again, until the owner is passed
+	// over. A round trip takes 3 ms.
 	resendDelay = 25 * time.Millisecond
 	// answerTimeout is when an owner that has not answered is passed over, for passOverTime.
 	answerTimeout = 60 * time.Millisecond
--- a/gateway/sharedqueue/sharedqueue_test.go
+++ b/gateway/sharedqueue/sharedqueue_test.go
@@ -524,6 +524,25 @@
 	}
 }
 
+// TestOwnerIsKeptAfterTwoLostMessages guards against an owner that is passed over for two seconds because two messages in
+// a row were lost: two owners then order the requests, each by a part of the placements.
+func TestOwnerIsKeptAfterTwoLostMessages(t *testing.T) {
+	runFleet(t, 3, func(w *testFleet) {
+		lost := 0
+		w.set(func() {
+			w.lost = func(from, _ string) bool {
+				lost++
+				return from == "n2" && lost <= 2
+			}
+		})
+		results := []chan result{w.nodes[2].wait(0, "desk")}
+		time.Sleep(2 * answerTimeout)
+		w.set(func() { w.room = 1 })
+		assert.DeepEqual(t, ends(results), map[string]int{"placed": 1})
+		assert.Equal(t, w.nodes[1].updatesReceived(), 0)
+	})
+}
+
 // TestLostMessages: with every third message lost, all requests end, and none is granted room twice.
 func TestLostMessages(t *testing.T) {
 	runFleet(t, 5, func(w *testFleet) {
