gateway/platform, gateway/unusable: an odd object hides no others of the own kinds, and is reported once

Seen: three of three tests: with one team or listed instance whose content has another type (a nested list, a text for a number), no list of that kind was read any more, so no change of configuration came into force from the store. On lists of endpoints, the odd entry itself was logged at each read and counted nowhere. Cause: an envelope that can't be decoded ended the decoding of its list; nobody remembered what was reported. An instance whose entry is odd counts as another instance, so that nobody takes itself for the first one.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -13,6 +13,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -41,6 +42,8 @@
 	OnStopped func(crashers.Subject)
 	Log       *logrus.Entry
 	Scope     tally.Scope
+	// Unusable gets the objects of the store that can't be decoded; nil for none.
+	Unusable *unusable.Entries
 }
 
 // Registry holds what this instance knows of requests that crash endpoints. It is safe for
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -86,6 +87,7 @@
 			r.Log.WithError(err).Warn("stopped requests can't be read from the store, retrying")
 			continue
 		}
+		r.Unusable.Listed(platform.KindStoppedRequest, page.Objects)
 		facts := r.decode(page.Objects)
 		r.Heard("the store", facts, true)
 		r.Broadcast(facts, true)
@@ -119,6 +121,9 @@
 	return r.complete
 }
 
+// errNameLength says that the name of an object is no hash of a content.
+var errNameLength = errors.New("the name has another length than a content hash")
+
 // decode decodes the stops in objects of the store. It leaves out objects that can't be decoded.
 func (r *Registry) decode(objects []platform.Object) []crashers.Fact {
 	var out []crashers.Fact
@@ -128,10 +133,14 @@
 		if err == nil {
 			err = json.Unmarshal(o.Spec, &e)
 		}
-		if err != nil || len(content) != len(crashers.ContentHash{}) {
-			r.Log.WithField("object", o.Name).Warn("stopped request in the store can't be decoded")
+		if err == nil && len(content) != len(crashers.ContentHash{}) {
+			err = errNameLength
+		}
+		if err != nil {
+			r.Unusable.Found(platform.KindStoppedRequest, &o, err, "nothing is stopped")
 			continue
 		}
+		r.Unusable.Gone(platform.KindStoppedRequest, o.Name)
 		// Times in the store come from another machine's clock, which may be some seconds off.
 		out = append(out, crashers.Fact{
 			Subject: crashers.Subject{Team: e.Team, Content: crashers.ContentHash(content), Part: e.Part}, Service: e.Service,
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -46,6 +46,7 @@
 	"github.com/agateway/agateway/gateway/restore"
 	"github.com/agateway/agateway/gateway/settings"
 	"github.com/agateway/agateway/gateway/telemetry"
+	"github.com/agateway/agateway/gateway/unusable"
 )
 
 // Daemon is a running entry instance.
@@ -115,6 +116,7 @@
 func (d *Daemon) build() {
 	s, t := d.settings, d.telemetry
 	d.platform = platform.NewObjects(s.Platform.URL, s.Platform.Timeout, d.network)
+	d.platform.Unusable = unusable.New(t.Log, t.Scope)
 	d.Pool = peers.NewPool(s.Keys.Peer, s.Peers.Timeout, d.network)
 	client := endpoint.NewClient(s.Endpoints.ConnectTimeout, d.network)
 	d.Config = config.New(d.platform, t.Log, t.Scope, func(r []revision.Record) { d.peering.PushRecords(r) })
@@ -147,7 +149,7 @@
 		Discovered: func() <-chan struct{} { return discovered },
 		Instances:  func() (int, int) { n := len(d.Fleet.Others()) + 1; return n, n },
 		Broadcast:  func(facts []crashers.Fact, complete bool) { d.peering.BroadcastCrashes(facts, complete) },
-		OnStopped:  func(crashers.Subject) {}, Log: t.Log, Scope: t.Scope,
+		OnStopped:  func(crashers.Subject) {}, Log: t.Log, Scope: t.Scope, Unusable: d.platform.Unusable,
 	})
 	claims := &atmostonce.Claims{Platform: d.platform, Run: run, MaxKeptBodyBytes: s.Tickets.BodyKept, Scope: t.Scope, Log: t.Log}
 	d.restore = restore.New(restore.Options{
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"github.com/agateway/agateway/core/source"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -94,6 +95,8 @@
 	Clock clock.Func
 	Log   *logrus.Entry
 	Scope tally.Scope
+	// Unusable gets the objects of the store that can't be decoded; nil for none.
+	Unusable *unusable.Entries
 }
 
 // Exchange tells the other instances what this instance knows, and receives what they know. It is
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -109,6 +109,7 @@
 		x.Log.WithError(err).Warn("cannot list instances yet; will retry")
 		return false, false
 	}
+	x.Unusable.Listed(platform.KindInstance, page.Objects)
 	registered, others := x.seedMembers(&page)
 	if !registered && !others && x.Retries != nil {
 		x.Retries.MergeHistory(x.process, nil, x.RetryWindow) // no instance has run before
@@ -228,9 +229,11 @@
 	for _, o := range page.Objects {
 		var e instanceEntry
 		if err := json.Unmarshal(o.Spec, &e); err != nil {
-			x.Log.WithError(err).WithField("peer", o.Name).Warn("cannot decode the entry of an instance")
+			x.Unusable.Found(platform.KindInstance, &o, err, "the instance is left out")
+			others = others || o.Name != x.Self.ID
 			continue
 		}
+		x.Unusable.Gone(platform.KindInstance, o.Name)
 		if o.Name == x.Self.ID {
 			registered = e == x.instanceEntryOf(&x.Self)
 			continue
--- a/gateway/follow/configuration.go
+++ b/gateway/follow/configuration.go
@@ -66,9 +66,10 @@
 func (c *Configuration) apply(o *platform.Object) {
 	decoded, err := platform.DecodeConfiguration(o.Spec)
 	if err != nil {
-		c.loop.Log.WithError(err).WithField("revision", o.Revision).Error("can't decode the configuration; keeping the previous one")
+		c.loop.Unusable.Found(platform.KindConfiguration, o, err, "the configuration before stays in force")
 		return
 	}
+	c.loop.Unusable.Gone(platform.KindConfiguration, o.Name)
 	c.mu.Lock()
 	if c.table != nil && c.table.Version() >= decoded.Version {
 		c.mu.Unlock()
--- a/gateway/follow/endpoints.go
+++ b/gateway/follow/endpoints.go
@@ -104,6 +104,7 @@
 func (e *Endpoints) apply(now time.Duration, o *platform.Object) {
 	if o.Deleted {
 		delete(e.decoded, o.Name)
+		e.loop.Unusable.Gone(platform.KindEndpoint, o.Name)
 		e.list.Remove(now, o.Name)
 		return
 	}
@@ -118,9 +119,10 @@
 func (e *Endpoints) decode(o *platform.Object) (routing.Endpoint, bool) {
 	d, err := platform.DecodeEndpoint(*o)
 	if err != nil {
-		e.loop.Log.WithError(err).WithField("endpoint", o.Name).Warn("ignoring an unusable entry of the endpoint list")
+		e.loop.Unusable.Found(platform.KindEndpoint, o, err, "the endpoint is left out")
 		return d, false
 	}
+	e.loop.Unusable.Gone(platform.KindEndpoint, o.Name)
 	e.interner.intern(&d)
 	return d, true
 }
--- a/gateway/follow/loop.go
+++ b/gateway/follow/loop.go
@@ -12,6 +12,7 @@
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -62,6 +63,8 @@
 	Wait time.Duration
 	Now  clock.Func
 	Log  *logrus.Entry
+	// Unusable gets the objects that can't be decoded; nil for none.
+	Unusable *unusable.Entries
 }
 
 // loop lists and watches one kind of objects.
@@ -191,6 +194,7 @@
 		l.Mirror.update(l.kind, currentAt, page)
 		return
 	}
+	l.Unusable.Listed(l.kind, page.Objects)
 	f.replace(currentAt, slices.DeleteFunc(slices.Clone(page.Objects), func(o platform.Object) bool { return o.Deleted }))
 	forgottenUpTo := page.Position()
 	if page.ForgottenUpTo.Revision > 0 {
--- a/gateway/follow/rollouts.go
+++ b/gateway/follow/rollouts.go
@@ -63,13 +63,15 @@
 func (r *Rollouts) apply(o *platform.Object) {
 	if o.Deleted {
 		delete(r.orders, o.Name)
+		r.loop.Unusable.Gone(platform.KindRollout, o.Name)
 		return
 	}
 	decoded, err := platform.DecodeRollout(*o)
 	if err != nil {
-		r.loop.Log.WithError(err).WithField("object", o.Name).Error("ignoring an invalid rollout; no requests are moved")
+		r.loop.Unusable.Found(platform.KindRollout, o, err, "no requests are moved")
 		delete(r.orders, o.Name)
 		return
 	}
+	r.loop.Unusable.Gone(platform.KindRollout, o.Name)
 	r.orders[o.Name] = decoded
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -38,6 +38,7 @@
 	"github.com/agateway/agateway/gateway/rollouts"
 	"github.com/agateway/agateway/gateway/settings"
 	"github.com/agateway/agateway/gateway/telemetry"
+	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/gateway/upstream"
 	"github.com/agateway/agateway/platform"
 )
@@ -204,7 +205,8 @@
 	f.pool.Unbounded = !s.Mechanisms.AnswerBounds
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
-	followOptions := follow.Options{Source: f.source, First: f.firstSource, Regained: &f.sourceRegained, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log}
+	odd := unusable.New(t.Log, t.Scope)
+	followOptions := follow.Options{Source: f.source, First: f.firstSource, Regained: &f.sourceRegained, Mirror: f.mirror, Wait: s.WatchWait(), Now: f.env.Clock, Log: t.Log, Unusable: odd}
 	f.configuration = follow.NewConfiguration(followOptions, f.onConfigurationChange)
 	f.endpoints = follow.NewEndpoints(followOptions, f.isServiceConfigured, f.placement.InUse, f.onEndpointsChange)
 	f.buildRollouts(followOptions)
@@ -214,7 +216,7 @@
 		Instances:  func() (int, int) { return f.exchange.Instances() },
 		Broadcast:  func(facts []crashers.Fact, complete bool) { f.exchange.TellCrashes(facts, complete) },
 		OnStopped:  func(r crashers.Subject) { f.forwarder.StopRequest(r) },
-		Log:        t.Log, Scope: t.Scope,
+		Log:        t.Log, Scope: t.Scope, Unusable: odd,
 	})
 	f.buildQueues()
 	f.exchange = exchange.New(exchange.Options{
@@ -222,7 +224,7 @@
 			ID: s.Instance.ID, Callers: s.Listen.Callers, Peers: s.Listen.Peers, DataCentre: s.Instance.DataCentre, Region: s.Instance.Region,
 			Link: int(s.Process.Link),
 		},
-		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), Queues: f.exchangeQueues(), ServiceCounts: f.retryCounts, Retries: &retryHistory{f}, RetryWindow: s.Retries.Window, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope,
+		Conn: l.peerDatagrams, Store: f.store, Ready: f.ready, StoreAccess: f.storeAccess, EndpointAccess: f.endpointAccess, Endpoints: &peerEndpoints{f}, Crashes: f.crashes, Rollouts: f.exchangeRollouts(), Queues: f.exchangeQueues(), ServiceCounts: f.retryCounts, Retries: &retryHistory{f}, RetryWindow: s.Retries.Window, Clock: f.env.Clock, Log: t.Log, Scope: t.Scope, Unusable: odd,
 	})
 	f.restore = f.newRestore()
 	f.relay = relay.New(relay.Options{
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -12,6 +12,7 @@
 
 	"github.com/agateway/agateway/core/revision"
 	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/unusable"
 	store "github.com/agateway/agateway/platform"
 )
 
@@ -20,6 +21,9 @@
 // A deleted object of a watched kind stays as an empty envelope, so that instances that list later
 // learn of the deletion.
 type Objects struct {
+	// Unusable gets the stored objects that can't be decoded; nil for none. It is set before the first call.
+	Unusable *unusable.Entries
+
 	store         *store.Store
 	lastSuccessMS atomic.Int64
 	// era is the last one that a call was answered in, and onReturn is called when it rises; nil for
@@ -107,23 +111,26 @@
 		return nil, revision.Position{}, o.convertError(err)
 	}
 	o.recordSuccess()
-	out, err := decodeKinds(page.Objects, []string{kind})
-	return out, page.Position(), err
+	o.Unusable.Listed(storeKind, page.Objects)
+	return o.decodeKinds(storeKind, page.Objects, []string{kind}), page.Position(), nil
 }
 
-// decodeKinds decodes envelopes and returns the objects of the given kinds.
-func decodeKinds(raw []store.Object, kinds []string) ([]Object, error) {
+// decodeKinds decodes envelopes and returns the objects of the given kinds. It leaves out envelopes that can't be
+// decoded: what was read of such an object before stays in force.
+func (o *Objects) decodeKinds(storeKind string, raw []store.Object, kinds []string) []Object {
 	var out []Object
 	for i := range raw {
 		object, err := decodeObject(&raw[i])
-		if err != nil {
-			return nil, err
+		if err != nil && !raw[i].Deleted {
+			o.Unusable.Found(storeKind, &raw[i], err, "it is left out")
+			continue
 		}
+		o.Unusable.Gone(storeKind, raw[i].Name)
 		if slices.Contains(kinds, object.Kind) {
 			out = append(out, object)
 		}
 	}
-	return out, nil
+	return out
 }
 
 // Put implements [Client].
@@ -220,8 +227,7 @@
 		return nil, since, o.convertError(store.ErrHistoryGone.New("the store is in era %d, not %d", page.Era, since.Era))
 	}
 	o.recordSuccess()
-	out, err := decodeKinds(page.Objects, kinds)
-	return out, page.Position(), err
+	return o.decodeKinds(kindConfiguration, page.Objects, kinds), page.Position(), nil
 }
 
 // listEntry is the stored form of an entry of the list. The store doesn't expire objects, so the
@@ -245,12 +251,16 @@
 		return nil, o.convertError(err)
 	}
 	o.recordSuccess()
+	o.Unusable.Listed(kindListed, page.Objects)
 	var out []Listed
-	for _, raw := range page.Objects {
+	for i := range page.Objects {
+		raw := &page.Objects[i]
 		var l listEntry
 		if err := json.Unmarshal(raw.Spec, &l); err != nil {
-			return nil, ErrUnavailable.Wrap(err, "entry %s can't be read", raw.Name)
+			o.Unusable.Found(kindListed, raw, err, "the instance is left out")
+			continue
 		}
+		o.Unusable.Gone(kindListed, raw.Name)
 		until := time.UnixMilli(l.UntilMS)
 		if time.Now().Before(until) {
 			out = append(out, l.Listed)
