core/limits: a merged history of retries sets what the next report adds to

Found by reading, shown by a test: an instance that took over another one's counts of a source kept its own last report. If the other had heard a later one, the difference counted twice for 10 s (52 for 32 retries), or a new process counted wholly again (51 for 31); if the other knew a process before, what the current one had counted was lost (11 for 14). Change: the last report is taken over with the counts. Test: TestReportAfterMergeCountsOnce, 3 of 5 cases failed before.

--- a/core/limits/retryledger.go
+++ b/core/limits/retryledger.go
@@ -249,10 +249,12 @@
 		b := in.counts.at(step)
 		b.requests += own.last.Requests - min(in.last.Requests, own.last.Requests)
 		b.retries += own.last.Retries - min(in.last.Retries, own.last.Retries)
+		in.last.Requests = max(in.last.Requests, own.last.Requests)
+		in.last.Retries = max(in.last.Retries, own.last.Retries)
 	}
 	_, heard := in.counts.sum(0, step)
 	_, known := own.counts.sum(0, step)
 	if heard > known {
-		own.counts = in.counts
+		own.counts, own.last = in.counts, in.last // the next report adds to what is now counted
 	}
 }
