gateway/forward: a send needs a pass that only the count of arrivals gives

The bound on retries held only as long as each place that sends a request asked first; the table of these places in docs/design/retry-bound.md was kept by hand. Now the one function that sends on a connection takes a pass that admits one send, and refuses as not sent without one. A plain request whose next endpoint can't be connected to uses its pass for the one after, where a second retry was counted before although nothing had arrived.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -244,7 +244,8 @@
 		}
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if !s.f.admitArrival(s.req, a.resumesFromCopy()) {
+	pass := s.f.admitArrival(s.req, a.resumesFromCopy())
+	if pass == nil {
 		conn.PutBack()
 		a.roomOutcome = admission.Withdrawn
 		return a.failWithoutBudget()
@@ -252,7 +253,7 @@
 	a.potentialLoss.SentAt, a.potentialLoss.Reused = time.Now(), conn.Reused()
 	s.req.reached.Store(true)
 	a.report(ctx, message{kind: attemptSent})
-	x, err := s.f.exchange(ctx, conn, a.endpoint.ID, s.req.upstreamRequest(&a.send), s.req.ownsAnswer)
+	x, err := s.f.exchange(ctx, pass, conn, a.endpoint.ID, s.req.upstreamRequest(&a.send), s.req.ownsAnswer)
 	if err != nil {
 		return a.classifyLoss(ctx, err)
 	}
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -178,12 +178,6 @@
 	}
 }
 
-// admitArrival reports whether a request may be sent to an endpoint, and counts a retry unless no endpoint can have
-// received it before.
-func (f *Forwarder) admitArrival(req *request, recovery bool) bool {
-	return !req.reached.Load() || f.takeRetry(req, recovery)
-}
-
 // takeRetry reports whether a request may be retried, and counts the retry. recovery is set when
 // the request resumes from a copy of its memory.
 func (f *Forwarder) takeRetry(req *request, recovery bool) bool {
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -87,8 +87,8 @@
 }
 
 // exchange sends a request on a connection to an endpoint and reads the head of its answer.
-func (f *Forwarder) exchange(ctx context.Context, conn *upstream.Conn, endpoint string, r *upstream.Request, owns func(int, http.Header) bool) (*upstream.Exchange, error) {
-	x, err := conn.Do(ctx, r, owns)
+func (f *Forwarder) exchange(ctx context.Context, pass *arrivalPass, conn *upstream.Conn, endpoint string, r *upstream.Request, owns func(int, http.Header) bool) (*upstream.Exchange, error) {
+	x, err := sendAdmitted(ctx, pass, conn, r, owns)
 	switch {
 	case err == nil && !conn.Reused():
 		f.Reach.Connected()
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -33,6 +33,8 @@
 	// none. roomOutcome is what is reported when it is released.
 	lease       uint64
 	roomOutcome admission.Outcome
+	// pass permits the next send; nil before the first one.
+	pass *arrivalPass
 	// lastFailure is an endpoint's own error answer, delivered when no other endpoint does better.
 	lastFailure *answer
 }
@@ -68,6 +70,9 @@
 
 // run sends the request until it is answered or must not be sent again.
 func (p *plain) run(ctx context.Context) *refusal {
+	if !p.admitNext() {
+		return p.finish(nil)
+	}
 	for {
 		if timeIsUp(ctx) {
 			return p.refuseExpired(ctx, outcomeNotRun)
@@ -141,7 +146,15 @@
 	return a.status >= http.StatusInternalServerError && a.unread == nil && p.req.route.RetryPolicy == route.Idempotent && p.possibleRuns < p.req.maxRuns()
 }
 
-// mayRetry reports whether the request may be sent to another endpoint, and counts the retry.
+// admitNext reports whether the request may be sent once more. A pass that no connection was opened for is used again.
+func (p *plain) admitNext() bool {
+	if !p.pass.unused() {
+		p.pass = p.f.admitArrival(p.req, false)
+	}
+	return p.pass != nil
+}
+
+// mayRetry reports whether the request may be sent to another endpoint.
 func (p *plain) mayRetry(result outcome) bool {
 	if !p.req.replayable {
 		return false
@@ -149,7 +162,7 @@
 	if result != outcomeNotRun && (p.req.route.RetryPolicy == route.AtMostOnce || p.req.route.Stream || p.possibleRuns >= p.req.maxRuns()) {
 		return false
 	}
-	return p.f.admitArrival(p.req, false)
+	return p.admitNext()
 }
 
 // finish ends a request that is not sent again. It delivers an endpoint's own error answer if there
@@ -265,7 +278,7 @@
 	f.Placement.Sent(e.ID, routing.Placed{})
 	defer f.Placement.Finished(e.ID, routing.Placed{})
 	answerEnded := f.Placement.AwaitAnswer(e.ID)
-	x, err := f.exchange(ctx, conn, e.ID, req.upstreamRequest(&platform.EndpointRequest{
+	x, err := f.exchange(ctx, p.pass, conn, e.ID, req.upstreamRequest(&platform.EndpointRequest{
 		EndpointName: e.RequestName(), TimeLeft: req.timeLeft(time.Now()), Team: req.teamName(), Priority: -1,
 	}), req.ownsAnswer)
 	if req.route.Stream { // its engine may prefill the prompt after the head
--- a/gateway/forward/viapeer.go
+++ b/gateway/forward/viapeer.go
@@ -186,8 +186,7 @@
 	return p.finish(refuse(http.StatusServiceUnavailable, "no instance reaches the endpoints", retryWhenRoom(0)))
 }
 
-// mayPassOn reports whether the request may be passed on to another helper, and counts a retry if an
-// endpoint may have received it.
+// mayPassOn reports whether the request may be passed on to another helper.
 func (p *plain) mayPassOn(result outcome) bool {
 	if !p.req.replayable {
 		return false
@@ -198,7 +197,7 @@
 		}
 		p.req.reached.Store(true)
 	}
-	return p.f.admitArrival(p.req, false)
+	return p.admitNext()
 }
 
 // sendToPeer passes the request on to a helper and reads its answer.
@@ -211,7 +210,7 @@
 	p.possibleRuns += runsLeft // the helper may use all of them
 	p.f.helperLoads.add(h.ID, 1)
 	defer p.f.helperLoads.add(h.ID, -1)
-	x, err := conn.Do(ctx, p.f.peerRequest(p.req, "", runsLeft), anyAnswer)
+	x, err := sendAdmitted(ctx, p.pass, conn, p.f.peerRequest(p.req, "", runsLeft), anyAnswer)
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		p.possibleRuns -= runsLeft
 		return nil, outcomeNotRun, err
@@ -271,14 +270,15 @@
 	if err != nil {
 		return message{kind: attemptFailed, failure: generation.Refused, err: err}
 	}
-	if !s.f.admitArrival(s.req, false) {
+	pass := s.f.admitArrival(s.req, false)
+	if pass == nil {
 		conn.PutBack()
 		return a.failWithoutBudget()
 	}
 	s.f.helperLoads.add(h.ID, 1)
 	defer s.f.helperLoads.add(h.ID, -1)
 	a.report(ctx, message{kind: attemptSent})
-	x, err := conn.Do(ctx, s.f.peerRequest(s.req, a.send.LastEventID, max(s.req.maxRuns()-a.number+1, 1)), anyAnswer)
+	x, err := sendAdmitted(ctx, pass, conn, s.f.peerRequest(s.req, a.send.LastEventID, max(s.req.maxRuns()-a.number+1, 1)), anyAnswer)
 	if err != nil {
 		s.req.reached.Store(s.req.reached.Load() || !errorx.IsOfType(err, upstream.ErrNotSent))
 		return a.classifyLoss(ctx, err)
