gateway/forward: gauges of the retry budget are set each second, and one says what is known

Seen while reading OPERATIONS: the gauges of a service stayed at the value of its last retry, so an alert on them did not end; nothing showed for how long an instance knows the retries of the others, and nobody logged from whom it has learned them. Change: all gauges are set each second; retries_known_seconds; a line when another instance's history has come.

--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
@@ -97,7 +98,11 @@
 	}
 	x.Retries.MergeHistory(x.process, decodeRetrySources(h.Sources), 0)
 	if x.isWholeAnswer(h) {
+		needed := x.Retries.NeedsHistory()
 		x.Retries.MergeHistory(x.process, nil, time.Duration(min(h.KnownMs, uint64(x.RetryWindow.Milliseconds())))*time.Millisecond)
+		if needed {
+			x.Log.WithFields(logrus.Fields{"peer": h.Instance, "parts": h.Parts, "known_ms": h.KnownMs, "still_needed": x.Retries.NeedsHistory()}).Info("learned the retries of the last window")
+		}
 	}
 }
 
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -20,6 +20,8 @@
 	windows  map[string]*limits.RetryWindow
 	// knownSince is since when the retries of all instances are known, and checkedAt when that was last checked.
 	knownSince, checkedAt time.Duration
+	// publishedAt is when the gauges of all services were last set.
+	publishedAt time.Duration
 }
 
 const (
@@ -37,6 +39,9 @@
 	// maxCheckGap is the longest time between two checks of what is known. After a longer one, this process did not run,
 	// and does not know what others have sent meanwhile.
 	maxCheckGap = 2 * time.Second
+	// retryGaugeInterval is how often the gauges of the budgets are set. They fall when requests are not sent again any
+	// more.
+	retryGaugeInterval = time.Second
 )
 
 func newRetryBudgets(s *Settings, now clock.Func) *retryBudgets {
@@ -149,6 +154,7 @@
 // NeedsRetryHistory reports whether this instance does not know what was sent in the whole last window. It is called
 // several times a second.
 func (f *Forwarder) NeedsRetryHistory() bool {
+	defer f.publishRetryBudgets()
 	b := f.retryBudgets
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -160,6 +166,23 @@
 	return now-b.knownSince < b.settings.Length
 }
 
+// publishRetryBudgets sets the gauges of the budgets if they are due.
+func (f *Forwarder) publishRetryBudgets() {
+	b, coverage := f.retryBudgets, f.sharing()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if now-b.publishedAt < retryGaugeInterval {
+		return
+	}
+	b.publishedAt = now
+	f.metrics.setRetriesKnown(min(now-b.knownSince, b.settings.Length))
+	for service, w := range b.windows {
+		usage := w.Usage(now, coverage)
+		f.metrics.updateRetryUsage(service, &usage)
+	}
+}
+
 // SetPeerRetryCounts records what another instance has counted. Nil counts remove an instance that
 // went silent.
 func (f *Forwarder) SetPeerRetryCounts(peer string, counts map[string]limits.RetryCounts) {
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -74,7 +74,12 @@
 	m.forService(service).Counter("requests_not_sent_again_total").Inc(1)
 }
 
-// updateRetryUsage sets the gauges of a service's retry budget, as of its last retry.
+// setRetriesKnown sets for how long the retries of all instances are known, up to the length of the window.
+func (m *metrics) setRetriesKnown(d time.Duration) {
+	m.scope.Gauge("retries_known_seconds").Update(d.Seconds())
+}
+
+// updateRetryUsage sets the gauges of a service's retry budget.
 func (m *metrics) updateRetryUsage(service string, u *limits.RetryUsage) {
 	s := m.forService(service)
 	s.Gauge("retry_window_requests").Update(float64(u.Requests))
