core/routing, gateway/exchange: an instance that starts knows the limits of endpoints before it serves

Cause: what other instances report of limits was dropped for endpoints that are not listed yet. Change: such reports are kept until the endpoint is listed, and the answer with the history of retries also tells the limits that an instance needs at its start, up to 40; it waits for one answer within the 25 ms that it waits for replies already.

--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -103,6 +103,13 @@
 	return out
 }
 
+// Each calls f with the newest statement of each endpoint.
+func (s *Statements) Each(f func(endpoint string, st Statement)) {
+	for id, known := range s.byEndpoint {
+		f(id, known.Statement)
+	}
+}
+
 // Stating returns how many endpoints state limits.
 func (s *Statements) Stating() int {
 	count := 0
--- a/core/routing/limits.go
+++ b/core/routing/limits.go
@@ -43,15 +43,37 @@
 	v.recordFragility(n, st.Limits, st.At)
 }
 
-// ReportLimits records the limits of endpoints that a peer reported.
+// ReportLimits records the limits of endpoints that a peer reported. They need not be listed here yet.
 func (v *View) ReportLimits(limits map[string]admission.Statement) {
 	for id, st := range limits {
 		if n := v.nodes[id]; n != nil {
 			v.reportLimits(n, st)
+		} else if u := v.unlistedEndpoint(id); st.At.After(u.limits.At) {
+			u.limits = st
 		}
 	}
 }
 
+// KnownLimits returns what an instance that starts has to know: the newest statement of a fragile endpoint of each
+// service, and those of the endpoints that state a rate. Peers may have reported them.
+func (v *View) KnownLimits() map[string]admission.Statement {
+	out, newest := map[string]admission.Statement{}, map[string]string{}
+	v.statements.Each(func(id string, st admission.Statement) {
+		n := v.nodes[id]
+		switch {
+		case n == nil:
+		case st.HasRate:
+			out[id] = st
+		case st.Fragile && st.At.After(v.statements.Of(newest[n.Service]).At):
+			newest[n.Service] = id
+		}
+	})
+	for _, id := range newest {
+		out[id] = v.statements.Of(id)
+	}
+	return out
+}
+
 // LimitsOf returns the limits of an endpoint, as far as it or others of its service stated them;
 // zero if it is not listed.
 func (v *View) LimitsOf(now time.Time, id string) admission.Statement {
--- a/core/routing/unlisted.go
+++ b/core/routing/unlisted.go
@@ -3,16 +3,19 @@
 import (
 	"time"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/cooldown"
 	"github.com/agateway/agateway/core/times"
 )
 
-// unlisted is what is kept of an endpoint that is not listed any more. Requests that were sent there may
-// still be answered, and the endpoint may be listed again under the same ID.
+// unlisted is what is kept of an endpoint that is not listed any more, or not yet. Requests that were sent there may
+// still be answered, peers may report of it, and the endpoint may be listed again under the same ID.
 type unlisted struct {
 	cooldown cooldown.Cooldown
 	// sequence is the highest sequence number of its entries; 0 if unknown.
 	sequence uint64
+	// limits is what it stated to a peer.
+	limits admission.Statement
 	// touched is the number of sweeps at the removal, or at the last answer.
 	touched uint64
 }
@@ -24,13 +27,14 @@
 	}
 }
 
-// relist gives an endpoint that is listed again what was kept of it.
+// relist gives an endpoint that is listed what was kept of it.
 func (v *View) relist(n *node) {
 	u := v.unlisted[n.ID]
 	if u == nil {
 		return
 	}
 	delete(v.unlisted, n.ID)
+	v.reportLimits(n, u.limits)
 	if u.cooldown.OnTrial() {
 		v.observe(n.ID).cooldown = u.cooldown
 		v.lastCooldownEnd = times.Later(v.lastCooldownEnd, u.cooldown.Until())
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -139,9 +139,8 @@
 	case n == nil:
 		n = &node{Endpoint: Endpoint{Slots: 1}, view: v, observations: noObservations}
 		v.nodes[e.ID] = n
-		n.ID = e.ID
+		n.ID, n.Service, n.DataCentre, n.hash = e.ID, e.Service, e.DataCentre, xxhash.Sum64String(e.ID)
 		v.relist(n)
-		n.Service, n.DataCentre, n.hash = e.Service, e.DataCentre, xxhash.Sum64String(e.ID)
 		v.applyPeerReports(e.ID)
 		v.addToGroups(n)
 	case n.Service != e.Service || n.DataCentre != e.DataCentre:
--- a/gateway/exchange/exchange.go
+++ b/gateway/exchange/exchange.go
@@ -63,6 +63,9 @@
 	DropLeases(instance string)
 	// ReportLimits takes the limits of endpoints that another instance reported.
 	ReportLimits(limits map[string]admission.Statement)
+	// KnownLimits returns the limits that an instance that starts has to know: one fragile endpoint of each service,
+	// and those that state a rate.
+	KnownLimits() map[string]admission.Statement
 	// ApplySummary takes an owner's summary of an endpoint. prompt is the hash of the prompt that
 	// was asked about; 0 for none.
 	ApplySummary(s *routing.Summary, prompt uint64)
@@ -123,6 +126,8 @@
 	joins            int // calls of join, which only joinFleet makes
 	crashQuestions   crashQuestions
 	retryQuestions   retryQuestions
+	// historyHeard is set once a whole answer to these questions has come.
+	historyHeard atomic.Bool
 
 	announcedRetries atomic.Uint64 // retries in ServiceCounts at the last announcement of changes
 
--- a/gateway/exchange/exchange_bench_test.go
+++ b/gateway/exchange/exchange_bench_test.go
@@ -74,6 +74,8 @@
 
 func (v *viewEndpoints) DropLeases(string) {}
 
+func (v *viewEndpoints) KnownLimits() map[string]admission.Statement { return v.view.KnownLimits() }
+
 func (v *viewEndpoints) ReportLimits(limits map[string]admission.Statement) {
 	v.view.ReportLimits(limits)
 }
--- a/gateway/exchange/fleet_test.go
+++ b/gateway/exchange/fleet_test.go
@@ -186,6 +186,12 @@
 	n.view.DropLeases(instance)
 }
 
+func (n *node) KnownLimits() map[string]admission.Statement {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.KnownLimits()
+}
+
 func (n *node) ReportLimits(limits map[string]admission.Statement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/exchange/join.go
+++ b/gateway/exchange/join.go
@@ -162,9 +162,10 @@
 	return listed
 }
 
-// awaitReplies waits until an instance is heard that is ready, at most for maxReplyWait.
+// awaitReplies waits until an instance is heard that is ready, and one has told what was sent again and what endpoints
+// can bear, at most for maxReplyWait.
 func (x *Exchange) awaitReplies(ctx context.Context) {
-	for deadline := x.Clock() + maxReplyWait; x.Clock() < deadline && !x.anyReady(); {
+	for deadline := x.Clock() + maxReplyWait; x.Clock() < deadline && !(x.anyReady() && (x.Retries == nil || x.historyHeard.Load())); {
 		if !pause.For(ctx, replyPollInterval) {
 			return
 		}
--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/agateway/agateway/api/peer/v1"
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 )
 
@@ -28,6 +30,8 @@
 const (
 	// maxHistoryBytes bounds the sources in a datagram to what two packets hold.
 	maxHistoryBytes = 2800
+	// maxHistoryLimits bounds the endpoints whose limits are in an answer.
+	maxHistoryLimits = 40
 	// maxHistoryParts bounds the parts of an answer that are waited for.
 	maxHistoryParts = 256
 	// minHistoryGap is the least time between two questions for the history.
@@ -96,8 +100,10 @@
 		}
 		return
 	}
+	x.Endpoints.ReportLimits(decodeLimits(h.Limits, time.Now()))
 	x.Retries.MergeHistory(x.process, decodeRetrySources(h.Sources), 0)
 	if x.isWholeAnswer(h) {
+		x.historyHeard.Store(true)
 		needed := x.Retries.NeedsHistory()
 		x.Retries.MergeHistory(x.process, nil, time.Duration(min(h.KnownMs, uint64(x.RetryWindow.Milliseconds())))*time.Millisecond)
 		if needed {
@@ -121,7 +127,7 @@
 	return len(parts[h.Answer]) == int(h.Parts)
 }
 
-// encodeRetryHistory returns the history of retries in as many parts as it needs.
+// encodeRetryHistory returns the history of retries in as many parts as it needs, and one for the limits of endpoints.
 func (x *Exchange) encodeRetryHistory() []*peerv1.Datagram {
 	sources, knownFor := x.Retries.History(x.process)
 	parts := [][]*peerv1.RetrySource{nil}
@@ -133,16 +139,31 @@
 		}
 		parts[len(parts)-1] = append(parts[len(parts)-1], s)
 	}
+	known := encodeKnownLimits(x.Endpoints.KnownLimits(), time.Now())
+	if len(known) > 0 {
+		parts = append(parts, nil)
+	}
 	answer := rand.Uint64()
 	out := make([]*peerv1.Datagram, len(parts))
 	for i, p := range parts {
-		out[i] = &peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: &peerv1.RetryHistory{
-			Instance: x.Self.ID, Answer: answer, Part: uint32(i), Parts: uint32(len(parts)), KnownMs: uint64(knownFor.Milliseconds()), Sources: p,
-		}}}
+		h := &peerv1.RetryHistory{Instance: x.Self.ID, Answer: answer, Part: uint32(i), Parts: uint32(len(parts)), KnownMs: uint64(knownFor.Milliseconds()), Sources: p}
+		if len(known) > 0 && i == len(parts)-1 {
+			h.Limits = known
+		}
+		out[i] = &peerv1.Datagram{Body: &peerv1.Datagram_RetryHistory{RetryHistory: h}}
 	}
 	return out
 }
 
+// encodeKnownLimits returns the limits for an instance that starts, those of fragile endpoints first.
+func encodeKnownLimits(all map[string]admission.Statement, now time.Time) []*peerv1.StatedLimits {
+	fragile := maps.Clone(all)
+	maps.DeleteFunc(fragile, func(_ string, st admission.Statement) bool { return !st.Fragile })
+	out := encodeLimits(fragile, maxHistoryLimits, now)
+	maps.DeleteFunc(all, func(_ string, st admission.Statement) bool { return st.Fragile })
+	return append(out, encodeLimits(all, maxHistoryLimits-len(out), now)...)
+}
+
 func encodeRetrySources(byService map[string][]limits.RetrySource) []*peerv1.RetrySource {
 	var out []*peerv1.RetrySource
 	for service, sources := range byService {
--- a/gateway/exchange/retryhistory_test.go
+++ b/gateway/exchange/retryhistory_test.go
@@ -12,7 +12,9 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/core/routing"
 )
 
 // historyRecorder implements Retries.
@@ -92,10 +94,49 @@
 	}
 }
 
+// TestLimitsReachInstanceThatStarts guards against an instance that starts and sends without claims to endpoints that state
+// limits. An answer names one fragile endpoint of each service, and as many that state rates as fit.
+func TestLimitsReachInstanceThatStarts(t *testing.T) {
+	from, to := newExchangeWith("a", &historyRecorder{}), newExchangeWith("b", &historyRecorder{sources: map[string][]limits.RetrySource{}})
+	views := []*routing.View{from.Endpoints.(*viewEndpoints).view, to.Endpoints.(*viewEndpoints).view}
+	list := func(v *routing.View) {
+		for i := range 3 {
+			v.Upsert(routing.Endpoint{ID: fmt.Sprint("log-", i), Service: "log", State: routing.Live})
+		}
+		for i := range 2 * maxHistoryLimits {
+			v.Upsert(routing.Endpoint{ID: fmt.Sprint("front-hall-engine-", i), Service: "engines", State: routing.Live})
+		}
+	}
+	list(views[0])
+	now := time.Now()
+	views[0].RecordLimits(now, "log-1", admission.Limits{MaxRefusals: 3, Fragile: true})
+	for i := range 2 * maxHistoryLimits {
+		views[0].RecordLimits(now.Add(time.Second), fmt.Sprint("front-hall-engine-", i), admission.Limits{Rate: 2, HasRate: true})
+	}
+	parts := from.encodeRetryHistory()
+	for _, p := range parts {
+		assert.Assert(t, proto.Size(p) <= maxHistoryBytes)
+	}
+	for _, p := range parts {
+		to.receiveRetryHistory(p.GetRetryHistory(), nil)
+	}
+	list(views[1])
+	rated := 0
+	for i := range 3 {
+		assert.Equal(t, views[1].LimitsOf(now, fmt.Sprint("log-", i)).Limits, admission.Limits{MaxRefusals: 3, Fragile: true})
+	}
+	for i := range 2 * maxHistoryLimits {
+		if views[1].LimitsOf(now, fmt.Sprint("front-hall-engine-", i)).HasRate {
+			rated++
+		}
+	}
+	assert.Equal(t, rated, maxHistoryLimits-1)
+}
+
 // newExchangeWith returns an exchange that does not run.
 func newExchangeWith(id string, r Retries) *Exchange {
 	return New(Options{
-		Self: Peer{ID: id, DataCentre: "hall"}, Retries: r, Clock: func() time.Duration { return time.Hour }, Scope: tally.NoopScope,
+		Self: Peer{ID: id, DataCentre: "hall"}, Retries: r, Endpoints: &viewEndpoints{routing.NewView(routing.DefaultSettings())}, Clock: func() time.Duration { return time.Hour }, Scope: tally.NoopScope,
 		Log: logrus.NewEntry(logrus.New()),
 	})
 }
--- a/gateway/front/peer_endpoints.go
+++ b/gateway/front/peer_endpoints.go
@@ -57,6 +57,10 @@
 
 func (s *peerEndpoints) DropLeases(instance string) { s.f.placement.DropLeases(instance) }
 
+func (s *peerEndpoints) KnownLimits() map[string]admission.Statement {
+	return s.f.placement.KnownLimits()
+}
+
 func (s *peerEndpoints) ReportLimits(limits map[string]admission.Statement) {
 	s.f.placement.ReportLimits(limits)
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -450,6 +450,13 @@
 	p.view.ReportLimits(limits)
 }
 
+// KnownLimits returns what an instance that starts has to know of limits, see [routing.View.KnownLimits].
+func (p *Placement) KnownLimits() map[string]admission.Statement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.KnownLimits()
+}
+
 // LimitsOf returns what an endpoint stated last; zero if it states nothing.
 func (p *Placement) LimitsOf(id string) admission.Statement {
 	p.mu.Lock()
