Makefile: four processes share the tests of gateway/front

The same tests run in four processes by the first letter of their names; the last one has all that the others leave, so that no test is left out.

--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,26 @@
 # processor: on several, the race detector itself ends them, see docs/racedetector.
 GO_TEST := go test -race -count=1 -timeout 40m -vet=off
 IN_VIRTUAL_TIME = $$(go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' $(PACKAGES) | grep testing/synctest | cut -d' ' -f1)
+KNOWN_RED = $$(./scripts/known-red.sh 2>/dev/null)
 test:
-	$(GO_TEST) -skip "$$(./scripts/known-red.sh)" -cpu 1 $(IN_VIRTUAL_TIME)
-	$(GO_TEST) -skip "$$(./scripts/known-red.sh 2>/dev/null)" $$(go list $(PACKAGES) | grep -vxF "$(IN_VIRTUAL_TIME)")
+	@./scripts/known-red.sh >/dev/null
+	$(MAKE) --jobs --output-sync=target test-virtual test-front-1 test-front-2 test-front-3 test-front-4
+	$(GO_TEST) -skip "$(KNOWN_RED)" $$(go list $(PACKAGES) | grep -vxF "$(IN_VIRTUAL_TIME)")
+
+.PHONY: test-virtual test-front-1 test-front-2 test-front-3 test-front-4
+test-virtual:
+	$(GO_TEST) -skip "$(KNOWN_RED)" -cpu 1 $$(echo "$(IN_VIRTUAL_TIME)" | grep -v /gateway/front$$)
+
+# The tests of gateway/front take half an hour on one processor, so four processes share them by the first
+# letter of their names. The last one has all that the others leave.
+test-front-1:
+	$(GO_TEST) -skip "$(KNOWN_RED)" -cpu 1 -run '^Test[A-L]' ./gateway/front
+test-front-2:
+	$(GO_TEST) -skip "$(KNOWN_RED)" -cpu 1 -run '^Test[M-Q]' ./gateway/front
+test-front-3:
+	$(GO_TEST) -skip "$(KNOWN_RED)" -cpu 1 -run '^TestR' ./gateway/front
+test-front-4:
+	$(GO_TEST) -skip "^Test[A-R]|$(KNOWN_RED)" -cpu 1 ./gateway/front
 
 # Tests with fleets of up to 1,000 instances, which take too long with the race detector, except those
 # listed in KNOWN-RED.txt.
