gateway/crashes: stops are read once the store answers other calls again

Cause: after a failed read the stops were tried again 0.5 to 3.5 s later, while routes and endpoints are read at once when the store returns. Change: the signal that a source answers again ends this pause too, with a jitter of 150 ms, or 10 ms for each instance of a larger fleet. Test: TestStopsAreReadOnceTheStoreAnswers, fails without the signal; 90 instances make up to 4 reads. Also: the line about learned retries is written for the first answer and for the one that completes the window.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -13,6 +13,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/platform"
 )
@@ -42,6 +43,8 @@
 	OnStopped func(crashers.Subject)
 	Log       *logrus.Entry
 	Scope     tally.Scope
+	// Regained tells that the store answers other calls again; nil if nobody finds that out.
+	Regained *pause.Signal
 	// Unusable gets the objects of the store that can't be decoded; nil for none.
 	Unusable *unusable.Entries
 }
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/pause"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -101,6 +102,7 @@
 	cancels    []context.CancelFunc
 	mu         sync.Mutex
 	isolated   map[int]bool
+	regained   pause.Signal
 }
 
 func runFleet(t *testing.T, n int, f func(*fleet)) {
@@ -144,7 +146,7 @@
 				}
 			}
 		},
-		OnStopped: func(crashers.Subject) {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope,
+		OnStopped: func(crashers.Subject) {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope, Regained: &w.regained,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
@@ -246,6 +248,39 @@
 	})
 }
 
+// TestStopsAreReadOnceTheStoreAnswers guards against instances that send a stopped request to endpoints for seconds after
+// an outage of the store in which all of them started: they know the store only, and try it again after a long pause.
+// Those of a large fleet must not all read it.
+func TestStopsAreReadOnceTheStoreAnswers(t *testing.T) {
+	for _, c := range []struct {
+		size     int
+		isolated bool
+		reads    int
+	}{{5, true, 5}, {90, false, 4}} {
+		runFleet(t, c.size, func(w *fleet) {
+			w.crashEndpoints(1, 2, 3)
+			time.Sleep(time.Minute)
+			w.store.setUnavailable(true)
+			for i := range w.registries {
+				w.cancels[i]()
+				w.mu.Lock()
+				w.isolated[i] = c.isolated
+				w.mu.Unlock()
+				w.start(i, c.size)
+			}
+			time.Sleep(3 * time.Second)
+			w.store.setUnavailable(false)
+			before, _ := w.store.calls()
+			w.regained.Notify()
+			time.Sleep(regainedJitter + 10*time.Millisecond)
+			w.assertVerdicts(crashers.Stopped)
+			time.Sleep(10 * time.Second)
+			after, _ := w.store.calls()
+			assert.Assert(w, after-before <= c.reads, "%d reads of %d instances", after-before, c.size)
+		})
+	}
+}
+
 // TestOldStopsAreDeleted checks that an instance that reads a stop deletes it from the store once
 // the stop has been over for deleteAfter, and not before.
 func TestOldStopsAreDeleted(t *testing.T) {
--- a/gateway/crashes/store.go
+++ b/gateway/crashes/store.go
@@ -25,6 +25,10 @@
 	// retryDelay scales the wait after the store did not answer: half of it plus a random time of
 	// up to three times it.
 	retryDelay = time.Second
+	// regainedJitter is the time over which instances spread their reads once the store answers again, and
+	// regainedSpread is that for each instance of the fleet where it is longer.
+	regainedJitter = 150 * time.Millisecond
+	regainedSpread = 10 * time.Millisecond
 	// backupWriteDelay is how long other instances wait for the instance that decided a stop to
 	// write it. After that they spread their own attempts over backupWriteSpread for each instance
 	// of the fleet, and over at least backupWriteDelay. It is also the timeout of a deletion.
@@ -79,9 +83,11 @@
 }
 
 // loadStops waits until the stops in the store are known: another instance tells them, or this one
-// reads them after wait. It retries until the store answers or ctx ends.
+// reads them after wait. It retries until the store answers or ctx ends, soon after the store answers other calls.
 func (r *Registry) loadStops(ctx context.Context, wait time.Duration) {
-	for ; !r.isComplete() && pause.For(ctx, wait) && !r.isComplete(); wait = retryDelay/2 + rand.N(3*retryDelay) {
+	var regained <-chan struct{}
+	for ; !r.isComplete() && r.awaitRead(ctx, wait, regained) && !r.isComplete(); wait = retryDelay/2 + rand.N(3*retryDelay) {
+		regained = r.Regained.Next()
 		page, err := r.Store.List(ctx, platform.KindStoppedRequest)
 		if err != nil {
 			r.Log.WithError(err).Warn("stopped requests can't be read from the store, retrying")
@@ -95,6 +101,15 @@
 	}
 }
 
+// awaitRead waits until the next read of the stops. It returns false if ctx has ended.
+func (r *Registry) awaitRead(ctx context.Context, wait time.Duration, regained <-chan struct{}) bool {
+	if pause.UntilNotified(ctx, wait, regained) {
+		_, known := r.Instances()
+		pause.For(ctx, rand.N(max(regainedJitter, regainedSpread*time.Duration(known))))
+	}
+	return ctx.Err() == nil
+}
+
 // deleteOldStops deletes stops from the store that ended long ago.
 func (r *Registry) deleteOldStops(facts []crashers.Fact) {
 	deleted := 0
--- a/gateway/exchange/retryhistory.go
+++ b/gateway/exchange/retryhistory.go
@@ -103,11 +103,10 @@
 	x.Endpoints.ReportLimits(decodeLimits(h.Limits, time.Now()))
 	x.Retries.MergeHistory(x.process, decodeRetrySources(h.Sources), 0)
 	if x.isWholeAnswer(h) {
-		x.historyHeard.Store(true)
-		needed := x.Retries.NeedsHistory()
+		first, needed := !x.historyHeard.Swap(true), x.Retries.NeedsHistory()
 		x.Retries.MergeHistory(x.process, nil, time.Duration(min(h.KnownMs, uint64(x.RetryWindow.Milliseconds())))*time.Millisecond)
-		if needed {
-			x.Log.WithFields(logrus.Fields{"peer": h.Instance, "parts": h.Parts, "known_ms": h.KnownMs, "still_needed": x.Retries.NeedsHistory()}).Info("learned the retries of the last window")
+		if known := !x.Retries.NeedsHistory(); needed && (first || known) {
+			x.Log.WithFields(logrus.Fields{"peer": h.Instance, "parts": h.Parts, "known_ms": h.KnownMs, "whole_window": known}).Info("learned the retries of the last window")
 		}
 	}
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -216,7 +216,7 @@
 		Instances:  func() (int, int) { return f.exchange.Instances() },
 		Broadcast:  func(facts []crashers.Fact, complete bool) { f.exchange.TellCrashes(facts, complete) },
 		OnStopped:  func(r crashers.Subject) { f.forwarder.StopRequest(r) },
-		Log:        t.Log, Scope: t.Scope, Unusable: odd,
+		Log:        t.Log, Scope: t.Scope, Regained: &f.sourceRegained, Unusable: odd,
 	})
 	f.buildQueues()
 	f.exchange = exchange.New(exchange.Options{
