gateway/forward: the usage of a retry budget is computed for refusals and gauges only

Each retry summed its window twice and set three gauges, which publishRetryBudgets sets each second anyway. A granted retry now sums it once; the gauges are up to a second older.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -43,7 +43,7 @@
 	OnStopped func(crashers.Subject)
 	Log       *logrus.Entry
 	Scope     tally.Scope
-	// Regained tells that the store answers other calls again; nil if nobody finds that out.
+	// Regained signals that the store, or an instance that is followed, answers again after calls have failed; nil for none.
 	Regained *pause.Signal
 	// Unusable gets the objects of the store that can't be decoded; nil for none.
 	Unusable *unusable.Entries
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -205,10 +205,8 @@
 // the request resumes from a copy of its memory.
 func (f *Forwarder) takeRetry(req *request, recovery bool) bool {
 	coverage := f.sharing()
-	taken := f.retryBudgets.takeRetry(req.service, coverage, recovery)
-	usage := f.retryBudgets.usage(req.service, coverage)
-	f.metrics.updateRetryUsage(req.service, &usage)
-	if !taken {
+	if !f.retryBudgets.takeRetry(req.service, coverage, recovery) {
+		usage := f.retryBudgets.usage(req.service, coverage)
 		f.metrics.countRetryDenied(req.service)
 		f.Log.Refusal(req.ID, "retry refused", logrus.Fields{
 			"service": req.service, "recovery": recovery, "retries": usage.Retries, "requests": usage.Requests,
