platform/standin: repeated arrivals are found in one place

The soak and the tests of the bound each sorted the arrivals of a request and took those beyond the first.

--- a/cli/soak/retries.go
+++ b/cli/soak/retries.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/agateway/agateway/platform/standin"
@@ -45,10 +44,9 @@
 				k.addArrivals(arrivals)
 			}
 		}
-		var sent, again []time.Time
+		again := standin.Repeated(arrivals)
+		var sent []time.Time
 		for id, at := range arrivals {
-			slices.SortFunc(at, time.Time.Compare)
-			again = append(again, at[1:]...)
 			if a := s.calls[id]; a != nil {
 				sent = append(sent, a.sent)
 			} else {
--- a/gateway/front/retry_bound_test.go
+++ b/gateway/front/retry_bound_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -65,7 +64,7 @@
 // worstWindow returns the largest number of arrivals beyond the first of each request within a window, relative
 // to what is allowed there, and that allowance.
 func (t *requestTimes) worstWindow(workers []*standin.Worker) (repeats int, allowed float64) {
-	var sent, again []time.Time
+	var sent []time.Time
 	arrivals := map[string][]time.Time{}
 	for _, worker := range workers {
 		for _, a := range worker.Arrivals() {
@@ -77,11 +76,7 @@
 	for _, at := range t.sent {
 		sent = append(sent, at)
 	}
-	for _, at := range arrivals {
-		slices.SortFunc(at, time.Time.Compare)
-		again = append(again, at[1:]...)
-	}
-	repeats, allowed, _ = retryBound.Worst(sent, again)
+	repeats, allowed, _ = retryBound.Worst(sent, standin.Repeated(arrivals))
 	return repeats, allowed
 }
 
