--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core platform api gateway cli
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 
-.PHONY: all build demo test test-large lint bench soak regressions deploy generate tidy
+.PHONY: all build demo test test-large test-crowds lint bench soak regressions deploy generate tidy
 all: build
 
 build:
@@ -20,7 +20,7 @@
 test:
 	@./scripts/known-red.sh >/dev/null
 	$(MAKE) --jobs --output-sync=target test-virtual test-front-1 test-front-2 test-front-3 test-front-4
-	$(GO_TEST) -skip "$(KNOWN_RED)" $$(go list $(PACKAGES) | grep -vxF "$(IN_VIRTUAL_TIME)")
+	$(GO_TEST) -skip "$(KNOWN_RED)" $$(go list $(PACKAGES) | grep -vxF "$(IN_VIRTUAL_TIME)" | grep -v /cli/crowds$$)
 
 .PHONY: test-virtual test-front-1 test-front-2 test-front-3 test-front-4
 test-virtual:
@@ -42,6 +42,11 @@
 test-large:
 	go test -count=1 -timeout 30m -vet=off -cpu 1 -run '^TestWhoIsAlive' -skip "$$(./scripts/known-red.sh 2>/dev/null)" ./gateway/exchange
 
+# Tests that start the daemon as processes and measure their memory: without the race detector, and apart from
+# other tests. Those listed in KNOWN-RED.txt are not run.
+test-crowds:
+	go test -count=1 -timeout 30m -vet=off -skip "$$(./scripts/known-red.sh 2>/dev/null)" ./cli/crowds
+
 lint:
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	go vet $(PACKAGES)
