gateway/shed, forward, front: what callers make an instance hold is bounded by one sum

Callers saw an instance end: it ran out of memory under requests of legal size that were made of very many short header lines, or whose bodies or chunks stopped just short of their end.

Cause: nothing summed over requests. A header line of four bytes takes some hundred bytes once it is parsed, also before the header has ended; each body was kept up to 256 kB, in buffers that grow by copies; longer bodies were sent on while they arrived, and those that stopped kept a connection to an endpoint. Connections were accepted until no descriptor was left for the store and endpoints. Received bytes that were not read came on top, up to 128 kB a connection.

Now connections, headers as they are held after parsing, bodies and answers reserve room in one sum, a quarter of memory_mb for callers (routes and look-ups) and a twentieth for other instances, the platform and operators; connections have half and a quarter of the descriptors. When there is no room, those that make no progress are closed, the largest and oldest first; a request that is served never is. Refusals (503) are given only to requests that were not passed on. Bodies are passed on when they are complete; only those larger than one request may hold are sent on as they arrive, eight at a time. Addresses for look-ups, readiness and metrics take headers of 16 kB. A body without a deadline may pause for a minute.

--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,12 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/pause"
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -40,7 +42,7 @@
 	// reached is set once an endpoint may have received the request. A further send is then a retry.
 	reached atomic.Bool
 
-	body          []byte
+	body          shed.Body
 	unbuffered    io.Reader // remainder of the body that is not in memory; nil when all of it is
 	contentLength int64     // of the body in bytes; -1 for a chunked body
 	replayable    bool      // the whole body is in memory
@@ -175,45 +177,100 @@
 	return req.PromptParts[len(req.PromptParts)-1].ID
 }
 
-// maxBufferedBody is the number of body bytes kept in memory for retries. Larger bodies are
-// streamed and sent only once. A thousand concurrent requests use 256 MB only if all bodies are
-// that large; usual bodies have 8 kB.
+// maxBufferedBody is the number of bytes that are kept in memory of a body that is larger than one request may
+// hold. Such a body is sent on while it arrives, and only once.
 const maxBufferedBody = 256 << 10
 
-// readBody reads up to maxBufferedBody bytes of the body into memory.
-func (req *request) readBody(w http.ResponseWriter, r *http.Request) *refusal {
+// maxStreamedBodies bounds how many bodies are sent on while they arrive. Each takes a connection to an endpoint for
+// as long as its caller likes.
+const maxStreamedBodies = 8
+
+// readBody reads the body into memory, or the beginning of a body that is larger than one request may hold.
+func (f *Forwarder) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) *refusal {
 	req.contentLength = r.ContentLength
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		req.replayable, req.contentLength = true, 0
 		return nil
 	}
 	body := io.Reader(r.Body)
-	if maxBytes := req.table.Limits().BodyBytes; maxBytes > 0 {
-		if r.ContentLength > int64(maxBytes) {
+	limit := int64(req.table.Limits().BodyBytes)
+	if limit > 0 {
+		if r.ContentLength > limit {
 			return refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
 		}
-		body = http.MaxBytesReader(w, r.Body, int64(maxBytes))
-	}
-	if !req.deadline.IsZero() {
-		_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
+		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
-	req.body = buffered
+	body = req.boundRead(ctx, w, body)
+	buffered, whole, err := shed.ReadBody(r.Context(), body, r.ContentLength, maxBufferedBytes(r, limit))
 	if err != nil {
-		return refuseBody(err)
+		return refuseBody(r.Context(), err)
 	}
-	if len(buffered) < maxBufferedBody {
-		req.replayable = true
+	req.body, req.replayable = buffered, whole
+	if whole {
 		return nil
 	}
+	if f.streamedBodies.Add(1) > maxStreamedBodies {
+		f.streamedBodies.Add(-1)
+		return refuse(http.StatusServiceUnavailable, "too many bodies are on their way", retryWhenRoom(0)).elsewhere()
+	}
 	req.unbuffered = body
 	return nil
 }
 
-func refuseBody(err error) *refusal {
+// maxBufferedBytes returns how many bytes of a body are kept in memory at most. limit is the largest length that the
+// configuration allows, 0 for any.
+func maxBufferedBytes(r *http.Request, limit int64) int64 {
+	longest := cmp.Or(max(r.ContentLength, 0), limit)
+	if maxBody, bounded := shed.MaxBody(r.Context()); bounded && longest > 0 && longest <= maxBody {
+		return longest + 1 // the end of the body has to be seen
+	}
+	return maxBufferedBody
+}
+
+// bodyStallTimeout bounds how long nothing may arrive of a body whose request has no deadline.
+const bodyStallTimeout = time.Minute
+
+// boundRead bounds the time in which a body is read: by the deadline of the request, or if it has none, by
+// bodyStallTimeout for each read.
+func (req *request) boundRead(ctx context.Context, w http.ResponseWriter, body io.Reader) io.Reader {
+	control := http.NewResponseController(w)
+	if req.deadline.IsZero() {
+		return &stallReader{ctx, body, control}
+	}
+	_ = control.SetReadDeadline(req.deadline)
+	return body
+}
+
+// stallReader bounds the time of each read until ctx ends.
+type stallReader struct {
+	ctx context.Context
+	io.Reader
+	control *http.ResponseController
+}
+
+// Read implements [io.Reader].
+func (s *stallReader) Read(b []byte) (int, error) {
+	if err := s.ctx.Err(); err != nil {
+		return 0, err
+	}
+	_ = s.control.SetReadDeadline(time.Now().Add(bodyStallTimeout))
+	n, err := s.Reader.Read(b)
+	if err == io.EOF {
+		_ = s.control.SetReadDeadline(time.Time{}) // the server goes on to read, to notice that the caller leaves
+	}
+	return n, err
+}
+
+// refuseBody returns the refusal of a request whose body was not read.
+func refuseBody(ctx context.Context, err error) *refusal {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	case errorx.IsOfType(err, shed.ErrNoRoom):
+		return refuse(http.StatusServiceUnavailable, "no room for the body", retryWhenRoom(0)).elsewhere()
+	case shed.Shed(ctx):
+		return refuse(http.StatusServiceUnavailable, "closed for lack of room", retryWhenRoom(0)).elsewhere()
 	}
 	return refuse(http.StatusRequestTimeout, "the body did not arrive", 0)
 }
@@ -222,9 +279,9 @@
 func (req *request) bodyReader() io.Reader {
 	switch {
 	case req.unbuffered != nil:
-		return io.MultiReader(bytes.NewReader(req.body), req.unbuffered)
-	case len(req.body) == 0 && req.contentLength == 0:
+		return io.MultiReader(req.body.Reader(), req.unbuffered)
+	case req.body.Len() == 0 && req.contentLength == 0:
 		return nil
 	}
-	return bytes.NewReader(req.body)
+	return req.body.Reader()
 }
--- a/gateway/forward/deliver.go
+++ b/gateway/forward/deliver.go
@@ -7,12 +7,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/platform"
 )
 
 // deliver writes an answer to the caller. If the answer breaks off on the way, it panics with
 // [http.ErrAbortHandler] to close the connection.
 func (p *plain) deliver(a *answer) {
+	shed.ChargeAnswer(p.req.httpRequest.Context(), len(a.body))
 	copyHeader(p.w.Header(), platform.HeadersToClient(a.header))
 	p.w.Header().Del(headerPeerRefusal) // only an instance may set these
 	p.w.Header().Del(headerPeerReached)
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -201,7 +201,9 @@
 	lastSlackKey atomic.Uint64
 	deadlineLog  logLimit
 	openRequests atomic.Int64
-	startedAt    time.Time
+	// streamedBodies is the number of requests whose bodies are sent on while they arrive.
+	streamedBodies atomic.Int64
+	startedAt      time.Time
 	// firstStreamOnce ensures that only the first placed stream is recorded in its histogram.
 	firstStreamOnce sync.Once
 	metrics         metrics
@@ -285,10 +287,13 @@
 		ctx = limited
 		_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeGrace))
 	}
-	if refused := req.readBody(w, r); refused != nil {
+	if refused := f.readBody(ctx, w, r, req); refused != nil {
 		f.answerRefusal(w, req, refused)
 		return
 	}
+	if req.unbuffered != nil {
+		defer f.streamedBodies.Add(-1)
+	}
 	req.identify(!f.Settings.Disabled.PromptParts)
 	if refused := f.refuseIfStopped(req); refused != nil {
 		f.answerRefusal(w, req, refused)
--- a/gateway/forward/identity.go
+++ b/gateway/forward/identity.go
@@ -12,14 +12,14 @@
 // instance, gets the same identity. For a body that is not all in memory, the buffered part and the stated
 // length count.
 func (req *request) identify(withParts bool) {
-	length := int64(len(req.body))
+	length := req.body.Len()
 	if !req.replayable {
 		length = req.contentLength
 	}
 	team := req.teamName()
-	whole := crashers.Subject{Team: team, Content: crashers.HashContent(
+	whole := crashers.Subject{Team: team, Content: crashers.HashContentInPieces(req.body.Pieces(),
 		[]byte(team), []byte(req.httpRequest.Method), []byte(req.httpRequest.Host), []byte(req.httpRequest.RequestURI),
-		strconv.AppendInt(nil, length, 10), req.body,
+		strconv.AppendInt(nil, length, 10),
 	)}
 	req.identity = crashers.Request{Whole: whole}
 	if withParts {
--- a/gateway/forward/identity_test.go
+++ b/gateway/forward/identity_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/agateway/agateway/core/crashers"
 	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -24,7 +25,7 @@
 		assert.NilError(t, err)
 		r.Host, r.RequestURI = p.host, p.target
 		r.Header.Set("Prompt", p.prompt)
-		req := &request{httpRequest: r, body: []byte(p.body), replayable: p.large == 0, contentLength: p.large}
+		req := &request{httpRequest: r, body: shed.NewBody([]byte(p.body)), replayable: p.large == 0, contentLength: p.large}
 		req.ID = p.id
 		if p.team != "" {
 			req.team = &route.Team{Name: p.team}
--- a/gateway/forward/refuse.go
+++ b/gateway/forward/refuse.go
@@ -93,6 +93,9 @@
 	roomRetrySpread = 800 * time.Millisecond
 )
 
+// RetryAfterText returns the value of a Retry-After header for a request for which the instance has no room.
+func RetryAfterText() string { return platform.RetryAfter(retryWhenRoom(0)) }
+
 // retryWhenRoom returns a Retry-After that spreads the callers' returns over the time after room is
 // expected.
 func retryWhenRoom(expected time.Duration) time.Duration {
--- a/gateway/forward/target.go
+++ b/gateway/forward/target.go
@@ -33,7 +33,7 @@
 // upstreamLength returns the length of the body that is sent; -1 sends it in chunks.
 func (req *request) upstreamLength() int64 {
 	if req.replayable {
-		return int64(len(req.body))
+		return req.body.Len()
 	}
 	return req.contentLength
 }
--- a/gateway/front/callers.go
+++ b/gateway/front/callers.go
@@ -15,6 +15,7 @@
 
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/gateway/forward"
+	"github.com/agateway/agateway/gateway/shed"
 )
 
 // callerServers serves the requests of callers. The limits on callers come with the configuration,
@@ -24,6 +25,7 @@
 	handler  http.Handler
 	limits   func() route.Limits
 	listener net.Listener
+	guard    *shed.Guard
 	log      *logrus.Entry
 
 	mu              sync.Mutex
@@ -43,14 +45,14 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-func newCallerServers(h *forward.Forwarder, c forward.Configuration, l net.Listener, entry *logrus.Entry) *callerServers {
+func newCallerServers(h *forward.Forwarder, c forward.Configuration, l net.Listener, guard *shed.Guard, entry *logrus.Entry) *callerServers {
 	limits := func() route.Limits {
 		if table, _ := c.Table(); table != nil {
 			return table.Limits()
 		}
 		return route.Limits{}
 	}
-	return &callerServers{handler: h, limits: limits, listener: l, log: entry}
+	return &callerServers{handler: h, limits: limits, listener: guard.Listener(l), guard: guard, log: entry}
 }
 
 // run accepts connections until the listener is closed.
@@ -93,6 +95,7 @@
 		IdleTimeout:       durationOrDefault(l.IdleTimeout, defaultIdleTimeout) + idleMargin,
 		ErrorLog:          log.New(io.Discard, "", 0), // errors of callers are counted by status
 	}
+	c.guard.Serve(c.current)
 	c.servers = append(c.servers, c.current)
 	go func(s *http.Server, q *connListener) { _ = s.Serve(q) }(c.current, c.currentListener) // returns once the listener is closed
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -38,6 +38,7 @@
 	"github.com/agateway/agateway/gateway/restore"
 	"github.com/agateway/agateway/gateway/rollouts"
 	"github.com/agateway/agateway/gateway/settings"
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/gateway/telemetry"
 	"github.com/agateway/agateway/gateway/unusable"
 	"github.com/agateway/agateway/gateway/upstream"
@@ -87,6 +88,10 @@
 	syncedOnce      sync.Once
 	memoryLimitOnce sync.Once
 
+	// callersGuard bounds what callers make the process hold, internalGuard what other instances, the platform and
+	// operators do.
+	callersGuard, internalGuard *shed.Guard
+
 	callers    *callerServers
 	servers    []*http.Server
 	draining   atomic.Bool
@@ -121,7 +126,7 @@
 	f.serve(listeners)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory}
+	loops := []func(context.Context){f.exchange.Run, f.crashes.Run, f.runFollowers, f.reach.Run, f.decisions.Run, f.sweepConnections, f.tuneMemory, f.callersGuard.Run, f.internalGuard.Run}
 	if s.Mechanisms.Restore {
 		loops = append(loops, f.restore.Run)
 	}
@@ -202,6 +207,7 @@
 	}
 	f.placement = placement.New(routingSettings, rand.Uint64())
 	f.placement.OnDeparture(f.onDeparture)
+	f.callersGuard, f.internalGuard = f.newGuards()
 	f.pool = upstream.NewPool(dial)
 	f.pool.Unbounded = !s.Mechanisms.AnswerBounds
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
@@ -245,6 +251,20 @@
 	})
 }
 
+// newGuards returns the bounds on the connections of callers, and on those of other instances, the platform and
+// operators.
+func (f *Front) newGuards() (callers, internal *shed.Guard) {
+	p := &f.settings.Process
+	callersLimits, internalLimits := shed.Limits(p.Memory, p.Descriptors)
+	o := shed.Options{
+		Name: "callers", Settings: callersLimits, ReceiveBuffer: shed.CallersReceiveBuffer, RetryAfter: forward.RetryAfterText, Disabled: !f.settings.Mechanisms.Shedding,
+		Log: f.telemetry.Log, Scope: f.telemetry.Scope,
+	}
+	callers = shed.New(o)
+	o.Name, o.Settings, o.ReceiveBuffer = "internal", internalLimits, 0
+	return callers, shed.New(o)
+}
+
 // disabledMechanisms returns the mechanisms of forwarding that the settings switch off.
 func disabledMechanisms(m *settings.FrontMechanisms) forward.DisabledMechanisms {
 	return forward.DisabledMechanisms{
--- a/gateway/front/serve.go
+++ b/gateway/front/serve.go
@@ -13,6 +13,7 @@
 	"github.com/agateway/agateway/core/limitread"
 	"github.com/agateway/agateway/gateway/forward"
 	"github.com/agateway/agateway/gateway/relay"
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/platform"
 )
 
@@ -22,17 +23,17 @@
 
 // serve starts the servers for all addresses.
 func (f *Front) serve(l *listeners) {
-	f.callers = newCallerServers(f.forwarder, f.configuration, l.callers, f.telemetry.Log)
+	f.callers = newCallerServers(f.forwarder, f.configuration, l.callers, f.callersGuard, f.telemetry.Log)
 	f.goroutines.Go(f.callers.run)
-	f.serveRoutes(l.ready, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
-	f.serveRoutes(l.directory, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
+	f.serveRoutes(l.ready, f.internalGuard, func(r chi.Router) { r.Get(platform.ReadyPath, f.answerReady) })
+	f.serveRoutes(l.directory, f.callersGuard, func(r chi.Router) { r.Get(platform.ResolvePath, f.answerResolve) })
 	path, handler := peerv1connect.NewPeerServiceHandler(&relay.Server{Relay: f.relay}, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(limitread.MaxPeerMessage))
-	f.serveRoutes(l.peerCalls, func(r chi.Router) {
+	f.servePeers(l.peerCalls, func(r chi.Router) {
 		r.Use(f.servePassedOn)
 		r.Handle(path+"*", handler)
 	})
 	if l.metrics != nil {
-		f.serveRoutes(l.metrics, func(r chi.Router) {
+		f.serveRoutes(l.metrics, f.internalGuard, func(r chi.Router) {
 			r.Method(http.MethodGet, "/metrics", f.telemetry.Metrics)
 			r.Get(StatePath, f.answerState)
 			r.Post(ReleasePath, f.answerRelease)
@@ -44,15 +45,31 @@
 // all addresses but the one for callers.
 const auxiliaryTimeout = 10 * time.Second
 
-func (f *Front) serveRoutes(l net.Listener, routes func(chi.Router)) {
+// auxiliaryHeaderBytes bounds the header of a request to the addresses for look-ups, readiness and metrics.
+const auxiliaryHeaderBytes = 16 << 10
+
+// serveRoutes serves short requests without bodies.
+func (f *Front) serveRoutes(l net.Listener, guard *shed.Guard, routes func(chi.Router)) {
+	f.serveWith(&http.Server{ReadTimeout: auxiliaryTimeout, MaxHeaderBytes: auxiliaryHeaderBytes}, l, guard, routes)
+}
+
+// servePeers serves the calls of other instances and the requests that they pass on, whose headers are as large as
+// those of callers.
+func (f *Front) servePeers(l net.Listener, routes func(chi.Router)) {
+	server := &http.Server{Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	f.serveWith(server, l, f.internalGuard, routes)
+}
+
+func (f *Front) serveWith(server *http.Server, l net.Listener, guard *shed.Guard, routes func(chi.Router)) {
 	r := chi.NewRouter()
 	routes(r)
-	server := &http.Server{Handler: r, ReadHeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryTimeout, Protocols: new(http.Protocols)}
-	server.Protocols.SetHTTP1(true)
-	server.Protocols.SetUnencryptedHTTP2(true) // for calls between instances
+	server.Handler, server.ReadHeaderTimeout, server.IdleTimeout = r, auxiliaryTimeout, auxiliaryTimeout
+	guard.Serve(server)
 	f.servers = append(f.servers, server)
 	f.goroutines.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 			f.telemetry.Log.WithError(err).Error("listener failed")
 		}
 	})
--- a/gateway/settings/front.go
+++ b/gateway/settings/front.go
@@ -107,9 +107,11 @@
 
 // FrontProcess holds the limits of the process and of its network link.
 type FrontProcess struct {
-	Memory int     `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB"`
-	Link   float64 `ini:"link_mbps" default:"0" min:"0" doc:"bandwidth of the instance's network link in Mbit/s; those with the widest links pass the most on to others. 0 for unknown"`
-	Source string  `ini:"source_ip" check:"optional-ip" doc:"IP number from which connections are made, on a machine with several; empty for any"`
+	Memory int `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB"`
+	// Descriptors bounds connections: about half of them are for those of callers.
+	Descriptors int     `ini:"descriptors" default:"0" min:"0" doc:"descriptors that the process may have open; 0 for the limit that the system sets"`
+	Link        float64 `ini:"link_mbps" default:"0" min:"0" doc:"bandwidth of the instance's network link in Mbit/s; those with the widest links pass the most on to others. 0 for unknown"`
+	Source      string  `ini:"source_ip" check:"optional-ip" doc:"IP number from which connections are made, on a machine with several; empty for any"`
 }
 
 // FrontMechanisms switch single mechanisms off, to measure the effect of each one on a deployment.
@@ -143,6 +145,7 @@
 	Crashes       bool `ini:"crashes" default:"true" doc:"requests that end the endpoints that run them are stopped"`
 	PromptParts   bool `ini:"prompt_parts" default:"true" doc:"parts of prompts that end the endpoints that run them are stopped"`
 	Ranks         bool `ini:"ranks" default:"true" doc:"where streaming routes of a service have different priorities, these order the streams of a team, at engines too"`
+	Shedding      bool `ini:"shedding" default:"true" doc:"what connections make the process hold is bounded; those that make no progress are closed first"`
 	AnswerBounds  bool `ini:"answer_bounds" default:"true" doc:"heads of answers that endpoints send without end are given up"`
 }
 
