gateway/daemon, pipeline: the own interface bounds what callers make it hold

Callers saw an instance grow without bound: 300 connections with bodies of 1 MiB that stop one byte short took 535 MB and kept it for as long as they liked, 60 heads of 900 kB in short lines without a key took 1,171 MB (calm: 24 MB).

Cause: no bound on the sum, none on the time in which a body arrives, the library's 1 MB for a head, no idle timeout, and the memory that parsing a body takes came on top. The setting for the memory of the process was missing.

The guards of gateway/shed now serve here too: [process] memory_mb and descriptors, [callers] header_limit (64 kB) and read_timeout (1m), and sixteen times the length of a body is reserved while it is parsed. Idle connections end after two minutes.

--- a/gateway/cmd/agatewayd/main.go
+++ b/gateway/cmd/agatewayd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -44,6 +45,10 @@
 	return root
 }
 
+// memoryLimitShare is the part of the memory of the process above which garbage is collected more often. The rest is
+// left for what the collector does not count.
+const memoryLimitShare = 0.6
+
 // run serves until SIGTERM or SIGINT and then drains. An interrupt during the drain ends the
 // process at once.
 func run(cmd *cobra.Command, file string) error {
@@ -51,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Process.Memory) * (1 << 20)))
 	signals := stopSignals()
 	d, err := daemon.Start(s, network.TCP{}, os.Stderr)
 	if err != nil {
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -45,6 +45,7 @@
 	"github.com/agateway/agateway/gateway/platform"
 	"github.com/agateway/agateway/gateway/restore"
 	"github.com/agateway/agateway/gateway/settings"
+	"github.com/agateway/agateway/gateway/shed"
 	"github.com/agateway/agateway/gateway/telemetry"
 	"github.com/agateway/agateway/gateway/unusable"
 )
@@ -71,6 +72,7 @@
 	restore    *restore.Loop
 	peering    *peering.Service
 	servers    []*http.Server
+	guards     []*shed.Guard
 	cancel     context.CancelFunc
 	closing    chan struct{} // closed when the instance refuses new requests
 	background sync.WaitGroup
@@ -97,8 +99,9 @@
 	d.build()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.serve(callersListener, d.callersHandler(), nil)
-	d.serve(peersListener, d.peersHandler(), peerProtocols())
+	callersGuard, peersGuard := d.newGuards()
+	d.serve(callersListener, &http.Server{Handler: d.callersHandler(), MaxHeaderBytes: s.Callers.HeaderLimit}, callersGuard)
+	d.serve(peersListener, &http.Server{Handler: d.peersHandler(), MaxHeaderBytes: maxPeerHeaderBytes, Protocols: peerProtocols()}, peersGuard)
 	d.startBackground(ctx)
 	t.Log.WithField("callers", d.Callers).WithField("peers", d.Peers).Info("started")
 	return d, nil
@@ -282,12 +285,30 @@
 	return peers.Authorize(d.settings.Keys.Peer, mux)
 }
 
-func (d *Daemon) serve(l net.Listener, h http.Handler, p *http.Protocols) {
+// idleTimeout bounds how long a connection stays open between two requests.
+const idleTimeout = 2 * time.Minute
+
+// maxPeerHeaderBytes bounds the header of a call of another instance.
+const maxPeerHeaderBytes = 64 << 10
+
+// newGuards returns the bounds on the connections of callers and operators, and on those of other instances.
+func (d *Daemon) newGuards() (callers, peers *shed.Guard) {
+	callersLimits, peersLimits := shed.Limits(d.settings.Process.Memory, d.settings.Process.Descriptors)
+	o := shed.Options{Name: "callers", Settings: callersLimits, ReceiveBuffer: shed.CallersReceiveBuffer, RetryAfter: pipeline.RetryAfterText, Log: d.telemetry.Log, Scope: d.telemetry.Scope}
+	callers = shed.New(o)
+	o.Name, o.Settings, o.ReceiveBuffer = "internal", peersLimits, 0
+	return callers, shed.New(o)
+}
+
+// serve serves the connections of a listener within the bounds of a guard.
+func (d *Daemon) serve(l net.Listener, server *http.Server, guard *shed.Guard) {
 	const headerTimeout = 10 * time.Second
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, Protocols: p}
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	guard.Serve(server)
 	d.servers = append(d.servers, server)
+	d.guards = append(d.guards, guard)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 			d.telemetry.Log.WithError(err).Error("listener failed")
 		}
 	}()
@@ -302,6 +323,9 @@
 	if d.settings.Instance.Register {
 		loops = append(loops, d.register)
 	}
+	for _, g := range d.guards {
+		loops = append(loops, g.Run)
+	}
 	for _, p := range loops {
 		d.background.Go(func() { p(ctx) })
 	}
--- a/gateway/pipeline/admit.go
+++ b/gateway/pipeline/admit.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/agateway/agateway/core/cursor"
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/gateway/apierr"
 	"github.com/agateway/agateway/gateway/atmostonce"
+	"github.com/agateway/agateway/gateway/shed"
 )
 
 // Headers of the callers' API.
@@ -64,20 +66,43 @@
 // readBody reads the whole body. A body above the configured limit is refused.
 func (a *admit) readBody(x *Exchange) ([]byte, error) {
 	limit := int64(a.Settings.Callers.BodyLimit)
-	body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, limit))
+	control := http.NewResponseController(x.W)
+	_ = control.SetReadDeadline(x.Received.Add(a.Settings.Callers.ReadTimeout)) // without it, the body is read without a bound
+	body, _, err := shed.ReadBody(x.R.Context(), http.MaxBytesReader(x.W, x.R.Body, limit), x.R.ContentLength, limit+1)
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, apierr.New(apierr.InvalidRequest, "the body has more than %d bytes", limit).WithField("body")
-	}
-	if err != nil {
+	case errorx.IsOfType(err, shed.ErrNoRoom):
+		return nil, noRoom()
+	case err != nil:
 		return nil, apierr.New(apierr.InvalidRequest, "the body broke off").WithField("body")
 	}
-	return body, nil
+	return body.Bytes(), nil
+}
+
+// RetryAfterText returns the value of a Retry-After header for a request for which the instance has no room.
+func RetryAfterText() string { return strconv.Itoa(int(noRoomRetryAfter.Seconds())) }
+
+// noRoomRetryAfter is when a caller may return for whose request there is no room.
+const noRoomRetryAfter = time.Second
+
+func noRoom() error {
+	return apierr.New(apierr.Overloaded, "no room for the body").WithRetryAfter(noRoomRetryAfter)
 }
 
+// parsedCostFactor times the length of a body bounds the memory that is taken while it is parsed.
+const parsedCostFactor = 16
+
 // admitGeneration parses a request for a generation and finds its deployment.
 func (a *admit) admitGeneration(x *Exchange, body []byte) error {
+	giveBack, err := shed.Borrow(x.R.Context(), parsedCostFactor*int64(len(body)))
+	if err != nil {
+		return noRoom()
+	}
 	g, err := parseGeneration(x.Form, body)
+	giveBack()
 	if err != nil {
 		return err
 	}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -14,6 +14,7 @@
 // Settings holds all settings of the daemon.
 type Settings struct {
 	Instance  Instance  `ini:"instance"`
+	Process   Process   `ini:"process"`
 	Platform  Platform  `ini:"platform"`
 	Keys      Keys      `ini:"keys"`
 	Callers   Callers   `ini:"callers"`
@@ -34,6 +35,12 @@
 	Register   bool   `ini:"register" default:"true" doc:"name this instance in the platform's list; off where the platform lists its instances itself"`
 }
 
+// Process holds the limits of the process.
+type Process struct {
+	Memory      int `ini:"memory_mb" default:"256" min:"32" doc:"memory that the process may use, in MB; about a third of it is for requests and connections"`
+	Descriptors int `ini:"descriptors" default:"0" min:"0" doc:"descriptors that the process may have open; 0 for the limit that the system sets"`
+}
+
 // Platform says how the platform's object API is reached.
 type Platform struct {
 	URL      string        `ini:"url" required:"yes" check:"url" doc:"base URL of the platform's object API"`
@@ -52,7 +59,9 @@
 
 // Callers holds the limits on callers and the times of a shutdown.
 type Callers struct {
+	HeaderLimit   int           `ini:"header_limit" default:"65536" min:"4096" doc:"largest header of a request, in bytes"`
 	BodyLimit     int           `ini:"body_limit" default:"1048576" min:"1" doc:"largest request body, in bytes"`
+	ReadTimeout   time.Duration `ini:"read_timeout" default:"1m" min:"1s" doc:"time a caller may take to send the body of a request"`
 	DeadlineMost  time.Duration `ini:"deadline_most" default:"15m" min:"1s" doc:"longest deadline a caller may ask for"`
 	Keepalive     time.Duration `ini:"keepalive" default:"1s" min:"20ms" doc:"a comment goes out on a stream that was idle this long"`
 	WriteTimeout  time.Duration `ini:"write_timeout" default:"10s" min:"100ms" doc:"time a caller may take to read what was sent"`
