gateway/front: changed limits on callers hold for open connections, and end the servers before

A change of the limits started a server for new connections. Open connections kept the limits under which they were opened for as long as their callers used them, and the servers before were kept for good, one for each change.

The server before is now shut down: its connections are closed as soon as no request is in progress on them, and it is forgotten after the last one. TestChangedLimitsEndOpenConnections failed before (the old connection was served after twenty changes).

--- a/gateway/front/callers.go
+++ b/gateway/front/callers.go
@@ -20,7 +20,8 @@
 
 // callerServers serves the requests of callers. The limits on callers come with the configuration,
 // and an [http.Server] can't change its limits while it runs. So a change of the limits starts a
-// new server for new connections; open connections stay with the server that accepted them.
+// new server for new connections. The connections of the one before are closed as soon as no request
+// is in progress on them.
 type callerServers struct {
 	handler  http.Handler
 	limits   func() route.Limits
@@ -32,7 +33,7 @@
 	current         *http.Server
 	currentLimits   route.Limits
 	currentListener *connListener
-	servers         []*http.Server
+	servers         []*http.Server // that have connections
 }
 
 // Limits that apply until a configuration has been read, and where it sets none.
@@ -45,7 +46,7 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-func newCallerServers(h *forward.Forwarder, c forward.Configuration, l net.Listener, guard *shed.Guard, entry *logrus.Entry) *callerServers {
+func newCallerServers(h http.Handler, c forward.Configuration, l net.Listener, guard *shed.Guard, entry *logrus.Entry) *callerServers {
 	limits := func() route.Limits {
 		if table, _ := c.Table(); table != nil {
 			return table.Limits()
@@ -85,8 +86,9 @@
 }
 
 func (c *callerServers) replaceServer(l route.Limits) {
-	if c.currentListener != nil {
+	if c.current != nil {
 		c.currentListener.shut()
+		go c.retire(c.current)
 	}
 	c.currentLimits, c.currentListener = l, newConnListener(c.listener.Addr())
 	c.current = &http.Server{
@@ -100,6 +102,15 @@
 	go func(s *http.Server, q *connListener) { _ = s.Serve(q) }(c.current, c.currentListener) // returns once the listener is closed
 }
 
+// retire closes the connections of a server when no request is in progress on them, and forgets the server after
+// the last one.
+func (c *callerServers) retire(s *http.Server) {
+	_ = s.Shutdown(context.Background()) // returns when the last connection is closed
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = slices.DeleteFunc(c.servers, func(o *http.Server) bool { return o == s })
+}
+
 // stopAccepting closes the listener for callers.
 func (c *callerServers) stopAccepting() { _ = c.listener.Close() }
 
