core/shedding, gateway/shed: heads cost what they take, and answers that nobody reads make way at once

A head of lines like a1:1 takes 502 kB for 16 kB with the copy that is sent on, 465 kB were accounted for (TestHeadCostCoversMemory failed). Lines and commas have costs of their own now: 549 kB.

Answers are never refused room, so that callers which do not take them could push the sum beyond its bound until another caller needed room. It is now brought back when an answer is charged and once a second.

--- a/core/shedding/budget.go
+++ b/core/shedding/budget.go
@@ -164,6 +164,18 @@
 	return shed
 }
 
+// Exceeded reports whether the sum of the holders that are not being closed is beyond the bound, which only [Budget.Charge]
+// brings about.
+func (b *Budget) Exceeded() bool { return b.total-b.shed > b.settings.Bytes }
+
+// Relieve returns the holders whose connections are to be closed so that the sum is within the bound, or all that may
+// be closed.
+func (b *Budget) Relieve(now time.Time) []*Holder {
+	return b.closeUntil(now, nil,
+		func(freed int64, _ int) bool { return b.total-b.shed-freed <= b.settings.Bytes },
+		func(int64, int) bool { return true })
+}
+
 // fits reports whether n more bytes for a holder are within the bounds.
 func (b *Budget) fits(h *Holder, n int64) bool {
 	limit := b.settings.Bytes
--- a/core/shedding/budget_test.go
+++ b/core/shedding/budget_test.go
@@ -1,6 +1,7 @@
 package shedding
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -27,8 +28,11 @@
 func TestLargestAndOldestIsClosedFirst(t *testing.T) {
 	b := New(Settings{Bytes: 1000, Connections: 100})
 	old, large, served := open(t, b, at(0), Receiving), open(t, b, at(500), Receiving), open(t, b, at(0), Serving)
-	for h, n := range map[*Holder]int64{old: 100, large: 400, served: 200} {
-		_, ok := b.Reserve(at(500), h, Body, n)
+	for _, r := range []struct {
+		h *Holder
+		n int64
+	}{{large, 400}, {old, 100}, {served, 200}} {
+		_, ok := b.Reserve(at(500), r.h, Body, r.n)
 		assert.Assert(t, ok)
 	}
 	small := open(t, b, at(1000), Receiving)
@@ -111,6 +115,25 @@
 	assert.Equal(t, served.Held(Answer), int64(450))
 }
 
+// TestExcessOfAnswersIsRelieved checks that only as many connections are closed as brings the sum within its bound.
+func TestExcessOfAnswersIsRelieved(t *testing.T) {
+	b := New(Settings{Bytes: 1000, Connections: 100})
+	var holders []*Holder
+	for i := range 10 {
+		holders = append(holders, open(t, b, at(i), Serving))
+	}
+	for i, h := range holders {
+		b.Charge(at(i), h, Answer, 200)
+	}
+	for i, h := range holders {
+		b.SetState(at(i), h, Sending)
+	}
+	assert.Assert(t, b.Exceeded())
+	shed := b.Relieve(at(1000))
+	assert.Equal(t, len(shed), 6)
+	assert.Assert(t, !b.Exceeded())
+}
+
 // TestSumStaysWithinBounds draws operations in any order.
 func TestSumStaysWithinBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -178,13 +201,8 @@
 			inPieces += pieces.Scan([]byte(text[i : i+1]))
 		}
 		assert.Equal(t, cost, inPieces, "%q", text)
-		items := 0
-		for _, c := range text[:want] {
-			if c == '\n' || c == ',' {
-				items++
-			}
-		}
-		assert.Equal(t, cost, HeadCost(want, items), "%q", text)
+		head := text[:want]
+		assert.Equal(t, cost, HeadCost(want, strings.Count(head, "\n"), strings.Count(head, ",")), "%q", text)
 		assert.Equal(t, whole.Ended(), want < len(text), "%q", text)
 	}
 }
--- a/core/shedding/head.go
+++ b/core/shedding/head.go
@@ -4,12 +4,15 @@
 // parsed, the copy that is sent to an endpoint, and what is read from lists in it.
 const (
 	headByteCost = 4
-	// headItemCost is the cost of a line, and of an entry of a list in a line.
-	headItemCost = 192
+	headLineCost = 232
+	// headCommaCost is the cost of an entry of a list in a line.
+	headCommaCost = 64
 )
 
-// HeadCost returns the cost of bytes of a head that has the given number of lines and commas.
-func HeadCost(bytes, items int) int64 { return int64(bytes)*headByteCost + int64(items)*headItemCost }
+// HeadCost returns the cost of bytes of a head that has the given numbers of lines and commas.
+func HeadCost(bytes, lines, commas int) int64 {
+	return int64(bytes)*headByteCost + int64(lines)*headLineCost + int64(commas)*headCommaCost
+}
 
 // HeadScanner finds the end of a head in the bytes that a caller sends, and the cost of what is read of it. The zero
 // value is at the beginning of a head.
@@ -27,24 +30,24 @@
 
 // Scan reads further bytes and returns the cost of those that belong to the head.
 func (s *HeadScanner) Scan(b []byte) (cost int64) {
-	items := 0
+	lines, commas := 0, 0
 	for i, c := range b {
 		if s.ended {
-			return HeadCost(i, items)
+			return HeadCost(i, lines, commas)
 		}
 		switch c {
 		case '\n':
-			items++
+			lines++
 			s.endLine()
 		case '\r':
 		case ',':
-			items++
+			commas++
 			s.lineBytes++
 		default:
 			s.lineBytes++
 		}
 	}
-	return HeadCost(len(b), items)
+	return HeadCost(len(b), lines, commas)
 }
 
 func (s *HeadScanner) endLine() {
--- a/gateway/shed/guard.go
+++ b/gateway/shed/guard.go
@@ -167,11 +167,22 @@
 func (g *Guard) charge(c *conn, k shedding.Kind, n int64) {
 	now := time.Now()
 	g.mu.Lock()
-	evicted := g.victims(now, g.budget.Charge(now, c.holder, k, n))
+	victims := g.budget.Charge(now, c.holder, k, n)
+	evicted := append(g.victims(now, victims), g.relieve(now)...)
 	g.mu.Unlock()
 	evict(evicted)
 }
 
+// relieve returns the connections that are to be closed since answers, which are never refused, have exceeded the
+// bound. The caller holds the lock.
+func (g *Guard) relieve(now time.Time) []*conn {
+	if !g.budget.Exceeded() {
+		return nil
+	}
+	g.markStalled(now)
+	return g.victims(now, g.budget.Relieve(now))
+}
+
 // release takes bytes from what a connection holds.
 func (g *Guard) release(c *conn, k shedding.Kind, n int64) {
 	g.mu.Lock()
--- a/gateway/shed/metrics.go
+++ b/gateway/shed/metrics.go
@@ -87,7 +87,15 @@
 func (g *Guard) report() {
 	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	evicted := g.relieve(now)
+	g.updateGauges()
+	g.endSpell(now)
+	g.mu.Unlock()
+	evict(evicted)
+}
+
+// updateGauges sets the gauges. The caller holds the lock.
+func (g *Guard) updateGauges() {
 	u := g.budget.Usage()
 	for k, bytes := range u.Held {
 		g.metrics.held[k].Update(float64(bytes))
@@ -95,6 +103,10 @@
 	g.metrics.maxBytes.Update(float64(u.Settings.Bytes))
 	g.metrics.connections.Update(float64(u.Connections))
 	g.metrics.maxConnections.Update(float64(u.Settings.Connections))
+}
+
+// endSpell logs the end of a spell. The caller holds the lock.
+func (g *Guard) endSpell(now time.Time) {
 	if s := g.spell; !s.began.IsZero() && now.Sub(s.last) >= spellGap {
 		g.logUsage("no connections are shed any more", logrus.Fields{"shed": s.shed, "refused": s.refused, "took_ms": s.last.Sub(s.began).Milliseconds()})
 		g.spell = spell{}
--- a/gateway/shed/request.go
+++ b/gateway/shed/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -76,19 +77,15 @@
 
 // headCost returns the cost of a parsed head.
 func headCost(r *http.Request) int64 {
-	bytes, items := len(r.RequestURI)+len(r.Host), 1
+	bytes, lines, commas := len(r.RequestURI)+len(r.Host), 1, 0
 	for name, values := range r.Header {
 		for _, v := range values {
 			bytes += len(name) + len(v)
-			items++
-			for i := range len(v) {
-				if v[i] == ',' {
-					items++
-				}
-			}
+			lines++
+			commas += strings.Count(v, ",")
 		}
 	}
-	return shedding.HeadCost(bytes, items)
+	return shedding.HeadCost(bytes, lines, commas)
 }
 
 // refuse answers a request for which there is no room.
