gateway/decisions: lines of long ids are cut, and the queue of lines is bounded in bytes

Callers choose the ids of their requests: with ids of 60 kB, refusals filled the queue of the log with up to 1,024 lines of that length while the output was slow, 60 MB. An id takes 128 bytes in a line now, and at most 1 MB of lines wait.

--- a/gateway/decisions/decisions.go
+++ b/gateway/decisions/decisions.go
@@ -59,9 +59,12 @@
 		l.dropped.Add(1)
 		return
 	}
-	l.log.WithFields(inputs).WithField("request", request).Log(level, message)
+	l.log.WithFields(inputs).WithField("request", request[:min(len(request), maxIDBytes)]).Log(level, message)
 }
 
+// maxIDBytes bounds the id of a request in a line. Callers choose their ids.
+const maxIDBytes = 128
+
 // Run logs the number of dropped lines once a second, if there are any, until ctx ends.
 func (l *Log) Run(ctx context.Context) {
 	pause.Every(ctx, time.Second, func() {
@@ -71,14 +74,18 @@
 	})
 }
 
-// maxQueuedLines is how many lines wait for the output: about 256 kB.
-const maxQueuedLines = 1024
+// Bounds of what waits for the output. Lines of usual length take about 256 kB.
+const (
+	maxQueuedLines = 1024
+	maxQueuedBytes = 1 << 20
+)
 
 // Writer passes lines on to an output that may be slow, without ever blocking. It is safe for
 // concurrent use.
 type Writer struct {
 	lines           chan []byte
 	closed, written chan struct{}
+	queued          atomic.Int64 // bytes of lines
 	dropped         atomic.Uint64
 }
 
@@ -95,24 +102,34 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = out.Write(line) // an error can't be reported, since the log itself fails
+			w.writeTo(out, line)
 		case <-w.closed:
 			for len(w.lines) > 0 {
-				_, _ = out.Write(<-w.lines)
+				w.writeTo(out, <-w.lines)
 			}
 			return
 		}
 	}
 }
 
+func (w *Writer) writeTo(out io.Writer, line []byte) {
+	_, _ = out.Write(line) // an error can't be reported, since the log itself fails
+	w.queued.Add(-int64(len(line)))
+}
+
 // Write implements [io.Writer]. It always succeeds; it drops and counts the line if the queue is
 // full.
 func (w *Writer) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
--- a/gateway/decisions/decisions_test.go
+++ b/gateway/decisions/decisions_test.go
@@ -108,3 +108,25 @@
 		l.Decision("9c41d07be2a35f68", "placed", logrus.Fields{"endpoint": "i-7f3a91c2", "attempt": 1})
 	}
 }
+
+// TestLongIDsAreCut guards against memory and output that callers take up with the ids of their requests.
+func TestLongIDsAreCut(t *testing.T) {
+	out := &safeBuffer{}
+	l := New(newEntry(out))
+	l.Refusal(strings.Repeat("x", 60<<10), "no room", nil)
+	assert.Assert(t, out.buf.Len() < 2*maxIDBytes+200, "%d bytes", out.buf.Len())
+}
+
+// TestQueueIsBoundedInBytes guards against long lines that wait for an output which is too slow.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	out := blockedOutput{make(chan struct{})}
+	w := NewWriter(out)
+	line := make([]byte, 64<<10)
+	for range 100 {
+		_, err := w.Write(line)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, w.Dropped(), uint64(100-maxQueuedBytes/len(line)))
+	close(out.release)
+	w.Close()
+}
