--- a/cli/soak/faults.go
+++ b/cli/soak/faults.go
@@ -26,7 +26,7 @@
 	"store-loses": storeLosesAnswers, "key-goes-unheard": revokeKeyDuringOutage, "rate": stateRate, "fragile": fragileBurst, "cut-off": cutOff,
 	"leave-in-answers": leaveInAnswers, "asks-for-pause": askForPauses,
 	"store-returns": storeReturns, "endpoints-pause": pauseEndpoints, "instances-pause": pauseInstances, "timeout": changeTimeout, "idle-time": changeIdleTime, "weights": changeWeights,
-	"refuse-most": refuseMost, cutLinksFault: refuseMostWhileCut,
+	"refuse-most": refuseMost, cutLinksFault: refuseMostWhileCut, crowdFault: sendCrowd,
 }
 
 // Names of faults by what they disrupt. A name that is listed twice is drawn twice as often. The
@@ -49,14 +49,22 @@
 	// overloadFaults lose instances and engines, beside changes of the operator. Other faults would excuse or hide
 	// what overload does.
 	overloadFaults = []string{"kill", "crash", "data-centre", "stop", "reread", "new-key", "new-route", "routes-in-a-row"}
+	crowdFaults    = []string{crowdFault, crowdFault, crowdFault, crowdFault, "kill", "stop", "store-outage", "crash"}
 	pauseFaults    = []string{"endpoints-pause", "endpoints-pause", "endpoints-pause", "endpoints-pause", "instances-pause", "pause", "timeout", "idle-time", "weights"}
 )
 
 // Seeds from firstLimitSeed to lastSeed also draw limitFaults, those from firstCutSeed cutFaults,
 // those from firstWordSeed wordFaults, those from firstReturnSeed returnFaults, those from firstPauseSeed
 // pauseFaults, and those from firstPartSeed partFaults. Those from firstOverloadSeed draw overloadFaults only, beside
-// a service that has more load than it can serve. The others keep the faults with which they have found something.
-const firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, firstPartSeed, firstOverloadSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 8000, 9000, 9999
+// a service that has more load than it can serve. Those from firstCrowdSeed to lastCrowdSeed draw crowdFaults beside
+// the first kinds. The others keep the faults with which they have found something.
+const (
+	firstLimitSeed, firstCutSeed, firstWordSeed, firstReturnSeed, firstPauseSeed, firstPartSeed, firstOverloadSeed, lastSeed = 3000, 4000, 5000, 6000, 7000, 8000, 9000, 9999
+	firstCrowdSeed, lastCrowdSeed                                                                                            = 10_000, 10_999
+)
+
+// crowdFault is the name of a fault for which processes have limits of their own.
+const crowdFault = "crowd"
 
 // faultNamesForSeed returns the names from which the faults of a seed are drawn with equal
 // probability. Odd seeds have all of them. Even seeds have those of one kind, because a guarantee
@@ -85,6 +93,9 @@
 	if seed >= firstPartSeed && seed <= lastSeed {
 		kinds = append(kinds, partFaults)
 	}
+	if seed >= firstCrowdSeed && seed <= lastCrowdSeed {
+		kinds = append(kinds, crowdFaults)
+	}
 	if seed%2 == 1 {
 		return slices.Concat(append(kinds, operatorChanges)...)
 	}
--- a/cli/soak/process.go
+++ b/cli/soak/process.go
@@ -122,7 +122,7 @@
 reserve = 50
 `, p.name, i%dataCentres, addresses[0], addresses[1], addresses[2], addresses[3], advertised, store, revokeBound, o.ShutdownGrace)
 	if source != "" {
-		settings += "[process]\nsource_ip = " + source + "\n"
+		settings += "[process]\nsource_ip = " + source + "\n" + o.crowdSettings()
 	}
 	settings += switches(o, source != "")
 	return p, os.WriteFile(p.settingsPath, []byte(settings), 0o600)
--- a/cli/soak/regressions.go
+++ b/cli/soak/regressions.go
@@ -41,6 +41,7 @@
 		{Seed: 6046, FaultDuration: 8 * time.Second, Cause: "an order that was given again after a return of the store counted as a new one, and its bad build got requests"},
 		{Seed: 62, FaultDuration: 5 * time.Second, FaultNames: []string{"refuse-most"}, Cause: "instances that started counted retries from zero, and sent nearly twice as many as allowed"},
 		{Seed: 65, FaultDuration: 5 * time.Second, FaultNames: []string{cutLinksFault}, Cause: "instances whose counts did not arrive counted as reporting, and each one used the whole bound on retries"},
+		{Seed: 68, FaultDuration: 5 * time.Second, FaultNames: []string{crowdFault, crowdFault, "kill", "stop"}, Cause: "requests that stopped short of their end took three times the memory of an instance"},
 		{Seed: 6137, FaultDuration: 10 * time.Second, Cause: "the check of keys counted from a write that was lost before anyone could read it"},
 	}
 }
--- a/cli/soak/soak.go
+++ b/cli/soak/soak.go
@@ -102,6 +102,7 @@
 	s.checkWords()
 	s.checkRollouts()
 	s.checkOverload()
+	s.checkCrowds()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.result.Findings) == 0 {
