gateway/shed: a request whose connection is shed as its body ends is not passed on

A body could arrive completely in the moment in which its connection was closed for lack of room. The request was then passed on, ran, and its answer could not be delivered. The state changes under the lock under which connections are chosen, so a look after the end of the body is final.

The time of a stalled write is taken from the monotonic clock. Tests of both products check a crowd in one place.

--- a/cli/crowds/crowds_test.go
+++ b/cli/crowds/crowds_test.go
@@ -30,13 +30,19 @@
 // it has left.
 func (s *system) assertOutlasts(c *crowd) {
 	s.t.Helper()
+	s.process.assertOutlasts(s.t, c, s.assertServes)
+}
+
+// assertOutlasts checks that a process stays sound while a crowd stays and after it has left, and that it serves.
+func (p *process) assertOutlasts(t *testing.T, c *crowd, assertServes func()) {
+	t.Helper()
 	time.Sleep(settleTime)
-	s.assertSound(s.t)
-	s.assertServes()
-	s.assertSound(s.t)
+	p.assertSound(t)
+	assertServes()
+	p.assertSound(t)
 	c.leave()
-	s.assertServes()
-	s.assertSound(s.t)
+	assertServes()
+	p.assertSound(t)
 }
 
 // bodyShapes are bodies of legal size that most members do not complete.
--- a/cli/crowds/own_interface_test.go
+++ b/cli/crowds/own_interface_test.go
@@ -126,13 +126,7 @@
 // it has left.
 func (s *ownSystem) assertOutlasts(c *crowd) {
 	s.t.Helper()
-	time.Sleep(settleTime)
-	s.assertSound(s.t)
-	s.assertServes()
-	s.assertSound(s.t)
-	c.leave()
-	s.assertServes()
-	s.assertSound(s.t)
+	s.process.assertOutlasts(s.t, c, s.assertServes)
 }
 
 func callHead(lines string) string {
--- a/core/shedding/budget_test.go
+++ b/core/shedding/budget_test.go
@@ -69,8 +69,8 @@
 	assert.Assert(t, ok)
 }
 
-// TestNothingIsClosedInVain guards against connections that are closed for a request which finds no room anyway.
-func TestNothingIsClosedInVain(t *testing.T) {
+// TestNothingIsClosedWithoutResult guards against connections that are closed for a request which finds no room anyway.
+func TestNothingIsClosedWithoutResult(t *testing.T) {
 	b := New(Settings{Bytes: 1000, Connections: 100})
 	open(t, b, at(0), Idle)
 	shed, ok := b.Reserve(at(1000), open(t, b, at(1000), Receiving), Body, 2000)
--- a/gateway/shed/body.go
+++ b/gateway/shed/body.go
@@ -67,6 +67,9 @@
 			return b, false, errNoRoom
 		}
 		whole, err = b.readPiece(r, piece)
+		if whole && Shed(ctx) {
+			return b, false, errNoRoom // its end arrived too late: the answer would not be delivered
+		}
 		if whole || err != nil {
 			return b, whole, err
 		}
--- a/gateway/shed/conn.go
+++ b/gateway/shed/conn.go
@@ -30,7 +30,7 @@
 	ownBody atomic.Bool
 
 	shed         atomic.Bool
-	writeStarted atomic.Int64 // in nanoseconds of Unix time; 0 while nothing is written
+	writeStarted atomic.Int64 // in nanoseconds since the guard was created; 0 while nothing is written
 	stalled      atomic.Bool  // a write is in progress that the account calls Sending
 
 	deadlineMu    sync.Mutex
@@ -100,7 +100,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	now := time.Now()
 	c.boundWrite(now)
-	c.writeStarted.Store(now.UnixNano())
+	c.writeStarted.Store(max(int64(now.Sub(c.guard.created)), 1))
 	n, err := c.Conn.Write(b)
 	c.writeStarted.Store(0)
 	if c.stalled.Swap(false) {
@@ -121,7 +121,7 @@
 // writingSince returns when the write in progress began; zero if there is none.
 func (c *conn) writingSince() time.Time {
 	if nanos := c.writeStarted.Load(); nanos > 0 {
-		return time.Unix(0, nanos)
+		return c.guard.created.Add(time.Duration(nanos)) // on the monotonic clock
 	}
 	return time.Time{}
 }
--- a/gateway/shed/guard.go
+++ b/gateway/shed/guard.go
@@ -45,6 +45,7 @@
 type Guard struct {
 	Options
 	metrics metrics
+	created time.Time
 
 	mu     sync.Mutex
 	budget *shedding.Budget
@@ -54,7 +55,7 @@
 
 // New returns a guard without connections.
 func New(o Options) *Guard {
-	return &Guard{Options: o, metrics: newMetrics(o.Scope, o.Name), budget: shedding.New(o.Settings), conns: map[*shedding.Holder]*conn{}}
+	return &Guard{Options: o, metrics: newMetrics(o.Scope, o.Name), created: time.Now(), budget: shedding.New(o.Settings), conns: map[*shedding.Holder]*conn{}}
 }
 
 // Usage returns what the connections hold.
--- a/gateway/shed/shed_test.go
+++ b/gateway/shed/shed_test.go
@@ -163,7 +163,7 @@
 	})
 }
 
-// TestRequestWithoutRoomIsRefused checks that a request for which there is no room is told so, and when to come back.
+// TestRequestWithoutRoomIsRefused checks that a request for which there is no room gets a refusal with a time to retry.
 func TestRequestWithoutRoomIsRefused(t *testing.T) {
 	held := make(chan struct{})
 	synctest.Test(t, func(t *testing.T) {
