gateway/upstream: the server of a test keeps its connections until the test has ended

TestAnswers failed now and then with a connection that was not kept. Cause: after an answer nothing referenced the server's side of the connection, so the garbage collector closed it. No assertion changed.

--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -60,6 +60,7 @@
 // serve takes the next connection, reads the head of a request and writes text.
 func (s *server) serve(t *testing.T, text string) net.Conn {
 	c := <-s.conns
+	t.Cleanup(func() { _ = c.Close() }) // a connection that is not referenced any more is closed by the collector
 	s.answer(t, c, text)
 	return c
 }
