gateway/daemon: calls between instances are not refused for their size

Found by reading: messages of other instances counted to the budget of their connections, of which one may hold half: 6 MB at the default of memory_mb. An instance that leaves hands over up to 16 MB of outcomes in one call, which would have been refused, and the outcomes lost. These calls show the key of the fleet before anything is read of them and have a bound of their own, so they are left out of the sum. TestTrustedBodiesAreNotRefused covers both kinds.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -297,6 +297,7 @@
 	o := shed.Options{Name: "callers", Settings: callersLimits, ReceiveBuffer: shed.CallersReceiveBuffer, RetryAfter: pipeline.RetryAfterText, Log: d.telemetry.Log, Scope: d.telemetry.Scope}
 	callers = shed.New(o)
 	o.Name, o.Settings, o.ReceiveBuffer = "internal", peersLimits, 0
+	o.TrustedBodies = true // of calls that show the key of the fleet, of up to limitread.MaxPeerMessage
 	return callers, shed.New(o)
 }
 
--- a/gateway/shed/guard.go
+++ b/gateway/shed/guard.go
@@ -35,6 +35,8 @@
 	ReceiveBuffer int
 	// RetryAfter returns the value of the header with that name for requests for which there is no room.
 	RetryAfter func() string
+	// TrustedBodies leaves bodies out of the account, since their senders are authorized before they are read.
+	TrustedBodies bool
 	// Disabled removes all bounds.
 	Disabled bool
 	Log      *logrus.Entry
--- a/gateway/shed/request.go
+++ b/gateway/shed/request.go
@@ -109,7 +109,7 @@
 // Read implements [io.Reader]. It fails with [ErrNoRoom] if there is no room for what was read.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 && !b.conn.ownBody.Load() {
+	if n > 0 && !b.conn.ownBody.Load() && !b.conn.guard.TrustedBodies {
 		if !b.conn.guard.reserve(b.conn, shedding.Body, int64(n)) {
 			return 0, errNoRoom
 		}
--- a/gateway/shed/shed_test.go
+++ b/gateway/shed/shed_test.go
@@ -26,7 +26,7 @@
 
 // server is a server with a guard in virtual time. It reads bodies whole and answers with their lengths.
 type server struct {
-	t       *testing.T
+	t       testing.TB
 	net     *memnet.Net
 	address string
 	guard   *shed.Guard
@@ -64,7 +64,13 @@
 	_, _ = fmt.Fprint(w, body.Len())
 }
 
-func startServer(t *testing.T, settings shedding.Settings, handler http.HandlerFunc) *server {
+func startServer(t testing.TB, settings shedding.Settings, handler http.HandlerFunc) *server {
+	t.Helper()
+	return startServerWith(t, shed.Options{Settings: settings}, handler)
+}
+
+// startServerWith fills in the options that are the same in all tests.
+func startServerWith(t testing.TB, o shed.Options, handler http.HandlerFunc) *server {
 	t.Helper()
 	s := &server{t: t, net: memnet.New()}
 	l, err := s.net.Node("server").Listen("10.0.0.1:0")
@@ -72,9 +78,8 @@
 	s.address = l.Addr().String()
 	log := logrus.New()
 	log.SetOutput(&s.logs)
-	s.guard = shed.New(shed.Options{
-		Name: "callers", Settings: settings, RetryAfter: func() string { return "3" }, Log: log.WithField("test", t.Name()), Scope: tally.NoopScope,
-	})
+	o.Name, o.RetryAfter, o.Log, o.Scope = "callers", func() string { return "3" }, log.WithField("test", t.Name()), tally.NoopScope
+	s.guard = shed.New(o)
 	h := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	s.guard.Serve(h)
 	go func() { _ = h.Serve(s.guard.Listener(l)) }() // returns when the server is closed
@@ -214,6 +219,25 @@
 	})
 }
 
+// TestTrustedBodiesAreNotRefused guards against calls between instances that are refused since they are larger than the
+// budget of their connections, such as the outcomes that an instance hands over when it leaves.
+func TestTrustedBodiesAreNotRefused(t *testing.T) {
+	for _, trusted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := startServerWith(t, shed.Options{Settings: shedding.Settings{Bytes: 1 << 20, Connections: 10}, TrustedBodies: trusted}, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			defer s.stop()
+			conn := s.connect()
+			send(conn, post(4<<20, 4<<20))
+			status, _, _ := answer(conn)
+			assert.Equal(t, status == http.StatusOK, trusted)
+		})
+	}
+}
+
 // TestEarlyAnswerDoesNotWaitForBody guards against answers to requests with a wrong key that wait for bodies which
 // never end.
 func TestEarlyAnswerDoesNotWaitForBody(t *testing.T) {
