--- a/cli/crowds/crowds_test.go
+++ b/cli/crowds/crowds_test.go
@@ -115,7 +115,13 @@
 
 // TestCrowdOfMachine lets a crowd of the size that an instance on the platform may meet send heads of many lines
 // and bodies short of their end.
-func TestCrowdOfMachine(t *testing.T) {
+func TestCrowdOfMachine(t *testing.T) { testMachine(t, machineMembers) }
+
+// TestCrowdOfMostConnections is TestCrowdOfMachine with about as many members as wait to be accepted at most. What the
+// system receives for those counts as well.
+func TestCrowdOfMostConnections(t *testing.T) { testMachine(t, mostMembers) }
+
+func testMachine(t *testing.T, members int) {
 	for _, shape := range []struct {
 		name string
 		head func() string
@@ -127,7 +133,7 @@
 	} {
 		t.Run(shape.name, func(t *testing.T) {
 			s := startSystem(t, machine)
-			s.assertOutlasts(join(t, s.callers, machineMembers, sendBody(shape.head, shape.body, 0)))
+			s.assertOutlasts(join(t, s.callers, members, sendBody(shape.head, shape.body, 0)))
 		})
 	}
 }
--- a/cli/crowds/senders_test.go
+++ b/cli/crowds/senders_test.go
@@ -34,6 +34,7 @@
 	repeats = 5
 	// The crowd of a machine, with heads of machineHeaderSize.
 	machineMembers    = 1500
+	mostMembers       = 4000
 	machineHeaderSize = 15 << 10
 	// smallWindow is the receive buffer of a member that does not read its answers.
 	smallWindow = 4 << 10
