--- a/review/standin-2/shift.go
+++ b/review/standin-2/shift.go
@@ -16,6 +16,8 @@
 	shiftTime      = 10 * time.Second
 	shiftRate      = 2.5
 	shiftLength    = 90 * time.Second // of the traffic
+	longRate       = 0.25
+	longLength     = 35 * time.Second
 	streamDeadline = 25 * time.Second
 	// streamsEvery is the time between two streams of the usual traffic, and lookupsPerStream how many lookups come
 	// with each.
@@ -36,8 +38,10 @@
 }
 
 var (
-	longPrompt  = streamKind{"damage-claim-summary", "/brief/", 8200, 130}
-	shortPrompt = streamKind{"claim-question", "/brief/q/", 100, 130}
+	longPrompt = streamKind{"damage-claim-summary", "/brief/", 8200, 130}
+	// veryLongPrompt takes 3.75 s to prefill, so its first event can come within the target latency of 4.5 s.
+	veryLongPrompt = streamKind{"claim-archive-summary", "/brief/a/", 30000, 130}
+	shortPrompt    = streamKind{"claim-question", "/brief/q/", 100, 130}
 )
 
 // engine is the state of a model worker.
@@ -125,8 +129,26 @@
 
 func lookupPath(n, i int) string { return fmt.Sprintf("/ping/%x/%d", n, i) }
 
+// trafficShift is a time in which all streams are of another kind than usual.
+type trafficShift struct {
+	kind streamKind
+	// rate is the rate of streams as a multiple of the usual one.
+	rate   float64
+	length time.Duration // of the whole traffic
+}
+
 // shiftCase reports whether the rule was kept.
 func shiftCase(w *world, trouble bool) (kept bool, err error) {
+	return playShift(w, trouble, trafficShift{shortPrompt, shiftRate, shiftLength})
+}
+
+// longCase reports whether the rule was kept.
+func longCase(w *world, trouble bool) (kept bool, err error) {
+	return playShift(w, trouble, trafficShift{veryLongPrompt, longRate, longLength})
+}
+
+// playShift reports whether the rule was kept while the traffic shifts and after.
+func playShift(w *world, trouble bool, shift trafficShift) (kept bool, err error) {
 	if err := addLakeshoreWorkers(w); err != nil {
 		return false, err
 	}
@@ -137,10 +159,10 @@
 	var streams []*stream
 	var lookups []*poll
 	var wg sync.WaitGroup
-	for n := 0; time.Since(began) < shiftLength; n++ {
+	for n := 0; time.Since(began) < shift.length; n++ {
 		f, kind, wait := w.fronts[n%len(w.fronts)], longPrompt, streamsEvery
 		if at := time.Since(began); trouble && at >= shiftCalm && at < shiftCalm+shiftTime {
-			kind, wait = shortPrompt, time.Duration(float64(streamsEvery)/shiftRate)
+			kind, wait = shift.kind, time.Duration(float64(streamsEvery)/shift.rate)
 		}
 		s := &stream{kind: kind}
 		streams = append(streams, s)
