--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,7 @@
 	fronts int
 	play   func(w *world, trouble bool) (kept bool, err error)
 }{
-	"polls": {3, pollsCase}, "shift": {2, shiftCase}, "extra": {3, extraCase}, "long": {2, longCase},
+	"polls": {3, pollsCase}, "shift": {2, shiftCase}, "extra": {3, extraCase}, "long": {2, longCase}, "gone": {3, goneCase},
 }
 
 func main() {
--- a/review/standin-2/shift.go
+++ b/review/standin-2/shift.go
@@ -104,8 +104,8 @@
 	served bool
 }
 
-// addLakeshoreWorkers adds the workers of a small deployment with the figures of the site lakeshore-gx.
-func addLakeshoreWorkers(w *world) error {
+// addEngines adds model workers with the figures of the site lakeshore-gx.
+func addEngines(w *world) error {
 	for i := range engines {
 		e := &engine{runs: map[string]int{}}
 		k, err := w.addWorker(fmt.Sprintf("i-llm-%d", i), "brief-llm", zones[i%len(zones)], 64, make(chan struct{}), e.serve)
@@ -114,6 +114,14 @@
 		}
 		k.report = e.report
 	}
+	return nil
+}
+
+// addLakeshoreWorkers adds the workers of a small deployment with the figures of the site lakeshore-gx.
+func addLakeshoreWorkers(w *world) error {
+	if err := addEngines(w); err != nil {
+		return err
+	}
 	for i, z := range zones {
 		_, err := w.addWorker(fmt.Sprintf("i-app-%d", i), "queue-app", z, 6, make(chan struct{}), func(c *workerConn, r *http.Request, body string) bool {
 			run := c.begin(r, body)
