core/routing, gateway/forward: refusals for lack of room say which bound the engines reach

A refused stream left 'no room in time' with the length of its prompt: too much memory in use, a prompt that is expected to take too long, a pause, slots and deadlines could not be told apart.

At most once a second, an instance logs for a refused stream how many engines of the service reach which bound, and the expected time of the prompt with the bound on it.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -353,24 +353,26 @@
 	return p.r.Copy && (!p.r.RequestsWaiting || p.r.WillMoveToCopy)
 }
 
-// isFull reports whether an endpoint has no room for the request: too little memory, too many
-// prompts to prefill before its own, a stream that would miss its deadline, or too many requests.
-func (p *picker) isFull(n *node) bool {
+// isFull reports whether an endpoint has no room for the request.
+func (p *picker) isFull(n *node) bool { return p.boundReached(n) != BoundNone }
+
+// boundReached returns the first bound that keeps the request from an endpoint.
+func (p *picker) boundReached(n *node) Bound {
 	memory := p.v.settings.MemoryFactor * p.r.memoryShare()
 	if p.r.Copy {
 		memory = p.copyFactor()
 	}
 	if n.Memory > 0 && float64(n.usedMemory(p.now)+p.r.Tokens) > memory*float64(n.Memory) {
-		return true
+		return BoundMemory
 	}
 	if p.r.Copy {
-		return false
+		return BoundNone
 	}
 	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.prefillLimit() {
-		return true
+		return BoundPrefill
 	}
 	if p.now.Before(n.fullUntil) || n.trialInProgress() && !p.allowSuspected {
-		return true
+		return BoundPause
 	}
 	factor := p.v.settings.QueueFactor
 	if p.r.Priority.Ranked() {
@@ -379,5 +381,11 @@
 	if p.r.Recovery {
 		factor = p.v.settings.RecoveryFactor
 	}
-	return float64(p.load(n)) >= factor*float64(n.Slots) || p.endangersDeadline(n)
+	if float64(p.load(n)) >= factor*float64(n.Slots) {
+		return BoundSlots
+	}
+	if p.endangersDeadline(n) {
+		return BoundDeadline
+	}
+	return BoundNone
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -200,6 +200,7 @@
 	streamTimes  streamTimes
 	lastSlackKey atomic.Uint64
 	deadlineLog  logLimit
+	roomLog      logLimit
 	openRequests atomic.Int64
 	// streamedBodies is the number of requests whose bodies are sent on while they arrive.
 	streamedBodies atomic.Int64
--- a/gateway/forward/slack.go
+++ b/gateway/forward/slack.go
@@ -165,9 +165,9 @@
 	f.Log.Decision(r.Key, "claim refused for a deadline", inputs)
 }
 
-// deadlineLogInterval is the least time between two log lines about claims refused for deadlines. A
-// request that waits claims up to six engines every 20 ms.
-const deadlineLogInterval = time.Second
+// logInterval is the least time between two log lines about the same kind of decision. A request that
+// waits claims up to six engines every 20 ms.
+const logInterval = time.Second
 
 // logLimit limits how often a line is logged. The zero value allows the first one at once. It is safe for
 // concurrent use.
@@ -185,6 +185,6 @@
 		l.suppressed++
 		return 0, false
 	}
-	suppressed, l.suppressed, l.next = l.suppressed, 0, now.Add(deadlineLogInterval)
+	suppressed, l.suppressed, l.next = l.suppressed, 0, now.Add(logInterval)
 	return suppressed, true
 }
--- a/gateway/forward/slack_test.go
+++ b/gateway/forward/slack_test.go
@@ -165,7 +165,7 @@
 	}
 	assert.Equal(t, len(log.lines), 1)
 	assert.Equal(t, log.lines[0]["endpoint"], "e")
-	suppressed, ok := s.f.deadlineLog.allow(time.Now().Add(2 * deadlineLogInterval))
+	suppressed, ok := s.f.deadlineLog.allow(time.Now().Add(2 * logInterval))
 	assert.Assert(t, ok && suppressed == 49, "%d", suppressed)
 }
 
--- a/gateway/forward/waitqueue.go
+++ b/gateway/forward/waitqueue.go
@@ -203,8 +203,26 @@
 	return "the caller left"
 }
 
+// refuseNoRoom refuses a request that waited for room, or that may not wait.
 func (f *Forwarder) refuseNoRoom(req *request, reason string, expected time.Duration) *refusal {
+	f.logFullEngines(req)
 	return refuse(http.StatusServiceUnavailable, reason, retryWhenRoom(expected)).with(logrus.Fields{
 		"rank": req.priority.Level, "ranks": req.priority.Levels, "team": req.teamName(), "expected_ms": expected.Milliseconds(), "prompt_tokens": req.PromptTokens,
 	})
 }
+
+// logFullEngines logs by which bounds the engines have no room for a request, and the estimate behind
+// the bound on prefill.
+func (f *Forwarder) logFullEngines(req *request) {
+	suppressed, ok := f.roomLog.allow(time.Now())
+	if !ok {
+		return
+	}
+	c := f.Placement.CheckRoom(f.engineRequest(req))
+	f.Log.Decision(req.ID, "engines without room", logrus.Fields{
+		"service": req.service, "engines": c.Engines, "prompt_tokens": req.PromptTokens, "tokens": req.PromptTokens + req.MaxOutputTokens,
+		"memory": c.ByBound[routing.BoundMemory], "prefill": c.ByBound[routing.BoundPrefill], "pause": c.ByBound[routing.BoundPause],
+		"slots": c.ByBound[routing.BoundSlots], "deadline": c.ByBound[routing.BoundDeadline], "have_room": c.ByBound[routing.BoundNone],
+		"prefill_ms": c.Prefill.Milliseconds(), "prefill_limit_ms": c.PrefillLimit.Milliseconds(), "suppressed": suppressed,
+	})
+}
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -47,6 +47,8 @@
 
 	mu     sync.Mutex
 	lastID int
+	// promptCount is the number of prompts sent by promptsOf.
+	promptCount int
 }
 
 type lockedBuffer struct {
--- a/gateway/placement/slack.go
+++ b/gateway/placement/slack.go
@@ -27,3 +27,10 @@
 	defer p.mu.Unlock()
 	return p.view.CheckSlack(time.Now(), id, r)
 }
+
+// CheckRoom returns by which bounds the engines of a service have no room for a request.
+func (p *Placement) CheckRoom(r *routing.Request) routing.RoomCheck {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.CheckRoom(time.Now(), r)
+}
