core/health, core/routing: the usual prefill time has a fixed part

Cause: the usual time of a prompt token was the time to the first event divided by the tokens. Of a prompt of 100 tokens, seven eighths of that time do not depend on its length, and each observation moves the estimate by a twentieth. No long prompt was placed any more, so nothing lowered the estimate. For the same reason engines with short prompts looked slow, and their speeds as announced were wrong.

The baseline now has a fixed part and a part a unit. An observation moves each by its share of the expected time, so that short prompts move the fixed part and long ones the part a token. Speeds leave the fixed part out, and weigh an observation by the share that is not fixed. On the wire they are the time a token as before.

--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -74,7 +74,7 @@
 // baseline.
 func TestBaseline(t *testing.T) {
 	var b Baseline
-	_, known := b.Observe(8000, time.Second)
+	_, known := b.Observe(epoch, 8000, time.Second)
 	assert.Assert(t, !known)
 	_, known = b.Factor(0, time.Second)
 	assert.Assert(t, !known)
@@ -85,7 +85,7 @@
 		if i%10 < 3 {
 			took *= 4
 		}
-		b.Observe(8000, took)
+		b.Observe(epoch, 8000, took)
 	}
 	factor, known := b.Factor(8000, 4*time.Second)
 	assert.Assert(t, known)
--- a/core/health/speed.go
+++ b/core/health/speed.go
@@ -96,26 +96,3 @@
 	factor := math.Exp(excess * e.Weight / (e.Weight + priorSpeedWeight))
 	return min(max(factor, MinSpeedFactor), MaxSpeedFactor), true
 }
-
-// ClampPerUnit returns the time per unit, in nanoseconds, bounded to what an engine of the service
-// can plausibly take. Without an estimate of the usual time it is returned as it is.
-func (u *Baseline) ClampPerUnit(perUnit float64) float64 {
-	if u.perUnit <= 0 {
-		return perUnit
-	}
-	return min(max(perUnit, MinSpeedFactor*u.perUnit), MaxSpeedFactor*u.perUnit)
-}
-
-// ObservePerUnit moves the estimate by the time per unit that another instance observed, in
-// nanoseconds.
-func (u *Baseline) ObservePerUnit(perUnit float64) {
-	switch {
-	case perUnit <= 0:
-	case u.perUnit == 0:
-		u.perUnit = perUnit
-	case perUnit > u.perUnit:
-		u.perUnit *= baselineStep
-	default:
-		u.perUnit /= baselineStep
-	}
-}
--- a/core/health/speed_test.go
+++ b/core/health/speed_test.go
@@ -12,7 +12,7 @@
 
 func usualBaseline() *Baseline {
 	var b Baseline
-	b.ObservePerUnit(usualNS)
+	b.ObservePerUnit(epoch, usualNS, 1)
 	return &b
 }
 
@@ -93,7 +93,7 @@
 	for first := range speeds {
 		var b Baseline
 		for i := range 90 {
-			b.ObservePerUnit(speeds[(first+i)%3] * usualNS)
+			b.ObservePerUnit(epoch, speeds[(first+i)%3]*usualNS, 1)
 		}
 		assert.Assert(t, math.Abs(b.perUnit/(0.7*usualNS)-1) < 0.2, "%.0f", b.perUnit)
 	}
--- a/core/routing/outcome.go
+++ b/core/routing/outcome.go
@@ -72,7 +72,7 @@
 	if n == nil {
 		return
 	}
-	if factor, known := v.usualPrefillOf(n.Service).Observe(tokens, took); known {
+	if factor, known := v.usualPrefillOf(n.Service).Observe(now, tokens, took); known {
 		n.pace.Observe(now, factor)
 	}
 }
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -125,9 +125,7 @@
 type prefillPace float64
 
 func (n *node) prefillPace(now time.Time) prefillPace {
-	const sample = 1000 // tokens
-	usual, _ := n.view.usualPrefillOf(n.Service).Expected(sample)
-	return prefillPace(n.effectivePace(now) * float64(usual) / sample)
+	return prefillPace(n.effectivePace(now) * n.view.usualPrefillOf(n.Service).PerUnit())
 }
 
 func (p prefillPace) of(tokens int) time.Duration { return time.Duration(float64(p) * float64(tokens)) }
--- a/core/routing/slack_test.go
+++ b/core/routing/slack_test.go
@@ -22,7 +22,7 @@
 	s.Deadlines = deadlines
 	v := NewView(s)
 	v.Upsert(Endpoint{ID: "e", Service: "s", Slots: 8, Memory: 88000})
-	v.usualPrefillOf("s").Observe(slackPrompt, slackPrefill)
+	v.usualPrefillOf("s").ObservePerUnit(epoch, float64(slackPrefill)/slackPrompt, 1)
 	return v
 }
 
--- a/core/routing/speed.go
+++ b/core/routing/speed.go
@@ -55,7 +55,8 @@
 		n.formerSpeed.Merge(now, n.speed.Estimate(now))
 		n.speed = health.Speed{}
 	}
-	n.speed.Observe(now, v.usualPrefillOf(n.Service).ClampPerUnit(float64(took)/float64(tokens)), weight)
+	perToken, share := v.usualPrefillOf(n.Service).Speed(tokens, took)
+	n.speed.Observe(now, perToken, weight*share)
 }
 
 // Speeds returns the recent observations of this instance, by ID of the engine.
@@ -190,9 +191,7 @@
 			continue // applied when the engine is listed
 		}
 		n.peerSpeed.add(speedSumOf(e))
-		if e.Weight > before.Speeds[id].Weight {
-			usual.ObservePerUnit(e.PerUnit())
-		}
+		usual.ObservePerUnit(now, e.PerUnit(), e.Weight-before.Speeds[id].Weight)
 	}
 }
 
@@ -209,13 +208,12 @@
 // applySpeed bounds the speed in an owner's summary. It takes observations that are new since the last
 // summary into the usual time. Without that condition the usual time follows the engines that are asked
 // about most, which a waiting request does ten times a second.
-func (v *View) applySpeed(n *node, last, e health.SpeedEstimate) health.SpeedEstimate {
+func (v *View) applySpeed(now time.Time, n *node, last, e health.SpeedEstimate) health.SpeedEstimate {
 	if !v.settings.Speeds {
 		return health.SpeedEstimate{}
 	}
 	usual := v.usualPrefillOf(n.Service)
-	if e = plausibleSpeed(usual, e, maxSummedSpeedWeight); e.Weight > last.Weight {
-		usual.ObservePerUnit(e.PerUnit())
-	}
+	e = plausibleSpeed(usual, e, maxSummedSpeedWeight)
+	usual.ObservePerUnit(now, e.PerUnit(), e.Weight-last.Weight)
 	return e
 }
--- a/core/routing/speed_test.go
+++ b/core/routing/speed_test.go
@@ -23,7 +23,7 @@
 		e.Memory, e.Slots = 88000, 8
 		v.Upsert(e)
 	}
-	v.usualPrefillOf("engines").ObservePerUnit(float64(usualPerToken))
+	v.usualPrefillOf("engines").ObservePerUnit(epoch, float64(usualPerToken), 1)
 	return v
 }
 
@@ -136,7 +136,7 @@
 // change anything.
 func TestSpeedsAreOffByDefault(t *testing.T) {
 	v := newTestView(1)
-	v.usualPrefillOf("engines").ObservePerUnit(float64(usualPerToken))
+	v.usualPrefillOf("engines").ObservePerUnit(epoch, float64(usualPerToken), 1)
 	for range 5 {
 		v.ObserveSpeed(epoch, "e000", 8000, 1, time.Minute)
 	}
@@ -229,7 +229,7 @@
 		for range n {
 			now = now.Add(interval)
 			for range 10 { // other engines
-				v.usualPrefillOf("engines").ObservePerUnit(float64(usualPerToken))
+				v.usualPrefillOf("engines").ObservePerUnit(epoch, float64(usualPerToken), 1)
 			}
 			peers[rnd.IntN(instances)].Observe(now, factor*float64(usualPerToken), 1)
 			for i := range peers {
--- a/core/routing/summary.go
+++ b/core/routing/summary.go
@@ -110,7 +110,7 @@
 	}
 	last := n.ownerSummary.Speed
 	n.ownerSummary = receivedSummary{*s, now, n.prefilled}
-	n.ownerSummary.Speed = v.applySpeed(n, last, s.Speed)
+	n.ownerSummary.Speed = v.applySpeed(now, n, last, s.Speed)
 	n.ended = n.ended || s.Ended
 	if s.Prefilled {
 		v.CacheStored(now, s.Endpoint, prompt)
--- /dev/null
+++ b/gateway/front/prompt_lengths_test.go
@@ -0,0 +1,90 @@
+package front_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/platform/standin"
+)
+
+// streamLoad is a series of equal streams.
+type streamLoad struct {
+	count        int
+	interval     time.Duration
+	promptTokens int
+	outputTokens int // the maximum that the callers state; 0 for the usual one
+}
+
+// play sends the streams to the instances in turn, and returns the channels for their answers.
+func (l streamLoad) play(w *world) (answers []chan standin.Answer) {
+	for i := range l.count {
+		answers = append(answers, l.send(w, i))
+		time.Sleep(l.interval)
+	}
+	return answers
+}
+
+func (l streamLoad) send(w *world, i int) chan standin.Answer {
+	r := briefRequest(fmt.Sprintf("%x", 0xc000+w.promptCount))
+	w.promptCount++
+	r.PromptTokens, r.OutputTokens = l.promptTokens, l.outputTokens
+	return w.startStream(i%len(w.fronts), r)
+}
+
+// countComplete waits for answers and returns how many of them are complete.
+func countComplete(answers []chan standin.Answer) (complete int) {
+	for _, c := range answers {
+		if a := <-c; a.Complete && len(a.Events) == streamEvents {
+			complete++
+		}
+	}
+	return complete
+}
+
+// Loads of two instances in front of eight engines. Most of the time to the first event of a short prompt does not
+// grow with its length.
+var (
+	usualLoad     = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200}
+	shortLoad     = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 100}
+	halfShortLoad = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 150}
+)
+
+// TestStreamsAreServedAfterOthers guards against an estimate that is made from streams of one kind and keeps those of
+// another kind from idle engines. It then gets no observation that could correct it.
+func TestStreamsAreServedAfterOthers(t *testing.T) {
+	for name, loads := range map[string][]streamLoad{
+		"long prompts after short ones":              {usualLoad, shortLoad, usualLoad},
+		"long prompts after a start with short ones": {shortLoad, usualLoad},
+		"long prompts after somewhat shorter ones":   {usualLoad, halfShortLoad, usualLoad},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, 8, 1, func(w *world) {
+				for i, l := range loads {
+					assert.Equal(w.t, countComplete(l.play(w)), l.count, "load %d", i)
+				}
+			})
+		})
+	}
+}
+
+// TestStreamsAreServedAfterSlowEngines: all engines take four times as long for a while.
+func TestStreamsAreServedAfterSlowEngines(t *testing.T) {
+	run(t, 2, 8, 1, func(w *world) {
+		setSpeed := func(factor float64) {
+			for _, e := range w.engines {
+				e.SetFault(standin.WorkerFault{AffectedFraction: 1, SlowFactor: factor})
+			}
+		}
+		assert.Equal(w.t, countComplete(usualLoad.play(w)), usualLoad.count)
+		setSpeed(4)
+		for range 2 {
+			usualLoad.play(w)
+		}
+		setSpeed(1)
+		time.Sleep(15 * time.Second)
+		assert.Equal(w.t, countComplete(usualLoad.play(w)), usualLoad.count)
+	})
+}
