core/routing: a prompt that is expected to take too long finds room where no other is ahead

The bound on the time of a prompt and those ahead is now at least 1.25 times the usual time of the prompt itself. Waiting makes such a prompt no faster, and at an engine of the usual speed without other prompts its result corrects the estimate. Behind other prompts, and at slow engines while others are not, it finds no room as before. What is believed of a slow engine decays within seconds.

--- a/core/routing/estimates_test.go
+++ b/core/routing/estimates_test.go
@@ -38,3 +38,71 @@
 		assert.Assert(t, speed > 0.75 && speed < 1.3, "%s: %.2f", id, speed)
 	}
 }
+
+// idleView returns a view of two engines of the usual speed, with an estimate of the time per prompt token.
+func idleView(perToken time.Duration) *View {
+	v := newTestView(2)
+	for _, n := range v.nodes {
+		n.Memory, n.Slots = 88000, 8
+	}
+	v.usualPrefillOf("engines").ObservePerUnit(epoch, float64(perToken), 1)
+	return v
+}
+
+func longRequest() *Request {
+	return &Request{Service: "engines", DataCentre: "dc0", PromptTokens: 8000, Tokens: 9000, PrefillWithin: 3 * time.Second, Weights: Weights{PendingPrefill: 1, Pace: 1}}
+}
+
+// TestPromptFindsRoomWhereNoOtherIs guards against an estimate that keeps prompts from all engines: as none is placed,
+// nothing corrects it. A prompt that takes too long by itself is placed where no other one is ahead, but not behind
+// others, nor at an engine that is slower than the others.
+func TestPromptFindsRoomWhereNoOtherIs(t *testing.T) {
+	for name, c := range map[string]struct {
+		perToken time.Duration
+		prepare  func(*View)
+		picked   bool
+	}{
+		"usual time":                  {usualPerToken, func(*View) {}, true},
+		"usual time, one prompt":      {usualPerToken, func(v *View) { placeAtAll(v, 8000) }, true},
+		"usual time, many prompts":    {usualPerToken, func(v *View) { placeAtAll(v, 24000) }, false},
+		"too long":                    {time.Millisecond, func(*View) {}, true},
+		"too long, one prompt":        {time.Millisecond, func(v *View) { placeAtAll(v, 8000) }, false},
+		"too long, a short prompt":    {time.Millisecond, func(v *View) { placeAtAll(v, mixedShort) }, true},
+		"too long, all engines slow":  {time.Millisecond, func(v *View) { slowDown(v, 2) }, false},
+		"too long, one engine slow":   {time.Millisecond, func(v *View) { slowDown(v, 1) }, true},
+		"usual time, all engines 2.5": {usualPerToken, func(v *View) { slowDown(v, 2) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := idleView(c.perToken)
+			c.prepare(v)
+			_, err := v.Pick(epoch, longRequest(), testRand())
+			assert.Equal(t, err == nil, c.picked, "%v", err)
+			granted := v.Claim(epoch, "e001", "f1", Claim{Tokens: 9000, PendingPrefill: 8000, PrefillWithin: 3 * time.Second}).Granted
+			assert.Equal(t, granted, c.picked)
+		})
+	}
+}
+
+func placeAtAll(v *View, pending int) {
+	for id := range v.nodes {
+		v.Place(id, Placed{Tokens: pending, PendingPrefill: pending})
+	}
+}
+
+// slowDown makes some engines take 2.5 times the usual time.
+func slowDown(v *View, engines int) {
+	for i := range engines {
+		v.observe(testEndpoint(i).ID).pace.Observe(epoch, 4.6)
+	}
+}
+
+// TestSlowEnginesGetPromptsAgain: engines that are found slow get no prompts that would be late there, and what is
+// believed of them is forgotten within seconds.
+func TestSlowEnginesGetPromptsAgain(t *testing.T) {
+	v := idleView(time.Millisecond)
+	slowDown(v, 2)
+	_, err := v.Pick(epoch, longRequest(), testRand())
+	assert.ErrorIs(t, err, ErrFull)
+	_, err = v.Pick(epoch.Add(5*time.Second), longRequest(), testRand())
+	assert.NilError(t, err)
+}
--- a/core/routing/room.go
+++ b/core/routing/room.go
@@ -23,18 +23,21 @@
 	// ByBound counts them by the bound that the request reaches there.
 	ByBound [numBounds]int
 	// Prefill is how long the prompt is expected to take at an engine of the usual speed with no other
-	// prompt; 0 if unknown. PrefillLimit is the bound on it; 0 for none.
+	// prompt; 0 if unknown. PrefillLimit is the bound on it and on the prompts ahead; 0 for none.
 	Prefill, PrefillLimit time.Duration
 }
 
 // CheckRoom returns by which bounds the engines of a service have no room for a request.
 func (v *View) CheckRoom(now time.Time, r *Request) RoomCheck {
-	c := RoomCheck{PrefillLimit: r.prefillLimit()}
-	c.Prefill, _ = v.ExpectedPrefillTime(r.Service, r.PromptTokens)
 	p := picker{v: v, now: now, r: r}
+	var c RoomCheck
+	c.Prefill, _ = v.ExpectedPrefillTime(r.Service, r.PromptTokens)
 	for _, n := range v.groups[groupKey{r.Service, ""}] {
 		if n.Memory > 0 && n.takesWork(now) && n.serves(r.Model, r.Adapter, r.Version) && r.Builds.Allows(&n.Endpoint) {
 			c.Engines++
+			if r.PrefillWithin > 0 {
+				c.PrefillLimit = p.prefillBound(n)
+			}
 			c.ByBound[p.boundReached(n)]++
 		}
 	}
