core/routing: prompts held back by an unconfirmed estimate are tried

Beside a constant flow of short streams no engine is ever idle, so an estimate that is too long kept long prompts away for good.

Once prompts of a service have been held back for 5 s without an observation that shows the time per token, one is placed at an engine without other prompts. Its result is such an observation, after which the bound holds again.

TestHeldBackPromptsCorrectTheEstimate, part unconfirmed, fails without the new condition; its other parts show that confirmed estimates still hold prompts back.

--- a/core/routing/estimates_test.go
+++ b/core/routing/estimates_test.go
@@ -106,3 +106,39 @@
 	_, err = v.Pick(epoch.Add(5*time.Second), longRequest(), testRand())
 	assert.NilError(t, err)
 }
+
+// TestHeldBackPromptsCorrectTheEstimate guards against an estimate that keeps prompts from engines for the deadlines of
+// the streams there, and that nothing corrects as none is placed.
+func TestHeldBackPromptsCorrectTheEstimate(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		confirmed bool          // prompts of other engines confirm the estimate
+		pause     time.Duration // between the prompts
+		pending   int
+		granted   bool
+	}{
+		"unconfirmed":             {false, interval, 0, true},
+		"confirmed":               {true, interval, 0, false},
+		"another prompt there":    {false, interval, 100, false},
+		"only now and then":       {false, 2 * maxUnconfirmed, 0, false},
+		"confirmed, now and then": {true, 2 * maxUnconfirmed, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, now := slackView(true), epoch
+			v.Place("e", Placed{PendingPrefill: c.pending})
+			granted := false
+			for range 100 {
+				now = now.Add(c.pause)
+				placeStream(v, now, 1, slackPrefill)
+				if c.confirmed {
+					v.ObservePrefill(now, "e", slackPrompt, slackPrefill)
+				}
+				granted = granted || v.Claim(now, "e", "peer", slackClaim()).Granted
+				v.RemoveStream("e", 1)
+				v.Finished(now, "e")
+				v.Release("e", Placed{Tokens: slackPrompt + 1000})
+			}
+			assert.Equal(t, granted, c.granted)
+		})
+	}
+}
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -231,7 +231,8 @@
 
 // endangersDeadline reports whether a stream at an engine would miss its deadline if the prompt of the
 // request were prefilled there, or the request itself would. An idle engine, recoveries and requests
-// without a prompt to prefill pass in any case, and so does all of which too little is known.
+// without a prompt to prefill pass in any case, and so does all of which too little is known. Where prompts
+// are held back by an estimate that nothing confirms, one passes at an engine without other prompts.
 func (p *picker) endangersDeadline(n *node) bool {
 	r := p.r
 	if !p.v.settings.Deadlines || r.Recovery || r.Copy || r.PromptTokens <= 0 || n.Memory == 0 {
@@ -251,10 +252,29 @@
 	}
 	// Prompts of lower priority have left the slack that the request needs.
 	pending, own := pace.of(n.prefillAhead(p.now, r)), pace.of(r.PromptTokens)
-	if s := n.shortestSlack(p.now, pace); s.known && pending+own > s.slack-r.slackMargin() {
-		return true
+	s := n.shortestSlack(p.now, pace)
+	if !(s.known && pending+own > s.slack-r.slackMargin()) && !p.outputTooLong(n, open, pending, own) {
+		return false
+	}
+	return !p.v.holdBackUnconfirmed(p.now, n.Service) || n.pendingPrefill(p.now) > 0
+}
+
+// heldBack is since when prompts of a service have been held back for deadlines, and when one was last.
+type heldBack struct{ since, last time.Time }
+
+// maxUnconfirmed is how long prompts are held back without an observation of the prefill time.
+const maxUnconfirmed = 5 * time.Second
+
+// holdBackUnconfirmed records that a prompt is held back for a deadline. It reports whether that goes on for
+// longer than maxUnconfirmed without an observation that could correct the estimate.
+func (v *View) holdBackUnconfirmed(now time.Time, service string) bool {
+	h := v.heldBack[service]
+	if now.Sub(h.last) >= maxUnconfirmed || h.since.Before(v.usualPrefillOf(service).EvidenceAt()) {
+		h.since = now
 	}
-	return p.outputTooLong(n, open, pending, own)
+	h.last = now
+	v.heldBack[service] = h
+	return now.Sub(h.since) >= maxUnconfirmed
 }
 
 // mayEndanger reports whether any slack is known at an engine, or how long the output of the request takes.
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -102,6 +102,7 @@
 	totals           map[string]serviceOutcomes  // by service
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
+	heldBack         map[string]heldBack // by service
 	// timePerOutputToken is the best time that a requested output token takes, by service.
 	timePerOutputToken map[string]time.Duration
 	statements         admission.Statements // limits that endpoints state
@@ -127,7 +128,7 @@
 func NewView(s Settings) *View {
 	return &View{
 		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, unlisted: map[string]*unlisted{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{}, rateGates: map[string]*admission.RateGate{}, roomGates: map[string]*admission.RoomGate{}, fragility: map[string]*admission.Fragility{},
-		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, timePerOutputToken: map[string]time.Duration{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
+		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, heldBack: map[string]heldBack{}, timePerOutputToken: map[string]time.Duration{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
 
