core/routing: the time of an output is known by the stated maximum, for seconds

The second figure of a stream's usage is the maximum number of output tokens, not what the caller gets. The time per requested token came from whichever stream ran last. After streams of callers who get all that they state, one whose maximum is thirty times what it gets was expected to end after its deadline, and was kept from every engine with some streams. The value had no age.

It is now kept by class of maximum, each class twice as wide as the one below, and counts for 10 s after a running stream has confirmed it. TestOutputTimesOfOtherCallers failed before in the parts of other maxima and of the age.

--- a/core/routing/estimates_test.go
+++ b/core/routing/estimates_test.go
@@ -142,3 +142,32 @@
 		})
 	}
 }
+
+// TestOutputTimesOfOtherCallers guards against a time per output token that comes from callers who get all they ask
+// for, and keeps away those who state a far larger maximum than they get.
+func TestOutputTimesOfOtherCallers(t *testing.T) {
+	const perToken = 5 * time.Millisecond
+	for name, c := range map[string]struct {
+		maximum int
+		age     time.Duration
+		granted bool
+	}{
+		"the same maximum":          {1000, 0, false},
+		"about the same":            {900, 0, false},
+		"a far larger maximum":      {8000, 0, true},
+		"a far smaller maximum":     {100, 0, true},
+		"observed some time ago":    {1000, outputTimeTTL, true},
+		"observed a short time ago": {1000, outputTimeTTL - time.Second, false},
+	} {
+		v := slackView(true)
+		for i := range 6 {
+			placeStream(v, epoch, uint64(i), time.Hour)
+		}
+		s := runningStream(epoch, time.Hour)
+		s.OutputTokens, s.TimePerOutputToken = 1000, perToken
+		v.SetStream(epoch, "e", 0, s)
+		claim := Claim{Tokens: slackPrompt + c.maximum, PendingPrefill: slackPrompt, OutputWithin: 2 * time.Second}
+		granted := v.Claim(epoch.Add(c.age), "e", "peer", claim).Granted
+		assert.Equal(t, granted, c.granted, name)
+	}
+}
--- a/core/routing/slack.go
+++ b/core/routing/slack.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/bits"
 	"time"
 )
 
@@ -28,8 +29,9 @@
 	TimePerEvent    time.Duration
 	// PendingPrefill is how many of its own prompt tokens are still to be prefilled.
 	PendingPrefill int
-	// TimePerOutputToken is how long a requested output token takes at the best speed, which is used
-	// for other requests of the service; 0 if unknown.
+	// OutputTokens is how many output tokens were requested at most, and TimePerOutputToken how long each of
+	// them takes at the best speed. Both are used for other requests of the service; 0 if unknown.
+	OutputTokens       int
 	TimePerOutputToken time.Duration
 }
 
@@ -78,7 +80,7 @@
 	}
 	n.streams[key] = ownStream{s, now}
 	if s.TimePerOutputToken > 0 {
-		v.timePerOutputToken[n.Service] = s.TimePerOutputToken
+		v.outputTimes[outputKeyOf(n.Service, s.OutputTokens)] = outputTime{s.TimePerOutputToken, now}
 	}
 	return n.pendingPrefill(now)
 }
@@ -309,11 +311,33 @@
 	return best+interrupted > p.r.OutputWithin-pending
 }
 
+// outputKey is a service and a class of requested maxima of output tokens. A caller states the maximum, not
+// what it will get: callers that state much more than they need say nothing of others.
+type outputKey struct {
+	service string
+	class   int
+}
+
+func outputKeyOf(service string, tokens int) outputKey {
+	return outputKey{service, bits.Len(uint(max(tokens, 0)))}
+}
+
+// outputTime is the best time that a requested output token takes.
+type outputTime struct {
+	perToken   time.Duration
+	observedAt time.Time
+}
+
+// outputTimeTTL is how long an output time counts without a running stream that confirms it.
+const outputTimeTTL = 10 * time.Second
+
 // outputTime returns how long the output of the request takes at best; false if that, or the time left
 // for it, is unknown.
 func (p *picker) outputTime(n *node) (time.Duration, bool) {
-	perToken := p.v.timePerOutputToken[n.Service]
-	return time.Duration(p.r.Tokens-p.r.PromptTokens) * perToken, perToken > 0 && p.r.OutputWithin > 0
+	tokens := p.r.Tokens - p.r.PromptTokens
+	t, known := p.v.outputTimes[outputKeyOf(n.Service, tokens)]
+	known = known && p.now.Sub(t.observedAt) < outputTimeTTL
+	return time.Duration(tokens) * t.perToken, known && p.r.OutputWithin > 0
 }
 
 // claimSlack returns the slack that the request will have at an engine until its instance announces it;
--- a/core/routing/slack_model_test.go
+++ b/core/routing/slack_model_test.go
@@ -106,7 +106,7 @@
 	s.reported = m.now
 	m.views[s.instance].SetStream(m.now, engine, s.key, RunningStream{
 		Deadline: s.arrived.Add(modelDeadline), RemainingEvents: (s.output - int(s.tokens)) / modelEventTokens, TimePerEvent: modelEventTokens * modelTokenTime,
-		PendingPrefill: s.placed.PendingPrefill, TimePerOutputToken: modelTokenTime,
+		PendingPrefill: s.placed.PendingPrefill, OutputTokens: s.placed.Tokens - modelPrompt, TimePerOutputToken: modelTokenTime,
 	})
 }
 
--- a/core/routing/slack_test.go
+++ b/core/routing/slack_test.go
@@ -30,6 +30,12 @@
 	return RunningStream{Deadline: now.Add(slack + 100*slackEvent), RemainingEvents: 100, TimePerEvent: slackEvent}
 }
 
+// setOutputTime sets the time per output token for requests like that of slackClaim.
+func setOutputTime(v *View, perToken time.Duration) {
+	c := slackClaim()
+	v.outputTimes[outputKeyOf("s", c.Tokens-c.PendingPrefill)] = outputTime{perToken, epoch}
+}
+
 func slackClaim() Claim { return Claim{Tokens: slackPrompt + 1000, PendingPrefill: slackPrompt} }
 
 // placeStream records a stream of this instance that runs, with its slack.
@@ -193,7 +199,7 @@
 // could be granted until its instance announces it.
 func TestClaimedStreamHasSlack(t *testing.T) {
 	v := slackView(true)
-	v.timePerOutputToken["s"] = 5 * time.Millisecond
+	setOutputTime(v, 5*time.Millisecond)
 	placeStream(v, epoch, 1, time.Minute)
 	c := slackClaim() // its output takes 5 s
 	c.OutputWithin = 5*time.Second + slackMargin + slackPrefill/2
@@ -223,7 +229,7 @@
 func TestIdleEngineTakesAnyClaim(t *testing.T) {
 	for streams, granted := range map[int]bool{0: true, 1: true, 2: true, 3: false} {
 		v := slackView(true)
-		v.timePerOutputToken["s"] = 5 * time.Millisecond
+		setOutputTime(v, 5*time.Millisecond)
 		if streams == 0 {
 			v.SetPeerReport(epoch, "a", PeerReport{Slacks: map[string]time.Duration{"e": 0}})
 		}
@@ -246,7 +252,7 @@
 		granted bool
 	}{{need, 0, true}, {need - 1, 0, false}, {need, slackPrompt, false}, {need + slackPrefill, slackPrompt, true}, {0, 0, true}} {
 		v := slackView(true)
-		v.timePerOutputToken["s"] = best / 1000
+		setOutputTime(v, best/1000)
 		for i := range streams {
 			placeStream(v, epoch, uint64(i), time.Minute)
 		}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -103,12 +103,11 @@
 	usualPrefill     map[string]*health.Baseline // usual time to prefill one token, by service
 	cache            cacheIndex
 	heldBack         map[string]heldBack // by service
-	// timePerOutputToken is the best time that a requested output token takes, by service.
-	timePerOutputToken map[string]time.Duration
-	statements         admission.Statements // limits that endpoints state
-	departures         departure.Register   // endpoints that said in answers that they leave
-	departureEvents    []DepartureEvent     // not yet taken
-	lastCooldownEnd    time.Time            // when the last pause of any endpoint ends
+	outputTimes      map[outputKey]outputTime
+	statements       admission.Statements // limits that endpoints state
+	departures       departure.Register   // endpoints that said in answers that they leave
+	departureEvents  []DepartureEvent     // not yet taken
+	lastCooldownEnd  time.Time            // when the last pause of any endpoint ends
 	// rateGates admit what all instances send to endpoints that state a rate and that this instance
 	// owns.
 	rateGates map[string]*admission.RateGate
@@ -128,7 +127,7 @@
 func NewView(s Settings) *View {
 	return &View{
 		settings: s, nodes: map[string]*node{}, observed: map[string]*node{}, unlisted: map[string]*unlisted{}, groups: map[groupKey][]*node{}, dataCentreSizes: map[string]int{}, subsets: map[string][]*node{}, peerReports: map[string]PeerReport{}, claimedEndpoints: map[string]bool{}, endedAt: map[string]time.Time{}, rateGates: map[string]*admission.RateGate{}, roomGates: map[string]*admission.RoomGate{}, fragility: map[string]*admission.Fragility{},
-		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, heldBack: map[string]heldBack{}, timePerOutputToken: map[string]time.Duration{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
+		totals: map[string]serviceOutcomes{}, usualPrefill: map[string]*health.Baseline{}, heldBack: map[string]heldBack{}, outputTimes: map[outputKey]outputTime{}, cache: newCacheIndex(s.CacheEntries, s.CacheTTL),
 	}
 }
 
--- a/gateway/forward/slack.go
+++ b/gateway/forward/slack.go
@@ -71,7 +71,7 @@
 	if r.outputKnown {
 		pending := r.report(s.f.Placement, a.endpoint.ID, routing.RunningStream{
 			Deadline: s.req.deadline, RemainingEvents: max(r.output.Events-delivered, 0), TimePerEvent: r.timePerEvent(),
-			PendingPrefill: pendingPrefill, TimePerOutputToken: timePerToken(r.output, s.req.MaxOutputTokens),
+			PendingPrefill: pendingPrefill, OutputTokens: s.req.MaxOutputTokens, TimePerOutputToken: timePerToken(r.output, s.req.MaxOutputTokens),
 		})
 		r.endWindow(now.Sub(r.reportedAt), delivered-r.delivered, pending == 0)
 	}
