core/limits: the shortest time of a stream is estimated from prompts and maxima of its size

Streams were refused at once with "the stream can't end in time" for good, though all engines were idle: long prompts after a start with prompts of 16 tokens (0 of 20), long ones among short ones (5 of 21), and streams whose callers state a maximum of 9,000 output tokens after those who state 60 and get 60 events (0 of 20).

Cause: the lowest times a prompt token and a requested output token of the last 64 streams of any size were multiplied by the tokens of the stream. A prompt of 16 tokens takes 3.9 ms a token, so 8,200 tokens seemed to take 32 s. Refused streams give no samples, and samples had no age.

Samples are now kept by class of size. A prompt takes at least as long as a smaller one, and at least the proportional part of a larger one, which is true for any fixed part; nothing longer is concluded. What callers get of their maximum is known from maxima of the same class alone. Samples older than a minute refuse nothing.

--- a/gateway/forward/attempt.go
+++ b/gateway/forward/attempt.go
@@ -194,7 +194,7 @@
 		if a.prefillTokens > 0 {
 			took := time.Since(a.sentAt)
 			f.Placement.RecordPrefill(id, a.prefillTokens, a.prefillWeight, took)
-			f.streamTimes.update(a.session.req.service, func(t *limits.StreamTimes) { t.ObservePrefill(a.prefillTokens, took) })
+			f.streamTimes.update(a.session.req.service, func(t *limits.StreamTimes) { t.ObservePrefill(time.Now(), a.prefillTokens, took) })
 		}
 		f.Peers.Release(id, a.lease, admission.Begun)
 		f.promptLocations.add(a.session.req.promptKey(), id)
--- a/gateway/forward/deadline.go
+++ b/gateway/forward/deadline.go
@@ -45,7 +45,7 @@
 	}
 	var minimum time.Duration
 	var known bool
-	f.streamTimes.update(req.service, func(t *limits.StreamTimes) { minimum, known = t.MinDuration(work) })
+	f.streamTimes.update(req.service, func(t *limits.StreamTimes) { minimum, known = t.MinDuration(time.Now(), work) })
 	timeLeft := time.Until(req.deadline)
 	if !known || minimum <= timeLeft {
 		return nil
@@ -69,6 +69,6 @@
 func (s *session) observeStream() {
 	events, gaps := eventsReceived(s.lastEventID), s.relayedEvents-1
 	s.f.streamTimes.update(s.req.service, func(t *limits.StreamTimes) {
-		t.ObserveStream(s.req.MaxOutputTokens, events, gaps, s.lastEventAt.Sub(s.firstEventAt))
+		t.ObserveStream(time.Now(), s.req.MaxOutputTokens, events, gaps, s.lastEventAt.Sub(s.firstEventAt))
 	})
 }
--- a/gateway/forward/slack_test.go
+++ b/gateway/forward/slack_test.go
@@ -29,7 +29,7 @@
 	f.Settings.Overload.Deadlines = deadlines
 	f.Placement.SetEndpoints([]routing.Endpoint{{ID: "e", Service: "s", Slots: 8, Memory: 88000}})
 	for range 8 {
-		f.streamTimes.update("s", func(t *limits.StreamTimes) { t.ObserveStream(1000, 100, 99, 99*40*time.Millisecond) })
+		f.streamTimes.update("s", func(t *limits.StreamTimes) { t.ObserveStream(time.Now(), 1000, 100, 99, 99*40*time.Millisecond) })
 	}
 	now := time.Now()
 	session := &session{
--- a/gateway/front/prompt_lengths_test.go
+++ b/gateway/front/prompt_lengths_test.go
@@ -49,16 +49,25 @@
 var (
 	usualLoad     = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200}
 	shortLoad     = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 100}
+	veryShortLoad = streamLoad{count: 50, interval: 320 * time.Millisecond, promptTokens: 16}
 	halfShortLoad = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 150}
+	// Callers that state a far larger maximum than they get, and those that state what they get.
+	modestCallers  = streamLoad{count: 140, interval: 128 * time.Millisecond, promptTokens: 1000, outputTokens: 60}
+	lavishCallers  = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 1000, outputTokens: 9000}
+	lavishWithLong = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200, outputTokens: 9000}
 )
 
 // TestStreamsAreServedAfterOthers guards against an estimate that is made from streams of one kind and keeps those of
 // another kind from idle engines. It then gets no observation that could correct it.
 func TestStreamsAreServedAfterOthers(t *testing.T) {
 	for name, loads := range map[string][]streamLoad{
-		"long prompts after short ones":              {usualLoad, shortLoad, usualLoad},
-		"long prompts after a start with short ones": {shortLoad, usualLoad},
-		"long prompts after somewhat shorter ones":   {usualLoad, halfShortLoad, usualLoad},
+		"long prompts after short ones":               {usualLoad, shortLoad, usualLoad},
+		"long prompts after a start with short ones":  {shortLoad, usualLoad},
+		"long prompts after very short ones":          {veryShortLoad, usualLoad},
+		"long prompts after somewhat shorter ones":    {usualLoad, halfShortLoad, usualLoad},
+		"large maxima of output after small ones":     {lavishCallers, modestCallers, lavishCallers},
+		"large maxima of output after a start":        {modestCallers, lavishCallers},
+		"long prompts and large maxima after a start": {modestCallers, lavishWithLong},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, 2, 8, 1, func(w *world) {
@@ -70,6 +79,23 @@
 	}
 }
 
+// TestLongPromptsAreServedAmongShortOnes is the same for prompts of two lengths at the same time.
+func TestLongPromptsAreServedAmongShortOnes(t *testing.T) {
+	run(t, 2, 8, 1, func(w *world) {
+		var long, short []chan standin.Answer
+		for i := range 140 {
+			if i%20 < 3 {
+				long = append(long, usualLoad.send(w, i))
+			} else {
+				short = append(short, veryShortLoad.send(w, i))
+			}
+			time.Sleep(320 * time.Millisecond)
+		}
+		assert.Equal(w.t, countComplete(long), len(long))
+		assert.Equal(w.t, countComplete(short), len(short))
+	})
+}
+
 // TestStreamsAreServedAfterSlowEngines: all engines take four times as long for a while.
 func TestStreamsAreServedAfterSlowEngines(t *testing.T) {
 	run(t, 2, 8, 1, func(w *world) {
