core/limits, gateway/forward: refusals by the shortest time of a stream are checked

The lowest tenth of the recent streams decides whether a stream can end in time. Where those of one habit are refused and others of the same sizes keep the samples fresh, nothing shows that the estimate is wrong for the former: they are refused for as long as the latter are served.

One stream in 5 s, of those of about the same sizes, is let through nevertheless, with a log line. If it ends in time, all of them are let through for 10 s, and each further one that ends in time prolongs that. An instance that refuses nothing lets nothing through, and the first refusals of a kind stand: TestStreamThatCannotEndInTimeIsRefused holds.

TestRefusalsAreChecked: without the checks no stream of the refused kind gets through.

--- a/core/limits/streams.go
+++ b/core/limits/streams.go
@@ -14,7 +14,9 @@
 // Prompts and outputs are estimated from those of about the same size. The time to the first event has a
 // part that does not grow with the prompt, and a caller states the maximum of its output, which says how
 // much it will get only where others with such a maximum got about as much of it.
-// An estimate with which streams are refused gets no observations of them, so samples expire.
+//
+// An estimate with which streams are refused gets no observations of them. Samples therefore expire, and
+// [StreamTimes.MayCheck] lets some of these streams through, to find out whether they end in time.
 //
 // It does no I/O and reads no clock, and is not safe for concurrent use. The zero value has no
 // samples and estimates nothing.
@@ -24,6 +26,7 @@
 	prefills             [sizeClasses]samples
 	eventsPerOutputToken [sizeClasses]samples
 	timePerEvent         samples
+	checks               map[checkKey]*check
 }
 
 // sizeClasses is the number of classes of sizes. Each one is twice as wide as the one below.
--- a/core/limits/streams_test.go
+++ b/core/limits/streams_test.go
@@ -146,3 +146,35 @@
 	_, ok = known.ExpectedOutput(1260)
 	assert.Assert(t, ok, "what is left of running streams")
 }
+
+// TestRefusalsAreChecked guards against an estimate with which streams are refused for as long as others confirm it.
+// One in checkInterval is let through. After one that ended in time all are let through for a while; if none does,
+// nearly all are still refused at once.
+func TestRefusalsAreChecked(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	const seconds = 60
+	work, other := StreamWork{PrefillTokens: 5000, OutputTokens: 1260}, StreamWork{PrefillTokens: 100, OutputTokens: 1260}
+	for _, inTime := range []bool{false, true} {
+		var times StreamTimes
+		through, firstAt := 0, time.Duration(0)
+		for passed := time.Duration(0); passed < seconds*time.Second; passed += interval {
+			now := streamsAt.Add(passed)
+			if !times.MayCheck(now, work) {
+				continue
+			}
+			if through++; through == 1 {
+				firstAt = passed
+			}
+			if inTime {
+				times.EndedInTime(now, work)
+			}
+		}
+		assert.Assert(t, firstAt == checkInterval, "%v", firstAt)
+		if inTime {
+			assert.Equal(t, through, int((seconds*time.Second-checkInterval)/interval))
+		} else {
+			assert.Equal(t, through, int((seconds*time.Second-1)/checkInterval))
+		}
+		assert.Assert(t, !times.MayCheck(streamsAt.Add(seconds*time.Second), other), "streams of other sizes are refused as before")
+	}
+}
--- a/gateway/forward/accept.go
+++ b/gateway/forward/accept.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateway/agateway/core/crashers"
+	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/route"
 	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/pause"
@@ -33,10 +34,11 @@
 	team            *route.Team // nil for public routes
 	service         string
 	priority        route.Priority
-	rolloutDraw     float64   // compared with the share of requests that goes to a build under rollout
-	claimed         *claimed  // the engine that was claimed while the request waited; nil for none
-	ownerQueries    int       // consecutive owner queries; each covers the next group of engines
-	ownersQueriedAt time.Time // time of the last owner query
+	rolloutDraw     float64            // compared with the share of requests that goes to a build under rollout
+	claimed         *claimed           // the engine that was claimed while the request waited; nil for none
+	ownerQueries    int                // consecutive owner queries; each covers the next group of engines
+	ownersQueriedAt time.Time          // time of the last owner query
+	checkedWork     *limits.StreamWork // the work of a stream that was let through to check an estimate; nil for none
 	identity        crashers.Request
 	losses          crashes.Losses
 	// reached is set once an endpoint may have received the request. A further send is then a retry.
--- a/gateway/forward/deadline.go
+++ b/gateway/forward/deadline.go
@@ -33,7 +33,8 @@
 	f(times)
 }
 
-// refuseTooLate refuses a stream that can't end before its deadline even at the best speed seen.
+// refuseTooLate refuses a stream that can't end before its deadline even at the best speed seen. Some such
+// streams are let through, so that the estimate is checked.
 // prefilled is set when an engine is known to hold the prompt.
 func (f *Forwarder) refuseTooLate(req *request, prefilled bool) *refusal {
 	if req.deadline.IsZero() {
@@ -43,13 +44,23 @@
 	if prefilled {
 		work.PrefillTokens = 0
 	}
-	var minimum time.Duration
-	var known bool
-	f.streamTimes.update(req.service, func(t *limits.StreamTimes) { minimum, known = t.MinDuration(time.Now(), work) })
 	timeLeft := time.Until(req.deadline)
+	var minimum time.Duration
+	var known, checks bool
+	f.streamTimes.update(req.service, func(t *limits.StreamTimes) {
+		now := time.Now()
+		if minimum, known = t.MinDuration(now, work); known && minimum > timeLeft {
+			checks = t.MayCheck(now, work)
+		}
+	})
 	if !known || minimum <= timeLeft {
 		return nil
 	}
+	if checks {
+		req.checkedWork = &work
+		f.Log.Decision(req.ID, "estimate checked", logrus.Fields{"least_ms": minimum.Milliseconds(), "left_ms": timeLeft.Milliseconds(), "prompt_tokens": work.PrefillTokens, "output_tokens": work.OutputTokens})
+		return nil
+	}
 	return refuse(http.StatusServiceUnavailable, "the stream can't end in time", 0).with(logrus.Fields{
 		"least_ms": minimum.Milliseconds(), "left_ms": timeLeft.Milliseconds(), "prompt_tokens": work.PrefillTokens, "made": work.DeliveredEvents,
 	})
@@ -69,6 +80,10 @@
 func (s *session) observeStream() {
 	events, gaps := eventsReceived(s.lastEventID), s.relayedEvents-1
 	s.f.streamTimes.update(s.req.service, func(t *limits.StreamTimes) {
-		t.ObserveStream(time.Now(), s.req.MaxOutputTokens, events, gaps, s.lastEventAt.Sub(s.firstEventAt))
+		now := time.Now()
+		t.ObserveStream(now, s.req.MaxOutputTokens, events, gaps, s.lastEventAt.Sub(s.firstEventAt))
+		if s.req.checkedWork != nil {
+			t.EndedInTime(now, *s.req.checkedWork)
+		}
 	})
 }
