gateway/upstream: an answer that ends with its connection needs a request that was written whole

Cause: of a connection that is reset, only the system call that meets the reset first gets an error. If that was a write of the request, the read of the answer saw an ordinary end, and the writer's error was not looked at. The check that the endpoint's process still runs does not help, since it does.

A body that ends with its connection is now complete only if the request was written whole by then. An endpoint that closes the connection before that has not read the request, so its close is a reset too. Bodies with a length or chunks say themselves where they end.

TestPartOfAnswerBeforeResetOfUpload and TestAnswerDuringUploadOfSlowCaller fail before each time.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -93,7 +93,8 @@
 func (x *Exchange) write(r *Request) {
 	defer close(x.done)
 	w := bufio.NewWriterSize(countingWriter{x}, writeBufferSize)
-	// A failed write is not reported: the reader fails, since no answer arrives.
+	// A failed write fails the read of the head, since no answer arrives, or that of a body which ends with
+	// the connection; see Read.
 	x.sentAll.Store(writeRequest(w, r) == nil)
 }
 
@@ -208,14 +209,23 @@
 
 // Read reads the body of the answer. It returns [io.EOF] only if the body is complete, and
 // [ErrLost] if it broke off.
+//
+// Of a connection that is reset, only the system call that meets the reset first gets an error. If that is
+// a write of the request, the read sees an ordinary end. So a body that ends with its connection is complete
+// only if the request was written whole.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
+	if err == io.EOF && x.EndsWithConnection() && !x.requestSent() {
+		err = errEndedInRequest
+	}
 	if err != nil && err != io.EOF {
 		return n, ErrLost.Wrap(err, "the answer of %s broke off", x.conn.target.ID)
 	}
 	return n, err
 }
 
+var errEndedInRequest = errors.New("the connection ended before the request was written")
+
 // Finish ends an exchange whose body was read to its end. It returns the connection to the pool if
 // another request can safely be sent on it, and closes it otherwise.
 func (x *Exchange) Finish() {
--- /dev/null
+++ b/gateway/upstream/upload_test.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	uploadBytes    = 3 << 20
+	unframedAnswer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nthe first half"
+)
+
+func uploadRequest(body io.Reader) *Request {
+	return &Request{Method: http.MethodPost, Target: "/", Host: "h.example", Header: http.Header{}, Body: body, Length: uploadBytes}
+}
+
+// resetConn is a connection whose endpoint answers at once and resets it during the upload. The system call that meets
+// a reset first gets its error: the write here. The read then sees what looks like an ordinary end.
+type resetConn struct {
+	net.Conn
+	answer io.Reader
+	// takes is how many bytes of the request are taken before the reset.
+	takes int
+	mu    sync.Mutex
+	reset chan struct{}
+}
+
+func (c *resetConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.takes -= len(b); c.takes < 0 {
+		select {
+		case <-c.reset:
+		default:
+			close(c.reset)
+		}
+		return 0, syscall.ECONNRESET
+	}
+	return len(b), nil
+}
+
+func (c *resetConn) Read(b []byte) (int, error) {
+	n, err := c.answer.Read(b)
+	if err == io.EOF {
+		<-c.reset
+	}
+	return n, err
+}
+
+func (c *resetConn) SetDeadline(time.Time) error { return nil }
+func (c *resetConn) Close() error                { return nil }
+
+// TestPartOfAnswerBeforeResetOfUpload guards against a part of an answer without a length that is taken for the whole
+// one: the endpoint reset the connection while the request was written, and only the writer saw that.
+func TestPartOfAnswerBeforeResetOfUpload(t *testing.T) {
+	for _, takes := range []int{0, 100, uploadBytes / 2} {
+		c := &resetConn{answer: strings.NewReader(unframedAnswer), takes: takes, reset: make(chan struct{})}
+		p := NewPool(func(context.Context, string, string) (net.Conn, error) { return c, nil })
+		conn, err := p.Get(context.Background(), Target{ID: "e1"})
+		assert.NilError(t, err)
+		x, err := conn.Do(context.Background(), uploadRequest(bytes.NewReader(make([]byte, uploadBytes))), matchesID)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(x)
+		assert.Assert(t, errorx.IsOfType(err, ErrLost), "after %d bytes: %q, %v", takes, body, err)
+	}
+}
+
+// TestAnswerDuringUploadOfSlowCaller: an endpoint that has closed the connection before the caller has sent the rest
+// of its request did not read that, so its answer without a length may be cut.
+func TestAnswerDuringUploadOfSlowCaller(t *testing.T) {
+	s := newServer(t)
+	conn, err := newPool().Get(context.Background(), s.target())
+	assert.NilError(t, err)
+	go func() { _ = s.serve(t, unframedAnswer).Close() }()
+	callersBody, caller := io.Pipe()
+	defer caller.Close()
+	go func() { _, _ = caller.Write(make([]byte, uploadBytes/2)) }()
+	x, err := conn.Do(context.Background(), uploadRequest(callersBody), matchesID)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(x)
+	assert.Assert(t, errorx.IsOfType(err, ErrLost), "%q, %v", body, err)
+}
+
+// TestWholeUnframedAnswers: an answer without a length is complete if the request was written whole.
+func TestWholeUnframedAnswers(t *testing.T) {
+	s := newServer(t)
+	conn, err := newPool().Get(context.Background(), s.target())
+	assert.NilError(t, err)
+	go func() {
+		c := <-s.conns
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		if err == nil {
+			_, _ = io.WriteString(c, unframedAnswer)
+		}
+		_ = c.Close()
+	}()
+	x, err := conn.Do(context.Background(), uploadRequest(bytes.NewReader(make([]byte, uploadBytes))), matchesID)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(x)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "the first half")
+}
+
+// TestResetWhileUploadIsRead is TestPartOfAnswerBeforeResetOfUpload with sockets: the endpoint goes on to read the upload
+// while it answers, and resets the connection in the middle. Which system call meets the reset first is chance.
+func TestResetWhileUploadIsRead(t *testing.T) {
+	const rounds = 40
+	s, p := newServer(t), newPool()
+	complete := 0
+	for range rounds {
+		conn, err := p.Get(context.Background(), s.target())
+		assert.NilError(t, err)
+		go answerAndReset(<-s.conns)
+		r := uploadRequest(io.LimitReader(zeros{}, largeUploadBytes))
+		r.Length = largeUploadBytes
+		x, err := conn.Do(context.Background(), r, matchesID)
+		if err != nil {
+			continue
+		}
+		if _, err = io.ReadAll(x); err == nil {
+			complete++
+		}
+		x.Abort()
+	}
+	assert.Equal(t, complete, 0, "answers of %d", rounds)
+}
+
+// largeUploadBytes is more than the buffers of a connection hold.
+const largeUploadBytes = 64 << 20
+
+// answerAndReset answers on a connection, reads a part of the upload and resets the connection.
+func answerAndReset(c net.Conn) {
+	_, _ = io.WriteString(c, unframedAnswer)
+	_, _ = io.CopyN(io.Discard, c, largeUploadBytes/8)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
