gateway/upstream, gateway/endpoint: an answer with an invalid status is a lost one

An endpoint in trouble answers with the status 000. On the platform the instance skipped that like an informational answer, so that the caller waited until its deadline. The own interface passed it on, which net/http ends with a panic; a kept outcome did so each time it was fetched.

An answer whose status is not between 100 and 599, or that switches protocols, is now no answer: the request may have run, so one that may be repeated is sent elsewhere, and others get 502 at once. The own interface's client takes 200 to 599.

TestInvalidStatus of both packages failed before: 5 s until the deadline in the one, the answer "ok" in the other.

--- a/gateway/endpoint/answer.go
+++ b/gateway/endpoint/answer.go
@@ -4,10 +4,17 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptrace"
 	"time"
 )
 
+// maxStatus is the highest status code of an answer.
+const maxStatus = 599
+
+// ValidStatus reports whether an answer may have a status code.
+func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // writerTimeout bounds the wait for the goroutine that writes a call, after its answer has ended.
 const writerTimeout = 20 * time.Millisecond
 
--- a/gateway/endpoint/plain.go
+++ b/gateway/endpoint/plain.go
@@ -64,6 +64,10 @@
 }
 
 func checkResponse(resp *http.Response, id string) (*http.Response, error) {
+	if !ValidStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, ErrBroken.New("the answer has the status %03d", resp.StatusCode)
+	}
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != id {
 		_ = resp.Body.Close()
 		return nil, ErrWrongRequest.New("the answer belongs to request %q", echo)
--- a/gateway/endpoint/plain_test.go
+++ b/gateway/endpoint/plain_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/agateway/agateway/gateway/network"
@@ -85,3 +87,17 @@
 		assert.Equal(t, answer, "the first half")
 	}
 }
+
+// TestInvalidStatus guards against an answer with a number that is no status. The standard library panics when it is
+// passed on to a caller.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		address := serve(t, func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok", status)
+			_ = c.Close()
+		})
+		answer, err := call(t, address, nil, false)
+		assert.Assert(t, errorx.IsOfType(err, ErrBroken), "%s: %q, %v", status, answer, err)
+	}
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -179,6 +179,9 @@
 		if err != nil {
 			return err
 		}
+		if err := checkStatus(resp.StatusCode); err != nil {
+			return err
+		}
 		if resp.StatusCode < http.StatusOK {
 			if informational++; informational > maxInformational && !x.conn.pool.Unbounded {
 				return errors.New("too many informational answers")
@@ -201,6 +204,18 @@
 	}
 }
 
+// maxStatus is the highest status code of an answer.
+const maxStatus = 599
+
+// checkStatus returns an error for a status code that no answer may have. A request never asks to switch
+// protocols, after which the connection would carry no further answer.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("the answer has the status %03d", status)
+	}
+	return nil
+}
+
 // Status returns the status code of the answer.
 func (x *Exchange) Status() int { return x.resp.StatusCode }
 
--- a/gateway/upstream/upload_test.go
+++ b/gateway/upstream/upload_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -150,3 +152,20 @@
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
 }
+
+// TestInvalidStatus guards against an answer whose status is no status: it is neither an informational answer, after
+// which the caller would wait until its deadline, nor one to pass on.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		s := newServer(t)
+		conn, err := newPool().Get(context.Background(), s.target())
+		assert.NilError(t, err)
+		go s.serve(t, fmt.Sprintf("HTTP/1.1 %s X\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok", status))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		began := time.Now()
+		_, err = conn.Do(ctx, newRequest(), matchesID)
+		cancel()
+		assert.Assert(t, errorx.IsOfType(err, ErrLost), "%s: %v", status, err)
+		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded) && time.Since(began) < 2*time.Second, "%s: %v after %v", status, err, time.Since(began))
+	}
+}
