--- a/core/health/baseline.go
+++ b/core/health/baseline.go
@@ -96,10 +96,10 @@
 // no estimate.
 func (u *Baseline) PerUnit() float64 { return u.perUnit }
 
-// Speed returns the time per unit of some units of work, more than 0, that took a time, in nanoseconds,
-// bounded to what an endpoint of the service can plausibly take. The fixed part is left out. weight is the share of the
-// expected time that is not fixed: the smaller it is, the less the observation says of the time per unit.
-// Without an estimate, all of the time is taken as that of the units.
+// Speed returns the time per unit of some units of work, more than 0, that took a time, in nanoseconds. The
+// fixed part is left out, and the result is bounded to what an endpoint of the service can plausibly take.
+// weight is the share of the expected time that is not fixed: the smaller it is, the less the observation says
+// of the time per unit. Without an estimate, all of the time is taken as that of the units.
 func (u *Baseline) Speed(units int, took time.Duration) (perUnit, weight float64) {
 	if u.perUnit == 0 {
 		return float64(took) / float64(units), 1
--- a/core/limits/streams.go
+++ b/core/limits/streams.go
@@ -93,8 +93,8 @@
 }
 
 // minPrefill returns the shortest time in which a prompt is prefilled, by the samples since a time; 0 if
-// unknown. A prompt takes at least
-// as long as a smaller one, and at least the proportional part of the time of a larger one.
+// unknown. A prompt takes at least as long as a smaller one, and at least the proportional part of the time of
+// a larger one.
 func (t *StreamTimes) minPrefill(since time.Time, tokens int) time.Duration {
 	if tokens <= 0 {
 		return 0
