core/routing: only prompts that are never on time get the longer bound

The bound of, at least 1.25 times the usual time of the prompt, also held for prompts that are on time at their arrival and have waited too long since.

The longer bound is now decided where the request is made, from the time that it had at its arrival, and travels in its claims. TestLatePromptsWait failed before.

--- a/core/routing/estimates_test.go
+++ b/core/routing/estimates_test.go
@@ -49,8 +49,26 @@
 	return v
 }
 
-func longRequest() *Request {
-	return &Request{Service: "engines", DataCentre: "dc0", PromptTokens: 8000, Tokens: 9000, PrefillWithin: 3 * time.Second, Weights: Weights{PendingPrefill: 1, Pace: 1}}
+// longWithin is the time in which the prompt of a long request has to be prefilled.
+const longWithin = 3 * time.Second
+
+func longRequest(v *View) *Request {
+	r := &Request{Service: "engines", DataCentre: "dc0", PromptTokens: 8000, Tokens: 9000, Weights: Weights{PendingPrefill: 1, Pace: 1}}
+	r.PrefillWithin = v.PrefillWithin(r.Service, r.PromptTokens, longWithin, longWithin)
+	return r
+}
+
+// TestLatePromptsWait: a prompt that would be on time at its arrival, and is not after it has waited, is not placed
+// late: under overload others that are on time need the engines.
+func TestLatePromptsWait(t *testing.T) {
+	v := idleView(usualPerToken)
+	for left, want := range map[time.Duration]time.Duration{longWithin: longWithin, 500 * time.Millisecond: 500 * time.Millisecond, 0: 0} {
+		assert.Equal(t, v.PrefillWithin("engines", 8000, left, longWithin), want)
+	}
+	r := longRequest(v)
+	r.PrefillWithin = v.PrefillWithin("engines", 8000, 500*time.Millisecond, longWithin)
+	_, err := v.Pick(epoch, r, testRand())
+	assert.ErrorIs(t, err, ErrFull)
 }
 
 // TestPromptFindsRoomWhereNoOtherIs guards against an estimate that keeps prompts from all engines: as none is placed,
@@ -75,9 +93,10 @@
 		t.Run(name, func(t *testing.T) {
 			v := idleView(c.perToken)
 			c.prepare(v)
-			_, err := v.Pick(epoch, longRequest(), testRand())
+			r := longRequest(v)
+			_, err := v.Pick(epoch, r, testRand())
 			assert.Equal(t, err == nil, c.picked, "%v", err)
-			granted := v.Claim(epoch, "e001", "f1", Claim{Tokens: 9000, PendingPrefill: 8000, PrefillWithin: 3 * time.Second}).Granted
+			granted := v.Claim(epoch, "e001", "f1", Claim{Tokens: r.Tokens, PendingPrefill: r.PromptTokens, PrefillWithin: r.PrefillWithin}).Granted
 			assert.Equal(t, granted, c.picked)
 		})
 	}
@@ -101,9 +120,9 @@
 func TestSlowEnginesGetPromptsAgain(t *testing.T) {
 	v := idleView(time.Millisecond)
 	slowDown(v, 2)
-	_, err := v.Pick(epoch, longRequest(), testRand())
+	_, err := v.Pick(epoch, longRequest(v), testRand())
 	assert.ErrorIs(t, err, ErrFull)
-	_, err = v.Pick(epoch.Add(5*time.Second), longRequest(), testRand())
+	_, err = v.Pick(epoch.Add(5*time.Second), longRequest(v), testRand())
 	assert.NilError(t, err)
 }
 
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -307,16 +307,19 @@
 	return time.Duration(n.effectivePace(p.now) * float64(usual))
 }
 
-// tolerableDelay is how many times as long as usual the prefill of a prompt may take where the bound is
-// shorter than that.
+// tolerableDelay is how many times as long as usual the prefill of a prompt may take that is never on time.
 const tolerableDelay = 1.25
 
-// prefillBound is the time within which an engine has to prefill the prompt and those ahead of it. A
-// prompt that takes longer than that by itself finds room where little is ahead of it: waiting would not
-// make it faster, and the estimate of its time can only be corrected by the result.
-func (p *picker) prefillBound(n *node) time.Duration {
-	usual, _ := p.v.ExpectedPrefillTime(n.Service, p.r.PromptTokens)
-	return max(p.r.prefillLimit(), time.Duration(tolerableDelay*float64(usual)))
+// PrefillWithin returns [Request.PrefillWithin] for a prompt. left is the time in which it has to be prefilled
+// now, and whole that time at its arrival. A prompt that takes longer than whole by itself finds room where
+// little is ahead of it: waiting would not make it faster, and the estimate of its time can only be corrected
+// by the result.
+func (v *View) PrefillWithin(service string, promptTokens int, left, whole time.Duration) time.Duration {
+	usual, _ := v.ExpectedPrefillTime(service, promptTokens)
+	if usual = time.Duration(tolerableDelay * float64(usual)); usual > whole && left > 0 {
+		return max(left, usual)
+	}
+	return left
 }
 
 // eligible filters by state, pauses, suspicion, earlier failures, model, build, data centre and room.
@@ -380,7 +383,7 @@
 	if p.r.Copy {
 		return BoundNone
 	}
-	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.prefillBound(n) {
+	if p.r.PrefillWithin > 0 && n.Memory > 0 && p.prefillTime(n) > p.r.prefillLimit() {
 		return BoundPrefill
 	}
 	if p.now.Before(n.fullUntil) || n.trialInProgress() && !p.allowSuspected {
--- a/core/routing/room.go
+++ b/core/routing/room.go
@@ -30,14 +30,11 @@
 // CheckRoom returns by which bounds the engines of a service have no room for a request.
 func (v *View) CheckRoom(now time.Time, r *Request) RoomCheck {
 	p := picker{v: v, now: now, r: r}
-	var c RoomCheck
+	c := RoomCheck{PrefillLimit: r.prefillLimit()}
 	c.Prefill, _ = v.ExpectedPrefillTime(r.Service, r.PromptTokens)
 	for _, n := range v.groups[groupKey{r.Service, ""}] {
 		if n.Memory > 0 && n.takesWork(now) && n.serves(r.Model, r.Adapter, r.Version) && r.Builds.Allows(&n.Endpoint) {
 			c.Engines++
-			if r.PrefillWithin > 0 {
-				c.PrefillLimit = p.prefillBound(n)
-			}
 			c.ByBound[p.boundReached(n)]++
 		}
 	}
--- a/gateway/forward/choice.go
+++ b/gateway/forward/choice.go
@@ -72,10 +72,19 @@
 	return &routing.Request{
 		Service: req.service, Model: req.Model, DataCentre: f.Settings.DataCentre, Key: req.ID,
 		Prefixes: []uint64{req.promptKey()}, Tokens: req.PromptTokens + req.MaxOutputTokens, PromptTokens: req.PromptTokens, Weights: f.Settings.engineWeights(),
-		Builds: f.builds(req), PrefillWithin: req.prefillBudget(time.Now()), OutputWithin: f.outputBudget(req, time.Now()), Priority: req.priority,
+		Builds: f.builds(req), PrefillWithin: f.prefillWithin(req, time.Now()), OutputWithin: f.outputBudget(req, time.Now()), Priority: req.priority,
 	}
 }
 
+// prefillWithin returns the time in which an engine has to prefill the prompt; 0 for no limit.
+func (f *Forwarder) prefillWithin(req *request, now time.Time) time.Duration {
+	left := req.prefillBudget(now)
+	if left == 0 {
+		return 0
+	}
+	return f.Placement.PrefillWithin(req.service, req.PromptTokens, left, req.prefillBudget(req.arrivedAt))
+}
+
 // prefillBudget returns the time in which an engine has to prefill the prompt so that the first
 // event is on time with a margin. It returns 0 when the route has no target latency, the target is
 // already missed, or the caller resumes a stream.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -371,6 +371,14 @@
 	return p.view.ExpectedPrefillTime(service, tokens)
 }
 
+// PrefillWithin returns the time in which an engine has to prefill a prompt: left, unless the prompt by itself takes
+// longer than whole.
+func (p *Placement) PrefillWithin(service string, promptTokens int, left, whole time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.PrefillWithin(service, promptTokens, left, whole)
+}
+
 // Forget drops what was learned about an endpoint that restarted and is not listed again yet.
 func (p *Placement) Forget(id string) {
 	p.mu.Lock()
