gateway/forward: a stream that checks an estimate is not refused by it afterwards

A stream that a caller resumes is checked against the shortest time again once it is known which engine holds its prompt. One that had been let through to check the estimate was refused there, so resumed streams never did.

The loads of TestStreamsAreServedAfterOthers and TestLongPromptsAreServedAmongShortOnes are also played with deadlines, speeds and the shared queue.

--- a/gateway/forward/deadline.go
+++ b/gateway/forward/deadline.go
@@ -37,7 +37,7 @@
 // streams are let through, so that the estimate is checked.
 // prefilled is set when an engine is known to hold the prompt.
 func (f *Forwarder) refuseTooLate(req *request, prefilled bool) *refusal {
-	if req.deadline.IsZero() {
+	if req.deadline.IsZero() || req.checkedWork != nil {
 		return nil
 	}
 	work := limits.StreamWork{PrefillTokens: req.PromptTokens, OutputTokens: req.MaxOutputTokens, DeliveredEvents: eventsReceived(req.LastEventID)}
--- a/gateway/front/prompt_lengths_test.go
+++ b/gateway/front/prompt_lengths_test.go
@@ -69,31 +69,46 @@
 		"large maxima of output after a start":        {modestCallers, lavishCallers},
 		"long prompts and large maxima after a start": {modestCallers, lavishWithLong},
 	} {
-		t.Run(name, func(t *testing.T) {
-			run(t, 2, 8, 1, func(w *world) {
-				for i, l := range loads {
-					assert.Equal(w.t, countComplete(l.play(w)), l.count, "load %d", i)
-				}
+		for _, overload := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%v", name, overload), func(t *testing.T) {
+				runWith(t, 2, 8, 1, withOverloadSettings(overload), func(w *world) {
+					for i, l := range loads {
+						assert.Equal(w.t, countComplete(l.play(w)), l.count, "load %d", i)
+					}
+				})
 			})
-		})
+		}
+	}
+}
+
+// withOverloadSettings returns a function for [runWith] that switches on what estimates deadlines, speeds and waits.
+func withOverloadSettings(on bool) func(*world) {
+	return func(w *world) {
+		if on {
+			w.settings = "\n[overload]\ndeadlines = true\nspeeds = true\nshared_queue = true\n"
+		}
 	}
 }
 
 // TestLongPromptsAreServedAmongShortOnes is the same for prompts of two lengths at the same time.
 func TestLongPromptsAreServedAmongShortOnes(t *testing.T) {
-	run(t, 2, 8, 1, func(w *world) {
-		var long, short []chan standin.Answer
-		for i := range 140 {
-			if i%20 < 3 {
-				long = append(long, usualLoad.send(w, i))
-			} else {
-				short = append(short, veryShortLoad.send(w, i))
-			}
-			time.Sleep(320 * time.Millisecond)
+	for _, overload := range []bool{false, true} {
+		t.Run(fmt.Sprint(overload), func(t *testing.T) { runWith(t, 2, 8, 1, withOverloadSettings(overload), sendMixed) })
+	}
+}
+
+func sendMixed(w *world) {
+	var long, short []chan standin.Answer
+	for i := range 140 {
+		if i%20 < 3 {
+			long = append(long, usualLoad.send(w, i))
+		} else {
+			short = append(short, veryShortLoad.send(w, i))
 		}
-		assert.Equal(w.t, countComplete(long), len(long))
-		assert.Equal(w.t, countComplete(short), len(short))
-	})
+		time.Sleep(320 * time.Millisecond)
+	}
+	assert.Equal(w.t, countComplete(long), len(long))
+	assert.Equal(w.t, countComplete(short), len(short))
 }
 
 // TestStreamsAreServedAfterSlowEngines: all engines take four times as long for a while.
