--- a/gateway/front/prompt_lengths_test.go
+++ b/gateway/front/prompt_lengths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -114,18 +115,45 @@
 // TestStreamsAreServedAfterSlowEngines: all engines take four times as long for a while.
 func TestStreamsAreServedAfterSlowEngines(t *testing.T) {
 	run(t, 2, 8, 1, func(w *world) {
-		setSpeed := func(factor float64) {
-			for _, e := range w.engines {
-				e.SetFault(standin.WorkerFault{AffectedFraction: 1, SlowFactor: factor})
-			}
-		}
 		assert.Equal(w.t, countComplete(usualLoad.play(w)), usualLoad.count)
-		setSpeed(4)
+		w.setSpeed(4)
 		for range 2 {
 			usualLoad.play(w)
 		}
-		setSpeed(1)
+		w.setSpeed(1)
 		time.Sleep(15 * time.Second)
 		assert.Equal(w.t, countComplete(usualLoad.play(w)), usualLoad.count)
 	})
 }
+
+// TestRefusedStreamsAreServedAgain guards against callers who are refused at once for as long as an estimate of slow
+// engines stands, though these are as fast as before: refused streams show nothing. Those of callers with short
+// deadlines are refused while the engines are slow, and are all served some seconds after.
+func TestRefusedStreamsAreServedAgain(t *testing.T) {
+	const count, recovering, deadline = 60, 20, 8 * time.Second
+	run(t, 1, 8, 1, func(w *world) {
+		w.setSpeed(4)
+		assert.Equal(w.t, countComplete(usualLoad.play(w)), usualLoad.count)
+		sendOne := func() chan standin.Answer {
+			r := briefRequest(fmt.Sprintf("%x", 0xd000+w.promptCount))
+			w.promptCount++
+			r.PromptTokens, r.Timeout = usualLoad.promptTokens, deadline
+			return w.startStream(0, r)
+		}
+		assert.Equal(w.t, (<-sendOne()).Status, http.StatusServiceUnavailable)
+		w.setSpeed(1)
+		var answers []chan standin.Answer
+		for range count {
+			answers = append(answers, sendOne())
+			time.Sleep(time.Second)
+		}
+		assert.Equal(w.t, countComplete(answers[recovering:]), count-recovering)
+	})
+}
+
+// setSpeed makes all engines take a multiple of their usual time.
+func (w *world) setSpeed(factor float64) {
+	for _, e := range w.engines {
+		e.SetFault(standin.WorkerFault{AffectedFraction: 1, SlowFactor: factor})
+	}
+}
