--- a/gateway/front/prompt_lengths_test.go
+++ b/gateway/front/prompt_lengths_test.go
@@ -51,6 +51,7 @@
 	usualLoad     = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200}
 	shortLoad     = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 100}
 	veryShortLoad = streamLoad{count: 50, interval: 320 * time.Millisecond, promptTokens: 16}
+	veryLongLoad  = streamLoad{count: 8, interval: 1300 * time.Millisecond, promptTokens: 30000}
 	halfShortLoad = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 150}
 	// Callers that state a far larger maximum than they get, and those that state what they get.
 	modestCallers  = streamLoad{count: 140, interval: 128 * time.Millisecond, promptTokens: 1000, outputTokens: 60}
@@ -69,6 +70,7 @@
 		"large maxima of output after small ones":     {lavishCallers, modestCallers, lavishCallers},
 		"large maxima of output after a start":        {modestCallers, lavishCallers},
 		"long prompts and large maxima after a start": {modestCallers, lavishWithLong},
+		"very long prompts after usual ones":          {usualLoad, veryLongLoad, usualLoad},
 	} {
 		for _, overload := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/%v", name, overload), func(t *testing.T) {
