--- a/core/limits/streamcheck.go
+++ b/core/limits/streamcheck.go
@@ -5,17 +5,17 @@
 const (
 	// checkInterval is the time after which one of the streams that an estimate refuses is let through.
 	checkInterval = 5 * time.Second
-	// doubtPeriod is how long all of them are let through after one has ended in time.
-	doubtPeriod = 10 * time.Second
+	// suspensionPeriod is how long none of them is refused after one has ended in time.
+	suspensionPeriod = 10 * time.Second
 )
 
 // checkKey says for which streams an estimate is checked: those with prompts and outputs of about the same
 // sizes.
 type checkKey struct{ prompt, output int }
 
-// check is when streams that an estimate refuses are let through nevertheless.
+// check is when the next stream is let through, and until when refusals by the estimate are suspended.
 type check struct {
-	next, doubtedUntil time.Time
+	next, suspendedUntil time.Time
 }
 
 func (t *StreamTimes) checkOf(w StreamWork) *check {
@@ -32,11 +32,11 @@
 }
 
 // MayCheck reports whether a stream that can't end in time by [StreamTimes.MinDuration] is let through, so
-// that the estimate is checked. That is one stream each checkInterval, and each one for doubtPeriod after
+// that the estimate is checked. That is one stream each checkInterval, and each one for suspensionPeriod after
 // such a stream ended in time.
 func (t *StreamTimes) MayCheck(now time.Time, w StreamWork) bool {
 	c := t.checkOf(w)
-	if now.Before(c.doubtedUntil) {
+	if now.Before(c.suspendedUntil) {
 		return true
 	}
 	first := c.next.IsZero()
@@ -49,5 +49,5 @@
 
 // EndedInTime records that a stream that was let through by [StreamTimes.MayCheck] ended in time.
 func (t *StreamTimes) EndedInTime(now time.Time, w StreamWork) {
-	t.checkOf(w).doubtedUntil = now.Add(doubtPeriod)
+	t.checkOf(w).suspendedUntil = now.Add(suspensionPeriod)
 }
--- a/gateway/front/prompt_lengths_test.go
+++ b/gateway/front/prompt_lengths_test.go
@@ -54,9 +54,9 @@
 	veryLongLoad  = streamLoad{count: 8, interval: 1300 * time.Millisecond, promptTokens: 30000}
 	halfShortLoad = streamLoad{count: 80, interval: 128 * time.Millisecond, promptTokens: 150}
 	// Callers that state a far larger maximum than they get, and those that state what they get.
-	modestCallers  = streamLoad{count: 140, interval: 128 * time.Millisecond, promptTokens: 1000, outputTokens: 60}
-	lavishCallers  = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 1000, outputTokens: 9000}
-	lavishWithLong = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200, outputTokens: 9000}
+	accurateMaxima     = streamLoad{count: 140, interval: 128 * time.Millisecond, promptTokens: 1000, outputTokens: 60}
+	overstatedMaxima   = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 1000, outputTokens: 9000}
+	overstatedWithLong = streamLoad{count: 20, interval: 320 * time.Millisecond, promptTokens: 8200, outputTokens: 9000}
 )
 
 // TestStreamsAreServedAfterOthers guards against an estimate that is made from streams of one kind and keeps those of
@@ -67,9 +67,9 @@
 		"long prompts after a start with short ones":  {shortLoad, usualLoad},
 		"long prompts after very short ones":          {veryShortLoad, usualLoad},
 		"long prompts after somewhat shorter ones":    {usualLoad, halfShortLoad, usualLoad},
-		"large maxima of output after small ones":     {lavishCallers, modestCallers, lavishCallers},
-		"large maxima of output after a start":        {modestCallers, lavishCallers},
-		"long prompts and large maxima after a start": {modestCallers, lavishWithLong},
+		"large maxima of output after small ones":     {overstatedMaxima, accurateMaxima, overstatedMaxima},
+		"large maxima of output after a start":        {accurateMaxima, overstatedMaxima},
+		"long prompts and large maxima after a start": {accurateMaxima, overstatedWithLong},
 		"very long prompts after usual ones":          {usualLoad, veryLongLoad, usualLoad},
 	} {
 		for _, overload := range []bool{false, true} {
--- a/gateway/front/world_test.go
+++ b/gateway/front/world_test.go
@@ -47,7 +47,7 @@
 
 	mu     sync.Mutex
 	lastID int
-	// promptCount is the number of prompts sent by promptsOf.
+	// promptCount is the number of prompts sent by streamLoad.
 	promptCount int
 }
 
