--- a/core/routing/estimates_test.go
+++ b/core/routing/estimates_test.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// TestSlowEnginesGetPromptsAgain: engines that are found slow get no prompts that would be late there, and what is
-// believed of them is forgotten within seconds.
+// TestSlowEnginesGetPromptsAgain: engines that are found slow get no prompts that would be late there, until their
+// observed paces have decayed, within seconds.
 func TestSlowEnginesGetPromptsAgain(t *testing.T) {
 	v := idleView(time.Millisecond)
 	slowDown(v, 2)
