gateway/endpoint, gateway/forward: one copy of the check for unframed answers, and of that for no limit

The client of services and the pipeline had the same check of an answer without a length and chunks; the limit on prefill was checked for zero twice. ValidStatus is used in its package only. No change of behaviour.

--- a/gateway/endpoint/answer.go
+++ b/gateway/endpoint/answer.go
@@ -12,8 +12,13 @@
 // maxStatus is the highest status code of an answer.
 const maxStatus = 599
 
-// ValidStatus reports whether an answer may have a status code.
-func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+// validStatus reports whether an answer may have a status code.
+func validStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// EndsWithConnection reports whether an answer has neither a length nor chunks.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
 
 // writerTimeout bounds the wait for the goroutine that writes a call, after its answer has ended.
 const writerTimeout = 20 * time.Millisecond
--- a/gateway/endpoint/plain.go
+++ b/gateway/endpoint/plain.go
@@ -57,14 +57,14 @@
 		}
 		return nil, transportError(err)
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if EndsWithConnection(resp) {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, written: written}
 	}
 	return checkResponse(resp, call.ID)
 }
 
 func checkResponse(resp *http.Response, id string) (*http.Response, error) {
-	if !ValidStatus(resp.StatusCode) {
+	if !validStatus(resp.StatusCode) {
 		_ = resp.Body.Close()
 		return nil, ErrBroken.New("the answer has the status %03d", resp.StatusCode)
 	}
--- a/gateway/forward/choice.go
+++ b/gateway/forward/choice.go
@@ -78,11 +78,7 @@
 
 // prefillWithin returns the time in which an engine has to prefill the prompt; 0 for no limit.
 func (f *Forwarder) prefillWithin(req *request, now time.Time) time.Duration {
-	left := req.prefillBudget(now)
-	if left == 0 {
-		return 0
-	}
-	return f.Placement.PrefillWithin(req.service, req.PromptTokens, left, req.prefillBudget(req.arrivedAt))
+	return f.Placement.PrefillWithin(req.service, req.PromptTokens, req.prefillBudget(now), req.prefillBudget(req.arrivedAt))
 }
 
 // prefillBudget returns the time in which an engine has to prefill the prompt so that the first
--- a/gateway/pipeline/answerbody.go
+++ b/gateway/pipeline/answerbody.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 
 	"github.com/joomcode/errorx"
 
@@ -39,11 +38,6 @@
 	return n, err
 }
 
-// endsWithConnection reports whether an answer has neither a length nor chunks.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // maxProcessChecks bounds the checks of one process. While a process exits, connections to it are reset.
 const maxProcessChecks = 3
 
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -181,7 +181,7 @@
 			t.attributor.Attribute(ctx, &t.losses, crashes.Loss{Request: t.request(), Endpoint: incarnation(e), Service: e.Service, SentAt: sentAt, HeadAt: headAt})
 		}
 	}}
-	if endsWithConnection(resp) {
+	if endpoint.EndsWithConnection(resp) {
 		b.isProcessGone = func() bool { return t.isProcessGone(e.Address) }
 	}
 	resp.Body = b
