gateway/network: the end of a connection whose peer has not received all is no ordinary end

Callers got the first part of an answer without a length as a whole 200: the endpoint answered during a long upload, closed its side of the connection in order and reset it while the rest of the upload was on its way.

Cause: a body that ends with its connection counted as complete if the request was written whole, and what the buffers of the sender hold counts as written.

Now a read that meets the end of a connection asks the system whether the peer has acknowledged all that was written and whether a reset is pending, and otherwise fails. The acknowledgement that comes with the peer's end covers all that it had received by then, so a request that arrived whole is never refused. All clients get their connections from the same dialer: those of endpoints of both products, of other instances and of the store.

cli/uploads runs both products on sockets, with endpoints that reset uploads.

--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -16,6 +17,7 @@
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/platform/standin"
 )
 
 // Config describes a service.
@@ -51,6 +53,8 @@
 	// DieInBody ends the service in the middle of such an answer.
 	Unframed  bool `json:"unframed,omitempty"`
 	DieInBody bool `json:"die_in_body,omitempty"`
+	// ResetUpload answers during the upload of a call and resets the connection; nil for no such fault.
+	ResetUpload *standin.ResetUpload `json:"reset_upload,omitempty"`
 }
 
 // Plain is a running simulated service.
@@ -60,6 +64,7 @@
 	gate serve.Gate
 	*serve.Server
 
+	resets  atomic.Int64
 	mu      sync.Mutex
 	fault   Fault
 	runs    map[string]int
@@ -96,6 +101,9 @@
 	return out
 }
 
+// Resets returns how many calls the service has reset under [Fault.ResetUpload].
+func (p *Plain) Resets() int { return int(p.resets.Load()) }
+
 // SetFault replaces the faults in effect.
 func (p *Plain) SetFault(f Fault) {
 	p.gate.SetFrozen(f.Freeze)
@@ -135,12 +143,20 @@
 
 func (p *Plain) handleCall(w http.ResponseWriter, r *http.Request) {
 	p.gate.Wait(r.Context())
+	p.mu.Lock()
+	f := p.fault
+	p.mu.Unlock()
+	if f.ResetUpload != nil {
+		p.resets.Add(1)
+		f.ResetUpload.Serve(w, endpoint.HeaderRequestID+": "+r.Header.Get(endpoint.HeaderRequestID)+"\r\n")
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	p.mu.Lock()
-	f := p.fault
+	f = p.fault
 	if !f.NotRun {
 		p.runs[strings.Join([]string{r.Method, r.URL.Path, string(body)}, " ")]++
 	}
--- /dev/null
+++ b/cli/uploads/front_test.go
@@ -0,0 +1,184 @@
+package uploads
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/core/route"
+	"github.com/agateway/agateway/gateway/front"
+	"github.com/agateway/agateway/gateway/network"
+	"github.com/agateway/agateway/gateway/settings"
+	"github.com/agateway/agateway/platform"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+const (
+	host           = "desk.example"
+	key            = "desk-key"
+	requestTimeout = 5 * time.Second
+	startTimeout   = 20 * time.Second
+)
+
+// Paths of routes of each kind.
+const (
+	oncePath       = "/log/1"
+	repeatablePath = "/ping/1"
+	onceStreamPath = "/note/1"
+	resumablePath  = "/brief/1"
+)
+
+// frontSystem is a store, workers and an instance that forwards to them.
+type frontSystem struct {
+	callers string
+	workers []*standin.Worker
+	path    string // of requests
+}
+
+func startFrontSystem(t *testing.T, path string) *frontSystem {
+	t.Helper()
+	s := &frontSystem{path: path}
+	store, fleet := standin.NewStore(0), standin.NewFleet()
+	store.PutConfiguration(configuration())
+	storeAddress := serve(t, func(l net.Listener) func() { return standin.Serve(l, store) })
+	for i := range 2 {
+		s.addWorker(t, store, fleet, standin.WorkerConfig{ID: fmt.Sprint("i-p", i), Service: "plain", Slots: 16})
+		s.addWorker(t, store, fleet, standin.WorkerConfig{ID: fmt.Sprint("i-e", i), Service: "engines", Slots: 16, PrefillTokensPerMS: 20, EventInterval: time.Millisecond, Events: 10})
+	}
+	a := freeAddresses(t, 4)
+	s.callers = a[0]
+	parsed, err := settings.ParseFront(fmt.Appendf(nil, `[instance]
+id = front-0
+data_centre = dc0
+region = r
+[listen]
+callers = %s
+ready = %s
+directory = %s
+peers = %s
+[store]
+address = %s
+`, a[0], a[1], a[2], a[3], storeAddress))
+	assert.NilError(t, err)
+	began := time.Now()
+	f, err := front.Start(parsed, front.Environment{Network: network.TCP{}, Clock: func() time.Duration { return time.Since(began) + time.Hour }, Out: io.Discard})
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	s.awaitStart(t)
+	return s
+}
+
+func (s *frontSystem) addWorker(t *testing.T, store *standin.Store, fleet *standin.Fleet, c standin.WorkerConfig) {
+	t.Helper()
+	var w *standin.Worker
+	serve(t, func(l net.Listener) func() {
+		c.Address, c.DataCentre = l.Addr().String(), "dc0"
+		w = fleet.NewWorker(c)
+		return standin.Serve(l, w)
+	})
+	store.Put(platform.KindEndpoint, c.ID, w.Registration("ready"))
+	s.workers = append(s.workers, w)
+}
+
+// awaitStart waits until a request is served.
+func (s *frontSystem) awaitStart(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(startTimeout)
+	for r, _ := s.send(1); r.status != http.StatusOK || !r.complete; r, _ = s.send(1) {
+		assert.Assert(t, time.Now().Before(deadline), "%+v", r)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *frontSystem) setFault(f standin.ResetUpload) {
+	for _, w := range s.workers {
+		w.SetFault(standin.WorkerFault{ResetUpload: &f})
+	}
+}
+
+// resets returns how many requests the workers have reset.
+func (s *frontSystem) resets() int {
+	n := 0
+	for _, w := range s.workers {
+		n += w.Resets()
+	}
+	return n
+}
+
+func (s *frontSystem) send(bodySize int) (r result, reached bool) {
+	before := s.resets()
+	request := standin.Request{Method: "POST", Host: host, Path: s.path, ID: uuid.NewString(), Key: key, Body: strings.Repeat("x", bodySize), Timeout: requestTimeout}
+	if s.path == onceStreamPath || s.path == resumablePath {
+		request.PromptID, request.PromptTokens, request.OutputTokens = "a1", 1000, 100
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	var d net.Dialer
+	a, err := standin.Exchange(ctx, d.DialContext, s.callers, request.Encode())
+	if err == nil {
+		r = result{status: a.Status, complete: a.Complete}
+	}
+	return r, s.resets() > before
+}
+
+func configuration() *route.Configuration {
+	newRoute := func(name, service string, policy route.RetryPolicy, stream bool) route.Route {
+		return route.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Targets: []route.Target{{Service: service, Weight: 1}}, RetryPolicy: policy, Stream: stream,
+			Timeout: requestTimeout, TargetLatency: 2 * time.Second, TargetGap: 700 * time.Millisecond, MaxAttempts: 2,
+		}
+	}
+	return &route.Configuration{
+		Version: 1,
+		Limits:  route.Limits{HeaderBytes: 64 << 10, BodyBytes: 4 << 20, HeaderTimeout: requestTimeout, IdleTimeout: requestTimeout},
+		Routes: []route.Route{
+			newRoute("log", "plain", route.AtMostOnce, false), newRoute("ping", "plain", route.Idempotent, false),
+			newRoute("note", "engines", route.AtMostOnce, true), newRoute("brief", "engines", route.Resumable, true),
+		},
+		Services: []route.Service{
+			{Name: "engines", MaxConnections: 100, Engine: &route.Engine{Slots: 16, KVCapacityTokens: 88000}}, {Name: "plain", MaxConnections: 100},
+		},
+		Teams: []route.Team{{Name: "desk", Keys: []string{key}}},
+	}
+}
+
+// serve listens on a free address, which it returns, until the test ends.
+func serve(t *testing.T, start func(net.Listener) (stop func())) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(start(l))
+	return l.Addr().String()
+}
+
+// freeAddresses returns addresses that nobody listens on.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = l.Close() }() // after the last one was found
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+// TestResetUploads guards against a part of an answer without a length that is delivered as a complete answer when
+// its endpoint resets the connection during the upload of the request.
+func TestResetUploads(t *testing.T) {
+	for path, rounds := range map[string]int{oncePath: 10, repeatablePath: 10, onceStreamPath: 3, resumablePath: 3} {
+		t.Run(strings.Trim(path, "/1"), func(t *testing.T) {
+			s := startFrontSystem(t, path)
+			assertNoParts(t, func(*testing.T) system { return s }, rounds, 64<<10, 512<<10, 3<<20)
+		})
+	}
+}
--- /dev/null
+++ b/cli/uploads/own_interface_test.go
@@ -0,0 +1,159 @@
+package uploads
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	operatorv1 "github.com/agateway/agateway/api/operator/v1"
+	"github.com/agateway/agateway/cli/command"
+	"github.com/agateway/agateway/cli/standin/plain"
+	standinplatform "github.com/agateway/agateway/cli/standin/platform"
+	"github.com/agateway/agateway/gateway/daemon"
+	"github.com/agateway/agateway/gateway/network"
+	gatewayplatform "github.com/agateway/agateway/gateway/platform"
+	"github.com/agateway/agateway/gateway/settings"
+	"github.com/agateway/agateway/platform/standin"
+)
+
+const (
+	teamName    = "desk"
+	teamKey     = "agw_desk_0123456789"
+	operatorKey = "operator-key-0123456789"
+	serviceName = "queue-app"
+)
+
+// ownSystem is a platform, services and an instance of the own interface.
+type ownSystem struct {
+	callers  string
+	services []*plain.Plain
+	method   string // of calls
+}
+
+func startOwnSystem(t *testing.T, method string) *ownSystem {
+	t.Helper()
+	p, err := standinplatform.Start(network.TCP{}, "127.0.0.1:0", 0)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	s := &ownSystem{method: method}
+	for i := range 8 {
+		service, err := plain.Start(plain.Config{
+			ID: fmt.Sprint("s", i), Address: "127.0.0.1:0", DataCentre: "dc0", Service: serviceName, Slots: 64,
+			Platform: gatewayplatform.NewObjects(p.URL(), 2*time.Second, network.TCP{}), Network: network.TCP{},
+		})
+		assert.NilError(t, err)
+		t.Cleanup(service.Close)
+		s.services = append(s.services, service)
+	}
+	a := freeAddresses(t, 2)
+	s.callers = a[0]
+	hash := sha256.Sum256([]byte(operatorKey))
+	parsed, err := settings.Parse(fmt.Appendf(nil, `[instance]
+id = g0
+data_centre = dc0
+callers = %s
+peers = %s
+[platform]
+url = %s
+[keys]
+cursor = cursor-key-0123456789
+peer = peer-key-0123456789
+operator_sha256 = %s
+`, a[0], a[1], p.URL(), hex.EncodeToString(hash[:])))
+	assert.NilError(t, err)
+	d, err := daemon.Start(parsed, network.TCP{}, io.Discard)
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	s.awaitStart(t)
+	return s
+}
+
+// awaitStart configures the instance and waits until it serves a call.
+func (s *ownSystem) awaitStart(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(startTimeout)
+	for err := s.configure(); err != nil; err = s.configure() {
+		assert.Assert(t, time.Now().Before(deadline), "%v", err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for r := s.call(http.MethodPut, 1); r.status != http.StatusOK || !r.complete; r = s.call(http.MethodPut, 1) {
+		assert.Assert(t, time.Now().Before(deadline), "%+v", r)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// configure creates the team and the service.
+func (s *ownSystem) configure() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c := command.NewOperatorClient(s.callers, operatorKey)
+	hash := sha256.Sum256([]byte(teamKey))
+	if _, err := c.PutTeam(ctx, connect.NewRequest(&operatorv1.PutTeamRequest{
+		Team: &operatorv1.Team{Name: teamName, KeySha256: []string{hex.EncodeToString(hash[:])}}, OperationId: "team",
+	})); err != nil {
+		return err
+	}
+	_, err := c.CreateDeployment(ctx, connect.NewRequest(&operatorv1.CreateDeploymentRequest{OperationId: "service", Deployment: &operatorv1.Deployment{
+		Name: serviceName, Kind: operatorv1.Kind_KIND_PLAIN, Service: serviceName, Teams: []string{teamName},
+		Contract: &operatorv1.Contract{Class: "background", DeadlineMs: uint32(requestTimeout.Milliseconds()), QueueMs: 500},
+	}}))
+	return err
+}
+
+func (s *ownSystem) setFault(f standin.ResetUpload) {
+	for _, p := range s.services {
+		p.SetFault(plain.Fault{ResetUpload: &f})
+	}
+}
+
+// resets returns how many calls the services have reset.
+func (s *ownSystem) resets() int {
+	n := 0
+	for _, p := range s.services {
+		n += p.Resets()
+	}
+	return n
+}
+
+func (s *ownSystem) send(bodySize int) (r result, reached bool) {
+	before := s.resets()
+	r = s.call(s.method, bodySize)
+	return r, s.resets() > before
+}
+
+// call sends a call with a body of some bytes.
+func (s *ownSystem) call(method string, bodySize int) result {
+	client := http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := http.NewRequest(method, "http://"+s.callers+"/v1/services/"+serviceName+"/x", strings.NewReader(strings.Repeat("x", bodySize)))
+	if err != nil {
+		return result{}
+	}
+	r.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := client.Do(r)
+	if err != nil {
+		return result{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return result{status: resp.StatusCode, complete: err == nil}
+}
+
+// TestResetUploadsOfOwnInterface is TestResetUploads for the own interface: calls that may run once and calls that may
+// be repeated. A service that resets is not used again at once, so each fault gets a system of its own.
+func TestResetUploadsOfOwnInterface(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			start := func(t *testing.T) system { return startOwnSystem(t, method) }
+			assertNoParts(t, start, 10, 64<<10, 1<<20)
+		})
+	}
+}
--- a/gateway/network/network.go
+++ b/gateway/network/network.go
@@ -45,7 +45,7 @@
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // DialerWithTimeout returns a dialer that fails after timeout. All its errors are of type
-// *net.OpError with Op "dial".
+// *net.OpError with Op "dial". Reads of its connections may return [ErrNotReceived].
 func DialerWithTimeout(n Network, timeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -54,6 +54,6 @@
 		if err != nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 		}
-		return conn, nil
+		return checkEnds(conn), nil
 	}
 }
