--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -55,6 +55,8 @@
 	DieInBody bool `json:"die_in_body,omitempty"`
 	// ResetUpload answers during the upload of a call and resets the connection; nil for no such fault.
 	ResetUpload *standin.ResetUpload `json:"reset_upload,omitempty"`
+	// MalformedHead answers with a head that HTTP does not allow; nil for no such fault.
+	MalformedHead *standin.MalformedHead `json:"malformed_head,omitempty"`
 }
 
 // Plain is a running simulated service.
@@ -191,6 +193,10 @@
 		p.answerUnframed(w, f, id)
 		return
 	}
+	if f.MalformedHead != nil {
+		answerMalformedHead(w, f.MalformedHead, id)
+		return
+	}
 	w.Header().Set(endpoint.HeaderRequestID, id)
 	serve.WriteJSON(w, map[string]string{"method": r.Method, "path": r.URL.Path, "body": string(body), "traceparent": r.Header.Get("traceparent")})
 }
@@ -211,3 +217,15 @@
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n\r\n"+text) // a failure shows as a lost answer
 }
+
+// MalformedHeadBody is the body of answers under [Fault.MalformedHead].
+const MalformedHeadBody = "an answer with a malformed head"
+
+func answerMalformedHead(w http.ResponseWriter, m *standin.MalformedHead, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, m.Answer("HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n", MalformedHeadBody)) // a failure shows as a lost answer
+	_ = conn.Close()
+}
