gateway/answerhead: an answer with a malformed field is a lost one

Callers got answers in whose head the name of a field held a blank: the line was dropped, and where it stated the length or the chunks, the body ended with its connection and held the sizes of chunks.

Cause: the readers of the standard library accept a blank in a name and keep the field under that name. Every client of endpoints and of the store read heads with them: gateway/upstream, gateway/endpoint, platform and the callers under cli.

gateway/answerhead checks the bytes of heads as they are read, by RFC 9112, section 5, and the names in trailers. An answer that breaks the rule is lost: requests that may be repeated are served elsewhere, others get 502 at once, and none is said not to have run. The log line of the request quotes the name, and a counter counts. It holds for all HTTP/1 readers.

A first form returned the error once and lost it: net/http ignores an error where it looks for a blank before the first field, and reads on. A call then waited until its deadline (TestTransport). The error stays now.

The store's client takes its transport, so that platform knows nothing of the check.

--- a/cli/caller/caller.go
+++ b/cli/caller/caller.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/pipeline"
 )
@@ -64,7 +65,7 @@
 	}
 	const connect = time.Second
 	t := &http.Transport{DialContext: network.DialerWithTimeout(opt.Network, connect), DisableKeepAlives: true}
-	return &Client{opt: opt, http: &http.Client{Transport: t}, avoidUntil: map[string]time.Time{}}
+	return &Client{opt: opt, http: &http.Client{Transport: answerhead.NewTransport(t)}, avoidUntil: map[string]time.Time{}}
 }
 
 // Request describes a generation.
--- a/cli/command/operate.go
+++ b/cli/command/operate.go
@@ -20,6 +20,7 @@
 
 	operatorv1 "github.com/agateway/agateway/api/operator/v1"
 	"github.com/agateway/agateway/api/operator/v1/operatorv1connect"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/pipeline"
 )
 
@@ -32,6 +33,9 @@
 	return operatorv1connect.NewOperatorServiceClient(&http.Client{Transport: bearerTransport{key}}, "http://"+address)
 }
 
+// operatorTransport sends the calls of all clients of the operators' interface.
+var operatorTransport = answerhead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+
 // bearerTransport adds a key to each request as a bearer token.
 type bearerTransport struct{ key string }
 
@@ -39,7 +43,7 @@
 func (b bearerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.key)
-	return http.DefaultTransport.RoundTrip(r)
+	return operatorTransport.RoundTrip(r)
 }
 
 func (o *options) operatorClient() operatorv1connect.OperatorServiceClient {
--- a/cli/e2e/malformed_heads_test.go
+++ b/cli/e2e/malformed_heads_test.go
@@ -25,6 +25,39 @@
 	}
 }
 
+// TestMalformedHeads guards against an answer that is passed on although the name of a field in its head holds a blank
+// or a control byte: the line may have said where the body ends.
+func TestMalformedHeads(t *testing.T) {
+	for _, m := range []standin.MalformedHead{
+		{LastLine: "X Note: 1"}, {LastLine: "X-Note : 1"}, {LastLine: "X-Note\t: 1"}, {LastLine: "X\x01Note: 1"}, {LastLine: "X\rNote: 1"}, {LastLine: "X\x7fNote: 1"},
+		{LastLine: "X Note: 1", Framing: standin.FramedByChunks}, {LastLine: "X Note: 1", Framing: standin.NotFramed}, {Line: "X Note: 1"},
+		{LastLine: "X Note: 1", Status: "404"}, {LastLine: "X Note: 1", Status: "500"}, {LastLine: "Agateway-Not-Run : 1", Status: "503"},
+		{LastLine: "X-Note: \x01"}, {LastLine: "X-Note: a\rb"},
+		{LastLine: "Content-Length : 4", Framing: standin.NotFramed}, {LastLine: "Transfer-Encoding : chunked", Framing: standin.UnstatedChunks},
+	} {
+		assertMalformedHeadLost(t, m)
+	}
+}
+
+// TestMalformedTrailers guards against an answer that is complete although the name of a field behind its body is
+// malformed. The caller has got the head by then.
+func TestMalformedTrailers(t *testing.T) {
+	for _, trailer := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1"} {
+		t.Run(fmt.Sprintf("%q", trailer), func(t *testing.T) {
+			runCluster(t, clusterConfig{gateways: 1, engines: 1, services: 1}, func(w *cluster) {
+				w.services[0].SetFault(plain.Fault{MalformedHead: &standin.MalformedHead{Trailer: trailer, Framing: standin.FramedByChunks}})
+				_, err := w.callerOf(0).CallPlain(w.ctx(), newLiftRequest("", ""))
+				assert.Assert(w.t, caller.IsLost(err), "%v", err)
+				ticket, err := w.callerOf(0).Ticket(w.ctx())
+				assert.NilError(w.t, err)
+				_, err = w.callerOf(0).CallPlain(w.ctx(), newLiftRequest(ticket, ""))
+				w.assertOutcomeUnknown(err)
+				assert.Equal(w.t, w.callRuns(liftCall), 2)
+			})
+		})
+	}
+}
+
 // assertMalformedHeadLost checks that an answer with a malformed head counts as a lost one: calls that may be repeated
 // are answered by another service, and the outcome of others is unknown.
 func assertMalformedHeadLost(t *testing.T, m standin.MalformedHead) {
--- a/cli/load/load.go
+++ b/cli/load/load.go
@@ -17,6 +17,7 @@
 	operatorv1 "github.com/agateway/agateway/api/operator/v1"
 	"github.com/agateway/agateway/cli/caller"
 	"github.com/agateway/agateway/cli/standin/engine"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/endpoint"
 )
 
@@ -222,7 +223,7 @@
 	return runs, err
 }
 
-var httpClient = &http.Client{Timeout: 500 * time.Millisecond}
+var httpClient = &http.Client{Timeout: 500 * time.Millisecond, Transport: answerhead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 
 func getJSON(ctx context.Context, url string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/gateway/endpoint/engine.go
+++ b/gateway/endpoint/engine.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/agateway/agateway/core/limitread"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/network"
 )
 
@@ -34,7 +35,7 @@
 	pooled := &http.Transport{
 		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 32, IdleConnTimeout: 20 * time.Second, MaxResponseHeaderBytes: limitread.MaxHead,
 	}
-	return &Client{unpooled: &http.Client{Transport: single}, pooled: &http.Client{Transport: pooled}}
+	return &Client{unpooled: &http.Client{Transport: answerhead.NewTransport(single)}, pooled: &http.Client{Transport: answerhead.NewTransport(pooled)}}
 }
 
 // Open starts a stream at the engine at address.
--- a/gateway/forward/answerbody.go
+++ b/gateway/forward/answerbody.go
@@ -36,6 +36,7 @@
 	if err == io.EOF {
 		err = b.checkEnd()
 	}
+	b.f.metrics.countIfMalformed(err)
 	return n, err
 }
 
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
 	"github.com/agateway/agateway/core/source"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/clock"
 	"github.com/agateway/agateway/gateway/crashes"
 	"github.com/agateway/agateway/gateway/decisions"
@@ -191,7 +192,7 @@
 	s, t := f.settings, f.telemetry
 	dial := network.DialerWithTimeout(f.env.Network, s.Streams.Connect)
 	f.decisions = decisions.New(t.Log)
-	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, network.DialerWithTimeout(f.env.Network, s.Store.Timeout))
+	f.store = platform.NewStore(s.Store.Address, s.Store.Timeout, answerhead.NewTransport(platform.NewTransport(network.DialerWithTimeout(f.env.Network, s.Store.Timeout))))
 	f.store.Observe(f.countStoreCall)
 	if !s.Mechanisms.Eras {
 		f.store.IgnoreEras()
--- a/gateway/pipeline/crashes.go
+++ b/gateway/pipeline/crashes.go
@@ -175,6 +175,7 @@
 func (t *callTrial) watchBody(ctx context.Context, e *routing.Endpoint, sentAt time.Time, resp *http.Response) {
 	headAt := time.Now()
 	b := &answerBody{ReadCloser: resp.Body, ended: func(err error) {
+		t.recordMalformed(resp.Header.Get(endpoint.HeaderRequestID), e.ID, err)
 		if err == nil {
 			t.clearOnAnswer()
 		} else if ctx.Err() == nil {
--- a/gateway/pipeline/deps.go
+++ b/gateway/pipeline/deps.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 
@@ -10,10 +11,12 @@
 
 	"github.com/agateway/agateway/core/generation"
 	"github.com/agateway/agateway/core/limits"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/atmostonce"
 	"github.com/agateway/agateway/gateway/backends"
 	"github.com/agateway/agateway/gateway/config"
 	"github.com/agateway/agateway/gateway/crashes"
+	"github.com/agateway/agateway/gateway/decisions"
 	"github.com/agateway/agateway/gateway/endpoint"
 	"github.com/agateway/agateway/gateway/fleet"
 	"github.com/agateway/agateway/gateway/generations"
@@ -41,6 +44,7 @@
 	recovery     generation.Config
 	retries      retryBudget
 	metrics      *metrics
+	failures     *decisions.Log
 	attributor   crashes.Attributor
 	usage        func() map[string]limits.Usage
 }
@@ -55,10 +59,18 @@
 	}
 	e := &d.Settings.Endpoints
 	d.retries.budget = limits.NewRetryBudget(e.RetryShare, e.RetryReserve)
-	d.metrics = newMetrics(d.Scope)
+	d.metrics, d.failures = newMetrics(d.Scope), decisions.New(d.Log)
 	d.attributor.Record, d.attributor.HasCrashed, d.attributor.DataCentreFailures = d.Crashes.RecordCrash, d.hasCrashed, d.dataCentreFailures
 }
 
+// recordMalformed counts and logs the answer of an endpoint to a request that failed for a malformed field.
+func (d *Deps) recordMalformed(request, endpoint string, err error) {
+	if errors.Is(err, answerhead.ErrMalformed) {
+		d.metrics.malformedAnswers.Inc(1)
+		d.failures.Refusal(request, "malformed answer", logrus.Fields{"endpoint": endpoint, "error": err.Error()})
+	}
+}
+
 // retryBudget is the retry budget that all requests of the instance share. It is safe for
 // concurrent use.
 type retryBudget struct {
@@ -85,6 +97,7 @@
 	restarts, silences, probes, probesDead             tally.Counter
 	staleTokens, repeatedTokens, gaps, falseSuspicions tally.Counter
 	prefilledAgain, discardedTokens, takeovers         tally.Counter
+	malformedAnswers                                   tally.Counter
 	firstToken, resume                                 tally.Timer
 }
 
@@ -95,7 +108,8 @@
 		restarts: s.Counter("restarts"), silences: s.Counter("silences"), probes: s.Counter("probes"), probesDead: s.Counter("probes_dead"),
 		staleTokens: s.Counter("stale_tokens"), repeatedTokens: s.Counter("repeated_tokens"), gaps: s.Counter("token_gaps"), falseSuspicions: s.Counter("false_suspicions"),
 		prefilledAgain: s.Counter("tokens_prefilled_again"), discardedTokens: s.Counter("tokens_thrown_away"), takeovers: s.Counter("takeovers"),
-		firstToken: s.Timer("first_token"), resume: s.Timer("resume"),
+		malformedAnswers: s.Counter("malformed_answers"),
+		firstToken:       s.Timer("first_token"), resume: s.Timer("resume"),
 	}
 }
 
--- a/gateway/pipeline/dispatch.go
+++ b/gateway/pipeline/dispatch.go
@@ -165,9 +165,11 @@
 	if find != nil {
 		watch = watchSilence(find, cancel)
 	}
+	id := uuid.NewString()
 	resp, err = d.Client.Do(ctx, e.Address, &endpoint.Call{
-		ID: uuid.NewString(), Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, Idempotent: find != nil,
+		ID: id, Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, Idempotent: find != nil,
 	})
+	d.recordMalformed(id, e.ID, err)
 	if next = watch.end(); next != nil && err == nil { // the answer came while the endpoint was left
 		_ = resp.Body.Close()
 		err = errLeft
--- a/gateway/pipeline/streams.go
+++ b/gateway/pipeline/streams.go
@@ -149,6 +149,7 @@
 	if closedByUs {
 		return // the error follows from our own cancellation
 	}
+	s.recordMalformed(s.x.entry.Generation, id, err)
 	unreachable := failure == generation.Refused && wait == 0
 	if failure == generation.Broken || failure == generation.Gone || unreachable {
 		s.Backends.Failed(id)
--- a/gateway/platform/objects.go
+++ b/gateway/platform/objects.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/core/revision"
+	"github.com/agateway/agateway/gateway/answerhead"
 	"github.com/agateway/agateway/gateway/network"
 	"github.com/agateway/agateway/gateway/unusable"
 	store "github.com/agateway/agateway/platform"
@@ -49,7 +50,7 @@
 	address := strings.TrimSuffix(strings.TrimPrefix(base, "http://"), "/")
 	// The dial timeout is shorter than that of a call. So a connection that could not be
 	// established is distinguished from a lost answer.
-	return &Objects{store: store.NewStore(address, timeout, network.DialerWithTimeout(n, timeout/2))}
+	return &Objects{store: store.NewStore(address, timeout, answerhead.NewTransport(store.NewTransport(network.DialerWithTimeout(n, timeout/2))))}
 }
 
 // Store returns the client of the store itself, for objects that are stored without an envelope.
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/agateway/agateway/core/limitread"
+	"github.com/agateway/agateway/gateway/answerhead"
 )
 
 // Request is a request to an endpoint. It is sent as it came from the caller.
@@ -175,6 +177,9 @@
 func (x *Exchange) readHead(r *Request, matches func(int, http.Header) bool) error {
 	x.conn.allow(limitread.MaxHead)
 	for skipped, informational := 0, 0; ; {
+		if err := x.conn.expectHead(); err != nil {
+			return err
+		}
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
@@ -230,6 +235,9 @@
 // only if the request was written whole.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
+	if err == io.EOF {
+		err = cmp.Or(answerhead.CheckTrailer(x.resp.Trailer), err)
+	}
 	if err == io.EOF && x.EndsWithConnection() && !x.requestSent() {
 		err = errEndedInRequest
 	}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/agateway/agateway/core/limitread"
+	"github.com/agateway/agateway/gateway/answerhead"
 )
 
 // Error types of this package.
@@ -68,7 +69,8 @@
 	net.Conn
 	pool       *Pool
 	target     Target
-	limit      *limitread.Reader // bounds what reader reads
+	limit      *limitread.Reader  // bounds what heads reads
+	heads      *answerhead.Reader // checks what reader reads
 	reader     *bufio.Reader
 	reuseUntil time.Time // not reused later, as the endpoint may close it; zero before PutBack or Finish
 	reused     bool
@@ -125,7 +127,8 @@
 		return nil, dialError(err).Wrap(err, "can't connect to %s at %s", t.ID, t.Address)
 	}
 	limit := limitread.NewReader(raw)
-	return &Conn{Conn: raw, pool: p, target: t, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}, nil
+	heads := &answerhead.Reader{R: limit}
+	return &Conn{Conn: raw, pool: p, target: t, limit: limit, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize)}, nil
 }
 
 // dialError returns the type of the error for a connection that could not be opened.
@@ -232,6 +235,15 @@
 	}
 }
 
+// expectHead makes the connection expect the head of an answer, which is checked as it is read.
+func (c *Conn) expectHead() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.heads.Expect(buffered)
+}
+
 // PutBack returns a connection to the pool on which nothing was sent.
 func (c *Conn) PutBack() { c.pool.putIdle(c, 0) }
 
