gateway/answerhead: an answer with a folded line is a lost one

Callers got answers in whose head a line began with a blank. The reader of the standard library joins it to the line before: behind the signature the caller got another signature than the endpoint's, and where the line stated the length or the chunks, the body ended with its connection and held the sizes of chunks.

RFC 9112, section 5.2: a server must not send such a line, and a proxy either rejects the answer or puts blanks in its place. The blanks keep a line that was meant to stand alone in the value of another field, so the answer is rejected.

TestCutAnswers had an answer with a folded line among those that are complete. That was wrong for an instance that passes answers on: what it passes on is not what the endpoint sent. TestFoldedLines takes its place, which wants the answer lost, cut at each byte and whole.

--- a/cli/e2e/malformed_heads_test.go
+++ b/cli/e2e/malformed_heads_test.go
@@ -32,6 +32,8 @@
 		{LastLine: "X Note: 1"}, {LastLine: "X-Note : 1"}, {LastLine: "X-Note\t: 1"}, {LastLine: "X\x01Note: 1"}, {LastLine: "X\rNote: 1"}, {LastLine: "X\x7fNote: 1"},
 		{LastLine: "X Note: 1", Framing: standin.FramedByChunks}, {LastLine: "X Note: 1", Framing: standin.NotFramed}, {Line: "X Note: 1"},
 		{LastLine: "X Note: 1", Status: "404"}, {LastLine: "X Note: 1", Status: "500"}, {LastLine: "Agateway-Not-Run : 1", Status: "503"},
+		{LastLine: " X-Note: 1", Framing: standin.NotFramed}, {LastLine: "\tX-Note: 1", Framing: standin.NotFramed},
+		{LastLine: " Transfer-Encoding: chunked", Framing: standin.UnstatedChunks},
 		{LastLine: "X-Note: \x01"}, {LastLine: "X-Note: a\rb"},
 		{LastLine: "Content-Length : 4", Framing: standin.NotFramed}, {LastLine: "Transfer-Encoding : chunked", Framing: standin.UnstatedChunks},
 	} {
--- a/gateway/answerhead/scanner.go
+++ b/gateway/answerhead/scanner.go
@@ -105,7 +105,8 @@
 	}
 }
 
-// beginLine checks the first byte of a line. One that begins with a blank continues the line before.
+// beginLine checks the first byte of a line. A line that begins with a blank once continued the line before, which a
+// server must not send.
 func (s *Scanner) beginLine(c byte) error {
 	s.name = fieldName{}
 	switch c {
@@ -114,7 +115,7 @@
 	case '\r':
 		s.at = behindReturn
 	case ' ', '\t':
-		s.at = inValue
+		return fmt.Errorf("%w: a line begins with byte %#02x", ErrMalformed, c)
 	default:
 		s.at = inName
 		return s.nextOfName(c)
--- a/gateway/answerhead/scanner_test.go
+++ b/gateway/answerhead/scanner_test.go
@@ -41,9 +41,9 @@
 		{statusLine + "A\r\n\r\n", len(statusLine), ErrMalformed},
 		{statusLine + "A\n", len(statusLine), ErrMalformed},
 		{statusLine + "\rA: 1\r\n", len(statusLine), ErrMalformed},
-		{statusLine + "A: 1\r\n b\r\n\r\n", -1, nil},
-		{statusLine + "A: 1\r\n\tb\r\n\r\n", -1, nil},
-		{statusLine + " A: 1\r\n\r\n", -1, nil},
+		{statusLine + "A: 1\r\n b\r\n\r\n", len(statusLine) + 6, ErrMalformed},
+		{statusLine + "A: 1\r\n\tb\r\n\r\n", len(statusLine) + 6, ErrMalformed},
+		{statusLine + " A: 1\r\n\r\n", len(statusLine), ErrMalformed},
 		{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\n" + statusLine + "\r\n \x01", -1, nil},
 		{"HTTP/1.1 103 Early Hints\r\n\r\n" + statusLine + "A B: 1\r\n\r\n", len("HTTP/1.1 103 Early Hints\r\n\r\n" + statusLine), ErrMalformed},
 	} {
--- a/gateway/answerhead/transport_test.go
+++ b/gateway/answerhead/transport_test.go
@@ -37,7 +37,7 @@
 
 // TestTransport checks that a call whose answer has a malformed head fails and is not repeated.
 func TestTransport(t *testing.T) {
-	for _, head := range []string{"A B: 1\r\n", "Content-Length : 2\r\n", "A\x01: 1\r\n"} {
+	for _, head := range []string{"A B: 1\r\n", "Content-Length : 2\r\n", "A\x01: 1\r\n", "A: 1\r\n B: 1\r\n"} {
 		connections := 0
 		client := http.Client{Transport: newTestTransport(t, &connections, statusLine+head+"Content-Length: 2\r\n\r\nok")}
 		for i := range 2 {
--- a/gateway/endpoint/malformed_test.go
+++ b/gateway/endpoint/malformed_test.go
@@ -17,7 +17,7 @@
 )
 
 // malformedLines are lines that no head of an answer may have.
-var malformedLines = []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X\x7fNote: 1", "X-Note: \x01", "Content-Length : 1"}
+var malformedLines = []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X\x7fNote: 1", " X-Note: 1", "\tX-Note: 1", "X-Note: \x01", "Content-Length : 1"}
 
 // callsOf returns all kinds of calls of a client.
 func callsOf(c *Client, address string) map[string]func(context.Context) error {
--- a/gateway/front/malformed_heads_test.go
+++ b/gateway/front/malformed_heads_test.go
@@ -27,7 +27,7 @@
 var malformedLines = []string{
 	"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X\tNote: 1", "X-Note  : 1",
 	"X\x00Note: 1", "X\x01Note: 1", "X\x0bNote: 1", "X\x1fNote: 1", "X\x7fNote: 1", "X\rNote: 1", "X\r: 1", "\x01: 1",
-	": 1", "X-Note", "X-Note: \x01", "X-Note: \x7f", "X-Note: a\rb",
+	" X-Note: 1", "\tX-Note: 1", " : 1", " a folded value", ": 1", "X-Note", "X-Note: \x01", "X-Note: \x7f", "X-Note: a\rb",
 	"Agateway-Response-Signature : forged", "Content-Encoding : gzip",
 }
 
@@ -53,11 +53,11 @@
 // TestMalformedFraming guards against a body that is not the endpoint's: the line that says where it ends has a
 // malformed name.
 func TestMalformedFraming(t *testing.T) {
-	for _, line := range []string{"Content-Length : 4", "Content-Length\t: 4", "Content Length: 4", "Content-Length\x00: 4"} {
+	for _, line := range []string{"Content-Length : 4", "Content-Length\t: 4", " Content-Length: 4", "Content Length: 4", "Content-Length\x00: 4"} {
 		m := standin.MalformedHead{LastLine: line, Framing: standin.NotFramed}
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { assertMalformedHeadLost(t, m) })
 	}
-	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Transfer Encoding: chunked"} {
+	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", " Transfer-Encoding: chunked", "Transfer Encoding: chunked"} {
 		m := standin.MalformedHead{LastLine: line, Framing: standin.UnstatedChunks}
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { assertMalformedHeadLost(t, m) })
 	}
--- a/gateway/platform/broken_answers_test.go
+++ b/gateway/platform/broken_answers_test.go
@@ -32,7 +32,7 @@
 // TestMalformedHeadsOfStore guards against an answer of the store that counts although a line of its head is no field,
 // such as the one that states the era.
 func TestMalformedHeadsOfStore(t *testing.T) {
-	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X\x7fNote: 1", "X-Note: \x01", "Store-Era : 3"} {
+	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X\x7fNote: 1", " X-Note: 1", "\tX-Note: 1", "X-Note: \x01", "Store-Era : 3"} {
 		assertNoAnswer(t, "HTTP/1.1 200 OK\r\nX-First: 1\r\n"+line+"\r\n")
 	}
 }
--- a/gateway/upstream/cut_test.go
+++ b/gateway/upstream/cut_test.go
@@ -19,7 +19,6 @@
 	"chunks":               "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n",
 	"chunks with trailers": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTrailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\na;x=y\r\n0123456789\r\n0\r\nX-T: 1\r\n\r\n",
 	"line feeds only":      "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 10\n\n0123456789",
-	"folded line":          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: a\r\n b\r\nContent-Length: 10\r\n\r\n0123456789",
 	"informational first":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n0123456789",
 	"old version":          "HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n0123456789",
 }
@@ -56,6 +55,16 @@
 	}
 }
 
+// TestFoldedLines checks that an answer in whose head a line is folded is lost, cut anywhere and whole.
+func TestFoldedLines(t *testing.T) {
+	s := newServer(t)
+	whole := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: a\r\n b\r\nContent-Length: 10\r\n\r\n0123456789"
+	for n := range len(whole) + 1 {
+		body, err := s.cutAfter(t, whole[:n])
+		assert.Assert(t, errorx.IsOfType(err, ErrLost), "%q gives %q, %v", whole[:n], body, err)
+	}
+}
+
 // cutAfter answers a request with text and closes the connection.
 func (s *server) cutAfter(t *testing.T, text string) (string, error) {
 	conn, err := newPool().Get(context.Background(), s.target())
