gateway/answerhead: the transport reads through the same Reader as gateway/upstream

Reader and the connections of Transport had the same check of what was read, with and without a lock. The Reader has the lock now. Scanner was used in the package only and is not exported; NewTransport had a case for a transport without a dialer, which no caller has. No change of behaviour: the tests of answerhead, upstream, endpoint and platform pass.

--- a/gateway/answerhead/doc.go
+++ b/gateway/answerhead/doc.go
@@ -3,7 +3,7 @@
 // What such a line says is then lost, such as where the body ends, or becomes part of another field, such as a signature.
 // So a client that passes answers on treats one with such a line as lost.
 //
-// A [Scanner] checks the bytes of heads as they arrive. A [Reader] applies it to the answers on a connection, a
-// [Transport] to all answers of a transport of net/http. [CheckTrailer] checks the fields behind a body. The bytes of
-// values are checked by the reader of the standard library.
+// A [Reader] checks the bytes of heads as they arrive on a connection, a [Transport] those of all answers of a transport
+// of net/http. [CheckTrailer] checks the fields behind a body. The bytes of values are checked by the reader of the
+// standard library.
 package answerhead
--- a/gateway/answerhead/scanner.go
+++ b/gateway/answerhead/scanner.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -13,9 +12,9 @@
 // ErrMalformed means that an answer holds a malformed field.
 var ErrMalformed = errors.New("malformed field in the answer")
 
-// Scanner checks the head of an answer as its bytes arrive. The zero value expects a head. It is not safe for
+// scanner checks the head of an answer as its bytes arrive. The zero value expects a head. It is not safe for
 // concurrent use.
-type Scanner struct {
+type scanner struct {
 	at            position
 	informational bool // the current head has a status of 1xx
 	name          fieldName
@@ -36,15 +35,9 @@
 	behindAllHead                 // the body, which is not checked
 )
 
-// Expect makes the scanner expect the head of another answer.
-func (s *Scanner) Expect() { *s = Scanner{} }
-
-// Err returns the error of the current head; nil if it is sound so far.
-func (s *Scanner) Err() error { return s.err }
-
-// Scan checks the next bytes of an answer. It returns how many there are before a malformed line. A head of a status of
-// 1xx is followed by another head. The error is [ErrMalformed]; it stays until the next head is expected.
-func (s *Scanner) Scan(b []byte) (sound int, err error) {
+// scan checks the next bytes of an answer. It returns how many there are before a malformed line. A head of a status of
+// 1xx is followed by another head. The error is [ErrMalformed], also of all later calls.
+func (s *scanner) scan(b []byte) (sound int, err error) {
 	for i := 0; i < len(b) && s.err == nil && s.at != behindAllHead; i++ {
 		if s.at == inStatusLine || s.at == inValue {
 			end := bytes.IndexByte(b[i:], '\n')
@@ -67,7 +60,7 @@
 }
 
 // next checks a byte that is neither in the remainder of a status line nor in a value.
-func (s *Scanner) next(c byte) error {
+func (s *scanner) next(c byte) error {
 	switch s.at {
 	case inProtocol:
 		s.nextOfProtocol(c)
@@ -86,7 +79,7 @@
 	return nil
 }
 
-func (s *Scanner) nextOfProtocol(c byte) {
+func (s *scanner) nextOfProtocol(c byte) {
 	switch c {
 	case ' ':
 		s.at = beforeStatus
@@ -95,7 +88,7 @@
 	}
 }
 
-func (s *Scanner) nextBeforeStatus(c byte) {
+func (s *scanner) nextBeforeStatus(c byte) {
 	switch c {
 	case ' ':
 	case '\n':
@@ -107,7 +100,7 @@
 
 // beginLine checks the first byte of a line. A line that begins with a blank once continued the line before, which a
 // server must not send.
-func (s *Scanner) beginLine(c byte) error {
+func (s *scanner) beginLine(c byte) error {
 	s.name = fieldName{}
 	switch c {
 	case '\n':
@@ -124,7 +117,7 @@
 }
 
 // nextOfName checks a byte of a name or the colon behind it.
-func (s *Scanner) nextOfName(c byte) error {
+func (s *scanner) nextOfName(c byte) error {
 	switch {
 	case c == ':' && s.name.length == 0:
 		return fmt.Errorf("%w: empty name", ErrMalformed)
@@ -137,14 +130,14 @@
 	return nil
 }
 
-func (s *Scanner) invalidByte(c byte) error {
+func (s *scanner) invalidByte(c byte) error {
 	return fmt.Errorf("%w: byte %#02x in a name behind %q", ErrMalformed, c, s.name.text())
 }
 
-func (s *Scanner) endHead() {
+func (s *scanner) endHead() {
 	s.at = behindAllHead
 	if s.informational {
-		s.Expect()
+		*s = scanner{}
 	}
 }
 
@@ -172,30 +165,3 @@
 	}
 	return nil
 }
-
-// Reader reads answers and fails where the head of one is malformed. It is not safe for concurrent use.
-type Reader struct {
-	R       io.Reader
-	scanner Scanner
-}
-
-// Expect makes the reader expect the head of another answer, of which the buffered bytes were read before.
-func (r *Reader) Expect(buffered []byte) error {
-	r.scanner.Expect()
-	_, err := r.scanner.Scan(buffered)
-	return err
-}
-
-// Read implements [io.Reader]. It returns the bytes before a malformed line. Its error stays, since parsers may read on
-// after one.
-func (r *Reader) Read(b []byte) (int, error) {
-	if err := r.scanner.Err(); err != nil {
-		return 0, err
-	}
-	n, err := r.R.Read(b)
-	sound, scanErr := r.scanner.Scan(b[:n])
-	if scanErr != nil {
-		return sound, scanErr
-	}
-	return n, err
-}
--- a/gateway/answerhead/scanner_test.go
+++ b/gateway/answerhead/scanner_test.go
@@ -50,13 +50,13 @@
 		if c.sound < 0 {
 			c.sound = len(c.answer)
 		}
-		var whole, pieces Scanner
-		sound, err := whole.Scan([]byte(c.answer))
+		var whole, pieces scanner
+		sound, err := whole.scan([]byte(c.answer))
 		assert.Check(t, errors.Is(err, c.err), "%q: %v", c.answer, err)
 		assert.Check(t, sound == c.sound, "%q: %d sound bytes, %v", c.answer, sound, err)
 		err = nil
 		for i := 0; i < len(c.answer) && err == nil; i++ {
-			_, err = pieces.Scan([]byte(c.answer[i : i+1]))
+			_, err = pieces.scan([]byte(c.answer[i : i+1]))
 		}
 		assert.Check(t, errors.Is(err, c.err), "%q in pieces: %v", c.answer, err)
 	}
@@ -123,10 +123,9 @@
 		"X-Load: 3,0,8\r\nContent-Type: application/json\r\nContent-Length: 2\r\nDate: Mon, 07 Dec 2026 10:00:00 GMT\r\n\r\n")
 	b.Run("scan", func(b *testing.B) {
 		b.ReportAllocs()
-		var s Scanner
 		for b.Loop() {
-			s.Expect()
-			if _, err := s.Scan(head); err != nil {
+			var s scanner
+			if _, err := s.scan(head); err != nil {
 				b.Fatal(err)
 			}
 		}
