gateway/upstream: malformed answers are counted where they are read

The forwarder counted them at three of the places that read answers, on each read of a body too, and not those of instances that pass requests on. The pool reports each one now, so all of its readers are counted. TestMalformedAnswersAreCounted.

--- a/gateway/forward/answerbody.go
+++ b/gateway/forward/answerbody.go
@@ -36,7 +36,6 @@
 	if err == io.EOF {
 		err = b.checkEnd()
 	}
-	b.f.metrics.countIfMalformed(err)
 	return n, err
 }
 
--- a/gateway/forward/metrics.go
+++ b/gateway/forward/metrics.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/agateway/agateway/core/admission"
 	"github.com/agateway/agateway/core/limits"
 	"github.com/agateway/agateway/core/routing"
-	"github.com/agateway/agateway/gateway/answerhead"
 )
 
 // metrics holds the counters and histograms of forwarding.
@@ -26,7 +24,6 @@
 	cooldowns                           tally.Counter // refusals that asked for a pause
 	pausedEndpoints                     tally.Gauge   // endpoints in a pause when the last one asked for one
 	limitedEndpoints                    tally.Gauge   // endpoints that state limits
-	malformedAnswers                    tally.Counter // answers with a malformed field, which count as lost
 	forPeers                            tally.Counter // requests that peers passed on
 	firstEvent, plainAnswer, streamMove tally.Histogram
 	// speeds are those of the engines that streams were placed at. speedsUnknown counts the streams
@@ -51,7 +48,7 @@
 		moved:    s.Counter("streams_moved_total"), keptSilent: s.Counter("streams_kept_silent_total"), leftSilent: s.Counter("streams_left_silent_total"), movedByCopy: s.Counter("streams_moved_to_copy_total"),
 		recovered: s.Counter("streams_recovered_total"), brokenOff: s.Counter("streams_broken_off_total"),
 		callersLeft: s.Counter("callers_left_total"), stoppedRefused: s.Counter("stopped_requests_refused_total"),
-		claimsRefused: s.Counter("claims_refused_total"), deadlineRefusals: s.Counter("claims_refused_for_deadline_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), malformedAnswers: s.Counter("answers_malformed_total"), forPeers: s.Counter("requests_for_peers_total"),
+		claimsRefused: s.Counter("claims_refused_total"), deadlineRefusals: s.Counter("claims_refused_for_deadline_total"), cooldowns: s.Counter("endpoint_pauses_total"), pausedEndpoints: s.Gauge("endpoints_paused"), limitedEndpoints: s.Gauge("endpoints_limited"), forPeers: s.Counter("requests_for_peers_total"),
 		firstEvent: s.Histogram("first_event_seconds", latency), plainAnswer: s.Histogram("plain_answer_seconds", latency),
 		speeds: s.Histogram("engine_speed", speedBuckets), speedsUnknown: s.Counter("engine_speeds_unknown_total"),
 		streamMove:  s.Histogram("stream_move_seconds", latency),
@@ -60,13 +57,6 @@
 	}
 }
 
-// countIfMalformed counts an answer that failed for a malformed field.
-func (m *metrics) countIfMalformed(err error) {
-	if errors.Is(err, answerhead.ErrMalformed) {
-		m.malformedAnswers.Inc(1)
-	}
-}
-
 // countLimitClaim counts a claim at an endpoint that states limits.
 func (m *metrics) countLimitClaim(l admission.Limits, granted bool) {
 	if l.Stated() {
--- a/gateway/forward/outcome.go
+++ b/gateway/forward/outcome.go
@@ -89,7 +89,6 @@
 // exchange sends a request on a connection to an endpoint and reads the head of its answer.
 func (f *Forwarder) exchange(ctx context.Context, pass *arrivalPass, conn *upstream.Conn, endpoint string, r *upstream.Request, owns func(int, http.Header) bool) (*upstream.Exchange, error) {
 	x, err := sendAdmitted(ctx, pass, conn, r, owns)
-	f.metrics.countIfMalformed(err)
 	switch {
 	case err == nil && !conn.Reused():
 		f.Reach.Connected()
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -118,7 +118,6 @@
 		r.Body, r.Length = bytes.NewReader(body), int64(len(body))
 	}
 	x, err := conn.Do(ctx, r, func(int, http.Header) bool { return true })
-	f.metrics.countIfMalformed(err)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -211,6 +211,8 @@
 	f.callersGuard, f.internalGuard = f.newGuards()
 	f.pool = upstream.NewPool(dial)
 	f.pool.Unbounded = !s.Mechanisms.AnswerBounds
+	malformedAnswers := t.Scope.Counter("answers_malformed_total")
+	f.pool.OnMalformed = func() { malformedAnswers.Inc(1) }
 	f.reach = reach.New(reach.Options{Dial: dial, Sample: f.placement.Sample, OnChange: f.onReachChange, Log: t.Log, Scope: t.Scope})
 	f.mirror = follow.NewMirror(f.env.Clock, func() time.Duration { return s.WatchWait() + staleMargin + f.relay.Slack() })
 	odd := unusable.New(t.Log, t.Scope)
--- a/gateway/upstream/cut_test.go
+++ b/gateway/upstream/cut_test.go
@@ -98,3 +98,23 @@
 		assert.Assert(t, x == nil && errorx.IsOfType(err, ErrLost), "%q: %v", whole[:n], err)
 	}
 }
+
+// TestMalformedAnswersAreCounted checks that an answer with a malformed field is reported once, in its head or its trailer,
+// and that no other lost answer is.
+func TestMalformedAnswersAreCounted(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	for answer, want := range map[string]int{
+		head + "X Y: 1\r\nContent-Length: 2\r\n\r\nok":                            1,
+		head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n": 1,
+		head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Y: 1\r\n\r\n": 0,
+		head + "Content-Length: 3\r\n\r\nok":                                      0,
+	} {
+		s, p, counted := newServer(t), newPool(), 0
+		p.OnMalformed = func() { counted++ }
+		conn, err := p.Get(context.Background(), s.target())
+		assert.NilError(t, err)
+		go func() { _ = s.serve(t, answer).Close() }()
+		_, _ = exchange(context.Background(), conn)
+		assert.Check(t, counted == want, "%q: %d", answer, counted)
+	}
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -56,6 +56,7 @@
 	go x.write(r)
 	if err := x.readHead(r, matches); err != nil {
 		x.Abort()
+		c.pool.countIfMalformed(err)
 		if c.reused && x.nothingWritten() {
 			return nil, ErrNotSent.Wrap(err, "%s closed the connection before anything was sent", c.target.ID)
 		}
@@ -237,6 +238,7 @@
 	n, err := x.resp.Body.Read(b)
 	if err == io.EOF {
 		err = cmp.Or(answerhead.CheckTrailer(x.resp.Trailer), err)
+		x.conn.pool.countIfMalformed(err)
 	}
 	if err == io.EOF && x.EndsWithConnection() && !x.requestSent() {
 		err = errEndedInRequest
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -49,6 +49,9 @@
 type Pool struct {
 	// Unbounded lifts the bounds on heads of answers. It is set before the first use.
 	Unbounded bool
+	// OnMalformed is called for each answer with a malformed field, which is lost; nil for no such calls. It is set
+	// before the first use.
+	OnMalformed func()
 
 	dial      DialFunc
 	mu        sync.Mutex
@@ -235,6 +238,13 @@
 	}
 }
 
+// countIfMalformed reports an answer that failed for a malformed field.
+func (p *Pool) countIfMalformed(err error) {
+	if p.OnMalformed != nil && errors.Is(err, answerhead.ErrMalformed) {
+		p.OnMalformed()
+	}
+}
+
 // expectHead makes the connection expect the head of an answer, which is checked as it is read.
 func (c *Conn) expectHead() error {
 	buffered, err := c.reader.Peek(c.reader.Buffered())
