platform/standin, cli/uploads, gateway/front: one copy of what the new faults and tests share

The fault that resets uploads counts its requests itself, in place of both stand-ins and both systems. Raw answers are sent by one function (cut and malformed heads, both products). cli/uploads waits for a start in one place, gateway/front sets the fault of all endpoints in one. The checks of cut heads are named for what they check, since malformed heads use them too.

Assertions, bounds and bodies are unchanged.

--- a/cli/standin/plain/plain.go
+++ b/cli/standin/plain/plain.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -66,7 +65,6 @@
 	gate serve.Gate
 	*serve.Server
 
-	resets  atomic.Int64
 	mu      sync.Mutex
 	fault   Fault
 	runs    map[string]int
@@ -103,8 +101,11 @@
 	return out
 }
 
-// Resets returns how many calls the service has reset under [Fault.ResetUpload].
-func (p *Plain) Resets() int { return int(p.resets.Load()) }
+func (p *Plain) currentFault() Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
 
 // SetFault replaces the faults in effect.
 func (p *Plain) SetFault(f Fault) {
@@ -145,12 +146,8 @@
 
 func (p *Plain) handleCall(w http.ResponseWriter, r *http.Request) {
 	p.gate.Wait(r.Context())
-	p.mu.Lock()
-	f := p.fault
-	p.mu.Unlock()
-	if f.ResetUpload != nil {
-		p.resets.Add(1)
-		f.ResetUpload.Serve(w, endpoint.HeaderRequestID+": "+r.Header.Get(endpoint.HeaderRequestID)+"\r\n")
+	if f := p.currentFault().ResetUpload; f != nil {
+		f.Serve(w, endpoint.HeaderRequestID+": "+r.Header.Get(endpoint.HeaderRequestID)+"\r\n")
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -158,7 +155,7 @@
 		return
 	}
 	p.mu.Lock()
-	f = p.fault
+	f := p.fault
 	if !f.NotRun {
 		p.runs[strings.Join([]string{r.Method, r.URL.Path, string(body)}, " ")]++
 	}
@@ -194,7 +191,7 @@
 		return
 	}
 	if f.MalformedHead != nil {
-		answerMalformedHead(w, f.MalformedHead, id)
+		f.MalformedHead.Serve(w, "HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n", "an answer with a malformed head")
 		return
 	}
 	w.Header().Set(endpoint.HeaderRequestID, id)
@@ -217,15 +214,3 @@
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n\r\n"+text) // a failure shows as a lost answer
 }
-
-// MalformedHeadBody is the body of answers under [Fault.MalformedHead].
-const MalformedHeadBody = "an answer with a malformed head"
-
-func answerMalformedHead(w http.ResponseWriter, m *standin.MalformedHead, id string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, m.Answer("HTTP/1.1 200 OK\r\n"+endpoint.HeaderRequestID+": "+id+"\r\n", MalformedHeadBody)) // a failure shows as a lost answer
-	_ = conn.Close()
-}
--- a/cli/uploads/front_test.go
+++ b/cli/uploads/front_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -72,37 +71,17 @@
 	f, err := front.Start(parsed, front.Environment{Network: network.TCP{}, Clock: func() time.Duration { return time.Since(began) + time.Hour }, Out: io.Discard})
 	assert.NilError(t, err)
 	t.Cleanup(f.Close)
-	s.awaitStart(t)
+	awaitStart(t, func() error { return s.send(1).asError() })
 	return s
 }
 
-// awaitStart waits until a request is served.
-func (s *frontSystem) awaitStart(t *testing.T) {
-	t.Helper()
-	deadline := time.Now().Add(startTimeout)
-	for r, _ := s.send(1); r.status != http.StatusOK || !r.complete; r, _ = s.send(1) {
-		assert.Assert(t, time.Now().Before(deadline), "%+v", r)
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
-func (s *frontSystem) setFault(f standin.ResetUpload) {
-	for _, w := range s.workers {
-		w.SetFault(standin.WorkerFault{ResetUpload: &f})
-	}
-}
-
-// resets returns how many requests the workers have reset.
-func (s *frontSystem) resets() int {
-	n := 0
+func (s *frontSystem) setFault(f *standin.ResetUpload) {
 	for _, w := range s.workers {
-		n += w.Resets()
+		w.SetFault(standin.WorkerFault{ResetUpload: f})
 	}
-	return n
 }
 
-func (s *frontSystem) send(bodySize int) (r result, reached bool) {
-	before := s.resets()
+func (s *frontSystem) send(bodySize int) result {
 	request := standin.Request{Method: "POST", Host: host, Path: s.path, ID: uuid.NewString(), Key: key, Body: strings.Repeat("x", bodySize), Timeout: requestTimeout}
 	if s.path == onceStreamPath || s.path == resumablePath {
 		request.PromptID, request.PromptTokens, request.OutputTokens = "a1", 1000, 100
@@ -111,10 +90,10 @@
 	defer cancel()
 	var d net.Dialer
 	a, err := standin.Exchange(ctx, d.DialContext, s.callers, request.Encode())
-	if err == nil {
-		r = result{status: a.Status, complete: a.Complete}
+	if err != nil {
+		return result{}
 	}
-	return r, s.resets() > before
+	return result{status: a.Status, complete: a.Complete}
 }
 
 func configuration() *route.Configuration {
--- a/cli/uploads/own_interface_test.go
+++ b/cli/uploads/own_interface_test.go
@@ -66,46 +66,19 @@
 	d, err := daemon.Start(parsed, network.TCP{}, io.Discard)
 	assert.NilError(t, err)
 	t.Cleanup(d.Close)
-	s.awaitStart(t)
+	called := testsystem.Service{Name: serviceName, Team: "desk", TeamKey: teamKey, Deadline: requestTimeout}
+	awaitStart(t, func() error { return called.Configure(s.callers, operatorKey, time.Second) })
+	awaitStart(t, func() error { return s.call(http.MethodPut, 1).asError() })
 	return s
 }
 
-// awaitStart configures the instance and waits until it serves a call.
-func (s *ownSystem) awaitStart(t *testing.T) {
-	t.Helper()
-	deadline := time.Now().Add(startTimeout)
-	service := testsystem.Service{Name: serviceName, Team: "desk", TeamKey: teamKey, Deadline: requestTimeout}
-	configure := func() error { return service.Configure(s.callers, operatorKey, time.Second) }
-	for err := configure(); err != nil; err = configure() {
-		assert.Assert(t, time.Now().Before(deadline), "%v", err)
-		time.Sleep(50 * time.Millisecond)
-	}
-	for r := s.call(http.MethodPut, 1); r.status != http.StatusOK || !r.complete; r = s.call(http.MethodPut, 1) {
-		assert.Assert(t, time.Now().Before(deadline), "%+v", r)
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
-func (s *ownSystem) setFault(f standin.ResetUpload) {
+func (s *ownSystem) setFault(f *standin.ResetUpload) {
 	for _, p := range s.services {
-		p.SetFault(plain.Fault{ResetUpload: &f})
+		p.SetFault(plain.Fault{ResetUpload: f})
 	}
 }
 
-// resets returns how many calls the services have reset.
-func (s *ownSystem) resets() int {
-	n := 0
-	for _, p := range s.services {
-		n += p.Resets()
-	}
-	return n
-}
-
-func (s *ownSystem) send(bodySize int) (r result, reached bool) {
-	before := s.resets()
-	r = s.call(s.method, bodySize)
-	return r, s.resets() > before
-}
+func (s *ownSystem) send(bodySize int) result { return s.call(s.method, bodySize) }
 
 // call sends a call with a body of some bytes.
 func (s *ownSystem) call(method string, bodySize int) result {
--- a/cli/uploads/uploads_test.go
+++ b/cli/uploads/uploads_test.go
@@ -4,8 +4,10 @@
 package uploads
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,11 +23,14 @@
 	complete bool // the answer was framed and whole
 }
 
+// succeeded reports whether the caller got a complete success.
+func (r result) succeeded() bool { return r.status == http.StatusOK && r.complete }
+
 // system is one of the products, with endpoints that reset uploads.
 type system interface {
-	setFault(standin.ResetUpload)
-	// send sends a request with a body of some bytes on a new connection. reached reports whether an endpoint got it.
-	send(bodySize int) (r result, reached bool)
+	setFault(*standin.ResetUpload)
+	// send sends a request with a body of some bytes on a new connection.
+	send(bodySize int) result
 }
 
 // assertNoParts checks that no caller gets a part of an answer as the whole one. Which system call meets a reset first
@@ -39,21 +44,39 @@
 					continue // the endpoint has received all and closes in order
 				}
 				s := start(t)
-				fault := standin.ResetUpload{Reads: int64(reads), ClosesFirst: closesFirst}
+				fault := &standin.ResetUpload{Reads: int64(reads), ClosesFirst: closesFirst}
 				s.setFault(fault)
 				parts, sent := 0, 0
 				for range rounds {
-					r, reached := s.send(size)
-					if reached {
-						sent++
-					}
-					if r.status == http.StatusOK && r.complete {
+					before := fault.Served()
+					if s.send(size).succeeded() {
 						parts++
 					}
+					if fault.Served() > before {
+						sent++
+					}
 				}
 				assert.Check(t, sent > 0, "no endpoint was reached")
-				assert.Check(t, parts == 0, "%d of %d answers are a part: body of %d bytes, %+v", parts, sent, size, fault)
+				assert.Check(t, parts == 0, "%d of %d answers are a part: body of %d bytes, %d read, closes first: %t", parts, sent, size, reads, closesFirst)
 			}
 		}
 	}
 }
+
+// awaitStart waits until a try succeeds.
+func awaitStart(t *testing.T, try func() error) {
+	t.Helper()
+	deadline := time.Now().Add(startTimeout)
+	for err := try(); err != nil; err = try() {
+		assert.Assert(t, time.Now().Before(deadline), "%v", err)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// asError returns an error for a request that did not succeed.
+func (r result) asError() error {
+	if r.succeeded() {
+		return nil
+	}
+	return fmt.Errorf("the answer is no success: %+v", r)
+}
--- a/gateway/front/cut_heads_test.go
+++ b/gateway/front/cut_heads_test.go
@@ -20,22 +20,18 @@
 			t.Run(fmt.Sprintf("%s/%d", framing, bytes), func(t *testing.T) {
 				run(t, 2, 3, 3, func(w *world) {
 					fault := standin.WorkerFault{CutHead: &standin.CutHead{Framing: framing, Bytes: bytes}}
-					w.assertCutHeadsRecovered(fault)
-					for _, list := range [][]*standin.Worker{w.engines, w.plains} {
-						for _, e := range list {
-							e.SetFault(fault)
-						}
-					}
-					w.assertCutHeadsFail()
+					w.assertLossesRecovered(fault)
+					w.setFaults(fault)
+					w.assertLossesFail()
 				})
 			})
 		}
 	}
 }
 
-// assertCutHeadsRecovered checks that requests which may run again are served while one endpoint of each service cuts
-// its heads.
-func (w *world) assertCutHeadsRecovered(fault standin.WorkerFault) {
+// assertLossesRecovered checks that requests which may run again are served while one endpoint of each service loses its
+// answers.
+func (w *world) assertLossesRecovered(fault standin.WorkerFault) {
 	w.engines[0].SetFault(fault)
 	w.plains[0].SetFault(fault)
 	for i := range 4 {
@@ -49,9 +45,9 @@
 	}
 }
 
-// assertCutHeadsFail checks that no request is answered with success while all endpoints cut their heads, and that
+// assertLossesFail checks that no request is answered with success while all endpoints lose their answers, and that
 // requests run as often as they may.
-func (w *world) assertCutHeadsFail() {
+func (w *world) assertLossesFail() {
 	for name, c := range map[string]struct {
 		request standin.Request
 		maxRuns int
--- a/gateway/front/malformed_heads_test.go
+++ b/gateway/front/malformed_heads_test.go
@@ -96,14 +96,14 @@
 }
 
 // assertMalformedHeadLost checks that an answer with a malformed head counts as a lost one: requests that may be
-// repeated are served by other endpoints, and without such the caller is told at once.
+// repeated are served by other endpoints, and are refused at once if no other endpoint is sound.
 func assertMalformedHeadLost(t *testing.T, m standin.MalformedHead) {
 	run(t, 2, 3, 3, func(w *world) {
 		fault := standin.WorkerFault{MalformedHead: &m}
-		w.assertCutHeadsRecovered(fault)
+		w.assertLossesRecovered(fault)
 		w.setFaults(fault)
 		began := time.Now()
-		w.assertCutHeadsFail()
+		w.assertLossesFail()
 		took := time.Since(began)
 		assert.Assert(t, took < 4*time.Second, "four requests took %v", took)
 	})
