gateway/internal/brokenanswers: one copy of the broken answers to calls and of their check

The tests of gateway/endpoint and of the store's client had the same server of sound and then broken answers, and the same check of the calls that fail. The check is unchanged.

--- a/gateway/endpoint/malformed_test.go
+++ b/gateway/endpoint/malformed_test.go
@@ -1,18 +1,14 @@
 package endpoint
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
-	"github.com/joomcode/errorx"
-	"gotest.tools/v3/assert"
-
+	"github.com/agateway/agateway/gateway/internal/brokenanswers"
 	"github.com/agateway/agateway/gateway/network"
 )
 
@@ -57,45 +53,26 @@
 // TestMalformedHeads guards against answers that are read although a line of their head is no field, on new connections
 // and on those that were used before.
 func TestMalformedHeads(t *testing.T) {
-	const calls = 6 // more than a connection answers properly, as the transport may open another one
+	answer := func(line string) string {
+		return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "Content-Length: 2\r\n\r\n{}"
+	}
 	for _, line := range malformedLines {
-		for _, properly := range []int{0, 1, 2} {
-			address := serve(t, func(conn net.Conn) { answerCalls(conn, properly, line+"\r\n") })
+		for _, soundAnswers := range []int{0, 1, 2} {
+			address := brokenanswers.Serve(t, soundAnswers, answer(""), answer(line+"\r\n"))
 			for name := range callsOf(nil, address) {
-				call := callsOf(NewClient(time.Second, network.TCP{}), address)[name]
 				reuses := name == "status" || name == "idempotent"
-				if properly > 0 && !reuses {
+				if soundAnswers > 0 && !reuses {
 					continue
 				}
-				broken := 0
-				for range calls {
-					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-					if err := call(ctx); err != nil {
-						assert.Assert(t, errorx.IsOfType(err, ErrBroken), "%q, %s: %v", line, name, err)
-						broken++
-					}
-					cancel()
-				}
-				assert.Check(t, broken > 0 && (properly > 0 || broken == calls), "%q after %d, %s: %d of %d are broken", line, properly, name, broken, calls)
+				t.Run(fmt.Sprintf("%q/%d/%s", line, soundAnswers, name), func(t *testing.T) {
+					call := callsOf(NewClient(time.Second, network.TCP{}), address)[name]
+					brokenanswers.AssertFail(t, soundAnswers, ErrBroken, func() error {
+						ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+						defer cancel()
+						return call(ctx)
+					})
+				})
 			}
 		}
 	}
 }
-
-// answerCalls answers the calls on a connection: some properly, and the next one with further lines in its head.
-func answerCalls(conn net.Conn, properly int, lines string) {
-	defer func() { _ = conn.Close() }()
-	r := bufio.NewReader(conn)
-	for n := 0; n <= properly; n++ {
-		call, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, call.Body)
-		further := ""
-		if n == properly {
-			further = lines
-		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-First: 1\r\n%sContent-Length: 2\r\n\r\n{}", further)
-	}
-}
