cli/command: calls of instances for operators check the heads of answers too

Operators could get a state, or the answer to another call of an instance, from an answer with a malformed field: a blank in a name, a framing field with one, or such a trailer.

Cause: callInstance used the default client, the only reader of answers left that read heads without gateway/answerhead.

The calls now use the transport of the operators' client, so that this package has one; they fail with ErrMalformed.

--- a/cli/command/operate.go
+++ b/cli/command/operate.go
@@ -33,8 +33,8 @@
 	return operatorv1connect.NewOperatorServiceClient(&http.Client{Transport: bearerTransport{key}}, "http://"+address)
 }
 
-// operatorTransport sends the calls of all clients of the operators' interface.
-var operatorTransport = answerhead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+// transport sends the calls of this package to instances.
+var transport = answerhead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 
 // bearerTransport adds a key to each request as a bearer token.
 type bearerTransport struct{ key string }
@@ -43,7 +43,7 @@
 func (b bearerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.key)
-	return operatorTransport.RoundTrip(r)
+	return transport.RoundTrip(r)
 }
 
 func (o *options) operatorClient() operatorv1connect.OperatorServiceClient {
--- a/cli/command/state.go
+++ b/cli/command/state.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
 		return nil, err
 	}
