gateway/upstream: whether a request was written does not depend on when its writer runs

Cause: a body that ends with its connection is complete only if the request was written whole, and the reader waited 20 ms for the goroutine that writes. A trace showed that goroutine ending without an error 20 to 40 ms after the end of the answer: the system call had taken the last bytes, but the goroutine had not run again. The same wait decided whether a request on a reused connection was certainly not sent.

The bytes that the connection takes are now counted under a lock that a write holds, and compared with the length of the request. The reader closes the connection, which ends a write that waits, and takes the lock. An endpoint that has received the whole request has it from writes that were under way by then, so no time is involved. The caller's body is not awaited.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/agateway/agateway/core/limitread"
@@ -32,8 +31,7 @@
 type Exchange struct {
 	conn          *Conn
 	resp          *http.Response
-	sentAll       atomic.Bool // the whole request was written
-	bytesWritten  atomic.Int64
+	sent          sentBytes
 	done          chan struct{} // closed once the request's writer has ended
 	stopAfterFunc func() bool   // see [context.AfterFunc]
 }
@@ -48,16 +46,17 @@
 // answer belongs to this request; other answers are skipped. The exchange owns the connection, and
 // closes it when ctx ends. The error is [ErrNotSent] or [ErrLost].
 func (c *Conn) Do(ctx context.Context, r *Request, matches func(status int, h http.Header) bool) (*Exchange, error) {
-	x := &Exchange{conn: c, done: make(chan struct{})}
+	x := &Exchange{conn: c, sent: sentBytes{conn: c.Conn}, done: make(chan struct{})}
 	x.stopAfterFunc = context.AfterFunc(ctx, c.Discard)
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
 	go x.write(r)
 	if err := x.readHead(r, matches); err != nil {
-		x.Abort()
+		x.stopAfterFunc()
+		x.stopWriter()
 		c.pool.countIfMalformed(err)
-		if c.reused && x.nothingWritten() {
+		if c.reused && x.sent.none() {
 			return nil, ErrNotSent.Wrap(err, "%s closed the connection before anything was sent", c.target.ID)
 		}
 		return nil, ErrLost.Wrap(err, "no answer from %s", c.target.ID)
@@ -65,9 +64,8 @@
 	return x, nil
 }
 
-// writerTimeout bounds the wait for the goroutine that writes the request, after the connection was
-// closed or the endpoint has answered. The writer takes longer only while it waits for the caller's
-// body or the endpoint does not read.
+// writerTimeout bounds the wait for the goroutine that writes the request, after the endpoint has answered. The writer
+// takes longer only while it waits for the caller's body, the endpoint or a processor.
 const writerTimeout = 20 * time.Millisecond
 
 // awaitWriter waits for the writer, for at most writerTimeout. It returns true if the writer has
@@ -83,34 +81,23 @@
 	}
 }
 
-// nothingWritten reports whether the connection certainly took no byte of the request.
-func (x *Exchange) nothingWritten() bool { return x.awaitWriter() && x.bytesWritten.Load() == 0 }
-
-// requestSent reports whether the whole request was written. It awaits the writer, since an
-// endpoint that has the whole request may answer before the writer has returned from its last
-// write.
-func (x *Exchange) requestSent() bool { return x.awaitWriter() && x.sentAll.Load() }
+// stopWriter closes the connection. No byte of the request is written after it has returned. It does not await the
+// writer, which may wait for the caller's body.
+func (x *Exchange) stopWriter() {
+	x.conn.Discard()
+	x.sent.stop()
+}
 
 // write sends the request. It runs concurrently with the reader, since an endpoint may answer
 // before it has read a long body.
 func (x *Exchange) write(r *Request) {
 	defer close(x.done)
-	w := bufio.NewWriterSize(countingWriter{x}, writeBufferSize)
 	// A failed write fails the read of the head, since no answer arrives, or that of a body which ends with
 	// the connection; see Read.
-	x.sentAll.Store(writeRequest(w, r) == nil)
+	_ = x.writeRequest(bufio.NewWriterSize(&x.sent, writeBufferSize), r)
 }
 
-// countingWriter counts the bytes that the connection took.
-type countingWriter struct{ x *Exchange }
-
-func (w countingWriter) Write(b []byte) (int, error) {
-	n, err := w.x.conn.Write(b)
-	w.x.bytesWritten.Add(int64(n))
-	return n, err
-}
-
-func writeRequest(w *bufio.Writer, r *Request) error {
+func (x *Exchange) writeRequest(w *bufio.Writer, r *Request) error {
 	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host); err != nil {
 		return err
 	}
@@ -129,24 +116,30 @@
 	if _, err := w.WriteString("\r\n"); err != nil {
 		return err
 	}
-	if err := writeBody(w, r); err != nil {
+	if err := x.writeBody(w, r); err != nil {
 		return err
 	}
 	return w.Flush()
 }
 
-func writeBody(w *bufio.Writer, r *Request) error {
+func (x *Exchange) writeBody(w *bufio.Writer, r *Request) error {
 	switch {
 	case r.Body == nil:
+		x.sent.setRest(int64(w.Buffered()))
 		return nil
 	case r.Length >= 0:
+		x.sent.setRest(int64(w.Buffered()) + r.Length)
 		n, err := io.Copy(w, r.Body)
 		if err == nil && n != r.Length {
 			return errors.New("the body is shorter than its length")
 		}
 		return err
 	}
-	return writeChunks(w, r.Body)
+	if err := writeChunks(w, r.Body); err != nil {
+		return err
+	}
+	x.sent.setRest(int64(w.Buffered()))
+	return nil
 }
 
 func writeChunks(w *bufio.Writer, body io.Reader) error {
@@ -240,8 +233,11 @@
 		err = cmp.Or(answerhead.CheckTrailer(x.resp.Trailer), err)
 		x.conn.pool.countIfMalformed(err)
 	}
-	if err == io.EOF && x.EndsWithConnection() && !x.requestSent() {
-		err = errEndedInRequest
+	if err == io.EOF && x.EndsWithConnection() {
+		x.stopWriter()
+		if !x.sent.all() {
+			err = errEndedInRequest
+		}
 	}
 	if err != nil && err != io.EOF {
 		return n, ErrLost.Wrap(err, "the answer of %s broke off", x.conn.target.ID)
@@ -255,7 +251,7 @@
 // another request can safely be sent on it, and closes it otherwise.
 func (x *Exchange) Finish() {
 	detached := x.stopAfterFunc()
-	if !detached || !x.requestSent() || x.resp.Close || x.EndsWithConnection() {
+	if !detached || !x.awaitWriter() || !x.sent.all() || x.resp.Close || x.EndsWithConnection() {
 		x.conn.Discard()
 		return
 	}
--- a/gateway/upstream/upload_test.go
+++ b/gateway/upstream/upload_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -100,17 +99,7 @@
 	s := newServer(t)
 	conn, err := newPool().Get(context.Background(), s.target())
 	assert.NilError(t, err)
-	go func() {
-		c := <-s.conns
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err == nil {
-			_, err = io.Copy(io.Discard, r.Body)
-		}
-		if err == nil {
-			_, _ = io.WriteString(c, unframedAnswer)
-		}
-		_ = c.Close()
-	}()
+	go answerWhenRead(<-s.conns)
 	x, err := conn.Do(context.Background(), uploadRequest(bytes.NewReader(make([]byte, uploadBytes))), matchesID)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(x)
