--- a/gateway/endpoint/answer.go
+++ b/gateway/endpoint/answer.go
@@ -16,9 +16,9 @@
 // validStatus reports whether an answer may have a status code.
 func validStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
-// EndsWithConnection reports whether an answer has neither a length nor chunks.
+// EndsWithConnection reports whether an answer has a body with neither a length nor chunks.
 func EndsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
 // transport is a transport on which an answer that ends with its connection is complete only if the call was written
--- a/gateway/endpoint/sent_test.go
+++ b/gateway/endpoint/sent_test.go
@@ -219,3 +219,20 @@
 		assert.Assert(t, err != nil, "%q", answer)
 	}
 }
+
+// TestConnectionOfHeadIsReused: an answer to HEAD has no body that could end with its connection, which another call may
+// be using by the time the answer is read.
+func TestConnectionOfHeadIsReused(t *testing.T) {
+	connections := make(chan struct{}, 3)
+	address := serve(t, func(c net.Conn) {
+		connections <- struct{}{}
+		for answerWhenRead(c, "HTTP/1.1 200 OK\r\n\r\n") > 0 {
+		}
+	})
+	client := NewClient(time.Second, network.TCP{})
+	for range 3 {
+		_, err := readAnswer(t, client, address, &Call{ID: "a", Method: http.MethodHead, Path: "/", Idempotent: true})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(connections), 1)
+}
