gateway/internal/brokenanswers: one copy of the connections that write late or are reset

gateway/upstream and gateway/endpoint each had a stand-in for a connection whose writes return late, and one for a connection that is reset during a request. Both use the same ones now. No assertion and no product code changed.

The tests of both packages and gateway/platform pass twice with the race detector.

--- a/gateway/endpoint/sent_test.go
+++ b/gateway/endpoint/sent_test.go
@@ -8,18 +8,16 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/agateway/agateway/gateway/internal/brokenanswers"
 	"github.com/agateway/agateway/gateway/network"
 )
 
-// resetNetwork connects to a service that answers at once, takes some bytes of a call and resets the connection. The
-// system call that meets a reset first gets its error: the write here. The read then sees an ordinary end.
+// resetNetwork connects to a service that answers at once, takes some bytes of a call and resets the connection.
 type resetNetwork struct {
 	network.TCP
 	takes int
@@ -27,56 +25,19 @@
 
 // Dial implements [network.Network].
 func (n resetNetwork) Dial(context.Context, string, string) (net.Conn, error) {
-	c, _ := net.Pipe()
-	return &resetConn{Conn: c, answer: strings.NewReader(unframedAnswer), takes: n.takes, reset: make(chan struct{})}, nil
-}
-
-type resetConn struct {
-	net.Conn
-	answer io.Reader
-	takes  int
-	once   sync.Once
-	reset  chan struct{}
-}
-
-func (c *resetConn) Write(b []byte) (int, error) {
-	if len(b) <= c.takes {
-		c.takes -= len(b)
-		return len(b), nil
-	}
-	c.once.Do(func() { close(c.reset) })
-	return c.takes, syscall.ECONNRESET
-}
-
-func (c *resetConn) Read(b []byte) (int, error) {
-	n, err := c.answer.Read(b)
-	if err == io.EOF {
-		<-c.reset
-	}
-	return n, err
+	return brokenanswers.NewResetConn(unframedAnswer, n.takes), nil
 }
 
 // lateNetwork is the network of the operating system, with connections whose writes return late.
 type lateNetwork struct{ network.TCP }
 
-// writeDelay is longer than the goroutine that writes a call waits for a processor on a busy machine.
-const writeDelay = 200 * time.Millisecond
-
-type lateConn struct{ net.Conn }
-
 // Dial implements [network.Network].
 func (n lateNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := n.TCP.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return lateConn{c}, nil
-}
-
-func (c lateConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	time.Sleep(writeDelay)
-	return n, err
+	return brokenanswers.LateConn{Conn: c}, nil
 }
 
 // answerWhenRead reads a call whole, answers it and returns how many bytes it had.
--- a/gateway/upstream/late_test.go
+++ b/gateway/upstream/late_test.go
@@ -8,29 +8,18 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
-)
-
-// writeDelay is longer than the goroutine that writes a request waits for a processor on a busy machine.
-const writeDelay = 200 * time.Millisecond
-
-// lateConn is a connection whose writes return late, with the result that they had in time.
-type lateConn struct{ net.Conn }
 
-func (c lateConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	time.Sleep(writeDelay)
-	return n, err
-}
+	"github.com/agateway/agateway/gateway/internal/brokenanswers"
+)
 
 func newLatePool() *Pool {
 	return NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
 		var d net.Dialer
 		c, err := d.DialContext(ctx, network, address)
-		return lateConn{c}, err
+		return brokenanswers.LateConn{Conn: c}, err
 	})
 }
 
@@ -64,7 +53,7 @@
 	assert.NilError(t, err)
 	conn.reused = true
 	assert.NilError(t, (<-s.conns).Close())
-	assert.NilError(t, conn.Conn.(lateConn).Conn.(*net.TCPConn).CloseWrite()) // writes fail
+	assert.NilError(t, conn.Conn.(brokenanswers.LateConn).Conn.(*net.TCPConn).CloseWrite()) // writes fail
 	_, err = conn.Do(context.Background(), newRequest(), matchesID)
 	assert.Assert(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
 }
--- a/gateway/upstream/upload_test.go
+++ b/gateway/upstream/upload_test.go
@@ -8,14 +8,13 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
+
+	"github.com/agateway/agateway/gateway/internal/brokenanswers"
 )
 
 const (
@@ -27,48 +26,13 @@
 	return &Request{Method: http.MethodPost, Target: "/", Host: "h.example", Header: http.Header{}, Body: body, Length: uploadBytes}
 }
 
-// resetConn is a connection whose endpoint answers at once and resets it during the upload. The system call that meets
-// a reset first gets its error: the write here. The read then sees what looks like an ordinary end.
-type resetConn struct {
-	net.Conn
-	answer io.Reader
-	// takes is how many bytes of the request are taken before the reset.
-	takes int
-	mu    sync.Mutex
-	reset chan struct{}
-}
-
-func (c *resetConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.takes -= len(b); c.takes < 0 {
-		select {
-		case <-c.reset:
-		default:
-			close(c.reset)
-		}
-		return 0, syscall.ECONNRESET
-	}
-	return len(b), nil
-}
-
-func (c *resetConn) Read(b []byte) (int, error) {
-	n, err := c.answer.Read(b)
-	if err == io.EOF {
-		<-c.reset
-	}
-	return n, err
-}
-
-func (c *resetConn) SetDeadline(time.Time) error { return nil }
-func (c *resetConn) Close() error                { return nil }
-
 // TestPartOfAnswerBeforeResetOfUpload guards against a part of an answer without a length that is taken for the whole
 // one: the endpoint reset the connection while the request was written, and only the writer saw that.
 func TestPartOfAnswerBeforeResetOfUpload(t *testing.T) {
 	for _, takes := range []int{0, 100, uploadBytes / 2} {
-		c := &resetConn{answer: strings.NewReader(unframedAnswer), takes: takes, reset: make(chan struct{})}
-		p := NewPool(func(context.Context, string, string) (net.Conn, error) { return c, nil })
+		p := NewPool(func(context.Context, string, string) (net.Conn, error) {
+			return brokenanswers.NewResetConn(unframedAnswer, takes), nil
+		})
 		conn, err := p.Get(context.Background(), Target{ID: "e1"})
 		assert.NilError(t, err)
 		x, err := conn.Do(context.Background(), uploadRequest(bytes.NewReader(make([]byte, uploadBytes))), matchesID)
